Serve forwarded routes from the users' store, thin: one request of each kind

Cause: the product could only be reached through its callers' API and its own log. On the users' platform requests come as plain HTTP and are passed on as they are; routes, keys and endpoints stand in the platform's store.

Change: a package for forwarded routes with its ports (topics, decoders, headers), and platform/, which fills them. The clients that stood in platform/ are now services/, since they speak none of the users' protocols.

--- a/src/carawayward/clock.py
+++ b/src/carawayward/clock.py
@@ -19,6 +19,14 @@
         """Milliseconds on a monotonic clock with no meaning elsewhere."""
         return time.monotonic() * 1000.0
 
+    def boot_ms(self) -> float:
+        """Milliseconds on a monotonic clock that counts suspension.
+
+        Leases are measured on it: ``now_ms`` stands still while a machine
+        is suspended, so that a lease would outlive its bound.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
     def wall_ms(self) -> int:
         """Milliseconds since the epoch."""
         return time.time_ns() // 1_000_000
@@ -39,6 +47,10 @@
         """Return the time that was last set."""
         return self.now
 
+    def boot_ms(self) -> float:
+        """Return the time that was last set."""
+        return self.now
+
     def wall_ms(self) -> int:
         """Return the time as a wall clock would show it."""
         return self.wall_offset + int(self.now)
--- a/src/carawayward/commands/access.py
+++ b/src/carawayward/commands/access.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from carawayward.platform import log as log_module
+from carawayward.services import log as log_module
 
 
 def with_log(
--- a/src/carawayward/commands/bills.py
+++ b/src/carawayward/commands/bills.py
@@ -6,8 +6,8 @@
 from carawayward.commands import ledger as ledger_module
 from carawayward.controllers import billing as billing_controller
 from carawayward import errors
-from carawayward.platform import log as log_module
 from carawayward.protocol import billing
+from carawayward.services import log as log_module
 
 
 def bills(log: str) -> str:
--- a/src/carawayward/commands/declarations.py
+++ b/src/carawayward/commands/declarations.py
@@ -15,9 +15,9 @@
 from carawayward.controllers import publishing
 from carawayward import declaration
 from carawayward import errors
-from carawayward.platform import log as log_module
 from carawayward.protocol import config_log
 from carawayward.protocol import freshness
+from carawayward.services import log as log_module
 
 WAITING = str(freshness.Confirmation.WAITING)
 POLL_S = 0.5
--- a/src/carawayward/commands/rollouts.py
+++ b/src/carawayward/commands/rollouts.py
@@ -6,7 +6,7 @@
 from carawayward.controllers import rollout_reader
 from carawayward.decisions import rollout as decisions
 from carawayward import errors
-from carawayward.platform import log as log_module
+from carawayward.services import log as log_module
 
 
 def rollouts(log: str) -> str:
--- a/src/carawayward/console/pages.py
+++ b/src/carawayward/console/pages.py
@@ -26,7 +26,7 @@
 from carawayward.decisions import rollout as rollout_decisions
 from carawayward import errors
 from carawayward import events
-from carawayward.platform import log as log_module
+from carawayward.services import log as log_module
 from carawayward import settings as settings_module
 
 FOLDER = pathlib.Path(__file__).parent
--- a/src/carawayward/controllers/billing.py
+++ b/src/carawayward/controllers/billing.py
@@ -9,8 +9,8 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.peers import hub as hub_module
-from carawayward.platform import log as log_module
 from carawayward.protocol import billing
+from carawayward.services import log as log_module
 from carawayward import settings as settings_module
 
 STREAM = "billing"
--- a/src/carawayward/controllers/claims.py
+++ b/src/carawayward/controllers/claims.py
@@ -10,8 +10,8 @@
 from carawayward import clock as clock_module
 from carawayward import errors
 from carawayward import events
-from carawayward.platform import log as log_module
 from carawayward.protocol import claims
+from carawayward.services import log as log_module
 from carawayward import settings as settings_module
 
 STREAM = "claims"
--- a/src/carawayward/controllers/configuration.py
+++ b/src/carawayward/controllers/configuration.py
@@ -13,9 +13,9 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.peers import hub as hub_module
-from carawayward.platform import log as log_module
 from carawayward.protocol import config_log
 from carawayward.protocol import freshness
+from carawayward.services import log as log_module
 
 STREAM = config_log.STREAM
 # Kept under their first names for the tools that call them here.
--- a/src/carawayward/controllers/orders.py
+++ b/src/carawayward/controllers/orders.py
@@ -22,7 +22,7 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.gateway import order_client
-from carawayward.platform import weights as weights_module
+from carawayward.services import weights as weights_module
 from carawayward import settings as settings_module
 
 INTERVAL_MS = 3_000.0
--- a/src/carawayward/controllers/publishing.py
+++ b/src/carawayward/controllers/publishing.py
@@ -7,8 +7,8 @@
 
 from carawayward import declaration
 from carawayward import errors
-from carawayward.platform import log as log_module
 from carawayward.protocol import config_log
+from carawayward.services import log as log_module
 
 ATTEMPTS = 3
 RETRY_S = 1.0
--- a/src/carawayward/controllers/ratings.py
+++ b/src/carawayward/controllers/ratings.py
@@ -15,8 +15,8 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.peers import hub as hub_module
-from carawayward.platform import ratings as ratings_module
 from carawayward import quality
+from carawayward.services import ratings as ratings_module
 from carawayward import settings as settings_module
 
 INTERVAL_MS = 1_000.0
--- a/src/carawayward/controllers/rollout_reader.py
+++ b/src/carawayward/controllers/rollout_reader.py
@@ -4,7 +4,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import rollout as decisions
-from carawayward.platform import log as log_module
+from carawayward.services import log as log_module
 
 STREAM = "rollouts"
 NOTHING = decisions.RolloutLog(known=False)
--- a/src/carawayward/controllers/rollouts.py
+++ b/src/carawayward/controllers/rollouts.py
@@ -22,10 +22,10 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.peers import hub as hub_module
-from carawayward.platform import log as log_module
 from carawayward.protocol import freshness
 from carawayward import quality
 from carawayward import rollout_declaration
+from carawayward.services import log as log_module
 
 INTERVAL_MS = 1_000.0
 RETRY_MS = 1_000.0
--- a/src/carawayward/controllers/sightings.py
+++ b/src/carawayward/controllers/sightings.py
@@ -12,9 +12,9 @@
 from carawayward import events
 from carawayward.gateway import endpoints as endpoints_module
 from carawayward.peers import hub as hub_module
-from carawayward.platform import vms as vms_module
 from carawayward.protocol import membership
 from carawayward.protocol import sightings
+from carawayward.services import vms as vms_module
 
 # The list is read less often by each of many nodes, so that the platform
 # sees about 40 reads a second; the first reader of a leaving mark tells all.
--- a/src/carawayward/daemon.py
+++ b/src/carawayward/daemon.py
@@ -38,9 +38,9 @@
 from carawayward import listening
 from carawayward import metrics as metrics_module
 from carawayward.peers import hub as hub_module
-from carawayward.platform import log as log_module
-from carawayward.platform import vms as vms_module
 from carawayward.protocol import tokens
+from carawayward.services import log as log_module
+from carawayward.services import vms as vms_module
 from carawayward import settings as settings_module
 from carawayward import status
 from carawayward import stopping
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -133,6 +133,27 @@
         "look at the endpoint",
         logging.WARNING,
     )
+    ENDPOINT_LISTED = EventKind(
+        1508, "The registry lists an endpoint, or says that it leaves."
+    )
+    ENDPOINT_UNLISTED = EventKind(
+        1509, "The registry lists an endpoint no longer; it gets no work."
+    )
+    ENTRY_UNREADABLE = EventKind(
+        1510,
+        "A record in the platform's store cannot be read and is ignored.",
+        "look at who wrote the record named in the event",
+        logging.WARNING,
+    )
+    REQUEST_FORWARDED = EventKind(
+        1511, "A forwarded request has its final answer."
+    )
+    ATTEMPT_ENDED = EventKind(
+        1512, "One attempt of a forwarded request did not bring its answer."
+    )
+    ROLLOUT_ORDERED = EventKind(
+        1513, "An operator asks for a service's traffic to change version."
+    )
     ENDPOINT_EJECTED = EventKind(
         1502,
         "An endpoint is left out for a while: it fails or is far slower "
--- /dev/null
+++ b/src/carawayward/forwarding/exchange.py
@@ -0,0 +1,436 @@
+"""The life of one forwarded request, from the caller's to its last byte."""
+
+import contextlib
+import dataclasses
+import typing
+
+import attrs
+import trio
+
+from carawayward import clock as clock_module
+from carawayward.decisions import placement
+from carawayward.decisions import retry
+from carawayward import events
+from carawayward.forwarding import attempt as attempt_module
+from carawayward.forwarding import event_stream
+from carawayward.forwarding import facts
+from carawayward.forwarding import fleet as fleet_module
+from carawayward.forwarding import replies
+from carawayward.forwarding import table
+from carawayward import http_client as http
+
+# A reply goes out this long before the time is up, so that it is with the
+# caller when the time is up.
+REPLY_MARGIN_MS = 20.0
+# An endpoint is given less than the caller's own time by this much, so that
+# what it still does in time can be passed on in time.
+RELAY_MARGIN_MS = 30.0
+# Plain answers are passed on once they are whole, so that one that breaks
+# off can be asked for again; this bounds the memory of one.
+MOST_BODY_BYTES = 4_194_304
+# Endpoints that could not be reached are tried besides a route's own bound,
+# which counts runs; each costs at most the time to connect.
+MOST_UNREACHED = 3
+# A repeatable request waits for the head of an answer no longer than this
+# part of the route's target times two before another endpoint is asked.
+HEAD_TARGETS = 2.0
+# A stream that pauses for so many of the longest pauses that still count as
+# in time is read on from another endpoint.
+GAP_TARGETS = 2.0
+# When to come back while nothing is known of when an endpoint will be free:
+# registries tell of a new endpoint within about a second.
+COME_BACK_MS = 1_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivered:
+    """The caller has the whole answer."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreached:
+    """No byte of the request has left this entry VM."""
+
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declined:
+    """The endpoint says that it did not and will not run the request."""
+
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The request may have run; ``head`` and ``body`` are its answer.
+
+    Without a ``head`` there was no usable answer.
+    """
+
+    cause: str
+    head: attempt_module.Head | None = None
+    body: bytes = b""
+
+
+Outcome = Delivered | Unreached | Declined | Failed
+
+
+@attrs.define(eq=False, kw_only=True)
+class Work:
+    """What is known of one request while it is served; times in ms.
+
+    ``mark`` is that of the attempt under way; ``ran`` tells whether an
+    earlier one may have run.
+    """
+
+    request: replies.CallerRequest
+    facts: facts.RequestFacts
+    route: table.Route
+    table: table.RoutingTable
+    customer: str
+    began_ms: float
+    deadline_ms: float
+    model: str = ""
+    runs: int = 0
+    unreached: int = 0
+    ran: bool = False
+    mark: http.SentMark | None = None
+    excluded: frozenset[str] = frozenset()
+    last_event: int | None = None
+    failure: Failed | None = None
+    endpoint: str = ""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt may have run or may still run."""
+        return self.ran or (self.mark is not None and self.mark.sent)
+
+    @property
+    def service(self) -> table.Service | None:
+        """The service that the request goes to."""
+        return self.table.services.get(self.route.targets[0].service)
+
+
+@attrs.define(eq=False)
+class Forwarder:
+    """Serves forwarded requests.
+
+    ``may_send`` is asked at the instant before a request's first byte goes
+    to an endpoint, with the request's route.
+    """
+
+    clock: clock_module.Clock
+    dialect: facts.Dialect
+    fleet: fleet_module.Fleet
+    may_send: typing.Callable[[Work], bool]
+    budgets: dict[str, retry.Budget] = attrs.field(factory=dict)
+
+    async def serve(self, work: Work, reply: replies.Reply) -> None:
+        """Answer one request; the caller's leaving cancels this call."""
+        left_ms = work.deadline_ms - self.clock.now_ms() - REPLY_MARGIN_MS
+        with trio.move_on_after(max(0.0, left_ms) / 1000) as scope:
+            await self._run(work, reply)
+        if scope.cancelled_caught:
+            await self._give_up(work, reply, "deadline")
+
+    async def _run(self, work: Work, reply: replies.Reply) -> None:
+        while True:
+            place = self._place(work)
+            if place is None:
+                await self._give_up(work, reply, "no endpoint")
+                return
+            outcome = await self._attempt(work, place, reply)
+            if isinstance(outcome, Delivered):
+                self._log_end(work, outcome.status, "delivered")
+                return
+            self._note(work, place, outcome)
+            if not self._may_try_again(work, outcome, reply):
+                await self._give_up(work, reply, outcome.cause)
+                return
+
+    def _place(self, work: Work) -> fleet_module.Place | None:
+        pool = self.fleet.find_pool(work.route.targets[0].service)
+        key = find_cache_key(work) if work.route.affinity else None
+        return self.fleet.choose(pool, key, work.excluded)
+
+    async def _attempt(
+        self, work: Work, place: fleet_module.Place, reply: replies.Reply
+    ) -> Outcome:
+        """Send the request to one endpoint and pass its answer on."""
+        mark = http.SentMark(may_send=lambda: self.may_send(work))
+        work.mark = mark
+        work.endpoint = place.entry.name
+        began_ms = self.clock.now_ms()
+        self.fleet.occupy(place)
+        try:
+            outcome = await self._send(work, place, mark, reply)
+        except attempt_module.AttemptFailed as fault:
+            if fault.sent:
+                outcome = Failed(fault.detail)
+            else:
+                outcome = Unreached(fault.detail)
+        finally:
+            self.fleet.vacate(place)
+        if isinstance(outcome, (Declined, Unreached)):
+            work.mark = None
+        elif isinstance(outcome, Delivered):
+            self.fleet.note_success(place, self.clock.now_ms() - began_ms)
+        return outcome
+
+    async def _send(
+        self,
+        work: Work,
+        place: fleet_module.Place,
+        mark: http.SentMark,
+        reply: replies.Reply,
+    ) -> Outcome:
+        async with contextlib.AsyncExitStack() as stack:
+            with trio.move_on_after(self._find_patience_s(work)) as waiting:
+                answer = await stack.enter_async_context(
+                    attempt_module.open_attempt(
+                        place.entry.address,
+                        self._make_forward(work, place),
+                        work.facts.request_id,
+                        self.dialect.read_answer,
+                        mark,
+                    )
+                )
+            if waiting.cancelled_caught:
+                if not mark.sent:
+                    return Unreached("no connection in time")
+                return Failed("no answer in time")
+            return await self._judge(work, answer, reply)
+
+    async def _judge(
+        self,
+        work: Work,
+        answer: attempt_module.Attempt,
+        reply: replies.Reply,
+    ) -> Outcome:
+        head = answer.head
+        if head.facts.declined:
+            return Declined(f"declined with {head.status}")
+        if head.succeeded and not head.facts.sealed:
+            return Failed("answer without its seal")
+        if head.succeeded and work.route.kind is table.RouteKind.STREAM:
+            return await self._relay_events(work, answer, reply)
+        body = await answer.read_body(MOST_BODY_BYTES)
+        if head.status >= 500 and work.route.repeatable:
+            return Failed(f"status {head.status}", head, body)
+        if reply.begun:
+            return Failed(f"status {head.status} amid a stream")
+        await replies.send_whole(
+            reply, head.status, keep_headers(head.headers), body
+        )
+        return Delivered(head.status)
+
+    async def _relay_events(
+        self,
+        work: Work,
+        answer: attempt_module.Attempt,
+        reply: replies.Reply,
+    ) -> Outcome:
+        """Pass whole events on as they come."""
+        splitter = event_stream.EventSplitter()
+        gap_ms = work.route.gap_target_ms
+        gap_s = GAP_TARGETS * gap_ms / 1000 if gap_ms else float("inf")
+        async with contextlib.aclosing(answer.read_pieces()) as pieces:
+            while True:
+                piece = b""
+                with trio.move_on_after(gap_s) as pause:
+                    piece = await anext(pieces, b"")
+                if pause.cancelled_caught:
+                    return Failed("stream went silent")
+                if not piece:
+                    break
+                for event in splitter.feed(piece):
+                    broken = await self._relay(work, answer, event, reply)
+                    if broken is not None:
+                        return broken
+        if splitter.pending or not reply.begun:
+            return Failed("stream broke off")
+        await reply.finish()
+        return Delivered(answer.head.status)
+
+    async def _relay(
+        self,
+        work: Work,
+        answer: attempt_module.Attempt,
+        event: event_stream.ServerEvent,
+        reply: replies.Reply,
+    ) -> Failed | None:
+        """Pass one event on, unless it does not follow the last one."""
+        if event.number is not None:
+            last = work.last_event
+            if last is not None and event.number != last + 1:
+                return Failed(f"event {event.number} after {last}")
+            work.last_event = event.number
+        if not reply.begun:
+            await reply.begin(
+                answer.head.status, keep_headers(answer.head.headers)
+            )
+        await reply.send(event.raw)
+        return None
+
+    def _find_patience_s(self, work: Work) -> float:
+        """How long to wait for the head of an answer."""
+        if not work.route.repeatable:
+            return float("inf")
+        if work.route.kind is table.RouteKind.STREAM:
+            return work.route.target_ms / 1000
+        return HEAD_TARGETS * work.route.target_ms / 1000
+
+    def _make_forward(
+        self, work: Work, place: fleet_module.Place
+    ) -> attempt_module.Forward:
+        left_ms = work.deadline_ms - self.clock.now_ms() - RELAY_MARGIN_MS
+        dispatch = facts.Dispatch(
+            instance=place.entry.name,
+            remaining_ms=max(1.0, left_ms),
+            customer=work.customer,
+            model=work.model,
+            last_event=work.last_event,
+        )
+        headers = self.dialect.write_request(work.request.headers, dispatch)
+        return attempt_module.Forward(
+            method=work.request.method,
+            target=work.request.target,
+            headers=drop_connection_headers(headers),
+            body=work.request.body,
+        )
+
+    def _note(
+        self,
+        work: Work,
+        place: fleet_module.Place,
+        outcome: Unreached | Declined | Failed,
+    ) -> None:
+        """Learn from an attempt that brought no answer."""
+        work.excluded |= {place.entry.name}
+        match outcome:
+            case Unreached():
+                work.unreached += 1
+                self.fleet.note_failure(place, outcome.cause)
+            case Declined():
+                work.runs += 1
+            case Failed():
+                work.runs += 1
+                work.ran = True
+                work.failure = outcome
+                self.fleet.note_failure(place, outcome.cause)
+        events.log_event(
+            events.Event.ATTEMPT_ENDED,
+            request=work.facts.request_id,
+            endpoint=place.entry.name,
+            outcome=type(outcome).__name__,
+            cause=outcome.cause,
+            runs=work.runs,
+            last_event=work.last_event,
+        )
+
+    def _may_try_again(
+        self, work: Work, outcome: Outcome, reply: replies.Reply
+    ) -> bool:
+        if isinstance(outcome, Unreached):
+            return work.unreached <= MOST_UNREACHED
+        if work.runs >= work.route.max_attempts:
+            return False
+        if isinstance(outcome, Failed) and not work.route.repeatable:
+            return False
+        service = work.route.targets[0].service
+        budget = self.budgets.setdefault(service, retry.Budget())
+        return retry.spend(budget, self.clock.now_ms())
+
+    async def _give_up(
+        self, work: Work, reply: replies.Reply, cause: str
+    ) -> None:
+        """Give the final answer of a request that has none of its own."""
+        if reply.begun:
+            # Not finishing the body shows the caller that it is broken off.
+            self._log_end(work, 0, cause)
+            return
+        failure = work.failure
+        if failure is not None and failure.head is not None:
+            status = failure.head.status
+            headers = keep_headers(failure.head.headers)
+            await replies.send_whole(reply, status, headers, failure.body)
+        elif work.may_have_run:
+            status = 504 if cause == "deadline" else 502
+            await replies.send_whole(reply, status, [], b"")
+        else:
+            status = 503
+            await refuse(reply, status, COME_BACK_MS)
+        self._log_end(work, status, cause)
+
+    def _log_end(self, work: Work, status: int, cause: str) -> None:
+        events.log_event(
+            events.Event.REQUEST_FORWARDED,
+            request=work.facts.request_id,
+            route=work.route.name,
+            status=status,
+            cause=cause,
+            endpoint=work.endpoint,
+            model=work.model,
+            runs=work.runs,
+            took_ms=round(self.clock.now_ms() - work.began_ms),
+            revision=work.table.revision,
+        )
+
+
+async def refuse(
+    reply: replies.Reply, status: int, come_back_ms: float | None
+) -> None:
+    """Refuse a request that has not run."""
+    headers: facts.Headers = []
+    if come_back_ms is not None:
+        headers.append((b"retry-after", b"%.3f" % (come_back_ms / 1000)))
+    await replies.send_whole(reply, status, headers, b"")
+
+
+def find_cache_key(work: Work) -> int | None:
+    """The part of the prompt by which requests are brought together.
+
+    The last part belongs to the request or its session alone; the one
+    before it is the longest that other requests share.
+    """
+    parts = work.facts.prompt
+    if not parts:
+        return None
+    shared = parts[-2] if len(parts) > 1 else parts[-1]
+    return placement.hash_key(shared.name)
+
+
+# Headers that concern one connection only (RFC 9110, 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+
+
+def drop_connection_headers(headers: facts.Headers) -> facts.Headers:
+    """Headers without those that concern one connection only."""
+    named = set(CONNECTION_HEADERS)
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named.update(each.strip().lower() for each in value.split(b","))
+    return [pair for pair in headers if pair[0].lower() not in named]
+
+
+def keep_headers(headers: facts.Headers) -> facts.Headers:
+    """An endpoint's headers as they go to the caller."""
+    return [
+        pair
+        for pair in drop_connection_headers(headers)
+        if pair[0].lower() != b"content-length"
+    ]
--- /dev/null
+++ b/src/carawayward/forwarding/facts.py
@@ -0,0 +1,116 @@
+"""What headers say, in the product's own terms, and the port to read them.
+
+Deployments name the same facts by different headers. A ``Dialect`` reads and
+writes them; nothing else in the product knows a header's name, but for the
+standard ones of HTTP.
+"""
+
+import typing
+
+import attrs
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@attrs.frozen
+class PromptPart:
+    """A part of a prompt that requests may share, with its tokens."""
+
+    name: str
+    tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class RequestFacts:
+    """What a caller's headers say.
+
+    ``deadline_ms`` is how long the caller waits from now on. ``model`` is
+    empty if none is named, ``ANY_MODEL`` if the system is to choose. A
+    resumed stream goes on after ``last_event``.
+    """
+
+    request_id: str
+    deadline_ms: float | None = None
+    key: str = ""
+    model: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prompt: tuple[PromptPart, ...] = ()
+    last_event: int | None = None
+
+
+ANY_MODEL = "*"
+
+
+@attrs.frozen(kw_only=True)
+class Dispatch:
+    """What the system adds to a request that goes to an endpoint.
+
+    ``remaining_ms`` is how long the endpoint may take; ``instance`` is the
+    endpoint's incarnation, so that another process at a reused address
+    turns the request away.
+    """
+
+    instance: str
+    remaining_ms: float
+    customer: str = ""
+    model: str = ""
+    last_event: int | None = None
+    urgency: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class AnswerFacts:
+    """What an endpoint's headers say.
+
+    ``declined`` is the endpoint's word that it did not and will not run the
+    request. ``confidence`` is the model's own opinion of its answer, 0 to
+    100. Without ``sealed`` a success is not the endpoint's own.
+    """
+
+    request_id: str = ""
+    declined: bool = False
+    sealed: bool = False
+    confidence: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Dialect:
+    """How a deployment's headers are read and written.
+
+    ``read_request`` raises BadRequest for headers that cannot be read.
+    """
+
+    read_request: typing.Callable[[Headers], RequestFacts]
+    write_request: typing.Callable[[Headers, Dispatch], Headers]
+    read_answer: typing.Callable[[int, Headers], AnswerFacts]
+
+
+@attrs.frozen(kw_only=True)
+class EndpointEntry:
+    """What the registry says of one endpoint.
+
+    ``born`` tells one start of an endpoint from the next under the same
+    name; None where the registry does not say.
+    """
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    version: str = ""
+    slots: int = 1
+    leaving: bool = False
+    born: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class RolloutOrder:
+    """An operator's wish to move a service to another version.
+
+    ``duration_ms`` counts from when the order was written.
+    """
+
+    service: str
+    version: str
+    duration_ms: float
--- /dev/null
+++ b/src/carawayward/forwarding/feed.py
@@ -0,0 +1,96 @@
+"""Follows one topic of the store: newest records first, then the tail."""
+
+import functools
+import typing
+
+import attrs
+import trio
+
+from carawayward import clock as clock_module
+from carawayward import errors
+from carawayward import events
+from carawayward.forwarding import keyed_log
+from carawayward import supervision
+
+# A long poll on the tail ends after this even if nothing came, and so proves
+# that nothing was missed up to when it was sent. Two of them fit into the
+# shortest lease on keys that rests on the proof.
+POLL_MS = 1_500.0
+# After a failed call. Short against the leases, so that an outage of the
+# store is noticed to be over at once; long enough that a store which turns
+# this entry VM away sees three calls a second of it.
+RETRY_MS = 300.0
+
+
+@attrs.define(eq=False)
+class TopicFeed:
+    """Keeps a reader up to date with one topic.
+
+    ``replace`` gets all newest records after a gap, ``apply`` each further
+    record. ``prove`` is told the boot time at which the call was sent that
+    showed the reader to be up to date. ``lost`` and ``regained`` bracket
+    the time in which the store does not answer.
+    """
+
+    name: str
+    topic: keyed_log.KeyedLog
+    clock: clock_module.Clock
+    replace: typing.Callable[[list[keyed_log.Record]], None]
+    apply: typing.Callable[[keyed_log.Record], None]
+    prove: typing.Callable[[float], None] = lambda as_of_ms: None
+    regained: typing.Callable[[], None] = lambda: None
+    position: int | None = None
+    failing: bool = False
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to follow."""
+        nursery.start_soon(
+            functools.partial(supervision.keep_running, self._follow, ()),
+        )
+
+    async def close(self) -> None:
+        """Nothing to release; the nursery ends the task."""
+
+    async def _follow(self) -> None:
+        while True:
+            sent_ms = self.clock.boot_ms()
+            try:
+                complete = await self._step()
+            except keyed_log.HistoryLost:
+                self.position = None
+                continue
+            except errors.PlatformUnavailable as fault:
+                self._note_failure(fault)
+                await self.clock.sleep(RETRY_MS)
+                continue
+            if self.failing:
+                self.failing = False
+                events.log_event(events.Event.PLATFORM_BACK, topic=self.name)
+            if complete:
+                self.prove(sent_ms)
+
+    async def _step(self) -> bool:
+        """Make one call; whether everything there was has been read."""
+        if self.position is None:
+            batch = await self.topic.read_newest()
+            self._note_answer()
+            self.replace(batch.records)
+        else:
+            batch = await self.topic.read(self.position, POLL_MS)
+            self._note_answer()
+            for record in batch.records:
+                self.apply(record)
+        self.position = batch.end
+        return batch.complete
+
+    def _note_answer(self) -> None:
+        """Tell of the end of an outage before its records are taken in."""
+        if self.failing:
+            self.regained()
+
+    def _note_failure(self, fault: errors.PlatformUnavailable) -> None:
+        if not self.failing:
+            self.failing = True
+            events.log_event(
+                events.Event.PLATFORM_DOWN, topic=self.name, detail=str(fault)
+            )
--- /dev/null
+++ b/src/carawayward/forwarding/fleet.py
@@ -0,0 +1,132 @@
+"""What this entry VM has learned of each endpoint, kept for placing work."""
+
+import random
+
+import attrs
+
+from carawayward import clock as clock_module
+from carawayward.decisions import health as health_module
+from carawayward.decisions import limits
+from carawayward.decisions import placement
+from carawayward import events
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import facts
+
+Identity = tuple[str, int | None]
+PoolKey = tuple[str, str]
+
+
+@attrs.define(eq=False, kw_only=True)
+class Place:
+    """An endpoint and what is known of its load and health."""
+
+    entry: facts.EndpointEntry
+    view: placement.View
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Views of all listed endpoints.
+
+    A view belongs to one start of an endpoint: what was learned of its
+    caches and its health before a restart tells nothing of the next.
+    """
+
+    board: board_module.ForwardingBoard
+    clock: clock_module.Clock
+    draw: placement.Draw = random.randrange
+    places: dict[str, Place] = attrs.field(factory=dict)
+    pools: dict[PoolKey, placement.Candidates] = attrs.field(factory=dict)
+    generation: int = -1
+
+    def find_pool(
+        self, service: str, version: str = ""
+    ) -> placement.Candidates:
+        """Endpoints of a service, of one version if it is named."""
+        self._sync()
+        key = (service, version)
+        pool = self.pools.get(key)
+        if pool is None:
+            pool = self.pools[key] = placement.Candidates.from_views(
+                place.view
+                for place in self.places.values()
+                if place.entry.service == service
+                and not place.entry.leaving
+                and version in ("", place.entry.version)
+            )
+        return pool
+
+    def choose(
+        self,
+        pool: placement.Candidates,
+        key: int | None,
+        excluded: frozenset[str],
+    ) -> Place | None:
+        """An endpoint with room, or None."""
+        view = placement.choose(
+            pool,
+            key,
+            self.board.failure_domain,
+            self.clock.now_ms(),
+            self.draw,
+            excluded,
+        )
+        return self.places.get(view.name) if view is not None else None
+
+    def occupy(self, place: Place) -> None:
+        """Note that a request goes to an endpoint."""
+        place.view.in_flight += 1
+        health_module.begin_probe(place.view.health)
+
+    def vacate(self, place: Place) -> None:
+        """Note that a request has left an endpoint."""
+        place.view.in_flight -= 1
+
+    def note_success(self, place: Place, unit_ms: float) -> None:
+        """Learn from a whole answer."""
+        if health_module.note_success(place.view.health, unit_ms):
+            events.log_event(
+                events.Event.ENDPOINT_BACK, endpoint=place.entry.name
+            )
+
+    def note_failure(self, place: Place, cause: str) -> None:
+        """Learn from a failure that the endpoint is to blame for."""
+        health_module.note_failure(place.view.health)
+        pool = self.find_pool(place.entry.service)
+        healths = [view.health for view in pool.views]
+        if health_module.judge(
+            place.view.health, healths, self.clock.now_ms()
+        ):
+            events.log_event(
+                events.Event.ENDPOINT_EJECTED,
+                endpoint=place.entry.name,
+                cause=cause,
+            )
+
+    def _sync(self) -> None:
+        """Take over what the registry has changed since the last call."""
+        if self.generation == self.board.generation:
+            return
+        self.generation = self.board.generation
+        self.pools.clear()
+        kept = {}
+        for name, entry in self.board.endpoints.items():
+            place = self.places.get(name)
+            if place is None or _identify(place.entry) != _identify(entry):
+                place = Place(entry=entry, view=_make_view(entry))
+            place.entry = entry
+            kept[name] = place
+        self.places = kept
+
+
+def _identify(entry: facts.EndpointEntry) -> Identity:
+    return entry.address, entry.born
+
+
+def _make_view(entry: facts.EndpointEntry) -> placement.View:
+    """A view whose limit is what the endpoint says it can run at once."""
+    return placement.View(
+        name=entry.name,
+        failure_domain=entry.failure_domain,
+        limit=limits.Limit(value=float(max(1, entry.slots)), starting=False),
+    )
--- /dev/null
+++ b/src/carawayward/forwarding/replies.py
@@ -0,0 +1,49 @@
+"""A caller's request and the port through which it is answered."""
+
+import typing
+
+import attrs
+
+from carawayward.forwarding import facts
+
+
+@attrs.frozen(kw_only=True)
+class CallerRequest:
+    """A whole request as it came in."""
+
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: facts.Headers
+    body: bytes
+
+
+class Reply(typing.Protocol):
+    """How an answer goes out; a reply that is not finished is broken off.
+
+    ``begun`` tells whether anything has reached the caller.
+    """
+
+    begun: bool
+
+    async def begin(self, status: int, headers: facts.Headers) -> None:
+        """Send status and headers."""
+
+    async def send(self, piece: bytes) -> None:
+        """Send a piece of the body."""
+
+    async def finish(self) -> None:
+        """Send the end of the body, which makes the answer whole."""
+
+
+async def send_whole(
+    reply: Reply, status: int, headers: facts.Headers, body: bytes
+) -> None:
+    """Send an answer in one go."""
+    length = str(len(body)).encode()
+    kept = [pair for pair in headers if pair[0].lower() != b"content-length"]
+    await reply.begin(status, [*kept, (b"content-length", length)])
+    if body:
+        await reply.send(body)
+    await reply.finish()
--- /dev/null
+++ b/src/carawayward/forwarding/settings.py
@@ -0,0 +1,90 @@
+"""Settings of an entry VM that serves forwarded routes."""
+
+import pathlib
+
+import attrs
+
+from carawayward import documents
+from carawayward import errors
+from carawayward import settings as settings_module
+
+
+@attrs.frozen(kw_only=True)
+class Listen:
+    """Addresses this entry VM listens on, as ``ip:port``."""
+
+    callers: str
+    readiness: str
+
+
+@attrs.frozen(kw_only=True)
+class Store:
+    """The platform's store; empty address for none."""
+
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """What the deployment promises its users, in ms.
+
+    ``key_lease_ms`` is how long after a key was taken away a request with
+    it may still run; ``grace_ms`` is the time between the signal to stop
+    and the end; ``drain_ms`` is how long an endpoint that leaves still
+    takes work. With ``keys_fail_closed`` unset, keys never lapse.
+    """
+
+    key_lease_ms: int = 5_000
+    keys_fail_closed: bool = True
+    grace_ms: int = 8_000
+    drain_ms: int = 2_000
+    rollback_ms: int = 5_000
+    session_ms: int = 5_000
+    retry_ratio: float = 0.9
+    retry_window_ms: int = 10_000
+    retry_slack: int = 58
+    exposure_share: float = 0.15
+    exposure_slack: int = 30
+
+
+@attrs.frozen(kw_only=True)
+class ForwardingSettings:
+    """All settings of one entry VM that serves forwarded routes."""
+
+    name: str
+    failure_domain: str
+    listen: Listen
+    store: Store
+    bounds: Bounds = attrs.field(factory=Bounds)
+    heartbeat_ms: int = 1_200
+    log_level: str = "info"
+
+    @classmethod
+    def from_config(cls, text: str) -> "ForwardingSettings":
+        """Parse and check YAML text."""
+        error = errors.SettingsError
+        data = documents.parse_yaml(text, error)
+        settings = documents.structure(cls, data, error)
+        for field, address in (
+            ("listen.callers", settings.listen.callers),
+            ("listen.readiness", settings.listen.readiness),
+            ("store.address", settings.store.address),
+        ):
+            settings_module.check_address(field, address)
+        for field, value in attrs.asdict(settings.bounds).items():
+            if value < 0:
+                raise error(f"bounds.{field}", value, "write 0 or more")
+        if not settings.name or not settings.failure_domain:
+            raise error("name, failure_domain", "", "give this VM both")
+        return settings
+
+    @classmethod
+    def from_file(cls, path: str) -> "ForwardingSettings":
+        """Read, parse and check a settings file."""
+        try:
+            text = pathlib.Path(path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as cause:
+            raise errors.SettingsError(
+                "(file)", path, f"name a readable YAML file: {cause}"
+            ) from None
+        return cls.from_config(text)
--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -13,7 +13,7 @@
 import httpcore
 import trio
 
-from carawayward.platform import http
+from carawayward import http_client as http
 
 MAX_CONNECTIONS = 2_000
 MAX_IDLE = 50
--- a/src/carawayward/gateway/endpoints.py
+++ b/src/carawayward/gateway/endpoints.py
@@ -14,7 +14,7 @@
 from carawayward import errors
 from carawayward.gateway import connections
 from carawayward.gateway import streams
-from carawayward.platform import http
+from carawayward import http_client as http
 
 REPORT_TIMEOUT_MS = 2_000.0
 CANCEL_TIMEOUT_MS = 2_000.0
--- a/src/carawayward/gateway/order_client.py
+++ b/src/carawayward/gateway/order_client.py
@@ -7,7 +7,7 @@
 from carawayward import blackboard
 from carawayward.decisions import orders
 from carawayward import errors
-from carawayward.platform import http
+from carawayward import http_client as http
 
 TIMEOUT_MS = 3_000.0
 
--- a/src/carawayward/gateway/running.py
+++ b/src/carawayward/gateway/running.py
@@ -19,8 +19,8 @@
 from carawayward.gateway import hedging
 from carawayward.gateway import lanes as lanes_module
 from carawayward.gateway import requests
+from carawayward import http_client as http
 from carawayward import outcomes
-from carawayward.platform import http
 
 # What an answer costs before its first token, in tokens: without it a very
 # short answer would make its endpoint look many times slower than others.
--- a/src/carawayward/gateway/streams.py
+++ b/src/carawayward/gateway/streams.py
@@ -19,7 +19,7 @@
 from carawayward import events
 from carawayward.gateway import connections
 from carawayward.gateway import replies
-from carawayward.platform import http
+from carawayward import http_client as http
 
 # What may wait between the engine and the caller of one stream. A caller
 # that reads slowly fills this, then its engine connection, then the engine
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -24,8 +24,8 @@
 import trio
 
 from carawayward import events
+from carawayward import http_client as http
 from carawayward import listening
-from carawayward.platform import http
 from carawayward import supervision
 
 IDLE_CHECK_S = 0.25
--- a/src/carawayward/platform/__init__.py
+++ b/src/carawayward/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's services."""
+"""Translates between the users' platform and the product; decides nothing."""
--- /dev/null
+++ b/src/carawayward/platform/entry.py
@@ -0,0 +1,45 @@
+"""Starts an entry VM on the users' platform."""
+
+import os
+import sys
+
+from absl import logging
+import trio
+
+from carawayward import errors
+from carawayward.forwarding import daemon
+from carawayward.forwarding import settings as settings_module
+from carawayward.platform import headers
+from carawayward.platform import records
+from carawayward.platform import store as store_module
+
+SETTINGS_VARIABLE = "CARAWAYWARD_CONFIG"
+BAD_SETTINGS_EXIT = 2
+
+
+def make_ports(settings: settings_module.ForwardingSettings) -> daemon.Ports:
+    """The platform's store and headers as the product's ports."""
+    store = store_module.Store(settings.store.address)
+    return daemon.Ports(
+        declarations=store_module.KeyedTopic(store, "keyed.op"),
+        endpoints=store_module.KeyedTopic(store, "keyed.servers"),
+        decode_declaration=records.decode_declaration,
+        decode_endpoint=records.decode_endpoint,
+        dialect=headers.DIALECT,
+        close=store.close,
+    )
+
+
+def main() -> None:
+    """Run until a signal asks for a planned stop."""
+    try:
+        settings = settings_module.ForwardingSettings.from_file(
+            os.environ.get(SETTINGS_VARIABLE, "")
+        )
+    except errors.SettingsError as fault:
+        print(fault, file=sys.stderr)
+        raise SystemExit(BAD_SETTINGS_EXIT) from None
+    logging.use_absl_handler()
+    logging.set_verbosity(settings.log_level)
+    ports = make_ports(settings)
+    trio.run(daemon.ForwardingDaemon.from_config(settings, ports).run)
--- /dev/null
+++ b/src/carawayward/platform/records.py
@@ -0,0 +1,161 @@
+"""What operators and servers write into the store, read once.
+
+Records come from other programs: fields may be missing or of another type.
+"""
+
+import json
+import typing
+
+from carawayward import errors
+from carawayward import events
+from carawayward.forwarding import facts
+from carawayward.forwarding import keyed_log
+from carawayward.forwarding import table
+
+DECLARATION = "config"
+ROLLOUT_PREFIX = "rollout/"
+
+KINDS = {
+    "safe": table.RouteKind.IDEMPOTENT,
+    "unsafe": table.RouteKind.ONCE,
+    "streaming": table.RouteKind.STREAM,
+}
+STATES = {"ready": False, "draining": True}
+
+# What a record that cannot be read raises while it is taken apart.
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+
+
+def decode_declaration(
+    record: keyed_log.Record,
+) -> table.RoutingTable | facts.RolloutOrder | None:
+    """A record of the operators' topic; None if it is of no use."""
+    if record.value is None:
+        return None
+    try:
+        body = json.loads(record.value)
+        if record.key == DECLARATION:
+            return read_table(body)
+        if record.key.startswith(ROLLOUT_PREFIX):
+            return read_order(body)
+    except (*UNREADABLE, errors.DeclarationError) as fault:
+        _log_unreadable(record, fault)
+    return None
+
+
+def decode_endpoint(record: keyed_log.Record) -> facts.EndpointEntry | None:
+    """A record of the servers' topic; None if it names no endpoint to use."""
+    try:
+        body = json.loads(record.value or b"")
+        born = body.get("born")
+        entry = facts.EndpointEntry(
+            name=record.key,
+            service=_check(body["service"], str),
+            address=_check(body["address"], str),
+            failure_domain=_check(body.get("zone", ""), str),
+            version=_check(body.get("version", ""), str),
+            slots=_check(body.get("slots", 1), int),
+            leaving=STATES[body["state"]],
+            born=born if type(born) is int else None,
+        )
+        host, _, port = entry.address.rpartition(":")
+        if not host or not 0 < int(port) < 65536:
+            raise ValueError("no address")
+        return entry
+    except UNREADABLE as fault:
+        _log_unreadable(record, fault)
+        return None
+
+
+def read_table(body: dict) -> table.RoutingTable:
+    """A configuration as the product's routing table."""
+    customers = {}
+    tenants = body.get("tenants", [])
+    for tenant in tenants:
+        customer = table.Customer(tenant["name"], tenant.get("priority"))
+        for key in tenant["apiKeys"]:
+            customers[key] = customer
+    limits = body.get("limits", {})
+    return table.RoutingTable(
+        revision=_check(body["version"], int),
+        routes=tuple(read_route(each) for each in body["routes"]),
+        services={
+            each["name"]: read_service(each) for each in body["services"]
+        },
+        customers_by_key=customers,
+        keyed=bool(tenants),
+        limits=table.CallerLimits(
+            header_bytes=limits.get("maxHeaderBytes", 16_384),
+            body_bytes=limits.get("maxBodyBytes", 4_194_304),
+            header_ms=limits.get("headerTimeoutMs", 3_000),
+            idle_ms=limits.get("idleTimeoutMs", 15_000),
+        ),
+    )
+
+
+def read_route(body: dict) -> table.Route:
+    """One route; it names one service or splits over several."""
+    split = body.get("split") or [{"service": body["service"], "weight": 1}]
+    return table.Route(
+        name=body["name"],
+        host=body["host"],
+        path_prefix=body["pathPrefix"],
+        kind=KINDS[body["routeKind"]],
+        targets=tuple(
+            table.Target(each["service"], float(each["weight"]))
+            for each in split
+        ),
+        timeout_ms=float(body["timeoutMs"]),
+        target_ms=float(body.get("targetLatencyMs") or body["timeoutMs"]),
+        max_attempts=body.get("maxAttempts", 1),
+        priority=body.get("priority", 0),
+        anonymous=body.get("anonymous", False),
+        affinity=body.get("affinity", False),
+        resumable=body.get("resumable", False),
+        gap_target_ms=body.get("gapTargetMs"),
+        models=tuple(body.get("sizes", ())),
+    )
+
+
+def read_service(body: dict) -> table.Service:
+    """One service, with its engines' figures if it has engines."""
+    engine = body.get("engine")
+    return table.Service(
+        name=body["name"],
+        health_path=body.get("healthPath", ""),
+        max_connections=body.get("maxConnections"),
+        engine=table.Engine(
+            slots=engine["slots"],
+            cache_tokens=engine["kvCapacityTokens"],
+            costs={
+                each["name"]: float(each["cost"])
+                for each in engine.get("models", ())
+            },
+        )
+        if engine
+        else None,
+    )
+
+
+def read_order(body: dict) -> facts.RolloutOrder:
+    """An order to move a service to another version."""
+    return facts.RolloutOrder(
+        service=_check(body["service"], str),
+        version=_check(body["target"], str),
+        duration_ms=float(body["durationS"]) * 1000.0,
+    )
+
+
+def _check(value: typing.Any, kind: type) -> typing.Any:
+    if type(value) is not kind:
+        raise TypeError(f"{kind.__name__} expected")
+    return value
+
+
+def _log_unreadable(record: keyed_log.Record, fault: Exception) -> None:
+    events.log_event(
+        events.Event.ENTRY_UNREADABLE,
+        key=record.key,
+        offset=record.offset,
+        fault=type(fault).__name__,
+    )
--- /dev/null
+++ b/src/carawayward/services/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of services that the product calls besides endpoints."""
--- a/src/carawayward/platform/log.py
+++ b/src/carawayward/services/log.py
@@ -5,7 +5,7 @@
 import attrs
 
 from carawayward import errors
-from carawayward.platform import http
+from carawayward import http_client as http
 
 # Long polls end well before a middlebox would drop an idle connection.
 LONG_POLL_MS = 10_000
--- a/src/carawayward/platform/weights.py
+++ b/src/carawayward/services/weights.py
@@ -3,7 +3,7 @@
 import attrs
 
 from carawayward import errors
-from carawayward.platform import http
+from carawayward import http_client as http
 
 
 @attrs.define
--- /dev/null
+++ b/src/entry_vm.py
@@ -0,0 +1,5 @@
+"""Runs one entry VM on the users' platform."""
+
+from carawayward.platform import entry
+
+entry.main()
--- a/tests/common/quality_rig.py
+++ b/tests/common/quality_rig.py
@@ -19,9 +19,9 @@
 from carawayward import declaration
 from carawayward import errors
 from carawayward.gateway import planning
-from carawayward.platform import log as log_module
-from carawayward.platform import ratings as ratings_module
 from carawayward import quality
+from carawayward.services import log as log_module
+from carawayward.services import ratings as ratings_module
 
 LINKS = 4
 
--- a/tests/failures/test_path_silence.py
+++ b/tests/failures/test_path_silence.py
@@ -13,10 +13,10 @@
 from carawayward import errors
 from carawayward.gateway import endpoints
 from carawayward.gateway import streams
+from carawayward import http_client as http
 from carawayward import http_server
 from carawayward import listening
-from carawayward.platform import http
-from carawayward.platform import log as log_module
+from carawayward.services import log as log_module
 from carawayward import settings
 from tests.common import deployment
 from tests.common import peering
