Choose models by confidence, run roll-outs by shared counts

Cause: requests that leave the choice of model open were turned away (421), and a roll-out was ignored, so that sessions changed version and the order was never carried out.

Change: the smallest model begins and a low confidence climbs to the largest (decisions/ladder); extra runs keep to a window of their own (decisions/extra_runs); a version is tried by few sessions, judged by the counts of all entry VMs and completed or rolled back by a conditional write (decisions/canary, forwarding/rollouts).

--- /dev/null
+++ b/src/carawayward/decisions/extra_runs.py
@@ -0,0 +1,64 @@
+"""How many runs beyond the first of each request may reach a service.
+
+Load: a pool of which a part fails or sheds, so that many requests want a
+second run at once, beside the runs that climb to a larger model. Harm
+prevented: second runs fill what is left of the pool.
+
+The bound holds for all entry VMs together: each keeps to the ratio of its own
+requests, and to a small part of the slack, so that nobody has to be asked.
+"""
+
+import collections
+
+import attrs
+
+# The window is cut into slices, so that old counts leave one at a time.
+SLICES = 20
+# Kept clear of the bound: what another entry VM counts a moment earlier or
+# later moves between windows.
+HEADROOM = 0.85
+# The slack is split among this many entry VMs. Fewer leave some unused; at
+# this many each may still repeat three requests without any traffic.
+SLACK_SHARES = 16
+
+
+@attrs.define
+class ExtraRuns:
+    """Counts of one service in a sliding window; times in ms."""
+
+    window_ms: float = 10_000.0
+    ratio: float = 0.9
+    slack: float = 58.0
+    slices: collections.deque[list[float]] = attrs.field(
+        factory=collections.deque
+    )
+
+
+def note_request(runs: ExtraRuns, now_ms: float) -> None:
+    """Count a caller's request."""
+    _find_slice(runs, now_ms)[1] += 1
+
+
+def may_spend(runs: ExtraRuns, now_ms: float, reserve: float = 0.0) -> bool:
+    """Whether one more run fits; ``reserve`` is a part kept for others."""
+    _find_slice(runs, now_ms)
+    requests = sum(each[1] for each in runs.slices)
+    extra = sum(each[2] for each in runs.slices)
+    most = runs.ratio * requests * HEADROOM + runs.slack / SLACK_SHARES
+    return extra + 1 <= most * (1.0 - reserve)
+
+
+def spend(runs: ExtraRuns, now_ms: float) -> None:
+    """Count a run beyond a request's first."""
+    _find_slice(runs, now_ms)[2] += 1
+
+
+def _find_slice(runs: ExtraRuns, now_ms: float) -> list[float]:
+    """The slice of this moment: when it began, requests, extra runs."""
+    oldest = now_ms - runs.window_ms
+    while runs.slices and runs.slices[0][0] < oldest:
+        runs.slices.popleft()
+    length = runs.window_ms / SLICES
+    if not runs.slices or now_ms - runs.slices[-1][0] >= length:
+        runs.slices.append([now_ms, 0, 0])
+    return runs.slices[-1]
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -154,6 +154,10 @@
     ROLLOUT_ORDERED = EventKind(
         1513, "An operator asks for a service's traffic to change version."
     )
+    ROLLOUT_JUDGED = EventKind(
+        1514, "What the answers so far say of a version has changed."
+    )
+    ROLLOUT_ENDED = EventKind(1515, "A roll-out was completed or rolled back.")
     ENDPOINT_EJECTED = EventKind(
         1502,
         "An endpoint is left out for a while: it fails or is far slower "
--- a/src/carawayward/forwarding/attempt.py
+++ b/src/carawayward/forwarding/attempt.py
@@ -64,7 +64,7 @@
     head: Head
     _response: httpcore.Response
 
-    async def read_pieces(self) -> typing.AsyncIterator[bytes]:
+    async def read_pieces(self) -> typing.AsyncGenerator[bytes, None]:
         """The body, piece by piece; raises AttemptFailed if it breaks off."""
         stream = typing.cast(typing.AsyncIterable, self._response.stream)
         try:
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -1,6 +1,7 @@
 """Puts the parts of forwarded routes together, starts and stops them."""
 
 import gc
+import secrets
 import signal
 import typing
 
@@ -8,16 +9,18 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import extra_runs
 from carawayward import events
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
-from carawayward.forwarding import declarations
+from carawayward.forwarding import declarations as declarations_module
 from carawayward.forwarding import exchange
 from carawayward.forwarding import facts
 from carawayward.forwarding import feed
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import registry
+from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import settings as settings_module
 from carawayward import http_server
 from carawayward import listening
@@ -41,7 +44,15 @@
 
     declarations: keyed_log.KeyedLog
     endpoints: keyed_log.KeyedLog
-    decode_declaration: typing.Callable
+    evidence: keyed_log.KeyedLog
+    statuses: keyed_log.KeyedLog
+    decode_declaration: typing.Callable[
+        [keyed_log.Record], declarations_module.Decoded
+    ]
+    decode_status: typing.Callable[
+        [keyed_log.Record], facts.RolloutStatus | None
+    ]
+    encode_status: typing.Callable[[facts.RolloutStatus], keyed_log.Record]
     decode_endpoint: registry.Decode
     dialect: facts.Dialect
     close: typing.Callable[[], typing.Awaitable[None]]
@@ -55,7 +66,7 @@
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
     ports: Ports
-    feeds: list[feed.TopicFeed]
+    controllers: list[feed.TopicFeed | rollouts_module.RolloutsController]
     app: app_module.ForwardingApp
 
     @classmethod
@@ -67,7 +78,7 @@
         board = board_module.ForwardingBoard(
             name=settings.name, failure_domain=settings.failure_domain
         )
-        reader = declarations.DeclarationReader(
+        reader = declarations_module.DeclarationReader(
             board, ports.decode_declaration
         )
         entries = registry.RegistryReader(board, clock, ports.decode_endpoint)
@@ -101,13 +112,30 @@
         def may_send(work: exchange.Work) -> bool:
             return not work.customer or is_fresh()
 
+        rollouts = rollouts_module.RolloutsController(
+            board,
+            clock,
+            ports.evidence,
+            ports.statuses,
+            ports.decode_status,
+            ports.encode_status,
+            bounds.session_ms,
+            secrets.token_hex(4),
+        )
         forwarder = exchange.Forwarder(
-            clock, ports.dialect, fleet_module.Fleet(board, clock), may_send
+            clock,
+            ports.dialect,
+            fleet_module.Fleet(board, clock),
+            may_send,
+            rollouts,
+            lambda: extra_runs.ExtraRuns(
+                bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
+            ),
         )
         app = app_module.ForwardingApp(
             board, clock, ports.dialect, forwarder, is_fresh
         )
-        return cls(settings, board, clock, ports, feeds, app)
+        return cls(settings, board, clock, ports, [*feeds, rollouts], app)
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop."""
@@ -116,7 +144,7 @@
             signal.SIGTERM, signal.SIGINT
         ) as signals:
             async with trio.open_nursery() as nursery:
-                for each in self.feeds:
+                for each in self.controllers:
                     await each.start(nursery)
                 stop = trio.Event()
                 async with trio.open_nursery() as serving:
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -8,14 +8,16 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import extra_runs
+from carawayward.decisions import ladder
 from carawayward.decisions import placement
-from carawayward.decisions import retry
 from carawayward import events
 from carawayward.forwarding import attempt as attempt_module
 from carawayward.forwarding import event_stream
 from carawayward.forwarding import facts
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import replies
+from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import table
 from carawayward import http_client as http
 
@@ -37,6 +39,9 @@
 # A stream that pauses for so many of the longest pauses that still count as
 # in time is read on from another endpoint.
 GAP_TARGETS = 2.0
+# Climbs to a larger model leave this part of the extra runs to requests whose
+# endpoint failed.
+CLIMB_RESERVE = 0.3
 # When to come back while nothing is known of when an endpoint will be free:
 # registries tell of a new endpoint within about a second.
 COME_BACK_MS = 1_000.0
@@ -63,6 +68,14 @@
     cause: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unsure:
+    """The model thinks little of its answer; ``model`` is to be asked."""
+
+    cause: str
+    model: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
     """The request may have run; ``head`` and ``body`` are its answer.
@@ -75,7 +88,7 @@
     body: bytes = b""
 
 
-Outcome = Delivered | Unreached | Declined | Failed
+Outcome = Delivered | Unreached | Declined | Unsure | Failed
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -93,8 +106,10 @@
     customer: str
     began_ms: float
     deadline_ms: float
-    model: str = ""
+    model: int | None = None
+    confidence: float | None = None
     runs: int = 0
+    events: int = 0
     unreached: int = 0
     ran: bool = False
     mark: http.SentMark | None = None
@@ -109,9 +124,14 @@
         return self.ran or (self.mark is not None and self.mark.sent)
 
     @property
-    def service(self) -> table.Service | None:
+    def service(self) -> str:
         """The service that the request goes to."""
-        return self.table.services.get(self.route.targets[0].service)
+        return self.route.targets[0].service
+
+    @property
+    def model_name(self) -> str:
+        """The model chosen for the caller; empty if it is not ours to."""
+        return "" if self.model is None else self.route.models[self.model]
 
 
 @attrs.define(eq=False)
@@ -126,44 +146,100 @@
     dialect: facts.Dialect
     fleet: fleet_module.Fleet
     may_send: typing.Callable[[Work], bool]
-    budgets: dict[str, retry.Budget] = attrs.field(factory=dict)
+    rollouts: rollouts_module.RolloutsController
+    make_budget: typing.Callable[[], extra_runs.ExtraRuns]
+    budgets: dict[str, extra_runs.ExtraRuns] = attrs.field(factory=dict)
 
     async def serve(self, work: Work, reply: replies.Reply) -> None:
         """Answer one request; the caller's leaving cancels this call."""
-        left_ms = work.deadline_ms - self.clock.now_ms() - REPLY_MARGIN_MS
+        now_ms = self.clock.now_ms()
+        extra_runs.note_request(self._find_budget(work), now_ms)
+        self._choose_model(work)
+        left_ms = work.deadline_ms - now_ms - REPLY_MARGIN_MS
         with trio.move_on_after(max(0.0, left_ms) / 1000) as scope:
             await self._run(work, reply)
         if scope.cancelled_caught:
             await self._give_up(work, reply, "deadline")
 
+    def _find_budget(self, work: Work) -> extra_runs.ExtraRuns:
+        budget = self.budgets.get(work.service)
+        if budget is None:
+            budget = self.budgets[work.service] = self.make_budget()
+        return budget
+
+    def _choose_model(self, work: Work) -> None:
+        """Choose the model to begin with, where that is left to us."""
+        if work.facts.model != facts.ANY_MODEL or not work.route.models:
+            return
+        may_climb = (
+            work.route.repeatable
+            and work.route.max_attempts > 1
+            and work.last_event is None
+            and extra_runs.may_spend(
+                self._find_budget(work), self.clock.now_ms(), CLIMB_RESERVE
+            )
+        )
+        work.model = ladder.choose_first(len(work.route.models), may_climb)
+
     async def _run(self, work: Work, reply: replies.Reply) -> None:
         while True:
-            place = self._place(work)
+            choice = self.rollouts.choose(
+                work.service, work.facts.session or work.facts.request_id
+            )
+            place = self._place(work, choice)
             if place is None:
                 await self._give_up(work, reply, "no endpoint")
                 return
-            outcome = await self._attempt(work, place, reply)
+            outcome = await self._attempt(work, place, choice, reply)
             if isinstance(outcome, Delivered):
                 self._log_end(work, outcome.status, "delivered")
                 return
             self._note(work, place, outcome)
-            if not self._may_try_again(work, outcome, reply):
+            if not self._may_try_again(work, outcome):
                 await self._give_up(work, reply, outcome.cause)
                 return
 
-    def _place(self, work: Work) -> fleet_module.Place | None:
-        pool = self.fleet.find_pool(work.route.targets[0].service)
+    def _place(
+        self, work: Work, choice: rollouts_module.Choice | None
+    ) -> fleet_module.Place | None:
+        """Choose an endpoint: of the version wanted, else of the other."""
         key = find_cache_key(work) if work.route.affinity else None
-        return self.fleet.choose(pool, key, work.excluded)
+        for want in self._list_wants(work, choice):
+            pool = self.fleet.find_pool(want)
+            place = self.fleet.choose(pool, key, work.excluded)
+            if place is not None:
+                return place
+        return None
+
+    def _list_wants(
+        self, work: Work, choice: rollouts_module.Choice | None
+    ) -> list[fleet_module.Want]:
+        if choice is None:
+            return [fleet_module.Want(work.service)]
+        version = choice.rollout.order.version
+        new = fleet_module.Want(work.service, version)
+        old = fleet_module.Want(work.service, version, other=True)
+        if not choice.new:
+            return [old] if choice.strict else [old, new]
+        count = len(self.fleet.find_pool(new).views)
+        most = self.rollouts.count_endpoints(choice, count)
+        return [attrs.evolve(new, most=most), old]
 
     async def _attempt(
-        self, work: Work, place: fleet_module.Place, reply: replies.Reply
+        self,
+        work: Work,
+        place: fleet_module.Place,
+        choice: rollouts_module.Choice | None,
+        reply: replies.Reply,
     ) -> Outcome:
         """Send the request to one endpoint and pass its answer on."""
         mark = http.SentMark(may_send=lambda: self.may_send(work))
         work.mark = mark
         work.endpoint = place.entry.name
+        work.events = 0
         began_ms = self.clock.now_ms()
+        if choice is not None:
+            choice = self.rollouts.begin(choice, place.entry.version)
         self.fleet.occupy(place)
         try:
             outcome = await self._send(work, place, mark, reply)
@@ -174,12 +250,35 @@
                 outcome = Unreached(fault.detail)
         finally:
             self.fleet.vacate(place)
+            if choice is not None:
+                self.rollouts.end(choice)
         if isinstance(outcome, (Declined, Unreached)):
             work.mark = None
-        elif isinstance(outcome, Delivered):
-            self.fleet.note_success(place, self.clock.now_ms() - began_ms)
+        took_ms = self.clock.now_ms() - began_ms
+        if isinstance(outcome, Delivered):
+            self.fleet.note_success(place, took_ms)
+        if choice is not None:
+            self._note_version(work, choice, outcome, took_ms)
         return outcome
 
+    def _note_version(
+        self,
+        work: Work,
+        choice: rollouts_module.Choice,
+        outcome: Outcome,
+        took_ms: float,
+    ) -> None:
+        """Count an answer for the roll-out under way."""
+        if isinstance(outcome, Delivered) and outcome.status < 500:
+            kind = (work.route.name, work.model_name)
+            unit_ms = took_ms / max(1, work.events)
+            self.rollouts.note_answer(choice, kind, unit_ms)
+        elif isinstance(outcome, (Delivered, Failed)):
+            # A connection that broke says nothing of the version; a status
+            # that says so does.
+            if isinstance(outcome, Delivered) or outcome.head is not None:
+                self.rollouts.note_failure(choice, work.route.name)
+
     async def _send(
         self,
         work: Work,
@@ -234,6 +333,10 @@
         reply: replies.Reply,
     ) -> Outcome:
         """Pass whole events on as they come."""
+        work.confidence = answer.head.facts.confidence
+        larger = self._find_larger(work, reply)
+        if larger is not None:
+            return Unsure(f"confidence {work.confidence}", larger)
         splitter = event_stream.EventSplitter()
         gap_ms = work.route.gap_target_ms
         gap_s = GAP_TARGETS * gap_ms / 1000 if gap_ms else float("inf")
@@ -272,9 +375,24 @@
             await reply.begin(
                 answer.head.status, keep_headers(answer.head.headers)
             )
+        work.events += 1
         await reply.send(event.raw)
         return None
 
+    def _find_larger(self, work: Work, reply: replies.Reply) -> int | None:
+        """The model to ask instead, before anything reached the caller."""
+        if work.model is None or reply.begun:
+            return None
+        if work.runs + 1 >= work.route.max_attempts:
+            return None
+        if not extra_runs.may_spend(
+            self._find_budget(work), self.clock.now_ms()
+        ):
+            return None
+        return ladder.find_next(
+            work.model, len(work.route.models), work.confidence
+        )
+
     def _find_patience_s(self, work: Work) -> float:
         """How long to wait for the head of an answer."""
         if not work.route.repeatable:
@@ -291,7 +409,7 @@
             instance=place.entry.name,
             remaining_ms=max(1.0, left_ms),
             customer=work.customer,
-            model=work.model,
+            model=work.model_name,
             last_event=work.last_event,
         )
         headers = self.dialect.write_request(work.request.headers, dispatch)
@@ -306,11 +424,16 @@
         self,
         work: Work,
         place: fleet_module.Place,
-        outcome: Unreached | Declined | Failed,
+        outcome: Unreached | Declined | Unsure | Failed,
     ) -> None:
         """Learn from an attempt that brought no answer."""
-        work.excluded |= {place.entry.name}
+        if not isinstance(outcome, Unsure):
+            work.excluded |= {place.entry.name}
         match outcome:
+            case Unsure():
+                work.runs += 1
+                work.ran = True
+                work.model = outcome.model
             case Unreached():
                 work.unreached += 1
                 self.fleet.note_failure(place, outcome.cause)
@@ -331,18 +454,18 @@
             last_event=work.last_event,
         )
 
-    def _may_try_again(
-        self, work: Work, outcome: Outcome, reply: replies.Reply
-    ) -> bool:
+    def _may_try_again(self, work: Work, outcome: Outcome) -> bool:
         if isinstance(outcome, Unreached):
             return work.unreached <= MOST_UNREACHED
         if work.runs >= work.route.max_attempts:
             return False
         if isinstance(outcome, Failed) and not work.route.repeatable:
             return False
-        service = work.route.targets[0].service
-        budget = self.budgets.setdefault(service, retry.Budget())
-        return retry.spend(budget, self.clock.now_ms())
+        budget, now_ms = self._find_budget(work), self.clock.now_ms()
+        if not extra_runs.may_spend(budget, now_ms):
+            return False
+        extra_runs.spend(budget, now_ms)
+        return True
 
     async def _give_up(
         self, work: Work, reply: replies.Reply, cause: str
@@ -373,7 +496,8 @@
             status=status,
             cause=cause,
             endpoint=work.endpoint,
-            model=work.model,
+            model=work.model_name,
+            confidence=work.confidence,
             runs=work.runs,
             took_ms=round(self.clock.now_ms() - work.began_ms),
             revision=work.table.revision,
--- a/src/carawayward/forwarding/facts.py
+++ b/src/carawayward/forwarding/facts.py
@@ -5,6 +5,7 @@
 standard ones of HTTP.
 """
 
+import enum
 import typing
 
 import attrs
@@ -25,13 +26,15 @@
     """What a caller's headers say.
 
     ``deadline_ms`` is how long the caller waits from now on. ``model`` is
-    empty if none is named, ``ANY_MODEL`` if the system is to choose. A
-    resumed stream goes on after ``last_event``.
+    empty if none is named, ``ANY_MODEL`` if the system is to choose.
+    Requests of one ``session`` stay on one version. A resumed stream goes on
+    after ``last_event``.
     """
 
     request_id: str
     deadline_ms: float | None = None
     key: str = ""
+    session: str = ""
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
@@ -114,3 +117,20 @@
     service: str
     version: str
     duration_ms: float
+
+
+class RolloutState(enum.Enum):
+    """How far a roll-out is; the last two are final."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled back"
+
+
+@attrs.frozen
+class RolloutStatus:
+    """What operators are told of a roll-out."""
+
+    service: str
+    version: str
+    state: RolloutState
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -1,6 +1,5 @@
 """Follows one topic of the store: newest records first, then the tail."""
 
-import functools
 import typing
 
 import attrs
@@ -44,9 +43,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow."""
-        nursery.start_soon(
-            functools.partial(supervision.keep_running, self._follow, ()),
-        )
+        nursery.start_soon(supervision.keep_running, self._follow, ())
 
     async def close(self) -> None:
         """Nothing to release; the nursery ends the task."""
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -13,7 +13,20 @@
 from carawayward.forwarding import facts
 
 Identity = tuple[str, int | None]
-PoolKey = tuple[str, str]
+
+
+@attrs.frozen
+class Want:
+    """Which endpoints may serve: of a service, and of a version or not.
+
+    ``version`` empty is any; with ``other`` set, any but this one. ``most``
+    bounds to how many of the endpoints work goes, None for all.
+    """
+
+    service: str
+    version: str = ""
+    other: bool = False
+    most: int | None = None
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -36,26 +49,36 @@
     clock: clock_module.Clock
     draw: placement.Draw = random.randrange
     places: dict[str, Place] = attrs.field(factory=dict)
-    pools: dict[PoolKey, placement.Candidates] = attrs.field(factory=dict)
+    pools: dict[Want, placement.Candidates] = attrs.field(factory=dict)
     generation: int = -1
 
-    def find_pool(
-        self, service: str, version: str = ""
-    ) -> placement.Candidates:
-        """Endpoints of a service, of one version if it is named."""
+    def find_pool(self, want: Want) -> placement.Candidates:
+        """The endpoints that may serve."""
         self._sync()
-        key = (service, version)
-        pool = self.pools.get(key)
+        pool = self.pools.get(want)
         if pool is None:
-            pool = self.pools[key] = placement.Candidates.from_views(
-                place.view
-                for place in self.places.values()
-                if place.entry.service == service
-                and not place.entry.leaving
-                and version in ("", place.entry.version)
-            )
+            views = self._list_views(want)
+            pool = placement.Candidates.from_views(views)
+            self.pools[want] = pool
         return pool
 
+    def _list_views(self, want: Want) -> list[placement.View]:
+        views = [
+            place.view
+            for place in self.places.values()
+            if place.entry.service == want.service
+            and not place.entry.leaving
+            and (
+                not want.version
+                or (place.entry.version == want.version) != want.other
+            )
+        ]
+        if want.most is not None:
+            # By rank, so that all entry VMs choose the same endpoints.
+            views.sort(key=lambda view: placement.hash_key(view.name))
+            views = views[: want.most]
+        return views
+
     def choose(
         self,
         pool: placement.Candidates,
@@ -92,7 +115,7 @@
     def note_failure(self, place: Place, cause: str) -> None:
         """Learn from a failure that the endpoint is to blame for."""
         health_module.note_failure(place.view.health)
-        pool = self.find_pool(place.entry.service)
+        pool = self.find_pool(Want(place.entry.service))
         healths = [view.health for view in pool.views]
         if health_module.judge(
             place.view.health, healths, self.clock.now_ms()
--- a/src/carawayward/platform/entry.py
+++ b/src/carawayward/platform/entry.py
@@ -23,6 +23,10 @@
     return daemon.Ports(
         declarations=store_module.KeyedTopic(store, "keyed.op"),
         endpoints=store_module.KeyedTopic(store, "keyed.servers"),
+        evidence=store_module.KeyedTopic(store, "keyed.evidence"),
+        statuses=store_module.KeyedTopic(store, "keyed.status"),
+        decode_status=records.decode_status,
+        encode_status=records.encode_status,
         decode_declaration=records.decode_declaration,
         decode_endpoint=records.decode_endpoint,
         dialect=headers.DIALECT,
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -13,6 +13,7 @@
 # Tokens of the prompt, then the most tokens of the answer.
 TOKENS = b"carawayward-token-count"
 PREFIX = b"carawayward-prefix-hash"
+SESSION = b"session"
 LAST_EVENT = b"last-event-id"
 SEAL = b"carawayward-server-seal"
 DECLINED = b"carawayward-not-executed"
@@ -53,6 +54,7 @@
         request_id=request_id,
         deadline_ms=_number(found, DEADLINE),
         key=_text(found, KEY),
+        session=_text(found, SESSION),
         model=_text(found, MODEL),
         prompt_tokens=int(tokens[0]) if tokens else 0,
         output_tokens=int(tokens[1]) if len(tokens) > 1 else 0,
--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -20,6 +20,12 @@
     "unsafe": table.RouteKind.ONCE,
     "streaming": table.RouteKind.STREAM,
 }
+ROLLOUT_STATES = {
+    "in_progress": facts.RolloutState.RUNNING,
+    "completed": facts.RolloutState.COMPLETED,
+    "rolled_back": facts.RolloutState.ROLLED_BACK,
+}
+ROLLOUT_WORDS = {state: word for word, state in ROLLOUT_STATES.items()}
 STATES = {"ready": False, "draining": True}
 
 # What a record that cannot be read raises while it is taken apart.
@@ -146,6 +152,28 @@
     )
 
 
+def decode_status(record: keyed_log.Record) -> facts.RolloutStatus | None:
+    """A record of the statuses' topic; None if it is of no use."""
+    service = record.key.removeprefix(ROLLOUT_PREFIX)
+    if record.value is None or service == record.key:
+        return None
+    try:
+        body = json.loads(record.value)
+        state = ROLLOUT_STATES[body["state"]]
+        return facts.RolloutStatus(service, body["target"], state)
+    except UNREADABLE as fault:
+        _log_unreadable(record, fault)
+        return None
+
+
+def encode_status(status: facts.RolloutStatus) -> keyed_log.Record:
+    """The reverse of ``decode_status``."""
+    body = {"state": ROLLOUT_WORDS[status.state], "target": status.version}
+    return keyed_log.Record(
+        ROLLOUT_PREFIX + status.service, json.dumps(body).encode()
+    )
+
+
 def _check(value: typing.Any, kind: type) -> typing.Any:
     if type(value) is not kind:
         raise TypeError(f"{kind.__name__} expected")
