Place prompts by what each engine still has to read, told among entry VMs

Cause: each entry VM sees a ninth of the work.

Change: waiting for a stream's head follows the time that is left; entry VMs tell each other their outstanding prompt tokens and kept parts by datagrams, and decisions/engine_load takes the engine that would have the prompt read first.

--- /dev/null
+++ b/src/carawayward/decisions/engine_load.py
@@ -0,0 +1,190 @@
+"""Which model engine takes a prompt: the one that begins it first.
+
+Load: long prompts of very different lengths, from many entry VMs at once. An
+engine reads prompts one after the other, so what a request waits for is the
+prompt tokens in front of it, not the number of requests. Each entry VM alone
+sees a small part of them. Harm prevented: one engine with a row of long
+prompts next to idle ones, and every stream on it paused meanwhile.
+
+Work is counted in weighted tokens: prompt tokens that still have to be read,
+times how much of an engine's time the model takes for one of them, against
+the largest. What peers have outstanding comes from their last word.
+"""
+
+import collections
+import typing
+
+import attrs
+
+# A stream that runs takes little of an engine's time beside the prompts: a
+# step of a batch grows by a fortieth for each. In weighted tokens.
+STREAM_WEIGHT = 150.0
+# The way to another failure domain costs a few ms and priced bytes; engines
+# read some 60 tokens in a ms, so this is about 5 ms.
+REMOTE_WEIGHT = 300.0
+# A peer's word that is older has been overtaken or the peer has gone.
+PEER_LIFE_MS = 1_500.0
+# Part of an engine's memory that kept prompts are assumed to have; the rest
+# holds what is running.
+KEPT_PART = 0.6
+
+
+@attrs.frozen
+class Load:
+    """Outstanding work at one engine, in weighted tokens, and streams."""
+
+    weight: float = 0.0
+    streams: int = 0
+
+
+@attrs.define
+class PeerLoads:
+    """What a peer has outstanding, and when it said so."""
+
+    heard_ms: float
+    loads: dict[str, Load]
+
+
+@attrs.define
+class KeptParts:
+    """Parts of prompts that an engine is likely to have kept, oldest first."""
+
+    tokens: int = 0
+    parts: collections.OrderedDict[int, int] = attrs.field(
+        factory=collections.OrderedDict
+    )
+
+
+@attrs.define
+class EngineLoads:
+    """All that one entry VM knows of the engines' outstanding work."""
+
+    own: dict[str, Load] = attrs.field(factory=dict)
+    peers: dict[str, PeerLoads] = attrs.field(factory=dict)
+    kept: dict[str, KeptParts] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class Prompt:
+    """A prompt to place: its parts as (key, tokens), and its model's weight.
+
+    A part's key is of the part and the model: what one model has read is of
+    no use to another.
+    """
+
+    parts: tuple[tuple[int, int], ...]
+    model_weight: float = 1.0
+
+    @property
+    def tokens(self) -> int:
+        """All tokens of the prompt."""
+        return sum(tokens for _, tokens in self.parts)
+
+
+@attrs.frozen
+class Candidate:
+    """An engine that may take the prompt."""
+
+    name: str
+    local: bool
+
+
+def add_own(loads: EngineLoads, engine: str, change: Load) -> None:
+    """Add to, or with negative figures take from, the own outstanding work."""
+    known = loads.own.get(engine, Load())
+    now = Load(
+        max(0.0, known.weight + change.weight),
+        max(0, known.streams + change.streams),
+    )
+    if now.streams:
+        loads.own[engine] = now
+    else:
+        loads.own.pop(engine, None)
+
+
+def take_peer(
+    loads: EngineLoads, peer: str, told: dict[str, Load], now_ms: float
+) -> None:
+    """Take a peer's word on its outstanding work."""
+    loads.peers[peer] = PeerLoads(now_ms, told)
+
+
+def sum_loads(loads: EngineLoads, now_ms: float) -> dict[str, Load]:
+    """The outstanding work of everybody, by engine."""
+    total = dict(loads.own)
+    for peer, told in list(loads.peers.items()):
+        if now_ms - told.heard_ms > PEER_LIFE_MS:
+            del loads.peers[peer]
+            continue
+        for engine, load in told.loads.items():
+            known = total.get(engine, Load())
+            total[engine] = Load(
+                known.weight + load.weight, known.streams + load.streams
+            )
+    return total
+
+
+def note_kept(
+    loads: EngineLoads,
+    engine: str,
+    parts: typing.Iterable[tuple[int, int]],
+    memory_tokens: int,
+) -> None:
+    """Note that an engine has read, or will read, these parts."""
+    kept = loads.kept.setdefault(engine, KeptParts())
+    for key, tokens in parts:
+        if key in kept.parts:
+            kept.tokens -= kept.parts.pop(key)
+        kept.parts[key] = tokens
+        kept.tokens += tokens
+    while kept.parts and kept.tokens > KEPT_PART * memory_tokens:
+        kept.tokens -= kept.parts.popitem(last=False)[1]
+
+
+def count_unread(loads: EngineLoads, engine: str, prompt: Prompt) -> int:
+    """Tokens of a prompt that an engine would have to read.
+
+    A kept part counts only if all parts before it are kept too.
+    """
+    kept = loads.kept.get(engine)
+    unread = prompt.tokens
+    if kept is None:
+        return unread
+    for key, tokens in prompt.parts:
+        if key not in kept.parts:
+            break
+        unread -= tokens
+    return unread
+
+
+def choose(
+    loads: EngineLoads,
+    candidates: typing.Sequence[Candidate],
+    prompt: Prompt,
+    now_ms: float,
+    draw: typing.Callable[[int], int],
+) -> Candidate | None:
+    """The engine that would have the prompt read first."""
+    total = sum_loads(loads, now_ms)
+    best: list[Candidate] = []
+    least = float("inf")
+    for candidate in candidates:
+        load = total.get(candidate.name, Load())
+        unread = count_unread(loads, candidate.name, prompt)
+        cost = (
+            load.weight
+            + unread * prompt.model_weight
+            + load.streams * STREAM_WEIGHT
+            + (0.0 if candidate.local else REMOTE_WEIGHT)
+        )
+        if cost < least:
+            best, least = [candidate], cost
+        elif cost == least:
+            best.append(candidate)
+    return best[draw(len(best))] if best else None
+
+
+def forget_engines(loads: EngineLoads, known: typing.Container[str]) -> None:
+    """Drop what is known of engines that are gone."""
+    for name in [each for each in loads.kept if each not in known]:
+        del loads.kept[name]
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -18,6 +18,7 @@
 from carawayward.forwarding import facts
 from carawayward.forwarding import feed
 from carawayward.forwarding import fleet as fleet_module
+from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import registry
 from carawayward.forwarding import rollouts as rollouts_module
@@ -38,12 +39,23 @@
 READY_WAIT_MS = 3_000.0
 
 
+class Controller(typing.Protocol):
+    """What the daemon starts and closes."""
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin the controller's tasks."""
+
+    async def close(self) -> None:
+        """Finish what must not be lost."""
+
+
 @attrs.frozen(kw_only=True)
 class Ports:
     """What a deployment brings: topics, decoders and headers."""
 
     declarations: keyed_log.KeyedLog
     endpoints: keyed_log.KeyedLog
+    members: keyed_log.KeyedLog
     evidence: keyed_log.KeyedLog
     statuses: keyed_log.KeyedLog
     decode_declaration: typing.Callable[
@@ -66,7 +78,7 @@
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
     ports: Ports
-    controllers: list[feed.TopicFeed | rollouts_module.RolloutsController]
+    controllers: list[Controller]
     app: app_module.ForwardingApp
 
     @classmethod
@@ -112,6 +124,17 @@
         def may_send(work: exchange.Work) -> bool:
             return not work.customer or is_fresh()
 
+        incarnation = secrets.token_hex(4)
+        fleet = fleet_module.Fleet(board, clock)
+        hints = hints_module.HintsController(
+            board,
+            clock,
+            ports.members,
+            settings.listen.peers,
+            incarnation,
+            fleet.loads,
+            fleet.find_memory,
+        )
         rollouts = rollouts_module.RolloutsController(
             board,
             clock,
@@ -120,14 +143,15 @@
             ports.decode_status,
             ports.encode_status,
             bounds.session_ms,
-            secrets.token_hex(4),
+            incarnation,
         )
         forwarder = exchange.Forwarder(
             clock,
             ports.dialect,
-            fleet_module.Fleet(board, clock),
+            fleet,
             may_send,
             rollouts,
+            hints,
             lambda: extra_runs.ExtraRuns(
                 bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
             ),
@@ -135,7 +159,9 @@
         app = app_module.ForwardingApp(
             board, clock, ports.dialect, forwarder, is_fresh
         )
-        return cls(settings, board, clock, ports, [*feeds, rollouts], app)
+        return cls(
+            settings, board, clock, ports, [*feeds, rollouts, hints], app
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop."""
@@ -155,6 +181,8 @@
                     stop.set()
                     serving.cancel_scope.deadline = trio.current_time() + 0.3
                 nursery.cancel_scope.cancel()
+        for each in self.controllers:
+            await each.close()
         await self.ports.close()
         events.log_event(events.Event.NODE_STOPPED, node=self.board.name)
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -8,6 +8,7 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import engine_load
 from carawayward.decisions import extra_runs
 from carawayward.decisions import ladder
 from carawayward.decisions import placement
@@ -16,6 +17,7 @@
 from carawayward.forwarding import event_stream
 from carawayward.forwarding import facts
 from carawayward.forwarding import fleet as fleet_module
+from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import replies
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import table
@@ -36,6 +38,10 @@
 # A repeatable request waits for the head of an answer no longer than this
 # part of the route's target times two before another endpoint is asked.
 HEAD_TARGETS = 2.0
+# Engines queue: under load the first event takes seconds, and to give it up
+# has the whole prompt read again elsewhere, which makes the load worse. So
+# only what would otherwise fail is given up.
+STREAM_HEAD_PART = 0.6
 # A stream that pauses for so many of the longest pauses that still count as
 # in time is read on from another endpoint.
 GAP_TARGETS = 2.0
@@ -117,6 +123,7 @@
     last_event: int | None = None
     failure: Failed | None = None
     endpoint: str = ""
+    reading: "Reading | None" = None
 
     @property
     def may_have_run(self) -> bool:
@@ -147,6 +154,7 @@
     fleet: fleet_module.Fleet
     may_send: typing.Callable[[Work], bool]
     rollouts: rollouts_module.RolloutsController
+    hints: hints_module.HintsController
     make_budget: typing.Callable[[], extra_runs.ExtraRuns]
     budgets: dict[str, extra_runs.ExtraRuns] = attrs.field(factory=dict)
 
@@ -203,10 +211,13 @@
         self, work: Work, choice: rollouts_module.Choice | None
     ) -> fleet_module.Place | None:
         """Choose an endpoint: of the version wanted, else of the other."""
-        key = find_cache_key(work) if work.route.affinity else None
+        prompt = make_prompt(work)
         for want in self._list_wants(work, choice):
             pool = self.fleet.find_pool(want)
-            place = self.fleet.choose(pool, key, work.excluded)
+            if prompt is not None:
+                place = self.fleet.choose_engine(pool, prompt, work.excluded)
+            else:
+                place = self.fleet.choose(pool, None, work.excluded)
             if place is not None:
                 return place
         return None
@@ -241,6 +252,7 @@
         if choice is not None:
             choice = self.rollouts.begin(choice, place.entry.version)
         self.fleet.occupy(place)
+        reading = self._begin_reading(work, place)
         try:
             outcome = await self._send(work, place, mark, reply)
         except attempt_module.AttemptFailed as fault:
@@ -250,6 +262,7 @@
                 outcome = Unreached(fault.detail)
         finally:
             self.fleet.vacate(place)
+            reading.end()
             if choice is not None:
                 self.rollouts.end(choice)
         if isinstance(outcome, (Declined, Unreached)):
@@ -261,6 +274,22 @@
             self._note_version(work, choice, outcome, took_ms)
         return outcome
 
+    def _begin_reading(
+        self, work: Work, place: fleet_module.Place
+    ) -> "Reading":
+        """Count a prompt as outstanding at its engine."""
+        prompt = make_prompt(work)
+        reading = Reading(self.hints, place.entry.name, 0.0)
+        if prompt is not None:
+            unread = engine_load.count_unread(
+                self.hints.loads, place.entry.name, prompt
+            )
+            reading.weight = unread * prompt.model_weight
+            self.hints.add_kept(place.entry.name, prompt.parts[:-1])
+        work.reading = reading if prompt is not None else None
+        reading.begin()
+        return reading
+
     def _note_version(
         self,
         work: Work,
@@ -333,6 +362,8 @@
         reply: replies.Reply,
     ) -> Outcome:
         """Pass whole events on as they come."""
+        if work.reading is not None:
+            work.reading.note_head()
         work.confidence = answer.head.facts.confidence
         larger = self._find_larger(work, reply)
         if larger is not None:
@@ -398,7 +429,8 @@
         if not work.route.repeatable:
             return float("inf")
         if work.route.kind is table.RouteKind.STREAM:
-            return work.route.target_ms / 1000
+            left_ms = work.deadline_ms - self.clock.now_ms()
+            return STREAM_HEAD_PART * left_ms / 1000
         return HEAD_TARGETS * work.route.target_ms / 1000
 
     def _make_forward(
@@ -514,17 +546,48 @@
     await replies.send_whole(reply, status, headers, b"")
 
 
-def find_cache_key(work: Work) -> int | None:
-    """The part of the prompt by which requests are brought together.
-
-    The last part belongs to the request or its session alone; the one
-    before it is the longest that other requests share.
-    """
-    parts = work.facts.prompt
-    if not parts:
+@attrs.define(eq=False)
+class Reading:
+    """A prompt at an engine: outstanding until the head of its answer."""
+
+    hints: hints_module.HintsController
+    engine: str
+    weight: float
+
+    def begin(self) -> None:
+        """The prompt goes to its engine."""
+        load = engine_load.Load(self.weight, 1)
+        self.hints.add_load(self.engine, load)
+
+    def note_head(self) -> None:
+        """The prompt has been read; the answer comes."""
+        if self.weight:
+            load = engine_load.Load(-self.weight, 0)
+            self.hints.add_load(self.engine, load)
+            self.weight = 0.0
+
+    def end(self) -> None:
+        """The run is over."""
+        load = engine_load.Load(-self.weight, -1)
+        self.hints.add_load(self.engine, load)
+        self.weight = 0.0
+
+
+def make_prompt(work: Work) -> engine_load.Prompt | None:
+    """The prompt to place; None where no engines are involved."""
+    service = work.table.services.get(work.service)
+    if service is None or service.engine is None or not work.facts.prompt:
         return None
-    shared = parts[-2] if len(parts) > 1 else parts[-1]
-    return placement.hash_key(shared.name)
+    model = work.model_name or work.facts.model
+    costs = service.engine.costs
+    weight = costs.get(model, 1.0) / max(costs.values(), default=1.0)
+    return engine_load.Prompt(
+        parts=tuple(
+            (placement.hash_key(f"{model}/{part.name}"), part.tokens)
+            for part in work.facts.prompt
+        ),
+        model_weight=weight,
+    )
 
 
 # Headers that concern one connection only (RFC 9110, 7.6.1).
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -5,6 +5,7 @@
 import attrs
 
 from carawayward import clock as clock_module
+from carawayward.decisions import engine_load
 from carawayward.decisions import health as health_module
 from carawayward.decisions import limits
 from carawayward.decisions import placement
@@ -51,6 +52,44 @@
     places: dict[str, Place] = attrs.field(factory=dict)
     pools: dict[Want, placement.Candidates] = attrs.field(factory=dict)
     generation: int = -1
+    loads: engine_load.EngineLoads = attrs.field(
+        factory=engine_load.EngineLoads
+    )
+
+    def find_memory(self, name: str) -> int:
+        """How many tokens an engine's memory holds; 0 if it is unknown."""
+        place = self.places.get(name)
+        table = self.board.table
+        if place is None or table is None:
+            return 0
+        service = table.services.get(place.entry.service)
+        if service is None or service.engine is None:
+            return 0
+        return service.engine.cache_tokens
+
+    def choose_engine(
+        self,
+        pool: placement.Candidates,
+        prompt: engine_load.Prompt,
+        excluded: frozenset[str],
+    ) -> Place | None:
+        """The engine that would have a prompt read first, or None."""
+        now_ms = self.clock.now_ms()
+        chosen = engine_load.choose(
+            self.loads,
+            [
+                engine_load.Candidate(
+                    view.name,
+                    view.failure_domain == self.board.failure_domain,
+                )
+                for view in pool.views
+                if placement.is_open(view, now_ms, excluded)
+            ],
+            prompt,
+            now_ms,
+            self.draw,
+        )
+        return self.places.get(chosen.name) if chosen is not None else None
 
     def find_pool(self, want: Want) -> placement.Candidates:
         """The endpoints that may serve."""
@@ -137,9 +176,11 @@
             place = self.places.get(name)
             if place is None or _identify(place.entry) != _identify(entry):
                 place = Place(entry=entry, view=_make_view(entry))
+                self.loads.kept.pop(name, None)
             place.entry = entry
             kept[name] = place
         self.places = kept
+        engine_load.forget_engines(self.loads, kept)
 
 
 def _identify(entry: facts.EndpointEntry) -> Identity:
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -15,6 +15,7 @@
 
     callers: str
     readiness: str
+    peers: str
 
 
 @attrs.frozen(kw_only=True)
@@ -68,6 +69,7 @@
         for field, address in (
             ("listen.callers", settings.listen.callers),
             ("listen.readiness", settings.listen.readiness),
+            ("listen.peers", settings.listen.peers),
             ("store.address", settings.store.address),
         ):
             settings_module.check_address(field, address)
