Climb to a larger model only while the row at the engines leaves time

Change: the larger model's first text is predicted from the prompts that are outstanding at the engines and a learned pace; the confidence that keeps an answer falls as the row grows. A leaving entry VM refuses what comes after the balancer had time to stop sending, and ends streams late.

--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -81,6 +81,29 @@
         return sum(tokens for _, tokens in self.parts)
 
 
+# Milliseconds that an engine takes for a weighted token, until learned, and
+# how fast a new observation is taken over. Heads of prompts shorter than
+# LEAST_LEARNED say more of the network than of the engine.
+FIRST_PACE_MS = 0.06
+PACE_GAIN = 0.1
+LEAST_LEARNED = 1_000.0
+
+
+@attrs.define
+class Pace:
+    """How fast a service's engines read prompts, in ms a weighted token."""
+
+    ms: float = FIRST_PACE_MS
+
+
+@attrs.frozen
+class Choice:
+    """An engine, and the weighted tokens read until the prompt is."""
+
+    name: str
+    weight: float
+
+
 @attrs.frozen
 class Candidate:
     """An engine that may take the prompt."""
@@ -163,27 +186,33 @@
     prompt: Prompt,
     now_ms: float,
     draw: typing.Callable[[int], int],
-) -> Candidate | None:
+) -> Choice | None:
     """The engine that would have the prompt read first."""
     total = sum_loads(loads, now_ms)
-    best: list[Candidate] = []
+    best: list[Choice] = []
     least = float("inf")
     for candidate in candidates:
         load = total.get(candidate.name, Load())
         unread = count_unread(loads, candidate.name, prompt)
+        weight = load.weight + unread * prompt.model_weight
         cost = (
-            load.weight
-            + unread * prompt.model_weight
+            weight
             + load.streams * STREAM_WEIGHT
             + (0.0 if candidate.local else REMOTE_WEIGHT)
         )
         if cost < least:
-            best, least = [candidate], cost
-        elif cost == least:
-            best.append(candidate)
+            best, least = [], cost
+        if cost == least:
+            best.append(Choice(candidate.name, weight))
     return best[draw(len(best))] if best else None
 
 
+def note_head(pace: Pace, weight: float, took_ms: float) -> None:
+    """Learn from a prompt that was read with ``weight`` up to its end."""
+    if weight >= LEAST_LEARNED:
+        pace.ms += PACE_GAIN * (took_ms / weight - pace.ms)
+
+
 def forget_engines(loads: EngineLoads, known: typing.Container[str]) -> None:
     """Drop what is known of engines that are gone."""
     for name in [each for each in loads.kept if each not in known]:
--- a/src/carawayward/decisions/ladder.py
+++ b/src/carawayward/decisions/ladder.py
@@ -15,6 +15,10 @@
 # Models rate an answer that is just good enough at about 50 of 100, with an
 # error of about 8. Two errors above, one accepted answer in fifty is poor.
 LEAST_CONFIDENCE = 62.0
+# As the row grows, answers up to two errors under the mark are kept too.
+SPREAD = 32.0
+# Part of the route's target that a climb may spend in the row.
+LONGEST_ROW = 0.7
 
 
 def choose_first(models: int, may_climb: bool) -> int:
@@ -26,11 +30,28 @@
     return 0 if may_climb else models - 1
 
 
-def find_next(index: int, models: int, confidence: float | None) -> int | None:
+def find_next(
+    index: int,
+    models: int,
+    confidence: float | None,
+    head_ms: float,
+    target_ms: float,
+) -> int | None:
     """The model to ask next, or None to keep this answer.
 
-    A model that gives no opinion is taken at its word.
+    A model that gives no opinion is taken at its word. ``head_ms`` is how
+    long the larger model's first text would take from now on,
+    ``target_ms`` the route's target.
+
+    Load: more hard requests than the engines can read prompts for. Harm
+    prevented: if all of them climb, rows grow until every answer on every
+    engine is late, the easy ones too. Those that are surely poor climb
+    until half of the target is spent in the row, those that are probably
+    good enough only while the row is short.
     """
-    if confidence is None or confidence >= LEAST_CONFIDENCE:
+    if confidence is None or index >= models - 1:
+        return None
+    room = 1.0 - head_ms / (LONGEST_ROW * target_ms)
+    if room <= 0.0 or confidence >= LEAST_CONFIDENCE - SPREAD * (1.0 - room):
         return None
-    return models - 1 if index < models - 1 else None
+    return models - 1
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -24,6 +24,8 @@
 
 # Refusals that pass by themselves once this entry VM has read the store.
 NOT_READY_MS = 500.0
+# Another entry VM takes the request; there is nothing to wait for.
+LEAVING_MS = 20.0
 
 
 class CallerLeft(Exception):
@@ -132,6 +134,8 @@
         table = self.board.table
         if table is None:
             raise Refused(503, "no routing table yet", NOT_READY_MS)
+        if self.board.refusing:
+            raise Refused(503, "leaving", LEAVING_MS)
         try:
             known = self.dialect.read_request(request.headers)
         except errors.BadRequest as fault:
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -27,12 +27,14 @@
 
     ``table_as_of_ms`` is the latest moment at which ``table`` is known to
     have been the newest. ``generation`` rises with each change of
-    ``endpoints``.
+    ``endpoints``. ``refusing`` is set once a stop leaves no time for new
+    requests.
     """
 
     name: str
     failure_domain: str
     state: State = State.STARTING
+    refusing: bool = False
     table: table_module.RoutingTable | None = None
     table_as_of_ms: float = NEVER
     endpoints: dict[str, facts.EndpointEntry] = attrs.field(factory=dict)
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -33,8 +33,9 @@
 # A balancer that asks once a second and takes two misses sends no new
 # connections after this.
 UNREADY_MS = 2_200.0
-# Part of the time to stop after which streams still open are broken off.
-LAST_CUT = 0.84
+# Streams still open this long before the process is killed are broken off,
+# so that their callers see it and the process ends by itself.
+LAST_CUT_MS = 600.0
 POLL_MS = 20.0
 READY_WAIT_MS = 3_000.0
 
@@ -223,8 +224,9 @@
         events.log_event(
             events.Event.NODE_LEAVING, open=self.board.open_requests
         )
-        last_s = LAST_CUT * self.settings.bounds.grace_ms / 1000
+        last_s = (self.settings.bounds.grace_ms - LAST_CUT_MS) / 1000
         with trio.move_on_after(last_s):
             await self.clock.sleep(UNREADY_MS)
+            self.board.refusing = True
             while self.board.open_requests:
                 await self.clock.sleep(POLL_MS)
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -40,7 +40,8 @@
 HEAD_TARGETS = 2.0
 # Engines queue: under load the first event takes seconds, and to give it up
 # has the whole prompt read again elsewhere, which makes the load worse. So
-# only what would otherwise fail is given up.
+# only what would otherwise fail is given up, and only while there is time
+# for another engine to meet the target.
 STREAM_HEAD_PART = 0.6
 # A stream that pauses for so many of the longest pauses that still count as
 # in time is read on from another endpoint.
@@ -124,6 +125,8 @@
     failure: Failed | None = None
     endpoint: str = ""
     reading: "Reading | None" = None
+    row: float = 0.0
+    sent_ms: float = 0.0
 
     @property
     def may_have_run(self) -> bool:
@@ -135,6 +138,11 @@
         """The service that the request goes to."""
         return self.route.targets[0].service
 
+    @property
+    def session(self) -> str:
+        """By what a request stays on a version; its own without session."""
+        return self.facts.session or self.facts.request_id
+
     @property
     def model_name(self) -> str:
         """The model chosen for the caller; empty if it is not ours to."""
@@ -191,9 +199,7 @@
 
     async def _run(self, work: Work, reply: replies.Reply) -> None:
         while True:
-            choice = self.rollouts.choose(
-                work.service, work.facts.session or work.facts.request_id
-            )
+            choice = self.rollouts.choose(work.service, work.session)
             place = self._place(work, choice)
             if place is None:
                 await self._give_up(work, reply, "no endpoint")
@@ -215,13 +221,25 @@
         for want in self._list_wants(work, choice):
             pool = self.fleet.find_pool(want)
             if prompt is not None:
-                place = self.fleet.choose_engine(pool, prompt, work.excluded)
+                place = self._place_prompt(work, pool, prompt)
             else:
                 place = self.fleet.choose(pool, None, work.excluded)
             if place is not None:
                 return place
         return None
 
+    def _place_prompt(
+        self,
+        work: Work,
+        pool: placement.Candidates,
+        prompt: engine_load.Prompt,
+    ) -> fleet_module.Place | None:
+        engine = self.fleet.choose_engine(pool, prompt, work.excluded)
+        if engine is None:
+            return None
+        work.row = engine.weight
+        return self.fleet.places.get(engine.name)
+
     def _list_wants(
         self, work: Work, choice: rollouts_module.Choice | None
     ) -> list[fleet_module.Want]:
@@ -248,7 +266,7 @@
         work.mark = mark
         work.endpoint = place.entry.name
         work.events = 0
-        began_ms = self.clock.now_ms()
+        began_ms = work.sent_ms = self.clock.now_ms()
         if choice is not None:
             choice = self.rollouts.begin(choice, place.entry.version)
         self.fleet.occupy(place)
@@ -364,6 +382,11 @@
         """Pass whole events on as they come."""
         if work.reading is not None:
             work.reading.note_head()
+            engine_load.note_head(
+                self.fleet.find_pace(work.service),
+                work.row,
+                self.clock.now_ms() - work.sent_ms,
+            )
         work.confidence = answer.head.facts.confidence
         larger = self._find_larger(work, reply)
         if larger is not None:
@@ -420,8 +443,24 @@
             self._find_budget(work), self.clock.now_ms()
         ):
             return None
+        models = work.route.models
+        prompt = make_prompt(work, models[-1])
+        if prompt is None:
+            return None
+        choice = self.rollouts.choose(work.service, work.session)
+        engine = None
+        for want in self._list_wants(work, choice):
+            engine = engine or self.fleet.choose_engine(
+                self.fleet.find_pool(want), prompt, work.excluded
+            )
+        if engine is None:
+            return None
         return ladder.find_next(
-            work.model, len(work.route.models), work.confidence
+            work.model,
+            len(models),
+            work.confidence,
+            engine.weight * self.fleet.find_pace(work.service).ms,
+            work.route.target_ms,
         )
 
     def _find_patience_s(self, work: Work) -> float:
@@ -430,6 +469,8 @@
             return float("inf")
         if work.route.kind is table.RouteKind.STREAM:
             left_ms = work.deadline_ms - self.clock.now_ms()
+            if STREAM_HEAD_PART * left_ms < work.route.target_ms:
+                return float("inf")
             return STREAM_HEAD_PART * left_ms / 1000
         return HEAD_TARGETS * work.route.target_ms / 1000
 
@@ -573,12 +614,15 @@
         self.weight = 0.0
 
 
-def make_prompt(work: Work) -> engine_load.Prompt | None:
-    """The prompt to place; None where no engines are involved."""
+def make_prompt(work: Work, model: str = "") -> engine_load.Prompt | None:
+    """The prompt to place; None where no engines are involved.
+
+    It is for the model named, else for the one that is chosen for the work.
+    """
     service = work.table.services.get(work.service)
     if service is None or service.engine is None or not work.facts.prompt:
         return None
-    model = work.model_name or work.facts.model
+    model = model or work.model_name or work.facts.model
     costs = service.engine.costs
     weight = costs.get(model, 1.0) / max(costs.values(), default=1.0)
     return engine_load.Prompt(
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -55,6 +55,7 @@
     loads: engine_load.EngineLoads = attrs.field(
         factory=engine_load.EngineLoads
     )
+    paces: dict[str, engine_load.Pace] = attrs.field(factory=dict)
 
     def find_memory(self, name: str) -> int:
         """How many tokens an engine's memory holds; 0 if it is unknown."""
@@ -72,10 +73,10 @@
         pool: placement.Candidates,
         prompt: engine_load.Prompt,
         excluded: frozenset[str],
-    ) -> Place | None:
+    ) -> engine_load.Choice | None:
         """The engine that would have a prompt read first, or None."""
         now_ms = self.clock.now_ms()
-        chosen = engine_load.choose(
+        return engine_load.choose(
             self.loads,
             [
                 engine_load.Candidate(
@@ -89,7 +90,10 @@
             now_ms,
             self.draw,
         )
-        return self.places.get(chosen.name) if chosen is not None else None
+
+    def find_pace(self, service: str) -> engine_load.Pace:
+        """How fast a service's engines read prompts."""
+        return self.paces.setdefault(service, engine_load.Pace())
 
     def find_pool(self, want: Want) -> placement.Candidates:
         """The endpoints that may serve."""
