--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -81,19 +81,75 @@
         return sum(tokens for _, tokens in self.parts)
 
 
-# Milliseconds that an engine takes for a weighted token, until learned, and
-# how fast a new observation is taken over. Heads of prompts shorter than
-# LEAST_LEARNED say more of the network than of the engine.
+# What the first text takes on an idle engine, and a weighted token more, in
+# ms; both until learned. Engines differ, so that these only have to be near.
+FIRST_BASE_MS = 120.0
 FIRST_PACE_MS = 0.06
 PACE_GAIN = 0.1
-LEAST_LEARNED = 1_000.0
+# Rows up to the first say what the base is, those past the second what a
+# token takes; between them the two cannot be told apart.
+SHORT_ROW = 500.0
+LONG_ROW = 3_000.0
 
 
 @attrs.define
 class Pace:
-    """How fast a service's engines read prompts, in ms a weighted token."""
+    """How fast a service's engines come to the first text."""
 
-    ms: float = FIRST_PACE_MS
+    base_ms: float = FIRST_BASE_MS
+    token_ms: float = FIRST_PACE_MS
+
+
+def predict_head(pace: Pace, weight: float) -> float:
+    """When the first text comes, in ms, behind so many weighted tokens."""
+    return pace.base_ms + weight * pace.token_ms
+
+
+def note_head(pace: Pace, weight: float, took_ms: float) -> None:
+    """Learn from a prompt that was read with ``weight`` up to its end."""
+    if weight < SHORT_ROW:
+        # One that met a prompt nobody told of yet says nothing of the base.
+        seen_ms = min(took_ms, 2.0 * pace.base_ms)
+        pace.base_ms += PACE_GAIN * (seen_ms - pace.base_ms)
+    elif weight > LONG_ROW:
+        seen_ms = max(0.0, took_ms - pace.base_ms) / weight
+        pace.token_ms += PACE_GAIN * (seen_ms - pace.token_ms)
+
+
+# Part of the engines' time that prompts may take in the long run. While an
+# engine reads prompts without a pause, a stream on it gets one step for each
+# piece of a prompt, some 300 ms, instead of one in 15: every stream there
+# runs into its time limit.
+READING_PART = 0.7
+
+
+@attrs.define
+class Duty:
+    """A leaky bucket of the prompts sent to a service's engines.
+
+    ``weight`` is in weighted tokens for each engine.
+    """
+
+    weight: float = 0.0
+    seen_ms: float | None = None
+
+
+def note_sent(duty: Duty, weight: float, engines: float) -> None:
+    """Add a prompt that somebody has sent."""
+    duty.weight += weight / max(1.0, engines)
+
+
+def find_strain(duty: Duty, pace: Pace, now_ms: float) -> float:
+    """How far the engines are behind, in ms of reading each.
+
+    Stays near 0 as long as prompts take less than ``READING_PART`` of the
+    engines' time, bursts apart, and grows without bound past it.
+    """
+    if duty.seen_ms is not None and pace.token_ms:
+        drained = (now_ms - duty.seen_ms) * READING_PART / pace.token_ms
+        duty.weight = max(0.0, duty.weight - drained)
+    duty.seen_ms = now_ms
+    return duty.weight * pace.token_ms
 
 
 @attrs.frozen
@@ -207,12 +263,6 @@
     return best[draw(len(best))] if best else None
 
 
-def note_head(pace: Pace, weight: float, took_ms: float) -> None:
-    """Learn from a prompt that was read with ``weight`` up to its end."""
-    if weight >= LEAST_LEARNED:
-        pace.ms += PACE_GAIN * (took_ms / weight - pace.ms)
-
-
 def forget_engines(loads: EngineLoads, known: typing.Container[str]) -> None:
     """Drop what is known of engines that are gone."""
     for name in [each for each in loads.kept if each not in known]:
--- a/src/carawayward/decisions/ladder.py
+++ b/src/carawayward/decisions/ladder.py
@@ -15,10 +15,18 @@
 # Models rate an answer that is just good enough at about 50 of 100, with an
 # error of about 8. Two errors above, one accepted answer in fifty is poor.
 LEAST_CONFIDENCE = 62.0
-# As the row grows, answers up to two errors under the mark are kept too.
+# As engines fall behind, answers up to four errors under the mark are kept.
 SPREAD = 32.0
-# Part of the route's target that a climb may spend in the row.
-LONGEST_ROW = 0.7
+# How far engines may be behind with reading prompts, in ms each: up to the
+# first that is no reason not to climb, past the second nothing climbs. The
+# first is what a clump of a few long prompts makes of a calm moment.
+CALM_MS = 600.0
+STRAINED_MS = 2_400.0
+# Parts of the route's target: a larger model's first text that comes before
+# the first is no reason not to climb; after the second it would make a late
+# answer out of one that is in time.
+SHORT_ROW = 0.3
+LONGEST_ROW = 0.9
 
 
 def choose_first(models: int, may_climb: bool) -> int:
@@ -34,24 +42,27 @@
     index: int,
     models: int,
     confidence: float | None,
-    head_ms: float,
-    target_ms: float,
+    strain_ms: float,
+    head_part: float,
 ) -> int | None:
     """The model to ask next, or None to keep this answer.
 
-    A model that gives no opinion is taken at its word. ``head_ms`` is how
-    long the larger model's first text would take from now on,
-    ``target_ms`` the route's target.
+    A model that gives no opinion is taken at its word. ``strain_ms`` is how
+    far the engines are behind; ``head_part`` is when the larger model's first
+    text would come, as a part of the route's target.
 
     Load: more hard requests than the engines can read prompts for. Harm
     prevented: if all of them climb, rows grow until every answer on every
-    engine is late, the easy ones too. Those that are surely poor climb
-    until half of the target is spent in the row, those that are probably
-    good enough only while the row is short.
+    engine is late, the easy ones too. The more the engines are behind, the
+    surer it has to be that the answer at hand is poor.
     """
     if confidence is None or index >= models - 1:
         return None
-    room = 1.0 - head_ms / (LONGEST_ROW * target_ms)
-    if room <= 0.0 or confidence >= LEAST_CONFIDENCE - SPREAD * (1.0 - room):
+    behind = (strain_ms - CALM_MS) / (STRAINED_MS - CALM_MS)
+    row = (head_part - SHORT_ROW) / (LONGEST_ROW - SHORT_ROW)
+    strain = max(0.0, behind, row)
+    if strain >= 1.0:
+        return None
+    if confidence >= LEAST_CONFIDENCE - SPREAD * strain:
         return None
     return models - 1
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -154,6 +154,11 @@
     ROLLOUT_ORDERED = EventKind(
         1513, "An operator asks for a service's traffic to change version."
     )
+    HEAD_READ = EventKind(
+        1516,
+        "An engine has read a prompt; how long that was predicted to take "
+        "and how long it took.",
+    )
     ROLLOUT_JUDGED = EventKind(
         1514, "What the answers so far say of a version has changed."
     )
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -135,6 +135,7 @@
             incarnation,
             fleet.loads,
             fleet.find_memory,
+            fleet.note_sent,
         )
         rollouts = rollouts_module.RolloutsController(
             board,
@@ -146,6 +147,7 @@
             bounds.session_ms,
             incarnation,
         )
+        fleet.find_split = rollouts.find_split
         forwarder = exchange.Forwarder(
             clock,
             ports.dialect,
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -303,6 +303,7 @@
                 self.hints.loads, place.entry.name, prompt
             )
             reading.weight = unread * prompt.model_weight
+            self.hints.add_sent(work.service, reading.weight)
             self.hints.add_kept(place.entry.name, prompt.parts[:-1])
         work.reading = reading if prompt is not None else None
         reading.begin()
@@ -380,14 +381,23 @@
         reply: replies.Reply,
     ) -> Outcome:
         """Pass whole events on as they come."""
+        work.confidence = answer.head.facts.confidence
         if work.reading is not None:
             work.reading.note_head()
-            engine_load.note_head(
-                self.fleet.find_pace(work.service),
-                work.row,
-                self.clock.now_ms() - work.sent_ms,
+            pace = self.fleet.find_pace(work.service)
+            took_ms = self.clock.now_ms() - work.sent_ms
+            events.log_event(
+                events.Event.HEAD_READ,
+                request=work.facts.request_id,
+                endpoint=work.endpoint,
+                model=work.model_name,
+                predicted_ms=round(engine_load.predict_head(pace, work.row)),
+                took_ms=round(took_ms),
+                row=round(work.row),
+                strain_ms=round(self.fleet.find_strain(work.service)),
+                confidence=work.confidence,
             )
-        work.confidence = answer.head.facts.confidence
+            engine_load.note_head(pace, work.row, took_ms)
         larger = self._find_larger(work, reply)
         if larger is not None:
             return Unsure(f"confidence {work.confidence}", larger)
@@ -455,12 +465,15 @@
             )
         if engine is None:
             return None
+        head_ms = engine_load.predict_head(
+            self.fleet.find_pace(work.service), engine.weight
+        )
         return ladder.find_next(
             work.model,
             len(models),
             work.confidence,
-            engine.weight * self.fleet.find_pace(work.service).ms,
-            work.route.target_ms,
+            self.fleet.find_strain(work.service),
+            head_ms / work.route.target_ms,
         )
 
     def _find_patience_s(self, work: Work) -> float:
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -48,6 +48,7 @@
     incarnation: str
     heard_ms: float
     sequence: int = 0
+    sent: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -61,6 +62,8 @@
     incarnation: str
     loads: engine_load.EngineLoads
     memory_tokens: typing.Callable[[str], int]
+    note_sent: typing.Callable[[str, float], None]
+    sent: dict[str, float] = attrs.field(factory=dict)
     peers: dict[str, Peer] = attrs.field(factory=dict)
     sequence: int = 0
     new_parts: list[tuple[str, int, int]] = attrs.field(factory=list)
@@ -89,6 +92,18 @@
         engine_load.add_own(self.loads, engine, change)
         self.news.set()
 
+    def add_sent(self, service: str, weight: float) -> None:
+        """Note a prompt that this entry VM sends, and tell it."""
+        self.sent[service] = self.sent.get(service, 0.0) + weight
+        self.note_sent(service, weight)
+
+    def _take_sent(self, peer: Peer, service: str, total: float) -> None:
+        """Take a peer's sum of what it has sent since it started."""
+        known = peer.sent.get(service)
+        peer.sent[service] = total
+        if known is not None and total > known:
+            self.note_sent(service, total - known)
+
     def add_kept(
         self, engine: str, parts: typing.Iterable[tuple[int, int]]
     ) -> None:
@@ -203,6 +218,7 @@
                 self.sequence,
                 loads,
                 [list(part) for part in parts],
+                {name: round(total) for name, total in self.sent.items()},
             ]
         )
 
@@ -217,18 +233,18 @@
     def _take(self, data: bytes) -> None:
         """Take a peer's datagram; one that cannot be read is dropped."""
         try:
-            version, name, incarnation, address, sequence, loads, parts = (
-                cbor2.loads(data)
-            )
-            if version != VERSION:
+            if (fields := cbor2.loads(data))[0] != VERSION:
                 return
+            name, incarnation, address, sequence = fields[1:5]
+            loads, parts, sums = fields[5:]
             told = {
                 str(engine): engine_load.Load(float(weight), int(streams))
                 for engine, (weight, streams) in loads.items()
             }
+            sent = {str(s): float(total) for s, total in sums.items()}
             kept = [(str(e), int(k), int(t)) for e, k, t in parts]
             peer = self._take_peer(name, address, incarnation)
-        except (ValueError, TypeError, AttributeError) as fault:
+        except (LookupError, ValueError, TypeError, AttributeError) as fault:
             events.log_event(
                 events.Event.PEER_REFUSED, fault=type(fault).__name__
             )
@@ -238,6 +254,8 @@
         now_ms = self.clock.now_ms()
         peer.sequence, peer.heard_ms = sequence, now_ms
         engine_load.take_peer(self.loads, name, told, now_ms)
+        for service, total in sent.items():
+            self._take_sent(peer, service, total)
         for engine, key, tokens in kept:
             engine_load.note_kept(
                 self.loads, engine, [(key, tokens)], self.memory_tokens(engine)
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -161,6 +161,18 @@
         while len(self.sessions) > MOST_SESSIONS:
             self.sessions.popitem(last=False)
 
+    def find_split(self, service: str) -> tuple[str, float] | None:
+        """The version being brought in and its share; None without order."""
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return None
+        version = rollout.order.version
+        if rollout.state is facts.RolloutState.COMPLETED:
+            return version, 1.0
+        if rollout.state is facts.RolloutState.ROLLED_BACK:
+            return version, 0.0
+        return version, self._find_share(rollout, self.clock.now_ms())
+
     def count_endpoints(self, choice: Choice, endpoints: int) -> int:
         """On how many of the chosen version's endpoints the work goes."""
         if not choice.new or not choice.rollout.running:
