Test forwarded routes on stand-ins of the store and of the servers

Found by the tests and mended: a lease shorter than two polls of the store never held (the poll now follows from the lease); entries missing after an outage were dropped only when the next long poll ended; endpoints that had failed once were never asked again though there was no other; SIGHUP ended the process.

Conclusion: each further fault gets its test here first.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -31,6 +31,14 @@
         "raise stop.deadline_ms if this is frequent",
         logging.ERROR,
     )
+    SETTINGS_READ = EventKind(1006, "The settings were read anew.")
+    SETTINGS_REFUSED = EventKind(
+        1007,
+        "The settings were to be read anew and cannot be used; the old ones "
+        "stay.",
+        "mend the field that the event names and send SIGHUP again",
+        logging.WARNING,
+    )
     CONFIG_IN_FORCE = EventKind(1101, "A configuration is in force here.")
     CONFIG_REFUSED = EventKind(
         1102,
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -4,13 +4,18 @@
 """
 
 import enum
+import secrets
 
 import attrs
 
 from carawayward.forwarding import facts
+from carawayward.forwarding import settings
 from carawayward.forwarding import table as table_module
 
 NEVER = float("-inf")
+# What a lease on keys is shortened by: the time between the check and the
+# arrival of the request at its endpoint, and the clock's own error.
+LEASE_MARGIN_MS = 500.0
 
 
 class State(enum.StrEnum):
@@ -33,6 +38,8 @@
 
     name: str
     failure_domain: str
+    incarnation: str = attrs.field(factory=lambda: secrets.token_hex(4))
+    bounds: settings.Bounds = attrs.field(factory=settings.Bounds)
     state: State = State.STARTING
     refusing: bool = False
     table: table_module.RoutingTable | None = None
@@ -42,3 +49,15 @@
     generation: int = 0
     orders: dict[str, facts.RolloutOrder] = attrs.field(factory=dict)
     open_requests: int = 0
+
+    def is_fresh(self, boot_ms: float) -> bool:
+        """Whether the table's keys may still be relied on.
+
+        A key that was taken away has to stop working within a bound also on
+        an entry VM that cannot read the store: it stops trusting its table
+        before that.
+        """
+        if not self.bounds.keys_fail_closed:
+            return True
+        age_ms = boot_ms - self.table_as_of_ms
+        return age_ms < self.bounds.key_lease_ms - LEASE_MARGIN_MS
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -1,7 +1,6 @@
 """Puts the parts of forwarded routes together, starts and stops them."""
 
 import gc
-import secrets
 import signal
 import typing
 
@@ -10,6 +9,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import extra_runs
+from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
@@ -27,16 +27,28 @@
 from carawayward import listening
 from carawayward import settings as node_settings
 
-# What a lease is shortened by: the time between the check and the arrival
-# of the request at its endpoint, and the clock's own error.
-LEASE_MARGIN_MS = 500.0
 # A balancer that asks once a second and takes two misses sends no new
 # connections after this.
 UNREADY_MS = 2_200.0
 # Streams still open this long before the process is killed are broken off,
 # so that their callers see it and the process ends by itself.
 LAST_CUT_MS = 600.0
+# What is left when the listeners close are connections without a request.
+LISTENERS_CLOSE_S = 0.3
 POLL_MS = 20.0
+# Nothing rests on when the endpoints were last read: their entries tell of
+# changes as they come, and each poll costs a call of the store. A connection
+# that went silent is noticed by its keep-alive probes.
+ENDPOINTS_POLL_MS = 5_000.0
+# While entries are missing after an outage, the store has to be asked soon
+# after they count as gone.
+MISSING_POLL_MS = 500.0
+# Callers' connections may idle this long before a table says how long, and
+# that is looked up anew this often.
+FIRST_IDLE_MS = 60_000
+LIMITS_MS = 500.0
+# An entry VM without endpoints would refuse all; it waits this long for the
+# first ones to register before it takes work all the same.
 READY_WAIT_MS = 3_000.0
 
 
@@ -81,15 +93,25 @@
     ports: Ports
     controllers: list[Controller]
     app: app_module.ForwardingApp
+    read_bounds: typing.Callable[[], settings_module.Bounds]
 
     @classmethod
     def from_config(
-        cls, settings: settings_module.ForwardingSettings, ports: Ports
+        cls,
+        settings: settings_module.ForwardingSettings,
+        ports: Ports,
+        read_bounds: typing.Callable[[], settings_module.Bounds] | None = None,
     ) -> "ForwardingDaemon":
-        """Put the parts together; nothing runs yet."""
+        """Put the parts together; nothing runs yet.
+
+        ``read_bounds`` reads the settings anew when a signal asks for it;
+        it raises SettingsError.
+        """
         clock = clock_module.Clock()
         board = board_module.ForwardingBoard(
-            name=settings.name, failure_domain=settings.failure_domain
+            name=settings.name,
+            failure_domain=settings.failure_domain,
+            bounds=settings.bounds,
         )
         reader = declarations_module.DeclarationReader(
             board, ports.decode_declaration
@@ -103,6 +125,9 @@
                 reader.replace,
                 reader.apply,
                 reader.prove,
+                find_wait=lambda: feed.find_poll_ms(
+                    board.bounds.key_lease_ms - board_module.LEASE_MARGIN_MS
+                ),
             ),
             feed.TopicFeed(
                 "endpoints",
@@ -112,27 +137,24 @@
                 entries.apply,
                 entries.prove,
                 entries.note_return,
+                find_wait=lambda: (
+                    MISSING_POLL_MS if entries.missing else ENDPOINTS_POLL_MS
+                ),
             ),
         ]
-        bounds = settings.bounds
 
         def is_fresh() -> bool:
-            if not bounds.keys_fail_closed:
-                return True
-            age_ms = clock.boot_ms() - board.table_as_of_ms
-            return age_ms < bounds.key_lease_ms - LEASE_MARGIN_MS
+            return board.is_fresh(clock.boot_ms())
 
         def may_send(work: exchange.Work) -> bool:
             return not work.customer or is_fresh()
 
-        incarnation = secrets.token_hex(4)
         fleet = fleet_module.Fleet(board, clock)
         hints = hints_module.HintsController(
             board,
             clock,
             ports.members,
             settings.listen.peers,
-            incarnation,
             fleet.loads,
             fleet.find_memory,
             fleet.note_sent,
@@ -144,8 +166,6 @@
             ports.statuses,
             ports.decode_status,
             ports.encode_status,
-            bounds.session_ms,
-            incarnation,
         )
         fleet.find_split = rollouts.find_split
         forwarder = exchange.Forwarder(
@@ -156,48 +176,99 @@
             rollouts,
             hints,
             lambda: extra_runs.ExtraRuns(
-                bounds.retry_window_ms, bounds.retry_ratio, bounds.retry_slack
+                board.bounds.retry_window_ms,
+                board.bounds.retry_ratio,
+                board.bounds.retry_slack,
             ),
         )
         app = app_module.ForwardingApp(
             board, clock, ports.dialect, forwarder, is_fresh
         )
         return cls(
-            settings, board, clock, ports, [*feeds, rollouts, hints], app
+            settings,
+            board,
+            clock,
+            ports,
+            [*feeds, rollouts, hints],
+            app,
+            read_bounds or (lambda: settings.bounds),
         )
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop."""
-        events.log_event(events.Event.NODE_STARTED, node=self.board.name)
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async with trio.open_nursery() as nursery:
-                for each in self.controllers:
-                    await each.start(nursery)
-                stop = trio.Event()
-                async with trio.open_nursery() as serving:
-                    self._start_serving(serving, stop)
-                    nursery.start_soon(self._become_ready)
-                    await anext(signals)
-                    await self._leave()
-                    stop.set()
-                    serving.cancel_scope.deadline = trio.current_time() + 0.3
-                nursery.cancel_scope.cancel()
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._take_signals, stop)
+            await self.serve(stop)
+            nursery.cancel_scope.cancel()
+
+    async def serve(self, stop: trio.Event) -> None:
+        """Serve until ``stop`` is set, then leave."""
+        events.log_event(
+            events.Event.NODE_STARTED,
+            node=self.board.name,
+            incarnation=self.board.incarnation,
+        )
+        async with trio.open_nursery() as nursery:
+            for each in self.controllers:
+                await each.start(nursery)
+            ended = trio.Event()
+            async with trio.open_nursery() as serving:
+                self._start_serving(serving, ended)
+                nursery.start_soon(self._become_ready)
+                await stop.wait()
+                await self._leave()
+                ended.set()
+                serving.cancel_scope.deadline = (
+                    trio.current_time() + LISTENERS_CLOSE_S
+                )
+            nursery.cancel_scope.cancel()
         for each in self.controllers:
             await each.close()
         await self.ports.close()
         events.log_event(events.Event.NODE_STOPPED, node=self.board.name)
 
+    async def _take_signals(self, stop: trio.Event) -> None:
+        """Stop on SIGTERM or SIGINT, read the settings anew on SIGHUP.
+
+        SIGHUP would end a process that does not handle it.
+        """
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for each in signals:
+                if each != signal.SIGHUP:
+                    stop.set()
+                    continue
+                self.reload()
+
+    def reload(self) -> None:
+        """Take the bounds of the settings anew; keep them if unreadable."""
+        try:
+            self.board.bounds = self.read_bounds()
+        except errors.SettingsError as fault:
+            events.log_event(events.Event.SETTINGS_REFUSED, detail=str(fault))
+            return
+        events.log_event(events.Event.SETTINGS_READ, node=self.board.name)
+
     def _start_serving(self, nursery: trio.Nursery, stop: trio.Event) -> None:
         listen = self.settings.listen
-        limits = node_settings.Limits(idle_connection_ms=60_000)
+        limits = node_settings.Limits(idle_connection_ms=FIRST_IDLE_MS)
         for app, address in (
             (self.app, listen.callers),
             (self._answer_readiness, listen.readiness),
         ):
             config = listening.make_config(address, limits, None, 300)
             nursery.start_soon(http_server.serve, app, config, stop)
+            nursery.start_soon(self._follow_limits, config)
+
+    async def _follow_limits(self, config: listening.ListenerConfig) -> None:
+        """Keep a listener's idle time to what the table says."""
+        while True:
+            table = self.board.table
+            if table is not None:
+                config.keep_alive_timeout = table.limits.idle_ms / 1000
+            await self.clock.sleep(LIMITS_MS)
 
     async def _become_ready(self) -> None:
         with trio.move_on_after(READY_WAIT_MS / 1000):
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -103,7 +103,8 @@
     """What is known of one request while it is served; times in ms.
 
     ``mark`` is that of the attempt under way; ``ran`` tells whether an
-    earlier one may have run.
+    earlier one may have run. Endpoints in ``failed_at`` are asked again only
+    when there is no other, those in ``useless`` not at all.
     """
 
     request: replies.CallerRequest
@@ -120,7 +121,8 @@
     unreached: int = 0
     ran: bool = False
     mark: http.SentMark | None = None
-    excluded: frozenset[str] = frozenset()
+    failed_at: frozenset[str] = frozenset()
+    useless: frozenset[str] = frozenset()
     last_event: int | None = None
     failure: Failed | None = None
     endpoint: str = ""
@@ -217,24 +219,22 @@
         self, work: Work, choice: rollouts_module.Choice | None
     ) -> fleet_module.Place | None:
         """Choose an endpoint: of the version wanted, else of the other."""
-        prompt = make_prompt(work)
-        for want in self._list_wants(work, choice):
-            pool = self.fleet.find_pool(want)
-            if prompt is not None:
-                place = self._place_prompt(work, pool, prompt)
-            else:
-                place = self.fleet.choose(pool, None, work.excluded)
-            if place is not None:
-                return place
+        wants = self._list_wants(work, choice)
+        for excluded in (work.useless | work.failed_at, work.useless):
+            for want in wants:
+                place = self._place_among(work, want, excluded)
+                if place is not None:
+                    return place
         return None
 
-    def _place_prompt(
-        self,
-        work: Work,
-        pool: placement.Candidates,
-        prompt: engine_load.Prompt,
+    def _place_among(
+        self, work: Work, want: fleet_module.Want, excluded: frozenset[str]
     ) -> fleet_module.Place | None:
-        engine = self.fleet.choose_engine(pool, prompt, work.excluded)
+        pool = self.fleet.find_pool(want)
+        prompt = make_prompt(work)
+        if prompt is None:
+            return self.fleet.choose(pool, None, excluded)
+        engine = self.fleet.choose_engine(pool, prompt, excluded)
         if engine is None:
             return None
         work.row = engine.weight
@@ -461,7 +461,7 @@
         engine = None
         for want in self._list_wants(work, choice):
             engine = engine or self.fleet.choose_engine(
-                self.fleet.find_pool(want), prompt, work.excluded
+                self.fleet.find_pool(want), prompt, work.useless
             )
         if engine is None:
             return None
@@ -513,19 +513,21 @@
         outcome: Unreached | Declined | Unsure | Failed,
     ) -> None:
         """Learn from an attempt that brought no answer."""
-        if not isinstance(outcome, Unsure):
-            work.excluded |= {place.entry.name}
+        name = place.entry.name
         match outcome:
             case Unsure():
                 work.runs += 1
                 work.ran = True
                 work.model = outcome.model
             case Unreached():
+                work.useless |= {name}
                 work.unreached += 1
                 self.fleet.note_failure(place, outcome.cause)
             case Declined():
+                work.useless |= {name}
                 work.runs += 1
             case Failed():
+                work.failed_at |= {name}
                 work.runs += 1
                 work.ran = True
                 work.failure = outcome
@@ -533,7 +535,7 @@
         events.log_event(
             events.Event.ATTEMPT_ENDED,
             request=work.facts.request_id,
-            endpoint=place.entry.name,
+            endpoint=name,
             outcome=type(outcome).__name__,
             cause=outcome.cause,
             runs=work.runs,
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -11,16 +11,25 @@
 from carawayward.forwarding import keyed_log
 from carawayward import supervision
 
-# A long poll on the tail ends after this even if nothing came, and so proves
-# that nothing was missed up to when it was sent. Two of them fit into the
-# shortest lease on keys that rests on the proof.
+# A long poll on the tail ends after this at the latest even if nothing came,
+# and so proves that nothing was missed up to when it was sent.
 POLL_MS = 1_500.0
+# So many long polls fit into a lease that rests on their proof: a proof is as
+# old as its poll when it comes, and has to last until the next one comes, and
+# a poll may fail and be made again.
+POLLS_A_LEASE = 3.0
+LEAST_POLL_MS = 100.0
 # After a failed call. Short against the leases, so that an outage of the
 # store is noticed to be over at once; long enough that a store which turns
 # this entry VM away sees three calls a second of it.
 RETRY_MS = 300.0
 
 
+def find_poll_ms(lease_ms: float) -> float:
+    """How long a poll may wait, so that its proof keeps a lease alive."""
+    return max(LEAST_POLL_MS, min(POLL_MS, lease_ms / POLLS_A_LEASE))
+
+
 @attrs.define(eq=False)
 class TopicFeed:
     """Keeps a reader up to date with one topic.
@@ -28,7 +37,8 @@
     ``replace`` gets all newest records after a gap, ``apply`` each further
     record. ``prove`` is told the boot time at which the call was sent that
     showed the reader to be up to date. ``lost`` and ``regained`` bracket
-    the time in which the store does not answer.
+    the time in which the store does not answer. ``find_wait`` says how long
+    the next poll may wait, in ms.
     """
 
     name: str
@@ -38,6 +48,7 @@
     apply: typing.Callable[[keyed_log.Record], None]
     prove: typing.Callable[[float], None] = lambda as_of_ms: None
     regained: typing.Callable[[], None] = lambda: None
+    find_wait: typing.Callable[[], float] = lambda: POLL_MS
     position: int | None = None
     failing: bool = False
 
@@ -73,7 +84,7 @@
             self._note_answer()
             self.replace(batch.records)
         else:
-            batch = await self.topic.read(self.position, POLL_MS)
+            batch = await self.topic.read(self.position, self.find_wait())
             self._note_answer()
             for record in batch.records:
                 self.apply(record)
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -59,7 +59,6 @@
     clock: clock_module.Clock
     members: keyed_log.KeyedLog
     address: str
-    incarnation: str
     loads: engine_load.EngineLoads
     memory_tokens: typing.Callable[[str], int]
     note_sent: typing.Callable[[str, float], None]
@@ -126,7 +125,7 @@
 
     async def _find_peers(self) -> None:
         """Add this entry VM to the topic and greet those in it."""
-        value = cbor2.dumps([self.address, self.incarnation])
+        value = cbor2.dumps([self.address, self.board.incarnation])
         record = keyed_log.Record(self.board.name, value)
         while True:
             try:
@@ -213,7 +212,7 @@
             [
                 VERSION,
                 self.board.name,
-                self.incarnation,
+                self.board.incarnation,
                 self.address,
                 self.sequence,
                 loads,
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -98,8 +98,6 @@
         [keyed_log.Record], facts.RolloutStatus | None
     ]
     encode_status: typing.Callable[[facts.RolloutStatus], keyed_log.Record]
-    session_ms: float
-    incarnation: str
     rollouts: dict[str, Rollout] = attrs.field(factory=dict)
     sessions: collections.OrderedDict[tuple[str, str], tuple[bool, float]] = (
         attrs.field(factory=collections.OrderedDict)
@@ -137,7 +135,9 @@
         known = self.sessions.get((rollout.order.service, session))
         if known is not None:
             new, last_ms = known
-            lasting = now_ms - last_ms < SESSION_SLACK * self.session_ms
+            lasting = (
+                now_ms - last_ms < SESSION_SLACK * self.board.bounds.session_ms
+            )
             early = rollout.find_part(now_ms) < canary.TRIAL_PART
             if lasting and (new or early):
                 return new
@@ -367,7 +367,7 @@
 
     @property
     def _teller(self) -> str:
-        return f"{self.board.name}/{self.incarnation}"
+        return f"{self.board.name}/{self.board.incarnation}"
 
     async def _tell(self, rollout: Rollout) -> None:
         record = write_evidence(
--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -14,6 +14,7 @@
 import trio
 
 from carawayward import http_client as http
+from carawayward import listening
 
 MAX_CONNECTIONS = 2_000
 MAX_IDLE = 50
@@ -135,7 +136,14 @@
 
 
 class EndpointBackend(httpcore.AsyncNetworkBackend):
-    """Makes connections to endpoints."""
+    """Makes connections to endpoints.
+
+    With ``silence_ms`` the kernel ends a connection whose other side has
+    not answered it for about so long, though nothing is being sent.
+    """
+
+    def __init__(self, silence_ms: int | None = None) -> None:
+        self.silence_ms = silence_ms
 
     async def connect_tcp(
         self,
@@ -148,9 +156,13 @@
         """Connect within ``timeout`` seconds."""
         with trio.move_on_after(timeout or float("inf")):
             try:
-                return EndpointStream(await trio.open_tcp_stream(host, port))
+                stream = await trio.open_tcp_stream(host, port)
             except OSError as cause:
                 raise httpcore.ConnectError(type(cause).__name__) from cause
+            if self.silence_ms is not None:
+                for option in listening.make_socket_options(self.silence_ms):
+                    stream.setsockopt(*option)
+            return EndpointStream(stream)
         raise httpcore.ConnectTimeout()
 
     async def sleep(self, seconds: float) -> None:
@@ -159,14 +171,14 @@
 
 
 def make_pool(
-    max_connections: int, max_idle: int
+    max_connections: int, max_idle: int, silence_ms: int | None = None
 ) -> httpcore.AsyncConnectionPool:
     """A pool of connections to endpoints."""
     return httpcore.AsyncConnectionPool(
         max_connections=max_connections,
         max_keepalive_connections=max_idle,
         keepalive_expiry=IDLE_EXPIRY_S,
-        network_backend=EndpointBackend(),
+        network_backend=EndpointBackend(silence_ms),
     )
 
 
--- a/src/carawayward/platform/entry.py
+++ b/src/carawayward/platform/entry.py
@@ -37,14 +37,20 @@
 
 def main() -> None:
     """Run until a signal asks for a planned stop."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+
+    def read_settings() -> settings_module.ForwardingSettings:
+        return settings_module.ForwardingSettings.from_file(path)
+
     try:
-        settings = settings_module.ForwardingSettings.from_file(
-            os.environ.get(SETTINGS_VARIABLE, "")
-        )
+        settings = read_settings()
     except errors.SettingsError as fault:
         print(fault, file=sys.stderr)
         raise SystemExit(BAD_SETTINGS_EXIT) from None
     logging.use_absl_handler()
     logging.set_verbosity(settings.log_level)
     ports = make_ports(settings)
-    trio.run(daemon.ForwardingDaemon.from_config(settings, ports).run)
+    made = daemon.ForwardingDaemon.from_config(
+        settings, ports, lambda: read_settings().bounds
+    )
+    trio.run(made.run)
--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -14,10 +14,13 @@
 from carawayward.gateway import connections
 from carawayward import http_client as http
 
-# An answer usually takes some ms; a store that is slow takes up to half a
-# second. A call without an answer after this has met a silent connection.
-CALL_TIMEOUT_MS = 1_500.0
+# An answer usually takes some ms; a store that is slow takes up to 0.7 s. A
+# call without an answer after this has met a silent connection.
+CALL_TIMEOUT_MS = 1_000.0
 PART = 0
+# Long polls carry nothing for seconds; a connection whose other side has
+# gone silent for good must not hold one up for longer than this, in ms.
+SILENCE_MS = 3_000
 
 
 @attrs.define(eq=False)
@@ -26,7 +29,7 @@
 
     address: str
     pool: httpcore.AsyncConnectionPool = attrs.field(
-        factory=lambda: connections.make_pool(8, 8)
+        factory=lambda: connections.make_pool(8, 8, SILENCE_MS)
     )
 
     async def call(
--- /dev/null
+++ b/tests/common/forwarding.py
@@ -0,0 +1,289 @@
+"""An entry VM with forwarded routes on loopback, with store and servers."""
+
+import contextlib
+import json
+import typing
+
+import attrs
+import httpcore
+import trio
+
+from carawayward.forwarding import daemon as daemon_module
+from carawayward.forwarding import settings as settings_module
+from carawayward.forwarding import table
+from carawayward.platform import entry
+from tests.common import deployment
+from tests.standins import backend as backend_module
+from tests.standins import raw_http
+from tests.standins import store as store_module
+
+HOST = "swap.example"
+KEY = "key-of-ikeja"
+OTHER_KEY = "key-of-lekki"
+START_S = 5.0
+CALL_S = 10.0
+
+SAFE = {
+    "name": "look",
+    "pathPrefix": "/look/",
+    "routeKind": "safe",
+    "service": "desk",
+    "maxAttempts": 2,
+}
+UNSAFE = {
+    "name": "log",
+    "pathPrefix": "/log/",
+    "routeKind": "unsafe",
+    "service": "desk",
+    "maxAttempts": 3,
+}
+STREAM = {
+    "name": "tip",
+    "pathPrefix": "/tip/",
+    "routeKind": "streaming",
+    "service": "engines",
+    "maxAttempts": 3,
+    "resumable": True,
+    "affinity": True,
+    "gapTargetMs": 1000,
+    "sizes": ["small", "large"],
+    "timeoutMs": 5000,
+}
+OPEN = {
+    "name": "open",
+    "pathPrefix": "/open/",
+    "routeKind": "safe",
+    "service": "desk",
+    "maxAttempts": 2,
+    "anonymous": True,
+}
+ENGINE = {
+    "slots": 8,
+    "kvCapacityTokens": 100_000,
+    "models": [
+        {"name": "small", "cost": 0.01},
+        {"name": "large", "cost": 0.1},
+    ],
+}
+
+
+def make_config(version: int = 1, **changes: typing.Any) -> dict:
+    """A configuration as operators write it."""
+    shared = {
+        "host": HOST,
+        "timeoutMs": 2000,
+        "targetLatencyMs": 300,
+        "priority": 1,
+        "anonymous": False,
+        "affinity": False,
+    }
+    config = {
+        "version": version,
+        "routes": [{**shared, **r} for r in (SAFE, UNSAFE, STREAM, OPEN)],
+        "services": [
+            {"name": "desk", "healthPath": "/healthz", "maxConnections": 50},
+            {
+                "name": "engines",
+                "healthPath": "/healthz",
+                "maxConnections": 50,
+                "engine": ENGINE,
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [
+            {"name": "ikeja", "apiKeys": [KEY], "priority": 1},
+            {"name": "lekki", "apiKeys": [OTHER_KEY]},
+        ],
+    }
+    return {**config, **changes}
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@attrs.define(eq=False)
+class Forwarding:
+    """What a test has in hand."""
+
+    store: store_module.Store
+    backends: dict[str, backend_module.Backend]
+    daemons: list[daemon_module.ForwardingDaemon]
+    stops: list[trio.Event]
+    nursery: trio.Nursery
+    store_port: int
+    ids: int = 0
+
+    @property
+    def daemon(self) -> daemon_module.ForwardingDaemon:
+        """The first entry VM."""
+        return self.daemons[0]
+
+    def find_controller(self, index: int, daemon: int = 0) -> typing.Any:
+        """A controller of an entry VM, in the order of their start."""
+        return self.daemons[daemon].controllers[index]
+
+    def find_table(self) -> table.RoutingTable:
+        """The first entry VM's routing table."""
+        found = self.daemon.board.table
+        assert found is not None
+        return found
+
+    def register(
+        self, backend: backend_module.Backend, **changes: object
+    ) -> None:
+        """Write a server's entry into the registry."""
+        entry_value = backend.describe(**changes)
+        self.store.put("keyed.servers", backend.name, entry_value)
+
+    def make_headers(self, **changes: str) -> list[tuple[str, str]]:
+        """Headers of a proper request; empty values leave one out."""
+        self.ids += 1
+        headers = {
+            "host": HOST,
+            "carawayward-attempt-id": f"{self.ids:016x}",
+            "carawayward-deadline-ms": "4000",
+            "carawayward-key": KEY,
+        }
+        named = {name.replace("_", "-"): v for name, v in changes.items()}
+        return [(n, v) for n, v in {**headers, **named}.items() if v]
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        daemon: int = 0,
+        **headers: str,
+    ) -> Answer:
+        """Make a call as a client does, on a connection of its own."""
+        address = self.daemons[daemon].settings.listen.callers
+        async with httpcore.AsyncConnectionPool() as pool:
+            with trio.fail_after(CALL_S):
+                response = await pool.request(
+                    method,
+                    f"http://{address}{path}",
+                    headers=self.make_headers(**headers),
+                    content=body,
+                )
+        return Answer(
+            response.status,
+            {n.decode().lower(): v.decode() for n, v in response.headers},
+            response.content,
+        )
+
+    async def ask_engine(self, daemon: int = 0, **headers: str) -> Answer:
+        """Ask for a stream and leave the model to the system."""
+        wanted = {
+            "carawayward_model": "*",
+            "carawayward_token_count": "1000,50",
+            "carawayward_prefix_hash": "aa:800,bb:200",
+        }
+        return await self.call(
+            "POST", "/tip/1", b"prompt", daemon, **(wanted | headers)
+        )
+
+    async def wait_for(self, condition: typing.Callable[[], bool]) -> None:
+        """Wait until something has come about."""
+        with trio.fail_after(START_S):
+            while not condition():
+                await trio.sleep(0.005)
+
+    async def ask_ready(self, daemon: int) -> int:
+        """Ask as the balancer does."""
+        address = self.daemons[daemon].settings.listen.readiness
+        async with httpcore.AsyncConnectionPool() as pool:
+            with trio.fail_after(CALL_S):
+                response = await pool.request("GET", f"http://{address}/ready")
+        return response.status
+
+    async def start_daemon(self, **bounds: int | bool) -> None:
+        """Start one more entry VM and wait until it is ready."""
+        made = await self.start_daemon_unready(**bounds)
+        await self.wait_for(lambda: made.board.state.value == "ready")
+        await self.wait_for(
+            lambda: len(made.board.endpoints) == len(self.backends)
+        )
+
+    async def start_daemon_unready(
+        self, **bounds: int | bool
+    ) -> daemon_module.ForwardingDaemon:
+        """Start one more entry VM."""
+        number = len(self.daemons)
+        ports = deployment.find_free_ports(3)
+        settings = settings_module.ForwardingSettings(
+            name=f"edge-{number}",
+            failure_domain="north",
+            listen=settings_module.Listen(
+                callers=f"127.0.0.1:{ports[0]}",
+                readiness=f"127.0.0.1:{ports[1]}",
+                peers=f"127.0.0.1:{ports[2]}",
+            ),
+            store=settings_module.Store(
+                address=f"127.0.0.1:{self.store_port}"
+            ),
+            bounds=settings_module.Bounds(**typing.cast(dict, bounds)),
+        )
+        made = daemon_module.ForwardingDaemon.from_config(
+            settings, entry.make_ports(settings)
+        )
+        stop = trio.Event()
+        self.daemons.append(made)
+        self.stops.append(stop)
+        self.nursery.start_soon(made.serve, stop)
+        listening = trio.current_time() + START_S
+        while trio.current_time() < listening:
+            with contextlib.suppress(OSError):
+                stream = await trio.open_tcp_stream("127.0.0.1", ports[1])
+                await stream.aclose()
+                break
+            await trio.sleep(0.01)
+        return made
+
+
+@contextlib.asynccontextmanager
+async def open_forwarding(
+    *backends: backend_module.Backend,
+    config: dict | None = None,
+    daemons: int = 1,
+    **bounds: int | bool,
+) -> typing.AsyncIterator[Forwarding]:
+    """Run a store, servers and entry VMs until the test is over."""
+    store = store_module.Store()
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(raw_http.serve, store.handle)
+        made = Forwarding(
+            store, {b.name: b for b in backends}, [], [], nursery, port
+        )
+        for each in backends:
+            each.port = await nursery.start(raw_http.serve, each.handle)
+            made.register(each)
+        store.put("keyed.op", "config", config or make_config())
+        for _ in range(daemons):
+            await made.start_daemon(**bounds)
+        yield made
+        nursery.cancel_scope.cancel()
+
+
+def read_numbers(body: bytes) -> list[int]:
+    """The ids of a stream's events."""
+    return [
+        int(line.partition(b":")[2])
+        for line in body.splitlines()
+        if line.startswith(b"id:")
+    ]
+
+
+def dump(value: object) -> bytes:
+    """JSON as servers and operators write it."""
+    return json.dumps(value).encode()
--- /dev/null
+++ b/tests/failures/test_forwarding_rollouts.py
@@ -0,0 +1,209 @@
+"""Roll-outs ordered through the store, with good and bad versions."""
+
+import json
+
+import trio
+
+from tests.common import forwarding
+from tests.standins import backend
+
+ORDER_S = 4.0
+
+
+def make_pool(always=None):
+    """Two desks of the old and two of the new version."""
+    return [
+        backend.Backend(
+            f"desk-{version}-{number}",
+            version=version,
+            always=always if version == "v2" else None,
+        )
+        for version in ("v1", "v2")
+        for number in range(2)
+    ]
+
+
+def read_status(made):
+    """What the operator reads."""
+    newest = made.store.topic("keyed.status").newest
+    if "rollout/desk" not in newest:
+        return None
+    return json.loads(newest["rollout/desk"][1])
+
+
+def give_order(made, seconds=ORDER_S):
+    order = {"service": "desk", "target": "v2", "durationS": seconds}
+    made.store.put("keyed.op", "rollout/desk", order)
+
+
+async def send_until_decided(made, seconds=ORDER_S):
+    """Send requests until the status is final; return their sessions."""
+    sent: list[str] = []
+    with trio.move_on_after(1.5 * seconds):
+        while True:
+            status = read_status(made)
+            if status and status["state"] != "in_progress":
+                break
+            sessions = [f"s-{len(sent) + n}" for n in range(12)]
+            async with trio.open_nursery() as nursery:
+                for number, session in enumerate(sessions):
+
+                    async def send(daemon, name):
+                        await made.call(
+                            "GET", "/look/", daemon=daemon, session=name
+                        )
+
+                    nursery.start_soon(
+                        send, number % len(made.daemons), session
+                    )
+            sent += sessions
+            await trio.sleep(0.02)
+    return sent
+
+
+def count_runs(desks, version):
+    return sum(len(d.runs) for d in desks if d.version == version)
+
+
+def test_good_version_is_completed_in_time_and_has_all_traffic():
+    """Operators order a good version.
+
+    Few requests try it at first; it is reported as completed before the
+    time is up, when nothing runs on the old version any more.
+    """
+
+    async def main():
+        desks = make_pool()
+        async with forwarding.open_forwarding(*desks, daemons=2) as made:
+            give_order(made)
+            began = trio.current_time()
+            await send_until_decided(made)
+            assert trio.current_time() - began < ORDER_S
+            assert read_status(made) == {"state": "completed", "target": "v2"}
+            old = count_runs(desks, "v1")
+            await trio.sleep(0.3)
+            for daemon in (0, 1):
+                await made.call("GET", "/look/", daemon=daemon)
+            assert count_runs(desks, "v1") == old
+
+    trio.run(main)
+
+
+def test_bad_version_is_rolled_back_and_met_by_few():
+    """The new version answers with failures.
+
+    It is rolled back, the callers get answers of the old one, and it never
+    gets another request.
+    """
+
+    async def main():
+        desks = make_pool(always=backend.fail)
+        async with forwarding.open_forwarding(*desks, daemons=2) as made:
+            give_order(made)
+            sent = await send_until_decided(made)
+            assert read_status(made) == {
+                "state": "rolled_back",
+                "target": "v2",
+            }
+            bad = count_runs(desks, "v2")
+            assert bad <= 0.15 * len(sent) + 30
+            await trio.sleep(1.3)
+            for daemon in (0, 1):
+                for _ in range(10):
+                    answer = await made.call("GET", "/look/", daemon=daemon)
+                    assert answer.status == 200
+            assert count_runs(desks, "v2") == bad
+
+    trio.run(main)
+
+
+def test_new_version_gets_nothing_without_an_order():
+    """Servers of a rolled back version are still there.
+
+    An entry VM that starts now reads the status and leaves them alone.
+    """
+
+    async def main():
+        desks = make_pool()
+        async with forwarding.open_forwarding(*desks) as made:
+            status = {"state": "rolled_back", "target": "v2"}
+            made.store.put("keyed.status", "rollout/desk", status)
+            give_order(made, 60.0)
+            await made.start_daemon()
+            for _ in range(40):
+                await made.call("GET", "/look/", daemon=1)
+                await trio.sleep(0.01)
+        assert count_runs(desks, "v2") == 0
+
+    trio.run(main)
+
+
+def test_completed_is_never_written_over_rolled_back():
+    """Two entry VMs decide at the same moment, one that the version is bad.
+
+    The append of the other is conditional on nothing having been written
+    since it read, so its "completed" fails, and it takes over the halt.
+    """
+
+    async def main():
+        desks = make_pool()
+        async with forwarding.open_forwarding(*desks) as made:
+            give_order(made)
+            controller = made.find_controller(2)
+            await made.wait_for(lambda: "desk" in controller.rollouts)
+            append = controller.statuses.append
+            raced: list[dict] = []
+
+            async def race(records, end=None):
+                value = json.loads(records[0].value)
+                if value["state"] == "completed" and not raced:
+                    raced.append(value)
+                    status = {"state": "rolled_back", "target": "v2"}
+                    made.store.put("keyed.status", "rollout/desk", status)
+                return await append(records, end)
+
+            controller.statuses = Racing(controller.statuses, race)
+            await send_until_decided(made)
+            await made.wait_for(lambda: bool(raced))
+            rollout = controller.rollouts["desk"]
+            await made.wait_for(lambda: not rollout.running)
+            assert rollout.state.value == "rolled back"
+            assert read_status(made)["state"] == "rolled_back"
+
+    trio.run(main)
+
+
+class Racing:
+    """A topic whose appends go through a test's own function."""
+
+    def __init__(self, topic, append):
+        self.topic = topic
+        self.append = append
+
+    async def read_newest(self):
+        return await self.topic.read_newest()
+
+
+def test_session_stays_on_the_old_version_in_the_first_half():
+    """A session goes on while a version is tried.
+
+    In the first half it must stay on the version that it began with.
+    """
+
+    async def main():
+        desks = make_pool()
+        async with forwarding.open_forwarding(*desks) as made:
+            names = [f"s-{number}" for number in range(40)]
+            give_order(made, 8.0)
+            controller = made.find_controller(2)
+            await made.wait_for(lambda: "desk" in controller.rollouts)
+            seen: dict[str, set[bytes]] = {name: set() for name in names}
+            began = trio.current_time()
+            while trio.current_time() - began < 3.0:
+                for name in names:
+                    answer = await made.call("GET", "/look/", session=name)
+                    seen[name].add(answer.body.split(b"-")[1])
+                await trio.sleep(0.05)
+        assert all(len(versions) == 1 for versions in seen.values())
+
+    trio.run(main)
--- /dev/null
+++ b/tests/failures/test_forwarding_streams.py
@@ -0,0 +1,219 @@
+"""Forwarded streams: models by confidence, resumption, what breaks off."""
+
+import httpcore
+import trio
+
+from tests.common import forwarding
+from tests.standins import backend
+
+
+def make_engines(count=2, **changes):
+    return [
+        backend.Backend(
+            f"engine-{number}", service="engines", engine=True, **changes
+        )
+        for number in range(count)
+    ]
+
+
+def models_of(engines):
+    return sorted(
+        run.request.headers["carawayward-model"]
+        for engine in engines
+        for run in engine.runs
+    )
+
+
+def test_sure_answer_of_the_smallest_model_is_kept():
+    """The small model is sure of its answer: no other model is asked."""
+
+    async def main():
+        engines = make_engines(confidence={"small": 90.0})
+        async with forwarding.open_forwarding(*engines) as made:
+            answer = await made.ask_engine()
+        assert answer.status == 200
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+        assert models_of(engines) == ["small"]
+
+    trio.run(main)
+
+
+def test_unsure_answer_climbs_before_the_caller_sees_any_of_it():
+    """The small model thinks little of its answer.
+
+    It is dropped and the largest model asked; the caller sees one stream,
+    whole and from the start.
+    """
+
+    async def main():
+        engines = make_engines(confidence={"small": 20.0, "large": 95.0})
+        async with forwarding.open_forwarding(*engines) as made:
+            answer = await made.ask_engine()
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+        assert models_of(engines) == ["large", "small"]
+
+    trio.run(main)
+
+
+def test_resumed_stream_begins_with_the_largest_model():
+    """A caller comes back for the rest of a stream that broke off.
+
+    Its first part may be the largest model's, and another model's words
+    must not be joined to it.
+    """
+
+    async def main():
+        engines = make_engines(confidence={"small": 10.0})
+        async with forwarding.open_forwarding(*engines) as made:
+            answer = await made.ask_engine(last_event_id="2")
+        assert forwarding.read_numbers(answer.body) == [3, 4]
+        assert models_of(engines) == ["large"]
+
+    trio.run(main)
+
+
+def test_broken_stream_goes_on_elsewhere_from_the_last_whole_event():
+    """An engine breaks off amid the third event.
+
+    The caller gets each event once and in order, under the headers of the
+    first engine.
+    """
+
+    async def main():
+        engines = make_engines(events=6, confidence={"small": 90.0})
+        for engine in engines:
+            engine.behaviours = [backend.break_after(2, torn=True)]
+        async with forwarding.open_forwarding(*engines) as made:
+            answer = await made.ask_engine()
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4, 5, 6]
+        assert answer.body.count(b"data: ha") == 0
+        seals = {f"{engine.name}.seal" for engine in engines}
+        assert answer.headers["carawayward-server-seal"] in seals
+        last = [
+            run.request.headers.get("last-event-id")
+            for engine in engines
+            for run in engine.runs
+        ]
+        assert "2" in last
+
+    trio.run(main)
+
+
+def test_stream_that_nobody_finishes_is_visibly_broken():
+    """Every engine breaks off: the caller must not take it for whole."""
+
+    async def main():
+        engines = make_engines(events=9, confidence={"small": 90.0})
+        for engine in engines:
+            engine.always = backend.break_after(1)
+        async with forwarding.open_forwarding(*engines) as made:
+            try:
+                await made.ask_engine()
+            except httpcore.RemoteProtocolError:
+                return
+        raise AssertionError("the broken stream looked complete")
+
+    trio.run(main)
+
+
+def test_gap_in_a_stream_is_not_passed_on():
+    """A resumed engine skips an event; joined, the answer would lack it."""
+
+    async def skip(engine, exchange):
+        engine.begin(exchange).ended = "gap"
+        await exchange.begin_stream(
+            {**engine.seal(exchange), "content-type": "text/event-stream"}
+        )
+        await exchange.send_chunk(backend.make_event(1))
+        await exchange.send_chunk(backend.make_event(3))
+        await exchange.send_chunk(b"")
+
+    async def main():
+        engines = make_engines()
+        for engine in engines:
+            engine.behaviours = [skip]
+        async with forwarding.open_forwarding(*engines) as made:
+            answer = await made.ask_engine()
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+
+    trio.run(main)
+
+
+def test_events_of_one_piece_and_pieces_of_one_event():
+    """Engines cut their stream anywhere; callers get whole events."""
+
+    async def slice_up(engine, exchange):
+        engine.begin(exchange).ended = "ok"
+        await exchange.begin_stream(
+            {**engine.seal(exchange), "content-type": "text/event-stream"}
+        )
+        whole = b"".join(backend.make_event(n) for n in range(1, 6))
+        for start in range(0, len(whole), 7):
+            await exchange.send_chunk(whole[start : start + 7])
+        await exchange.send_chunk(b"")
+
+    async def main():
+        (engine,) = make_engines(1)
+        engine.always = slice_up
+        async with forwarding.open_forwarding(engine) as made:
+            answer = await made.ask_engine()
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4, 5]
+
+    trio.run(main)
+
+
+def test_stream_that_does_not_end_is_broken_off_at_the_routes_time():
+    """An engine streams on past the route's time limit."""
+
+    async def main():
+        (engine,) = make_engines(1, events=10_000, pause_ms=20.0)
+        config = forwarding.make_config()
+        config["routes"][2]["timeoutMs"] = 700
+        async with forwarding.open_forwarding(engine, config=config) as made:
+            began = trio.current_time()
+            try:
+                await made.ask_engine()
+            except httpcore.RemoteProtocolError:
+                pass
+            else:
+                raise AssertionError("the stream looked complete")
+            assert trio.current_time() - began < 1.2
+
+    trio.run(main)
+
+
+def test_entry_vms_tell_each_other_what_engines_have_to_read():
+    """Two entry VMs send long prompts at the same time.
+
+    Each knows of the other's within a moment, so the second prompt goes to
+    the idle engine rather than behind the first.
+    """
+
+    async def main():
+        engines = make_engines(2)
+        for engine in engines:
+            engine.always = backend.stay_silent
+        async with forwarding.open_forwarding(*engines, daemons=2) as made:
+            peers = [
+                daemon.app.forwarder.hints.peers for daemon in made.daemons
+            ]
+            await made.wait_for(lambda: all(peers))
+            async with trio.open_nursery() as nursery:
+
+                async def ask(daemon):
+                    await made.ask_engine(
+                        daemon=daemon, carawayward_deadline_ms="3000"
+                    )
+
+                nursery.start_soon(ask, 0)
+                await made.wait_for(
+                    lambda: any(engine.runs for engine in engines)
+                )
+                await trio.sleep(0.2)
+                nursery.start_soon(ask, 1)
+                await made.wait_for(
+                    lambda: all(engine.runs for engine in engines)
+                )
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/tests/standins/store.py
@@ -0,0 +1,145 @@
+"""The users' store: keyed topics with offsets, and its published faults.
+
+Written from the published protocol; it keeps one partition a topic.
+"""
+
+import base64
+import json
+import struct
+import urllib.parse
+
+import attrs
+import trio
+
+from tests.standins import raw_http
+
+READ_ONLY = ("keyed.op", "keyed.servers")
+
+
+@attrs.define(eq=False)
+class Topic:
+    """Records from ``first`` on, and the newest of each key."""
+
+    first: int = 0
+    records: list[bytes] = attrs.field(factory=list)
+    newest: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
+    grown: trio.Event = attrs.field(factory=trio.Event)
+
+    @property
+    def end(self) -> int:
+        """The offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, raw: bytes) -> None:
+        """Add a record: length of the key, key, value."""
+        key = raw[1 : 1 + raw[0]].decode()
+        value = raw[1 + raw[0] :]
+        if value:
+            self.newest[key] = (self.end, value)
+        else:
+            self.newest.pop(key, None)
+        self.records.append(raw)
+        self.grown.set()
+        self.grown = trio.Event()
+
+    def forget(self) -> None:
+        """Drop the history; the newest records stay."""
+        self.first = self.end
+        self.records = []
+
+
+@attrs.define(eq=False)
+class Store:
+    """The store and the faults that a test has switched on.
+
+    ``refusing`` is a status for every call, ``silent`` leaves calls without
+    an answer, ``losing`` carries appends out and resets the connection.
+    """
+
+    topics: dict[str, Topic] = attrs.field(factory=dict)
+    refusing: int = 0
+    silent: bool = False
+    losing: bool = False
+    calls: int = 0
+
+    def topic(self, name: str) -> Topic:
+        """A topic, made on first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Write as operators and servers do; None drops the key."""
+        raw = b"" if value is None else json.dumps(value).encode()
+        self.topic(topic).append(bytes((len(key),)) + key.encode() + raw)
+
+    async def handle(self, exchange: raw_http.Exchange) -> None:
+        """Answer one call."""
+        self.calls += 1
+        if self.silent:
+            await trio.sleep_forever()
+        if self.refusing:
+            await exchange.answer(self.refusing)
+            return
+        target = urllib.parse.urlsplit(exchange.request.target)
+        query = dict(urllib.parse.parse_qsl(target.query))
+        topic = self.topic(query["topic"])
+        match target.path.rpartition("/")[2]:
+            case "log-newest":
+                await self._answer_newest(exchange, topic)
+            case "log-read":
+                await self._answer_read(exchange, topic, query)
+            case "log-append":
+                await self._answer_append(exchange, topic, query)
+            case _:
+                await exchange.answer(404)
+
+    async def _answer_newest(
+        self, exchange: raw_http.Exchange, topic: Topic
+    ) -> None:
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (offset, value) in sorted(topic.newest.items())
+        ]
+        body = {"items": items, "hasMore": False, "end": topic.end}
+        await exchange.answer(200, body=json.dumps(body).encode())
+
+    async def _answer_read(
+        self, exchange: raw_http.Exchange, topic: Topic, query: dict[str, str]
+    ) -> None:
+        start = int(query["from"])
+        if start >= topic.end:
+            with trio.move_on_after(int(query.get("waitMs", 0)) / 1000):
+                await topic.grown.wait()
+        if start < topic.first:
+            body = json.dumps({"first": topic.first}).encode()
+            await exchange.answer(410, body=body)
+            return
+        records = topic.records[start - topic.first :]
+        body = struct.pack(">QQ", topic.end, topic.first) + b"".join(
+            struct.pack(">I", len(raw)) + raw for raw in records
+        )
+        await exchange.answer(200, body=body)
+
+    async def _answer_append(
+        self, exchange: raw_http.Exchange, topic: Topic, query: dict[str, str]
+    ) -> None:
+        if query["topic"] in READ_ONLY:
+            await exchange.answer(403)
+            return
+        if "at" in query and int(query["at"]) != topic.end:
+            body = json.dumps({"end": topic.end}).encode()
+            await exchange.answer(412, body=body)
+            return
+        offset, content = topic.end, exchange.request.body
+        while content:
+            (length,) = struct.unpack_from(">I", content)
+            topic.append(content[4 : 4 + length])
+            content = content[4 + length :]
+        if self.losing:
+            await exchange.reset()
+            return
+        body = json.dumps({"offset": offset, "end": topic.end}).encode()
+        await exchange.answer(200, body=body)
