Hold back lapsed entries also when a poll from before the outage brings them

A long poll on the registry that was sent before an outage answers during it and brings the entries that ran out; the feed had seen no failure of its own and dropped living servers at once.

Ruled out: a shorter poll, which only makes the window smaller and costs calls.

Change: trouble of any topic counts.

--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -125,6 +125,7 @@
                 reader.replace,
                 reader.apply,
                 reader.prove,
+                entries.note_trouble,
                 find_wait=lambda: feed.find_poll_ms(
                     board.bounds.key_lease_ms - board_module.LEASE_MARGIN_MS
                 ),
@@ -136,7 +137,7 @@
                 entries.replace,
                 entries.apply,
                 entries.prove,
-                entries.note_return,
+                entries.note_trouble,
                 find_wait=lambda: (
                     MISSING_POLL_MS if entries.missing else ENDPOINTS_POLL_MS
                 ),
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -36,9 +36,9 @@
 
     ``replace`` gets all newest records after a gap, ``apply`` each further
     record. ``prove`` is told the boot time at which the call was sent that
-    showed the reader to be up to date. ``lost`` and ``regained`` bracket
-    the time in which the store does not answer. ``find_wait`` says how long
-    the next poll may wait, in ms.
+    showed the reader to be up to date. ``note_trouble`` is called at each
+    failed call and at the first that succeeds again. ``find_wait`` says how
+    long the next poll may wait, in ms.
     """
 
     name: str
@@ -47,7 +47,7 @@
     replace: typing.Callable[[list[keyed_log.Record]], None]
     apply: typing.Callable[[keyed_log.Record], None]
     prove: typing.Callable[[float], None] = lambda as_of_ms: None
-    regained: typing.Callable[[], None] = lambda: None
+    note_trouble: typing.Callable[[], None] = lambda: None
     find_wait: typing.Callable[[], float] = lambda: POLL_MS
     position: int | None = None
     failing: bool = False
@@ -94,9 +94,10 @@
     def _note_answer(self) -> None:
         """Tell of the end of an outage before its records are taken in."""
         if self.failing:
-            self.regained()
+            self.note_trouble()
 
     def _note_failure(self, fault: errors.PlatformUnavailable) -> None:
+        self.note_trouble()
         if not self.failing:
             self.failing = True
             events.log_event(
--- a/src/carawayward/forwarding/registry.py
+++ b/src/carawayward/forwarding/registry.py
@@ -31,7 +31,7 @@
     clock: clock_module.Clock
     decode: Decode
     missing: set[str] = attrs.field(factory=set)
-    returned_ms: float = board_module.NEVER
+    trouble_ms: float = board_module.NEVER
 
     def replace(self, records: list[keyed_log.Record]) -> None:
         """Take all newest records; what is not among them has gone."""
@@ -69,9 +69,13 @@
                 leaving=entry.leaving,
             )
 
-    def note_return(self) -> None:
-        """The store answers again after an outage."""
-        self.returned_ms = self.clock.now_ms()
+    def note_trouble(self) -> None:
+        """The store does not answer, or answers again for the first time.
+
+        Any topic's trouble counts: a long poll on this one may have been
+        waiting since before the outage, and bring what lapsed in it.
+        """
+        self.trouble_ms = self.clock.now_ms()
 
     def prove(self, as_of_ms: float) -> None:
         """The store has answered; drop what stayed missing long enough."""
@@ -82,7 +86,7 @@
         self.missing.clear()
 
     def _waiting(self) -> bool:
-        return self.clock.now_ms() - self.returned_ms < RETURN_MS
+        return self.clock.now_ms() - self.trouble_ms < RETURN_MS
 
     def _take_missing(self, name: str) -> None:
         if self._waiting():
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -176,7 +176,7 @@
     async def main():
         desks = make_desks()
         async with forwarding.open_forwarding(*desks) as made:
-            feed = made.find_controller(1)
+            feed = made.find_controller(0)
             made.store.refusing = 503
             await made.wait_for(lambda: feed.failing)
             for desk in desks:
