Let the questions to peers follow from the lease of the configuration

By arithmetic: with a lease of 4 s a poll waits 1.3 s, so that a peer's proof is up to 2.7 s old when it is asked for; asked each 2 s, a vouch is up to 4.7 s old before the next one, past the lease.

Change: both intervals stand beside the lease rules and follow from the lease; a test by arithmetic over leases from 0.5 s to 10 min, with one lost question.

--- a/src/carawayward/controllers/configuration.py
+++ b/src/carawayward/controllers/configuration.py
@@ -22,12 +22,7 @@
 publish = publishing.publish
 read_state = publishing.read_state
 RETRY_MS = 500.0
-# A read counts as proof from when it was sent, so a poll may use up a third
-# of the lease; a shorter one would load the log with 410 nodes' reads.
-READS_A_LEASE = 3
 READ_MOST = 500
-# One peer a round, whatever happens: the work does not grow with faults.
-SYNC_INTERVAL_MS = 2_000.0
 SNAPSHOT_CHECK_MS = 1_000.0
 SYNC_TIMEOUT_MS = 1_000.0
 # While the log answers, news of a peer waits this long for the log's own
@@ -97,7 +92,7 @@
         offset = state.read_to + 1 if state else 1
         wait_ms = 0
         if self.reachable:
-            wait_ms = int(self.board.lease_ms / READS_A_LEASE)
+            wait_ms = int(freshness.find_poll_wait(self.board.lease_ms))
         sent_ms = self.clock.now_ms()
         batch = await self.log.read(STREAM, offset, wait_ms, READ_MOST)
         if state is None or batch.oldest > state.read_to + 1:
@@ -165,9 +160,13 @@
         await self.hub.tell_all("config.news", {"revision": revision})
 
     async def _sync_with_peers(self) -> None:
-        """Ask one peer a round for its revision and its vouch."""
+        """Ask one peer a round for its revision and its vouch.
+
+        One peer, whatever happens: the work does not grow with faults.
+        """
         while True:
-            await self.clock.sleep(SYNC_INTERVAL_MS)
+            interval_ms = freshness.find_question_interval(self.board.lease_ms)
+            await self.clock.sleep(interval_ms)
             peers = sorted(self.hub.links)
             if peers:
                 self._turn += 1
--- a/tests/cover/test_freshness.py
+++ b/tests/cover/test_freshness.py
@@ -77,3 +77,17 @@
         assert not freshness.may_continue(withdrawn, fresh)
         assert not freshness.may_start(draining, fresh)
         assert freshness.may_continue(draining, fresh)
+
+
+def test_vouches_keep_a_node_fresh_whatever_the_lease():
+    """The log answers all nodes but one, which lives by its peers' vouches.
+
+    With a lease of 4 s and a question each 2 s it lapsed now and then: a
+    vouch was up to 2.7 s old when it was asked for and 4.7 s before the
+    next. The intervals have to leave room for one question that is lost.
+    """
+    for lease_ms in (500, 1_000, 4_000, 4_500, 12_000, 60_000, 600_000):
+        wait_ms = freshness.find_poll_wait(lease_ms)
+        interval_ms = freshness.find_question_interval(lease_ms)
+        oldest_when_asked_ms = 2 * wait_ms
+        assert oldest_when_asked_ms + 2 * interval_ms < lease_ms
