Write log lines to standard output, bounded and never blocking

Cause: lines went to standard error through absl's own handler, which blocks when nobody reads, and their number had no bound.

Change: a handler with a bounded buffer, an allowance of lines a second apart for usual and urgent ones, and a line that tells how many were dropped.

--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -35,6 +35,7 @@
 LAST_CUT_MS = 600.0
 # What is left when the listeners close are connections without a request.
 LISTENERS_CLOSE_S = 0.3
+LOG_FLUSH_MS = 100.0
 POLL_MS = 20.0
 # Nothing rests on when the endpoints were last read: their entries tell of
 # changes as they come, and each poll costs a call of the store. A connection
@@ -94,6 +95,7 @@
     controllers: list[Controller]
     app: app_module.ForwardingApp
     read_bounds: typing.Callable[[], settings_module.Bounds]
+    flush_logs: typing.Callable[[], None] = lambda: None
 
     @classmethod
     def from_config(
@@ -213,6 +215,7 @@
         async with trio.open_nursery() as nursery:
             for each in self.controllers:
                 await each.start(nursery)
+            nursery.start_soon(self._flush_logs)
             ended = trio.Event()
             async with trio.open_nursery() as serving:
                 self._start_serving(serving, ended)
@@ -252,6 +255,12 @@
             return
         events.log_event(events.Event.SETTINGS_READ, node=self.board.name)
 
+    async def _flush_logs(self) -> None:
+        """Write log lines that had to wait for their reader."""
+        while True:
+            await self.clock.sleep(LOG_FLUSH_MS)
+            self.flush_logs()
+
     def _start_serving(self, nursery: trio.Nursery, stop: trio.Event) -> None:
         listen = self.settings.listen
         limits = node_settings.Limits(idle_connection_ms=FIRST_IDLE_MS)
--- a/src/carawayward/platform/entry.py
+++ b/src/carawayward/platform/entry.py
@@ -3,12 +3,12 @@
 import os
 import sys
 
-from absl import logging
 import trio
 
 from carawayward import errors
 from carawayward.forwarding import daemon
 from carawayward.forwarding import settings as settings_module
+from carawayward import log_output
 from carawayward.platform import headers
 from carawayward.platform import records
 from carawayward.platform import store as store_module
@@ -47,10 +47,11 @@
     except errors.SettingsError as fault:
         print(fault, file=sys.stderr)
         raise SystemExit(BAD_SETTINGS_EXIT) from None
-    logging.use_absl_handler()
-    logging.set_verbosity(settings.log_level)
+    handler = log_output.install(settings.log_level)
     ports = make_ports(settings)
     made = daemon.ForwardingDaemon.from_config(
         settings, ports, lambda: read_settings().bounds
     )
+    made.flush_logs = handler.flush
     trio.run(made.run)
+    handler.flush()
--- /dev/null
+++ b/tests/cover/test_log_output.py
@@ -0,0 +1,97 @@
+"""Log lines go out as far as their reader keeps up, and never block."""
+
+import json
+import logging
+import os
+
+from carawayward import log_output
+
+
+class Reader:
+    """A reader that takes what it is told to."""
+
+    def __init__(self):
+        self.ready = True
+        self.taken = b""
+        self.now_s = 0.0
+
+    def write(self, data):
+        self.taken += data[:1_000]
+        return len(data[:1_000])
+
+    def make_handler(self):
+        return log_output.BoundedHandler(
+            self.write, lambda: self.ready, lambda: self.now_s
+        )
+
+
+def emit(handler, count, level=logging.INFO, text='{"event": 1}'):
+    for _ in range(count):
+        record = logging.LogRecord("x", level, "", 0, text, None, None)
+        handler.emit(record)
+
+
+def test_lines_are_whole_json_with_a_time():
+    """On-call staff read the lines with tools."""
+    reader = Reader()
+    emit(reader.make_handler(), 30)
+    lines = [json.loads(line) for line in reader.taken.splitlines()]
+    assert len(lines) == 30
+    assert all(line["event"] == 1 and line["at_ms"] > 0 for line in lines)
+
+
+def test_stalled_reader_costs_lines_and_is_told_how_many():
+    """Whoever reads standard output stops reading for a while.
+
+    The process goes on; when the reader is back it gets the oldest lines
+    and the number of those that were dropped.
+    """
+    reader = Reader()
+    handler = reader.make_handler()
+    reader.ready = False
+    for _ in range(5):
+        reader.now_s += 10.0
+        emit(handler, 900)
+    assert len(handler.lines) == log_output.MOST_LINES
+    reader.ready = True
+    handler.flush()
+    first = json.loads(reader.taken.splitlines()[0])
+    assert first == {"event": "lines_dropped", "count": 2_500}
+
+
+def test_flood_of_usual_lines_does_not_hide_a_warning():
+    """A burst of traffic writes thousands of lines a second."""
+    reader = Reader()
+    handler = reader.make_handler()
+    emit(handler, 5_000)
+    emit(handler, 1, logging.WARNING, '{"event": 2}')
+    assert b'"event": 2' in reader.taken
+    assert handler.dropped or b"lines_dropped" in reader.taken
+
+
+def test_pipe_that_nobody_reads_does_not_block():
+    """Standard output is a full pipe."""
+    read_end, write_end = os.pipe()
+    try:
+        handler = log_output.BoundedHandler(
+            lambda data: os.write(write_end, data),
+            log_output.make_ready_check(write_end),
+        )
+        emit(handler, 900, text=json.dumps({"text": "x" * 300}))
+        assert handler.lines
+    finally:
+        os.close(read_end)
+        os.close(write_end)
+
+
+def test_reader_that_is_gone_is_no_fault():
+    """The reader's end of the pipe is closed."""
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    handler = log_output.BoundedHandler(
+        lambda data: os.write(write_end, data),
+        log_output.make_ready_check(write_end),
+    )
+    emit(handler, 3)
+    os.close(write_end)
+    assert not handler.lines
