Tell the counts of roll-outs by datagram, read the store for decisions only

Ruled out: longer rounds, since a step of the roll-out has to see all counts.

Change: counts ride with the hints between entry VMs; the status is read each 1.8 s and before a decision. The controller is split: rollouts chooses and counts, rollout_rounds writes. A test found that an entry VM without peers never judged; it does so each tick now.

--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -21,6 +21,7 @@
 from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import registry
+from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import settings as settings_module
 from carawayward import http_server
@@ -70,7 +71,6 @@
     declarations: keyed_log.KeyedLog
     endpoints: keyed_log.KeyedLog
     members: keyed_log.KeyedLog
-    evidence: keyed_log.KeyedLog
     statuses: keyed_log.KeyedLog
     decode_declaration: typing.Callable[
         [keyed_log.Record], declarations_module.Decoded
@@ -162,10 +162,15 @@
             fleet.find_memory,
             fleet.note_sent,
         )
-        rollouts = rollouts_module.RolloutsController(
+        rollouts = rollouts_module.Rollouts(board, clock)
+        hints.add_topic(
+            "rollouts",
+            hints_module.Topic(rollouts.describe, rollouts.take),
+        )
+        rounds = rollout_rounds.RolloutRounds(
             board,
             clock,
-            ports.evidence,
+            rollouts,
             ports.statuses,
             ports.decode_status,
             ports.encode_status,
@@ -192,7 +197,7 @@
             board,
             clock,
             ports,
-            [*feeds, rollouts, hints],
+            [*feeds, rounds, hints],
             app,
             read_bounds or (lambda: settings.bounds),
         )
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -163,7 +163,7 @@
     dialect: facts.Dialect
     fleet: fleet_module.Fleet
     may_send: typing.Callable[[Work], bool]
-    rollouts: rollouts_module.RolloutsController
+    rollouts: rollouts_module.Rollouts
     hints: hints_module.HintsController
     make_budget: typing.Callable[[], extra_runs.ExtraRuns]
     budgets: dict[str, extra_runs.ExtraRuns] = attrs.field(factory=dict)
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -51,6 +51,18 @@
     sent: dict[str, float] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class Topic:
+    """What another controller has told with each datagram.
+
+    ``describe`` gives a value that CBOR can carry, None for nothing;
+    ``take`` gets a peer's name with its incarnation, and the value.
+    """
+
+    describe: typing.Callable[[], typing.Any]
+    take: typing.Callable[[str, typing.Any], None]
+
+
 @attrs.define(eq=False)
 class HintsController:
     """Exchanges hints with the other entry VMs."""
@@ -64,6 +76,7 @@
     note_sent: typing.Callable[[str, float], None]
     sent: dict[str, float] = attrs.field(factory=dict)
     peers: dict[str, Peer] = attrs.field(factory=dict)
+    topics: dict[str, Topic] = attrs.field(factory=dict)
     sequence: int = 0
     new_parts: list[tuple[str, int, int]] = attrs.field(factory=list)
     last_parts: list[tuple[str, int, int]] = attrs.field(factory=list)
@@ -86,6 +99,10 @@
         if self._socket is not None:
             self._socket.close()
 
+    def add_topic(self, name: str, topic: Topic) -> None:
+        """Tell and take a further value with each datagram."""
+        self.topics[name] = topic
+
     def add_load(self, engine: str, change: engine_load.Load) -> None:
         """Note a change of the own outstanding work, and tell it."""
         engine_load.add_own(self.loads, engine, change)
@@ -218,9 +235,14 @@
                 loads,
                 [list(part) for part in parts],
                 {name: round(total) for name, total in self.sent.items()},
+                self._describe_topics(),
             ]
         )
 
+    def _describe_topics(self) -> dict[str, typing.Any]:
+        told = {name: topic.describe() for name, topic in self.topics.items()}
+        return {name: value for name, value in told.items() if value}
+
     async def _listen(self) -> None:
         while True:
             try:
@@ -235,7 +257,7 @@
             if (fields := cbor2.loads(data))[0] != VERSION:
                 return
             name, incarnation, address, sequence = fields[1:5]
-            loads, parts, sums = fields[5:]
+            loads, parts, sums, topics = fields[5:]
             told = {
                 str(engine): engine_load.Load(float(weight), int(streams))
                 for engine, (weight, streams) in loads.items()
@@ -243,13 +265,16 @@
             sent = {str(s): float(total) for s, total in sums.items()}
             kept = [(str(e), int(k), int(t)) for e, k, t in parts]
             peer = self._take_peer(name, address, incarnation)
+            if peer is None or sequence <= peer.sequence:
+                return
+            for topic in topics.keys() & self.topics.keys():
+                teller = f"{name}/{incarnation}"
+                self.topics[topic].take(teller, topics[topic])
         except (LookupError, ValueError, TypeError, AttributeError) as fault:
             events.log_event(
                 events.Event.PEER_REFUSED, fault=type(fault).__name__
             )
             return
-        if peer is None or sequence <= peer.sequence:
-            return
         now_ms = self.clock.now_ms()
         peer.sequence, peer.heard_ms = sequence, now_ms
         engine_load.take_peer(self.loads, name, told, now_ms)
--- /dev/null
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -0,0 +1,126 @@
+"""Carries roll-outs out: reads and writes the status that operators see.
+
+What has been decided stands in that status. It is written on condition that
+nothing was written since it was read, so that of two entry VMs that decide
+at once one sees the other's decision.
+"""
+
+import typing
+
+import attrs
+import trio
+
+from carawayward import clock as clock_module
+from carawayward.decisions import canary
+from carawayward.decisions import placement
+from carawayward import errors
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import facts
+from carawayward.forwarding import keyed_log
+from carawayward.forwarding import rollouts as rollouts_module
+from carawayward import supervision
+
+# How often new orders are looked for, and roll-outs that run gone through.
+TICK_MS = 200.0
+# How often the status is read while a roll-out runs, to see what others have
+# decided. They tell of a halt at once; this is for whoever hears no peers.
+READ_MS = 1_800.0
+# Entry VMs act on a decision one after the other, so that mostly one does.
+TURN_MS = 150.0
+MOST_TURNS = 6
+
+
+@attrs.define(eq=False)
+class RolloutRounds:
+    """Goes through the roll-outs that run."""
+
+    board: board_module.ForwardingBoard
+    clock: clock_module.Clock
+    rollouts: rollouts_module.Rollouts
+    statuses: keyed_log.KeyedLog
+    decode_status: typing.Callable[
+        [keyed_log.Record], facts.RolloutStatus | None
+    ]
+    encode_status: typing.Callable[[facts.RolloutStatus], keyed_log.Record]
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin to look for orders."""
+        nursery.start_soon(supervision.keep_running, self._watch, ())
+
+    async def close(self) -> None:
+        """Nothing to release; the nursery ends the task."""
+
+    async def _watch(self) -> None:
+        while True:
+            self.rollouts.take_orders()
+            for rollout in list(self.rollouts.rollouts.values()):
+                if rollout.running:
+                    await self._step(rollout)
+            await self.clock.sleep(TICK_MS)
+
+    async def _step(self, rollout: rollouts_module.Rollout) -> None:
+        """Read the status if it is time, and write what is decided."""
+        self.rollouts.judge(rollout)
+        now_ms = self.clock.now_ms()
+        due = now_ms - rollout.read_ms >= READ_MS
+        if not due and self._find_wanted(rollout) is None:
+            return
+        try:
+            await self._read_status(rollout)
+            if self._find_wanted(rollout) is not None:
+                await self._decide(rollout)
+        except errors.PlatformUnavailable:
+            # The feeds log outages; a later round tries again.
+            return
+        except keyed_log.Conflict:
+            # Somebody else wrote in between; the next round reads it.
+            return
+
+    async def _decide(self, rollout: rollouts_module.Rollout) -> None:
+        """Write the status that the counts ask for, if it is not there."""
+        turn = placement.hash_key(f"{self.board.name}/{rollout.order}")
+        await self.clock.sleep(TURN_MS * (turn % MOST_TURNS))
+        end = await self._read_status(rollout)
+        wanted = self._find_wanted(rollout)
+        if wanted is None:
+            return
+        order = rollout.order
+        status = facts.RolloutStatus(order.service, order.version, wanted)
+        await self.statuses.append([self.encode_status(status)], end)
+        self.rollouts.take_state(rollout, wanted)
+
+    def _find_wanted(
+        self, rollout: rollouts_module.Rollout
+    ) -> facts.RolloutState | None:
+        """The state to write, None if nothing is to be written."""
+        if not rollout.running:
+            return None
+        now_ms = self.clock.now_ms()
+        part = rollout.find_part(now_ms)
+        if rollout.verdict is canary.Verdict.BAD:
+            return facts.RolloutState.ROLLED_BACK
+        in_flight = rollout.count_old_in_flight(now_ms)
+        if canary.may_complete(part, rollout.verdict, in_flight):
+            return facts.RolloutState.COMPLETED
+        if part > 1.0:
+            # Nothing speaks for the version; what was there is known.
+            return facts.RolloutState.ROLLED_BACK
+        if rollout.told:
+            return None
+        return facts.RolloutState.RUNNING
+
+    async def _read_status(self, rollout: rollouts_module.Rollout) -> int:
+        """Take the status that stands in the store; return the log's end."""
+        batch = await self.statuses.read_newest()
+        for record in batch.records:
+            status = self.decode_status(record)
+            if (
+                status is not None
+                and status.service == rollout.order.service
+                and status.version == rollout.order.version
+                and rollout.running
+            ):
+                self.rollouts.take_state(rollout, status.state)
+        rollout.known = True
+        rollout.read_ms = self.clock.now_ms()
+        return batch.end
--- a/src/carawayward/platform/entry.py
+++ b/src/carawayward/platform/entry.py
@@ -24,7 +24,6 @@
         declarations=store_module.KeyedTopic(store, "keyed.op"),
         endpoints=store_module.KeyedTopic(store, "keyed.servers"),
         members=store_module.KeyedTopic(store, "keyed.members"),
-        evidence=store_module.KeyedTopic(store, "keyed.evidence"),
         statuses=store_module.KeyedTopic(store, "keyed.status"),
         decode_status=records.decode_status,
         encode_status=records.encode_status,
--- a/tests/failures/test_forwarding_rollouts.py
+++ b/tests/failures/test_forwarding_rollouts.py
@@ -150,7 +150,7 @@
         async with forwarding.open_forwarding(*desks) as made:
             give_order(made)
             controller = made.find_controller(2)
-            await made.wait_for(lambda: "desk" in controller.rollouts)
+            await made.wait_for(lambda: "desk" in controller.rollouts.rollouts)
             append = controller.statuses.append
             raced: list[dict] = []
 
@@ -165,7 +165,7 @@
             controller.statuses = Racing(controller.statuses, race)
             await send_until_decided(made)
             await made.wait_for(lambda: bool(raced))
-            rollout = controller.rollouts["desk"]
+            rollout = controller.rollouts.rollouts["desk"]
             await made.wait_for(lambda: not rollout.running)
             assert rollout.state.value == "rolled back"
             assert read_status(made)["state"] == "rolled_back"
@@ -196,7 +196,7 @@
             names = [f"s-{number}" for number in range(40)]
             give_order(made, 8.0)
             controller = made.find_controller(2)
-            await made.wait_for(lambda: "desk" in controller.rollouts)
+            await made.wait_for(lambda: "desk" in controller.rollouts.rollouts)
             seen: dict[str, set[bytes]] = {name: set() for name in names}
             began = trio.current_time()
             while trio.current_time() - began < 3.0:
