Serve counters and latency histograms of forwarded requests

Cause: on-call staff have only logs and metrics, and forwarded routes had no metrics.

Change: a text page on the metrics address of the settings, with bounded names; refusals are logged with the request's id and the age of the table.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -16,6 +16,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import exchange
 from carawayward.forwarding import facts
+from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import replies
 from carawayward.forwarding import table as table_module
 
@@ -88,6 +89,7 @@
     dialect: facts.Dialect
     forwarder: exchange.Forwarder
     is_fresh: typing.Callable[[], bool]
+    measures: measures_module.Measures
 
     async def __call__(
         self, scope: dict, receive: Receive, send: Send
@@ -178,10 +180,17 @@
         return customer.name
 
     def _log_refusal(self, scope: dict, refusal: Refused) -> None:
+        self.measures.count("refusals", cause=refusal.cause)
         events.log_event(
             events.Event.REQUEST_REFUSED,
+            request=self.dialect.find_id(scope["headers"]),
             status=refusal.status,
             cause=refusal.cause,
+            table_age_ms=round(
+                self.clock.boot_ms() - self.board.table_as_of_ms
+            )
+            if self.board.table
+            else None,
             revision=self.board.table.revision if self.board.table else 0,
         )
 
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -20,7 +20,9 @@
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import registry
+from carawayward.forwarding import replies
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import settings as settings_module
@@ -37,6 +39,7 @@
 # What is left when the listeners close are connections without a request.
 LISTENERS_CLOSE_S = 0.3
 LOG_FLUSH_MS = 100.0
+METRICS_HEADERS = [(b"content-type", b"text/plain; version=0.0.4")]
 POLL_MS = 20.0
 # Nothing rests on when the endpoints were last read: their entries tell of
 # changes as they come, and each poll costs a call of the store. A connection
@@ -176,6 +179,7 @@
             ports.encode_status,
         )
         fleet.find_split = rollouts.find_split
+        measures = measures_module.Measures()
         forwarder = exchange.Forwarder(
             clock,
             ports.dialect,
@@ -183,6 +187,7 @@
             may_send,
             rollouts,
             hints,
+            measures,
             lambda: extra_runs.ExtraRuns(
                 board.bounds.retry_window_ms,
                 board.bounds.retry_ratio,
@@ -190,7 +195,7 @@
             ),
         )
         app = app_module.ForwardingApp(
-            board, clock, ports.dialect, forwarder, is_fresh
+            board, clock, ports.dialect, forwarder, is_fresh, measures
         )
         return cls(
             settings,
@@ -272,7 +277,10 @@
         for app, address in (
             (self.app, listen.callers),
             (self._answer_readiness, listen.readiness),
+            (self._answer_metrics, listen.metrics),
         ):
+            if not address:
+                continue
             config = listening.make_config(address, limits, None, 300)
             nursery.start_soon(http_server.serve, app, config, stop)
             nursery.start_soon(self._follow_limits, config)
@@ -306,6 +314,14 @@
         reply = app_module.AsgiReply(send, lambda: False)
         await exchange.refuse(reply, 200 if ready else 503, None)
 
+    async def _answer_metrics(
+        self, scope: dict, receive: typing.Any, send: typing.Any
+    ) -> None:
+        gauges = measures_module.read_gauges(self.board, self.clock.boot_ms())
+        page = measures_module.write_page(self.app.measures, gauges)
+        reply = app_module.AsgiReply(send, lambda: False)
+        await replies.send_whole(reply, 200, METRICS_HEADERS, page)
+
     async def _leave(self) -> None:
         """Wait out the balancer, then until nothing is being served."""
         self.board.state = board_module.State.LEAVING
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -18,6 +18,7 @@
 from carawayward.forwarding import facts
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import hints as hints_module
+from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import replies
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import table
@@ -165,6 +166,7 @@
     may_send: typing.Callable[[Work], bool]
     rollouts: rollouts_module.Rollouts
     hints: hints_module.HintsController
+    measures: measures_module.Measures
     make_budget: typing.Callable[[], extra_runs.ExtraRuns]
     budgets: dict[str, extra_runs.ExtraRuns] = attrs.field(factory=dict)
 
@@ -398,6 +400,7 @@
                 confidence=work.confidence,
             )
             engine_load.note_head(pace, work.row, took_ms)
+            self.measures.observe("head", took_ms, model=work.model_name)
         larger = self._find_larger(work, reply)
         if larger is not None:
             return Unsure(f"confidence {work.confidence}", larger)
@@ -532,6 +535,7 @@
                 work.ran = True
                 work.failure = outcome
                 self.fleet.note_failure(place, outcome.cause)
+        self.measures.count("attempts", outcome=type(outcome).__name__.lower())
         events.log_event(
             events.Event.ATTEMPT_ENDED,
             request=work.facts.request_id,
@@ -577,6 +581,12 @@
         self._log_end(work, status, cause)
 
     def _log_end(self, work: Work, status: int, cause: str) -> None:
+        took_ms = self.clock.now_ms() - work.began_ms
+        self.measures.count(
+            "requests", route=work.route.name, status=str(status)
+        )
+        if 200 <= status < 300:
+            self.measures.observe("answer", took_ms, route=work.route.name)
         events.log_event(
             events.Event.REQUEST_FORWARDED,
             request=work.facts.request_id,
@@ -587,7 +597,7 @@
             model=work.model_name,
             confidence=work.confidence,
             runs=work.runs,
-            took_ms=round(self.clock.now_ms() - work.began_ms),
+            took_ms=round(took_ms),
             revision=work.table.revision,
         )
 
--- a/src/carawayward/forwarding/facts.py
+++ b/src/carawayward/forwarding/facts.py
@@ -81,9 +81,12 @@
 class Dialect:
     """How a deployment's headers are read and written.
 
-    ``read_request`` raises BadRequest for headers that cannot be read.
+    ``read_request`` raises BadRequest for headers that cannot be read;
+    ``find_id`` gives the request's id for log lines, empty if it has none.
     """
 
+    find_id: typing.Callable[[Headers], str]
+
     read_request: typing.Callable[[Headers], RequestFacts]
     write_request: typing.Callable[[Headers, Dispatch], Headers]
     read_answer: typing.Callable[[int, Headers], AnswerFacts]
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -11,11 +11,15 @@
 
 @attrs.frozen(kw_only=True)
 class Listen:
-    """Addresses this entry VM listens on, as ``ip:port``."""
+    """Addresses this entry VM listens on, as ``ip:port``.
+
+    Metrics are served if their address is set.
+    """
 
     callers: str
     readiness: str
     peers: str
+    metrics: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -73,6 +77,10 @@
             ("store.address", settings.store.address),
         ):
             settings_module.check_address(field, address)
+        if settings.listen.metrics:
+            settings_module.check_address(
+                "listen.metrics", settings.listen.metrics
+            )
         for field, value in attrs.asdict(settings.bounds).items():
             if value < 0:
                 raise error(f"bounds.{field}", value, "write 0 or more")
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -63,6 +63,11 @@
     )
 
 
+def find_id(headers: facts.Headers) -> str:
+    """A request's id, empty if it has none."""
+    return _text({n.lower(): v for n, v in headers}, REQUEST_ID)
+
+
 def write_request(
     headers: facts.Headers, dispatch: facts.Dispatch
 ) -> facts.Headers:
@@ -102,6 +107,7 @@
 
 
 DIALECT = facts.Dialect(
+    find_id=find_id,
     read_request=read_request,
     write_request=write_request,
     read_answer=read_answer,
