Look for whole names of the platform outside its folder

Change: names count only where they end; the list comes from the adapter itself. Nothing is left out: the product's own header is not the platform's.

--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -274,8 +274,9 @@
     } | {name.decode() for name in headers.SYSTEM_HEADERS}
     # The product's own API speaks of deadlines under the same name.
     names -= {headers.DEADLINE.decode()}
-    names |= {"keyed.", "/api/log-", "heartbeatMs", "pathPrefix", "apiKeys"}
-    words = re.compile("|".join(map(re.escape, names)), re.IGNORECASE)
+    whole = "|".join(map(re.escape, names))
+    others = r"keyed\.|/api/log-|heartbeatMs|pathPrefix|routeKind|apiKeys"
+    words = re.compile(rf"(?:{whole})(?![a-z-])|{others}", re.IGNORECASE)
     for path in pathlib.Path("src").rglob("*.py"):
         if "platform" in path.parts:
             continue
