--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -276,7 +276,7 @@
     names -= {headers.DEADLINE.decode()}
     whole = "|".join(map(re.escape, names))
     others = r"keyed\.|/api/log-|heartbeatMs|pathPrefix|routeKind|apiKeys"
-    words = re.compile(rf"(?:{whole})(?![a-z-])|{others}", re.IGNORECASE)
+    words = re.compile(rf"(?i:(?:{whole})(?![a-z-]))|{others}")
     for path in pathlib.Path("src").rglob("*.py"):
         if "platform" in path.parts:
             continue
