Share a route's work among its services by their weights

Cause: a route that is split over services sent all of its work to the first one, whatever the operator wrote.

Change: the service is drawn by weight, by the session where there is one.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -11,6 +11,7 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import placement
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import board as board_module
@@ -157,6 +158,7 @@
             request=request,
             facts=known,
             route=route,
+            service=choose_service(route, known),
             table=table,
             customer=customer,
             began_ms=began_ms,
@@ -195,6 +197,14 @@
         )
 
 
+def choose_service(
+    route: table_module.Route, known: facts.RequestFacts
+) -> str:
+    """The service for a request; a session stays with one."""
+    key = placement.hash_key(known.session or known.request_id)
+    return route.choose_service(key / 2.0**64)
+
+
 def check_framing(headers: facts.Headers) -> None:
     """Refuse a request whose end two readers may see in two places.
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -111,6 +111,7 @@
     request: replies.CallerRequest
     facts: facts.RequestFacts
     route: table.Route
+    service: str
     table: table.RoutingTable
     customer: str
     began_ms: float
@@ -136,11 +137,6 @@
         """Whether any attempt may have run or may still run."""
         return self.ran or (self.mark is not None and self.mark.sent)
 
-    @property
-    def service(self) -> str:
-        """The service that the request goes to."""
-        return self.route.targets[0].service
-
     @property
     def session(self) -> str:
         """By what a request stays on a version; its own without session."""
--- a/src/carawayward/forwarding/table.py
+++ b/src/carawayward/forwarding/table.py
@@ -55,6 +55,18 @@
     gap_target_ms: float | None = None
     models: tuple[str, ...] = ()
 
+    def choose_service(self, draw: float) -> str:
+        """The service for a draw from 0 to 1, by the targets' weights.
+
+        A target without weight gets nothing, unless none has any.
+        """
+        left = draw * sum(target.weight for target in self.targets)
+        for target in self.targets:
+            left -= target.weight
+            if left < 0.0 and target.weight:
+                return target.service
+        return self.targets[-1].service
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -94,6 +94,21 @@
         ("desk", 90.0),
         ("engines", 10.0),
     ]
+    chosen = [found.routes[0].choose_service(n / 100) for n in range(100)]
+    assert chosen.count("desk") == 90
+
+
+def test_target_without_weight_gets_nothing():
+    """Operators move all of a route's work away from a service."""
+    config = forwarding.make_config()
+    config["routes"][0]["split"] = [
+        {"service": "desk", "weight": 0},
+        {"service": "engines", "weight": 100},
+    ]
+    found = records.decode_declaration(record("config", config))
+    assert isinstance(found, table.RoutingTable)
+    chosen = {found.routes[0].choose_service(n / 50) for n in range(50)}
+    assert chosen == {"engines"}
 
 
 JUNK = strategies.recursive(
