Add an entry VM to the topic of members before it reads it

The log shows that each entry VM judged by its own counts alone. They start within 0.3 s; each read the topic of members before it had added itself, found it empty, and was told of nobody until somebody started later.

Ruled out: the counts themselves (two entry VMs that know each other merge them); datagrams that cannot be read (none was refused).

Change: first add, then read, so that of two at least one finds the other.

--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -38,6 +38,15 @@
 MOST_BYTES = 8_192
 FIND_RETRY_MS = 500.0
 VERSION = 1
+# What bytes of another program raise while they are taken apart.
+UNREADABLE = (
+    AttributeError,
+    EOFError,
+    LookupError,
+    TypeError,
+    ValueError,
+    cbor2.CBORDecodeError,
+)
 
 
 @attrs.define
@@ -141,13 +150,18 @@
         )
 
     async def _find_peers(self) -> None:
-        """Add this entry VM to the topic and greet those in it."""
+        """Add this entry VM to the topic and greet those in it.
+
+        First add, then read: of two that start at the same moment at least
+        one then finds the other. The other way round, entry VMs that were
+        started together read an empty topic and never met.
+        """
         value = cbor2.dumps([self.address, self.board.incarnation])
         record = keyed_log.Record(self.board.name, value)
         while True:
             try:
-                batch = await self.members.read_newest()
                 await self.members.append([record])
+                batch = await self.members.read_newest()
                 break
             except errors.PlatformUnavailable:
                 await self.clock.sleep(FIND_RETRY_MS)
@@ -159,7 +173,7 @@
         try:
             address, incarnation = cbor2.loads(record.value or b"")
             self._take_peer(record.key, address, incarnation)
-        except (ValueError, TypeError, cbor2.CBORDecodeError) as fault:
+        except UNREADABLE as fault:
             events.log_event(
                 events.Event.ENTRY_UNREADABLE,
                 key=record.key,
@@ -270,7 +284,7 @@
             for topic in topics.keys() & self.topics.keys():
                 teller = f"{name}/{incarnation}"
                 self.topics[topic].take(teller, topics[topic])
-        except (LookupError, ValueError, TypeError, AttributeError) as fault:
+        except UNREADABLE as fault:
             events.log_event(
                 events.Event.PEER_REFUSED, fault=type(fault).__name__
             )
