Let everything go over to a new version as late as exposure allows

Ruled out: a heavier trial on fewer engines (the trial above found nothing and makes callers wait); a longer trial alone, since the steps after it use up what may meet a bad version.

Change: the trial is sized by requests, and all sessions go over only when all that is still to come may meet the version even if it is bad. It is reported as completed when nothing runs on the old one, or 1 s before the time is up.

--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -13,21 +13,24 @@
 
 import attrs
 
-# Of the sessions while the version is on trial. Half of what deployments
-# allow to meet a bad version, so that entry VMs which see the halt late do
-# not use up the rest.
-TRIAL_SHARE = 0.08
-# Part of the time given after which a version that shows nothing bad is let
-# in further; what turns bad late has shown it by then.
+# How many requests a version is tried by, and between which shares of the
+# sessions that may lie: enough to find a version of which half of one route's
+# answers are bad, and far fewer than deployments let meet a bad one.
+TRIAL_REQUESTS = 28.0
+LEAST_SHARE = 0.03
+MOST_SHARE = 0.4
+# Part of what may meet a bad version that its trial may use.
+TRIAL_EXPOSURE = 0.4
+# Part of the time given for which a version is tried at the least; what
+# turns bad late has shown it by then.
 TRIAL_PART = 0.5
-# Steps by which it is let in: part of the time, share of the sessions. Each
-# lasts long enough for all entry VMs' counts to come round once.
-STEPS = ((0.5, 0.25), (0.58, 0.5), (0.66, 1.0))
-# From this part of the time on the roll-out may be reported as completed;
-# from the second one it is, though some entry VM has not said that it has
-# no work left on the old version.
-COMPLETE_PART = 0.74
-FORCED_PART = 0.9
+# Part of what may meet a bad version that is used: entry VMs' counts are a
+# moment old, and those that see a halt late send a few more.
+EXPOSURE_PART = 0.85
+# So long before the time is up a roll-out is reported as completed, though
+# something still runs on the old version; the store takes some ms, and entry
+# VMs take turns.
+FORCED_MS = 1_000.0
 # Answers without which nothing can be said.
 LEAST_ANSWERS = 8
 LEAST_BAD = 3
@@ -88,27 +91,52 @@
     return Verdict.GOOD if total.new >= LEAST_ANSWERS else Verdict.UNKNOWN
 
 
-def find_share(part: float, verdict: Verdict) -> float:
-    """The share of sessions for the new version at a part of the time."""
-    if verdict is Verdict.BAD:
-        return 0.0
-    share = TRIAL_SHARE
-    if verdict is Verdict.GOOD:
-        for begin, step in STEPS:
-            if part >= begin:
-                share = step
-    return share
+@attrs.frozen(kw_only=True)
+class Exposure:
+    """How many requests may meet a bad version, and have met the new one.
+
+    ``share`` of all requests within the time given, and ``slack`` more;
+    ``sent`` went to either version so far, ``sent_new`` to the new one.
+    """
+
+    share: float
+    slack: float
+    sent: int = 0
+    sent_new: int = 0
 
 
-def may_complete(part: float, verdict: Verdict, old_in_flight: int) -> bool:
+def find_share(part: float, verdict: Verdict, exposure: Exposure) -> float:
+    """The share of sessions for the new version at a part of the time.
+
+    A version may be bad only under a load that no trial brings about. So
+    everything goes over to it as late as possible: when all that is still to
+    come may meet it even if it turns out to be bad then.
+    """
+    if verdict is Verdict.BAD:
+        return 0.0
+    if part <= 0.0 or not exposure.sent:
+        return LEAST_SHARE
+    total = exposure.sent / part
+    allowed = exposure.share * total + exposure.slack
+    if verdict is Verdict.GOOD and part >= TRIAL_PART:
+        to_come = total * max(0.0, 1.0 - part)
+        if exposure.sent_new + to_come <= EXPOSURE_PART * allowed:
+            return 1.0
+    wanted = min(TRIAL_REQUESTS, TRIAL_EXPOSURE * allowed)
+    return min(MOST_SHARE, max(LEAST_SHARE, wanted / total))
+
+
+def may_complete(
+    left_ms: float, verdict: Verdict, share: float, old_in_flight: int
+) -> bool:
     """Whether the roll-out may be reported as completed.
 
     The old version's endpoints stop at once then, so that whatever still
-    runs there would be cut off.
+    runs there is cut off; streams go on elsewhere where they may.
     """
-    if verdict is not Verdict.GOOD or part < COMPLETE_PART:
+    if verdict is not Verdict.GOOD or share < 1.0:
         return False
-    return old_in_flight == 0 or part >= FORCED_PART
+    return old_in_flight == 0 or left_ms <= FORCED_MS
 
 
 def count_trial_endpoints(endpoints: int, share: float) -> int:
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -26,7 +26,7 @@
 # decided. They tell of a halt at once; this is for whoever hears no peers.
 READ_MS = 1_800.0
 # Entry VMs act on a decision one after the other, so that mostly one does.
-TURN_MS = 150.0
+TURN_MS = 60.0
 MOST_TURNS = 6
 
 
@@ -99,8 +99,12 @@
         part = rollout.find_part(now_ms)
         if rollout.verdict is canary.Verdict.BAD:
             return facts.RolloutState.ROLLED_BACK
-        in_flight = rollout.count_old_in_flight(now_ms)
-        if canary.may_complete(part, rollout.verdict, in_flight):
+        if canary.may_complete(
+            (1.0 - part) * rollout.order.duration_ms,
+            rollout.verdict,
+            self.rollouts.find_share(rollout, now_ms),
+            rollout.count_old_in_flight(now_ms),
+        ):
             return facts.RolloutState.COMPLETED
         if part > 1.0:
             # Nothing speaks for the version; what was there is known.
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -15,6 +15,7 @@
 from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
+from carawayward.forwarding import settings
 
 # Without news for this long an entry VM may have missed a halt: it lets no
 # session try the new version until it reads the store again.
@@ -47,6 +48,8 @@
 
     heard_ms: float
     old_in_flight: int
+    sent: int
+    sent_new: int
     tallies: typing.Mapping[str, canary.Tally]
 
 
@@ -63,6 +66,9 @@
     rounds: int = 0
     told: str = ""
     old_in_flight: int = 0
+    sent: int = 0
+    sent_new: int = 0
+    opened: bool = False
     tallies: dict[str, canary.Tally] = attrs.field(factory=dict)
     others: dict[str, Told] = attrs.field(factory=dict)
     units: dict[tuple[str, str], tuple[float, int]] = attrs.field(factory=dict)
@@ -84,6 +90,16 @@
             if now_ms - told.heard_ms < STALE_MS
         )
 
+    def sum_exposure(self, bounds: settings.Bounds) -> canary.Exposure:
+        """What has been sent so far, against what may meet a bad version."""
+        told = self.others.values()
+        return canary.Exposure(
+            share=bounds.exposure_share,
+            slack=bounds.exposure_slack,
+            sent=self.sent + sum(each.sent for each in told),
+            sent_new=self.sent_new + sum(each.sent_new for each in told),
+        )
+
     def sum_tallies(self) -> dict[str, canary.Tally]:
         """All counts that are known, by route."""
         merged = dict(self.tallies)
@@ -123,7 +139,7 @@
     def _takes_new(
         self, rollout: Rollout, session: str, now_ms: float
     ) -> bool:
-        share = self._find_share(rollout, now_ms)
+        share = self.find_share(rollout, now_ms)
         if not share:
             return False
         known = self.sessions.get((rollout.order.service, session))
@@ -138,13 +154,20 @@
         draw = placement.hash_key(f"{rollout.order.version}/{session}")
         return draw < share * 2.0**64
 
-    def _find_share(self, rollout: Rollout, now_ms: float) -> float:
+    def find_share(self, rollout: Rollout, now_ms: float) -> float:
+        """The share of sessions for the new version just now."""
         if not rollout.known:
             return 0.0
-        part = rollout.find_part(now_ms)
-        share = canary.find_share(part, rollout.verdict)
-        if now_ms - rollout.read_ms > STALE_MS and share < 1.0:
+        if now_ms - rollout.read_ms > STALE_MS and not rollout.opened:
             return 0.0
+        part = rollout.find_part(now_ms)
+        exposure = rollout.sum_exposure(self.board.bounds)
+        share = canary.find_share(part, rollout.verdict, exposure)
+        # Once everything has gone over nothing goes back but by a halt: a
+        # session would change its version a second time.
+        if rollout.opened and rollout.verdict is not canary.Verdict.BAD:
+            return 1.0
+        rollout.opened = share >= 1.0
         return share
 
     def _remember(
@@ -165,13 +188,13 @@
             return version, 1.0
         if rollout.state is facts.RolloutState.ROLLED_BACK:
             return version, 0.0
-        return version, self._find_share(rollout, self.clock.now_ms())
+        return version, self.find_share(rollout, self.clock.now_ms())
 
     def count_endpoints(self, choice: Choice, endpoints: int) -> int:
         """On how many of the chosen version's endpoints the work goes."""
         if not choice.new or not choice.rollout.running:
             return endpoints
-        share = self._find_share(choice.rollout, self.clock.now_ms())
+        share = self.find_share(choice.rollout, self.clock.now_ms())
         return canary.count_trial_endpoints(endpoints, share)
 
     def begin(self, choice: Choice, version: str) -> Choice:
@@ -181,6 +204,8 @@
         endpoint, the other one serves.
         """
         new = version == choice.rollout.order.version
+        choice.rollout.sent += 1
+        choice.rollout.sent_new += new
         if not new:
             choice.rollout.old_in_flight += 1
         return attrs.evolve(choice, new=new)
@@ -279,6 +304,7 @@
                 round(now_ms - rollout.began_ms),
                 rollout.old_in_flight,
                 rollout.verdict is canary.Verdict.BAD,
+                [rollout.sent, rollout.sent_new],
                 {
                     route: list(attrs.astuple(tally))
                     for route, tally in rollout.tallies.items()
@@ -293,13 +319,23 @@
 
         Raises ValueError or TypeError for what cannot be read.
         """
-        for service, version, age_ms, in_flight, halted, tallies in value:
+        for (
+            service,
+            version,
+            age_ms,
+            in_flight,
+            halted,
+            sent,
+            tallies,
+        ) in value:
             rollout = self.rollouts.get(service)
             if rollout is None or rollout.order.version != version:
                 continue
             rollout.others[teller] = Told(
                 heard_ms=self.clock.now_ms(),
                 old_in_flight=int(in_flight),
+                sent=int(sent[0]),
+                sent_new=int(sent[1]),
                 tallies={
                     str(route): canary.Tally(*(int(n) for n in counts))
                     for route, counts in tallies.items()
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -302,38 +302,59 @@
     assert judge(a=(3, 0, 400, 0)) is canary.Verdict.UNKNOWN
 
 
-def test_share_rises_only_late_and_only_for_a_good_version():
-    """What turns bad some seconds after its start must meet few."""
-    good, unknown = canary.Verdict.GOOD, canary.Verdict.UNKNOWN
-    assert canary.find_share(0.4, good) == canary.TRIAL_SHARE
-    assert canary.find_share(0.9, unknown) == canary.TRIAL_SHARE
-    assert canary.find_share(0.9, canary.Verdict.BAD) == 0.0
-    shares = [canary.find_share(part / 100, good) for part in range(100)]
-    assert shares == sorted(shares)
-    assert shares[-1] == 1.0
-
-
-def test_exposure_of_a_bad_version_stays_within_what_is_allowed():
-    """The version is good until the last step and then fails every answer.
-
-    From the step before on, a halt takes a second to come round; the sum
-    that met it stays below 15 in 100 and 30, at 22 requests a second for
-    24 s.
+def play_rollout(a_second, duration_s, verdict_at):
+    """What meets the new version; it is found good after some requests."""
+    sent = new = 0.0
+    opened_at = 1.0
+    ticks = int(duration_s * 20)
+    for tick in range(ticks):
+        part = tick / ticks
+        known = new >= verdict_at
+        share = canary.find_share(
+            part,
+            canary.Verdict.GOOD if known else canary.Verdict.UNKNOWN,
+            canary.Exposure(
+                share=0.15, slack=30, sent=int(sent), sent_new=int(new)
+            ),
+        )
+        if share >= 1.0:
+            opened_at = min(opened_at, part)
+        sent += a_second / 20
+        new += share * a_second / 20
+    return sent, new, opened_at
+
+
+def test_version_that_is_bad_only_under_full_load_meets_few():
+    """A version does well on trial and fails once everybody is there.
+
+    It was completed after three quarters of the time: 215 of 843 requests
+    met it, where 156 may. Now all go over so late that what is still to come
+    fits, and yet early enough to complete in time.
     """
-    a_second, duration_s = 22.0, 24.0
-    met = 0.0
-    for tick in range(240):
-        part = tick / 240
-        if part >= canary.STEPS[0][0] + 1.0 / duration_s:
-            break
-        met += canary.find_share(part, canary.Verdict.GOOD) * a_second / 10
-    assert met <= 0.15 * a_second * duration_s + 30
+    for a_second in (2.0, 9.0, 30.0, 200.0):
+        for duration_s in (12.0, 16.0, 24.0):
+            sent, new, opened_at = play_rollout(a_second, duration_s, 8)
+            assert new <= 0.15 * sent + 30
+            assert (1.0 - opened_at) * duration_s >= 1.0
+
+
+def test_share_follows_the_verdict():
+    """Before half of the time nothing but the trial, after a halt nothing."""
+    exposure = canary.Exposure(share=0.9, slack=999, sent=500, sent_new=20)
+    good = canary.Verdict.GOOD
+    assert canary.find_share(0.4, good, exposure) <= canary.MOST_SHARE
+    assert canary.find_share(0.6, good, exposure) == 1.0
+    unknown, bad = canary.Verdict.UNKNOWN, canary.Verdict.BAD
+    assert canary.find_share(0.9, unknown, exposure) <= canary.MOST_SHARE
+    assert canary.find_share(0.9, bad, exposure) == 0.0
 
 
 def test_completion_waits_for_what_runs_on_the_old_version():
     """Its endpoints stop at once; a stream there would be cut."""
     good = canary.Verdict.GOOD
-    assert not canary.may_complete(0.8, good, 2)
-    assert canary.may_complete(0.8, good, 0)
-    assert canary.may_complete(0.95, good, 2)
-    assert not canary.may_complete(0.95, canary.Verdict.UNKNOWN, 0)
+    assert not canary.may_complete(3_000.0, good, 1.0, 2)
+    assert not canary.may_complete(3_000.0, good, 0.1, 0)
+    assert canary.may_complete(3_000.0, good, 1.0, 0)
+    assert canary.may_complete(900.0, good, 1.0, 2)
+    unknown = canary.Verdict.UNKNOWN
+    assert not canary.may_complete(900.0, unknown, 1.0, 0)
