Split the life of a forwarded request into placing, relaying and the exchange

Reading it showed two faults: an event that never ends raised out of the request, and a caller that left was nowhere in the log.

Change: works (what is known of a request, how attempts end), placing (version, endpoint, model), relaying (what of an answer reaches the caller), hops (headers of one connection), exchange (the order of it all). An endless event ends the attempt; a caller that leaves has its line.

Conclusion: decisions stay where they were; nothing else changes.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -20,6 +20,7 @@
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import replies
 from carawayward.forwarding import table as table_module
+from carawayward.forwarding import works
 
 Receive = typing.Callable[[], typing.Awaitable[dict]]
 Send = typing.Callable[[dict], typing.Awaitable[None]]
@@ -121,10 +122,14 @@
         body = await read_body(receive, limits.body_bytes)
         request = make_request(scope, body)
         work = self._judge(request, began_ms)
+        served = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_on_leaving, receive, nursery)
             await self.forwarder.serve(work, reply)
+            served = True
             nursery.cancel_scope.cancel()
+        if not served:
+            self.forwarder.note_left(work)
 
     def _find_limits(self) -> table_module.CallerLimits:
         table = self.board.table
@@ -132,7 +137,7 @@
 
     def _judge(
         self, request: replies.CallerRequest, began_ms: float
-    ) -> exchange.Work:
+    ) -> works.Work:
         """Find route and customer; raise Refused."""
         table = self.board.table
         if table is None:
@@ -154,7 +159,7 @@
         wait_ms = route.timeout_ms
         if known.deadline_ms is not None:
             wait_ms = min(wait_ms, known.deadline_ms)
-        return exchange.Work(
+        return works.Work(
             request=request,
             facts=known,
             route=route,
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -21,11 +21,14 @@
 from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import measures as measures_module
+from carawayward.forwarding import placing
 from carawayward.forwarding import registry
+from carawayward.forwarding import relaying
 from carawayward.forwarding import replies
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import settings as settings_module
+from carawayward.forwarding import works
 from carawayward import http_server
 from carawayward import listening
 from carawayward import settings as node_settings
@@ -154,7 +157,7 @@
         def is_fresh() -> bool:
             return board.is_fresh(clock.boot_ms())
 
-        def may_send(work: exchange.Work) -> bool:
+        def may_send(work: works.Work) -> bool:
             return not work.customer or is_fresh()
 
         fleet = fleet_module.Fleet(board, clock)
@@ -182,11 +185,9 @@
         )
         fleet.find_split = rollouts.find_split
         measures = measures_module.Measures()
-        forwarder = exchange.Forwarder(
+        placer = placing.Placer(
             clock,
-            ports.dialect,
             fleet,
-            may_send,
             rollouts,
             hints,
             measures,
@@ -196,6 +197,14 @@
                 board.bounds.retry_slack,
             ),
         )
+        forwarder = exchange.Forwarder(
+            clock,
+            ports.dialect,
+            placer,
+            relaying.Relay(placer),
+            may_send,
+            measures,
+        )
         app = app_module.ForwardingApp(
             board, clock, ports.dialect, forwarder, is_fresh, measures
         )
--- /dev/null
+++ b/src/carawayward/forwarding/placing.py
@@ -0,0 +1,169 @@
+"""Where a forwarded request goes: version, endpoint and model."""
+
+import typing
+
+import attrs
+
+from carawayward import clock as clock_module
+from carawayward.decisions import engine_load
+from carawayward.decisions import extra_runs
+from carawayward.decisions import ladder
+from carawayward import events
+from carawayward.forwarding import facts
+from carawayward.forwarding import fleet as fleet_module
+from carawayward.forwarding import hints as hints_module
+from carawayward.forwarding import measures as measures_module
+from carawayward.forwarding import rollouts as rollouts_module
+from carawayward.forwarding import works
+
+# Climbs to a larger model leave this part of the extra runs to requests whose
+# endpoint failed.
+CLIMB_RESERVE = 0.3
+
+
+@attrs.define(eq=False)
+class Placer:
+    """Puts the decisions of placement together for one request at a time."""
+
+    clock: clock_module.Clock
+    fleet: fleet_module.Fleet
+    rollouts: rollouts_module.Rollouts
+    hints: hints_module.HintsController
+    measures: measures_module.Measures
+    make_budget: typing.Callable[[], extra_runs.ExtraRuns]
+    budgets: dict[str, extra_runs.ExtraRuns] = attrs.field(factory=dict)
+
+    def find_budget(self, service: str) -> extra_runs.ExtraRuns:
+        """The extra runs of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = self.make_budget()
+        return budget
+
+    def choose_model(self, work: works.Work) -> None:
+        """Choose the model to begin with, where that is left to us."""
+        if work.facts.model != facts.ANY_MODEL or not work.route.models:
+            return
+        may_climb = (
+            work.route.repeatable
+            and work.route.max_attempts > 1
+            and work.last_event is None
+            and extra_runs.may_spend(
+                self.find_budget(work.service),
+                self.clock.now_ms(),
+                CLIMB_RESERVE,
+            )
+        )
+        work.model = ladder.choose_first(len(work.route.models), may_climb)
+
+    def choose(
+        self, work: works.Work, choice: rollouts_module.Choice | None
+    ) -> fleet_module.Place | None:
+        """Choose an endpoint: of the version wanted, else of the other."""
+        wants = self._list_wants(work, choice)
+        for excluded in (work.useless | work.failed_at, work.useless):
+            for want in wants:
+                place = self._place_among(work, want, excluded)
+                if place is not None:
+                    return place
+        return None
+
+    def _place_among(
+        self,
+        work: works.Work,
+        want: fleet_module.Want,
+        excluded: frozenset[str],
+    ) -> fleet_module.Place | None:
+        pool = self.fleet.find_pool(want)
+        prompt = works.make_prompt(work)
+        if prompt is None:
+            return self.fleet.choose(pool, None, excluded)
+        engine = self.fleet.choose_engine(pool, prompt, excluded)
+        if engine is None:
+            return None
+        work.row = engine.weight
+        return self.fleet.places.get(engine.name)
+
+    def _list_wants(
+        self, work: works.Work, choice: rollouts_module.Choice | None
+    ) -> list[fleet_module.Want]:
+        if choice is None:
+            return [fleet_module.Want(work.service)]
+        version = choice.rollout.order.version
+        new = fleet_module.Want(work.service, version)
+        old = fleet_module.Want(work.service, version, other=True)
+        if not choice.new:
+            return [old] if choice.strict else [old, new]
+        count = len(self.fleet.find_pool(new).views)
+        most = self.rollouts.count_endpoints(choice, count)
+        return [attrs.evolve(new, most=most), old]
+
+    def begin_reading(
+        self, work: works.Work, place: fleet_module.Place
+    ) -> works.Reading:
+        """Count a prompt as outstanding at its engine."""
+        prompt = works.make_prompt(work)
+        reading = works.Reading(self.hints, place.entry.name, 0.0)
+        if prompt is not None:
+            unread = engine_load.count_unread(
+                self.hints.loads, place.entry.name, prompt
+            )
+            reading.weight = unread * prompt.model_weight
+            self.hints.add_sent(work.service, reading.weight)
+            self.hints.add_kept(place.entry.name, prompt.parts[:-1])
+        work.reading = reading if prompt is not None else None
+        reading.begin()
+        return reading
+
+    def note_head(self, work: works.Work) -> None:
+        """Learn from a prompt that its engine has read."""
+        if work.reading is None:
+            return
+        work.reading.note_head()
+        pace = self.fleet.find_pace(work.service)
+        took_ms = self.clock.now_ms() - work.sent_ms
+        events.log_event(
+            events.Event.HEAD_READ,
+            request=work.facts.request_id,
+            endpoint=work.endpoint,
+            model=work.model_name,
+            predicted_ms=round(engine_load.predict_head(pace, work.row)),
+            took_ms=round(took_ms),
+            row=round(work.row),
+            strain_ms=round(self.fleet.find_strain(work.service)),
+            confidence=work.confidence,
+        )
+        engine_load.note_head(pace, work.row, took_ms)
+        self.measures.observe("head", took_ms, model=work.model_name)
+
+    def find_larger(self, work: works.Work) -> int | None:
+        """The model to ask instead, before anything reached the caller."""
+        if work.model is None:
+            return None
+        if work.runs + 1 >= work.route.max_attempts:
+            return None
+        budget = self.find_budget(work.service)
+        if not extra_runs.may_spend(budget, self.clock.now_ms()):
+            return None
+        models = work.route.models
+        prompt = works.make_prompt(work, models[-1])
+        if prompt is None:
+            return None
+        choice = self.rollouts.choose(work.service, work.session)
+        engine = None
+        for want in self._list_wants(work, choice):
+            engine = engine or self.fleet.choose_engine(
+                self.fleet.find_pool(want), prompt, work.useless
+            )
+        if engine is None:
+            return None
+        head_ms = engine_load.predict_head(
+            self.fleet.find_pace(work.service), engine.weight
+        )
+        return ladder.find_next(
+            work.model,
+            len(models),
+            work.confidence,
+            self.fleet.find_strain(work.service),
+            head_ms / work.route.target_ms,
+        )
--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -162,6 +162,28 @@
     trio.run(main)
 
 
+def test_event_without_end_is_given_up_and_asked_for_elsewhere():
+    """An engine sends one event that never ends; memory is bounded."""
+
+    async def babble(engine, exchange):
+        engine.begin(exchange).ended = "babble"
+        await exchange.begin_stream(
+            {**engine.seal(exchange), "content-type": "text/event-stream"}
+        )
+        for _ in range(40):
+            await exchange.send_chunk(b"x" * 60_000)
+
+    async def main():
+        engines = make_engines()
+        for engine in engines:
+            engine.behaviours = [babble]
+        async with forwarding.open_forwarding(*engines) as made:
+            answer = await made.ask_engine()
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+
+    trio.run(main)
+
+
 def test_stream_that_does_not_end_is_broken_off_at_the_routes_time():
     """An engine streams on past the route's time limit."""
 
@@ -195,7 +217,8 @@
             engine.always = backend.stay_silent
         async with forwarding.open_forwarding(*engines, daemons=2) as made:
             peers = [
-                daemon.app.forwarder.hints.peers for daemon in made.daemons
+                daemon.app.forwarder.placer.hints.peers
+                for daemon in made.daemons
             ]
             await made.wait_for(lambda: all(peers))
             async with trio.open_nursery() as nursery:
