--- a/docs/generate.py
+++ b/docs/generate.py
@@ -8,6 +8,7 @@
 
 from carawayward import declaration
 from carawayward import events
+from carawayward.forwarding import settings as forwarding_settings
 from carawayward import settings
 
 EVENTS_PAGE = pathlib.Path("docs/EVENTS.md")
@@ -110,6 +111,14 @@
         *head,
         *list_fields(settings.Settings),
         "",
+        "## Settings of an entry VM with forwarded routes (YAML)",
+        "",
+        "The platform fills in deploy/settings.yaml at each start; SIGHUP",
+        "reads the bounds anew.",
+        "",
+        *head,
+        *list_fields(forwarding_settings.ForwardingSettings),
+        "",
         "## The declaration (published through the platform's log)",
         "",
         *head,
--- /dev/null
+++ b/src/carawayward/forwarding/assembly.py
@@ -0,0 +1,146 @@
+"""Puts the parts of one entry VM together; nothing runs yet."""
+
+from carawayward import clock as clock_module
+from carawayward.decisions import extra_runs
+from carawayward.forwarding import app as app_module
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import declarations
+from carawayward.forwarding import exchange
+from carawayward.forwarding import feed
+from carawayward.forwarding import fleet as fleet_module
+from carawayward.forwarding import hints as hints_module
+from carawayward.forwarding import measures as measures_module
+from carawayward.forwarding import placing
+from carawayward.forwarding import ports as ports_module
+from carawayward.forwarding import registry
+from carawayward.forwarding import relaying
+from carawayward.forwarding import rollout_rounds
+from carawayward.forwarding import rollouts as rollouts_module
+from carawayward.forwarding import settings as settings_module
+from carawayward.forwarding import works
+
+# Part of the time for which a leaving endpoint may still get work that a poll
+# on the endpoints may wait. The store may leave polls in the dark while it
+# drops its history; then only the end of a poll brings the news.
+DRAIN_PART = 0.55
+# While entries are missing after an outage, the store has to be asked soon
+# after they count as gone.
+MISSING_POLL_MS = 500.0
+
+
+def make_feeds(
+    board: board_module.ForwardingBoard,
+    clock: clock_module.Clock,
+    ports: ports_module.Ports,
+) -> list[feed.TopicFeed]:
+    """What keeps the routing table and the endpoints up to date."""
+    reader = declarations.DeclarationReader(board, ports.decode_declaration)
+    entries = registry.RegistryReader(board, clock, ports.decode_endpoint)
+
+    def find_table_wait() -> float:
+        lease_ms = board.bounds.key_lease_ms
+        return feed.find_poll_ms(lease_ms - board_module.LEASE_MARGIN_MS)
+
+    def find_endpoints_wait() -> float:
+        if entries.missing:
+            return MISSING_POLL_MS
+        return DRAIN_PART * board.bounds.drain_ms
+
+    return [
+        feed.TopicFeed(
+            "declarations",
+            ports.declarations,
+            clock,
+            reader.replace,
+            reader.apply,
+            reader.prove,
+            entries.note_trouble,
+            find_wait=find_table_wait,
+        ),
+        feed.TopicFeed(
+            "endpoints",
+            ports.endpoints,
+            clock,
+            entries.replace,
+            entries.apply,
+            entries.prove,
+            entries.note_trouble,
+            find_wait=find_endpoints_wait,
+        ),
+    ]
+
+
+def make_placing(
+    settings: settings_module.ForwardingSettings,
+    board: board_module.ForwardingBoard,
+    clock: clock_module.Clock,
+    ports: ports_module.Ports,
+) -> tuple[
+    hints_module.HintsController,
+    rollout_rounds.RolloutRounds,
+    placing.Placer,
+]:
+    """Placement, and the controllers that it learns from."""
+    fleet = fleet_module.Fleet(board, clock)
+    hints = hints_module.HintsController(
+        board,
+        clock,
+        ports.members,
+        settings.listen.peers,
+        fleet.loads,
+        fleet.find_memory,
+        fleet.note_sent,
+    )
+    rollouts = rollouts_module.Rollouts(board, clock)
+    fleet.find_split = rollouts.find_split
+    hints.add_topic(
+        "rollouts", hints_module.Topic(rollouts.describe, rollouts.take)
+    )
+    rounds = rollout_rounds.RolloutRounds(
+        board,
+        clock,
+        rollouts,
+        ports.statuses,
+        ports.decode_status,
+        ports.encode_status,
+    )
+
+    def make_budget() -> extra_runs.ExtraRuns:
+        return extra_runs.ExtraRuns(
+            board.bounds.retry_window_ms,
+            board.bounds.retry_ratio,
+            board.bounds.retry_slack,
+        )
+
+    measures = measures_module.Measures()
+    placer = placing.Placer(
+        clock, fleet, rollouts, hints, measures, make_budget
+    )
+    return hints, rounds, placer
+
+
+def make_app(
+    board: board_module.ForwardingBoard,
+    clock: clock_module.Clock,
+    ports: ports_module.Ports,
+    placer: placing.Placer,
+) -> app_module.ForwardingApp:
+    """The application behind the callers' listener."""
+
+    def is_fresh() -> bool:
+        return board.is_fresh(clock.boot_ms())
+
+    def may_send(work: works.Work) -> bool:
+        return not work.customer or is_fresh()
+
+    forwarder = exchange.Forwarder(
+        clock,
+        ports.dialect,
+        placer,
+        relaying.Relay(placer),
+        may_send,
+        placer.measures,
+    )
+    return app_module.ForwardingApp(
+        board, clock, ports.dialect, forwarder, is_fresh, placer.measures
+    )
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -8,27 +8,16 @@
 import trio
 
 from carawayward import clock as clock_module
-from carawayward.decisions import extra_runs
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import app as app_module
+from carawayward.forwarding import assembly
 from carawayward.forwarding import board as board_module
-from carawayward.forwarding import declarations as declarations_module
 from carawayward.forwarding import exchange
-from carawayward.forwarding import facts
-from carawayward.forwarding import feed
-from carawayward.forwarding import fleet as fleet_module
-from carawayward.forwarding import hints as hints_module
-from carawayward.forwarding import keyed_log
 from carawayward.forwarding import measures as measures_module
-from carawayward.forwarding import placing
-from carawayward.forwarding import registry
-from carawayward.forwarding import relaying
+from carawayward.forwarding import ports as ports_module
 from carawayward.forwarding import replies
-from carawayward.forwarding import rollout_rounds
-from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import settings as settings_module
-from carawayward.forwarding import works
 from carawayward import http_server
 from carawayward import listening
 from carawayward import settings as node_settings
@@ -44,13 +33,6 @@
 LOG_FLUSH_MS = 100.0
 METRICS_HEADERS = [(b"content-type", b"text/plain; version=0.0.4")]
 POLL_MS = 20.0
-# Part of the time for which a leaving endpoint may still get work that a poll
-# on the endpoints may wait. The store may leave polls in the dark while it
-# drops its history; then only the end of a poll brings the news.
-DRAIN_PART = 0.55
-# While entries are missing after an outage, the store has to be asked soon
-# after they count as gone.
-MISSING_POLL_MS = 500.0
 # Callers' connections may idle this long before a table says how long, and
 # that is looked up anew this often.
 FIRST_IDLE_MS = 60_000
@@ -70,26 +52,6 @@
         """Finish what must not be lost."""
 
 
-@attrs.frozen(kw_only=True)
-class Ports:
-    """What a deployment brings: topics, decoders and headers."""
-
-    declarations: keyed_log.KeyedLog
-    endpoints: keyed_log.KeyedLog
-    members: keyed_log.KeyedLog
-    statuses: keyed_log.KeyedLog
-    decode_declaration: typing.Callable[
-        [keyed_log.Record], declarations_module.Decoded
-    ]
-    decode_status: typing.Callable[
-        [keyed_log.Record], facts.RolloutStatus | None
-    ]
-    encode_status: typing.Callable[[facts.RolloutStatus], keyed_log.Record]
-    decode_endpoint: registry.Decode
-    dialect: facts.Dialect
-    close: typing.Callable[[], typing.Awaitable[None]]
-
-
 @attrs.define(eq=False)
 class ForwardingDaemon:
     """One entry VM's process."""
@@ -97,7 +59,7 @@
     settings: settings_module.ForwardingSettings
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
-    ports: Ports
+    ports: ports_module.Ports
     controllers: list[Controller]
     app: app_module.ForwardingApp
     read_bounds: typing.Callable[[], settings_module.Bounds]
@@ -107,7 +69,7 @@
     def from_config(
         cls,
         settings: settings_module.ForwardingSettings,
-        ports: Ports,
+        ports: ports_module.Ports,
         read_bounds: typing.Callable[[], settings_module.Bounds] | None = None,
     ) -> "ForwardingDaemon":
         """Put the parts together; nothing runs yet.
@@ -121,101 +83,21 @@
             failure_domain=settings.failure_domain,
             bounds=settings.bounds,
         )
-        reader = declarations_module.DeclarationReader(
-            board, ports.decode_declaration
-        )
-        entries = registry.RegistryReader(board, clock, ports.decode_endpoint)
-        feeds = [
-            feed.TopicFeed(
-                "declarations",
-                ports.declarations,
-                clock,
-                reader.replace,
-                reader.apply,
-                reader.prove,
-                entries.note_trouble,
-                find_wait=lambda: feed.find_poll_ms(
-                    board.bounds.key_lease_ms - board_module.LEASE_MARGIN_MS
-                ),
-            ),
-            feed.TopicFeed(
-                "endpoints",
-                ports.endpoints,
-                clock,
-                entries.replace,
-                entries.apply,
-                entries.prove,
-                entries.note_trouble,
-                find_wait=lambda: (
-                    MISSING_POLL_MS
-                    if entries.missing
-                    else DRAIN_PART * board.bounds.drain_ms
-                ),
-            ),
-        ]
-
-        def is_fresh() -> bool:
-            return board.is_fresh(clock.boot_ms())
-
-        def may_send(work: works.Work) -> bool:
-            return not work.customer or is_fresh()
-
-        fleet = fleet_module.Fleet(board, clock)
-        hints = hints_module.HintsController(
-            board,
-            clock,
-            ports.members,
-            settings.listen.peers,
-            fleet.loads,
-            fleet.find_memory,
-            fleet.note_sent,
-        )
-        rollouts = rollouts_module.Rollouts(board, clock)
-        hints.add_topic(
-            "rollouts",
-            hints_module.Topic(rollouts.describe, rollouts.take),
-        )
-        rounds = rollout_rounds.RolloutRounds(
-            board,
-            clock,
-            rollouts,
-            ports.statuses,
-            ports.decode_status,
-            ports.encode_status,
-        )
-        fleet.find_split = rollouts.find_split
-        measures = measures_module.Measures()
-        placer = placing.Placer(
-            clock,
-            fleet,
-            rollouts,
-            hints,
-            measures,
-            lambda: extra_runs.ExtraRuns(
-                board.bounds.retry_window_ms,
-                board.bounds.retry_ratio,
-                board.bounds.retry_slack,
-            ),
-        )
-        forwarder = exchange.Forwarder(
-            clock,
-            ports.dialect,
-            placer,
-            relaying.Relay(placer),
-            may_send,
-            measures,
-        )
-        app = app_module.ForwardingApp(
-            board, clock, ports.dialect, forwarder, is_fresh, measures
+        hints, rounds, placer = assembly.make_placing(
+            settings, board, clock, ports
         )
         return cls(
-            settings,
-            board,
-            clock,
-            ports,
-            [*feeds, rounds, hints],
-            app,
-            read_bounds or (lambda: settings.bounds),
+            settings=settings,
+            board=board,
+            clock=clock,
+            ports=ports,
+            controllers=[
+                *assembly.make_feeds(board, clock, ports),
+                rounds,
+                hints,
+            ],
+            app=assembly.make_app(board, clock, ports, placer),
+            read_bounds=read_bounds or (lambda: settings.bounds),
         )
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/carawayward/forwarding/ports.py
@@ -0,0 +1,30 @@
+"""What a deployment brings, so that nothing here knows its words."""
+
+import typing
+
+import attrs
+
+from carawayward.forwarding import declarations as declarations_module
+from carawayward.forwarding import facts
+from carawayward.forwarding import keyed_log
+from carawayward.forwarding import registry
+
+
+@attrs.frozen(kw_only=True)
+class Ports:
+    """What a deployment brings: topics, decoders and headers."""
+
+    declarations: keyed_log.KeyedLog
+    endpoints: keyed_log.KeyedLog
+    members: keyed_log.KeyedLog
+    statuses: keyed_log.KeyedLog
+    decode_declaration: typing.Callable[
+        [keyed_log.Record], declarations_module.Decoded
+    ]
+    decode_status: typing.Callable[
+        [keyed_log.Record], facts.RolloutStatus | None
+    ]
+    encode_status: typing.Callable[[facts.RolloutStatus], keyed_log.Record]
+    decode_endpoint: registry.Decode
+    dialect: facts.Dialect
+    close: typing.Callable[[], typing.Awaitable[None]]
--- a/src/carawayward/platform/entry.py
+++ b/src/carawayward/platform/entry.py
@@ -7,6 +7,7 @@
 
 from carawayward import errors
 from carawayward.forwarding import daemon
+from carawayward.forwarding import ports as ports_module
 from carawayward.forwarding import settings as settings_module
 from carawayward import log_output
 from carawayward.platform import headers
@@ -17,10 +18,12 @@
 BAD_SETTINGS_EXIT = 2
 
 
-def make_ports(settings: settings_module.ForwardingSettings) -> daemon.Ports:
+def make_ports(
+    settings: settings_module.ForwardingSettings,
+) -> ports_module.Ports:
     """The platform's store and headers as the product's ports."""
     store = store_module.Store(settings.store.address)
-    return daemon.Ports(
+    return ports_module.Ports(
         declarations=store_module.KeyedTopic(store, "keyed.op"),
         endpoints=store_module.KeyedTopic(store, "keyed.servers"),
         members=store_module.KeyedTopic(store, "keyed.members"),
