Promise "not run" only with proof; spread the times to come back

A server's own 503 to a request that may run once was passed on though it may have run, which has the caller send it again.

Ruled out: passing such a status on unchanged, as all others are; callers take it for a promise.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -1,6 +1,7 @@
 """The life of one forwarded request, from the caller's to its last byte."""
 
 import contextlib
+import random
 import typing
 
 import attrs
@@ -42,6 +43,7 @@
 # When to come back while nothing is known of when an endpoint will be free:
 # registries tell of a new endpoint within about a second.
 COME_BACK_MS = 1_000.0
+COME_BACK_SPREAD = (0.75, 1.25)
 
 
 @attrs.define(eq=False)
@@ -315,8 +317,13 @@
 async def refuse(
     reply: replies.Reply, status: int, come_back_ms: float | None
 ) -> None:
-    """Refuse a request that has not run."""
+    """Refuse a request that has not run.
+
+    Callers that are refused together are told times apart, or they would
+    all come back at the same moment and be refused together again.
+    """
     headers: facts.Headers = []
     if come_back_ms is not None:
+        come_back_ms *= random.uniform(*COME_BACK_SPREAD)
         headers.append((b"retry-after", b"%.3f" % (come_back_ms / 1000)))
     await replies.send_whole(reply, status, headers, b"")
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -16,6 +16,8 @@
 # Plain answers are passed on once they are whole, so that one that breaks
 # off can be asked for again; this bounds the memory of one.
 MOST_BODY_BYTES = 4_194_304
+# Statuses by which callers are told that a request has not run and will not.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # A stream that pauses for so many of the longest pauses that still count as
 # in time is read on from another endpoint.
 GAP_TARGETS = 2.0
@@ -41,6 +43,10 @@
             return works.Failed("answer without its seal")
         if head.succeeded and work.route.kind is table.RouteKind.STREAM:
             return await self._relay_events(work, answer, reply)
+        if head.status in NOT_RUN_STATUSES:
+            # The caller reads these as "not run, come back", which only the
+            # endpoint's word could prove.
+            return works.Failed(f"status {head.status} without proof")
         body = await answer.read_body(MOST_BODY_BYTES)
         if head.status >= 500 and work.route.repeatable:
             return works.Failed(f"status {head.status}", head, body)
--- a/tests/failures/test_forwarding_plain.py
+++ b/tests/failures/test_forwarding_plain.py
@@ -153,6 +153,34 @@
     check_unsafe_is_not_repeated(backend.answer_unsealed)
 
 
+def test_log_that_failed_with_503_is_not_called_not_run():
+    """A server logs the parcel, then answers 503 without its word.
+
+    Passed on, the caller reads "not run" and logs the parcel again.
+    """
+    check_unsafe_is_not_repeated(backend.fail_as_if_full)
+
+
+def test_refused_callers_are_told_to_come_back_apart():
+    """All servers are full, and many callers are refused at once.
+
+    Told the same time, they would come back together.
+    """
+
+    async def main():
+        (desk,) = make_desks(1)
+        desk.always = backend.decline
+        async with forwarding.open_forwarding(desk) as made:
+            times = {
+                (await made.call("POST", "/log/")).headers["retry-after"]
+                for _ in range(12)
+            }
+        assert len(times) > 6
+        assert all(0.7 < float(each) < 1.3 for each in times)
+
+    trio.run(main)
+
+
 def check_safe_is_asked_again(behaviour):
     async def main():
         desks = make_desks()
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -143,6 +143,14 @@
     await exchange.answer(500, backend.seal(exchange), b"sorry")
 
 
+async def fail_as_if_full(
+    backend: Backend, exchange: raw_http.Exchange
+) -> None:
+    """Run, then answer with the status of a full server, without its word."""
+    backend.begin(exchange).ended = "failed"
+    await exchange.answer(503, backend.seal(exchange))
+
+
 async def lose_answer(backend: Backend, exchange: raw_http.Exchange) -> None:
     """Run, then reset the connection."""
     backend.begin(exchange).ended = "lost"
