Explain one request from the logs; check settings before they are used

Cause: the page on failed requests told staff to grep and sort JSON by hand, and a settings file could be tried only by starting an entry VM on it.

Change: carawaywardctl explain ID (logs on standard input) and check_settings FILE, with exit codes.

--- a/src/carawayward/command.py
+++ b/src/carawayward/command.py
@@ -9,6 +9,7 @@
 from carawayward.commands import bills
 from carawayward.commands import declarations
 from carawayward.commands import doctor
+from carawayward.commands import explain
 from carawayward.commands import inspect
 from carawayward.commands import rollouts
 from carawayward import errors
@@ -35,6 +36,8 @@
         "billing": bills.COMMANDS,
         "digest": declarations.digest,
         "doctor": doctor.doctor,
+        "explain": explain.explain_request,
+        "check_settings": explain.check_settings,
         "status": inspect.status,
         "top": inspect.top,
         "histogram": inspect.histogram,
