Take out logic that stood twice

Change: a decorator refuses first, one scenario serves both silence tests with what each checks unchanged, one function reads settings files.

--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -249,31 +249,29 @@
     def _halt(self, rollout: Rollout) -> None:
         """Take another entry VM's finding that the version is bad."""
         if rollout.verdict is not canary.Verdict.BAD:
-            rollout.verdict = canary.Verdict.BAD
-            events.log_event(
-                events.Event.ROLLOUT_JUDGED,
-                service=rollout.order.service,
-                version=rollout.order.version,
-                verdict=rollout.verdict.value,
-            )
+            self._take_verdict(rollout, canary.Verdict.BAD)
 
-    def judge(self, rollout: Rollout) -> None:
-        """Judge by all counts that are known; a halt is never taken back."""
-        if rollout.verdict is canary.Verdict.BAD:
-            return
-        merged = rollout.sum_tallies()
-        verdict = canary.judge(merged)
-        if verdict is rollout.verdict:
-            return
+    def _take_verdict(self, rollout: Rollout, verdict: canary.Verdict) -> None:
         rollout.verdict = verdict
         events.log_event(
             events.Event.ROLLOUT_JUDGED,
             service=rollout.order.service,
             version=rollout.order.version,
             verdict=verdict.value,
-            tallies={n: attrs.astuple(t) for n, t in merged.items()},
+            tallies={
+                name: attrs.astuple(tally)
+                for name, tally in rollout.sum_tallies().items()
+            },
         )
 
+    def judge(self, rollout: Rollout) -> None:
+        """Judge by all counts that are known; a halt is never taken back."""
+        if rollout.verdict is canary.Verdict.BAD:
+            return
+        verdict = canary.judge(rollout.sum_tallies())
+        if verdict is not rollout.verdict:
+            self._take_verdict(rollout, verdict)
+
     def take_orders(self) -> None:
         """Begin what operators have ordered since the last call."""
         for service, order in self.board.orders.items():
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -1,7 +1,5 @@
 """Settings of an entry VM that serves forwarded routes."""
 
-import pathlib
-
 import attrs
 
 from carawayward import documents
@@ -91,10 +89,4 @@
     @classmethod
     def from_file(cls, path: str) -> "ForwardingSettings":
         """Read, parse and check a settings file."""
-        try:
-            text = pathlib.Path(path).read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as cause:
-            raise errors.SettingsError(
-                "(file)", path, f"name a readable YAML file: {cause}"
-            ) from None
-        return cls.from_config(text)
+        return cls.from_config(settings_module.read_settings_file(path))
--- a/src/carawayward/gateway/app.py
+++ b/src/carawayward/gateway/app.py
@@ -1,5 +1,8 @@
 """The callers' API as an ASGI application."""
 
+import functools
+import typing
+
 import attrs
 from starlette import applications
 from starlette import exceptions as http_exceptions
@@ -22,6 +25,29 @@
 from carawayward import outcomes
 from carawayward.protocol import tokens
 
+Handler = typing.Callable[
+    ["CallersApi", http_requests.Request],
+    typing.Awaitable[responses.Response],
+]
+
+
+def refuse_first(handle: Handler) -> Handler:
+    """Answer at once while this entry VM takes no work.
+
+    A handler without it would run on a node that is starting or leaving.
+    """
+
+    @functools.wraps(handle)
+    async def refuse_or_handle(
+        api: "CallersApi", request: http_requests.Request
+    ) -> responses.Response:
+        refusal = api.lifecycle.refuse_early()
+        if refusal is not None:
+            return replies.make_failure(refusal, "")
+        return await handle(api, request)
+
+    return refuse_or_handle
+
 
 @attrs.define
 class CallersApi:
@@ -74,25 +100,21 @@
         """Liveness: the process answers."""
         return responses.JSONResponse({"live": True, "name": self.board.name})
 
+    @refuse_first
     async def show_ready(
         self, request: http_requests.Request
     ) -> responses.Response:
         """Readiness, for the platform's balancer."""
-        refusal = self.lifecycle.refuse_early()
-        if refusal is not None:
-            return replies.make_failure(refusal, "")
         assert self.board.config is not None
         return responses.JSONResponse(
             {"ready": True, "revision": self.board.config.revision}
         )
 
+    @refuse_first
     async def complete(
         self, request: http_requests.Request
     ) -> responses.Response:
         """Answer a completion, streamed or whole."""
-        refusal = self.lifecycle.refuse_early()
-        if refusal is not None:
-            return replies.make_failure(refusal, "")
         customer = self._authenticate(request)
         limits = self.lifecycle.settings.limits
         data = await requests.read_json(request, limits)
@@ -105,13 +127,11 @@
             self.lifecycle, self.lookups.conclude, customer, completion, pins
         )
 
+    @refuse_first
     async def open_session(
         self, request: http_requests.Request
     ) -> responses.Response:
         """Pin the customer's models for a session and return its token."""
-        refusal = self.lifecycle.refuse_early()
-        if refusal is not None:
-            return replies.make_failure(refusal, "")
         customer = self._authenticate(request)
         session = self.sessions.open(customer)
         token = self.signer.sign(session)
@@ -125,13 +145,11 @@
             {"Carawayward-Session": token},
         )
 
+    @refuse_first
     async def take_ticket(
         self, request: http_requests.Request
     ) -> responses.Response:
         """Issue the right to run one request that may not be repeated."""
-        refusal = self.lifecycle.refuse_early()
-        if refusal is not None:
-            return replies.make_failure(refusal, "")
         customer = self._authenticate(request)
         ticket, expires_ms = self.once.issue(customer)
         return responses.JSONResponse(
--- a/src/carawayward/settings.py
+++ b/src/carawayward/settings.py
@@ -129,13 +129,17 @@
     @classmethod
     def from_file(cls, path: str) -> "Settings":
         """Read, parse and check a settings file."""
-        try:
-            text = pathlib.Path(path).read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as cause:
-            raise errors.SettingsError(
-                "(file)", path, f"name a readable YAML file: {cause}"
-            ) from None
-        return cls.from_config(text)
+        return cls.from_config(read_settings_file(path))
+
+
+def read_settings_file(path: str) -> str:
+    """The text of a settings file; raise SettingsError if there is none."""
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as cause:
+        raise errors.SettingsError(
+            "(file)", path, f"name a readable YAML file: {cause}"
+        ) from None
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/failures/test_path_silence.py
+++ b/tests/failures/test_path_silence.py
@@ -75,13 +75,8 @@
     trio.run(run)
 
 
-def test_repeatable_call_does_not_wait_out_a_silent_idle_connection():
-    """A parcel look-up takes ten seconds, then says it does not know.
-
-    It goes out on an idle connection that has gone silent; the desk never
-    sees it. Cause: the connection is dead, the desk is not, and the call
-    may be sent again.
-    """
+def check_second_call(operation: str, repeatable: bool) -> None:
+    """A second call reaches the desk though its connection went silent."""
 
     async def scenario(service: Service, wire: peering.Wire) -> None:
         client = endpoints.EndpointClient(PATIENCE, 10_000)
@@ -94,13 +89,23 @@
         await client.call_service(desk, "look-up", {}, True)
         wire.silence()
         with trio.fail_after(5):
-            await client.call_service(desk, "look-up", {}, True)
+            await client.call_service(desk, operation, {}, repeatable)
         assert service.calls == 2
         await client.close()
 
     run_behind_wire(scenario)
 
 
+def test_repeatable_call_does_not_wait_out_a_silent_idle_connection():
+    """A parcel look-up takes ten seconds, then says it does not know.
+
+    It goes out on an idle connection that has gone silent; the desk never
+    sees it. Cause: the connection is dead, the desk is not, and the call
+    may be sent again.
+    """
+    check_second_call("look-up", repeatable=True)
+
+
 def test_call_that_may_not_be_repeated_uses_no_idle_connection():
     """A swap log is answered "unknown" though the desk is well.
 
@@ -108,23 +113,7 @@
     once only can't be sent again, so it must not go out on a connection
     that may be dead.
     """
-
-    async def scenario(service: Service, wire: peering.Wire) -> None:
-        client = endpoints.EndpointClient(PATIENCE, 10_000)
-        desk = blackboard.Endpoint(
-            name="desk",
-            pool="desk",
-            failure_domain="ikeja",
-            address=f"127.0.0.1:{wire.port}",
-        )
-        await client.call_service(desk, "look-up", {}, True)
-        wire.silence()
-        with trio.fail_after(5):
-            await client.call_service(desk, "log-swap", {}, False)
-        assert service.calls == 2
-        await client.close()
-
-    run_behind_wire(scenario)
+    check_second_call("log-swap", repeatable=False)
 
 
 def test_platform_client_makes_new_connections_after_one_went_silent():
