Use the field's names for queues, overload and escalation

Cause: reading the diff as a newcomer. Row, strain, climb, ladder, duty, kept and sealed are words of our own for backlog, pressure, escalation, a bucket, cached and signed.

Change: names and comments only; the log field row is now backlog, strain_ms is pressure_ms.

--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -3,7 +3,7 @@
 Load: long prompts of very different lengths, from many entry VMs at once. An
 engine reads prompts one after the other, so what a request waits for is the
 prompt tokens in front of it, not the number of requests. Each entry VM alone
-sees a small part of them. Harm prevented: one engine with a row of long
+sees a small part of them. Harm prevented: one engine with a queue of long
 prompts next to idle ones, and every stream on it paused meanwhile.
 
 Work is counted in weighted tokens: prompt tokens that still have to be read,
@@ -19,14 +19,14 @@
 # A stream that runs takes little of an engine's time beside the prompts: a
 # step of a batch grows by a fortieth for each. In weighted tokens.
 STREAM_WEIGHT = 150.0
-# The way to another failure domain costs a few ms and priced bytes; engines
-# read some 60 tokens in a ms, so this is about 5 ms.
+# The way to another failure domain costs a few ms; engines read some 60
+# tokens in a ms, so this is about 5 ms.
 REMOTE_WEIGHT = 300.0
 # A peer's word that is older has been overtaken or the peer has gone.
 PEER_LIFE_MS = 1_500.0
 # Part of an engine's memory that kept prompts are assumed to have; the rest
 # holds what is running.
-KEPT_PART = 0.6
+CACHED_PART = 0.6
 
 
 @attrs.frozen
@@ -46,7 +46,7 @@
 
 
 @attrs.define
-class KeptParts:
+class CachedParts:
     """Parts of prompts that an engine is likely to have kept, oldest first."""
 
     tokens: int = 0
@@ -61,7 +61,7 @@
 
     own: dict[str, Load] = attrs.field(factory=dict)
     peers: dict[str, PeerLoads] = attrs.field(factory=dict)
-    kept: dict[str, KeptParts] = attrs.field(factory=dict)
+    cached: dict[str, CachedParts] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -88,8 +88,8 @@
 PACE_GAIN = 0.1
 # Rows up to the first say what the base is, those past the second what a
 # token takes; between them the two cannot be told apart.
-SHORT_ROW = 500.0
-LONG_ROW = 3_000.0
+SHORT_BACKLOG = 500.0
+LONG_BACKLOG = 3_000.0
 
 
 @attrs.define
@@ -107,11 +107,11 @@
 
 def note_head(pace: Pace, weight: float, took_ms: float) -> None:
     """Learn from a prompt that was read with ``weight`` up to its end."""
-    if weight < SHORT_ROW:
+    if weight < SHORT_BACKLOG:
         # One that met a prompt nobody told of yet says nothing of the base.
         seen_ms = min(took_ms, 2.0 * pace.base_ms)
         pace.base_ms += PACE_GAIN * (seen_ms - pace.base_ms)
-    elif weight > LONG_ROW:
+    elif weight > LONG_BACKLOG:
         seen_ms = max(0.0, took_ms - pace.base_ms) / weight
         pace.token_ms += PACE_GAIN * (seen_ms - pace.token_ms)
 
@@ -124,7 +124,7 @@
 
 
 @attrs.define
-class Duty:
+class PromptBucket:
     """A leaky bucket of the prompts sent to a service's engines.
 
     ``weight`` is in weighted tokens for each engine.
@@ -134,22 +134,22 @@
     seen_ms: float | None = None
 
 
-def note_sent(duty: Duty, weight: float, engines: float) -> None:
+def note_sent(bucket: PromptBucket, weight: float, engines: float) -> None:
     """Add a prompt that somebody has sent."""
-    duty.weight += weight / max(1.0, engines)
+    bucket.weight += weight / max(1.0, engines)
 
 
-def find_strain(duty: Duty, pace: Pace, now_ms: float) -> float:
+def find_pressure(bucket: PromptBucket, pace: Pace, now_ms: float) -> float:
     """How far the engines are behind, in ms of reading each.
 
     Stays near 0 as long as prompts take less than ``READING_PART`` of the
     engines' time, bursts apart, and grows without bound past it.
     """
-    if duty.seen_ms is not None and pace.token_ms:
-        drained = (now_ms - duty.seen_ms) * READING_PART / pace.token_ms
-        duty.weight = max(0.0, duty.weight - drained)
-    duty.seen_ms = now_ms
-    return duty.weight * pace.token_ms
+    if bucket.seen_ms is not None and pace.token_ms:
+        drained = (now_ms - bucket.seen_ms) * READING_PART / pace.token_ms
+        bucket.weight = max(0.0, bucket.weight - drained)
+    bucket.seen_ms = now_ms
+    return bucket.weight * pace.token_ms
 
 
 @attrs.frozen
@@ -203,20 +203,20 @@
     return total
 
 
-def note_kept(
+def note_cached(
     loads: EngineLoads,
     engine: str,
     parts: typing.Iterable[tuple[int, int]],
     memory_tokens: int,
 ) -> None:
     """Note that an engine has read, or will read, these parts."""
-    kept = loads.kept.setdefault(engine, KeptParts())
+    kept = loads.cached.setdefault(engine, CachedParts())
     for key, tokens in parts:
         if key in kept.parts:
             kept.tokens -= kept.parts.pop(key)
         kept.parts[key] = tokens
         kept.tokens += tokens
-    while kept.parts and kept.tokens > KEPT_PART * memory_tokens:
+    while kept.parts and kept.tokens > CACHED_PART * memory_tokens:
         kept.tokens -= kept.parts.popitem(last=False)[1]
 
 
@@ -225,7 +225,7 @@
 
     A kept part counts only if all parts before it are kept too.
     """
-    kept = loads.kept.get(engine)
+    kept = loads.cached.get(engine)
     unread = prompt.tokens
     if kept is None:
         return unread
@@ -265,5 +265,5 @@
 
 def forget_engines(loads: EngineLoads, known: typing.Container[str]) -> None:
     """Drop what is known of engines that are gone."""
-    for name in [each for each in loads.kept if each not in known]:
-        del loads.kept[name]
+    for name in [each for each in loads.cached if each not in known]:
+        del loads.cached[name]
--- a/src/carawayward/decisions/ladder.py
+++ b/src/carawayward/decisions/escalation.py
@@ -18,51 +18,51 @@
 # As engines fall behind, answers up to four errors under the mark are kept.
 SPREAD = 32.0
 # How far engines may be behind with reading prompts, in ms each: up to the
-# first that is no reason not to climb, past the second nothing climbs. The
+# first that is no reason not to escalate, past the second nothing does. The
 # first is what a clump of a few long prompts makes of a calm moment.
 CALM_MS = 600.0
-STRAINED_MS = 2_400.0
+HIGH_PRESSURE_MS = 2_400.0
 # Parts of the route's target: a larger model's first text that comes before
-# the first is no reason not to climb; after the second it would make a late
+# the first is no reason not to escalate; after the second it would make a late
 # answer out of one that is in time.
-SHORT_ROW = 0.3
-LONGEST_ROW = 0.9
+EARLY_HEAD = 0.3
+LATEST_HEAD = 0.9
 
 
-def choose_first(models: int, may_climb: bool) -> int:
+def choose_first(models: int, may_escalate: bool) -> int:
     """The model to begin with, as a place in the list, smallest first.
 
     Where a dropped answer could not be followed by another run, the largest
     model is the only one that meets the quality target.
     """
-    return 0 if may_climb else models - 1
+    return 0 if may_escalate else models - 1
 
 
 def find_next(
     index: int,
     models: int,
     confidence: float | None,
-    strain_ms: float,
+    pressure_ms: float,
     head_part: float,
 ) -> int | None:
     """The model to ask next, or None to keep this answer.
 
-    A model that gives no opinion is taken at its word. ``strain_ms`` is how
+    A model that gives no opinion is taken at its word. ``pressure_ms`` is how
     far the engines are behind; ``head_part`` is when the larger model's first
     text would come, as a part of the route's target.
 
     Load: more hard requests than the engines can read prompts for. Harm
-    prevented: if all of them climb, rows grow until every answer on every
+    prevented: if all of them escalate, queues grow until every answer on every
     engine is late, the easy ones too. The more the engines are behind, the
     surer it has to be that the answer at hand is poor.
     """
     if confidence is None or index >= models - 1:
         return None
-    behind = (strain_ms - CALM_MS) / (STRAINED_MS - CALM_MS)
-    row = (head_part - SHORT_ROW) / (LONGEST_ROW - SHORT_ROW)
-    strain = max(0.0, behind, row)
-    if strain >= 1.0:
+    behind = (pressure_ms - CALM_MS) / (HIGH_PRESSURE_MS - CALM_MS)
+    lateness = (head_part - EARLY_HEAD) / (LATEST_HEAD - EARLY_HEAD)
+    pressure = max(0.0, behind, lateness)
+    if pressure >= 1.0:
         return None
-    if confidence >= LEAST_CONFIDENCE - SPREAD * strain:
+    if confidence >= LEAST_CONFIDENCE - SPREAD * pressure:
         return None
     return models - 1
--- a/src/carawayward/decisions/extra_runs.py
+++ b/src/carawayward/decisions/extra_runs.py
@@ -1,7 +1,7 @@
 """How many runs beyond the first of each request may reach a service.
 
 Load: a pool of which a part fails or sheds, so that many requests want a
-second run at once, beside the runs that climb to a larger model. Harm
+second run at once, beside the runs that escalate to a larger model. Harm
 prevented: second runs fill what is left of the pool.
 
 The bound holds for all entry VMs together: each keeps to the ratio of its own
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -20,7 +20,7 @@
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import replies
 from carawayward.forwarding import table as table_module
-from carawayward.forwarding import works
+from carawayward.forwarding import work_items
 
 Receive = typing.Callable[[], typing.Awaitable[dict]]
 Send = typing.Callable[[dict], typing.Awaitable[None]]
@@ -140,7 +140,7 @@
 
     def _judge(
         self, request: replies.CallerRequest, began_ms: float
-    ) -> works.Work:
+    ) -> work_items.Work:
         """Find route and customer; raise Refused."""
         table = self.board.table
         if table is None:
@@ -162,7 +162,7 @@
         wait_ms = route.timeout_ms
         if known.deadline_ms is not None:
             wait_ms = min(wait_ms, known.deadline_ms)
-        return works.Work(
+        return work_items.Work(
             request=request,
             facts=known,
             route=route,
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -17,7 +17,7 @@
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import settings as settings_module
-from carawayward.forwarding import works
+from carawayward.forwarding import work_items
 
 # Part of the time for which a leaving endpoint may still get work that a poll
 # on the endpoints may wait. The store may leave polls in the dark while it
@@ -130,7 +130,7 @@
     def is_fresh() -> bool:
         return board.is_fresh(clock.boot_ms())
 
-    def may_send(work: works.Work) -> bool:
+    def may_send(work: work_items.Work) -> bool:
         return not work.customer or is_fresh()
 
     forwarder = exchange.Forwarder(
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -20,7 +20,7 @@
 from carawayward.forwarding import replies
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import table
-from carawayward.forwarding import works
+from carawayward.forwarding import work_items
 from carawayward import http_client as http
 
 # A reply goes out this long before the time is up, so that it is with the
@@ -58,7 +58,7 @@
     dialect: facts.Dialect
     placer: placing.Placer
     relay: relaying.Relay
-    may_send: typing.Callable[[works.Work], bool]
+    may_send: typing.Callable[[work_items.Work], bool]
     measures: measures_module.Measures
 
     @property
@@ -71,7 +71,7 @@
         """The roll-outs under way."""
         return self.placer.rollouts
 
-    async def serve(self, work: works.Work, reply: replies.Reply) -> None:
+    async def serve(self, work: work_items.Work, reply: replies.Reply) -> None:
         """Answer one request; the caller's leaving cancels this call."""
         now_ms = self.clock.now_ms()
         extra_runs.note_request(self.placer.find_budget(work.service), now_ms)
@@ -82,7 +82,7 @@
         if scope.cancelled_caught:
             await self._give_up(work, reply, "deadline")
 
-    async def _run(self, work: works.Work, reply: replies.Reply) -> None:
+    async def _run(self, work: work_items.Work, reply: replies.Reply) -> None:
         while True:
             choice = self.rollouts.choose(work.service, work.session)
             place = self.placer.choose(work, choice)
@@ -90,7 +90,7 @@
                 await self._give_up(work, reply, "no endpoint")
                 return
             outcome = await self._attempt(work, place, choice, reply)
-            if isinstance(outcome, works.Delivered):
+            if isinstance(outcome, work_items.Delivered):
                 self._log_end(work, outcome.status, "delivered")
                 return
             self._note(work, place, outcome)
@@ -100,11 +100,11 @@
 
     async def _attempt(
         self,
-        work: works.Work,
+        work: work_items.Work,
         place: fleet_module.Place,
         choice: rollouts_module.Choice | None,
         reply: replies.Reply,
-    ) -> works.Outcome:
+    ) -> work_items.Outcome:
         """Send the request to one endpoint and pass its answer on."""
         mark = http.SentMark(may_send=lambda: self.may_send(work))
         work.mark = mark
@@ -119,18 +119,18 @@
             outcome = await self._send(work, place, mark, reply)
         except attempt_module.AttemptFailed as fault:
             if fault.sent:
-                outcome = works.Failed(fault.detail)
+                outcome = work_items.Failed(fault.detail)
             else:
-                outcome = works.Unreached(fault.detail)
+                outcome = work_items.Unreached(fault.detail)
         finally:
             self.fleet.vacate(place)
             reading.end()
             if choice is not None:
                 self.rollouts.end(choice)
-        if isinstance(outcome, (works.Declined, works.Unreached)):
+        if isinstance(outcome, (work_items.Declined, work_items.Unreached)):
             work.mark = None
         took_ms = self.clock.now_ms() - began_ms
-        if isinstance(outcome, works.Delivered):
+        if isinstance(outcome, work_items.Delivered):
             self.fleet.note_success(place, took_ms)
         if choice is not None:
             self._note_version(work, choice, outcome, took_ms)
@@ -138,32 +138,32 @@
 
     def _note_version(
         self,
-        work: works.Work,
+        work: work_items.Work,
         choice: rollouts_module.Choice,
-        outcome: works.Outcome,
+        outcome: work_items.Outcome,
         took_ms: float,
     ) -> None:
         """Count an answer for the roll-out under way."""
-        if isinstance(outcome, works.Delivered) and outcome.status < 500:
+        if isinstance(outcome, work_items.Delivered) and outcome.status < 500:
             kind = (work.route.name, work.model_name)
             unit_ms = took_ms / max(1, work.events)
             self.rollouts.note_answer(choice, kind, unit_ms)
-        elif isinstance(outcome, (works.Delivered, works.Failed)):
+        elif isinstance(outcome, (work_items.Delivered, work_items.Failed)):
             # A connection that broke says nothing of the version; a status
             # that says so does.
             if (
-                isinstance(outcome, works.Delivered)
+                isinstance(outcome, work_items.Delivered)
                 or outcome.head is not None
             ):
                 self.rollouts.note_failure(choice, work.route.name)
 
     async def _send(
         self,
-        work: works.Work,
+        work: work_items.Work,
         place: fleet_module.Place,
         mark: http.SentMark,
         reply: replies.Reply,
-    ) -> works.Outcome:
+    ) -> work_items.Outcome:
         async with contextlib.AsyncExitStack() as stack:
             with trio.move_on_after(self._find_patience_s(work)) as waiting:
                 answer = await stack.enter_async_context(
@@ -177,11 +177,11 @@
                 )
             if waiting.cancelled_caught:
                 if not mark.sent:
-                    return works.Unreached("no connection in time")
-                return works.Failed("no answer in time")
+                    return work_items.Unreached("no connection in time")
+                return work_items.Failed("no answer in time")
             return await self.relay.pass_on(work, answer, reply)
 
-    def _find_patience_s(self, work: works.Work) -> float:
+    def _find_patience_s(self, work: work_items.Work) -> float:
         """How long to wait for the head of an answer."""
         if not work.route.repeatable:
             return float("inf")
@@ -193,7 +193,7 @@
         return HEAD_TARGETS * work.route.target_ms / 1000
 
     def _make_forward(
-        self, work: works.Work, place: fleet_module.Place
+        self, work: work_items.Work, place: fleet_module.Place
     ) -> attempt_module.Forward:
         left_ms = work.deadline_ms - self.clock.now_ms() - RELAY_MARGIN_MS
         dispatch = facts.Dispatch(
@@ -213,28 +213,28 @@
 
     def _note(
         self,
-        work: works.Work,
+        work: work_items.Work,
         place: fleet_module.Place,
-        outcome: works.Unreached
-        | works.Declined
-        | works.Unsure
-        | works.Failed,
+        outcome: work_items.Unreached
+        | work_items.Declined
+        | work_items.Unsure
+        | work_items.Failed,
     ) -> None:
         """Learn from an attempt that brought no answer."""
         name = place.entry.name
         match outcome:
-            case works.Unsure():
+            case work_items.Unsure():
                 work.runs += 1
                 work.ran = True
                 work.model = outcome.model
-            case works.Unreached():
+            case work_items.Unreached():
                 work.useless |= {name}
                 work.unreached += 1
                 self.fleet.note_failure(place, outcome.cause)
-            case works.Declined():
+            case work_items.Declined():
                 work.useless |= {name}
                 work.runs += 1
-            case works.Failed():
+            case work_items.Failed():
                 work.failed_at |= {name}
                 work.runs += 1
                 work.ran = True
@@ -251,12 +251,17 @@
             last_event=work.last_event,
         )
 
-    def _may_try_again(self, work: works.Work, outcome: works.Outcome) -> bool:
-        if isinstance(outcome, works.Unreached):
+    def _may_try_again(
+        self, work: work_items.Work, outcome: work_items.Outcome
+    ) -> bool:
+        if isinstance(outcome, work_items.Unreached):
             return work.unreached <= MOST_UNREACHED
         if work.runs >= work.route.max_attempts:
             return False
-        if isinstance(outcome, works.Failed) and not work.route.repeatable:
+        if (
+            isinstance(outcome, work_items.Failed)
+            and not work.route.repeatable
+        ):
             return False
         budget, now_ms = (
             self.placer.find_budget(work.service),
@@ -268,7 +273,7 @@
         return True
 
     async def _give_up(
-        self, work: works.Work, reply: replies.Reply, cause: str
+        self, work: work_items.Work, reply: replies.Reply, cause: str
     ) -> None:
         """Give the final answer of a request that has none of its own."""
         if reply.begun:
@@ -288,11 +293,11 @@
             await refuse(reply, status, COME_BACK_MS)
         self._log_end(work, status, cause)
 
-    def note_left(self, work: works.Work) -> None:
+    def note_left(self, work: work_items.Work) -> None:
         """The caller has left before it had its whole answer."""
         self._log_end(work, 0, "caller left")
 
-    def _log_end(self, work: works.Work, status: int, cause: str) -> None:
+    def _log_end(self, work: work_items.Work, status: int, cause: str) -> None:
         took_ms = self.clock.now_ms() - work.began_ms
         self.measures.count(
             "requests", route=work.route.name, status=str(status)
--- a/src/carawayward/forwarding/facts.py
+++ b/src/carawayward/forwarding/facts.py
@@ -68,12 +68,12 @@
 
     ``declined`` is the endpoint's word that it did not and will not run the
     request. ``confidence`` is the model's own opinion of its answer, 0 to
-    100. Without ``sealed`` a success is not the endpoint's own.
+    100. Without ``signed`` a success is not the endpoint's own.
     """
 
     request_id: str = ""
     declined: bool = False
-    sealed: bool = False
+    signed: bool = False
     confidence: float | None = None
 
 
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -62,7 +62,7 @@
         factory=engine_load.EngineLoads
     )
     paces: dict[str, engine_load.Pace] = attrs.field(factory=dict)
-    duties: dict[str, engine_load.Duty] = attrs.field(factory=dict)
+    buckets: dict[str, engine_load.PromptBucket] = attrs.field(factory=dict)
 
     def find_memory(self, name: str) -> int:
         """How many tokens an engine's memory holds; 0 if it is unknown."""
@@ -104,8 +104,8 @@
 
     def note_sent(self, service: str, weight: float) -> None:
         """Note a prompt that this or another entry VM has sent."""
-        duty = self.duties.setdefault(service, engine_load.Duty())
-        engine_load.note_sent(duty, weight, self._count_engines(service))
+        bucket = self.buckets.setdefault(service, engine_load.PromptBucket())
+        engine_load.note_sent(bucket, weight, self._count_engines(service))
 
     def _count_engines(self, service: str) -> float:
         """How many engines share a service's work, those in use counted.
@@ -128,11 +128,11 @@
             for view in self.find_pool(want).views
         )
 
-    def find_strain(self, service: str) -> float:
+    def find_pressure(self, service: str) -> float:
         """How far a service's engines are behind, in ms of reading."""
-        duty = self.duties.setdefault(service, engine_load.Duty())
-        return engine_load.find_strain(
-            duty, self.find_pace(service), self.clock.now_ms()
+        bucket = self.buckets.setdefault(service, engine_load.PromptBucket())
+        return engine_load.find_pressure(
+            bucket, self.find_pace(service), self.clock.now_ms()
         )
 
     def find_pool(self, want: Want) -> placement.Candidates:
@@ -220,7 +220,7 @@
             place = self.places.get(name)
             if place is None or _identify(place.entry) != _identify(entry):
                 place = Place(entry=entry, view=_make_view(entry))
-                self.loads.kept.pop(name, None)
+                self.loads.cached.pop(name, None)
             place.entry = entry
             kept[name] = place
         self.places = kept
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -129,12 +129,12 @@
         if known is not None and total > known:
             self.note_sent(service, total - known)
 
-    def add_kept(
+    def add_cached(
         self, engine: str, parts: typing.Iterable[tuple[int, int]]
     ) -> None:
         """Note what an engine will have read, and tell it."""
         parts = list(parts)
-        engine_load.note_kept(
+        engine_load.note_cached(
             self.loads, engine, parts, self.memory_tokens(engine)
         )
         self.new_parts += [(engine, key, tokens) for key, tokens in parts]
@@ -295,6 +295,6 @@
         for service, total in sent.items():
             self._take_sent(peer, service, total)
         for engine, key, tokens in kept:
-            engine_load.note_kept(
+            engine_load.note_cached(
                 self.loads, engine, [(key, tokens)], self.memory_tokens(engine)
             )
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -6,19 +6,19 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import engine_load
+from carawayward.decisions import escalation
 from carawayward.decisions import extra_runs
-from carawayward.decisions import ladder
 from carawayward import events
 from carawayward.forwarding import facts
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import rollouts as rollouts_module
-from carawayward.forwarding import works
+from carawayward.forwarding import work_items
 
-# Climbs to a larger model leave this part of the extra runs to requests whose
-# endpoint failed.
-CLIMB_RESERVE = 0.3
+# Escalations to a larger model leave this part of the extra runs to requests
+# whose endpoint failed.
+ESCALATION_RESERVE = 0.3
 
 
 @attrs.define(eq=False)
@@ -40,24 +40,26 @@
             budget = self.budgets[service] = self.make_budget()
         return budget
 
-    def choose_model(self, work: works.Work) -> None:
+    def choose_model(self, work: work_items.Work) -> None:
         """Choose the model to begin with, where that is left to us."""
         if work.facts.model != facts.ANY_MODEL or not work.route.models:
             return
-        may_climb = (
+        may_escalate = (
             work.route.repeatable
             and work.route.max_attempts > 1
             and work.last_event is None
             and extra_runs.may_spend(
                 self.find_budget(work.service),
                 self.clock.now_ms(),
-                CLIMB_RESERVE,
+                ESCALATION_RESERVE,
             )
         )
-        work.model = ladder.choose_first(len(work.route.models), may_climb)
+        work.model = escalation.choose_first(
+            len(work.route.models), may_escalate
+        )
 
     def choose(
-        self, work: works.Work, choice: rollouts_module.Choice | None
+        self, work: work_items.Work, choice: rollouts_module.Choice | None
     ) -> fleet_module.Place | None:
         """Choose an endpoint: of the version wanted, else of the other."""
         wants = self._list_wants(work, choice)
@@ -70,22 +72,22 @@
 
     def _place_among(
         self,
-        work: works.Work,
+        work: work_items.Work,
         want: fleet_module.Want,
         excluded: frozenset[str],
     ) -> fleet_module.Place | None:
         pool = self.fleet.find_pool(want)
-        prompt = works.make_prompt(work)
+        prompt = work_items.make_prompt(work)
         if prompt is None:
             return self.fleet.choose(pool, None, excluded)
         engine = self.fleet.choose_engine(pool, prompt, excluded)
         if engine is None:
             return None
-        work.row = engine.weight
+        work.backlog = engine.weight
         return self.fleet.places.get(engine.name)
 
     def _list_wants(
-        self, work: works.Work, choice: rollouts_module.Choice | None
+        self, work: work_items.Work, choice: rollouts_module.Choice | None
     ) -> list[fleet_module.Want]:
         if choice is None:
             return [fleet_module.Want(work.service)]
@@ -99,23 +101,23 @@
         return [attrs.evolve(new, most=most), old]
 
     def begin_reading(
-        self, work: works.Work, place: fleet_module.Place
-    ) -> works.Reading:
+        self, work: work_items.Work, place: fleet_module.Place
+    ) -> work_items.Reading:
         """Count a prompt as outstanding at its engine."""
-        prompt = works.make_prompt(work)
-        reading = works.Reading(self.hints, place.entry.name, 0.0)
+        prompt = work_items.make_prompt(work)
+        reading = work_items.Reading(self.hints, place.entry.name, 0.0)
         if prompt is not None:
             unread = engine_load.count_unread(
                 self.hints.loads, place.entry.name, prompt
             )
             reading.weight = unread * prompt.model_weight
             self.hints.add_sent(work.service, reading.weight)
-            self.hints.add_kept(place.entry.name, prompt.parts[:-1])
+            self.hints.add_cached(place.entry.name, prompt.parts[:-1])
         work.reading = reading if prompt is not None else None
         reading.begin()
         return reading
 
-    def note_head(self, work: works.Work) -> None:
+    def note_head(self, work: work_items.Work) -> None:
         """Learn from a prompt that its engine has read."""
         if work.reading is None:
             return
@@ -127,16 +129,16 @@
             request=work.facts.request_id,
             endpoint=work.endpoint,
             model=work.model_name,
-            predicted_ms=round(engine_load.predict_head(pace, work.row)),
+            predicted_ms=round(engine_load.predict_head(pace, work.backlog)),
             took_ms=round(took_ms),
-            row=round(work.row),
-            strain_ms=round(self.fleet.find_strain(work.service)),
+            backlog=round(work.backlog),
+            pressure_ms=round(self.fleet.find_pressure(work.service)),
             confidence=work.confidence,
         )
-        engine_load.note_head(pace, work.row, took_ms)
+        engine_load.note_head(pace, work.backlog, took_ms)
         self.measures.observe("head", took_ms, model=work.model_name)
 
-    def find_larger(self, work: works.Work) -> int | None:
+    def find_larger(self, work: work_items.Work) -> int | None:
         """The model to ask instead, before anything reached the caller."""
         if work.model is None:
             return None
@@ -146,7 +148,7 @@
         if not extra_runs.may_spend(budget, self.clock.now_ms()):
             return None
         models = work.route.models
-        prompt = works.make_prompt(work, models[-1])
+        prompt = work_items.make_prompt(work, models[-1])
         if prompt is None:
             return None
         choice = self.rollouts.choose(work.service, work.session)
@@ -160,10 +162,10 @@
         head_ms = engine_load.predict_head(
             self.fleet.find_pace(work.service), engine.weight
         )
-        return ladder.find_next(
+        return escalation.find_next(
             work.model,
             len(models),
             work.confidence,
-            self.fleet.find_strain(work.service),
+            self.fleet.find_pressure(work.service),
             head_ms / work.route.target_ms,
         )
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -11,7 +11,7 @@
 from carawayward.forwarding import placing
 from carawayward.forwarding import replies
 from carawayward.forwarding import table
-from carawayward.forwarding import works
+from carawayward.forwarding import work_items
 
 # Plain answers are passed on once they are whole, so that one that breaks
 # off can be asked for again; this bounds the memory of one.
@@ -31,44 +31,44 @@
 
     async def pass_on(
         self,
-        work: works.Work,
+        work: work_items.Work,
         answer: attempt_module.Attempt,
         reply: replies.Reply,
-    ) -> works.Outcome:
+    ) -> work_items.Outcome:
         """Pass an answer on, or say why it cannot be."""
         head = answer.head
         if head.facts.declined:
-            return works.Declined(f"declined with {head.status}")
-        if head.succeeded and not head.facts.sealed:
-            return works.Failed("answer without its seal")
+            return work_items.Declined(f"declined with {head.status}")
+        if head.succeeded and not head.facts.signed:
+            return work_items.Failed("answer without its signature")
         if head.succeeded and work.route.kind is table.RouteKind.STREAM:
             return await self._relay_events(work, answer, reply)
         if head.status in NOT_RUN_STATUSES:
             # The caller reads these as "not run, come back", which only the
             # endpoint's word could prove.
-            return works.Failed(f"status {head.status} without proof")
+            return work_items.Failed(f"status {head.status} without proof")
         body = await answer.read_body(MOST_BODY_BYTES)
         if head.status >= 500 and work.route.repeatable:
-            return works.Failed(f"status {head.status}", head, body)
+            return work_items.Failed(f"status {head.status}", head, body)
         if reply.begun:
-            return works.Failed(f"status {head.status} amid a stream")
+            return work_items.Failed(f"status {head.status} amid a stream")
         await replies.send_whole(
             reply, head.status, hops.keep_headers(head.headers), body
         )
-        return works.Delivered(head.status)
+        return work_items.Delivered(head.status)
 
     async def _relay_events(
         self,
-        work: works.Work,
+        work: work_items.Work,
         answer: attempt_module.Attempt,
         reply: replies.Reply,
-    ) -> works.Outcome:
+    ) -> work_items.Outcome:
         """Pass whole events on as they come."""
         work.confidence = answer.head.facts.confidence
         self.placer.note_head(work)
         larger = None if reply.begun else self.placer.find_larger(work)
         if larger is not None:
-            return works.Unsure(f"confidence {work.confidence}", larger)
+            return work_items.Unsure(f"confidence {work.confidence}", larger)
         splitter = event_stream.EventSplitter()
         gap_ms = work.route.gap_target_ms
         gap_s = GAP_TARGETS * gap_ms / 1000 if gap_ms else float("inf")
@@ -78,34 +78,34 @@
                 with trio.move_on_after(gap_s) as pause:
                     piece = await anext(pieces, b"")
                 if pause.cancelled_caught:
-                    return works.Failed("stream went silent")
+                    return work_items.Failed("stream went silent")
                 if not piece:
                     break
                 try:
                     found = splitter.feed(piece)
                 except event_stream.MalformedStream as fault:
-                    return works.Failed(str(fault))
+                    return work_items.Failed(str(fault))
                 for event in found:
                     broken = await self._relay(work, answer, event, reply)
                     if broken is not None:
                         return broken
         if splitter.pending or not reply.begun:
-            return works.Failed("stream broke off")
+            return work_items.Failed("stream broke off")
         await reply.finish()
-        return works.Delivered(answer.head.status)
+        return work_items.Delivered(answer.head.status)
 
     async def _relay(
         self,
-        work: works.Work,
+        work: work_items.Work,
         answer: attempt_module.Attempt,
         event: event_stream.ServerEvent,
         reply: replies.Reply,
-    ) -> works.Failed | None:
+    ) -> work_items.Failed | None:
         """Pass one event on, unless it does not follow the last one."""
         if event.number is not None:
             last = work.last_event
             if last is not None and event.number != last + 1:
-                return works.Failed(f"event {event.number} after {last}")
+                return work_items.Failed(f"event {event.number} after {last}")
             work.last_event = event.number
         if not reply.begun:
             await reply.begin(
--- a/src/carawayward/forwarding/works.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -115,7 +115,7 @@
     failure: Failed | None = None
     endpoint: str = ""
     reading: "Reading | None" = None
-    row: float = 0.0
+    backlog: float = 0.0
     sent_ms: float = 0.0
 
     @property
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -101,7 +101,7 @@
         # A process that has taken over the address of another says so by
         # this status, and has not run the request.
         declined=DECLINED in found or status == MISDIRECTED,
-        sealed=SEAL in found,
+        signed=SEAL in found,
         confidence=_number(found, CONFIDENCE),
     )
 
--- a/tests/cover/test_forwarding_hints.py
+++ b/tests/cover/test_forwarding_hints.py
@@ -78,10 +78,10 @@
     one.add_topic("news", hints.Topic(lambda: {"a": 1}, lambda t, v: None))
     other.add_topic("news", hints.Topic(dict, lambda t, v: told.append(v)))
     one.add_load("engine", engine_load.Load(5_000.0, 1))
-    one.add_kept("engine", [(1, 800)])
+    one.add_cached("engine", [(1, 800)])
     other._take(one._write())
     assert other.loads.peers["vm-0"].loads["engine"].weight == 5_000.0
-    assert other.loads.kept["engine"].parts == {1: 800}
+    assert other.loads.cached["engine"].parts == {1: 800}
     assert told == [{"a": 1}]
 
 
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -11,8 +11,8 @@
 
 from carawayward.decisions import canary
 from carawayward.decisions import engine_load
+from carawayward.decisions import escalation
 from carawayward.decisions import extra_runs
-from carawayward.decisions import ladder
 
 TOKEN_MS = 0.06
 BASE_MS = 120.0
@@ -49,11 +49,11 @@
             yield now_ms, max(200, tokens), draw.random() < self.hard
 
 
-def run(replay, place, climb):
+def run(replay, place, escalate):
     """Play a load; heads are the times to the text that callers see."""
     loads = engine_load.EngineLoads()
     pace = engine_load.Pace(BASE_MS, TOKEN_MS)
-    duty = engine_load.Duty()
+    bucket = engine_load.PromptBucket()
     engines = [Engine() for _ in range(replay.engines)]
     done: list[tuple[float, int, float]] = []
     draw = random.Random(7)
@@ -72,7 +72,7 @@
         work = prompt.tokens * weight
         engine.free_ms = max(now_ms, engine.free_ms) + work * TOKEN_MS
         engine_load.add_own(loads, str(index), engine_load.Load(work, 1))
-        engine_load.note_sent(duty, work, len(engines))
+        engine_load.note_sent(bucket, work, len(engines))
         heapq.heappush(done, (engine.free_ms, index, work))
         return engine.free_ms + BASE_MS
 
@@ -86,8 +86,8 @@
                 for i in range(len(engines))
             )
             head_ms = engine_load.predict_head(pace, row + tokens)
-            strain_ms = engine_load.find_strain(duty, pace, now_ms)
-            if climb(20.0, strain_ms, head_ms / TARGET_MS):
+            pressure_ms = engine_load.find_pressure(bucket, pace, now_ms)
+            if escalate(20.0, pressure_ms, head_ms / TARGET_MS):
                 replay.heads.append(send(now_ms, tokens, 1.0) - began_ms)
             else:
                 replay.poor += 1
@@ -125,11 +125,11 @@
     return draw.choice([i for i, count in enumerate(counts) if count == least])
 
 
-def climb_by_strain(confidence, strain_ms, head_part):
-    return ladder.find_next(0, 2, confidence, strain_ms, head_part) == 1
+def escalate_by_pressure(confidence, pressure_ms, head_part):
+    return escalation.find_next(0, 2, confidence, pressure_ms, head_part) == 1
 
 
-def always_climb(confidence, strain_ms, head_part):
+def always_escalate(confidence, pressure_ms, head_part):
     return True
 
 
@@ -137,11 +137,11 @@
     return sum(head > TARGET_MS for head in replay.heads) / len(replay.heads)
 
 
-def share_late_over_seeds(a_second, place, climb):
+def share_late_over_seeds(a_second, place, escalate):
     shares = []
     for seed in (1, 2, 3):
         replay = Replay(5, a_second, seed=seed)
-        run(replay, place, climb)
+        run(replay, place, escalate)
         shares.append(share_late(replay))
     return sum(shares) / len(shares)
 
@@ -152,22 +152,22 @@
     Placed by counts, a long prompt stands before short ones next to idle
     engines: 0.13 of the first texts are late, 0.09 by tokens.
     """
-    by_tokens = share_late_over_seeds(10.5, place_first, always_climb)
-    by_count = share_late_over_seeds(10.5, place_by_count, always_climb)
+    by_tokens = share_late_over_seeds(10.5, place_first, always_escalate)
+    by_count = share_late_over_seeds(10.5, place_by_count, always_escalate)
     assert by_tokens < 0.8 * by_count
 
 
 def test_overload_keeps_first_texts_in_time():
     """Twice as many hard requests as the engines can read prompts for.
 
-    If all climb, rows grow without bound and 0.92 of the first texts are
-    late; with the strain watched 0.001 are, and a quarter of those that are
+    If all escalate, rows grow without bound and 0.92 of the first texts are
+    late; with the pressure watched 0.001 are, and a quarter of those that are
     hard still gets the larger model's answer.
     """
     watched = Replay(5, 25.0)
     unwatched = Replay(5, 25.0)
-    run(watched, place_first, climb_by_strain)
-    run(unwatched, place_first, always_climb)
+    run(watched, place_first, escalate_by_pressure)
+    run(unwatched, place_first, always_escalate)
     assert share_late(unwatched) > 0.8
     assert share_late(watched) < 0.02
     assert watched.poor < 0.4 * len(watched.heads)
@@ -176,7 +176,7 @@
 def test_calm_load_gives_each_hard_request_the_larger_model():
     """At a third of the capacity hardly anything is held back."""
     calm = Replay(5, 4.0)
-    run(calm, place_first, climb_by_strain)
+    run(calm, place_first, escalate_by_pressure)
     assert calm.poor < 0.03 * len(calm.heads)
 
 
@@ -188,7 +188,7 @@
     loads = engine_load.EngineLoads()
     prompt = engine_load.Prompt(parts=((1, 8_000), (2, 500)))
     names = [engine_load.Candidate(name, True) for name in ("a", "b")]
-    engine_load.note_kept(loads, "b", [(1, 8_000)], 100_000)
+    engine_load.note_cached(loads, "b", [(1, 8_000)], 100_000)
     first = engine_load.choose(loads, names, prompt, 0.0, lambda n: 0)
     engine_load.add_own(loads, "b", engine_load.Load(20_000.0, 2))
     second = engine_load.choose(loads, names, prompt, 0.0, lambda n: 0)
@@ -200,9 +200,9 @@
     """Engines keep a part only if all parts before it are kept too."""
     loads = engine_load.EngineLoads()
     prompt = engine_load.Prompt(parts=((1, 100), (2, 200), (3, 50)))
-    engine_load.note_kept(loads, "a", [(2, 200)], 10_000)
+    engine_load.note_cached(loads, "a", [(2, 200)], 10_000)
     assert engine_load.count_unread(loads, "a", prompt) == 350
-    engine_load.note_kept(loads, "a", [(1, 100)], 10_000)
+    engine_load.note_cached(loads, "a", [(1, 100)], 10_000)
     assert engine_load.count_unread(loads, "a", prompt) == 50
 
 
@@ -210,8 +210,8 @@
     """What was used longest ago is forgotten first."""
     loads = engine_load.EngineLoads()
     for key in range(10):
-        engine_load.note_kept(loads, "a", [(key, 100)], 1_000)
-    assert list(loads.kept["a"].parts) == [4, 5, 6, 7, 8, 9]
+        engine_load.note_cached(loads, "a", [(key, 100)], 1_000)
+    assert list(loads.cached["a"].parts) == [4, 5, 6, 7, 8, 9]
 
 
 def test_word_of_a_peer_that_fell_silent_counts_no_more():
@@ -255,7 +255,7 @@
 
 
 def test_climbs_leave_extra_runs_for_failures():
-    """Half of the requests climb; an endpoint fails in the same second."""
+    """Half of the requests escalate; an endpoint fails in the same second."""
     runs = extra_runs.ExtraRuns()
     for tick in range(100):
         now_ms = tick * 100.0
@@ -267,18 +267,18 @@
 
 def test_first_model_is_the_largest_where_nothing_could_follow():
     """Without a second attempt a poor first answer could not be mended."""
-    assert ladder.choose_first(3, may_climb=False) == 2
-    assert ladder.choose_first(3, may_climb=True) == 0
+    assert escalation.choose_first(3, may_escalate=False) == 2
+    assert escalation.choose_first(3, may_escalate=True) == 0
 
 
 def test_answer_without_opinion_is_kept():
     """Not every model says what it thinks of its answer."""
-    assert ladder.find_next(0, 3, None, 0.0, 0.0) is None
+    assert escalation.find_next(0, 3, None, 0.0, 0.0) is None
 
 
 def test_largest_model_has_none_after_it():
     """The largest model is unsure too; there is nobody left to ask."""
-    assert ladder.find_next(2, 3, 1.0, 0.0, 0.0) is None
+    assert escalation.find_next(2, 3, 1.0, 0.0, 0.0) is None
 
 
 def judge(**routes):
