--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -20,13 +20,16 @@
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import replies
 from carawayward.forwarding import table as table_module
-from carawayward.forwarding import works
+from carawayward.forwarding import work_items
 
 Receive = typing.Callable[[], typing.Awaitable[dict]]
 Send = typing.Callable[[dict], typing.Awaitable[None]]
 
 # Refusals that pass by themselves once this entry VM has read the store.
 NOT_READY_MS = 500.0
+# Refusals while keys cannot be proved. Outages of the store last seconds; who
+# comes back sooner than this is mostly refused again.
+KEYS_OLD_MS = 2_000.0
 # Another entry VM takes the request; there is nothing to wait for.
 LEAVING_MS = 20.0
 
@@ -137,7 +140,7 @@
 
     def _judge(
         self, request: replies.CallerRequest, began_ms: float
-    ) -> works.Work:
+    ) -> work_items.Work:
         """Find route and customer; raise Refused."""
         table = self.board.table
         if table is None:
@@ -153,13 +156,13 @@
             # A table that may be out of date cannot say that there is no
             # such route: a newer one may have added it.
             if not self.is_fresh():
-                raise Refused(503, "table may be old", NOT_READY_MS)
+                raise Refused(503, "table may be old", KEYS_OLD_MS)
             raise Refused(404, "no such route")
         customer = self._find_customer(table, route, known)
         wait_ms = route.timeout_ms
         if known.deadline_ms is not None:
             wait_ms = min(wait_ms, known.deadline_ms)
-        return works.Work(
+        return work_items.Work(
             request=request,
             facts=known,
             route=route,
@@ -180,7 +183,7 @@
         if not table.needs_key(route):
             return ""
         if not self.is_fresh():
-            raise Refused(503, "keys may be old", NOT_READY_MS)
+            raise Refused(503, "keys may be old", KEYS_OLD_MS)
         customer = table.customers_by_key.get(known.key)
         if customer is None:
             raise Refused(401, "unknown key")
