Take a link off the list at the moment it closes

Cause: Link.close marks a link as closed at once, the hub took it off its list only when the link's task ended (up to CLOSE_S later). A call in that moment got "link lost" instead of a new link. A new dial would not have helped either: the dial that had made the old link stayed in Dialler.dialling until the same task ended, so that the new one joined it.

Ruled out: asking each reader of the list for closed links (fourteen places, and the next one would forget it); a second try in call (tried before, failed since it joined the old dial).

Change: a link tells its hub when it closes; dials that have led to a link are no longer listed as under way.

--- a/src/carawayward/peers/dialling.py
+++ b/src/carawayward/peers/dialling.py
@@ -50,6 +50,8 @@
 class Dialler:
     """Dials peers; ``avoided`` says until when an address is left out.
 
+    ``dialling`` holds the dials that have led to no link yet: a new dial
+    must not join the task of a link that was there and has closed.
     ``routes`` leads from the address that a peer gives to the one under
     which this entry VM reaches it, where they differ: where the settings
     say so, or a seed turned out to be that peer.
@@ -70,10 +72,11 @@
         self.routes.update(self.hub.settings.peer_routes)
         nursery.start_soon(self._keep_links)
 
-    def note_route(self, dialled: str, given: str) -> None:
-        """Note under which address a peer was reached."""
+    def note_arrival(self, dialled: str, given: str) -> None:
+        """Note that a peer answered a dial, and which address it gave."""
         if dialled in self.hub.settings.peers:
             self.routes[given] = dialled
+        self.dialling.pop(dialled).set()
 
     def has_tried(self) -> bool:
         """Whether each seed is linked or has just failed to answer."""
@@ -98,10 +101,10 @@
 
     def _begin(self, address: str) -> None:
         assert self._nursery is not None
-        self.dialling[address] = trio.Event()
-        self._nursery.start_soon(self._dial, address)
+        over = self.dialling[address] = trio.Event()
+        self._nursery.start_soon(self._dial, address, over)
 
-    async def _dial(self, address: str) -> None:
+    async def _dial(self, address: str, over: trio.Event) -> None:
         try:
             await self.hub.dial(address)
         except (Exception, BaseExceptionGroup) as fault:
@@ -113,7 +116,8 @@
                 detail = supervision.describe_fault(rest)
                 events.log_event(events.Event.FAULT, detail=detail)
         finally:
-            self.dialling.pop(address).set()
+            if self.dialling.get(address) is over:
+                self.dialling.pop(address).set()
 
     async def _keep_links(self) -> None:
         while True:
@@ -121,16 +125,11 @@
             self._forget(now)
             self._drop_unwanted(now)
             for address in self._list_due(now):
-                if len(self._pending()) >= MAX_DIALS:
+                if len(self.dialling) >= MAX_DIALS:
                     break
                 self._begin(address)
             await trio.sleep(ROUND_S * random.uniform(0.8, 1.2))
 
-    def _pending(self) -> list[str]:
-        """Addresses whose dial has not led to a link yet."""
-        linked = self._list_linked()
-        return [each for each in self.dialling if each not in linked]
-
     def _forget(self, now: float) -> None:
         self.avoided = {a: t for a, t in self.avoided.items() if t > now}
 
--- a/src/carawayward/peers/hub.py
+++ b/src/carawayward/peers/hub.py
@@ -41,7 +41,12 @@
 
 @attrs.define(eq=False)
 class PeerHub:
-    """All links of this entry VM, and what handles each message kind."""
+    """All links of this entry VM, and what handles each message kind.
+
+    ``links`` holds open links only. One that closes leaves it at that
+    moment; its task may take CLOSE_S to end, and a call meanwhile would
+    get "link lost" instead of a new link.
+    """
 
     settings: settings_module.Settings
     board: blackboard_module.Blackboard
@@ -200,7 +205,7 @@
         ) as socket:
             with trio.fail_after(HANDSHAKE_S):
                 identity = await self._introduce(socket)
-            self._dialler.note_route(address, identity.address)
+            self._dialler.note_arrival(address, identity.address)
             await self._run_link(identity, socket, dialled=True)
 
     async def _introduce(self, socket: typing.Any) -> handshake.Identity:
@@ -242,7 +247,9 @@
     ) -> None:
         if identity.name == self.board.name:
             return
-        link = link_module.Link(identity, socket, dialled)
+        link = link_module.Link(
+            identity, socket, dialled, on_close=self._delist
+        )
         older = self.links.get(link.peer)
         self.links[link.peer] = link
         if older is not None and self._nursery is not None:
@@ -251,12 +258,12 @@
         events.log_event(events.Event.PEER_UP, peer=link.peer)
         for greet in self._greeters:
             await greet(link.peer)
-        try:
-            await link.run(self._serve)
-        finally:
-            if self.links.get(link.peer) is link:
-                del self.links[link.peer]
-                events.log_event(events.Event.PEER_DOWN, peer=link.peer)
+        await link.run(self._serve)
+
+    def _delist(self, link: link_module.Link) -> None:
+        if self.links.get(link.peer) is link:
+            del self.links[link.peer]
+            events.log_event(events.Event.PEER_DOWN, peer=link.peer)
 
     def _note_linked(self, identity: handshake.Identity) -> None:
         """Take what a peer has proved of itself."""
--- a/src/carawayward/peers/link.py
+++ b/src/carawayward/peers/link.py
@@ -40,12 +40,16 @@
     """A connection whose peer has proved who it is.
 
     ``dialled`` says that this side made it. ``used`` is when it last
-    carried a call, on trio's clock.
+    carried a call, on trio's clock. ``on_close`` is called once, at the
+    moment of closing: the task that carries the messages ends later.
     """
 
     identity: handshake.Identity
     socket: typing.Any
     dialled: bool
+    on_close: typing.Callable[["Link"], None] = attrs.field(
+        default=lambda link: None
+    )
     waiting: dict[int, trio.Event] = attrs.field(factory=dict)
     answers: dict[int, typing.Any] = attrs.field(factory=dict)
     closed: bool = False
@@ -108,7 +112,9 @@
 
     def close(self) -> None:
         """End the link and wake every call that waits on it."""
-        self.closed = True
+        if not self.closed:
+            self.closed = True
+            self.on_close(self)
         self._scope.cancel()
         for event in self.waiting.values():
             event.set()
