Count every answer of a new version, and judge slow ones while they run

Besides: sessions were remembered from the order on, so that one under way could change its version in the first half; and ids of requests without a session were kept among them.

Change: an attempt's progress says what its answer was, and is counted when the attempt ends, however it ends; a closing connection after the end of the answer cancels nothing. 504 counts only where it took several times the usual. Streams are judged by the pace of their events while they run. Completion waits for 40 answers under full load, or until 1.8 s are left. Sessions are remembered always, for their time after their last request.

--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -31,6 +31,12 @@
 # something still runs on the old version; the store takes some ms, and entry
 # VMs take turns.
 FORCED_MS = 1_000.0
+# While everything goes to the new version a roll-out waits for so many of its
+# answers before it is reported as completed, as long as this much time is
+# left: what is bad only under full load or turns bad late shows here, and
+# once the old version's endpoints have stopped there is no way back.
+SETTLED_ANSWERS = 40
+SETTLING_MS = 1_800.0
 # Answers without which nothing can be said.
 LEAST_ANSWERS = 8
 LEAST_BAD = 3
@@ -41,6 +47,15 @@
 # counts as bad: versions that are "several times slower" are, while batching
 # and cold caches stay under it.
 SLOW_FACTOR = 4.0
+# Shorter times are never slow: callers don't notice them, and a few ms are
+# what a busy machine adds.
+LEAST_SLOW_MS = 20.0
+
+
+# Answers of an old version from which on a time counts as usual, and how
+# much each changes what is.
+LEAST_UNITS = 3
+UNIT_GAIN = 0.1
 
 
 class Verdict(enum.Enum):
@@ -69,6 +84,26 @@
         )
 
 
+@attrs.define
+class Usual:
+    """The usual time of one kind of answer on the old version, in ms."""
+
+    unit_ms: float = 0.0
+    answers: int = 0
+
+    def learn(self, unit_ms: float) -> None:
+        """Take a good answer of the old version."""
+        gain = UNIT_GAIN if self.answers else 1.0
+        self.unit_ms += gain * (unit_ms - self.unit_ms)
+        self.answers += 1
+
+    def is_slow(self, unit_ms: float) -> bool:
+        """Whether an answer took several times the usual."""
+        return self.answers >= LEAST_UNITS and unit_ms > max(
+            LEAST_SLOW_MS, SLOW_FACTOR * self.unit_ms
+        )
+
+
 def is_worse(tally: Tally) -> bool:
     """Whether the new version fails clearly more often than the old."""
     if tally.new_bad < LEAST_BAD:
@@ -127,16 +162,24 @@
 
 
 def may_complete(
-    left_ms: float, verdict: Verdict, share: float, old_in_flight: int
+    left_ms: float,
+    verdict: Verdict,
+    share: float,
+    answers: int,
+    old_in_flight: int,
 ) -> bool:
     """Whether the roll-out may be reported as completed.
 
-    The old version's endpoints stop at once then, so that whatever still
-    runs there is cut off; streams go on elsewhere where they may.
+    ``answers`` are those of the new version since everything goes there. The
+    old version's endpoints stop at once then, so that whatever still runs
+    there is cut off; streams go on elsewhere where they may.
     """
     if verdict is not Verdict.GOOD or share < 1.0:
         return False
-    return old_in_flight == 0 or left_ms <= FORCED_MS
+    if left_ms <= FORCED_MS:
+        return True
+    settled = answers >= SETTLED_ANSWERS or left_ms <= SETTLING_MS
+    return settled and old_in_flight == 0
 
 
 def count_trial_endpoints(endpoints: int, share: float) -> int:
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -52,11 +52,12 @@
 
 @attrs.define(eq=False)
 class AsgiReply:
-    """A reply over ASGI."""
+    """A reply over ASGI; ``finished`` once its end has been handed over."""
 
     send_event: Send
     is_leaving: typing.Callable[[], bool]
     begun: bool = False
+    finished: bool = False
 
     async def begin(self, status: int, headers: facts.Headers) -> None:
         """Send status and headers."""
@@ -77,6 +78,7 @@
 
     async def finish(self) -> None:
         """Send the end of the body."""
+        self.finished = True
         await self._send_body(b"", more=False)
 
     async def _send_body(self, piece: bytes, more: bool) -> None:
@@ -127,7 +129,7 @@
         work = self._judge(request, began_ms)
         served = False
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(cancel_on_leaving, receive, nursery)
+            nursery.start_soon(cancel_on_leaving, receive, reply, nursery)
             await self.forwarder.serve(work, reply)
             served = True
             nursery.cancel_scope.cancel()
@@ -240,11 +242,19 @@
             return bytes(body)
 
 
-async def cancel_on_leaving(receive: Receive, nursery: trio.Nursery) -> None:
-    """Cancel what the caller no longer waits for."""
+async def cancel_on_leaving(
+    receive: Receive, reply: AsgiReply, nursery: trio.Nursery
+) -> None:
+    """Cancel what the caller no longer waits for.
+
+    A connection that closes after its answer says the same as one that is
+    left. Cancelled then, a request that was served would be written down,
+    and held against its endpoint's version, as if it had not been.
+    """
     while (await receive())["type"] != "http.disconnect":
         pass
-    nursery.cancel_scope.cancel()
+    if not reply.finished:
+        nursery.cancel_scope.cancel()
 
 
 def make_request(scope: dict, body: bytes) -> replies.CallerRequest:
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -84,7 +84,7 @@
 
     async def _run(self, work: work_items.Work, reply: replies.Reply) -> None:
         while True:
-            choice = self.rollouts.choose(work.service, work.session)
+            choice = self.rollouts.choose(work)
             place = self.placer.choose(work, choice)
             if place is None:
                 await self._give_up(work, reply, "no endpoint")
@@ -109,10 +109,9 @@
         mark = http.SentMark(may_send=lambda: self.may_send(work))
         work.mark = mark
         work.endpoint = place.entry.name
-        work.events = 0
-        began_ms = work.sent_ms = self.clock.now_ms()
-        if choice is not None:
-            choice = self.rollouts.begin(choice, place.entry.version)
+        began_ms = self.clock.now_ms()
+        work.progress = work_items.Progress(began_ms)
+        run = self.rollouts.begin(choice, work, place.entry.version)
         self.fleet.occupy(place)
         reading = self.placer.begin_reading(work, place)
         try:
@@ -125,38 +124,14 @@
         finally:
             self.fleet.vacate(place)
             reading.end()
-            if choice is not None:
-                self.rollouts.end(choice)
+            self.rollouts.end(run, work)
         if isinstance(outcome, (work_items.Declined, work_items.Unreached)):
             work.mark = None
-        took_ms = self.clock.now_ms() - began_ms
         if isinstance(outcome, work_items.Delivered):
+            took_ms = self.clock.now_ms() - began_ms
             self.fleet.note_success(place, took_ms)
-        if choice is not None:
-            self._note_version(work, choice, outcome, took_ms)
         return outcome
 
-    def _note_version(
-        self,
-        work: work_items.Work,
-        choice: rollouts_module.Choice,
-        outcome: work_items.Outcome,
-        took_ms: float,
-    ) -> None:
-        """Count an answer for the roll-out under way."""
-        if isinstance(outcome, work_items.Delivered) and outcome.status < 500:
-            kind = (work.route.name, work.model_name)
-            unit_ms = took_ms / max(1, work.events)
-            self.rollouts.note_answer(choice, kind, unit_ms)
-        elif isinstance(outcome, (work_items.Delivered, work_items.Failed)):
-            # A connection that broke says nothing of the version; a status
-            # that says so does.
-            if (
-                isinstance(outcome, work_items.Delivered)
-                or outcome.head is not None
-            ):
-                self.rollouts.note_failure(choice, work.route.name)
-
     async def _send(
         self,
         work: work_items.Work,
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -119,11 +119,12 @@
 
     def note_head(self, work: work_items.Work) -> None:
         """Learn from a prompt that its engine has read."""
+        work.progress.head_ms = self.clock.now_ms()
         if work.reading is None:
             return
         work.reading.note_head()
         pace = self.fleet.find_pace(work.service)
-        took_ms = self.clock.now_ms() - work.sent_ms
+        took_ms = self.clock.now_ms() - work.progress.began_ms
         events.log_event(
             events.Event.HEAD_READ,
             request=work.facts.request_id,
@@ -151,7 +152,7 @@
         prompt = work_items.make_prompt(work, models[-1])
         if prompt is None:
             return None
-        choice = self.rollouts.choose(work.service, work.session)
+        choice = self.rollouts.choose(work)
         engine = None
         for want in self._list_wants(work, choice):
             engine = engine or self.fleet.choose_engine(
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -48,6 +48,7 @@
             # endpoint's word could prove.
             return work_items.Failed(f"status {head.status} without proof")
         body = await answer.read_body(MOST_BODY_BYTES)
+        work.progress.status = head.status
         if head.status >= 500 and work.route.repeatable:
             return work_items.Failed(f"status {head.status}", head, body)
         if reply.begun:
@@ -91,6 +92,7 @@
                         return broken
         if splitter.pending or not reply.begun:
             return work_items.Failed("stream broke off")
+        work.progress.status = answer.head.status
         await reply.finish()
         return work_items.Delivered(answer.head.status)
 
@@ -111,6 +113,6 @@
             await reply.begin(
                 answer.head.status, hops.keep_headers(answer.head.headers)
             )
-        work.events += 1
+        work.progress.note_event(self.placer.clock.now_ms())
         await reply.send(event.raw)
         return None
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -60,6 +60,7 @@
 
     async def _step(self, rollout: rollouts_module.Rollout) -> None:
         """Read the status if it is time, and write what is decided."""
+        self.rollouts.count_slow_runs(rollout)
         self.rollouts.judge(rollout)
         now_ms = self.clock.now_ms()
         due = now_ms - rollout.read_ms >= READ_MS
@@ -103,6 +104,7 @@
             (1.0 - part) * rollout.order.duration_ms,
             rollout.verdict,
             self.rollouts.find_share(rollout, now_ms),
+            rollout.count_answers() - rollout.answers_at_opening,
             rollout.count_old_in_flight(now_ms),
         ):
             return facts.RolloutState.COMPLETED
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -4,7 +4,6 @@
 its counts to the others; each judges the sum by the same rules.
 """
 
-import collections
 import typing
 
 import attrs
@@ -16,17 +15,18 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
 from carawayward.forwarding import settings
+from carawayward.forwarding import version_sessions
+from carawayward.forwarding import work_items
 
 # Without news for this long an entry VM may have missed a halt: it lets no
 # session try the new version until it reads the store again.
 STALE_MS = 3_500.0
-# Bound of the sessions whose version is remembered.
-MOST_SESSIONS = 20_000
-# A session whose last request is older than its time limit by this part may
-# still be counted as going on by another clock.
-SESSION_SLACK = 1.2
-UNIT_GAIN = 0.1
-LEAST_UNITS = 3
+# Events of a stream from which on its pace is judged.
+LEAST_EVENTS = 3
+# Statuses by which an endpoint says that it failed, and that the time which
+# it was given is over.
+FAILURES_FROM = 500
+TIME_OVER = 504
 
 
 @attrs.frozen
@@ -42,6 +42,31 @@
     strict: bool
 
 
+@attrs.define(eq=False)
+class Run:
+    """One attempt on a version, and whether its answer has been counted.
+
+    ``kind`` is its route and model, which decide what is usual.
+    """
+
+    rollout: "Rollout"
+    new: bool
+    kind: tuple[str, str]
+    progress: work_items.Progress
+    counted: bool = False
+
+    def find_unit_ms(self, now_ms: float) -> float:
+        """Its time for one unit of work: an event, or the whole answer.
+
+        The head of a stream is left out: an endpoint that is new reads whole
+        prompts of which the others keep the shared parts.
+        """
+        progress = self.progress
+        if progress.head_ms is None or not progress.events:
+            return now_ms - progress.began_ms
+        return (progress.event_ms - progress.head_ms) / progress.events
+
+
 @attrs.frozen(kw_only=True)
 class Told:
     """What another entry VM last told of a roll-out."""
@@ -63,15 +88,16 @@
     known: bool = False
     verdict: canary.Verdict = canary.Verdict.UNKNOWN
     read_ms: float = board_module.NEVER
-    rounds: int = 0
     told: str = ""
     old_in_flight: int = 0
     sent: int = 0
     sent_new: int = 0
     opened: bool = False
+    answers_at_opening: int = 0
     tallies: dict[str, canary.Tally] = attrs.field(factory=dict)
     others: dict[str, Told] = attrs.field(factory=dict)
-    units: dict[tuple[str, str], tuple[float, int]] = attrs.field(factory=dict)
+    units: dict[tuple[str, str], canary.Usual] = attrs.field(factory=dict)
+    runs: set[Run] = attrs.field(factory=set)
 
     @property
     def running(self) -> bool:
@@ -100,6 +126,10 @@
             sent_new=self.sent_new + sum(each.sent_new for each in told),
         )
 
+    def count_answers(self) -> int:
+        """Answers of the new version that are known."""
+        return sum(tally.new for tally in self.sum_tallies().values())
+
     def sum_tallies(self) -> dict[str, canary.Tally]:
         """All counts that are known, by route."""
         merged = dict(self.tallies)
@@ -116,42 +146,46 @@
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
     rollouts: dict[str, Rollout] = attrs.field(factory=dict)
-    sessions: collections.OrderedDict[tuple[str, str], tuple[bool, float]] = (
-        attrs.field(factory=collections.OrderedDict)
-    )
+    sessions: version_sessions.VersionSessions = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.sessions = version_sessions.VersionSessions(
+            self.clock, lambda: self.board.bounds.session_ms
+        )
 
-    def choose(self, service: str, session: str) -> Choice | None:
+    def choose(self, work: work_items.Work) -> Choice | None:
         """The version for a request; None where no roll-out was ordered."""
         self.take_orders()
+        service, session = work.service, work.facts.session
         rollout = self.rollouts.get(service)
         if rollout is None:
+            self.sessions.remember(service, session, "")
             return None
         if rollout.state is facts.RolloutState.COMPLETED:
             return Choice(rollout, new=True, strict=False)
         if rollout.state is facts.RolloutState.ROLLED_BACK:
             return Choice(rollout, new=False, strict=True)
-        now_ms = self.clock.now_ms()
-        new = self._takes_new(rollout, session, now_ms)
-        self._remember(service, session, new, now_ms)
+        new = self._takes_new(rollout, session, work.facts.request_id)
+        version = rollout.order.version if new else ""
+        self.sessions.remember(service, session, version)
         bad = rollout.verdict is canary.Verdict.BAD
         return Choice(rollout, new=new, strict=bad or not rollout.known)
 
     def _takes_new(
-        self, rollout: Rollout, session: str, now_ms: float
+        self, rollout: Rollout, session: str, request_id: str
     ) -> bool:
+        now_ms = self.clock.now_ms()
         share = self.find_share(rollout, now_ms)
         if not share:
             return False
-        known = self.sessions.get((rollout.order.service, session))
+        version = rollout.order.version
+        known = self.sessions.find(rollout.order.service, session)
         if known is not None:
-            new, last_ms = known
-            lasting = (
-                now_ms - last_ms < SESSION_SLACK * self.board.bounds.session_ms
-            )
+            new = known == version
             early = rollout.find_part(now_ms) < canary.TRIAL_PART
-            if lasting and (new or early):
+            if new or early:
                 return new
-        draw = placement.hash_key(f"{rollout.order.version}/{session}")
+        draw = placement.hash_key(f"{version}/{session or request_id}")
         return draw < share * 2.0**64
 
     def find_share(self, rollout: Rollout, now_ms: float) -> float:
@@ -167,17 +201,11 @@
         # session would change its version a second time.
         if rollout.opened and rollout.verdict is not canary.Verdict.BAD:
             return 1.0
+        if share >= 1.0 and not rollout.opened:
+            rollout.answers_at_opening = rollout.count_answers()
         rollout.opened = share >= 1.0
         return share
 
-    def _remember(
-        self, service: str, session: str, new: bool, now_ms: float
-    ) -> None:
-        self.sessions[service, session] = (new, now_ms)
-        self.sessions.move_to_end((service, session))
-        while len(self.sessions) > MOST_SESSIONS:
-            self.sessions.popitem(last=False)
-
     def find_split(self, service: str) -> tuple[str, float] | None:
         """The version being brought in and its share; None without order."""
         rollout = self.rollouts.get(service)
@@ -197,53 +225,85 @@
         share = self.find_share(choice.rollout, self.clock.now_ms())
         return canary.count_trial_endpoints(endpoints, share)
 
-    def begin(self, choice: Choice, version: str) -> Choice:
+    def begin(
+        self, choice: Choice | None, work: work_items.Work, version: str
+    ) -> Run | None:
         """A run begins on an endpoint of ``version``.
 
-        Returns the choice as it came out: where the wanted version had no
-        endpoint, the other one serves.
+        None where no roll-out was ordered. Where the wanted version had no
+        endpoint the other one serves, so ``version`` decides what it is.
         """
-        new = version == choice.rollout.order.version
-        choice.rollout.sent += 1
-        choice.rollout.sent_new += new
+        if choice is None:
+            return None
+        rollout = choice.rollout
+        new = version == rollout.order.version
+        rollout.sent += 1
+        rollout.sent_new += new
         if not new:
-            choice.rollout.old_in_flight += 1
-        return attrs.evolve(choice, new=new)
-
-    def end(self, choice: Choice) -> None:
-        """A run is over."""
-        if not choice.new:
-            choice.rollout.old_in_flight -= 1
+            rollout.old_in_flight += 1
+        kind = (work.route.name, work.model_name)
+        run = Run(rollout, new, kind, work.progress)
+        if rollout.running:
+            rollout.runs.add(run)
+        return run
+
+    def end(self, run: Run | None, work: work_items.Work) -> None:
+        """A run is over; count its answer if it is one.
+
+        This is called before or after the caller has the answer, also when
+        the caller has left meanwhile: some leave at the answer's first byte.
+        """
+        self.sessions.touch(work.service, work.facts.session)
+        if run is None:
+            return
+        rollout = run.rollout
+        rollout.runs.discard(run)
+        if not run.new:
+            rollout.old_in_flight -= 1
+        status = run.progress.status
+        if run.counted or status is None:
+            # A connection that broke says nothing of the version.
+            return
+        unit_ms = run.find_unit_ms(self.clock.now_ms())
+        usual = rollout.units.setdefault(run.kind, canary.Usual())
+        slow = usual.is_slow(unit_ms)
+        if status == TIME_OVER:
+            # The endpoint ran out of the time that it was given, which is
+            # the caller's own doing unless it used to be enough.
+            if slow:
+                self._count(run, bad=True)
+            return
+        if status < FAILURES_FROM and not run.new and not slow:
+            usual.learn(unit_ms)
+        self._count(run, bad=status >= FAILURES_FROM or slow)
 
-    def note_answer(
-        self, choice: Choice, kind: tuple[str, str], unit_ms: float
-    ) -> None:
-        """Count a good answer; ``unit_ms`` is its time by unit of work.
+    def count_slow_runs(self, rollout: Rollout) -> None:
+        """Count runs whose events come far too slowly, before they end.
 
-        ``kind`` is its route and model, which decide what is usual.
+        A version that is several times slower would otherwise be found out
+        only by its few short answers: long ones outlive the trial.
         """
-        rollout = choice.rollout
-        usual_ms, count = rollout.units.get(kind, (unit_ms, 0))
-        slow = count >= LEAST_UNITS and unit_ms > canary.SLOW_FACTOR * usual_ms
-        if not choice.new and not slow:
-            usual_ms += UNIT_GAIN * (unit_ms - usual_ms)
-            rollout.units[kind] = (usual_ms, count + 1)
-        self._count(choice, kind[0], bad=slow)
-
-    def note_failure(self, choice: Choice, route: str) -> None:
-        """Count an answer that says that the endpoint failed."""
-        self._count(choice, route, bad=True)
-
-    def _count(self, choice: Choice, route: str, bad: bool) -> None:
-        rollout = choice.rollout
+        for run in list(rollout.runs):
+            usual = rollout.units.get(run.kind)
+            if (
+                not run.counted
+                and usual is not None
+                and run.progress.events >= LEAST_EVENTS
+                and usual.is_slow(run.find_unit_ms(run.progress.event_ms))
+            ):
+                self._count(run, bad=True)
+
+    def _count(self, run: Run, bad: bool) -> None:
+        run.counted = True
+        rollout, route = run.rollout, run.kind[0]
         one = (
             canary.Tally(new=1, new_bad=int(bad))
-            if choice.new
+            if run.new
             else canary.Tally(old=1, old_bad=int(bad))
         )
         known = rollout.tallies.get(route, canary.Tally())
         rollout.tallies[route] = known + one
-        if bad and choice.new:
+        if bad and run.new:
             self.judge(rollout)
 
     def _halt(self, rollout: Rollout) -> None:
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -85,6 +85,27 @@
         self.weight = 0.0
 
 
+@attrs.define(eq=False)
+class Progress:
+    """How far one attempt has come; times in ms.
+
+    ``head_ms`` and ``event_ms`` are when the head of a stream and its newest
+    event came. ``status`` is set once the whole answer is here, though the
+    caller may not have it yet.
+    """
+
+    began_ms: float
+    head_ms: float | None = None
+    event_ms: float = 0.0
+    events: int = 0
+    status: int | None = None
+
+    def note_event(self, now_ms: float) -> None:
+        """An event of the stream has come."""
+        self.events += 1
+        self.event_ms = now_ms
+
+
 @attrs.define(eq=False, kw_only=True)
 class Work:
     """What is known of one request while it is served; times in ms.
@@ -105,7 +126,7 @@
     model: int | None = None
     confidence: float | None = None
     runs: int = 0
-    events: int = 0
+    progress: Progress = attrs.field(factory=lambda: Progress(0.0))
     unreached: int = 0
     ran: bool = False
     mark: http.SentMark | None = None
@@ -116,18 +137,12 @@
     endpoint: str = ""
     reading: "Reading | None" = None
     backlog: float = 0.0
-    sent_ms: float = 0.0
 
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt may have run or may still run."""
         return self.ran or (self.mark is not None and self.mark.sent)
 
-    @property
-    def session(self) -> str:
-        """By what a request stays on a version; its own without session."""
-        return self.facts.session or self.facts.request_id
-
     @property
     def model_name(self) -> str:
         """The model chosen for the caller; empty if it is not ours to."""
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -352,9 +352,34 @@
 def test_completion_waits_for_what_runs_on_the_old_version():
     """Its endpoints stop at once; a stream there would be cut."""
     good = canary.Verdict.GOOD
-    assert not canary.may_complete(3_000.0, good, 1.0, 2)
-    assert not canary.may_complete(3_000.0, good, 0.1, 0)
-    assert canary.may_complete(3_000.0, good, 1.0, 0)
-    assert canary.may_complete(900.0, good, 1.0, 2)
+    assert not canary.may_complete(3_000.0, good, 1.0, 100, 2)
+    assert not canary.may_complete(3_000.0, good, 0.1, 100, 0)
+    assert canary.may_complete(3_000.0, good, 1.0, 100, 0)
+    assert canary.may_complete(900.0, good, 1.0, 100, 2)
     unknown = canary.Verdict.UNKNOWN
-    assert not canary.may_complete(900.0, unknown, 1.0, 0)
+    assert not canary.may_complete(900.0, unknown, 1.0, 100, 0)
+
+
+def test_time_is_slow_by_what_is_usual_and_by_what_callers_notice():
+    """Answers take 10 ms; 45 ms is slow, and 15 ms after 2 ms is not."""
+    usual = canary.Usual()
+    assert not usual.is_slow(500.0)
+    for _ in range(canary.LEAST_UNITS):
+        usual.learn(10.0)
+    assert not usual.is_slow(35.0) and usual.is_slow(45.0)
+    quick = canary.Usual(unit_ms=2.0, answers=10)
+    assert not quick.is_slow(15.0)
+
+
+def test_completion_waits_for_answers_under_full_load():
+    """A version turned bad a second before it was reported as completed.
+
+    It had done well on trial, and nothing had come of it since everything
+    went there. With nobody left on the old version there was no way back:
+    it got requests for as long as operators took to notice.
+    """
+    good = canary.Verdict.GOOD
+    enough = canary.SETTLED_ANSWERS
+    assert not canary.may_complete(3_000.0, good, 1.0, enough - 1, 0)
+    assert canary.may_complete(3_000.0, good, 1.0, enough, 0)
+    assert canary.may_complete(1_500.0, good, 1.0, 5, 0)
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -312,6 +312,27 @@
     assert "carawayward_ready 1" in page
 
 
+def test_answer_on_a_closing_connection_counts_as_delivered():
+    """Logs and counters call served requests "caller left".
+
+    Cause: the closing of a connection that ends with its answer was taken
+    for a caller who gives up.
+    """
+
+    async def main():
+        desk = backend.Backend("desk-0")
+        async with forwarding.open_forwarding(desk) as made:
+            for _ in range(3):
+                answer = await made.call("GET", "/look/", connection="close")
+                assert answer.status == 200
+        page = measures.write_page(made.daemon.app.measures, {}).decode()
+        assert (
+            'carawayward_requests_total{route="look",status="200"} 3' in page
+        )
+
+    trio.run(main)
+
+
 def test_metrics_are_served():
     """The platform fetches the page every few seconds."""
 
--- a/tests/failures/test_forwarding_rollouts.py
+++ b/tests/failures/test_forwarding_rollouts.py
@@ -65,6 +65,133 @@
     return sum(len(d.runs) for d in desks if d.version == version)
 
 
+async def call_and_close(made, daemon):
+    """A client whose connection ends with its answer."""
+    host, _, port = made.daemons[daemon].settings.listen.callers.partition(":")
+    async with await trio.open_tcp_stream(host, int(port)) as stream:
+        lines = [
+            "POST /log/ HTTP/1.1",
+            "content-length: 0",
+            "connection: close",
+        ]
+        lines += [f"{n}: {v}" for n, v in made.make_headers()]
+        await stream.send_all("\r\n".join([*lines, "", ""]).encode())
+        await stream.receive_some(1)
+
+
+def test_answers_count_though_their_connections_close():
+    """A version that failed half of its requests was completed.
+
+    Half of its callers asked for the connection to be closed. Cause: the
+    server reports the closing while the answer's end is handed over; it was
+    taken for a caller who leaves, and cancelled the request just before its
+    answer was counted. The version was judged by the other half alone.
+    """
+
+    async def main():
+        desks = make_pool(always=backend.fail)
+        async with forwarding.open_forwarding(*desks) as made:
+            give_order(made, 6.0)
+            with trio.move_on_after(5.0):
+                while read_status(made) is None or (
+                    read_status(made)["state"] == "in_progress"
+                ):
+                    async with trio.open_nursery() as nursery:
+                        for _ in range(6):
+                            nursery.start_soon(call_and_close, made, 0)
+                    await trio.sleep(0.02)
+            assert read_status(made)["state"] == "rolled_back"
+
+    trio.run(main)
+
+
+def make_engines(events, slow_ms):
+    """Engines of two versions; the new one's events come slowly."""
+    return [
+        backend.Backend(
+            f"engine-{version}-{number}",
+            service="engines",
+            engine=True,
+            version=version,
+            events=events,
+            pause_ms=slow_ms if version == "v2" else 2.0,
+        )
+        for version in ("v1", "v2")
+        for number in range(2)
+    ]
+
+
+def test_slow_version_is_rolled_back_before_its_answers_end():
+    """Streams of the new version take many times as long.
+
+    They outlive the trial, so that no answer speaks against it. Cause: only
+    whole answers were judged. It was rolled back as unknown when its time
+    was over, and its callers waited.
+    """
+
+    async def main():
+        engines = make_engines(events=100, slow_ms=150.0)
+        async with forwarding.open_forwarding(*engines) as made:
+            order = {"service": "engines", "target": "v2", "durationS": 8.0}
+            made.store.put("keyed.op", "rollout/engines", order)
+            began = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                while trio.current_time() - began < 5.0:
+                    for _ in range(4):
+                        nursery.start_soon(made.ask_engine)
+                    await trio.sleep(0.05)
+                    newest = made.store.topic("keyed.status").newest
+                    if "rollout/engines" not in newest:
+                        continue
+                    status = json.loads(newest["rollout/engines"][1])
+                    if status["state"] != "in_progress":
+                        break
+                nursery.cancel_scope.cancel()
+            assert status["state"] == "rolled_back"
+
+    trio.run(main)
+
+
+def test_session_that_began_before_the_order_stays_on_the_old_version():
+    """A session's requests go on while operators order a new version.
+
+    Cause: sessions were remembered from the order on, so that the first
+    request after it could go to the new version, amid the session.
+    """
+
+    async def main():
+        desks = make_pool()
+        async with forwarding.open_forwarding(*desks) as made:
+            names = [f"s-{number}" for number in range(60)]
+            for desk in desks:
+                if desk.version == "v2":
+                    made.register(desk, state="draining")
+            places = made.daemon.board.endpoints
+            await made.wait_for(
+                lambda: sum(not e.leaving for e in places.values()) == 2
+            )
+            for name in names:
+                await made.call("GET", "/look/", session=name)
+            for desk in desks:
+                made.register(desk, state="ready", sequence=2)
+            await made.wait_for(
+                lambda: not any(e.leaving for e in places.values())
+            )
+            give_order(made, 8.0)
+            controller = made.find_controller(2)
+            await made.wait_for(lambda: "desk" in controller.rollouts.rollouts)
+            rollout = controller.rollouts.rollouts["desk"]
+            await made.wait_for(lambda: rollout.known)
+            began = trio.current_time()
+            while trio.current_time() - began < 2.5:
+                for name in names:
+                    answer = await made.call("GET", "/look/", session=name)
+                    assert answer.body.split(b"-")[1] == b"v1"
+                    await made.call("GET", "/look/")
+
+    trio.run(main)
+
+
 def test_good_version_is_completed_in_time_and_has_all_traffic():
     """Operators order a good version.
 
