Judge a version's slowness by heads against what was predicted

Ruled out: more events or a longer span before a pace counts (the worst ones had 9 to 80 events over 1 to 6 s); the time without a head, since an endpoint that died shows the same.

Change: a head counts as slow from 2.5 times its prediction and 500 ms on, which takes the row and the parts kept at its engine into account. Heads that lead on to a larger model count too. Nothing is judged any more once a roll-out is decided.

--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -52,10 +52,16 @@
 LEAST_SLOW_MS = 20.0
 
 
+# The head of a prompt's answer is slow from so many times the prediction and
+# so many ms on. Replayed days: 2 to 4 of 100 heads of an old version are, 3 to
+# 8 of a good new one whose engines keep no prompts yet, and 43 to 69 of one
+# that answers half of its requests eight times slower.
+HEAD_SLOW_FACTOR = 2.5
+HEAD_SLOW_MS = 500.0
 # Answers of an old version from which on a time counts as usual, and how
 # much each changes what is.
-LEAST_UNITS = 3
-UNIT_GAIN = 0.1
+LEAST_USUAL = 3
+USUAL_GAIN = 0.1
 
 
 class Verdict(enum.Enum):
@@ -88,22 +94,27 @@
 class Usual:
     """The usual time of one kind of answer on the old version, in ms."""
 
-    unit_ms: float = 0.0
+    mean_ms: float = 0.0
     answers: int = 0
 
-    def learn(self, unit_ms: float) -> None:
+    def learn(self, answer_ms: float) -> None:
         """Take a good answer of the old version."""
-        gain = UNIT_GAIN if self.answers else 1.0
-        self.unit_ms += gain * (unit_ms - self.unit_ms)
+        gain = USUAL_GAIN if self.answers else 1.0
+        self.mean_ms += gain * (answer_ms - self.mean_ms)
         self.answers += 1
 
-    def is_slow(self, unit_ms: float) -> bool:
+    def is_slow(self, answer_ms: float) -> bool:
         """Whether an answer took several times the usual."""
-        return self.answers >= LEAST_UNITS and unit_ms > max(
-            LEAST_SLOW_MS, SLOW_FACTOR * self.unit_ms
+        return self.answers >= LEAST_USUAL and answer_ms > max(
+            LEAST_SLOW_MS, SLOW_FACTOR * self.mean_ms
         )
 
 
+def is_head_slow(took_ms: float, predicted_ms: float) -> bool:
+    """Whether the head of a prompt's answer came far later than predicted."""
+    return took_ms > HEAD_SLOW_MS and took_ms > HEAD_SLOW_FACTOR * predicted_ms
+
+
 def is_worse(tally: Tally) -> bool:
     """Whether the new version fails clearly more often than the old."""
     if tally.new_bad < LEAST_BAD:
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -119,18 +119,20 @@
 
     def note_head(self, work: work_items.Work) -> None:
         """Learn from a prompt that its engine has read."""
-        work.progress.head_ms = self.clock.now_ms()
+        progress = work.progress
+        progress.head_ms = took_ms = self.clock.now_ms() - progress.began_ms
         if work.reading is None:
             return
         work.reading.note_head()
         pace = self.fleet.find_pace(work.service)
-        took_ms = self.clock.now_ms() - work.progress.began_ms
+        predicted_ms = engine_load.predict_head(pace, work.backlog)
+        progress.predicted_ms = predicted_ms
         events.log_event(
             events.Event.HEAD_READ,
             request=work.facts.request_id,
             endpoint=work.endpoint,
             model=work.model_name,
-            predicted_ms=round(engine_load.predict_head(pace, work.backlog)),
+            predicted_ms=round(predicted_ms),
             took_ms=round(took_ms),
             backlog=round(work.backlog),
             pressure_ms=round(self.fleet.find_pressure(work.service)),
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -69,6 +69,7 @@
         self.placer.note_head(work)
         larger = None if reply.begun else self.placer.find_larger(work)
         if larger is not None:
+            work.progress.status = answer.head.status
             return work_items.Unsure(f"confidence {work.confidence}", larger)
         splitter = event_stream.EventSplitter()
         gap_ms = work.route.gap_target_ms
@@ -113,6 +114,5 @@
             await reply.begin(
                 answer.head.status, hops.keep_headers(answer.head.headers)
             )
-        work.progress.note_event(self.placer.clock.now_ms())
         await reply.send(event.raw)
         return None
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -21,8 +21,6 @@
 # Without news for this long an entry VM may have missed a halt: it lets no
 # session try the new version until it reads the store again.
 STALE_MS = 3_500.0
-# Events of a stream from which on its pace is judged.
-LEAST_EVENTS = 3
 # Statuses by which an endpoint says that it failed, and that the time which
 # it was given is over.
 FAILURES_FROM = 500
@@ -55,16 +53,24 @@
     progress: work_items.Progress
     counted: bool = False
 
-    def find_unit_ms(self, now_ms: float) -> float:
-        """Its time for one unit of work: an event, or the whole answer.
+    def is_slow(self, answer_ms: float) -> bool:
+        """Whether its answer, or the head of its stream, took too long.
 
-        The head of a stream is left out: an endpoint that is new reads whole
-        prompts of which the others keep the shared parts.
+        A prompt's head is held against what was predicted for it: an engine
+        that is new reads whole prompts of which others keep the shared parts.
         """
         progress = self.progress
-        if progress.head_ms is None or not progress.events:
-            return now_ms - progress.began_ms
-        return (progress.event_ms - progress.head_ms) / progress.events
+        if progress.predicted_ms is not None:
+            return canary.is_head_slow(answer_ms, progress.predicted_ms)
+        return self._find_usual().is_slow(answer_ms)
+
+    def learn(self, answer_ms: float) -> None:
+        """Take a good answer of the old version for usual."""
+        if not self.new and self.progress.predicted_ms is None:
+            self._find_usual().learn(answer_ms)
+
+    def _find_usual(self) -> canary.Usual:
+        return self.rollout.usual.setdefault(self.kind, canary.Usual())
 
 
 @attrs.frozen(kw_only=True)
@@ -96,7 +102,7 @@
     answers_at_opening: int = 0
     tallies: dict[str, canary.Tally] = attrs.field(factory=dict)
     others: dict[str, Told] = attrs.field(factory=dict)
-    units: dict[tuple[str, str], canary.Usual] = attrs.field(factory=dict)
+    usual: dict[tuple[str, str], canary.Usual] = attrs.field(factory=dict)
     runs: set[Run] = attrs.field(factory=set)
 
     @property
@@ -264,34 +270,32 @@
         if run.counted or status is None:
             # A connection that broke says nothing of the version.
             return
-        unit_ms = run.find_unit_ms(self.clock.now_ms())
-        usual = rollout.units.setdefault(run.kind, canary.Usual())
-        slow = usual.is_slow(unit_ms)
+        answer_ms = run.progress.head_ms
+        if answer_ms is None:
+            answer_ms = self.clock.now_ms() - run.progress.began_ms
+        slow = run.is_slow(answer_ms)
         if status == TIME_OVER:
             # The endpoint ran out of the time that it was given, which is
             # the caller's own doing unless it used to be enough.
             if slow:
                 self._count(run, bad=True)
             return
-        if status < FAILURES_FROM and not run.new and not slow:
-            usual.learn(unit_ms)
+        if status < FAILURES_FROM and not slow:
+            run.learn(answer_ms)
         self._count(run, bad=status >= FAILURES_FROM or slow)
 
     def count_slow_runs(self, rollout: Rollout) -> None:
-        """Count runs whose events come far too slowly, before they end.
+        """Count streams whose heads came far too late, before they end.
 
         A version that is several times slower would otherwise be found out
-        only by its few short answers: long ones outlive the trial.
+        only by its few short answers: long ones outlive the trial. A head
+        that has not come counts for nothing: its endpoint may have died.
         """
         for run in list(rollout.runs):
-            usual = rollout.units.get(run.kind)
-            if (
-                not run.counted
-                and usual is not None
-                and run.progress.events >= LEAST_EVENTS
-                and usual.is_slow(run.find_unit_ms(run.progress.event_ms))
-            ):
-                self._count(run, bad=True)
+            head_ms = run.progress.head_ms
+            if not run.counted and head_ms is not None:
+                if run.is_slow(head_ms):
+                    self._count(run, bad=True)
 
     def _count(self, run: Run, bad: bool) -> None:
         run.counted = True
@@ -326,7 +330,7 @@
 
     def judge(self, rollout: Rollout) -> None:
         """Judge by all counts that are known; a halt is never taken back."""
-        if rollout.verdict is canary.Verdict.BAD:
+        if rollout.verdict is canary.Verdict.BAD or not rollout.running:
             return
         verdict = canary.judge(rollout.sum_tallies())
         if verdict is not rollout.verdict:
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -89,22 +89,17 @@
 class Progress:
     """How far one attempt has come; times in ms.
 
-    ``head_ms`` and ``event_ms`` are when the head of a stream and its newest
-    event came. ``status`` is set once the whole answer is here, though the
+    ``head_ms`` is how long the head of a stream took, ``predicted_ms`` how
+    long it should have taken by what its engine had to read before. ``status``
+    is set once it is known what the endpoint's answer is worth, though the
     caller may not have it yet.
     """
 
     began_ms: float
     head_ms: float | None = None
-    event_ms: float = 0.0
-    events: int = 0
+    predicted_ms: float | None = None
     status: int | None = None
 
-    def note_event(self, now_ms: float) -> None:
-        """An event of the stream has come."""
-        self.events += 1
-        self.event_ms = now_ms
-
 
 @attrs.define(eq=False, kw_only=True)
 class Work:
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -35,6 +35,7 @@
     version: str = "v1"
     engine: bool = False
     events: int = 4
+    head_ms: float = 0.0
     pause_ms: float = 1.0
     confidence: dict[str, float] = attrs.field(factory=dict)
     behaviours: list[Behaviour] = attrs.field(factory=list)
@@ -119,6 +120,7 @@
     if model in backend.confidence:
         confidence = backend.confidence[model]
         headers["carawayward-confidence"] = str(confidence)
+    await trio.sleep(backend.head_ms / 1000)
     await exchange.begin_stream(
         {**headers, "content-type": "text/event-stream"}
     )
