Refuse at once where a request may no longer go out

Change: such an attempt has an outcome of its own, Withheld. The request is refused with the time to come back that outages of the store call for, and nothing is held against the endpoint.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -27,9 +27,6 @@
 
 # Refusals that pass by themselves once this entry VM has read the store.
 NOT_READY_MS = 500.0
-# Refusals while keys cannot be proved. Outages of the store last seconds; who
-# comes back sooner than this is mostly refused again.
-KEYS_OLD_MS = 2_000.0
 # Another entry VM takes the request; there is nothing to wait for.
 LEAVING_MS = 20.0
 
@@ -158,7 +155,7 @@
             # A table that may be out of date cannot say that there is no
             # such route: a newer one may have added it.
             if not self.is_fresh():
-                raise Refused(503, "table may be old", KEYS_OLD_MS)
+                raise Refused(503, "table may be old", exchange.KEYS_OLD_MS)
             raise Refused(404, "no such route")
         customer = self._find_customer(table, route, known)
         wait_ms = route.timeout_ms
@@ -185,7 +182,7 @@
         if not table.needs_key(route):
             return ""
         if not self.is_fresh():
-            raise Refused(503, "keys may be old", KEYS_OLD_MS)
+            raise Refused(503, "keys may be old", exchange.KEYS_OLD_MS)
         customer = table.customers_by_key.get(known.key)
         if customer is None:
             raise Refused(401, "unknown key")
--- a/src/carawayward/forwarding/attempt.py
+++ b/src/carawayward/forwarding/attempt.py
@@ -57,6 +57,10 @@
         self.sent = sent
 
 
+class AttemptWithheld(Exception):
+    """The request may no longer go out; no byte of it has."""
+
+
 @attrs.define(eq=False)
 class Attempt:
     """An answer that is being read."""
@@ -95,7 +99,8 @@
     """Send a request and wait for the head of its answer.
 
     Leaving the context, by cancellation too, closes the connection, which
-    makes the endpoint drop the request. Raises AttemptFailed.
+    makes the endpoint drop the request. Raises AttemptFailed, and
+    AttemptWithheld where ``mark`` says that the request may not go out.
     """
     host, _, port = address.rpartition(":")
     url = httpcore.URL(
@@ -120,6 +125,8 @@
     try:
         try:
             response = await connection.handle_async_request(request)
+        except http.TooLate as cause:
+            raise AttemptWithheld() from cause
         except http.CALL_FAILURES as cause:
             detail = type(cause).__name__
             raise AttemptFailed(detail, sent=mark.sent) from cause
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -44,9 +44,16 @@
 # When to come back while nothing is known of when an endpoint will be free:
 # registries tell of a new endpoint within about a second.
 COME_BACK_MS = 1_000.0
+# Refusals while keys cannot be proved. Outages of the store last seconds; who
+# comes back sooner than this is mostly refused again.
+KEYS_OLD_MS = 2_000.0
 COME_BACK_SPREAD = (0.75, 1.25)
 
 
+# Outcomes by which the request is certain not to have run.
+NOT_RUN = (work_items.Unreached, work_items.Withheld, work_items.Declined)
+
+
 @attrs.define(eq=False)
 class Forwarder:
     """Serves forwarded requests.
@@ -95,6 +102,10 @@
                 self._log_end(work, outcome.status, "delivered")
                 return
             self._note(work, place, outcome)
+            if isinstance(outcome, work_items.Withheld):
+                # No other endpoint may have it either.
+                await self._give_up(work, reply, outcome.cause, KEYS_OLD_MS)
+                return
             if not self._may_try_again(work, outcome):
                 await self._give_up(work, reply, outcome.cause)
                 return
@@ -117,6 +128,8 @@
         reading = self.placer.begin_reading(work, place)
         try:
             outcome = await self._send(work, place, mark, reply)
+        except attempt_module.AttemptWithheld:
+            outcome = work_items.Withheld("keys may be old")
         except attempt_module.AttemptFailed as fault:
             if fault.sent:
                 outcome = work_items.Failed(fault.detail)
@@ -126,7 +139,7 @@
             self.fleet.vacate(place)
             reading.end()
             self.rollouts.end(run, work)
-        if isinstance(outcome, (work_items.Declined, work_items.Unreached)):
+        if isinstance(outcome, NOT_RUN):
             work.mark = None
         self.fleet.note_connection(
             place, not isinstance(outcome, work_items.Unreached)
@@ -195,6 +208,7 @@
         work: work_items.Work,
         place: fleet_module.Place,
         outcome: work_items.Unreached
+        | work_items.Withheld
         | work_items.Declined
         | work_items.Unsure
         | work_items.Failed,
@@ -254,7 +268,11 @@
         return True
 
     async def _give_up(
-        self, work: work_items.Work, reply: replies.Reply, cause: str
+        self,
+        work: work_items.Work,
+        reply: replies.Reply,
+        cause: str,
+        come_back_ms: float = COME_BACK_MS,
     ) -> None:
         """Give the final answer of a request that has none of its own."""
         if reply.begun:
@@ -271,7 +289,7 @@
             await replies.send_whole(reply, status, [], b"")
         else:
             status = 503
-            await refuse(reply, status, COME_BACK_MS)
+            await refuse(reply, status, come_back_ms)
         self._log_end(work, status, cause)
 
     def note_left(self, work: work_items.Work) -> None:
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -28,6 +28,13 @@
     cause: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withheld:
+    """The endpoint was reached, but the request may no longer go out."""
+
+    cause: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Declined:
     """The endpoint says that it did not and will not run the request."""
@@ -55,7 +62,7 @@
     body: bytes = b""
 
 
-Outcome = Delivered | Unreached | Declined | Unsure | Failed
+Outcome = Delivered | Unreached | Withheld | Declined | Unsure | Failed
 
 
 @attrs.define(eq=False)
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -83,15 +83,23 @@
 
 
 def test_lease_is_checked_again_when_the_request_goes_out():
-    """A request waits for its connection while the lease runs out."""
+    """A request waits for its connection while the lease runs out.
+
+    It goes to no other server either, and none is held to be out of reach.
+    """
 
     async def main():
-        (desk,) = make_desks(1)
-        async with forwarding.open_forwarding(desk) as made:
-            made.daemon.app.forwarder.may_send = lambda work: False
+        desks = make_desks(3)
+        async with forwarding.open_forwarding(*desks) as made:
+            forwarder = made.daemon.app.forwarder
+            forwarder.may_send = lambda work: False
             answer = await made.call("POST", "/log/")
             assert answer.status == 503
-            assert not desk.runs
+            assert float(answer.headers["retry-after"]) >= 1.0
+            assert not any(desk.runs for desk in desks)
+            assert not forwarder.fleet.list_passed()
+            counted = made.daemon.app.measures.counters
+            assert counted["attempts", (("outcome", "withheld"),)] == 1.0
 
     trio.run(main)
 
