--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -18,6 +18,7 @@
 from carawayward.forwarding import placing
 from carawayward.forwarding import relaying
 from carawayward.forwarding import replies
+from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import table
 from carawayward.forwarding import work_items
@@ -114,7 +115,7 @@
         self,
         work: work_items.Work,
         place: fleet_module.Place,
-        choice: rollouts_module.Choice | None,
+        choice: rollout_state.Choice | None,
         reply: replies.Reply,
     ) -> work_items.Outcome:
         """Send the request to one endpoint and pass its answer on."""
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -13,6 +13,7 @@
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import measures as measures_module
+from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import work_items
 
@@ -59,7 +60,7 @@
         )
 
     def choose(
-        self, work: work_items.Work, choice: rollouts_module.Choice | None
+        self, work: work_items.Work, choice: rollout_state.Choice | None
     ) -> fleet_module.Place | None:
         """Choose an endpoint: of the version wanted, else of the other."""
         wants = self._list_wants(work, choice)
@@ -89,7 +90,7 @@
         return self.fleet.places.get(engine.name)
 
     def _list_wants(
-        self, work: work_items.Work, choice: rollouts_module.Choice | None
+        self, work: work_items.Work, choice: rollout_state.Choice | None
     ) -> list[fleet_module.Want]:
         if choice is None:
             return [fleet_module.Want(work.service)]
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -17,6 +17,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward import supervision
 
@@ -58,7 +59,7 @@
                     await self._step(rollout)
             await self.clock.sleep(TICK_MS)
 
-    async def _step(self, rollout: rollouts_module.Rollout) -> None:
+    async def _step(self, rollout: rollout_state.Rollout) -> None:
         """Read the status if it is time, and write what is decided."""
         self.rollouts.count_slow_runs(rollout)
         self.rollouts.judge(rollout)
@@ -77,7 +78,7 @@
             # Somebody else wrote in between; the next round reads it.
             return
 
-    async def _decide(self, rollout: rollouts_module.Rollout) -> None:
+    async def _decide(self, rollout: rollout_state.Rollout) -> None:
         """Write the status that the counts ask for, if it is not there."""
         turn = placement.hash_key(f"{self.board.name}/{rollout.order}")
         await self.clock.sleep(TURN_MS * (turn % MOST_TURNS))
@@ -91,7 +92,7 @@
         self.rollouts.take_state(rollout, wanted)
 
     def _find_wanted(
-        self, rollout: rollouts_module.Rollout
+        self, rollout: rollout_state.Rollout
     ) -> facts.RolloutState | None:
         """The state to write, None if nothing is to be written."""
         if not rollout.running:
@@ -115,7 +116,7 @@
             return None
         return facts.RolloutState.RUNNING
 
-    async def _read_status(self, rollout: rollouts_module.Rollout) -> int:
+    async def _read_status(self, rollout: rollout_state.Rollout) -> int:
         """Take the status that stands in the store; return the log's end."""
         batch = await self.statuses.read_newest()
         for record in batch.records:
--- /dev/null
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -0,0 +1,137 @@
+"""What an entry VM knows of one roll-out, and of the runs that it judges by.
+
+Its own counts and what the others last told stand side by side: a peer's
+word replaces its former one.
+"""
+
+import typing
+
+import attrs
+
+from carawayward.decisions import canary
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import facts
+from carawayward.forwarding import settings
+from carawayward.forwarding import work_items
+
+# Without news for this long an entry VM may have missed a halt: it lets no
+# session try the new version until it reads the store again.
+STALE_MS = 3_500.0
+
+
+@attrs.frozen
+class Choice:
+    """The version that a request goes to.
+
+    ``new`` tells whether it is the one that the roll-out brings in; with
+    ``strict`` unset the other one serves where this has no endpoint.
+    """
+
+    rollout: "Rollout"
+    new: bool
+    strict: bool
+
+
+@attrs.define(eq=False)
+class Run:
+    """One attempt on a version, and whether its answer has been counted.
+
+    ``kind`` is its route and model, which decide what is usual.
+    """
+
+    rollout: "Rollout"
+    new: bool
+    kind: tuple[str, str]
+    progress: work_items.Progress
+    counted: bool = False
+
+    def is_slow(self, answer_ms: float) -> bool:
+        """Whether its answer, or the head of its stream, took too long.
+
+        A prompt's head is held against what was predicted for it: an engine
+        that is new reads whole prompts of which others keep the shared parts.
+        """
+        progress = self.progress
+        if progress.predicted_ms is not None:
+            return canary.is_head_slow(answer_ms, progress.predicted_ms)
+        return self._find_usual().is_slow(answer_ms)
+
+    def learn(self, answer_ms: float) -> None:
+        """Take a good answer of the old version for usual."""
+        if not self.new and self.progress.predicted_ms is None:
+            self._find_usual().learn(answer_ms)
+
+    def _find_usual(self) -> canary.Usual:
+        return self.rollout.usual.setdefault(self.kind, canary.Usual())
+
+
+@attrs.frozen(kw_only=True)
+class Told:
+    """What another entry VM last told of a roll-out."""
+
+    heard_ms: float
+    old_in_flight: int
+    sent: int
+    sent_new: int
+    tallies: typing.Mapping[str, canary.Tally]
+
+
+@attrs.define(eq=False)
+class Rollout:
+    """What this entry VM knows of one order."""
+
+    order: facts.RolloutOrder
+    began_ms: float
+    state: facts.RolloutState = facts.RolloutState.RUNNING
+    known: bool = False
+    verdict: canary.Verdict = canary.Verdict.UNKNOWN
+    read_ms: float = board_module.NEVER
+    told: str = ""
+    old_in_flight: int = 0
+    sent: int = 0
+    sent_new: int = 0
+    opened: bool = False
+    answers_at_opening: int = 0
+    tallies: dict[str, canary.Tally] = attrs.field(factory=dict)
+    others: dict[str, Told] = attrs.field(factory=dict)
+    usual: dict[tuple[str, str], canary.Usual] = attrs.field(factory=dict)
+    runs: set[Run] = attrs.field(factory=set)
+
+    @property
+    def running(self) -> bool:
+        """Whether nothing has been decided yet."""
+        return self.state is facts.RolloutState.RUNNING
+
+    def find_part(self, now_ms: float) -> float:
+        """The part of the time given that has passed."""
+        return (now_ms - self.began_ms) / max(1.0, self.order.duration_ms)
+
+    def count_old_in_flight(self, now_ms: float) -> int:
+        """Runs on the old version, at all entry VMs that are alive."""
+        return self.old_in_flight + sum(
+            told.old_in_flight
+            for told in self.others.values()
+            if now_ms - told.heard_ms < STALE_MS
+        )
+
+    def sum_exposure(self, bounds: settings.Bounds) -> canary.Exposure:
+        """What has been sent so far, against what may meet a bad version."""
+        told = self.others.values()
+        return canary.Exposure(
+            share=bounds.exposure_share,
+            slack=bounds.exposure_slack,
+            sent=self.sent + sum(each.sent for each in told),
+            sent_new=self.sent_new + sum(each.sent_new for each in told),
+        )
+
+    def count_answers(self) -> int:
+        """Answers of the new version that are known."""
+        return sum(tally.new for tally in self.sum_tallies().values())
+
+    def sum_tallies(self) -> dict[str, canary.Tally]:
+        """All counts that are known, by route."""
+        merged = dict(self.tallies)
+        for told in self.others.values():
+            for route, tally in told.tallies.items():
+                merged[route] = merged.get(route, canary.Tally()) + tally
+        return merged
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -14,144 +14,23 @@
 from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
-from carawayward.forwarding import settings
+from carawayward.forwarding import rollout_state
 from carawayward.forwarding import version_sessions
 from carawayward.forwarding import work_items
 
-# Without news for this long an entry VM may have missed a halt: it lets no
-# session try the new version until it reads the store again.
-STALE_MS = 3_500.0
 # Statuses by which an endpoint says that it failed, and that the time which
 # it was given is over.
 FAILURES_FROM = 500
 TIME_OVER = 504
 
 
-@attrs.frozen
-class Choice:
-    """The version that a request goes to.
-
-    ``new`` tells whether it is the one that the roll-out brings in; with
-    ``strict`` unset the other one serves where this has no endpoint.
-    """
-
-    rollout: "Rollout"
-    new: bool
-    strict: bool
-
-
-@attrs.define(eq=False)
-class Run:
-    """One attempt on a version, and whether its answer has been counted.
-
-    ``kind`` is its route and model, which decide what is usual.
-    """
-
-    rollout: "Rollout"
-    new: bool
-    kind: tuple[str, str]
-    progress: work_items.Progress
-    counted: bool = False
-
-    def is_slow(self, answer_ms: float) -> bool:
-        """Whether its answer, or the head of its stream, took too long.
-
-        A prompt's head is held against what was predicted for it: an engine
-        that is new reads whole prompts of which others keep the shared parts.
-        """
-        progress = self.progress
-        if progress.predicted_ms is not None:
-            return canary.is_head_slow(answer_ms, progress.predicted_ms)
-        return self._find_usual().is_slow(answer_ms)
-
-    def learn(self, answer_ms: float) -> None:
-        """Take a good answer of the old version for usual."""
-        if not self.new and self.progress.predicted_ms is None:
-            self._find_usual().learn(answer_ms)
-
-    def _find_usual(self) -> canary.Usual:
-        return self.rollout.usual.setdefault(self.kind, canary.Usual())
-
-
-@attrs.frozen(kw_only=True)
-class Told:
-    """What another entry VM last told of a roll-out."""
-
-    heard_ms: float
-    old_in_flight: int
-    sent: int
-    sent_new: int
-    tallies: typing.Mapping[str, canary.Tally]
-
-
-@attrs.define(eq=False)
-class Rollout:
-    """What this entry VM knows of one order."""
-
-    order: facts.RolloutOrder
-    began_ms: float
-    state: facts.RolloutState = facts.RolloutState.RUNNING
-    known: bool = False
-    verdict: canary.Verdict = canary.Verdict.UNKNOWN
-    read_ms: float = board_module.NEVER
-    told: str = ""
-    old_in_flight: int = 0
-    sent: int = 0
-    sent_new: int = 0
-    opened: bool = False
-    answers_at_opening: int = 0
-    tallies: dict[str, canary.Tally] = attrs.field(factory=dict)
-    others: dict[str, Told] = attrs.field(factory=dict)
-    usual: dict[tuple[str, str], canary.Usual] = attrs.field(factory=dict)
-    runs: set[Run] = attrs.field(factory=set)
-
-    @property
-    def running(self) -> bool:
-        """Whether nothing has been decided yet."""
-        return self.state is facts.RolloutState.RUNNING
-
-    def find_part(self, now_ms: float) -> float:
-        """The part of the time given that has passed."""
-        return (now_ms - self.began_ms) / max(1.0, self.order.duration_ms)
-
-    def count_old_in_flight(self, now_ms: float) -> int:
-        """Runs on the old version, at all entry VMs that are alive."""
-        return self.old_in_flight + sum(
-            told.old_in_flight
-            for told in self.others.values()
-            if now_ms - told.heard_ms < STALE_MS
-        )
-
-    def sum_exposure(self, bounds: settings.Bounds) -> canary.Exposure:
-        """What has been sent so far, against what may meet a bad version."""
-        told = self.others.values()
-        return canary.Exposure(
-            share=bounds.exposure_share,
-            slack=bounds.exposure_slack,
-            sent=self.sent + sum(each.sent for each in told),
-            sent_new=self.sent_new + sum(each.sent_new for each in told),
-        )
-
-    def count_answers(self) -> int:
-        """Answers of the new version that are known."""
-        return sum(tally.new for tally in self.sum_tallies().values())
-
-    def sum_tallies(self) -> dict[str, canary.Tally]:
-        """All counts that are known, by route."""
-        merged = dict(self.tallies)
-        for told in self.others.values():
-            for route, tally in told.tallies.items():
-                merged[route] = merged.get(route, canary.Tally()) + tally
-        return merged
-
-
 @attrs.define(eq=False)
 class Rollouts:
     """Chooses versions by the roll-outs that operators order."""
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
-    rollouts: dict[str, Rollout] = attrs.field(factory=dict)
+    rollouts: dict[str, rollout_state.Rollout] = attrs.field(factory=dict)
     sessions: version_sessions.VersionSessions = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -159,7 +38,7 @@
             self.clock, lambda: self.board.bounds.session_ms
         )
 
-    def choose(self, work: work_items.Work) -> Choice | None:
+    def choose(self, work: work_items.Work) -> rollout_state.Choice | None:
         """The version for a request; None where no roll-out was ordered."""
         self.take_orders()
         service, session = work.service, work.facts.session
@@ -168,17 +47,19 @@
             self.sessions.remember(service, session, "")
             return None
         if rollout.state is facts.RolloutState.COMPLETED:
-            return Choice(rollout, new=True, strict=False)
+            return rollout_state.Choice(rollout, new=True, strict=False)
         if rollout.state is facts.RolloutState.ROLLED_BACK:
-            return Choice(rollout, new=False, strict=True)
+            return rollout_state.Choice(rollout, new=False, strict=True)
         new = self._takes_new(rollout, session, work.facts.request_id)
         version = rollout.order.version if new else ""
         self.sessions.remember(service, session, version)
         bad = rollout.verdict is canary.Verdict.BAD
-        return Choice(rollout, new=new, strict=bad or not rollout.known)
+        return rollout_state.Choice(
+            rollout, new=new, strict=bad or not rollout.known
+        )
 
     def _takes_new(
-        self, rollout: Rollout, session: str, request_id: str
+        self, rollout: rollout_state.Rollout, session: str, request_id: str
     ) -> bool:
         now_ms = self.clock.now_ms()
         share = self.find_share(rollout, now_ms)
@@ -194,11 +75,16 @@
         draw = placement.hash_key(f"{version}/{session or request_id}")
         return draw < share * 2.0**64
 
-    def find_share(self, rollout: Rollout, now_ms: float) -> float:
+    def find_share(
+        self, rollout: rollout_state.Rollout, now_ms: float
+    ) -> float:
         """The share of sessions for the new version just now."""
         if not rollout.known:
             return 0.0
-        if now_ms - rollout.read_ms > STALE_MS and not rollout.opened:
+        if (
+            now_ms - rollout.read_ms > rollout_state.STALE_MS
+            and not rollout.opened
+        ):
             return 0.0
         part = rollout.find_part(now_ms)
         exposure = rollout.sum_exposure(self.board.bounds)
@@ -224,7 +110,9 @@
             return version, 0.0
         return version, self.find_share(rollout, self.clock.now_ms())
 
-    def count_endpoints(self, choice: Choice, endpoints: int) -> int:
+    def count_endpoints(
+        self, choice: rollout_state.Choice, endpoints: int
+    ) -> int:
         """On how many of the chosen version's endpoints the work goes."""
         if not choice.new or not choice.rollout.running:
             return endpoints
@@ -232,8 +120,11 @@
         return canary.count_trial_endpoints(endpoints, share)
 
     def begin(
-        self, choice: Choice | None, work: work_items.Work, version: str
-    ) -> Run | None:
+        self,
+        choice: rollout_state.Choice | None,
+        work: work_items.Work,
+        version: str,
+    ) -> rollout_state.Run | None:
         """A run begins on an endpoint of ``version``.
 
         None where no roll-out was ordered. Where the wanted version had no
@@ -248,12 +139,14 @@
         if not new:
             rollout.old_in_flight += 1
         kind = (work.route.name, work.model_name)
-        run = Run(rollout, new, kind, work.progress)
+        run = rollout_state.Run(rollout, new, kind, work.progress)
         if rollout.running:
             rollout.runs.add(run)
         return run
 
-    def end(self, run: Run | None, work: work_items.Work) -> None:
+    def end(
+        self, run: rollout_state.Run | None, work: work_items.Work
+    ) -> None:
         """A run is over; count its answer if it is one.
 
         This is called before or after the caller has the answer, also when
@@ -284,7 +177,7 @@
             run.learn(answer_ms)
         self._count(run, bad=status >= FAILURES_FROM or slow)
 
-    def count_slow_runs(self, rollout: Rollout) -> None:
+    def count_slow_runs(self, rollout: rollout_state.Rollout) -> None:
         """Count streams whose heads came far too late, before they end.
 
         A version that is several times slower would otherwise be found out
@@ -297,7 +190,7 @@
                 if run.is_slow(head_ms):
                     self._count(run, bad=True)
 
-    def _count(self, run: Run, bad: bool) -> None:
+    def _count(self, run: rollout_state.Run, bad: bool) -> None:
         run.counted = True
         rollout, route = run.rollout, run.kind[0]
         one = (
@@ -310,12 +203,14 @@
         if bad and run.new:
             self.judge(rollout)
 
-    def _halt(self, rollout: Rollout) -> None:
+    def _halt(self, rollout: rollout_state.Rollout) -> None:
         """Take another entry VM's finding that the version is bad."""
         if rollout.verdict is not canary.Verdict.BAD:
             self._take_verdict(rollout, canary.Verdict.BAD)
 
-    def _take_verdict(self, rollout: Rollout, verdict: canary.Verdict) -> None:
+    def _take_verdict(
+        self, rollout: rollout_state.Rollout, verdict: canary.Verdict
+    ) -> None:
         rollout.verdict = verdict
         events.log_event(
             events.Event.ROLLOUT_JUDGED,
@@ -328,7 +223,7 @@
             },
         )
 
-    def judge(self, rollout: Rollout) -> None:
+    def judge(self, rollout: rollout_state.Rollout) -> None:
         """Judge by all counts that are known; a halt is never taken back."""
         if rollout.verdict is canary.Verdict.BAD or not rollout.running:
             return
@@ -341,9 +236,13 @@
         for service, order in self.board.orders.items():
             known = self.rollouts.get(service)
             if known is None or known.order != order:
-                self.rollouts[service] = Rollout(order, self.clock.now_ms())
+                self.rollouts[service] = rollout_state.Rollout(
+                    order, self.clock.now_ms()
+                )
 
-    def take_state(self, rollout: Rollout, state: facts.RolloutState) -> None:
+    def take_state(
+        self, rollout: rollout_state.Rollout, state: facts.RolloutState
+    ) -> None:
         """Take what has been decided."""
         rollout.told = state.value
         if state is rollout.state:
@@ -393,7 +292,7 @@
             rollout = self.rollouts.get(service)
             if rollout is None or rollout.order.version != version:
                 continue
-            rollout.others[teller] = Told(
+            rollout.others[teller] = rollout_state.Told(
                 heard_ms=self.clock.now_ms(),
                 old_in_flight=int(in_flight),
                 sent=int(sent[0]),
--- a/tests/model/rollout_steps.py
+++ b/tests/model/rollout_steps.py
@@ -22,6 +22,7 @@
 from carawayward.forwarding import facts
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import rollout_rounds
+from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts
 
 ROUNDS = 3
@@ -116,7 +117,7 @@
     """An entry VM with what it believes of the version, and its rounds."""
 
     rounds: rollout_rounds.RolloutRounds
-    rollout: rollouts.Rollout
+    rollout: rollout_state.Rollout
     running: typing.Coroutine | None = None
     waiting: str = ""
     begun: int = 0
@@ -156,7 +157,7 @@
     clock: typing.Any = StillClock()
     board = board_module.ForwardingBoard(name=belief, failure_domain="north")
     chosen = rollouts.Rollouts(board, clock)
-    rollout = rollouts.Rollout(ORDER, -part * DURATION_MS)
+    rollout = rollout_state.Rollout(ORDER, -part * DURATION_MS)
     rollout.tallies["look"] = tally
     rollout.opened = belief == "good"
     chosen.rollouts["desk"] = rollout
