--- a/bench/quality_exposure.py
+++ b/bench/quality_exposure.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from tests.common import platform_fakes
 from tests.common import quality_rig
 
 RATE = 20
@@ -28,7 +29,7 @@
 
     def judge(answer: dict) -> bool:
         share = good if answer["version"] == "scribe-8" else 0.96
-        return quality_rig.draw(answer["id"], seed) < share
+        return platform_fakes.draw(answer["id"], seed) < share
 
     rig = quality_rig.Rig.from_config(
         quality_rig.make_document([stage]), domains, count, judge
--- /dev/null
+++ b/tests/common/platform_fakes.py
@@ -0,0 +1,109 @@
+"""The platform in memory and in virtual time: its log, ratings and links.
+
+Each takes the faults that the real one has: answers lost, silence, delays.
+"""
+
+import hashlib
+import typing
+
+import attrs
+
+from carawayward import clock as clock_module
+from carawayward import errors
+from carawayward.services import log as log_module
+from carawayward.services import ratings as ratings_module
+
+
+def draw(*parts: object) -> float:
+    """A number between 0 and 1 that depends on its arguments alone."""
+    text = " ".join(map(str, parts)).encode()
+    return int.from_bytes(hashlib.sha256(text).digest()[:7]) / 2.0**56
+
+
+@attrs.define
+class MemoryLog:
+    """The platform's log; ``cut`` names callers that cannot reach it."""
+
+    clock: clock_module.ManualClock
+    records: list[log_module.LogRecord] = attrs.field(factory=list)
+    down: bool = False
+    lose_answers: int = 0
+    oldest: int = 1
+
+    async def append(self, stream: str, records: list) -> int:
+        """Append, and perhaps lose the answer."""
+        if self.down:
+            raise errors.PlatformUnavailable("log", "down", sent=False)
+        first = len(self.records) + 1
+        for data in records:
+            offset = len(self.records) + 1
+            self.records.append(
+                log_module.LogRecord(offset, self.clock.wall_ms(), data)
+            )
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise errors.PlatformUnavailable("log", "answer lost")
+        return first
+
+    async def read(
+        self, stream: str, offset: int, wait_ms: int = 0
+    ) -> log_module.Batch:
+        """Read from an offset, without waiting."""
+        if self.down:
+            raise errors.PlatformUnavailable("log", "down", sent=False)
+        start = max(offset, self.oldest)
+        found = self.records[start - 1 :]
+        return log_module.Batch(found, start + len(found), self.oldest)
+
+
+@attrs.define
+class MemoryRatings:
+    """The ratings service; faults as of the stand-in."""
+
+    clock: clock_module.ManualClock
+    judge: typing.Callable[[dict], bool]
+    delay_ms: float = 0.0
+    lose: float = 0.0
+    down: bool = False
+    boxes: dict[str, list[tuple[float, str, bool]]] = attrs.field(factory=dict)
+
+    async def send(self, mailbox: str, answers: list[dict]) -> None:
+        """Take answers to be rated."""
+        if self.down:
+            raise errors.PlatformUnavailable("ratings", "down")
+        due = self.clock.now_ms() + self.delay_ms
+        box = self.boxes.setdefault(mailbox, [])
+        for answer in answers:
+            if draw(answer["id"], "lose") >= self.lose:
+                box.append((due, answer["id"], self.judge(answer)))
+
+    async def collect(
+        self, mailbox: str, offset: int
+    ) -> tuple[list[ratings_module.Rating], int]:
+        """Give the ratings that are due."""
+        if self.down:
+            raise errors.PlatformUnavailable("ratings", "down")
+        found = []
+        for due, answer_id, good in self.boxes.get(mailbox, [])[offset - 1 :]:
+            if due > self.clock.now_ms():
+                break
+            found.append(ratings_module.Rating(answer_id, good))
+        return found, offset + len(found)
+
+
+@attrs.define
+class MemoryHub:
+    """Links to a few peers; messages arrive at the end of the tick."""
+
+    name: str
+    peers: list[str]
+    queue: list[tuple[str, str, str, typing.Any]]
+    handlers: dict[str, typing.Callable] = attrs.field(factory=dict)
+
+    def handle(self, kind: str, handler: typing.Callable) -> None:
+        """Register what takes messages of a kind."""
+        self.handlers[kind] = handler
+
+    async def tell_all(self, kind: str, body: typing.Any) -> None:
+        """Queue a message to each linked peer."""
+        self.queue += [(self.name, peer, kind, body) for peer in self.peers]
--- /dev/null
+++ b/tests/cover/test_forwarding_versions.py
@@ -0,0 +1,138 @@
+"""Decisions about new versions and endpoints out of reach, without I/O."""
+
+from carawayward.decisions import canary
+from carawayward.decisions import reachability
+
+
+def judge(**routes):
+    return canary.judge({n: canary.Tally(*t) for n, t in routes.items()})
+
+
+def test_version_bad_on_one_route_is_found_among_good_ones():
+    """Half of one small route's answers fail, the other routes are well."""
+    found = judge(a=(60, 0, 600, 3), b=(30, 0, 300, 1), c=(6, 3, 60, 0))
+    assert found is canary.Verdict.BAD
+
+
+def test_version_as_bad_as_the_old_one_is_not_halted():
+    """A seventh of a route's answers fail on either version."""
+    found = judge(a=(70, 10, 700, 100), b=(30, 0, 300, 0))
+    assert found is canary.Verdict.GOOD
+
+
+def test_version_that_hardly_anybody_met_is_not_called_good():
+    """Night traffic: three answers say nothing."""
+    assert judge(a=(3, 0, 400, 0)) is canary.Verdict.UNKNOWN
+
+
+def play_rollout(a_second, duration_s, verdict_at):
+    """What meets the new version; it is found good after some requests."""
+    sent = new = 0.0
+    opened_at = 1.0
+    ticks = int(duration_s * 20)
+    for tick in range(ticks):
+        part = tick / ticks
+        known = new >= verdict_at
+        share = canary.find_share(
+            part,
+            canary.Verdict.GOOD if known else canary.Verdict.UNKNOWN,
+            canary.Exposure(
+                share=0.15, slack=30, sent=int(sent), sent_new=int(new)
+            ),
+        )
+        if share >= 1.0:
+            opened_at = min(opened_at, part)
+        sent += a_second / 20
+        new += share * a_second / 20
+    return sent, new, opened_at
+
+
+def test_version_that_is_bad_only_under_full_load_meets_few():
+    """A version does well on trial and fails once everybody is there.
+
+    It was completed after three quarters of the time: 215 of 843 requests
+    met it, where 156 may. Now all go over so late that what is still to come
+    fits, and yet early enough to complete in time.
+    """
+    for a_second in (2.0, 9.0, 30.0, 200.0):
+        for duration_s in (12.0, 16.0, 24.0):
+            sent, new, opened_at = play_rollout(a_second, duration_s, 8)
+            assert new <= 0.15 * sent + 30
+            assert (1.0 - opened_at) * duration_s >= 1.0
+
+
+def test_share_follows_the_verdict():
+    """Before half of the time nothing but the trial, after a halt nothing."""
+    exposure = canary.Exposure(share=0.9, slack=999, sent=500, sent_new=20)
+    good = canary.Verdict.GOOD
+    assert canary.find_share(0.4, good, exposure) <= canary.MOST_SHARE
+    assert canary.find_share(0.6, good, exposure) == 1.0
+    unknown, bad = canary.Verdict.UNKNOWN, canary.Verdict.BAD
+    assert canary.find_share(0.9, unknown, exposure) <= canary.MOST_SHARE
+    assert canary.find_share(0.9, bad, exposure) == 0.0
+
+
+def test_completion_waits_for_what_runs_on_the_old_version():
+    """Its endpoints stop at once; a stream there would be cut."""
+    good = canary.Verdict.GOOD
+    assert not canary.may_complete(3_000.0, good, 1.0, 100, 2)
+    assert not canary.may_complete(3_000.0, good, 0.1, 100, 0)
+    assert canary.may_complete(3_000.0, good, 1.0, 100, 0)
+    assert canary.may_complete(900.0, good, 1.0, 100, 2)
+    unknown = canary.Verdict.UNKNOWN
+    assert not canary.may_complete(900.0, unknown, 1.0, 100, 0)
+
+
+def test_time_is_slow_by_what_is_usual_and_by_what_callers_notice():
+    """Answers take 10 ms; 45 ms is slow, and 15 ms after 2 ms is not."""
+    usual = canary.Usual()
+    assert not usual.is_slow(500.0)
+    for _ in range(canary.LEAST_USUAL):
+        usual.learn(10.0)
+    assert not usual.is_slow(35.0) and usual.is_slow(45.0)
+    quick = canary.Usual(mean_ms=2.0, answers=10)
+    assert not quick.is_slow(15.0)
+
+
+def test_head_is_slow_by_what_its_engine_had_to_read():
+    """A long row is no slowness; nor is what callers hardly notice."""
+    assert not canary.is_head_slow(2_400.0, 1_000.0)
+    assert canary.is_head_slow(2_600.0, 1_000.0)
+    assert not canary.is_head_slow(450.0, 100.0)
+
+
+def test_endpoint_out_of_reach_is_passed_over_by_all_but_one():
+    """A server went dark; it looks idle, since nothing gets there.
+
+    Longer each time, up to a bound; while one request tries it again the
+    others pass it over, and a connection ends it.
+    """
+    reach = reachability.Reachability()
+    reachability.note_unreached(reach, "a", 0.0)
+    assert reachability.list_passed(reach, 100.0) == {"a"}
+    again_ms = reachability.FIRST_MS
+    assert not reachability.list_passed(reach, again_ms)
+    reachability.begin_try(reach, "a", again_ms)
+    assert reachability.list_passed(reach, again_ms) == {"a"}
+    for _ in range(10):
+        reachability.note_unreached(reach, "a", 1_000.0)
+    late_ms = 1_000.0 + reachability.LONGEST_MS
+    assert reachability.list_passed(reach, late_ms - 1.0) == {"a"}
+    assert not reachability.list_passed(reach, late_ms)
+    reachability.note_reached(reach, "a")
+    reachability.begin_try(reach, "a", 2_000.0)
+    assert not reachability.list_passed(reach, 2_000.0)
+
+
+def test_completion_waits_for_answers_under_full_load():
+    """A version turned bad a second before it was reported as completed.
+
+    It had done well on trial, and nothing had come of it since everything
+    went there. With nobody left on the old version there was no way back:
+    it got requests for as long as operators took to notice.
+    """
+    good = canary.Verdict.GOOD
+    enough = canary.SETTLED_ANSWERS
+    assert not canary.may_complete(3_000.0, good, 1.0, enough - 1, 0)
+    assert canary.may_complete(3_000.0, good, 1.0, enough, 0)
+    assert canary.may_complete(1_500.0, good, 1.0, 5, 0)
--- a/tests/failures/test_quality_rollouts.py
+++ b/tests/failures/test_quality_rollouts.py
@@ -9,6 +9,7 @@
 
 from carawayward.controllers import rollout_reader
 from carawayward.decisions import rollout
+from tests.common import platform_fakes
 from tests.common import quality_rig
 
 DOMAINS = ["hall-a", "hall-b", "hall-c"]
@@ -69,7 +70,7 @@
 
 def is_good(answer: dict, share: float = 0.96) -> bool:
     """Rate an answer that is good with the given chance."""
-    return quality_rig.draw(answer["id"], "good") < share
+    return platform_fakes.draw(answer["id"], "good") < share
 
 
 def halted_everywhere(rig: quality_rig.Rig) -> bool:
