--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -147,11 +147,7 @@
     def end(
         self, run: rollout_state.Run | None, work: work_items.Work
     ) -> None:
-        """A run is over; count its answer if it is one.
-
-        This is called before or after the caller has the answer, also when
-        the caller has left meanwhile: some leave at the answer's first byte.
-        """
+        """A run is over, however it ended and whether its caller has left."""
         self.sessions.touch(work.service, work.facts.session)
         if run is None:
             return
@@ -159,10 +155,13 @@
         rollout.runs.discard(run)
         if not run.new:
             rollout.old_in_flight -= 1
+        # Without a status the connection broke, which says nothing of the
+        # version.
         status = run.progress.status
-        if run.counted or status is None:
-            # A connection that broke says nothing of the version.
-            return
+        if status is not None and not run.counted:
+            self._count_answer(run, status)
+
+    def _count_answer(self, run: rollout_state.Run, status: int) -> None:
         answer_ms = run.progress.head_ms
         if answer_ms is None:
             answer_ms = self.clock.now_ms() - run.progress.began_ms
