--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -20,7 +20,7 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # A stream that pauses for so many of the longest pauses that still count as
 # in time is read on from another endpoint.
-GAP_TARGETS = 1.2
+GAP_TARGETS = 2.0
 
 
 @attrs.define(eq=False)
