--- /dev/null
+++ b/bench/hints.py
@@ -0,0 +1,168 @@
+"""What telling each other costs a node: ``./build.sh bench hints``.
+
+Entry VMs in one process tell each other of prompts over datagrams on
+loopback, idle and with prompts at each of them. Bytes are counted as sent by
+one of them, without the headers of the network.
+"""
+
+import pathlib
+import random
+import typing
+
+import attrs
+import trio
+
+from carawayward import clock as clock_module
+from carawayward.decisions import engine_load
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import hints
+from carawayward.forwarding import keyed_log
+from tests.common import deployment
+
+# Up to the most that one datagram goes to, and past it.
+SIZES = (3, 9, 17, 33)
+PROMPTS_A_SECOND = 10.0
+HEAD_MS = 300.0
+STREAM_MS = 2_000.0
+ENGINES = 18
+PARTS = 2
+SETTLE_S = 2.0
+MEASURED_S = 5.0
+RESULTS = pathlib.Path("bench/results/hints.md")
+
+
+@attrs.define
+class Members:
+    """The topic of members, in memory."""
+
+    records: dict[str, keyed_log.Record] = attrs.field(factory=dict)
+
+    async def read_newest(self) -> keyed_log.Batch:
+        """All that have added themselves."""
+        return keyed_log.Batch(list(self.records.values()), len(self.records))
+
+    async def read(self, start: int, wait_ms: float) -> keyed_log.Batch:
+        """Nothing is read on from the topic."""
+        raise NotImplementedError
+
+    async def append(
+        self,
+        records: typing.Sequence[keyed_log.Record],
+        end: int | None = None,
+    ) -> int:
+        """Add members."""
+        self.records |= {record.key: record for record in records}
+        return len(self.records)
+
+
+@attrs.define
+class CountingSocket:
+    """A socket that counts what goes out."""
+
+    socket: trio.socket.SocketType
+    sent_bytes: int = 0
+
+    async def sendto(self, data: bytes, address: tuple[str, int]) -> int:
+        """Send and count."""
+        self.sent_bytes += len(data)
+        return await self.socket.sendto(data, address)
+
+    async def recvfrom(self, most: int) -> tuple[bytes, object]:
+        """Receive as it is."""
+        return await self.socket.recvfrom(most)
+
+    def close(self) -> None:
+        """Close it."""
+        self.socket.close()
+
+
+def make_controllers(count: int) -> list[hints.HintsController]:
+    """Entry VMs that find each other in one topic."""
+    members = Members()
+    return [
+        hints.HintsController(
+            board_module.ForwardingBoard(
+                name=f"vm-{port}", failure_domain="ikeja"
+            ),
+            clock_module.Clock(),
+            members,
+            f"127.0.0.1:{port}",
+            engine_load.EngineLoads(),
+            lambda engine: 600_000,
+            lambda service, weight: None,
+        )
+        for port in deployment.find_free_ports(count)
+    ]
+
+
+async def serve_prompts(made: hints.HintsController, seed: int) -> None:
+    """Take prompts at random moments, as callers send them."""
+    draw = random.Random(seed)
+    async with trio.open_nursery() as nursery:
+        while True:
+            await trio.sleep(draw.expovariate(PROMPTS_A_SECOND))
+            nursery.start_soon(serve_prompt, made, draw)
+
+
+async def serve_prompt(
+    made: hints.HintsController, draw: random.Random
+) -> None:
+    """One prompt: outstanding until its head, a stream until its end."""
+    engine = f"i-{draw.randrange(ENGINES):010x}"
+    parts = [(draw.getrandbits(64), 4_000) for _ in range(PARTS)]
+    made.add_sent("matcher", 8_000.0)
+    made.add_cached(engine, parts)
+    made.add_load(engine, engine_load.Load(8_000.0, 1))
+    await trio.sleep(HEAD_MS / 1000)
+    made.add_load(engine, engine_load.Load(-8_000.0, 0))
+    await trio.sleep(STREAM_MS / 1000)
+    made.add_load(engine, engine_load.Load(0.0, -1))
+
+
+async def count_bytes(count: int, busy: bool) -> float:
+    """Bytes a second that one entry VM of so many sends to the others."""
+    made = make_controllers(count)
+    async with trio.open_nursery() as nursery:
+        for each in made:
+            await each.start(nursery)
+        counting = CountingSocket(made[0]._socket)
+        made[0]._socket = counting
+        if busy:
+            for seed, each in enumerate(made):
+                nursery.start_soon(serve_prompts, each, seed)
+        await trio.sleep(SETTLE_S)
+        before = counting.sent_bytes
+        await trio.sleep(MEASURED_S)
+        sent = counting.sent_bytes - before
+        nursery.cancel_scope.cancel()
+    for each in made:
+        await each.close()
+    return sent / MEASURED_S
+
+
+def main() -> None:
+    """Measure at each size and write the table."""
+    rows = [
+        (
+            count,
+            trio.run(count_bytes, count, False),
+            trio.run(count_bytes, count, True),
+        )
+        for count in SIZES
+    ]
+    lines = [
+        "| entry VMs | idle, B/s | with prompts, B/s |",
+        "|---|---|---|",
+        *(f"| {n} | {idle:.0f} | {busy:.0f} |" for n, idle, busy in rows),
+    ]
+    table = "\n".join(lines)
+    print(table)
+    RESULTS.write_text(
+        "# What telling each other costs\n\n`./build.sh bench hints`: sent by "
+        f"one entry VM; {PROMPTS_A_SECOND:g} prompts a second at each, "
+        f"{ENGINES} engines, {MEASURED_S:g} s each.\n\n{table}\n"
+    )
+
+
+if __name__ == "__main__":
+    main()
