--- a/bench/hints.py
+++ b/bench/hints.py
@@ -17,7 +17,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import hints
 from carawayward.forwarding import keyed_log
-from tests.common import deployment
+from tests.common import loopback
 
 # Up to the most that one datagram goes to, and past it.
 SIZES = (3, 9, 17, 33)
@@ -91,7 +91,7 @@
             lambda engine: 600_000,
             lambda service, weight: None,
         )
-        for port in deployment.find_free_ports(count)
+        for port in loopback.find_free_ports(count)
     ]
 
 
--- a/bench/path.py
+++ b/bench/path.py
@@ -16,6 +16,7 @@
 import yaml
 
 from tests.common import deployment
+from tests.common import loopback
 from tests.common import streaming
 
 RESULTS = pathlib.Path("bench/results/path.md")
@@ -57,7 +58,7 @@
                 name, "bench.path_engine", "--versions", streaming.VERSION
             )
         for name in self.pools["matchers"]:
-            deployment.wait_until_listening(self.addresses[name])
+            loopback.wait_until_listening(self.addresses[name])
 
     def start_entry_vm(self, vm: deployment.EntryProcess) -> None:
         """Start one entry VM, whose limits do not hold the load back."""
--- a/tests/common/deployment.py
+++ b/tests/common/deployment.py
@@ -1,12 +1,9 @@
 """A user's whole deployment as processes on loopback."""
 
-import fcntl
-import itertools
 import json
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,12 +14,11 @@
 import httpcore
 import yaml
 
+from tests.common import loopback
+
 PLATFORM = ("log", "vms", "ratings", "weights")
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
-PORTS_FROM, PORTS_TO, PORT_BLOCK = 12_000, 32_000, 800
-_LOCKS: list[typing.IO] = []
-_PORTS: list[typing.Iterator[int]] = []
 
 KEYS = {
     "tokens": ["demo-token-key-0123456789"],
@@ -126,44 +122,6 @@
     return Reply(response.status, got, response.content)
 
 
-def take_port_block() -> typing.Iterator[int]:
-    """Ports that this process alone may give away, in turn for ever.
-
-    Ports of the kernel's own range are taken by any outgoing connection
-    between the look and the use, so blocks below it are shared out; a lock
-    file holds a block for as long as this process lives.
-    """
-    for first in range(PORTS_FROM, PORTS_TO, PORT_BLOCK):
-        name = f"carawayward-ports-{os.getuid()}-{first}"
-        lock = open(pathlib.Path(tempfile.gettempdir()) / name, "w")
-        try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            lock.close()
-            continue
-        _LOCKS.append(lock)
-        return itertools.cycle(range(first, first + PORT_BLOCK))
-    raise RuntimeError("all blocks of ports are taken; run fewer tests")
-
-
-def find_free_ports(count: int) -> list[int]:
-    """Ports that nothing listens on just now."""
-    if not _PORTS:
-        _PORTS.append(take_port_block())
-    found: list[int] = []
-    for port in itertools.islice(_PORTS[0], 2 * PORT_BLOCK):
-        if len(found) == count:
-            return found
-        with socket.socket() as each:
-            each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                each.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        found.append(port)
-    raise RuntimeError(f"no {count} free ports")
-
-
 @attrs.define
 class EntryProcess:
     """One entry VM of a deployment and how to reach it."""
@@ -234,7 +192,7 @@
         for name in PLATFORM:
             self.start_standin(name, f"tests.standins.{name}")
         for name in PLATFORM:
-            wait_until_listening(self.addresses[name])
+            loopback.wait_until_listening(self.addresses[name])
 
     def start_endpoints(self) -> None:
         """Start all pools' endpoints."""
@@ -251,12 +209,12 @@
                 self.start_standin(name, f"tests.standins.{kind}", *words)
         for names in self.pools.values():
             for name in names:
-                wait_until_listening(self.addresses[name])
+                loopback.wait_until_listening(self.addresses[name])
 
     def start_standin(self, name: str, module: str, *words: str) -> None:
         """Start one stand-in, on its old port if it had one."""
         if name not in self.addresses:
-            (port,) = find_free_ports(1)
+            (port,) = loopback.find_free_ports(1)
             self.addresses[name] = f"127.0.0.1:{port}"
         port_text = self.addresses[name].rpartition(":")[2]
         self.processes[name] = self.spawn(
@@ -309,7 +267,7 @@
         """Give every entry VM a name, a failure domain and addresses."""
         domains = self.plan.failure_domains
         count = self.plan.entry_vms + spares
-        ports = find_free_ports(3 * count)
+        ports = loopback.find_free_ports(3 * count)
         for number in range(count):
             callers, peers, operators = (
                 f"127.0.0.1:{port}"
@@ -402,16 +360,3 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
-
-
-def wait_until_listening(address: str) -> None:
-    """Wait until something accepts connections."""
-    host, _, port = address.rpartition(":")
-    deadline = time.monotonic() + START_TIMEOUT_S
-    while time.monotonic() < deadline:
-        try:
-            socket.create_connection((host, int(port)), 1).close()
-            return
-        except OSError:
-            time.sleep(0.02)
-    raise TimeoutError(f"nothing listens on {address}")
--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -12,7 +12,7 @@
 from carawayward.forwarding import settings as settings_module
 from carawayward.forwarding import table
 from carawayward.platform import entry
-from tests.common import deployment
+from tests.common import loopback
 from tests.standins import backend as backend_module
 from tests.standins import raw_http
 from tests.standins import store as store_module
@@ -220,7 +220,7 @@
     ) -> daemon_module.ForwardingDaemon:
         """Start one more entry VM."""
         number = len(self.daemons)
-        ports = deployment.find_free_ports(3)
+        ports = loopback.find_free_ports(3)
         settings = settings_module.ForwardingSettings(
             name=f"edge-{number}",
             failure_domain="north",
--- a/tests/common/linked.py
+++ b/tests/common/linked.py
@@ -14,6 +14,7 @@
 
 from carawayward import declaration
 from tests.common import deployment
+from tests.common import loopback
 
 VERSIONS = ("cheap-1", "cheap-2", "strong-1")
 DAEMON = "carawayward.daemon"
@@ -130,7 +131,7 @@
         for vm in vms:
             for name, address in self.addresses.items():
                 targets[f"{vm.name}>{name}"] = address
-        ports = deployment.find_free_ports(len(targets) + 1)
+        ports = loopback.find_free_ports(len(targets) + 1)
         self.addresses["link"] = f"127.0.0.1:{ports.pop()}"
         self.links = {
             name: [port, int(address.rpartition(":")[2])]
@@ -141,7 +142,7 @@
         file = self.folder / "links.json"
         file.write_text(json.dumps(self.links))
         self.start_standin("link", "tests.standins.link", "--file", str(file))
-        deployment.wait_until_listening(self.addresses["link"])
+        loopback.wait_until_listening(self.addresses["link"])
 
     def list_vms(self, leaving: typing.Collection[str] = ()) -> None:
         """List endpoints, each under the address of the viewer's link."""
--- /dev/null
+++ b/tests/common/loopback.py
@@ -0,0 +1,66 @@
+"""Ports on loopback that tests may listen on."""
+
+import fcntl
+import itertools
+import os
+import pathlib
+import socket
+import tempfile
+import time
+import typing
+
+PORTS_FROM, PORTS_TO, PORT_BLOCK = 12_000, 32_000, 800
+LISTENING_TIMEOUT_S = 30.0
+_LOCKS: list[typing.IO] = []
+_PORTS: list[typing.Iterator[int]] = []
+
+
+def take_port_block() -> typing.Iterator[int]:
+    """Ports that this process alone may give away, in turn for ever.
+
+    Ports of the kernel's own range are taken by any outgoing connection
+    between the look and the use, so blocks below it are shared out; a lock
+    file holds a block for as long as this process lives.
+    """
+    for first in range(PORTS_FROM, PORTS_TO, PORT_BLOCK):
+        name = f"carawayward-ports-{os.getuid()}-{first}"
+        lock = open(pathlib.Path(tempfile.gettempdir()) / name, "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        _LOCKS.append(lock)
+        return itertools.cycle(range(first, first + PORT_BLOCK))
+    raise RuntimeError("all blocks of ports are taken; run fewer tests")
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Ports that nothing listens on just now."""
+    if not _PORTS:
+        _PORTS.append(take_port_block())
+    found: list[int] = []
+    for port in itertools.islice(_PORTS[0], 2 * PORT_BLOCK):
+        if len(found) == count:
+            return found
+        with socket.socket() as each:
+            each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                each.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    raise RuntimeError(f"no {count} free ports")
+
+
+def wait_until_listening(address: str) -> None:
+    """Wait until something accepts connections."""
+    host, _, port = address.rpartition(":")
+    deadline = time.monotonic() + LISTENING_TIMEOUT_S
+    while time.monotonic() < deadline:
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+            return
+        except OSError:
+            time.sleep(0.02)
+    raise TimeoutError(f"nothing listens on {address}")
--- a/tests/failures/test_forwarding_plain.py
+++ b/tests/failures/test_forwarding_plain.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from tests.common import deployment
 from tests.common import forwarding
+from tests.common import loopback
 from tests.standins import backend
 
 
@@ -294,7 +294,7 @@
         desks = make_desks(7)
         async with forwarding.open_forwarding(*desks) as made:
             for desk in desks[1:]:
-                (port,) = deployment.find_free_ports(1)
+                (port,) = loopback.find_free_ports(1)
                 made.register(desk, address=f"127.0.0.1:{port}", sequence=2)
             endpoints = made.daemon.board.endpoints
             await made.wait_for(
--- a/tests/failures/test_path_peers.py
+++ b/tests/failures/test_path_peers.py
@@ -9,7 +9,7 @@
 from carawayward.peers import hub as hub_module
 from carawayward.peers import link as link_module
 from carawayward.protocol import handshake
-from tests.common import deployment
+from tests.common import loopback
 from tests.common import peering
 
 
@@ -36,7 +36,7 @@
     ),
 ) -> tuple[hub_module.PeerHub, hub_module.PeerHub]:
     """Two hubs that have each other as seeds."""
-    ports = sorted(deployment.find_free_ports(2))
+    ports = sorted(loopback.find_free_ports(2))
     one = peering.make_hub("one", ports[0], ports, keys[0])
     two = peering.make_hub("two", ports[1], ports, keys[1])
     for hub in (one, two):
@@ -140,7 +140,7 @@
                 await stream.send_all(junk or b"x")
             nursery.start_soon(trio.sleep, 0)
         for message in (b"\xff\xff", b"x" * 5_000_000):
-            port = deployment.find_free_ports(1)[0]
+            port = loopback.find_free_ports(1)[0]
             rogue = peering.make_hub("rogue", port, [get_port(one)])
             await rogue.start(nursery)
             await peering.wait_until(lambda: "rogue" in one.links)
@@ -165,7 +165,7 @@
     """
 
     async def scenario(nursery: trio.Nursery) -> None:
-        ports = sorted(deployment.find_free_ports(3))
+        ports = sorted(loopback.find_free_ports(3))
         one = peering.make_hub("one", ports[0], [ports[2]])
         two = peering.make_hub("two", ports[1])
         wire = peering.Wire(ports[1], ports[2])
@@ -200,7 +200,7 @@
     """
 
     async def scenario(nursery: trio.Nursery) -> None:
-        ports = sorted(deployment.find_free_ports(2))
+        ports = sorted(loopback.find_free_ports(2))
         one = peering.make_hub("one", ports[0], [ports[1]])
         two = peering.make_hub("two", ports[1])
 
@@ -228,7 +228,7 @@
     """
 
     async def scenario(nursery: trio.Nursery) -> None:
-        ports = sorted(deployment.find_free_ports(3))
+        ports = sorted(loopback.find_free_ports(3))
         seeds: tuple[list[int], ...] = ([ports[1]], [], [ports[1]])
         hubs = [
             peering.make_hub(name, port, seed, choose=choose_nobody)
@@ -259,7 +259,7 @@
     """
 
     async def scenario(nursery: trio.Nursery) -> None:
-        ports = sorted(deployment.find_free_ports(16))
+        ports = sorted(loopback.find_free_ports(16))
         hubs = [
             peering.make_hub(f"vm-{port}", port, ports[:2]) for port in ports
         ]
--- a/tests/failures/test_path_silence.py
+++ b/tests/failures/test_path_silence.py
@@ -19,6 +19,7 @@
 from carawayward.services import log as log_module
 from carawayward import settings
 from tests.common import deployment
+from tests.common import loopback
 from tests.common import peering
 from tests.common import streaming
 
@@ -47,7 +48,7 @@
 
     async def run() -> None:
         service = Service()
-        port, wire_port = deployment.find_free_ports(2)
+        port, wire_port = loopback.find_free_ports(2)
         app = applications.Starlette(
             routes=[
                 routing.Route(
@@ -67,7 +68,7 @@
                 nursery.start_soon(wire.run)
                 address = f"127.0.0.1:{port}"
                 await trio.to_thread.run_sync(
-                    deployment.wait_until_listening, address
+                    loopback.wait_until_listening, address
                 )
                 await scenario(service, wire)
                 nursery.cancel_scope.cancel()
@@ -189,7 +190,7 @@
     The caller's side is gone without a word while an answer is awaited.
     Cause: nothing is sent, so that nothing can fail.
     """
-    (port,) = deployment.find_free_ports(1)
+    (port,) = loopback.find_free_ports(1)
     config = listening.make_config(
         f"127.0.0.1:{port}", settings.Limits(), None, 100
     )
--- a/tests/failures/test_path_tls.py
+++ b/tests/failures/test_path_tls.py
@@ -10,6 +10,7 @@
 
 from tests.common import certificates
 from tests.common import deployment
+from tests.common import loopback
 from tests.common import peering
 from tests.common import streaming
 
@@ -88,7 +89,7 @@
     async def scenario(folder: str) -> None:
         own = certificates.Authority(pathlib.Path(folder), "own")
         foreign = certificates.Authority(pathlib.Path(folder), "foreign")
-        ports = sorted(deployment.find_free_ports(3))
+        ports = sorted(loopback.find_free_ports(3))
         hubs = [
             peering.make_hub(
                 name,
--- a/tests/history/search.py
+++ b/tests/history/search.py
@@ -9,8 +9,8 @@
 import attrs
 import fire
 
-from tests.common import deployment
 from tests.common import linked
+from tests.common import loopback
 from tests.history import checkers
 from tests.history import events
 from tests.history import recorder as recorder_module
@@ -247,7 +247,7 @@
         pool = self.running.plan.pools[0]
         words = ["--name", name, "--versions", ",".join(pool.versions)]
         self.running.start_standin(name, "tests.standins.engine", *words)
-        deployment.wait_until_listening(self.running.addresses[name])
+        loopback.wait_until_listening(self.running.addresses[name])
 
     def be_late(self, target: int, lasts_s: float) -> None:
         """An engine and a service answer late, within their timeouts."""
