Send the rogue's junk once its own side has the link

Trace: the log of the failed run has no "peer_refused" of the rogue, so that no junk ever reached the hub. The hub that listens lists a link when it has sent its proof, the one that dialled when it has read it; in between, the test's look into the rogue's links raised KeyError, which it suppressed with everything else, and then it waited for a link to close that nobody had touched.

Change: the test waits for both sides, and suppresses nothing but the closed connection that it causes.

--- a/tests/failures/test_path_peers.py
+++ b/tests/failures/test_path_peers.py
@@ -4,6 +4,7 @@
 import typing
 
 import trio
+from websockets import exceptions as ws_errors
 from websockets.trio import client as ws_client
 
 from carawayward.peers import hub as hub_module
@@ -144,9 +145,12 @@
             rogue = peering.make_hub("rogue", port, [get_port(one)])
             await rogue.start(nursery)
             await peering.wait_until(lambda: "rogue" in one.links)
+            # The side that dialled lists the link a moment later.
+            await peering.wait_until(lambda hub=rogue: "one" in hub.links)
             link = one.links["rogue"]
-            with contextlib.suppress(Exception):
-                await rogue.links["one"].socket.send(message)
+            socket = rogue.links["one"].socket
+            with contextlib.suppress(ws_errors.ConnectionClosed):
+                await socket.send(message)
             with trio.fail_after(10):
                 while one.links.get("rogue") is link:
                     await trio.sleep(0.01)
