Let a declining endpoint keep others away for 50 ms, not for 500

While one request tried an endpoint again the others passed it over for the 500 ms that a connection may take, also where it had only declined. Engines that turn away a part of their prompts then stood idle, and the rows of the others grew.

Change: how long a try keeps others away follows from why the endpoint is avoided: 500 ms for connections, 50 ms for a word that it takes nothing.

The test of the server that declines everything passes as before.

--- a/src/carawayward/decisions/avoidance.py
+++ b/src/carawayward/decisions/avoidance.py
@@ -24,17 +24,24 @@
 UNREACHED_MS = 300.0
 DECLINED_MS = 50.0
 LONGEST_MS = 3_000.0
-# While one request tries an endpoint the others pass it over for this long,
-# the time that a connection may take.
-TRY_MS = 500.0
+# While one request tries an endpoint the others pass it over for this long:
+# the time that a connection may take, or a word that it takes nothing. One
+# that has said nothing by then has the request; kept out for longer, engines
+# that decline half of their prompts stood idle and the others' rows grew.
+REACHING_MS = 500.0
+DECLINING_MS = 50.0
 
 
 @attrs.define
 class Avoided:
-    """Until when an endpoint is passed over, after so many tries in a row."""
+    """Until when an endpoint is passed over, after so many tries in a row.
+
+    ``try_ms`` is how long one request's try keeps the others away.
+    """
 
     until_ms: float
     tries: int
+    try_ms: float
 
 
 @attrs.define
@@ -46,21 +53,25 @@
 
 def note_unreached(avoidance: Avoidance, name: str, now_ms: float) -> None:
     """No connection came about."""
-    _avoid(avoidance, name, now_ms, UNREACHED_MS)
+    _avoid(avoidance, name, now_ms, UNREACHED_MS, REACHING_MS)
 
 
 def note_declined(avoidance: Avoidance, name: str, now_ms: float) -> None:
     """The endpoint says that it did not run a request."""
-    _avoid(avoidance, name, now_ms, DECLINED_MS)
+    _avoid(avoidance, name, now_ms, DECLINED_MS, DECLINING_MS)
 
 
 def _avoid(
-    avoidance: Avoidance, name: str, now_ms: float, first_ms: float
+    avoidance: Avoidance,
+    name: str,
+    now_ms: float,
+    first_ms: float,
+    try_ms: float,
 ) -> None:
     known = avoidance.endpoints.get(name)
     tries = known.tries if known else 0
     pause_ms = min(LONGEST_MS, first_ms * 2.0**tries)
-    avoidance.endpoints[name] = Avoided(now_ms + pause_ms, tries + 1)
+    avoidance.endpoints[name] = Avoided(now_ms + pause_ms, tries + 1, try_ms)
 
 
 def note_taken(avoidance: Avoidance, name: str) -> None:
@@ -75,7 +86,7 @@
     """
     known = avoidance.endpoints.get(name)
     if known is not None:
-        known.until_ms = max(known.until_ms, now_ms + TRY_MS)
+        known.until_ms = max(known.until_ms, now_ms + known.try_ms)
 
 
 def list_avoided(avoidance: Avoidance, now_ms: float) -> frozenset[str]:
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -129,6 +129,10 @@
     book = avoidance.Avoidance()
     avoidance.note_declined(book, "a", 0.0)
     assert not avoidance.list_avoided(book, avoidance.DECLINED_MS)
+    avoidance.begin_try(book, "a", 60.0)
+    tried_ms = 60.0 + avoidance.DECLINING_MS
+    assert avoidance.list_avoided(book, tried_ms - 1.0) == {"a"}
+    assert not avoidance.list_avoided(book, tried_ms)
     for _ in range(5):
         avoidance.note_declined(book, "a", 100.0)
     assert avoidance.list_avoided(book, 1_000.0) == {"a"}
