Let the first poll after an outage of the store prove at once

A poll proves only when it ends, and the first one after a failure waited its full 1.5 s for news that did not come.

Ruled out: retries too far apart (300 ms); connections of before the cut (closed after a failed call).

Change: while a topic's calls fail, the next poll asks for no wait.

--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -84,7 +84,11 @@
             self._note_answer()
             self.replace(batch.records)
         else:
-            batch = await self.topic.read(self.position, self.find_wait())
+            # A poll proves something only when it ends. The first after a
+            # failure does not wait for news, or everything that rests on its
+            # proof would stay refused for the length of a poll, 1.5 s.
+            wait_ms = 0.0 if self.failing else self.find_wait()
+            batch = await self.topic.read(self.position, wait_ms)
             self._note_answer()
             for record in batch.records:
                 self.apply(record)
