Send callers of an entry VM without proof of its keys to the others

In seconds 4 to 8, 54 and 85 of 164 and 177 requests were in time though engines came to the first text in 0.1 s: 707 refusals "keys may be old" told callers to come back after 2 s, over connections that lead to the same entry VM, while any other would have served them.

Ruled out: engines (heads took 93 ms in the median then); the store (the other five had proof all the while).

Change: an entry VM tells the others with each hint whether it can prove its keys. One that cannot, while less than half of those known say the same, tells callers to come back after 20 ms, closes their connections and is not ready, so that balancers move them. If most cannot either, the store is gone for all and callers come back after 2 s, as before. decisions/redirection has the rule, forwarding/standing asks it.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -19,6 +19,7 @@
 from carawayward.forwarding import facts
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import replies
+from carawayward.forwarding import standing as standing_module
 from carawayward.forwarding import table as table_module
 from carawayward.forwarding import work_items
 
@@ -27,8 +28,6 @@
 
 # Refusals that pass by themselves once this entry VM has read the store.
 NOT_READY_MS = 500.0
-# Another entry VM takes the request; there is nothing to wait for.
-LEAVING_MS = 20.0
 
 
 class CallerLeft(Exception):
@@ -49,17 +48,20 @@
 
 @attrs.define(eq=False)
 class AsgiReply:
-    """A reply over ASGI; ``finished`` once its end has been handed over."""
+    """A reply over ASGI; ``finished`` once its end has been handed over.
+
+    ``sends_away`` tells whether the caller's connection is to end with it.
+    """
 
     send_event: Send
-    is_leaving: typing.Callable[[], bool]
+    sends_away: typing.Callable[[], bool]
     begun: bool = False
     finished: bool = False
 
     async def begin(self, status: int, headers: facts.Headers) -> None:
         """Send status and headers."""
         self.begun = True
-        if self.is_leaving():
+        if self.sends_away():
             headers = [*headers, (b"connection", b"close")]
         await self.send_event(
             {
@@ -92,7 +94,7 @@
     clock: clock_module.Clock
     dialect: facts.Dialect
     forwarder: exchange.Forwarder
-    is_fresh: typing.Callable[[], bool]
+    standing: standing_module.Standing
     measures: measures_module.Measures
 
     async def __call__(
@@ -101,9 +103,7 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        reply = AsgiReply(
-            send, lambda: self.board.state is board_module.State.LEAVING
-        )
+        reply = AsgiReply(send, self.standing.sends_away)
         self.board.open_requests += 1
         try:
             await self._serve(scope, receive, reply)
@@ -145,7 +145,7 @@
         if table is None:
             raise Refused(503, "no routing table yet", NOT_READY_MS)
         if self.board.refusing:
-            raise Refused(503, "leaving", LEAVING_MS)
+            raise Refused(503, "leaving", standing_module.ELSEWHERE_MS)
         try:
             known = self.dialect.read_request(request.headers)
         except errors.BadRequest as fault:
@@ -154,8 +154,8 @@
         if route is None:
             # A table that may be out of date cannot say that there is no
             # such route: a newer one may have added it.
-            if not self.is_fresh():
-                raise Refused(503, "table may be old", exchange.KEYS_OLD_MS)
+            if not self.standing.is_fresh():
+                raise self._refuse_stale("table may be old")
             raise Refused(404, "no such route")
         customer = self._find_customer(table, route, known)
         wait_ms = route.timeout_ms
@@ -181,13 +181,17 @@
     ) -> str:
         if not table.needs_key(route):
             return ""
-        if not self.is_fresh():
-            raise Refused(503, "keys may be old", exchange.KEYS_OLD_MS)
+        if not self.standing.is_fresh():
+            raise self._refuse_stale("keys may be old")
         customer = table.customers_by_key.get(known.key)
         if customer is None:
             raise Refused(401, "unknown key")
         return customer.name
 
+    def _refuse_stale(self, cause: str) -> Refused:
+        """Refuse what a proof of the table would be needed for."""
+        return Refused(503, cause, self.standing.find_come_back_ms())
+
     def _log_refusal(self, scope: dict, refusal: Refused) -> None:
         self.measures.count("refusals", cause=refusal.cause)
         events.log_event(
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -17,6 +17,7 @@
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import settings as settings_module
+from carawayward.forwarding import standing as standing_module
 from carawayward.forwarding import work_items
 
 # Part of the time for which a leaving endpoint may still get work that a poll
@@ -127,11 +128,10 @@
 ) -> app_module.ForwardingApp:
     """The application behind the callers' listener."""
 
-    def is_fresh() -> bool:
-        return board.is_fresh(clock.boot_ms())
+    standing = standing_module.Standing(board, clock, placer.hints)
 
     def may_send(work: work_items.Work) -> bool:
-        return not work.customer or is_fresh()
+        return not work.customer or standing.is_fresh()
 
     forwarder = exchange.Forwarder(
         clock,
@@ -139,8 +139,9 @@
         placer,
         relaying.Relay(placer),
         may_send,
+        standing.find_come_back_ms,
         placer.measures,
     )
     return app_module.ForwardingApp(
-        board, clock, ports.dialect, forwarder, is_fresh, placer.measures
+        board, clock, ports.dialect, forwarder, standing, placer.measures
     )
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -203,7 +203,7 @@
     async def _answer_readiness(
         self, scope: dict, receive: typing.Any, send: typing.Any
     ) -> None:
-        ready = self.board.state is board_module.State.READY
+        ready = self.app.standing.is_ready()
         reply = app_module.AsgiReply(send, lambda: False)
         await exchange.refuse(reply, 200 if ready else 503, None)
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -45,9 +45,6 @@
 # When to come back while nothing is known of when an endpoint will be free:
 # registries tell of a new endpoint within about a second.
 COME_BACK_MS = 1_000.0
-# Refusals while keys cannot be proved. Outages of the store last seconds; who
-# comes back sooner than this is mostly refused again.
-KEYS_OLD_MS = 2_000.0
 COME_BACK_SPREAD = (0.75, 1.25)
 
 
@@ -60,7 +57,8 @@
     """Serves forwarded requests.
 
     ``may_send`` is asked at the instant before a request's first byte goes
-    to an endpoint.
+    to an endpoint; ``find_come_back_ms`` is when a caller that it withheld
+    should come back.
     """
 
     clock: clock_module.Clock
@@ -68,6 +66,7 @@
     placer: placing.Placer
     relay: relaying.Relay
     may_send: typing.Callable[[work_items.Work], bool]
+    find_come_back_ms: typing.Callable[[], float]
     measures: measures_module.Measures
 
     @property
@@ -105,7 +104,8 @@
             self._note(work, place, outcome)
             if isinstance(outcome, work_items.Withheld):
                 # No other endpoint may have it either.
-                await self._give_up(work, reply, outcome.cause, KEYS_OLD_MS)
+                come_back_ms = self.find_come_back_ms()
+                await self._give_up(work, reply, outcome.cause, come_back_ms)
                 return
             if not self._may_try_again(work, outcome):
                 await self._give_up(work, reply, outcome.cause)
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -40,7 +40,7 @@
 MOST_PEERS = 16
 MOST_BYTES = 8_192
 FIND_RETRY_MS = 500.0
-VERSION = 1
+VERSION = 2
 # What bytes of another program raise while they are taken apart.
 UNREADABLE = (
     AttributeError,
@@ -54,12 +54,13 @@
 
 @attrs.define
 class Peer:
-    """Another entry VM."""
+    """Another entry VM; ``stale`` if it cannot prove its keys."""
 
     address: tuple[str, int]
     incarnation: str
     heard_ms: float
     sequence: int = 0
+    stale: bool = False
     sent: dict[str, float] = attrs.field(factory=dict)
 
 
@@ -153,6 +154,15 @@
             now_ms - peer.heard_ms < SILENT_MS for peer in self.peers.values()
         )
 
+    def count_stale(self) -> tuple[int, int]:
+        """Other entry VMs known, and those that said lately they are stale."""
+        now_ms = self.clock.now_ms()
+        stale = sum(
+            peer.stale and now_ms - peer.heard_ms < SILENT_MS
+            for peer in self.peers.values()
+        )
+        return len(self.peers), stale
+
     async def _find_peers(self) -> None:
         """Add this entry VM to the topic and greet those in it.
 
@@ -250,6 +260,7 @@
                 self.board.incarnation,
                 self.address,
                 self.sequence,
+                not self.board.is_fresh(self.clock.boot_ms()),
                 loads,
                 [list(part) for part in parts],
                 {name: round(total) for name, total in self.sent.items()},
@@ -274,8 +285,8 @@
         try:
             if (fields := cbor2.loads(data))[0] != VERSION:
                 return
-            name, incarnation, address, sequence = fields[1:5]
-            loads, parts, sums, topics = fields[5:]
+            name, incarnation, address, sequence, stale = fields[1:6]
+            loads, parts, sums, topics = fields[6:]
             told = {
                 str(engine): engine_load.Load(float(weight), int(streams))
                 for engine, (weight, streams) in loads.items()
@@ -296,6 +307,7 @@
         now_ms = self.clock.now_ms()
         silent = now_ms - peer.heard_ms > SILENT_MS
         peer.sequence, peer.heard_ms = sequence, now_ms
+        peer.stale = bool(stale)
         engine_load.take_peer(self.loads, name, told, now_ms)
         for service, total in sent.items():
             self._take_sent(peer, service, total, silent)
--- /dev/null
+++ b/src/carawayward/forwarding/standing.py
@@ -0,0 +1,47 @@
+"""Whether callers should turn to this entry VM just now, or to another."""
+
+import attrs
+
+from carawayward import clock as clock_module
+from carawayward.decisions import redirection
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import hints as hints_module
+
+# Another entry VM takes the request; there is nothing to wait for.
+ELSEWHERE_MS = 20.0
+# When to come back while keys cannot be proved anywhere. Outages of the store
+# last seconds; who comes back sooner than this is mostly refused again.
+KEYS_OLD_MS = 2_000.0
+
+
+@attrs.define(eq=False)
+class Standing:
+    """What this entry VM can say of itself, next to the others."""
+
+    board: board_module.ForwardingBoard
+    clock: clock_module.Clock
+    hints: hints_module.HintsController
+
+    def is_fresh(self) -> bool:
+        """Whether the table's keys may still be relied on."""
+        return self.board.is_fresh(self.clock.boot_ms())
+
+    def sends_away(self) -> bool:
+        """Whether callers do better to leave for another entry VM."""
+        if self.board.state is board_module.State.LEAVING:
+            return True
+        return not self.is_fresh() and self._others_may_serve()
+
+    def find_come_back_ms(self) -> float:
+        """When a caller should come back that needs a proof of its key."""
+        others = self._others_may_serve()
+        return ELSEWHERE_MS if others else KEYS_OLD_MS
+
+    def is_ready(self) -> bool:
+        """Whether a balancer should send new connections."""
+        ready = self.board.state is board_module.State.READY
+        return ready and not self.sends_away()
+
+    def _others_may_serve(self) -> bool:
+        known, stale = self.hints.count_stale()
+        return redirection.others_may_serve(known, stale)
--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -9,6 +9,7 @@
 import trio
 
 from carawayward.forwarding import daemon as daemon_module
+from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import settings as settings_module
 from carawayward.forwarding import table
 from carawayward.platform import entry
@@ -133,6 +134,10 @@
         """A controller of an entry VM, in the order of their start."""
         return self.daemons[daemon].controllers[index]
 
+    def find_hints(self) -> hints_module.HintsController:
+        """What the first entry VM tells the others, and has been told."""
+        return self.daemon.app.standing.hints
+
     def find_table(self) -> table.RoutingTable:
         """The first entry VM's routing table."""
         found = self.daemon.board.table
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from carawayward.forwarding import hints
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -82,6 +83,41 @@
     trio.run(main)
 
 
+def test_stale_entry_vm_sends_callers_to_the_others():
+    """An entry VM is cut off from the store, and summaries come 2 s late.
+
+    The others serve. Cause: callers are told to come back when the store may
+    have returned, over connections that lead to the same entry VM, though any
+    other would have served them at once.
+    """
+
+    async def main():
+        (desk,) = make_desks(1)
+        async with forwarding.open_forwarding(
+            desk, key_lease_ms=1_600
+        ) as made:
+            board, clock = made.daemon.board, made.daemon.clock
+            peers = made.find_hints().peers
+            for name in ("vm-b", "vm-c"):
+                peers[name] = hints.Peer(("127.0.0.1", 9), "x", clock.now_ms())
+            assert await made.ask_ready(0) == 200
+            made.store.silent = True
+            await made.wait_for(lambda: not board.is_fresh(clock.boot_ms()))
+            answer = await made.call("GET", "/look/")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) < 0.1
+            assert answer.headers["connection"] == "close"
+            assert await made.ask_ready(0) == 503
+            for peer in peers.values():
+                peer.heard_ms, peer.stale = clock.now_ms(), True
+            answer = await made.call("GET", "/look/")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) >= 1.0
+            assert await made.ask_ready(0) == 200
+
+    trio.run(main)
+
+
 def test_lease_is_checked_again_when_the_request_goes_out():
     """A request waits for its connection while the lease runs out.
 
