Begin with the smallest model when engines are behind and nothing may follow

Ruled out: the engines' own speed (heads took what was predicted from the tokens before them).

Change: escalation.find_strain says how much speaks against work for the largest model, for escalations as before; past half of it a request that cannot escalate begins with the smallest. Both ask placing in one place now.

--- a/src/carawayward/decisions/escalation.py
+++ b/src/carawayward/decisions/escalation.py
@@ -29,29 +29,48 @@
 # answer out of one that is in time.
 EARLY_HEAD = 0.3
 LATEST_HEAD = 0.9
+# Up to this strain the largest model takes requests that could not escalate.
+# Past it half of the answers, given in time, are better than all given late.
+MOST_STRAIN_FOR_LARGEST = 0.5
 
 
-def choose_first(models: int, may_escalate: bool) -> int:
+def find_strain(pressure_ms: float, head_part: float) -> float:
+    """How much speaks against giving the largest model work, from 0 to 1.
+
+    ``pressure_ms`` is how far the engines are behind; ``head_part`` is when
+    the largest model's first text would come, as a part of the route's
+    target.
+    """
+    behind = (pressure_ms - CALM_MS) / (HIGH_PRESSURE_MS - CALM_MS)
+    lateness = (head_part - EARLY_HEAD) / (LATEST_HEAD - EARLY_HEAD)
+    return min(1.0, max(0.0, behind, lateness))
+
+
+def choose_first(models: int, may_escalate: bool, strain: float) -> int:
     """The model to begin with, as a place in the list, smallest first.
 
     Where a dropped answer could not be followed by another run, the largest
     model is the only one that meets the quality target.
+
+    Load: engines crash, and so many requests need a second run that no extra
+    runs are left. Harm prevented: the largest model for everybody takes over
+    twice the reading of a cascade, just when a part of the engines is gone.
     """
-    return 0 if may_escalate else models - 1
+    if may_escalate or strain >= MOST_STRAIN_FOR_LARGEST:
+        return 0
+    return models - 1
 
 
 def find_next(
     index: int,
     models: int,
     confidence: float | None,
-    pressure_ms: float,
-    head_part: float,
+    strain: float,
 ) -> int | None:
     """The model to ask next, or None to keep this answer.
 
-    A model that gives no opinion is taken at its word. ``pressure_ms`` is how
-    far the engines are behind; ``head_part`` is when the larger model's first
-    text would come, as a part of the route's target.
+    A model that gives no opinion is taken at its word. ``strain`` is what
+    ``find_strain`` gives.
 
     Load: more hard requests than the engines can read prompts for. Harm
     prevented: if all of them escalate, queues grow until every answer on every
@@ -60,11 +79,8 @@
     """
     if confidence is None or index >= models - 1:
         return None
-    behind = (pressure_ms - CALM_MS) / (HIGH_PRESSURE_MS - CALM_MS)
-    lateness = (head_part - EARLY_HEAD) / (LATEST_HEAD - EARLY_HEAD)
-    pressure = max(0.0, behind, lateness)
-    if pressure >= 1.0:
+    if strain >= 1.0:
         return None
-    if confidence >= LEAST_CONFIDENCE - SPREAD * pressure:
+    if confidence >= LEAST_CONFIDENCE - SPREAD * strain:
         return None
     return models - 1
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -55,10 +55,39 @@
                 ESCALATION_RESERVE,
             )
         )
+        strain = 0.0 if may_escalate else self._find_strain(work)
         work.model = escalation.choose_first(
-            len(work.route.models), may_escalate
+            len(work.route.models), may_escalate, strain
         )
 
+    def _find_strain(self, work: work_items.Work) -> float:
+        """How much speaks against the largest model for a request."""
+        engine = self._choose_for_largest(work)
+        if engine is None:
+            return 1.0
+        head_ms = engine_load.predict_head(
+            self.fleet.find_pace(work.service), engine.weight
+        )
+        return escalation.find_strain(
+            self.fleet.find_pressure(work.service),
+            head_ms / work.route.target_ms,
+        )
+
+    def _choose_for_largest(
+        self, work: work_items.Work
+    ) -> engine_load.Choice | None:
+        """The engine that the largest model's run would go to."""
+        prompt = work_items.make_prompt(work, work.route.models[-1])
+        if prompt is None:
+            return None
+        excluded = work.useless | self.fleet.list_avoided()
+        for want in self._list_wants(work, self.rollouts.choose(work)):
+            pool = self.fleet.find_pool(want)
+            engine = self.fleet.choose_engine(pool, prompt, excluded)
+            if engine is not None:
+                return engine
+        return None
+
     def choose(
         self, work: work_items.Work, choice: rollout_state.Choice | None
     ) -> fleet_module.Place | None:
@@ -153,27 +182,9 @@
         budget = self.find_budget(work.service)
         if not extra_runs.may_spend(budget, self.clock.now_ms()):
             return None
-        models = work.route.models
-        prompt = work_items.make_prompt(work, models[-1])
-        if prompt is None:
-            return None
-        choice = self.rollouts.choose(work)
-        engine = None
-        for want in self._list_wants(work, choice):
-            engine = engine or self.fleet.choose_engine(
-                self.fleet.find_pool(want),
-                prompt,
-                work.useless | self.fleet.list_avoided(),
-            )
-        if engine is None:
-            return None
-        head_ms = engine_load.predict_head(
-            self.fleet.find_pace(work.service), engine.weight
-        )
         return escalation.find_next(
             work.model,
-            len(models),
+            len(work.route.models),
             work.confidence,
-            self.fleet.find_pressure(work.service),
-            head_ms / work.route.target_ms,
+            self._find_strain(work),
         )
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -125,7 +125,8 @@
 
 
 def escalate_by_pressure(confidence, pressure_ms, head_part):
-    return escalation.find_next(0, 2, confidence, pressure_ms, head_part) == 1
+    strain = escalation.find_strain(pressure_ms, head_part)
+    return escalation.find_next(0, 2, confidence, strain) == 1
 
 
 def always_escalate(confidence, pressure_ms, head_part):
@@ -299,15 +300,27 @@
 
 def test_first_model_is_the_largest_where_nothing_could_follow():
     """Without a second attempt a poor first answer could not be mended."""
-    assert escalation.choose_first(3, may_escalate=False) == 2
-    assert escalation.choose_first(3, may_escalate=True) == 0
+    assert escalation.choose_first(3, may_escalate=False, strain=0.0) == 2
+    assert escalation.choose_first(3, may_escalate=True, strain=0.0) == 0
+
+
+def test_engines_that_are_behind_get_no_largest_model_to_begin_with():
+    """Three engines crash; their streams use the extra runs up.
+
+    Half of all requests then began with the largest model, on the engines
+    that were left, and first texts of every kind came after 2 s.
+    """
+    strain = escalation.find_strain(escalation.HIGH_PRESSURE_MS, 0.0)
+    assert escalation.choose_first(3, may_escalate=False, strain=strain) == 0
+    strain = escalation.find_strain(0.0, escalation.LATEST_HEAD)
+    assert escalation.choose_first(3, may_escalate=False, strain=strain) == 0
 
 
 def test_answer_without_opinion_is_kept():
     """Not every model says what it thinks of its answer."""
-    assert escalation.find_next(0, 3, None, 0.0, 0.0) is None
+    assert escalation.find_next(0, 3, None, 0.0) is None
 
 
 def test_largest_model_has_none_after_it():
     """The largest model is unsure too; there is nobody left to ask."""
-    assert escalation.find_next(2, 3, 1.0, 0.0, 0.0) is None
+    assert escalation.find_next(2, 3, 1.0, 0.0) is None
