--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -167,8 +167,7 @@
             route=route,
             service=choose_service(route, known),
             table=table,
-            customer=customer.name if customer else "",
-            priority=find_priority(route, customer),
+            customer=customer,
             began_ms=began_ms,
             deadline_ms=began_ms + wait_ms,
             last_event=known.last_event,
@@ -179,16 +178,15 @@
         table: table_module.RoutingTable,
         route: table_module.Route,
         known: facts.RequestFacts,
-    ) -> table_module.Customer | None:
-        """Whose key it is; None where the route needs none."""
+    ) -> str:
         if not table.needs_key(route):
-            return None
+            return ""
         if not self.standing.is_fresh():
             raise self._refuse_stale("keys may be old")
         customer = table.customers_by_key.get(known.key)
         if customer is None:
             raise Refused(401, "unknown key")
-        return customer
+        return customer.name
 
     def _refuse_stale(self, cause: str) -> Refused:
         """Refuse what a proof of the table would be needed for."""
@@ -218,15 +216,6 @@
     return route.choose_service(key / 2.0**64)
 
 
-def find_priority(
-    route: table_module.Route, customer: table_module.Customer | None
-) -> int:
-    """How urgent a request is, 0 the most; a customer's word goes first."""
-    if customer is None or customer.priority is None:
-        return route.priority
-    return customer.priority
-
-
 def check_framing(headers: facts.Headers) -> None:
     """Refuse a request whose end two readers may see in two places.
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -48,9 +48,6 @@
 COME_BACK_SPREAD = (0.75, 1.25)
 
 
-# Endpoints know so many degrees of urgency; routes may have more.
-LEAST_URGENT = 9
-
 # Outcomes by which the request is certain not to have run.
 NOT_RUN = (work_items.Unreached, work_items.Withheld, work_items.Declined)
 
@@ -197,7 +194,6 @@
             customer=work.customer,
             model=work.model_name,
             last_event=work.last_event,
-            urgency=min(work.priority, LEAST_URGENT),
         )
         headers = self.dialect.write_request(work.request.headers, dispatch)
         return attempt_module.Forward(
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -123,7 +123,6 @@
     service: str
     table: table.RoutingTable
     customer: str
-    priority: int = 0
     began_ms: float
     deadline_ms: float
     model: int | None = None
