Split the slack of extra runs among the entry VMs that there are

Tried and left out: to hold extra runs against the requests of the window before as well. Where callers move from one entry VM to another both count them: 612 in a window in which 540 may be, with the bound used up.

--- a/src/carawayward/decisions/extra_runs.py
+++ b/src/carawayward/decisions/extra_runs.py
@@ -17,18 +17,19 @@
 # Kept clear of the bound: what another entry VM counts a moment earlier or
 # later moves between windows.
 HEADROOM = 0.85
-# The slack is split among this many entry VMs. Fewer leave some unused; at
-# this many each may still repeat three requests without any traffic.
-SLACK_SHARES = 16
 
 
 @attrs.define
 class ExtraRuns:
-    """Counts of one service in a sliding window; times in ms."""
+    """Counts of one service in a sliding window; times in ms.
+
+    ``vms`` is among how many entry VMs the slack is split.
+    """
 
     window_ms: float = 10_000.0
     ratio: float = 0.9
     slack: float = 58.0
+    vms: int = 16
     slices: collections.deque[list[float]] = attrs.field(
         factory=collections.deque
     )
@@ -44,7 +45,7 @@
     _find_slice(runs, now_ms)
     requests = sum(each[1] for each in runs.slices)
     extra = sum(each[2] for each in runs.slices)
-    most = runs.ratio * requests * HEADROOM + runs.slack / SLACK_SHARES
+    most = HEADROOM * (runs.ratio * requests + runs.slack / max(1, runs.vms))
     return extra + 1 <= most * (1.0 - reserve)
 
 
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -147,12 +147,9 @@
         del self.new_parts[:-MOST_PARTS]
         self.news.set()
 
-    def count_alive(self) -> int:
-        """Entry VMs that were heard of lately, this one among them."""
-        now_ms = self.clock.now_ms()
-        return 1 + sum(
-            now_ms - peer.heard_ms < SILENT_MS for peer in self.peers.values()
-        )
+    def count_known(self) -> int:
+        """Entry VMs that were heard of some time ago, this one among them."""
+        return 1 + len(self.peers)
 
     def count_stale(self) -> tuple[int, int]:
         """Other entry VMs known, and those that said lately they are stale."""
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -39,6 +39,7 @@
         budget = self.budgets.get(service)
         if budget is None:
             budget = self.budgets[service] = self.make_budget()
+        budget.vms = self.hints.count_known()
         return budget
 
     def choose_model(self, work: work_items.Work) -> None:
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -287,6 +287,20 @@
         assert extra <= 0.9 * 200 + 58
 
 
+def test_slack_is_shared_by_all_entry_vms():
+    """A pool fails for all of 72 entry VMs, each with little traffic.
+
+    A sixteenth of the slack for each was four and a half times the slack.
+    """
+    vms = [extra_runs.ExtraRuns(slack=184.0, vms=72) for _ in range(72)]
+    spent = 0
+    for runs in vms:
+        while extra_runs.may_spend(runs, 0.0):
+            extra_runs.spend(runs, 0.0)
+            spent += 1
+    assert 72 <= spent <= 184
+
+
 def test_climbs_leave_extra_runs_for_failures():
     """Half of the requests escalate; an endpoint fails in the same second."""
     runs = extra_runs.ExtraRuns()
