Wait for engines that are behind, and find dead connections in seconds

The wait was there for engines that take a prompt and never answer; those that have lost power were found by nothing else, after 15 s.

Change: a first text is given up only if what is left is enough for another engine at 1.5 times what engines take by prediction. Connections to engines have the kernel's keep-alive probes, so that dead ones end after 3 s.

The new test was given up and asked twice before.

--- a/src/carawayward/forwarding/attempt.py
+++ b/src/carawayward/forwarding/attempt.py
@@ -95,12 +95,15 @@
     request_id: str,
     read_answer: typing.Callable[[int, facts.Headers], facts.AnswerFacts],
     mark: http.SentMark,
+    silence_ms: int | None = None,
 ) -> typing.AsyncIterator[Attempt]:
     """Send a request and wait for the head of its answer.
 
     Leaving the context, by cancellation too, closes the connection, which
-    makes the endpoint drop the request. Raises AttemptFailed, and
-    AttemptWithheld where ``mark`` says that the request may not go out.
+    makes the endpoint drop the request. With ``silence_ms`` the connection
+    ends when the other side's kernel has been silent for so long. Raises
+    AttemptFailed, and AttemptWithheld where ``mark`` says that the request may
+    not go out.
     """
     host, _, port = address.rpartition(":")
     url = httpcore.URL(
@@ -110,7 +113,8 @@
         target=forward.target,
     )
     connection = httpcore.AsyncHTTPConnection(
-        origin=url.origin, network_backend=connections.EndpointBackend()
+        origin=url.origin,
+        network_backend=connections.EndpointBackend(silence_ms),
     )
     request = httpcore.Request(
         forward.method,
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -15,12 +15,12 @@
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import hops
 from carawayward.forwarding import measures as measures_module
+from carawayward.forwarding import patience
 from carawayward.forwarding import placing
 from carawayward.forwarding import relaying
 from carawayward.forwarding import replies
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
-from carawayward.forwarding import table
 from carawayward.forwarding import work_items
 from carawayward import http_client as http
 
@@ -34,14 +34,6 @@
 # which counts runs, for as long as this: silent ones cost the time to connect
 # each, those that refuse a few ms. After it a caller does better to come back.
 UNREACHED_MS = 1_500.0
-# A repeatable request waits for the head of an answer no longer than so many
-# times the route's target before another endpoint is asked.
-HEAD_TARGETS = 2.0
-# Engines queue: under load the first event takes seconds, and to give it up
-# has the whole prompt read again elsewhere, which makes the load worse. So
-# only what would otherwise fail is given up, and only while there is time
-# for another engine to meet the target.
-STREAM_HEAD_PART = 0.6
 # When to come back while nothing is known of when an endpoint will be free:
 # registries tell of a new endpoint within about a second.
 COME_BACK_MS = 1_000.0
@@ -155,7 +147,8 @@
         reply: replies.Reply,
     ) -> work_items.Outcome:
         async with contextlib.AsyncExitStack() as stack:
-            with trio.move_on_after(self._find_patience_s(work)) as waiting:
+            wait_ms = self._find_patience_ms(work)
+            with trio.move_on_after(wait_ms / 1000) as waiting:
                 answer = await stack.enter_async_context(
                     attempt_module.open_attempt(
                         place.entry.address,
@@ -163,6 +156,7 @@
                         work.facts.request_id,
                         self.dialect.read_answer,
                         mark,
+                        patience.find_silence_ms(work.route),
                     )
                 )
             if waiting.cancelled_caught:
@@ -173,16 +167,10 @@
                 self.fleet.note_taken(place)
             return await self.relay.pass_on(work, answer, reply)
 
-    def _find_patience_s(self, work: work_items.Work) -> float:
-        """How long to wait for the head of an answer."""
-        if not work.route.repeatable:
-            return float("inf")
-        if work.route.kind is table.RouteKind.STREAM:
-            left_ms = work.deadline_ms - self.clock.now_ms()
-            if STREAM_HEAD_PART * left_ms < work.route.target_ms:
-                return float("inf")
-            return STREAM_HEAD_PART * left_ms / 1000
-        return HEAD_TARGETS * work.route.target_ms / 1000
+    def _find_patience_ms(self, work: work_items.Work) -> float:
+        left_ms = work.deadline_ms - self.clock.now_ms()
+        predicted_ms = self.placer.predict_head(work)
+        return patience.find_patience_ms(work.route, left_ms, predicted_ms)
 
     def _make_forward(
         self, work: work_items.Work, place: fleet_module.Place
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -163,6 +163,11 @@
         reading.begin()
         return reading
 
+    def predict_head(self, work: work_items.Work) -> float:
+        """When the first text comes from where the work was placed, in ms."""
+        pace = self.fleet.find_pace(work.service)
+        return engine_load.predict_head(pace, work.backlog)
+
     def note_head(self, work: work_items.Work) -> None:
         """Learn from a prompt that its engine has read."""
         progress = work.progress
@@ -170,8 +175,7 @@
         if work.reading is None:
             return
         work.reading.note_head()
-        pace = self.fleet.find_pace(work.service)
-        predicted_ms = engine_load.predict_head(pace, work.backlog)
+        predicted_ms = self.predict_head(work)
         progress.predicted_ms = predicted_ms
         events.log_event(
             events.Event.HEAD_READ,
@@ -184,6 +188,7 @@
             pressure_ms=round(self.fleet.find_pressure(work.service)),
             confidence=work.confidence,
         )
+        pace = self.fleet.find_pace(work.service)
         engine_load.note_head(pace, work.backlog, took_ms)
         self.measures.observe("head", took_ms, model=work.model_name)
 
--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -3,6 +3,7 @@
 import httpcore
 import trio
 
+from carawayward.decisions import engine_load
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -240,3 +241,38 @@
                 nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def fill_engines(made, engines, weight):
+    """Have the entry VM believe that each engine has so much to read."""
+    placer = made.daemon.app.forwarder.placer
+    for engine in engines:
+        load = engine_load.Load(weight, 1)
+        engine_load.add_own(placer.hints.loads, engine.name, load)
+    return placer.fleet.find_pace("engines")
+
+
+def test_head_that_comes_late_because_of_load_is_waited_for():
+    """A digest is read three times over, each time on a busier engine.
+
+    Engines take 1.5 s to a first text. Cause: the wait for it ends at a part
+    of the caller's time, though no other engine would be sooner.
+    """
+
+    async def answer_late(engine, exchange):
+        await trio.sleep(1.0)
+        await backend.run_well(engine, exchange)
+
+    async def main():
+        engines = make_engines()
+        for engine in engines:
+            engine.always = answer_late
+        async with forwarding.open_forwarding(*engines) as made:
+            pace = fill_engines(made, engines, 1e6)
+            pace.token_ms = 0.001
+            answer = await made.ask_engine(carawayward_deadline_ms="1600")
+            assert answer.status == 200
+            assert sum(engine.arrivals for engine in engines) == 1
+            assert not made.daemon.app.forwarder.fleet.list_avoided()
+
+    trio.run(main)
