Refuse prompts at once that no engine reads before their caller has gone

Change: if the first text is predicted later than the caller's time at the best engine, and the request has not run, it is refused with 503 and told to come back when engines will have read enough for its target.

Figures: the new test waited out its 5 s before and is answered at once.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -89,6 +89,11 @@
             if place is None:
                 await self._give_up(work, reply, "no endpoint")
                 return
+            if self._is_hopeless(work):
+                await self._give_up(
+                    work, reply, "engines behind", self._find_return_ms(work)
+                )
+                return
             outcome = await self._attempt(work, place, choice, reply)
             if isinstance(outcome, work_items.Delivered):
                 self._log_end(work, outcome.status, "delivered")
@@ -103,6 +108,23 @@
                 await self._give_up(work, reply, outcome.cause)
                 return
 
+    def _is_hopeless(self, work: work_items.Work) -> bool:
+        """Whether an answer would begin only after the caller has gone.
+
+        Load: engines are further behind than some callers wait. Harm
+        prevented: these wait for nothing, and their prompts are read though
+        nobody is there for the answer.
+        """
+        left_ms = work.deadline_ms - self.clock.now_ms()
+        return not work.may_have_run and (
+            self.placer.predict_head(work) > left_ms
+        )
+
+    def _find_return_ms(self, work: work_items.Work) -> float:
+        """When engines will have read enough to answer a request in time."""
+        behind_ms = self.placer.predict_head(work) - work.route.target_ms
+        return max(COME_BACK_MS, behind_ms)
+
     async def _attempt(
         self,
         work: work_items.Work,
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -164,7 +164,12 @@
         return reading
 
     def predict_head(self, work: work_items.Work) -> float:
-        """When the first text comes from where the work was placed, in ms."""
+        """When the first text comes from where the work was placed, in ms.
+
+        0 for what no engine reads.
+        """
+        if not work.backlog:
+            return 0.0
         pace = self.fleet.find_pace(work.service)
         return engine_load.predict_head(pace, work.backlog)
 
--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -252,6 +252,29 @@
     return placer.fleet.find_pace("engines")
 
 
+def test_prompt_that_no_engine_reads_in_time_is_refused_at_once():
+    """An inspector waits five seconds for a summary and gets nothing.
+
+    Engines are ten seconds behind. Cause: the request is queued behind all
+    that, and read though its caller has left by then.
+    """
+
+    async def main():
+        engines = make_engines()
+        async with forwarding.open_forwarding(*engines) as made:
+            pace = fill_engines(made, engines, 1e6)
+            pace.token_ms = 0.01
+            began = trio.current_time()
+            answer = await made.ask_engine()
+            assert answer.status == 503
+            assert trio.current_time() - began < 0.5
+            # Ten seconds behind, less the target of 0.3 s.
+            assert float(answer.headers["retry-after"]) > 7.0
+            assert not any(engine.runs for engine in engines)
+
+    trio.run(main)
+
+
 def test_head_that_comes_late_because_of_load_is_waited_for():
     """A digest is read three times over, each time on a busier engine.
 
