Send callers away at the first failed call for the table

Change: an entry VM whose last call for the table failed counts as one that soon cannot serve: it is not ready, ends connections with their replies and tells the others so, while it goes on serving as long as its keys hold. If half of the others say the same, the store is gone and it stays ready.

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -47,6 +47,9 @@
             return MISSING_POLL_MS
         return DRAIN_PART * board.bounds.drain_ms
 
+    def note_store(failing: bool) -> None:
+        board.store_failing = failing
+
     return [
         feed.TopicFeed(
             "declarations",
@@ -57,6 +60,7 @@
             reader.prove,
             entries.note_trouble,
             find_wait=find_table_wait,
+            note_failing=note_store,
         ),
         feed.TopicFeed(
             "endpoints",
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -32,8 +32,9 @@
 
     ``table_as_of_ms`` is the latest moment at which ``table`` is known to
     have been the newest. ``generation`` rises with each change of
-    ``endpoints``. ``refusing`` is set once a stop leaves no time for new
-    requests.
+    ``endpoints``. ``store_failing`` is set from a failed call for the table
+    to the next that succeeds. ``refusing`` is set once a stop leaves no time
+    for new requests.
     """
 
     name: str
@@ -44,6 +45,7 @@
     refusing: bool = False
     table: table_module.RoutingTable | None = None
     table_as_of_ms: float = NEVER
+    store_failing: bool = False
     endpoints: dict[str, facts.EndpointEntry] = attrs.field(factory=dict)
     endpoints_known: bool = False
     generation: int = 0
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -37,8 +37,9 @@
     ``replace`` gets all newest records after a gap, ``apply`` each further
     record. ``prove`` is told the boot time at which the call was sent that
     showed the reader to be up to date. ``note_trouble`` is called at each
-    failed call and at the first that succeeds again. ``find_wait`` says how
-    long the next poll may wait, in ms.
+    failed call and at the first that succeeds again, ``note_failing`` at the
+    first of each kind. ``find_wait`` says how long the next poll may wait, in
+    ms.
     """
 
     name: str
@@ -49,6 +50,7 @@
     prove: typing.Callable[[float], None] = lambda as_of_ms: None
     note_trouble: typing.Callable[[], None] = lambda: None
     find_wait: typing.Callable[[], float] = lambda: POLL_MS
+    note_failing: typing.Callable[[bool], None] = lambda failing: None
     position: int | None = None
     failing: bool = False
 
@@ -73,6 +75,7 @@
                 continue
             if self.failing:
                 self.failing = False
+                self.note_failing(False)
                 events.log_event(events.Event.PLATFORM_BACK, topic=self.name)
             if complete:
                 self.prove(sent_ms)
@@ -104,6 +107,7 @@
         self.note_trouble()
         if not self.failing:
             self.failing = True
+            self.note_failing(True)
             events.log_event(
                 events.Event.PLATFORM_DOWN, topic=self.name, detail=str(fault)
             )
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -257,7 +257,8 @@
                 self.board.incarnation,
                 self.address,
                 self.sequence,
-                not self.board.is_fresh(self.clock.boot_ms()),
+                self.board.store_failing
+                or not self.board.is_fresh(self.clock.boot_ms()),
                 loads,
                 [list(part) for part in parts],
                 {name: round(total) for name, total in self.sent.items()},
--- a/src/carawayward/forwarding/standing.py
+++ b/src/carawayward/forwarding/standing.py
@@ -27,10 +27,15 @@
         return self.board.is_fresh(self.clock.boot_ms())
 
     def sends_away(self) -> bool:
-        """Whether callers do better to leave for another entry VM."""
+        """Whether callers do better to leave for another entry VM.
+
+        So from the first failed call for the table on, not only when its keys
+        have lapsed: a balancer takes two seconds to move callers, about as
+        long as keys then last.
+        """
         if self.board.state is board_module.State.LEAVING:
             return True
-        return not self.is_fresh() and self._others_may_serve()
+        return self._is_in_doubt() and self._others_may_serve()
 
     def find_come_back_ms(self) -> float:
         """When a caller should come back that needs a proof of its key."""
@@ -42,6 +47,9 @@
         ready = self.board.state is board_module.State.READY
         return ready and not self.sends_away()
 
+    def _is_in_doubt(self) -> bool:
+        return self.board.store_failing or not self.is_fresh()
+
     def _others_may_serve(self) -> bool:
         known, stale = self.hints.count_stale()
         return redirection.others_may_serve(known, stale)
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -11,6 +11,10 @@
     return [backend.Backend(f"desk-{number}") for number in range(count)]
 
 
+def make_peer(name, heard_ms):
+    return hints.Peer(("127.0.0.1", 9), "x", heard_ms)
+
+
 def test_nothing_is_known_before_the_first_configuration():
     """An entry VM starts before the operator has written anything.
 
@@ -99,7 +103,7 @@
             board, clock = made.daemon.board, made.daemon.clock
             peers = made.find_hints().peers
             for name in ("vm-b", "vm-c"):
-                peers[name] = hints.Peer(("127.0.0.1", 9), "x", clock.now_ms())
+                peers[name] = make_peer(name, clock.now_ms())
             assert await made.ask_ready(0) == 200
             made.store.silent = True
             await made.wait_for(lambda: not board.is_fresh(clock.boot_ms()))
@@ -118,6 +122,36 @@
     trio.run(main)
 
 
+def test_callers_are_sent_away_before_keys_lapse():
+    """A failure domain is cut off; for two seconds its callers are refused.
+
+    A balancer moves callers two seconds after an entry VM says that it is not
+    ready, and that was said only when the keys had lapsed. Until then those
+    that are still here are served.
+    """
+
+    async def main():
+        (desk,) = make_desks(1)
+        async with forwarding.open_forwarding(
+            desk, key_lease_ms=8_000
+        ) as made:
+            board, clock = made.daemon.board, made.daemon.clock
+            peers = made.find_hints().peers
+            peers["vm-b"] = make_peer("vm-b", clock.now_ms())
+            made.store.silent = True
+            await made.wait_for(lambda: board.store_failing)
+            assert board.is_fresh(clock.boot_ms())
+            assert await made.ask_ready(0) == 503
+            answer = await made.call("GET", "/look/")
+            assert answer.status == 200
+            assert answer.headers["connection"] == "close"
+            made.store.silent = False
+            await made.wait_for(lambda: not board.store_failing)
+            assert await made.ask_ready(0) == 200
+
+    trio.run(main)
+
+
 def test_lease_is_checked_again_when_the_request_goes_out():
     """A request waits for its connection while the lease runs out.
 
