--- a/src/carawayward/decisions/avoidance.py
+++ b/src/carawayward/decisions/avoidance.py
@@ -14,6 +14,8 @@
 other it is tried.
 """
 
+import typing
+
 import attrs
 
 # How long an endpoint is passed over, doubled with each try in a row up to
@@ -57,6 +59,21 @@
     _avoid(avoidance, name, now_ms, UNREACHED_MS, REACHING_MS)
 
 
+def note_domain_silent(
+    avoidance: Avoidance, names: typing.Iterable[str], now_ms: float
+) -> None:
+    """Nobody in another failure domain answers; these are in it.
+
+    Load: a failure domain is cut off without a word, and with it a third of
+    the endpoints. Harm prevented: requests try them one after the other, each
+    for as long as a connection may take.
+    """
+    for name in names:
+        if name not in avoidance.endpoints:
+            until_ms = now_ms + UNREACHED_MS
+            avoidance.endpoints[name] = Avoided(until_ms, 0, REACHING_MS)
+
+
 def note_declined(avoidance: Avoidance, name: str, now_ms: float) -> None:
     """The endpoint says that it did not run a request."""
     _avoid(avoidance, name, now_ms, DECLINED_MS, DECLINING_MS)
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -232,10 +232,9 @@
                 work.model = outcome.model
             case work_items.Unreached():
                 work.useless |= {name}
-                self.fleet.note_unreached(place)
-                work.unreached_ms += (
-                    self.clock.now_ms() - work.progress.began_ms
-                )
+                took_ms = self.clock.now_ms() - work.progress.began_ms
+                self.fleet.note_unreached(place, took_ms)
+                work.unreached_ms += took_ms
                 self.fleet.note_failure(place, outcome.cause)
             case work_items.Declined():
                 work.useless |= {name}
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -15,6 +15,9 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
 
+# A connection that failed sooner was turned away by a machine that is there.
+SILENT_CONNECT_MS = 400.0
+
 Identity = tuple[str, int | None]
 
 
@@ -67,6 +70,7 @@
     avoidance: avoidance_module.Avoidance = attrs.field(
         factory=avoidance_module.Avoidance
     )
+    reached_ms: dict[str, float] = attrs.field(factory=dict)
 
     def find_memory(self, name: str) -> int:
         """How many tokens an engine's memory holds; 0 if it is unknown."""
@@ -205,11 +209,33 @@
     def note_taken(self, place: Place) -> None:
         """An endpoint has taken a request."""
         avoidance_module.note_taken(self.avoidance, place.entry.name)
+        self.reached_ms[place.entry.failure_domain] = self.clock.now_ms()
+
+    def note_unreached(self, place: Place, took_ms: float) -> None:
+        """No connection to an endpoint came about, after so long.
 
-    def note_unreached(self, place: Place) -> None:
-        """No connection to an endpoint came about."""
+        If nothing has come from its failure domain in all that time either,
+        the domain may be cut off, and its other endpoints are passed over too.
+        """
         name, now_ms = place.entry.name, self.clock.now_ms()
         avoidance_module.note_unreached(self.avoidance, name, now_ms)
+        domain = place.entry.failure_domain
+        heard_ms = self.reached_ms.get(domain, float("-inf"))
+        if (
+            domain == self.board.failure_domain
+            or took_ms < SILENT_CONNECT_MS
+            or heard_ms > now_ms - took_ms
+        ):
+            return
+        avoidance_module.note_domain_silent(
+            self.avoidance,
+            [
+                each.entry.name
+                for each in self.places.values()
+                if each.entry.failure_domain == domain
+            ],
+            now_ms,
+        )
 
     def note_declined(self, place: Place) -> None:
         """An endpoint would not run a request."""
