--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -133,7 +133,11 @@
     standing = standing_module.Standing(board, clock, placer.hints)
 
     def may_send(work: work_items.Work) -> bool:
-        return not work.customer or standing.is_fresh()
+        # A run that broke off goes on though keys have lapsed since: its key
+        # was proved when the request came, and as long as the run had lasted
+        # nothing would have stopped it either. In a cut failure domain 13
+        # streams were broken off that others could have finished.
+        return not work.customer or work.ran or standing.is_fresh()
 
     forwarder = exchange.Forwarder(
         clock,
--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -1,5 +1,6 @@
 """Forwarded streams: models by confidence, resumption, what breaks off."""
 
+import attrs
 import httpcore
 import trio
 
@@ -100,6 +101,34 @@
     trio.run(main)
 
 
+def test_stream_whose_keys_lapsed_meanwhile_goes_on_elsewhere():
+    """A failure domain is cut off in the middle of a digest.
+
+    Its key was good when the request came. When its engine is lost the keys
+    can no longer be proved here; the other engine finishes the digest, as the
+    first would have done. Cause: a run that goes on was taken for a new one.
+    """
+
+    async def main():
+        engines = make_engines()
+        async with forwarding.open_forwarding(*engines) as made:
+            break_off = backend.break_after(2)
+
+            async def lapse_and_break(engine, exchange):
+                board = made.daemon.board
+                board.bounds = attrs.evolve(board.bounds, key_lease_ms=0)
+                await break_off(engine, exchange)
+
+            for engine in engines:
+                engine.behaviours = [lapse_and_break]
+            answer = await made.ask_engine()
+            refused = await made.ask_engine()
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+        assert refused.status == 503
+
+    trio.run(main)
+
+
 def test_stream_that_nobody_finishes_is_visibly_broken():
     """Every engine breaks off: the caller must not take it for whole."""
 
