Ask for a late answer rather than keep a surely poor one, on calm engines

Change: what speaks against the larger model has two parts now. The request's own lateness lowers the mark for its confidence to 45 at most, under which three answers in four are poor; how far all engines are behind lowers it further and forbids it past the limit, as before.

--- a/src/carawayward/decisions/escalation.py
+++ b/src/carawayward/decisions/escalation.py
@@ -12,11 +12,17 @@
 the caller another first token, and their range of difficulty is small.
 """
 
+import attrs
+
 # Models rate an answer that is just good enough at about 50 of 100, with an
 # error of about 8. Two errors above, one accepted answer in fifty is poor.
 LEAST_CONFIDENCE = 62.0
 # As engines fall behind, answers up to four errors under the mark are kept.
 SPREAD = 32.0
+# Where the larger model's answer would come late, answers are kept of which
+# less than three in four are poor: half an error under the even chance, 50. A
+# good answer is worth a third when it comes late, a poor one next to nothing.
+LATE_SPREAD = 17.0
 # How far engines may be behind with reading prompts, as parts of the shortest
 # target among the routes that they serve: up to the first that is no reason
 # not to escalate, past the second nothing does. The first is what a clump of a
@@ -34,8 +40,20 @@
 MOST_STRAIN_FOR_LARGEST = 0.5
 
 
-def find_strain(backlog_part: float, head_part: float) -> float:
-    """How much speaks against giving the largest model work, from 0 to 1.
+@attrs.frozen
+class Strain:
+    """How much speaks against giving the largest model work, each 0 to 1.
+
+    ``behind`` is about what it does to everybody else's answers, ``lateness``
+    about the request's own.
+    """
+
+    behind: float = 0.0
+    lateness: float = 0.0
+
+
+def find_strain(backlog_part: float, head_part: float) -> Strain:
+    """What speaks against giving the largest model work.
 
     ``backlog_part`` is how far the engines are behind on average, as a part
     of the shortest target that they serve; ``head_part`` is when the largest
@@ -43,10 +61,13 @@
     """
     behind = (backlog_part - CALM_BACKLOG) / (HIGH_BACKLOG - CALM_BACKLOG)
     lateness = (head_part - EARLY_HEAD) / (LATEST_HEAD - EARLY_HEAD)
-    return min(1.0, max(0.0, behind, lateness))
+    return Strain(
+        behind=min(1.0, max(0.0, behind)),
+        lateness=min(1.0, max(0.0, lateness)),
+    )
 
 
-def choose_first(models: int, may_escalate: bool, strain: float) -> int:
+def choose_first(models: int, may_escalate: bool, strain: Strain) -> int:
     """The model to begin with, as a place in the list, smallest first.
 
     Where a dropped answer could not be followed by another run, the largest
@@ -56,7 +77,8 @@
     runs are left. Harm prevented: the largest model for everybody takes over
     twice the reading of a cascade, just when a part of the engines is gone.
     """
-    if may_escalate or strain >= MOST_STRAIN_FOR_LARGEST:
+    most = max(strain.behind, strain.lateness)
+    if may_escalate or most >= MOST_STRAIN_FOR_LARGEST:
         return 0
     return models - 1
 
@@ -65,7 +87,7 @@
     index: int,
     models: int,
     confidence: float | None,
-    strain: float,
+    strain: Strain,
 ) -> int | None:
     """The model to ask next, or None to keep this answer.
 
@@ -79,8 +101,9 @@
     """
     if confidence is None or index >= models - 1:
         return None
-    if strain >= 1.0:
+    if strain.behind >= 1.0:
         return None
-    if confidence >= LEAST_CONFIDENCE - SPREAD * strain:
+    kept = SPREAD * strain.behind + LATE_SPREAD * strain.lateness
+    if confidence >= LEAST_CONFIDENCE - kept:
         return None
     return models - 1
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -57,16 +57,18 @@
                 ESCALATION_RESERVE,
             )
         )
-        strain = 0.0 if may_escalate else self._find_strain(work)
+        strain = (
+            escalation.Strain() if may_escalate else self._find_strain(work)
+        )
         work.model = escalation.choose_first(
             len(work.route.models), may_escalate, strain
         )
 
-    def _find_strain(self, work: work_items.Work) -> float:
+    def _find_strain(self, work: work_items.Work) -> escalation.Strain:
         """How much speaks against the largest model for a request."""
         prompt = work_items.make_prompt(work, work.route.models[-1])
         if prompt is None:
-            return 0.0
+            return escalation.Strain()
         excluded = work.useless | self.fleet.list_avoided()
         for want in self._list_wants(work, self.rollouts.choose(work)):
             pool = self.fleet.find_pool(want)
@@ -77,11 +79,11 @@
                 self.fleet.find_pace(work.service), engine.weight
             )
             work.backlog_ms = self.fleet.find_backlog_ms(work.service, pool)
+            shortest_ms = work.table.find_shortest_target(work.service)
             return escalation.find_strain(
-                work.backlog_ms / work.table.shortest_targets[work.service],
-                head_ms / work.route.target_ms,
+                work.backlog_ms / shortest_ms, head_ms / work.route.target_ms
             )
-        return 1.0
+        return escalation.Strain(behind=1.0)
 
     def choose(
         self, work: work_items.Work, choice: rollout_state.Choice | None
--- a/src/carawayward/forwarding/table.py
+++ b/src/carawayward/forwarding/table.py
@@ -126,16 +126,16 @@
     customers_by_key: typing.Mapping[str, Customer]
     limits: CallerLimits
     keyed: bool
-    shortest_targets: typing.Mapping[str, float] = attrs.field(
-        init=False, eq=False
-    )
+    _shortest_targets: dict[str, float] = attrs.field(init=False, eq=False)
     _by_host: dict[str, list[Route]] = attrs.field(init=False, eq=False)
 
-    @shortest_targets.default
+    @_shortest_targets.default
     def _find_shortest_targets(self) -> dict[str, float]:
         """The shortest target in ms among the routes to each service."""
         found: dict[str, float] = {}
         for route in self.routes:
+            if not route.target_ms:
+                continue
             for target in route.targets:
                 known = found.get(target.service, route.target_ms)
                 found[target.service] = min(known, route.target_ms)
@@ -157,6 +157,13 @@
                 return route
         return None
 
+    def find_shortest_target(self, service: str) -> float:
+        """The shortest target in ms of the routes to a service.
+
+        Infinite where no route has one.
+        """
+        return self._shortest_targets.get(service, float("inf"))
+
     def needs_key(self, route: Route) -> bool:
         """Whether a request on this route has to prove its customer."""
         return self.keyed and not route.anonymous
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -17,6 +17,7 @@
 BASE_MS = 120.0
 TARGET_MS = 4_000.0
 SHORTEST_MS = 2_000.0
+CALM = escalation.Strain()
 SMALL_WEIGHT = 0.07
 
 
@@ -267,7 +268,8 @@
 
     def find_strain():
         weight = engine_load.find_mean_weight(loads, names, 0.0)
-        return escalation.find_strain(weight * pace.token_ms / 1_000.0, 0.0)
+        part = weight * pace.token_ms / 1_000.0
+        return escalation.find_strain(part, 0.0).behind
 
     assert find_strain() == 1.0
     for name in names[:3]:
@@ -283,9 +285,9 @@
     Held against the digests' own target, escalations made rows of 1 s, and
     the questions came late.
     """
-    assert escalation.find_strain(0.2, 0.0) == 0.0
-    assert 0.0 < escalation.find_strain(0.5, 0.0) < 1.0
-    assert escalation.find_strain(0.9, 0.0) == 1.0
+    assert escalation.find_strain(0.2, 0.0) == CALM
+    assert 0.0 < escalation.find_strain(0.5, 0.0).behind < 1.0
+    assert escalation.find_strain(0.9, 0.0).behind == 1.0
 
 
 def test_extra_runs_keep_to_the_ratio_in_every_window():
@@ -336,8 +338,8 @@
 
 def test_first_model_is_the_largest_where_nothing_could_follow():
     """Without a second attempt a poor first answer could not be mended."""
-    assert escalation.choose_first(3, may_escalate=False, strain=0.0) == 2
-    assert escalation.choose_first(3, may_escalate=True, strain=0.0) == 0
+    assert escalation.choose_first(3, may_escalate=False, strain=CALM) == 2
+    assert escalation.choose_first(3, may_escalate=True, strain=CALM) == 0
 
 
 def test_engines_that_are_behind_get_no_largest_model_to_begin_with():
@@ -352,14 +354,26 @@
     assert escalation.choose_first(3, may_escalate=False, strain=strain) == 0
 
 
+def test_poor_answer_is_worse_than_a_late_one():
+    """The longest digests got the smallest model's answers, in time and poor.
+
+    Cause: the larger model's text would have come late, and so no confidence
+    was low enough to ask for it.
+    """
+    late = escalation.find_strain(0.0, 2.0)
+    assert escalation.find_next(0, 3, 40.0, late) == 2
+    assert escalation.find_next(0, 3, 50.0, late) is None
+    assert escalation.find_next(0, 3, 50.0, CALM) == 2
+
+
 def test_answer_without_opinion_is_kept():
     """Not every model says what it thinks of its answer."""
-    assert escalation.find_next(0, 3, None, 0.0) is None
+    assert escalation.find_next(0, 3, None, CALM) is None
 
 
 def test_largest_model_has_none_after_it():
     """The largest model is unsure too; there is nobody left to ask."""
-    assert escalation.find_next(2, 3, 1.0, 0.0) is None
+    assert escalation.find_next(2, 3, 1.0, CALM) is None
 
 
 def choose_by(loads, remote_weight=0.0):
