Say of each decision whom it serves, and check that it is so

A newcomer looks for what decides on forwarded routes among nineteen modules. The package's page names those of forwarded routes, of the callers' API and of both; a test holds it against what the code imports.

--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -1,1 +1,13 @@
-"""Decisions under load: pure functions without sockets or clocks."""
+"""Decisions under load: pure functions without sockets or clocks.
+
+Those of forwarded routes: ``engine_load`` (which engine takes a prompt),
+``escalation`` (which model answers), ``extra_runs`` (how many second runs),
+``avoidance`` (endpoints to pass over), ``canary`` (how far a new version is
+let in) and ``redirection`` (when callers do better elsewhere).
+
+Those of the callers' API: ``admission``, ``queueing``, ``retry``,
+``suspicion``, ``cascade``, ``evidence``, ``exposure``, ``rollout``,
+``session`` and ``orders``.
+
+Those of both: ``placement``, ``limits`` and ``health``.
+"""
--- a/tests/cover/test_docs.py
+++ b/tests/cover/test_docs.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from carawayward import decisions
 from carawayward import events
 
 
@@ -41,3 +42,35 @@
     for page in pages:
         for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
             assert (page.parent / target).exists(), f"{page}: {target}"
+
+
+def list_users(folder):
+    """Decisions that the modules of a folder import."""
+    pattern = re.compile(r"from carawayward\.decisions import (\w+)")
+    return {
+        name
+        for path in pathlib.Path("src/carawayward", folder).glob("*.py")
+        for name in pattern.findall(path.read_text())
+    }
+
+
+def test_decisions_say_whom_they_serve():
+    """A newcomer looks for what decides on forwarded routes.
+
+    The package's own page would be worse than none if it lay.
+    """
+    page = decisions.__doc__
+    forwarded, api, both = (
+        set(re.findall(r"``(\w+)``", paragraph))
+        for paragraph in page.split("\n\n")[1:4]
+    )
+    modules = {
+        path.stem
+        for path in pathlib.Path("src/carawayward/decisions").glob("*.py")
+        if path.stem != "__init__"
+    }
+    assert forwarded | api | both == modules
+    used = list_users("forwarding")
+    assert forwarded <= used <= forwarded | both
+    others = list_users("gateway") | list_users("controllers")
+    assert not others & forwarded
