--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -55,27 +55,13 @@
     )
 
 
-# An engine's own share of how fast the service's engines read follows what is
-# seen by this part; a head that met a prompt nobody told of says little.
-SLOWNESS_GAIN = 0.1
-# Bounds of it: engines of one service differ by a third, and by some times
-# when one is throttled. Past that it is ill, which health finds out.
-LEAST_SLOWNESS = 0.5
-MOST_SLOWNESS = 4.0
-
-
 @attrs.define
 class EngineLoads:
-    """All that one entry VM knows of the engines' outstanding work.
-
-    ``slowness`` is how much longer an engine takes than predicted, 1 for one
-    that is as fast as the others.
-    """
+    """All that one entry VM knows of the engines' outstanding work."""
 
     own: dict[str, Load] = attrs.field(factory=dict)
     peers: dict[str, PeerLoads] = attrs.field(factory=dict)
     cached: dict[str, CachedParts] = attrs.field(factory=dict)
-    slowness: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -140,21 +126,6 @@
         pace.token_ms *= 1.0 + PACE_STEP if slower else 1.0 - PACE_STEP
 
 
-def note_slowness(
-    loads: EngineLoads, engine: str, predicted_ms: float, took_ms: float
-) -> None:
-    """Learn how much slower an engine is than the others.
-
-    Load: engines of one service that differ, or one that slows down. Harm
-    prevented: each gets an equal part of the prompts, so that rows grow at
-    the slowest while the others have room.
-    """
-    ratio = took_ms / max(1.0, predicted_ms)
-    bounded = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, ratio))
-    known = loads.slowness.get(engine, 1.0)
-    loads.slowness[engine] = known * (bounded / known) ** SLOWNESS_GAIN
-
-
 @attrs.frozen
 class Choice:
     """An engine, and the weighted tokens read until the prompt is."""
@@ -268,10 +239,11 @@
         load = total.get(candidate.name, Load())
         unread = count_unread(loads, candidate.name, prompt)
         weight = load.weight + unread * prompt.model_weight
-        slowness = loads.slowness.get(candidate.name, 1.0)
-        cost = (weight + load.streams * STREAM_WEIGHT) * slowness
-        if not candidate.local:
-            cost += remote_weight
+        cost = (
+            weight
+            + load.streams * STREAM_WEIGHT
+            + (0.0 if candidate.local else remote_weight)
+        )
         if cost < least:
             best, least = [], cost
         if cost == least:
@@ -281,6 +253,5 @@
 
 def forget_engines(loads: EngineLoads, known: typing.Container[str]) -> None:
     """Drop what is known of engines that are gone."""
-    for names in (loads.cached, loads.slowness):
-        for name in [each for each in names if each not in known]:
-            del names[name]
+    for name in [each for each in loads.cached if each not in known]:
+        del loads.cached[name]
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -248,7 +248,6 @@
             if place is None or _identify(place.entry) != _identify(entry):
                 place = Place(entry=entry, view=_make_view(entry))
                 self.loads.cached.pop(name, None)
-                self.loads.slowness.pop(name, None)
                 avoidance_module.note_taken(self.avoidance, name)
             place.entry = entry
             kept[name] = place
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -188,9 +188,6 @@
             confidence=work.confidence,
         )
         pace = self.fleet.find_pace(work.service)
-        engine_load.note_slowness(
-            self.hints.loads, work.endpoint, predicted_ms, took_ms
-        )
         engine_load.note_head(pace, work.backlog, took_ms)
         self.measures.observe("head", took_ms, model=work.model_name)
 
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -408,13 +408,3 @@
         assert choose_by(loads, remote_weight) == "near"
         loads.own["near"] = engine_load.Load(120.0 / token_ms, 0)
         assert choose_by(loads, remote_weight) == "far"
-
-
-def test_slowness_of_an_engine_is_bounded_and_goes_with_it():
-    """One head is a hundred times late; the engine is not given up for it."""
-    loads = engine_load.EngineLoads()
-    for _ in range(100):
-        engine_load.note_slowness(loads, "far", 100.0, 10_000.0)
-    assert loads.slowness["far"] <= engine_load.MOST_SLOWNESS
-    engine_load.forget_engines(loads, {"near"})
-    assert not loads.slowness
