--- /dev/null
+++ b/src/carawayward/forwarding/hint_channels.py
@@ -0,0 +1,91 @@
+"""Which entry VMs are told of prompts, how often, and of what."""
+
+import typing
+
+import attrs
+import trio
+
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import hint_messages
+
+# No more often than this: with the ten or so dispatches a second of one entry
+# VM, most go out at once and bursts are grouped.
+LEAST_PAUSE_MS = 30.0
+# What may go to entry VMs of other failure domains, in bytes a second. Between
+# domains bytes are paid for, and of those that streams and prompts leave, told
+# at once, hints were half; this is what an entry VM may spend on control.
+FAR_BYTES_A_SECOND = 6_000.0
+# How often an entry VM gives its name and address; its number goes out else.
+INTRODUCE_MS = 1_000.0
+# So many parts fit into an Ethernet frame beside the engines.
+MOST_PARTS = 40
+# Told to at most this many peers; beyond it, a part of the others each time.
+MOST_PEERS = 16
+
+
+@attrs.define
+class Peer:
+    """Another entry VM; ``stale`` if it cannot prove its keys."""
+
+    name: str
+    address: tuple[str, int]
+    incarnation: str
+    heard_ms: float
+    near: bool = True
+    sequence: int = 0
+    stale: bool = False
+
+
+@attrs.define(eq=False)
+class Channel:
+    """What peers of this failure domain, or all others, are still to be told.
+
+    ``turn`` is where among them the next datagram begins. Near, each part is
+    told twice, so that one lost datagram loses none.
+    """
+
+    near: bool
+    news: trio.Event = attrs.field(factory=trio.Event)
+    new_parts: list[hint_messages.CachedPart] = attrs.field(factory=list)
+    last_parts: list[hint_messages.CachedPart] = attrs.field(factory=list)
+    introduced_ms: float = board_module.NEVER
+    turn: int = 0
+
+    def add_parts(self, parts: list[hint_messages.CachedPart]) -> None:
+        """Have parts told; the newest, if there are too many."""
+        self.new_parts += parts
+        del self.new_parts[:-MOST_PARTS]
+
+    def take_parts(self) -> list[hint_messages.CachedPart]:
+        """The parts for the next datagram."""
+        parts = self.last_parts + self.new_parts
+        self.last_parts = self.new_parts if self.near else []
+        self.new_parts = []
+        return parts
+
+    def introduces(self, now_ms: float) -> bool:
+        """Whether the next datagram is to tell who sends it."""
+        if now_ms - self.introduced_ms < INTRODUCE_MS:
+            return False
+        self.introduced_ms = now_ms
+        return True
+
+    def choose_peers(self, known: typing.Iterable[Peer]) -> list[Peer]:
+        """Those that the next datagram goes to."""
+        peers = [peer for peer in known if peer.near == self.near]
+        if len(peers) <= MOST_PEERS:
+            return peers
+        self.turn += MOST_PEERS
+        start = self.turn % len(peers)
+        return (peers + peers)[start : start + MOST_PEERS]
+
+    def find_pause_ms(self, sent_bytes: int) -> float:
+        """How long to be quiet after so many bytes."""
+        if self.near:
+            return LEAST_PAUSE_MS
+        return max(LEAST_PAUSE_MS, 1000.0 * sent_bytes / FAR_BYTES_A_SECOND)
+
+
+def make_channels() -> list[Channel]:
+    """One to this failure domain's peers and one to the others."""
+    return [Channel(near=True), Channel(near=False)]
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -19,20 +19,12 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import hint_channels
 from carawayward.forwarding import hint_messages
 from carawayward.forwarding import keyed_log
 from carawayward import settings as settings_module
 from carawayward import supervision
 
-# No more often than this: with the ten or so dispatches a second of one entry
-# VM, most go out at once and bursts are grouped.
-LEAST_PAUSE_MS = 30.0
-# What may go to entry VMs of other failure domains, in bytes a second. Between
-# domains bytes are paid for, and of those that streams and prompts leave, told
-# at once, hints were half; this is what an entry VM may spend on control.
-FAR_BYTES_A_SECOND = 6_000.0
-# How often an entry VM gives its name and address; its number goes out else.
-INTRODUCE_MS = 1_000.0
 # While anything is outstanding it is told anew this often, well within the
 # life of a word; with nothing outstanding only that one is alive.
 REPEAT_MS = 400.0
@@ -41,28 +33,12 @@
 SILENT_MS = 2 * ALIVE_MS
 # Unheard for this long a peer is no longer told of.
 FORGET_MS = 30_000.0
-# One datagram fits into an Ethernet frame with this many engines and parts.
+# So many engines fit into an Ethernet frame beside the parts.
 MOST_ENGINES = 30
-MOST_PARTS = 40
-# Told to at most this many peers; beyond it, a part of the others each time.
-MOST_PEERS = 16
 MOST_BYTES = 8_192
 FIND_RETRY_MS = 500.0
 
 
-@attrs.define
-class Peer:
-    """Another entry VM; ``stale`` if it cannot prove its keys."""
-
-    name: str
-    address: tuple[str, int]
-    incarnation: str
-    heard_ms: float
-    near: bool = True
-    sequence: int = 0
-    stale: bool = False
-
-
 @attrs.frozen
 class Topic:
     """What another controller has told with each datagram.
@@ -75,61 +51,6 @@
     take: typing.Callable[[str, typing.Any], None]
 
 
-@attrs.define(eq=False)
-class Channel:
-    """What peers of this failure domain, or all others, are still to be told.
-
-    ``turn`` is where among them the next datagram begins. Near, each part is
-    told twice, so that one lost datagram loses none.
-    """
-
-    near: bool
-    news: trio.Event = attrs.field(factory=trio.Event)
-    new_parts: list[hint_messages.CachedPart] = attrs.field(factory=list)
-    last_parts: list[hint_messages.CachedPart] = attrs.field(factory=list)
-    introduced_ms: float = board_module.NEVER
-    turn: int = 0
-
-    def add_parts(self, parts: list[hint_messages.CachedPart]) -> None:
-        """Have parts told; the newest, if there are too many."""
-        self.new_parts += parts
-        del self.new_parts[:-MOST_PARTS]
-
-    def take_parts(self) -> list[hint_messages.CachedPart]:
-        """The parts for the next datagram."""
-        parts = self.last_parts + self.new_parts
-        self.last_parts = self.new_parts if self.near else []
-        self.new_parts = []
-        return parts
-
-    def introduces(self, now_ms: float) -> bool:
-        """Whether the next datagram is to tell who sends it."""
-        if now_ms - self.introduced_ms < INTRODUCE_MS:
-            return False
-        self.introduced_ms = now_ms
-        return True
-
-    def choose_peers(self, known: typing.Iterable[Peer]) -> list[Peer]:
-        """Those that the next datagram goes to."""
-        peers = [peer for peer in known if peer.near == self.near]
-        if len(peers) <= MOST_PEERS:
-            return peers
-        self.turn += MOST_PEERS
-        start = self.turn % len(peers)
-        return (peers + peers)[start : start + MOST_PEERS]
-
-    def find_pause_ms(self, sent_bytes: int) -> float:
-        """How long to be quiet after so many bytes."""
-        if self.near:
-            return LEAST_PAUSE_MS
-        return max(LEAST_PAUSE_MS, 1000.0 * sent_bytes / FAR_BYTES_A_SECOND)
-
-
-def make_channels() -> list[Channel]:
-    """One to this failure domain's peers and one to the others."""
-    return [Channel(near=True), Channel(near=False)]
-
-
 @attrs.define(eq=False)
 class HintsController:
     """Exchanges hints with the other entry VMs."""
@@ -140,13 +61,15 @@
     address: str
     loads: engine_load.EngineLoads
     memory_tokens: typing.Callable[[str], int]
-    peers: dict[str, Peer] = attrs.field(factory=dict)
+    peers: dict[str, hint_channels.Peer] = attrs.field(factory=dict)
     peer_names: dict[int, str] = attrs.field(factory=dict)
     engine_names: dict[int, str] = attrs.field(factory=dict)
     generation: int = -1
     topics: dict[str, Topic] = attrs.field(factory=dict)
     sequence: int = 0
-    channels: list[Channel] = attrs.field(factory=make_channels)
+    channels: list[hint_channels.Channel] = attrs.field(
+        factory=hint_channels.make_channels
+    )
     _socket: typing.Any = None
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -252,12 +175,14 @@
                 fault=type(fault).__name__,
             )
 
-    def _take_peer(self, sender: hint_messages.Sender) -> Peer | None:
+    def _take_peer(
+        self, sender: hint_messages.Sender
+    ) -> hint_channels.Peer | None:
         if sender.name == self.board.name:
             return None
         peer = self.peers.get(sender.name)
         if peer is None or peer.incarnation != sender.incarnation:
-            peer = Peer(
+            peer = hint_channels.Peer(
                 sender.name,
                 settings_module.split_address(sender.address),
                 sender.incarnation,
@@ -270,13 +195,15 @@
                 channel.introduced_ms = board_module.NEVER
         return peer
 
-    def _find_sender(self, sender: hint_messages.Sender | int) -> Peer | None:
+    def _find_sender(
+        self, sender: hint_messages.Sender | int
+    ) -> hint_channels.Peer | None:
         """The peer that a datagram is from; None until it says its name."""
         if isinstance(sender, hint_messages.Sender):
             return self._take_peer(sender)
         return self.peers.get(self.peer_names.get(sender, ""))
 
-    async def _tell_forever(self, channel: Channel) -> None:
+    async def _tell_forever(self, channel: hint_channels.Channel) -> None:
         while True:
             pause_ms = REPEAT_MS if self.loads.own else ALIVE_MS
             with trio.move_on_after(pause_ms / 1000):
@@ -285,7 +212,7 @@
             sent_bytes = await self._tell(channel)
             await self.clock.sleep(channel.find_pause_ms(sent_bytes))
 
-    async def _tell(self, channel: Channel) -> int:
+    async def _tell(self, channel: hint_channels.Channel) -> int:
         """Send one datagram to the peers whose turn it is; return bytes."""
         now_ms = self.clock.now_ms()
         for name, peer in list(self.peers.items()):
@@ -309,7 +236,7 @@
                 continue
         return len(data) * len(peers)
 
-    def _write(self, channel: Channel) -> bytes:
+    def _write(self, channel: hint_channels.Channel) -> bytes:
         self.sequence += 1
         heaviest = sorted(
             self.loads.own.items(), key=lambda item: -item[1].weight
@@ -359,13 +286,15 @@
             return
         self._take_message(peer, message)
 
-    def _take_topics(self, peer: Peer, message: hint_messages.Message) -> None:
+    def _take_topics(
+        self, peer: hint_channels.Peer, message: hint_messages.Message
+    ) -> None:
         teller = f"{peer.name}/{peer.incarnation}"
         for topic in message.topics.keys() & self.topics.keys():
             self.topics[topic].take(teller, message.topics[topic])
 
     def _take_message(
-        self, peer: Peer, message: hint_messages.Message
+        self, peer: hint_channels.Peer, message: hint_messages.Message
     ) -> None:
         now_ms = self.clock.now_ms()
         peer.sequence, peer.heard_ms = message.sequence, now_ms
--- a/tests/cover/test_forwarding_hints.py
+++ b/tests/cover/test_forwarding_hints.py
@@ -8,6 +8,7 @@
 from carawayward.decisions import engine_load
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
+from carawayward.forwarding import hint_channels
 from carawayward.forwarding import hint_messages
 from carawayward.forwarding import hints
 from carawayward.forwarding import keyed_log
@@ -203,5 +204,5 @@
     near, far = made.channels
     assert len(near.choose_peers(made.peers.values())) == 2
     assert len(far.choose_peers(made.peers.values())) == 6
-    assert near.find_pause_ms(10_000) == hints.LEAST_PAUSE_MS
-    assert tell_prompts(made, far, 10) < 11 * hints.FAR_BYTES_A_SECOND
+    assert near.find_pause_ms(10_000) == hint_channels.LEAST_PAUSE_MS
+    assert tell_prompts(made, far, 10) < 11 * hint_channels.FAR_BYTES_A_SECOND
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from carawayward.forwarding import hints
+from carawayward.forwarding import hint_channels
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -12,7 +12,7 @@
 
 
 def make_peer(name, heard_ms):
-    return hints.Peer(name, ("127.0.0.1", 9), "x", heard_ms)
+    return hint_channels.Peer(name, ("127.0.0.1", 9), "x", heard_ms)
 
 
 def test_nothing_is_known_before_the_first_configuration():
