Hold back doubtful escalations sooner, and all of them sooner

Held against 0.3 to 0.8 of its shortest target, 3 s, engines could be 0.9 to 2.4 s behind before escalations went, where it had been 0.6 to 1.6 s.

But the replay of a third of the load that engines bear then holds 0.02 to 0.08 of hard requests back, where under 0.03 may be.

--- a/src/carawayward/decisions/escalation.py
+++ b/src/carawayward/decisions/escalation.py
@@ -25,11 +25,13 @@
 LATE_SPREAD = 17.0
 # How far engines may be behind with reading prompts, as parts of the shortest
 # target among the routes that they serve: up to the first that is no reason
-# not to escalate, past the second nothing does. The first is what a clump of a
-# few long prompts makes of a calm moment; up to the second first texts of the
-# shortest target are still in time.
-CALM_BACKLOG = 0.3
-HIGH_BACKLOG = 0.8
+# not to escalate, past the second nothing does. From the first on it is the
+# least sure half of escalations that goes, of which few mend anything; up to
+# the second first texts of the shortest target are still in time. Replayed at
+# a third of the load that engines bear, under 0.03 of hard requests are held
+# back; with 0.55 for the second it is 0.02 to 0.08.
+CALM_BACKLOG = 0.2
+HIGH_BACKLOG = 0.7
 # Parts of the route's target: a larger model's first text that comes before
 # the first is no reason not to escalate; after the second it would make a late
 # answer out of one that is in time.
