Try idle engines whatever the pace that was learned

Found by reading: an entry VM that stood still sees heads come late, and learns from them. Were its pace so wrong that every first text seemed to come after the callers' time, all would be refused at once, and no answer could put it right again.

Change: a prompt counts as hopeless only behind other prompts; an engine that has nothing else to read is tried. The new test was refused before.

--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -128,10 +128,14 @@
 
 @attrs.frozen
 class Choice:
-    """An engine, and the weighted tokens read until the prompt is."""
+    """An engine, and the weighted tokens read until the prompt is.
+
+    ``ahead`` are those of them that are not the prompt's own.
+    """
 
     name: str
     weight: float
+    ahead: float = 0.0
 
 
 @attrs.frozen
@@ -247,7 +251,7 @@
         if cost < least:
             best, least = [], cost
         if cost == least:
-            best.append(Choice(candidate.name, weight))
+            best.append(Choice(candidate.name, weight, load.weight))
     return best[draw(len(best))] if best else None
 
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -114,11 +114,14 @@
         Load: engines are further behind than some callers wait. Harm
         prevented: these wait for nothing, and their prompts are read though
         nobody is there for the answer.
+
+        An engine that has nothing else to read is always tried: if the pace
+        was learned wrong, only an answer can put it right.
         """
+        if work.may_have_run or not work.waits:
+            return False
         left_ms = work.deadline_ms - self.clock.now_ms()
-        return not work.may_have_run and (
-            self.placer.predict_head(work) > left_ms
-        )
+        return self.placer.predict_head(work) > left_ms
 
     def _find_return_ms(self, work: work_items.Work) -> float:
         """When engines will have read enough to answer a request in time."""
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -113,6 +113,7 @@
         if engine is None:
             return None
         work.backlog = engine.weight
+        work.waits = engine.ahead > 0.0
         return self.fleet.places.get(engine.name)
 
     def _choose_engine(
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -114,7 +114,9 @@
 
     ``mark`` is that of the attempt under way; ``ran`` tells whether an
     earlier one may have run. Endpoints in ``failed_at`` are asked again only
-    when there is no other, those in ``useless`` not at all.
+    when there is no other, those in ``useless`` not at all. ``backlog`` is
+    what its engine reads up to its first text, in weighted tokens, and
+    ``waits`` whether others' prompts are in that.
     """
 
     request: replies.CallerRequest
@@ -139,6 +141,7 @@
     endpoint: str = ""
     reading: "Reading | None" = None
     backlog: float = 0.0
+    waits: bool = False
     backlog_ms: float = 0.0
 
     @property
--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -304,6 +304,26 @@
     trio.run(main)
 
 
+def test_idle_engine_is_tried_whatever_the_pace_that_was_learned():
+    """An entry VM stood still for some seconds, and all heads seemed late.
+
+    What it learned of the engines' pace then makes every request hopeless.
+    Refused without a try, none could ever teach it better.
+    """
+
+    async def main():
+        engines = make_engines()
+        async with forwarding.open_forwarding(*engines) as made:
+            placer = made.daemon.app.forwarder.placer
+            pace = placer.fleet.find_pace("engines")
+            pace.base_ms = 60_000.0
+            answer = await made.ask_engine()
+            assert answer.status == 200
+            assert pace.base_ms < 60_000.0
+
+    trio.run(main)
+
+
 def test_head_that_comes_late_because_of_load_is_waited_for():
     """A digest is read three times over, each time on a busier engine.
 
