Take no datagram of a former start for the present one's

Found by reading: names of senders are numbers now, and the number of a former start went on standing for the entry VM's name. A datagram of it that came late, with a high sequence number, made all that the present start told look overtaken until it had sent as many. The new test failed before.

--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -189,12 +189,25 @@
                 self.clock.now_ms(),
                 sender.failure_domain == self.board.failure_domain,
             )
+            self._forget_number(sender.name)
             self.peers[sender.name] = peer
             self.peer_names[sender.number] = sender.name
             for channel in self.channels:
                 channel.introduced_ms = board_module.NEVER
         return peer
 
+    def _forget_number(self, name: str) -> None:
+        """Take no more datagrams by a former start's number for this name.
+
+        One that comes late would raise the sequence number past those of the
+        present start, whose datagrams would then count as overtaken.
+        """
+        self.peer_names = {
+            number: known
+            for number, known in self.peer_names.items()
+            if known != name
+        }
+
     def _find_sender(
         self, sender: hint_messages.Sender | int
     ) -> hint_channels.Peer | None:
@@ -218,11 +231,7 @@
         for name, peer in list(self.peers.items()):
             if now_ms - peer.heard_ms > FORGET_MS:
                 del self.peers[name]
-                self.peer_names = {
-                    number: known
-                    for number, known in self.peer_names.items()
-                    if known != name
-                }
+                self._forget_number(name)
         peers = channel.choose_peers(self.peers.values())
         if not peers:
             return 0
--- a/tests/cover/test_forwarding_hints.py
+++ b/tests/cover/test_forwarding_hints.py
@@ -144,6 +144,24 @@
     assert other.loads.peers["vm-0"].loads["engine"].streams == 1
 
 
+def test_late_datagram_of_a_former_start_is_not_the_present_ones():
+    """An entry VM is killed and starts again; an old datagram comes late.
+
+    It bears the former start's number and a high sequence number. Taken for
+    the present start's, it made all that this one told look overtaken.
+    """
+    one, other = (make_controller(f"vm-{n}", Members()) for n in range(2))
+    other._take(write(one))
+    for _ in range(20):
+        late = write_datagram(one)
+    again = make_controller("vm-0", Members())
+    other._take(write(again))
+    other._take(late)
+    again.add_load("engine", engine_load.Load(100.0, 1))
+    other._take(write_datagram(again))
+    assert other.loads.peers["vm-0"].loads["engine"].streams == 1
+
+
 def test_engine_that_is_not_listed_here_is_left_out():
     """A peer has read of a new engine in the registry, this one has not."""
     one, other = (make_controller(f"vm-{n}", Members()) for n in range(2))
