--- a/src/carawayward/decisions/escalation.py
+++ b/src/carawayward/decisions/escalation.py
@@ -37,11 +37,6 @@
 # answer out of one that is in time.
 EARLY_HEAD = 0.3
 LATEST_HEAD = 0.9
-# A prompt is long if the largest model takes this part of the target longer to
-# read it than the smallest. Below it an answer that comes late owes that to
-# where engines start from, which skipping the smallest would not mend for
-# long: all requests of a route with a short target would go to the largest.
-LONG_READING = 0.4
 # Up to this strain the largest model takes requests that could not escalate.
 # Past it half of the answers, given in time, are better than all given late.
 MOST_STRAIN_FOR_LARGEST = 0.5
@@ -90,23 +85,6 @@
     return models - 1
 
 
-def is_alone_in_time(
-    small_part: float, large_part: float, strain: Strain
-) -> bool:
-    """Whether the largest model is in time only if it is asked first.
-
-    Both parts are of the route's target, to the first text.
-
-    Load: prompts so long that either model takes a good part of the target to
-    read them, on engines that are not behind. Harm prevented: an answer that
-    the smallest model is unsure of can then only come late or stay poor. A
-    tenth of all digests is so long, and they weigh four times the others.
-    """
-    if strain.behind > 0.0 or large_part - small_part < LONG_READING:
-        return False
-    return large_part <= LATEST_HEAD < small_part + large_part
-
-
 def find_next(
     index: int,
     models: int,
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -23,18 +23,6 @@
 ESCALATION_RESERVE = 0.3
 
 
-# The first text of a run that no engine takes.
-NEVER_MS = float("inf")
-
-
-@attrs.frozen
-class Forecast:
-    """When a run's first text would come, and how far engines are behind."""
-
-    head_ms: float
-    backlog_ms: float
-
-
 @attrs.define(eq=False)
 class Placer:
     """Puts the decisions of placement together for one request at a time."""
@@ -68,61 +56,33 @@
                 ESCALATION_RESERVE,
             )
         )
-        large = self._forecast(work, work.route.models[-1])
-        strain = self._find_strain(work, large)
-        if may_escalate and self._saves_time(work, strain, large):
-            may_escalate = False
+        strain = (
+            escalation.Strain() if may_escalate else self._find_strain(work)
+        )
         work.model = escalation.choose_first(
             len(work.route.models), may_escalate, strain
         )
 
-    def _saves_time(
-        self,
-        work: work_items.Work,
-        strain: escalation.Strain,
-        large: Forecast | None,
-    ) -> bool:
-        """Whether only the largest model alone gives a good answer in time."""
-        if large is None or not strain.lateness:
-            return False
-        small = self._forecast(work, work.route.models[0])
-        if small is None:
-            return False
-        return escalation.is_alone_in_time(
-            small.head_ms / work.route.target_ms,
-            large.head_ms / work.route.target_ms,
-            strain,
-        )
-
-    def _forecast(self, work: work_items.Work, model: str) -> Forecast | None:
-        """What a run by a model would meet; None if nothing is known."""
-        prompt = work_items.make_prompt(work, model)
+    def _find_strain(self, work: work_items.Work) -> escalation.Strain:
+        """How much speaks against the largest model for a request."""
+        prompt = work_items.make_prompt(work, work.route.models[-1])
         if prompt is None:
-            return None
+            return escalation.Strain()
         excluded = work.useless | self.fleet.list_avoided()
-        pace = self.fleet.find_pace(work.service)
         for want in self._list_wants(work, self.rollouts.choose(work)):
             pool = self.fleet.find_pool(want)
             engine = self._choose_engine(work, pool, prompt, excluded)
-            if engine is not None:
-                return Forecast(
-                    engine_load.predict_head(pace, engine.weight),
-                    self.fleet.find_backlog_ms(work.service, pool),
-                )
-        return Forecast(NEVER_MS, NEVER_MS)
-
-    def _find_strain(
-        self, work: work_items.Work, large: Forecast | None
-    ) -> escalation.Strain:
-        """How much speaks against the largest model for a request."""
-        if large is None:
-            return escalation.Strain()
-        work.backlog_ms = large.backlog_ms
-        shortest_ms = work.table.find_shortest_target(work.service)
-        return escalation.find_strain(
-            large.backlog_ms / shortest_ms,
-            large.head_ms / work.route.target_ms,
-        )
+            if engine is None:
+                continue
+            head_ms = engine_load.predict_head(
+                self.fleet.find_pace(work.service), engine.weight
+            )
+            work.backlog_ms = self.fleet.find_backlog_ms(work.service, pool)
+            shortest_ms = work.table.find_shortest_target(work.service)
+            return escalation.find_strain(
+                work.backlog_ms / shortest_ms, head_ms / work.route.target_ms
+            )
+        return escalation.Strain(behind=1.0)
 
     def choose(
         self, work: work_items.Work, choice: rollout_state.Choice | None
@@ -244,7 +204,5 @@
             work.model,
             len(work.route.models),
             work.confidence,
-            self._find_strain(
-                work, self._forecast(work, work.route.models[-1])
-            ),
+            self._find_strain(work),
         )
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -354,21 +354,6 @@
     assert escalation.choose_first(3, may_escalate=False, strain=strain) == 0
 
 
-def test_longest_prompts_begin_with_the_model_that_can_still_be_in_time():
-    """A digest of 40,000 tokens: 0.5 s to the smallest model's first text.
-
-    It is unsure, and the largest model's 1.5 s after that are late. Asked
-    first it would have been in time. Where engines are behind, or where it
-    would be late even so, nothing is gained by that.
-    """
-    assert escalation.is_alone_in_time(0.25, 0.75, CALM)
-    assert not escalation.is_alone_in_time(0.1, 0.3, CALM)
-    assert not escalation.is_alone_in_time(0.4, 1.2, CALM)
-    assert not escalation.is_alone_in_time(0.45, 0.55, CALM)
-    behind = escalation.find_strain(escalation.HIGH_BACKLOG, 0.0)
-    assert not escalation.is_alone_in_time(0.25, 0.75, behind)
-
-
 def test_poor_answer_is_worse_than_a_late_one():
     """The longest digests got the smallest model's answers, in time and poor.
 
