--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -109,7 +109,7 @@
             await self._serve(scope, receive, reply)
         except Refused as refusal:
             self._log_refusal(scope, refusal)
-            await exchange.refuse(reply, refusal.status, refusal.come_back_ms)
+            await replies.refuse(reply, refusal.status, refusal.come_back_ms)
         except CallerLeft:
             pass
         finally:
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -13,7 +13,6 @@
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import assembly
 from carawayward.forwarding import board as board_module
-from carawayward.forwarding import exchange
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import ports as ports_module
 from carawayward.forwarding import replies
@@ -205,7 +204,7 @@
     ) -> None:
         ready = self.app.standing.is_ready()
         reply = app_module.AsgiReply(send, lambda: False)
-        await exchange.refuse(reply, 200 if ready else 503, None)
+        await replies.refuse(reply, 200 if ready else 503, None)
 
     async def _answer_metrics(
         self, scope: dict, receive: typing.Any, send: typing.Any
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -1,7 +1,6 @@
 """The life of one forwarded request, from the caller's to its last byte."""
 
 import contextlib
-import random
 import typing
 
 import attrs
@@ -37,7 +36,6 @@
 # When to come back while nothing is known of when an endpoint will be free:
 # registries tell of a new endpoint within about a second.
 COME_BACK_MS = 1_000.0
-COME_BACK_SPREAD = (0.75, 1.25)
 
 
 # Outcomes by which the request is certain not to have run.
@@ -303,7 +301,7 @@
             await replies.send_whole(reply, status, [], b"")
         else:
             status = 503
-            await refuse(reply, status, come_back_ms)
+            await replies.refuse(reply, status, come_back_ms)
         self._log_end(work, status, cause)
 
     def note_left(self, work: work_items.Work) -> None:
@@ -330,18 +328,3 @@
             took_ms=round(took_ms),
             revision=work.table.revision,
         )
-
-
-async def refuse(
-    reply: replies.Reply, status: int, come_back_ms: float | None
-) -> None:
-    """Refuse a request that has not run.
-
-    Callers that are refused together are told times apart, or they would
-    all come back at the same moment and be refused together again.
-    """
-    headers: facts.Headers = []
-    if come_back_ms is not None:
-        come_back_ms *= random.uniform(*COME_BACK_SPREAD)
-        headers.append((b"retry-after", b"%.3f" % (come_back_ms / 1000)))
-    await replies.send_whole(reply, status, headers, b"")
--- a/src/carawayward/forwarding/replies.py
+++ b/src/carawayward/forwarding/replies.py
@@ -1,11 +1,15 @@
 """A caller's request and the port through which it is answered."""
 
+import random
 import typing
 
 import attrs
 
 from carawayward.forwarding import facts
 
+# Times to come back differ by so much between callers refused together.
+COME_BACK_SPREAD = (0.75, 1.25)
+
 
 @attrs.frozen(kw_only=True)
 class CallerRequest:
@@ -47,3 +51,18 @@
     if body:
         await reply.send(body)
     await reply.finish()
+
+
+async def refuse(
+    reply: Reply, status: int, come_back_ms: float | None
+) -> None:
+    """Refuse a request that has not run.
+
+    Callers that are refused together are told times apart, or they would
+    all come back at the same moment and be refused together again.
+    """
+    headers: facts.Headers = []
+    if come_back_ms is not None:
+        come_back_ms *= random.uniform(*COME_BACK_SPREAD)
+        headers.append((b"retry-after", b"%.3f" % (come_back_ms / 1000)))
+    await send_whole(reply, status, headers, b"")
