--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -136,7 +136,7 @@
         # A run that broke off goes on though keys have lapsed since: its key
         # was proved when the request came, and as long as the run had lasted
         # nothing would have stopped it either. In a cut failure domain 13
-        # streams were broken off that others could have finished.
+        # requests failed in 6 s that had lost their first engine to the cut.
         return not work.customer or work.ran or standing.is_fresh()
 
     forwarder = exchange.Forwarder(
--- a/src/carawayward/forwarding/patience.py
+++ b/src/carawayward/forwarding/patience.py
@@ -41,7 +41,7 @@
     Load: engines are so far behind that heads take as long as this wait. Harm
     prevented: the prompts are read once more elsewhere, too late there as
     well, and the engines given up are left out as if they were ill. Played
-    after a restart of all entry VMs, 81 prompts were given up so in 8 s
+    after a restart of all entry VMs, 67 prompts were given up so in 12 s
     before four engines.
     """
     wait_ms = STREAM_HEAD_PART * left_ms
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -33,8 +33,9 @@
 CLOSE_CHECK_S = 0.02
 # How long connections without a request stay open once the listener takes no
 # further ones. A caller that connected or sent a moment before cannot know of
-# the stop: closed at once, one in 34 replaced entry VMs left a request without
-# an answer. Callers are some ms away, and a busy process reads within tens.
+# the stop: closed at once, one of 34 runs in which all entry VMs are replaced
+# left a request without an answer. Callers are some ms away, and a busy
+# process reads within tens.
 LINGER_S = 0.1
 
 
