Log that an endpoint's entry was missing after an outage and was kept

Of the incident's endpoints the logs say when they were dropped (1509), not when their entries were found missing: between the store's answer at 46.19 s and 48.74 s nothing tells that the entry VM knew and waited. Event 1517 says so, with how long ago the trouble was and how many endpoints are listed, so that "waits on purpose" and "has not read it" can be told apart.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -147,6 +147,11 @@
     ENDPOINT_UNLISTED = EventKind(
         1509, "The registry lists an endpoint no longer; it gets no work."
     )
+    ENDPOINT_MISSING = EventKind(
+        1517,
+        "An endpoint's entry was missing after an outage of the store; the "
+        "endpoint is still used until it is known whether it has left.",
+    )
     ENTRY_UNREADABLE = EventKind(
         1510,
         "A record in the platform's store cannot be read and is ignored.",
--- a/src/carawayward/forwarding/registry.py
+++ b/src/carawayward/forwarding/registry.py
@@ -89,10 +89,18 @@
         return self.clock.now_ms() - self.trouble_ms < RETURN_MS
 
     def _take_missing(self, name: str) -> None:
-        if self._waiting():
-            self.missing.add(name)
-        else:
+        if not self._waiting():
             self._drop(name, "entry removed")
+            return
+        if name in self.missing or name not in self.board.endpoints:
+            return
+        self.missing.add(name)
+        events.log_event(
+            events.Event.ENDPOINT_MISSING,
+            endpoint=name,
+            since_trouble_ms=round(self.clock.now_ms() - self.trouble_ms),
+            listed=len(self.board.endpoints),
+        )
 
     def _drop(self, name: str, cause: str) -> None:
         if self.board.endpoints.pop(name, None) is None:
