--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -53,7 +53,7 @@
     """The store and the faults that a test has switched on.
 
     ``refusing`` is a status for every call, ``silent`` leaves calls without
-    an answer, ``losing`` carries appends out and resets the connection.
+    an answer and notes their topics in ``held``, ``losing`` carries appends out and resets the connection.
     While ``deaf`` is set polls hear of no new record before their time is
     up.
     """
@@ -64,6 +64,7 @@
     losing: bool = False
     deaf: bool = False
     calls: int = 0
+    held: list[str] = attrs.field(factory=list)
 
     def topic(self, name: str) -> Topic:
         """A topic, made on first use."""
@@ -77,13 +78,14 @@
     async def handle(self, exchange: raw_http.Exchange) -> None:
         """Answer one call."""
         self.calls += 1
+        target = urllib.parse.urlsplit(exchange.request.target)
+        query = dict(urllib.parse.parse_qsl(target.query))
         if self.silent:
+            self.held.append(query["topic"])
             await trio.sleep_forever()
         if self.refusing:
             await exchange.answer(self.refusing)
             return
-        target = urllib.parse.urlsplit(exchange.request.target)
-        query = dict(urllib.parse.parse_qsl(target.query))
         topic = self.topic(query["topic"])
         match target.path.rpartition("/")[2]:
             case "log-newest":
