Name the decision on lapsed entries on its package's page; count one outage

Also, a failure long after the one before would have counted as one outage with it, where nothing was called in between: the store may have been back. It is two outages from 2.0 s without a call on; between two calls of a feed that fails there are 0.7 s at most.

--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -3,7 +3,8 @@
 Those of forwarded routes: ``engine_load`` (which engine takes a prompt),
 ``escalation`` (which model answers), ``extra_runs`` (how many second runs),
 ``avoidance`` (endpoints to pass over), ``canary`` (how far a new version is
-let in) and ``redirection`` (when callers do better elsewhere).
+let in), ``redirection`` (when callers do better elsewhere) and ``lapses``
+(which endpoints have left when entries are missing).
 
 Those of the callers' API: ``admission``, ``queueing``, ``retry``,
 ``suspicion``, ``cascade``, ``evidence``, ``exposure``, ``rollout``,
--- a/src/carawayward/forwarding/store_contact.py
+++ b/src/carawayward/forwarding/store_contact.py
@@ -14,6 +14,9 @@
 # once; long enough that a store which turns this entry VM away sees three
 # calls a second of it.
 RETRY_MS = 300.0
+# After a failure without another call for longer than this the store may have
+# been back meanwhile.
+UNTRIED_MS = 2_000.0
 
 
 @attrs.define(eq=False)
@@ -30,6 +33,7 @@
     sent_ms: float = board_module.NEVER
     _noticed_ms: float = 0.0
     _last_lost_ms: float = 0.0
+    _failed_ms: float = 0.0
     _waiting: set[trio.CancelScope] = attrs.field(factory=set)
 
     def note_call(self) -> float:
@@ -45,10 +49,12 @@
         """
         if sent_ms < self.back_ms:
             return
-        if not self.out:
+        now_ms = self.clock.boot_ms()
+        if not self.out or sent_ms - self._failed_ms > UNTRIED_MS:
             self.out = True
-            self._noticed_ms = self.clock.boot_ms()
+            self._noticed_ms = now_ms
         self._last_lost_ms = sent_ms
+        self._failed_ms = now_ms
 
     def note_answer(self) -> None:
         """The store has answered a call.
