Let one entry VM of a failure domain read the store for its neighbours

Cause: each entry VM proved by polls of its own that its keys and endpoints are the newest, 1.6 calls a second whether anything changed or not. What callers saw of it: an entry VM that the store alone did not answer sent them away, though its neighbours knew that nothing had changed.

Change: the entry VMs of a failure domain choose a reader, one for each sixteen (decisions/readers); the others ask it every 0.4 s (forwarding/proofs). An answer says up to which place all was read and how long before nothing followed. It is as of the question, so that no common clock is needed. Who is at that place takes the proof; who is behind reads the store at once, and the reader tells news at once. Who hears nothing for 1 s reads for itself, as does who holds a proof that is 0.8 of its lease old.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -152,6 +152,11 @@
         "An endpoint's entry was missing after an outage of the store; the "
         "endpoint is still used until it is known whether it has left.",
     )
+    READER_CHOSEN = EventKind(
+        1203,
+        "Another entry VM, or this one itself, reads the platform's store "
+        "for this one from now on.",
+    )
     ENTRY_UNREADABLE = EventKind(
         1510,
         "A record in the platform's store cannot be read and is ignored.",
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -12,6 +12,7 @@
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import placing
 from carawayward.forwarding import ports as ports_module
+from carawayward.forwarding import proofs as proofs_module
 from carawayward.forwarding import registry
 from carawayward.forwarding import relaying
 from carawayward.forwarding import rollout_rounds
@@ -28,6 +29,9 @@
 # Polls while entries are missing wait at least so long, should the clocks of
 # poll and wait differ by a little.
 LEAST_MISSING_POLL_MS = 20.0
+# Part of the lease on keys from which on an entry VM reads the store itself,
+# though another reads it for this one: time for two calls that fail.
+OWN_PART = 0.8
 
 
 def make_feeds(
@@ -35,6 +39,7 @@
     board: board_module.ForwardingBoard,
     clock: clock_module.Clock,
     ports: ports_module.Ports,
+    proofs: proofs_module.ProofsController,
 ) -> list[feed.TopicFeed]:
     """What keeps the routing table and the endpoints up to date."""
     reader = declarations.DeclarationReader(board, ports.decode_declaration)
@@ -67,29 +72,50 @@
     def note_store(failing: bool) -> None:
         board.store_failing = failing
 
-    return [
-        feed.TopicFeed(
-            "declarations",
-            ports.declarations,
-            clock,
-            contact,
-            reader.replace,
-            reader.apply,
-            reader.prove,
-            find_wait=find_table_wait,
-            note_failing=note_store,
-        ),
-        feed.TopicFeed(
-            "endpoints",
-            ports.endpoints,
-            clock,
-            contact,
-            entries.replace,
-            entries.apply,
-            entries.prove,
-            find_wait=find_endpoints_wait,
-        ),
-    ]
+    def find_table_own() -> float:
+        lease_ms = board.bounds.key_lease_ms
+        return OWN_PART * (lease_ms - board_module.LEASE_MARGIN_MS)
+
+    def find_endpoints_own() -> float:
+        # A reader's proof is as old as two of its polls at most.
+        return 2.0 * find_endpoints_poll() + proofs_module.SILENT_MS
+
+    def relies_on_entries() -> bool:
+        return proofs.relies() and not entries.missing
+
+    table_feed = feed.TopicFeed(
+        "declarations",
+        ports.declarations,
+        clock,
+        contact,
+        reader.replace,
+        reader.apply,
+        reader.prove,
+        find_wait=find_table_wait,
+        note_failing=note_store,
+        relies=proofs.relies,
+        find_own_ms=find_table_own,
+        note_news=proofs.tell_news,
+    )
+    endpoints_feed = feed.TopicFeed(
+        "endpoints",
+        ports.endpoints,
+        clock,
+        contact,
+        entries.replace,
+        entries.apply,
+        entries.prove,
+        find_wait=find_endpoints_wait,
+        relies=relies_on_entries,
+        find_own_ms=find_endpoints_own,
+        note_news=proofs.tell_news,
+    )
+    feeds = [table_feed, endpoints_feed]
+    for each in feeds:
+        proofs.add_topic(
+            each.name, proofs_module.Topic(each.describe, each.take_proof)
+        )
+    return feeds
 
 
 def make_placing(
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -15,6 +15,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import ports as ports_module
+from carawayward.forwarding import proofs as proofs_module
 from carawayward.forwarding import replies
 from carawayward.forwarding import settings as settings_module
 from carawayward import http_server
@@ -85,15 +86,18 @@
         hints, rounds, placer = assembly.make_placing(
             settings, board, clock, ports
         )
+        proofs = proofs_module.ProofsController(board, clock, hints)
+        feeds = assembly.make_feeds(settings, board, clock, ports, proofs)
         return cls(
             settings=settings,
             board=board,
             clock=clock,
             ports=ports,
             controllers=[
-                *assembly.make_feeds(settings, board, clock, ports),
+                *feeds,
                 rounds,
                 hints,
+                proofs,
             ],
             app=assembly.make_app(board, clock, ports, placer),
             read_bounds=read_bounds or (lambda: settings.bounds),
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -8,6 +8,7 @@
 from carawayward import clock as clock_module
 from carawayward import errors
 from carawayward import events
+from carawayward.forwarding import board as board_module
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import store_contact
 from carawayward import supervision
@@ -20,6 +21,9 @@
 # a poll may fail and be made again.
 POLLS_A_LEASE = 3.0
 LEAST_POLL_MS = 100.0
+# How often a feed that waits for another entry VM's word looks whether that
+# one is still heard.
+RELY_MS = 200.0
 
 
 def find_poll_ms(lease_ms: float) -> float:
@@ -36,6 +40,11 @@
     showed the reader to be up to date. ``contact`` is shared by all feeds.
     ``note_failing`` is called at the first failed call and at the first that
     succeeds again. ``find_wait`` says how long the next poll may wait, in ms.
+
+    While ``relies`` says so another entry VM reads the store for this one,
+    and ``take_proof`` gets what it proves. The feed then calls only for news,
+    or when what was proved last is older than ``find_own_ms`` says.
+    ``note_news`` is called when records have come.
     """
 
     name: str
@@ -47,8 +56,13 @@
     prove: typing.Callable[[float], None] = lambda as_of_ms: None
     find_wait: typing.Callable[[], float] = lambda: POLL_MS
     note_failing: typing.Callable[[bool], None] = lambda failing: None
+    relies: typing.Callable[[], bool] = lambda: False
+    find_own_ms: typing.Callable[[], float] = lambda: POLL_MS
+    note_news: typing.Callable[[], None] = lambda: None
     position: int | None = None
+    proved_ms: float = board_module.NEVER
     failing: bool = False
+    _news: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow."""
@@ -57,11 +71,36 @@
     async def close(self) -> None:
         """Nothing to release; the nursery ends the task."""
 
+    def describe(self) -> tuple[int, float] | None:
+        """The position reached, and when nothing followed it; None if unsure.
+
+        An entry VM that cannot reach the store leaves its proofs to others.
+        """
+        if self.position is None or self.failing:
+            return None
+        return self.position, self.proved_ms
+
+    def take_proof(self, position: int, as_of_ms: float) -> None:
+        """Nothing followed ``position`` in the store at ``as_of_ms``."""
+        if self.position is None:
+            return
+        if position > self.position:
+            self._news.set()
+        elif position == self.position and as_of_ms > self.proved_ms:
+            # So long as nothing has changed, an entry VM that cannot reach
+            # the store knows as much as one that can.
+            self._note_well()
+            self._prove(as_of_ms)
+
     async def _follow(self) -> None:
         while True:
+            relied = await self._wait_for_news()
+            # What was proved is nearly too old where a neighbour has fallen
+            # silent; a poll that waits would prove nothing for a second more.
+            wait_ms = 0.0 if relied or self.failing else self.find_wait()
             sent_ms = self.contact.note_call()
             try:
-                batch = await self._read()
+                batch = await self._read(wait_ms)
             except keyed_log.HistoryLost:
                 self.contact.note_answer()
                 self.position = None
@@ -76,22 +115,44 @@
             # them may have lapsed in the outage that ends with them.
             self.contact.note_answer()
             self._take(batch)
-            if self.failing:
-                self.failing = False
-                self.note_failing(False)
-                events.log_event(events.Event.PLATFORM_BACK, topic=self.name)
+            self._note_well()
             if batch.complete:
-                self.prove(sent_ms)
-
-    async def _read(self) -> keyed_log.Batch | None:
+                self._prove(sent_ms)
+            if batch.records:
+                self.note_news()
+
+    async def _wait_for_news(self) -> bool:
+        """Wait while another entry VM reads; whether this one relied on it."""
+        relied = False
+        while self._may_rely() and not self._news.is_set():
+            relied = True
+            left_ms = self.find_own_ms() - self._find_age_ms()
+            with trio.move_on_after(min(left_ms, RELY_MS) / 1000):
+                await self._news.wait()
+        self._news = trio.Event()
+        return relied
+
+    def _may_rely(self) -> bool:
+        if self.position is None or self.failing or not self.relies():
+            return False
+        return self._find_age_ms() < self.find_own_ms()
+
+    def _find_age_ms(self) -> float:
+        return self.clock.boot_ms() - self.proved_ms
+
+    def _prove(self, as_of_ms: float) -> None:
+        self.proved_ms = as_of_ms
+        self.prove(as_of_ms)
+
+    async def _read(self, wait_ms: float) -> keyed_log.Batch | None:
         """Make one call; None if it was given up at the store's return."""
         if not self.failing:
-            return await self._call(self.find_wait())
+            return await self._call(wait_ms)
         with self.contact.give_up_at_return():
             # A poll proves something only when it ends. The first after a
             # failure does not wait for news, or everything that rests on its
             # proof would stay refused for the length of a poll, 1.5 s.
-            return await self._call(0.0)
+            return await self._call(wait_ms)
         return None
 
     async def _call(self, wait_ms: float) -> keyed_log.Batch:
@@ -107,6 +168,13 @@
                 self.apply(record)
         self.position = batch.end
 
+    def _note_well(self) -> None:
+        if not self.failing:
+            return
+        self.failing = False
+        self.note_failing(False)
+        events.log_event(events.Event.PLATFORM_BACK, topic=self.name)
+
     def _note_failure(
         self, sent_ms: float, fault: errors.PlatformUnavailable
     ) -> None:
--- a/src/carawayward/forwarding/hint_channels.py
+++ b/src/carawayward/forwarding/hint_channels.py
@@ -22,13 +22,15 @@
 # Told to at most this many peers; beyond it, a part of the others each time.
 MOST_PEERS = 16
 
+Address = tuple[str, int]
+
 
 @attrs.define
 class Peer:
     """Another entry VM; ``stale`` if it cannot prove its keys."""
 
     name: str
-    address: tuple[str, int]
+    address: Address
     incarnation: str
     heard_ms: float
     near: bool = True
--- a/src/carawayward/forwarding/hint_messages.py
+++ b/src/carawayward/forwarding/hint_messages.py
@@ -25,6 +25,14 @@
 )
 
 
+def decode(data: bytes) -> list:
+    """A datagram's fields; raises one of UNREADABLE."""
+    fields = cbor2.loads(data)
+    if not isinstance(fields, list) or not fields:
+        raise ValueError("no fields")
+    return fields
+
+
 def shorten(name: str) -> int:
     """A number of 32 bits that stands for a name."""
     return placement.hash_key(name) >> 32
@@ -115,7 +123,14 @@
 
         Raises one of UNREADABLE for bytes that are no message.
         """
-        fields = cbor2.loads(data)
+        return cls.from_fields(decode(data))
+
+    @classmethod
+    def from_fields(cls, fields: list) -> "Message | None":
+        """Read a datagram's decoded fields; None for another version's.
+
+        Raises one of UNREADABLE for what is no message.
+        """
         if fields[0] != VERSION:
             return None
         sender, sequence, stale, loads, parts, topics = fields[1:]
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -9,6 +9,7 @@
 once; those of others are told as often as a budget of bytes allows.
 """
 
+import socket
 import typing
 
 import attrs
@@ -51,6 +52,11 @@
     take: typing.Callable[[str, typing.Any], None]
 
 
+# Takes a peer's name and the decoded fields of its datagram; raises one of
+# ``hint_messages.UNREADABLE`` for what cannot be read.
+Handler = typing.Callable[[str, list], None]
+
+
 @attrs.define(eq=False)
 class HintsController:
     """Exchanges hints with the other entry VMs."""
@@ -66,19 +72,22 @@
     engine_names: dict[int, str] = attrs.field(factory=dict)
     generation: int = -1
     topics: dict[str, Topic] = attrs.field(factory=dict)
+    handlers: dict[int, Handler] = attrs.field(factory=dict)
+    addresses: dict[hint_channels.Address, str] = attrs.field(factory=dict)
     sequence: int = 0
     channels: list[hint_channels.Channel] = attrs.field(
         factory=hint_channels.make_channels
     )
     _socket: typing.Any = None
+    _sender: socket.socket | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to listen and to tell."""
-        host, port = settings_module.split_address(self.address)
-        self._socket = trio.socket.socket(
-            trio.socket.AF_INET, trio.socket.SOCK_DGRAM
-        )
-        await self._socket.bind((host, port))
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sender.setblocking(False)
+        sender.bind(settings_module.split_address(self.address))
+        self._sender = sender
+        self._socket = trio.socket.from_stdlib_socket(sender)
         for task in (self._listen, self._find_peers):
             nursery.start_soon(supervision.keep_running, task, ())
         for channel in self.channels:
@@ -95,6 +104,33 @@
         """Tell and take a further value with each datagram."""
         self.topics[name] = topic
 
+    def add_handler(self, kind: int, handler: Handler) -> None:
+        """Take datagrams of known peers whose first element is ``kind``."""
+        self.handlers[kind] = handler
+
+    def send(self, name: str, data: bytes) -> None:
+        """Send a peer a datagram; lost if it cannot go out at once."""
+        peer = self.peers.get(name)
+        if peer is None or self._sender is None:
+            return
+        try:
+            self._sender.sendto(data, peer.address)
+        except OSError:
+            # A full buffer, or a peer that is gone; both are as a datagram
+            # that was lost on its way, which the sender makes good.
+            return
+
+    def list_near(self) -> list[str]:
+        """Peers of this failure domain that may be relied on just now."""
+        now_ms = self.clock.now_ms()
+        return [
+            peer.name
+            for peer in self.peers.values()
+            if peer.near
+            and not peer.stale
+            and now_ms - peer.heard_ms < SILENT_MS
+        ]
+
     def add_load(self, engine: str, change: engine_load.Load) -> None:
         """Note a change of the own outstanding work, and tell it."""
         engine_load.add_own(self.loads, engine, change)
@@ -192,6 +228,7 @@
             self._forget_number(sender.name)
             self.peers[sender.name] = peer
             self.peer_names[sender.number] = sender.name
+            self.addresses[peer.address] = sender.name
             for channel in self.channels:
                 channel.introduced_ms = board_module.NEVER
         return peer
@@ -273,26 +310,40 @@
     async def _listen(self) -> None:
         while True:
             try:
-                data, _ = await self._socket.recvfrom(MOST_BYTES)
+                data, address = await self._socket.recvfrom(MOST_BYTES)
             except ConnectionError:
                 continue
-            self._take(data)
+            self._take(data, address)
+
+    def _take(
+        self, data: bytes, address: hint_channels.Address | None = None
+    ) -> None:
+        """Take a peer's datagram; one that cannot be read is dropped.
 
-    def _take(self, data: bytes) -> None:
-        """Take a peer's datagram; one that cannot be read is dropped."""
+        Hints say whom they are from; other kinds are known by ``address``.
+        """
         try:
-            message = hint_messages.Message.from_bytes(data)
-            if message is None:
-                return
-            peer = self._find_sender(message.sender)
-            if peer is None or message.sequence <= peer.sequence:
+            fields = hint_messages.decode(data)
+            handler = self.handlers.get(fields[0])
+            if handler is None:
+                self._take_hint(fields)
                 return
-            self._take_topics(peer, message)
+            peer = self.addresses.get(address) if address else None
+            if peer is not None:
+                handler(peer, fields)
         except hint_messages.UNREADABLE as fault:
             events.log_event(
                 events.Event.PEER_REFUSED, fault=type(fault).__name__
             )
+
+    def _take_hint(self, fields: list) -> None:
+        message = hint_messages.Message.from_fields(fields)
+        if message is None:
+            return
+        peer = self._find_sender(message.sender)
+        if peer is None or message.sequence <= peer.sequence:
             return
+        self._take_topics(peer, message)
         self._take_message(peer, message)
 
     def _take_topics(
--- /dev/null
+++ b/tests/cover/test_forwarding_proofs.py
@@ -0,0 +1,183 @@
+"""Proofs of what the store holds, taken from another entry VM."""
+
+import typing
+
+import attrs
+import cbor2
+
+from carawayward import clock as clock_module
+from carawayward.decisions import readers
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import hint_messages
+from carawayward.forwarding import proof_messages
+from carawayward.forwarding import proofs
+
+
+@attrs.define
+class Hints:
+    """Entry VMs of one failure domain; what is sent is kept."""
+
+    near: list[str]
+    sent: list[tuple[str, bytes]] = attrs.field(factory=list)
+    handlers: dict = attrs.field(factory=dict)
+
+    def list_near(self):
+        return self.near
+
+    def add_handler(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, name, data):
+        self.sent.append((name, data))
+
+
+@attrs.define
+class Feed:
+    """A topic's position and proofs."""
+
+    position: int = 7
+    as_of_ms: float = 0.0
+    taken: list[tuple[int, float]] = attrs.field(factory=list)
+
+    def describe(self):
+        return self.position, self.as_of_ms
+
+    def take(self, position, as_of_ms):
+        self.taken.append((position, as_of_ms))
+
+
+def make_controller(name, near):
+    clock: typing.Any = clock_module.ManualClock(now=10_000.0)
+    hints: typing.Any = Hints(near)
+    made = proofs.ProofsController(
+        board_module.ForwardingBoard(name=name, failure_domain="north"),
+        clock,
+        hints,
+    )
+    topic = Feed()
+    made.add_topic("keys", proofs.Topic(topic.describe, topic.take))
+    return made, clock, topic
+
+
+def deliver(made, peer, data):
+    fields = hint_messages.decode(data)
+    made.hints.handlers[fields[0]](peer, fields)
+
+
+def ask_once(made):
+    """Have a controller ask its reader; return the reader and the bytes."""
+    made._choose_reader()
+    made._ask(made.reader)
+    return made.hints.sent[-1]
+
+
+def make_pair():
+    """Two entry VMs, the first of which asks the second."""
+    first, second = sorted(
+        ("vm-a", "vm-b"),
+        key=lambda name: readers.choose_reader(name, ["vm-a", "vm-b"]) == name,
+    )
+    return make_controller(first, [second]), make_controller(second, [first])
+
+
+def test_entry_vms_choose_readers_alike():
+    """Calls to the store do not grow with the entry VMs of a domain."""
+    for count in (1, 2, 3, 16, 17, 24, 82):
+        names = [f"vm-{number}" for number in range(count)]
+        chosen = [readers.choose_reader(name, names) for name in names]
+        reading = set(chosen)
+        assert len(reading) <= -(-count // readers.ASKERS_MOST)
+        assert all(
+            readers.choose_reader(name, names) == name for name in reading
+        )
+        most = max(chosen.count(name) for name in reading)
+        assert most <= 2.5 * readers.ASKERS_MOST
+
+
+def test_proof_is_as_of_the_question():
+    """An entry VM trusts its keys for longer than it may.
+
+    The answer to its question was on the way for two seconds. What it proves
+    is as old as the question, and the age that the reader told on top.
+    """
+    (asker, clock, topic), (reader, reader_clock, known) = make_pair()
+    name, question = ask_once(asker)
+    assert name == reader.board.name
+    reader_clock.advance(500.0)
+    known.as_of_ms = reader_clock.now - 1_200.0
+    deliver(reader, asker.board.name, question)
+    _, answer = reader.hints.sent[-1]
+    clock.advance(2_000.0)
+    deliver(asker, reader.board.name, answer)
+    ((position, as_of_ms),) = topic.taken
+    assert position == 7
+    assert as_of_ms <= 10_000.0 - 1_200.0
+
+
+def test_news_is_told_at_once_to_those_who_ask():
+    """A key that was taken away works on until the next question."""
+    (asker, clock, topic), (reader, _, known) = make_pair()
+    _, question = ask_once(asker)
+    deliver(reader, asker.board.name, question)
+    known.position = 8
+    sent = len(reader.hints.sent)
+    reader.tell_news()
+    ((name, answer),) = reader.hints.sent[sent:]
+    assert name == asker.board.name
+    deliver(asker, reader.board.name, answer)
+    assert topic.taken[-1][0] == 8
+
+
+def test_answers_that_nobody_asked_for_prove_nothing():
+    """An answer to a former start, another's, or one that was made up.
+
+    Each would have an entry VM believe that its keys are the newest.
+    """
+    (asker, clock, topic), (reader, _, _) = make_pair()
+    _, question = ask_once(asker)
+    number = proof_messages.Ask.from_fields(cbor2.loads(question)).number
+    told = {"keys": proof_messages.Told(7, 0.0)}
+    wrong = proof_messages.Proof(number + 1, told).to_bytes()
+    deliver(asker, reader.board.name, wrong)
+    right = proof_messages.Proof(number, told).to_bytes()
+    deliver(asker, "vm-c", right)
+    assert not topic.taken
+    assert not asker.relies()
+    for _ in range(proofs.ASKS_KEPT):
+        ask_once(asker)
+    deliver(asker, reader.board.name, right)
+    assert not topic.taken
+
+
+def test_unreadable_proofs_are_refused():
+    """Bytes of another program, or an age in the future."""
+    (asker, clock, topic), (reader, _, _) = make_pair()
+    _, question = ask_once(asker)
+    number = cbor2.loads(question)[1]
+    for fields in (
+        [proof_messages.PROOF],
+        [proof_messages.PROOF, number],
+        [proof_messages.PROOF, number, {"keys": [7, -5_000]}],
+        [proof_messages.PROOF, number, {"keys": [7, 0.5]}],
+        [proof_messages.PROOF, number, {"keys": [True, 0]}],
+        [proof_messages.PROOF, number, {"keys": 3}],
+        [proof_messages.PROOF, number, 4],
+        [proof_messages.PROOF, "x", {}],
+    ):
+        try:
+            deliver(asker, reader.board.name, cbor2.dumps(fields))
+        except hint_messages.UNREADABLE:
+            continue
+        raise AssertionError(fields)
+    assert not topic.taken
+
+
+def test_silent_reader_is_not_relied_on():
+    """The reader is gone, and its word is still taken for the newest."""
+    (asker, clock, _), (reader, _, _) = make_pair()
+    _, question = ask_once(asker)
+    deliver(reader, asker.board.name, question)
+    deliver(asker, reader.board.name, reader.hints.sent[-1][1])
+    assert asker.relies()
+    clock.advance(proofs.SILENT_MS)
+    assert not asker.relies()
--- /dev/null
+++ b/tests/failures/test_forwarding_proofs.py
@@ -0,0 +1,143 @@
+"""Entry VMs that read the store for each other."""
+
+import trio
+
+from carawayward import errors
+from tests.common import forwarding
+from tests.standins import backend
+
+TABLE, ENDPOINTS = 0, 1
+
+
+class CutTopic:
+    """A topic that this entry VM cannot reach."""
+
+    async def read_newest(self):
+        raise errors.PlatformUnavailable("store", "cut off")
+
+    async def read(self, start, wait_ms):
+        raise errors.PlatformUnavailable("store", "cut off")
+
+
+def find_proofs(made, daemon):
+    return made.daemons[daemon].controllers[-1]
+
+
+async def wait_for_readers(made):
+    """Wait until all but one entry VM rely on another; return that one."""
+    count = len(made.daemons)
+    await made.wait_for(
+        lambda: (
+            sum(find_proofs(made, n).relies() for n in range(count))
+            == count - 1
+        )
+    )
+    await trio.sleep(1.6)
+    (reader,) = [n for n in range(count) if not find_proofs(made, n).relies()]
+    return reader
+
+
+def test_one_entry_vm_reads_the_store_for_its_failure_domain():
+    """The store turns calls away that ask for nothing new.
+
+    Four entry VMs made four times the calls of one, though nothing changed.
+    """
+
+    async def main():
+        desk = backend.Backend("desk-0")
+        async with forwarding.open_forwarding(desk, daemons=4) as made:
+            await wait_for_readers(made)
+            made.store.calls = 0
+            await trio.sleep(3.0)
+            # One entry VM polls for the table every 1.5 s and for endpoints
+            # every 1.1 s; one call more for each poll that was under way.
+            assert made.store.calls <= 2 + 3 + 2
+            for number in range(4):
+                answer = await made.call("GET", "/look/", daemon=number)
+                assert answer.status == 200
+
+    trio.run(main)
+
+
+def test_changes_reach_those_who_do_not_read_at_once():
+    """A key that was taken away, and a server that left, are used on.
+
+    The entry VM that serves them does not read the store itself.
+    """
+
+    async def main():
+        desks = [backend.Backend(f"desk-{number}") for number in range(2)]
+        async with forwarding.open_forwarding(*desks, daemons=3) as made:
+            await wait_for_readers(made)
+            config = forwarding.make_config(2)
+            config["tenants"][0]["apiKeys"] = []
+            made.store.put("keyed.op", "config", config)
+            made.store.put("keyed.servers", "desk-0", None)
+            await trio.sleep(0.3)
+            for number in range(3):
+                board = made.daemons[number].board
+                assert set(board.endpoints) == {"desk-1"}
+                answer = await made.call("GET", "/look/", daemon=number)
+                assert answer.status == 401
+
+    trio.run(main)
+
+
+def test_entry_vm_that_lost_the_store_serves_by_its_neighbours_proofs():
+    """Callers are turned away though their keys are known to be the newest.
+
+    One entry VM cannot reach the store, a neighbour can, and nothing has
+    changed. Once a key is taken away, keys are refused there within the
+    lease: what the neighbour proves is news that this one cannot read.
+    """
+
+    async def main():
+        desk = backend.Backend("desk-0")
+        lease_ms = 1_600
+        async with forwarding.open_forwarding(
+            desk, daemons=3, key_lease_ms=lease_ms
+        ) as made:
+            reader = await wait_for_readers(made)
+            cut = (reader + 1) % 3
+            feed = made.find_controller(TABLE, cut)
+            feed.topic = CutTopic()
+            await trio.sleep(2.0 * lease_ms / 1000)
+            assert await made.ask_ready(cut) == 200
+            assert (await made.call("GET", "/look/", daemon=cut)).status == 200
+            config = forwarding.make_config(2)
+            config["tenants"][0]["apiKeys"] = []
+            made.store.put("keyed.op", "config", config)
+            await trio.sleep(lease_ms / 1000)
+            answer = await made.call("GET", "/look/", daemon=cut)
+            assert answer.status == 503
+
+    trio.run(main)
+
+
+def test_keys_stay_proved_when_the_reader_dies():
+    """Callers are refused since the one that read for all has gone.
+
+    Its neighbours notice within a second that it does not answer, and read
+    for themselves until they have agreed on another.
+    """
+
+    async def main():
+        desk = backend.Backend("desk-0")
+        async with forwarding.open_forwarding(
+            desk, daemons=3, key_lease_ms=4_000
+        ) as made:
+            reader = await wait_for_readers(made)
+            await find_proofs(made, reader).hints.close()
+            others = [n for n in range(3) if n != reader]
+            for _ in range(60):
+                await trio.sleep(0.1)
+                for number in others:
+                    daemon = made.daemons[number]
+                    boot_ms = daemon.clock.boot_ms()
+                    assert daemon.board.is_fresh(boot_ms)
+                    assert not daemon.board.store_failing
+            chosen = {find_proofs(made, n).reader for n in others}
+            names = {made.daemons[n].board.name for n in others}
+            assert chosen - {""} <= names
+
+    trio.run(main)
