Let the reader of a failure domain read statuses of roll-outs for the others

Change: what is proved of the topic of statuses goes with the other proofs. An entry VM that is told that nothing has followed counts that as a read; told of news it reads at its next round, without an answer after 2.8 s, below the 3.5 s after which it lets no session try the new version. One read takes the statuses of all roll-outs.

What is written is still written on the condition of a read of one's own; tests/model/test_rollout_steps plays that in every order as before.

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -1,5 +1,7 @@
 """Puts the parts of one entry VM together; nothing runs yet."""
 
+import attrs
+
 from carawayward import clock as clock_module
 from carawayward.decisions import extra_runs
 from carawayward.forwarding import app as app_module
@@ -118,16 +120,22 @@
     return feeds
 
 
+@attrs.frozen
+class Placing:
+    """Placement, and the controllers that it learns from."""
+
+    placer: placing.Placer
+    hints: hints_module.HintsController
+    proofs: proofs_module.ProofsController
+    rounds: rollout_rounds.RolloutRounds
+
+
 def make_placing(
     settings: settings_module.ForwardingSettings,
     board: board_module.ForwardingBoard,
     clock: clock_module.Clock,
     ports: ports_module.Ports,
-) -> tuple[
-    hints_module.HintsController,
-    rollout_rounds.RolloutRounds,
-    placing.Placer,
-]:
+) -> Placing:
     """Placement, and the controllers that it learns from."""
     fleet = fleet_module.Fleet(board, clock)
     hints = hints_module.HintsController(
@@ -138,6 +146,7 @@
         fleet.loads,
         fleet.find_memory,
     )
+    proofs = proofs_module.ProofsController(board, clock, hints)
     rollouts = rollouts_module.Rollouts(board, clock)
     hints.add_topic(
         "rollouts", hints_module.Topic(rollouts.describe, rollouts.take)
@@ -149,6 +158,10 @@
         ports.statuses,
         ports.decode_status,
         ports.encode_status,
+        proofs.relies,
+    )
+    proofs.add_topic(
+        "statuses", proofs_module.Topic(rounds.describe, rounds.take_proof)
     )
 
     def make_budget() -> extra_runs.ExtraRuns:
@@ -162,7 +175,7 @@
     placer = placing.Placer(
         clock, fleet, rollouts, hints, measures, make_budget
     )
-    return hints, rounds, placer
+    return Placing(placer, hints, proofs, rounds)
 
 
 def make_app(
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -15,7 +15,6 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import ports as ports_module
-from carawayward.forwarding import proofs as proofs_module
 from carawayward.forwarding import replies
 from carawayward.forwarding import settings as settings_module
 from carawayward import http_server
@@ -83,23 +82,17 @@
             failure_domain=settings.failure_domain,
             bounds=settings.bounds,
         )
-        hints, rounds, placer = assembly.make_placing(
-            settings, board, clock, ports
+        parts = assembly.make_placing(settings, board, clock, ports)
+        feeds = assembly.make_feeds(
+            settings, board, clock, ports, parts.proofs
         )
-        proofs = proofs_module.ProofsController(board, clock, hints)
-        feeds = assembly.make_feeds(settings, board, clock, ports, proofs)
         return cls(
             settings=settings,
             board=board,
             clock=clock,
             ports=ports,
-            controllers=[
-                *feeds,
-                rounds,
-                hints,
-                proofs,
-            ],
-            app=assembly.make_app(board, clock, ports, placer),
+            controllers=[*feeds, parts.rounds, parts.hints, parts.proofs],
+            app=assembly.make_app(board, clock, ports, parts.placer),
             read_bounds=read_bounds or (lambda: settings.bounds),
         )
 
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -26,6 +26,9 @@
 # How often the status is read while a roll-out runs, to see what others have
 # decided. They tell of a halt at once; this is for whoever hears no peers.
 READ_MS = 1_800.0
+# The same where another entry VM reads it for this one: its own proof, one
+# question and a tick more. Below rollout_state.STALE_MS.
+RELYING_READ_MS = 2_800.0
 # Entry VMs act on a decision one after the other, so that mostly one does.
 TURN_MS = 60.0
 MOST_TURNS = 6
@@ -33,7 +36,12 @@
 
 @attrs.define(eq=False)
 class RolloutRounds:
-    """Goes through the roll-outs that run."""
+    """Goes through the roll-outs that run.
+
+    ``end`` is how far all statuses were read, and ``as_of_ms`` when nothing
+    followed, on the boot clock. While ``relies`` says so another entry VM
+    reads them for this one, and ``take_proof`` gets what it proves.
+    """
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
@@ -43,6 +51,9 @@
         [keyed_log.Record], facts.RolloutStatus | None
     ]
     encode_status: typing.Callable[[facts.RolloutStatus], keyed_log.Record]
+    relies: typing.Callable[[], bool] = lambda: False
+    end: int | None = None
+    as_of_ms: float = board_module.NEVER
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to look for orders."""
@@ -63,12 +74,10 @@
         """Read the status if it is time, and write what is decided."""
         self.rollouts.count_slow_runs(rollout)
         self.rollouts.judge(rollout)
-        now_ms = self.clock.now_ms()
-        due = now_ms - rollout.read_ms >= READ_MS
-        if not due and self._find_wanted(rollout) is None:
+        if not self._is_due(rollout) and self._find_wanted(rollout) is None:
             return
         try:
-            await self._read_status(rollout)
+            await self._read_statuses()
             if self._find_wanted(rollout) is not None:
                 await self._decide(rollout)
         except errors.PlatformUnavailable:
@@ -82,7 +91,7 @@
         """Write the status that the counts ask for, if it is not there."""
         turn = placement.hash_key(f"{self.board.name}/{rollout.order}")
         await self.clock.sleep(TURN_MS * (turn % MOST_TURNS))
-        end = await self._read_status(rollout)
+        end = await self._read_statuses()
         wanted = self._find_wanted(rollout)
         if wanted is None:
             return
@@ -116,18 +125,48 @@
             return None
         return facts.RolloutState.RUNNING
 
-    async def _read_status(self, rollout: rollout_state.Rollout) -> int:
-        """Take the status that stands in the store; return the log's end."""
+    def describe(self) -> tuple[int, float] | None:
+        """How far all statuses were read, and when nothing followed."""
+        return None if self.end is None else (self.end, self.as_of_ms)
+
+    def take_proof(self, end: int, as_of_ms: float) -> None:
+        """Nothing followed ``end`` in the store at ``as_of_ms``."""
+        if self.end is None or end < self.end:
+            return
+        if end > self.end:
+            self.as_of_ms = board_module.NEVER
+            return
+        self.as_of_ms = max(self.as_of_ms, as_of_ms)
+        age_ms = self.clock.boot_ms() - as_of_ms
+        read_ms = self.clock.now_ms() - age_ms
+        for rollout in self.rollouts.rollouts.values():
+            if rollout.known:
+                rollout.read_ms = max(rollout.read_ms, read_ms)
+
+    def _is_due(self, rollout: rollout_state.Rollout) -> bool:
+        """Whether the status has to be read before anything is decided."""
+        if not rollout.known or self.as_of_ms == board_module.NEVER:
+            return True
+        age_ms = self.clock.now_ms() - rollout.read_ms
+        return age_ms >= (RELYING_READ_MS if self.relies() else READ_MS)
+
+    async def _read_statuses(self) -> int:
+        """Take the statuses that stand in the store; return the log's end."""
+        sent_ms = self.clock.boot_ms()
         batch = await self.statuses.read_newest()
         for record in batch.records:
             status = self.decode_status(record)
-            if (
-                status is not None
-                and status.service == rollout.order.service
-                and status.version == rollout.order.version
-                and rollout.running
-            ):
-                self.rollouts.take_state(rollout, status.state)
-        rollout.known = True
-        rollout.read_ms = self.clock.now_ms()
+            if status is not None:
+                self._take_status(status)
+        for rollout in self.rollouts.rollouts.values():
+            rollout.known = True
+            rollout.read_ms = self.clock.now_ms()
+        self.end, self.as_of_ms = batch.end, sent_ms
         return batch.end
+
+    def _take_status(self, status: facts.RolloutStatus) -> None:
+        rollout = self.rollouts.rollouts.get(status.service)
+        if rollout is None or rollout.order.version != status.version:
+            return
+        if rollout.running:
+            self.rollouts.take_state(rollout, status.state)
--- a/tests/cover/test_forwarding_proofs.py
+++ b/tests/cover/test_forwarding_proofs.py
@@ -4,13 +4,19 @@
 
 import attrs
 import cbor2
+import trio
 
 from carawayward import clock as clock_module
 from carawayward.decisions import readers
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import facts
 from carawayward.forwarding import hint_messages
+from carawayward.forwarding import keyed_log
 from carawayward.forwarding import proof_messages
 from carawayward.forwarding import proofs
+from carawayward.forwarding import rollout_rounds
+from carawayward.forwarding import rollout_state
+from carawayward.forwarding import rollouts
 
 
 @attrs.define
@@ -181,3 +187,68 @@
     assert asker.relies()
     clock.advance(proofs.SILENT_MS)
     assert not asker.relies()
+
+
+def make_rounds(relies):
+    """Rounds of one roll-out that runs, and how often they read."""
+    clock: typing.Any = clock_module.ManualClock(now=10_000.0)
+    board = board_module.ForwardingBoard(name="vm", failure_domain="north")
+    order = facts.RolloutOrder(
+        service="desk", version="v2", duration_ms=60_000.0
+    )
+    board.orders["desk"] = order
+    chosen = rollouts.Rollouts(board, clock)
+    chosen.take_orders()
+    made = rollout_rounds.RolloutRounds(
+        board,
+        clock,
+        chosen,
+        typing.cast(typing.Any, Statuses()),
+        lambda record: None,
+        lambda status: keyed_log.Record("desk", b"running"),
+        lambda: relies,
+    )
+    return made, clock, chosen.rollouts["desk"]
+
+
+@attrs.define
+class Statuses:
+    """The topic of statuses; counts its calls."""
+
+    calls: int = 0
+
+    async def read_newest(self):
+        self.calls += 1
+        return keyed_log.Batch([], 5)
+
+    async def append(self, records, end=None):
+        self.calls += 1
+        return 6
+
+
+def test_status_is_read_by_one_for_all_while_nothing_follows_it():
+    """Each entry VM reads the status of a roll-out twice a second.
+
+    One that is told by its reader that nothing has followed need not; one
+    that is told of news reads at its next round.
+    """
+
+    async def main():
+        made, clock, rollout = make_rounds(relies=True)
+        rollout.told = "running"
+        await made._step(rollout)
+        assert made.statuses.calls == 1
+        for _ in range(20):
+            clock.advance(400.0)
+            made.take_proof(5, clock.now - 1_900.0)
+            await made._step(rollout)
+        assert made.statuses.calls == 1
+        assert clock.now - rollout.read_ms <= rollout_state.STALE_MS
+        made.take_proof(6, clock.now)
+        await made._step(rollout)
+        assert made.statuses.calls == 2
+        clock.advance(rollout_rounds.RELYING_READ_MS)
+        await made._step(rollout)
+        assert made.statuses.calls == 3
+
+    trio.run(main)
--- a/tests/model/rollout_steps.py
+++ b/tests/model/rollout_steps.py
@@ -99,6 +99,9 @@
     def now_ms(self) -> float:
         return 0.0
 
+    def boot_ms(self) -> float:
+        return 0.0
+
     async def sleep(self, wait_ms: float) -> None:
         await Call("sleep")
 
