--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -1,5 +1,7 @@
 """Decisions about new versions and endpoints out of reach, without I/O."""
 
+import random
+
 from carawayward.decisions import avoidance
 from carawayward.decisions import canary
 
@@ -150,3 +152,42 @@
     assert not canary.may_complete(3_000.0, good, 1.0, enough - 1, 0)
     assert canary.may_complete(3_000.0, good, 1.0, enough, 0)
     assert canary.may_complete(1_500.0, good, 1.0, 5, 0)
+
+
+def play_late_version(seed, requests, duration_s):
+    """A version that is let in by chance arrivals and never found bad.
+
+    Returns how many requests met it over what may, and how long before the
+    time was up everything went there.
+    """
+    draw = random.Random(seed)
+    times_s = sorted(draw.random() * duration_s for _ in range(requests))
+    sent = sent_new = 0
+    opened_s = None
+    for at_s in times_s:
+        exposure = canary.Exposure(
+            share=0.15, slack=30.0, sent=sent, sent_new=sent_new
+        )
+        known = sent_new >= canary.LEAST_ANSWERS
+        verdict = canary.Verdict.GOOD if known else canary.Verdict.UNKNOWN
+        share = canary.find_share(at_s / duration_s, verdict, exposure)
+        if share >= 1.0 and opened_s is None:
+            opened_s = at_s
+        sent += 1
+        sent_new += opened_s is not None or draw.random() < share
+    assert opened_s is not None
+    return sent_new - (0.15 * sent + 30.0), duration_s - opened_s
+
+
+def test_version_that_turns_bad_late_is_met_by_no_more_than_may():
+    """98 requests met a bad version where 93 of 419 may.
+
+    It was good until all went over to it, 2.3 s before the time was up, by
+    what was expected to come until then. Requests come by chance, and once
+    everything has gone over nothing goes back; more came than expected.
+    """
+    for requests, duration_s in ((120, 16.0), (420, 18.5), (1_500, 16.0)):
+        for seed in range(300):
+            over, left_s = play_late_version(seed, requests, duration_s)
+            assert over <= 0.0, (requests, seed, over)
+            assert left_s > 0.3, (requests, seed, left_s)
