Send endpoints' records along with the proofs

Change: a question says how far the asker has read the registry, and the answer brings the records that follow, as many as fit into a datagram; if there are more it asks again at once. News is told the same way. Records are taken only while the asker waits for its reader: a call of its own under way would bring them again, older over newer. Tables are too long for datagrams and are read from the store as before.

Tests: records that fit into no datagram, into several, told twice, and bytes that are none.

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -112,12 +112,22 @@
         find_own_ms=find_endpoints_own,
         note_news=proofs.tell_news,
     )
-    feeds = [table_feed, endpoints_feed]
-    for each in feeds:
-        proofs.add_topic(
-            each.name, proofs_module.Topic(each.describe, each.take_proof)
-        )
-    return feeds
+    proofs.add_topic(
+        table_feed.name,
+        proofs_module.Topic(table_feed.describe, table_feed.take_proof),
+    )
+    # Endpoints come and go by the dozen, and an entry is a few hundred bytes;
+    # a table is too long for a datagram.
+    proofs.add_topic(
+        endpoints_feed.name,
+        proofs_module.Topic(
+            endpoints_feed.describe,
+            endpoints_feed.take_proof,
+            endpoints_feed.list_since,
+            endpoints_feed.take_entries,
+        ),
+    )
+    return [table_feed, endpoints_feed]
 
 
 @attrs.frozen
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -1,5 +1,6 @@
 """Follows one topic of the store: newest records first, then the tail."""
 
+import collections
 import typing
 
 import attrs
@@ -21,6 +22,8 @@
 # a poll may fail and be made again.
 POLLS_A_LEASE = 3.0
 LEAST_POLL_MS = 100.0
+# As many records as a burst of changes brings between two questions.
+TAIL_RECORDS = 64
 # How often a feed that waits for another entry VM's word looks whether that
 # one is still heard.
 RELY_MS = 200.0
@@ -44,7 +47,8 @@
     While ``relies`` says so another entry VM reads the store for this one,
     and ``take_proof`` gets what it proves. The feed then calls only for news,
     or when what was proved last is older than ``find_own_ms`` says.
-    ``note_news`` is called when records have come.
+    ``note_news`` is called when records have come. The last ones are kept in
+    ``tail``, for those who are a little behind.
     """
 
     name: str
@@ -62,6 +66,10 @@
     position: int | None = None
     proved_ms: float = board_module.NEVER
     failing: bool = False
+    tail: collections.deque[keyed_log.Record] = attrs.field(
+        factory=lambda: collections.deque(maxlen=TAIL_RECORDS)
+    )
+    _relying: bool = False
     _news: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -92,6 +100,31 @@
             self._note_well()
             self._prove(as_of_ms)
 
+    def list_since(
+        self, start: int
+    ) -> typing.Iterator[tuple[str, bytes | None]]:
+        """Keys and values of all records from ``start`` on, if kept."""
+        if not self.tail or self.tail[0].offset > start:
+            return
+        for record in self.tail:
+            if record.offset >= start:
+                yield record.key, record.value
+
+    def take_entries(
+        self, entries: typing.Iterable[tuple[str, bytes | None]]
+    ) -> None:
+        """Take records that another entry VM read, from the position on.
+
+        Only while this one waits for its word: a call of its own that is
+        under way would bring the same ones again, and older over newer.
+        """
+        if not self._relying or self.position is None:
+            return
+        for key, value in entries:
+            self._apply(keyed_log.Record(key, value, self.position))
+            self.position += 1
+        self.note_news()
+
     async def _follow(self) -> None:
         while True:
             relied = await self._wait_for_news()
@@ -125,10 +158,11 @@
         """Wait while another entry VM reads; whether this one relied on it."""
         relied = False
         while self._may_rely() and not self._news.is_set():
-            relied = True
+            relied = self._relying = True
             left_ms = self.find_own_ms() - self._find_age_ms()
             with trio.move_on_after(min(left_ms, RELY_MS) / 1000):
                 await self._news.wait()
+        self._relying = False
         self._news = trio.Event()
         return relied
 
@@ -162,12 +196,17 @@
 
     def _take(self, batch: keyed_log.Batch) -> None:
         if self.position is None:
+            self.tail.clear()
             self.replace(batch.records)
         else:
             for record in batch.records:
-                self.apply(record)
+                self._apply(record)
         self.position = batch.end
 
+    def _apply(self, record: keyed_log.Record) -> None:
+        self.tail.append(record)
+        self.apply(record)
+
     def _note_well(self) -> None:
         if not self.failing:
             return
--- a/src/carawayward/forwarding/proofs.py
+++ b/src/carawayward/forwarding/proofs.py
@@ -35,17 +35,25 @@
 ASKS_KEPT = 8
 
 
+Entries = tuple[proof_messages.Entry, ...]
+Listing = typing.Callable[[int], typing.Iterable[proof_messages.Entry]]
+
+
 @attrs.frozen
 class Topic:
     """A topic of the store whose proofs are exchanged.
 
     ``describe`` gives the position up to which all was read, and the boot
     time in ms at which nothing followed; None if that is not known here.
-    ``take`` gets the same of another entry VM's.
+    ``take`` gets the same of another entry VM's. Topics whose records are
+    short have them told: ``list_since`` gives those kept from a place on, and
+    ``take_entries`` gets the first of those that follow the own place.
     """
 
     describe: typing.Callable[[], tuple[int, float] | None]
     take: typing.Callable[[int, float], None]
+    list_since: Listing | None = None
+    take_entries: typing.Callable[[Entries], None] | None = None
 
 
 @attrs.frozen
@@ -54,6 +62,7 @@
 
     peer: str
     sent_ms: float
+    positions: typing.Mapping[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -118,10 +127,16 @@
     def _ask(self, reader: str) -> None:
         self._number += 1
         now_ms = self.clock.boot_ms()
-        self.asked[self._number] = Asked(reader, now_ms)
+        positions = {
+            name: known[0]
+            for name, topic in self.topics.items()
+            if topic.list_since and (known := topic.describe()) is not None
+        }
+        self.asked[self._number] = Asked(reader, now_ms, positions)
         while len(self.asked) > ASKS_KEPT:
             self.asked.popitem(last=False)
-        self.hints.send(reader, proof_messages.Ask(self._number).to_bytes())
+        ask = proof_messages.Ask(self._number, positions)
+        self.hints.send(reader, ask.to_bytes())
 
     def _take_ask(self, peer: str, fields: list) -> None:
         ask = proof_messages.Ask.from_fields(fields)
@@ -137,18 +152,50 @@
             if known is not None:
                 position, as_of_ms = known
                 age_ms = max(0.0, now_ms - as_of_ms)
-                told[name] = proof_messages.Told(position, age_ms)
+                entries = self._list_entries(topic, ask.positions.get(name))
+                told[name] = proof_messages.Told(position, age_ms, entries)
         if told:
             proof = proof_messages.Proof(ask.number, told)
             self.hints.send(peer, proof.to_bytes())
 
+    def _list_entries(self, topic: Topic, start: int | None) -> Entries:
+        if topic.list_since is None or start is None:
+            return ()
+        return proof_messages.choose_first(topic.list_since(start))
+
     def _take_proof(self, peer: str, fields: list) -> None:
         proof = proof_messages.Proof.from_fields(fields)
         asked = self.asked.get(proof.number)
         if asked is None or asked.peer != peer:
             return
         self.answered_ms = max(self.answered_ms, asked.sent_ms)
+        behind = False
         for name, told in proof.topics.items():
             topic = self.topics.get(name)
             if topic is not None:
-                topic.take(told.position, asked.sent_ms - told.age_ms)
+                behind |= self._take_told(name, topic, told, asked)
+        if behind:
+            self._ask(peer)
+
+    def _take_told(
+        self,
+        name: str,
+        topic: Topic,
+        told: proof_messages.Told,
+        asked: Asked,
+    ) -> bool:
+        """Take what is told of a topic; whether more of it is to be told."""
+        known = topic.describe()
+        start = asked.positions.get(name)
+        if told.entries and known is not None and start is not None:
+            # News is told again until the next question, so that some of the
+            # first records may have been taken already.
+            self._take_entries(topic, told.entries[max(0, known[0] - start) :])
+            if start + len(told.entries) < told.position:
+                return True
+        topic.take(told.position, asked.sent_ms - told.age_ms)
+        return False
+
+    def _take_entries(self, topic: Topic, entries: Entries) -> None:
+        if entries and topic.take_entries is not None:
+            topic.take_entries(entries)
--- a/tests/cover/test_forwarding_proofs.py
+++ b/tests/cover/test_forwarding_proofs.py
@@ -163,9 +163,12 @@
     for fields in (
         [proof_messages.PROOF],
         [proof_messages.PROOF, number],
-        [proof_messages.PROOF, number, {"keys": [7, -5_000]}],
-        [proof_messages.PROOF, number, {"keys": [7, 0.5]}],
-        [proof_messages.PROOF, number, {"keys": [True, 0]}],
+        [proof_messages.PROOF, number, {"keys": [7, -5_000, []]}],
+        [proof_messages.PROOF, number, {"keys": [7, 0.5, []]}],
+        [proof_messages.PROOF, number, {"keys": [True, 0, []]}],
+        [proof_messages.PROOF, number, {"keys": [7, 0, [["key"]]]}],
+        [proof_messages.PROOF, number, {"keys": [7, 0, [["key", "text"]]]}],
+        [proof_messages.PROOF, number, {"keys": [7, 0, [[3, b"value"]]]}],
         [proof_messages.PROOF, number, {"keys": 3}],
         [proof_messages.PROOF, number, 4],
         [proof_messages.PROOF, "x", {}],
@@ -252,3 +255,96 @@
         assert made.statuses.calls == 3
 
     trio.run(main)
+
+
+@attrs.define
+class Registry:
+    """A topic whose records are told; it knows those up to its position."""
+
+    records: list[tuple[str, bytes | None]]
+    proved: bool = False
+    read: bool = False
+
+    def describe(self):
+        return len(self.records), 0.0
+
+    def list_since(self, start):
+        return self.records[start:]
+
+    def take_entries(self, entries):
+        self.records += entries
+
+    def take(self, position, as_of_ms):
+        self.proved |= position == len(self.records)
+        self.read |= position > len(self.records)
+
+
+def make_registries(known):
+    """A pair whose first has no records and whose second has ``known``."""
+    pair = make_pair()
+    topics = []
+    for (made, _, _), records in zip(pair, ([], known), strict=True):
+        topic = Registry(list(records))
+        made.add_topic(
+            "endpoints",
+            proofs.Topic(
+                topic.describe,
+                topic.take,
+                topic.list_since,
+                topic.take_entries,
+            ),
+        )
+        topics.append(topic)
+    return pair, topics
+
+
+def exchange(asker, reader):
+    """Deliver all that is sent until nothing more is."""
+    while asker.hints.sent or reader.hints.sent:
+        for one, other in ((asker, reader), (reader, asker)):
+            sent, one.hints.sent[:] = list(one.hints.sent), []
+            for _, data in sent:
+                assert len(data) <= 1_400
+                deliver(other, one.board.name, data)
+
+
+def test_short_records_come_with_the_proof():
+    """Each endpoint that comes or goes costs a call of each entry VM.
+
+    More than fit into a datagram are told in several, without a pause.
+    """
+    entry = b"x" * 300
+    known: list[proof_messages.Entry] = [
+        (f"desk-{number}", entry) for number in range(20)
+    ]
+    known.append(("desk-0", None))
+    ((asker, _, _), (reader, _, _)), (mine, theirs) = make_registries(known)
+    ask_once(asker)
+    exchange(asker, reader)
+    assert mine.records == known
+    assert mine.proved and not mine.read
+
+
+def test_news_that_is_told_twice_is_taken_once():
+    """Two changes between two questions; the first is told again.
+
+    Taken anew it would bring a server back that has left since.
+    """
+    ((asker, _, _), (reader, _, _)), (mine, theirs) = make_registries([])
+    ask_once(asker)
+    exchange(asker, reader)
+    for record in (("desk-0", b"ready"), ("desk-0", None)):
+        theirs.records.append(record)
+        reader.tell_news()
+        exchange(asker, reader)
+    assert mine.records == theirs.records
+    assert not mine.read
+
+
+def test_record_that_fits_no_datagram_is_read_from_the_store():
+    """An entry is longer than a datagram."""
+    known = [("desk-0", b"x" * proof_messages.MOST_RECORD_BYTES)]
+    ((asker, _, _), (reader, _, _)), (mine, theirs) = make_registries(known)
+    ask_once(asker)
+    exchange(asker, reader)
+    assert mine.read and not mine.records
--- a/tests/model/test_proofs.py
+++ b/tests/model/test_proofs.py
@@ -174,15 +174,15 @@
 
 def test_guards_are_seen_to_fail():
     """Each guard taken out lets some schedule prove what is not so."""
-    ask, told = proofs.Asked, proof_messages.Told
+    ask = proofs.Asked
 
-    def take_arrival(peer, sent_ms):
-        return ask(peer, sent_ms + LATE_MS)
+    def take_arrival(peer, sent_ms, positions):
+        return ask(peer, sent_ms + LATE_MS, positions)
 
-    def forget_age(position, age_ms):
-        return told(position, 0.0)
+    def forget_age(told):
+        return [told.position, 0, []]
 
     with mock.patch.object(proofs, "Asked", take_arrival):
         assert is_caught()
-    with mock.patch.object(proof_messages, "Told", forget_age):
+    with mock.patch.object(proof_messages.Told, "to_fields", forget_age):
         assert is_caught()
