--- a/tests/cover/test_forwarding_proofs.py
+++ b/tests/cover/test_forwarding_proofs.py
@@ -8,8 +8,10 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import readers
+from carawayward.forwarding import assembly
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
+from carawayward.forwarding import feed
 from carawayward.forwarding import hint_messages
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import proof_messages
@@ -17,6 +19,7 @@
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts
+from carawayward.forwarding import settings
 
 
 @attrs.define
@@ -348,3 +351,22 @@
     ask_once(asker)
     exchange(asker, reader)
     assert mine.read and not mine.records
+
+
+def test_worst_age_of_a_proof_fits_into_its_bound():
+    """The reader dies just after its last answer, before something changes.
+
+    An endpoint that leaves then has to be known within the time for draining,
+    and keys be proved anew before their lease is up, by a store that takes
+    as long as a slow one does.
+    """
+    slow_ms = 700.0
+    noticed_ms = proofs.SILENT_MS + feed.RELY_MS
+    assert noticed_ms + slow_ms <= settings.Bounds().drain_ms
+    for lease_ms in range(4_000, 20_000, 500):
+        usable_ms = lease_ms - board_module.LEASE_MARGIN_MS
+        oldest_ms = 2.0 * feed.find_poll_ms(usable_ms) + proofs.ASK_MS
+        own_ms = assembly.OWN_PART * usable_ms
+        # What a living reader tells is young enough not to be read anew.
+        assert oldest_ms <= own_ms + proofs.ASK_MS
+        assert own_ms + slow_ms <= usable_ms
