Tell of a topic only what is known to be the newest; ask again only for use

An entry VM that had heard of a change and could not read it went on telling that nothing followed the place where it stood. Who relied on it would have taken the old configuration for the newest until the proof was 3.6 s old, where 2 s are allowed. It tells nothing of that topic now, and whoever relies on it for that topic, and not only for any, reads the store after 1.0 s.

An asker that was behind by more than a datagram and could not take records just then, since a call of its own was under way, asked again at once for the same ones, as fast as datagrams travel. It asks again only if they were of use, else it reads the store.

Two entry VMs that rely on each other cannot come about: each chooses one that comes before it in the same order.

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -1,5 +1,7 @@
 """Puts the parts of one entry VM together; nothing runs yet."""
 
+import functools
+
 import attrs
 
 from carawayward import clock as clock_module
@@ -24,6 +26,10 @@
 from carawayward.forwarding import store_contact
 from carawayward.forwarding import work_items
 
+# The topics of the store, by the names that logs and datagrams have.
+DECLARATIONS = "declarations"
+ENDPOINTS = "endpoints"
+STATUSES = "statuses"
 # Part of the time for which a leaving endpoint may still get work that a poll
 # on the endpoints may wait. The store may leave polls in the dark while it
 # drops its history; then only the end of a poll brings the news.
@@ -83,10 +89,10 @@
         return 2.0 * find_endpoints_poll() + proofs_module.SILENT_MS
 
     def relies_on_entries() -> bool:
-        return proofs.relies() and not entries.missing
+        return proofs.relies(ENDPOINTS) and not entries.missing
 
     table_feed = feed.TopicFeed(
-        "declarations",
+        DECLARATIONS,
         ports.declarations,
         clock,
         contact,
@@ -95,12 +101,12 @@
         reader.prove,
         find_wait=find_table_wait,
         note_failing=note_store,
-        relies=proofs.relies,
+        relies=functools.partial(proofs.relies, DECLARATIONS),
         find_own_ms=find_table_own,
         note_news=proofs.tell_news,
     )
     endpoints_feed = feed.TopicFeed(
-        "endpoints",
+        ENDPOINTS,
         ports.endpoints,
         clock,
         contact,
@@ -168,10 +174,10 @@
         ports.statuses,
         ports.decode_status,
         ports.encode_status,
-        proofs.relies,
+        functools.partial(proofs.relies, STATUSES),
     )
     proofs.add_topic(
-        "statuses", proofs_module.Topic(rounds.describe, rounds.take_proof)
+        STATUSES, proofs_module.Topic(rounds.describe, rounds.take_proof)
     )
 
     def make_budget() -> extra_runs.ExtraRuns:
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -48,7 +48,8 @@
     and ``take_proof`` gets what it proves. The feed then calls only for news,
     or when what was proved last is older than ``find_own_ms`` says.
     ``note_news`` is called when records have come. The last ones are kept in
-    ``tail``, for those who are a little behind.
+    ``tail``, for those who are a little behind. ``told_position`` is the
+    farthest that another entry VM has told of.
     """
 
     name: str
@@ -65,6 +66,7 @@
     note_news: typing.Callable[[], None] = lambda: None
     position: int | None = None
     proved_ms: float = board_module.NEVER
+    told_position: int = 0
     failing: bool = False
     tail: collections.deque[keyed_log.Record] = attrs.field(
         factory=lambda: collections.deque(maxlen=TAIL_RECORDS)
@@ -82,16 +84,21 @@
     def describe(self) -> tuple[int, float] | None:
         """The position reached, and when nothing followed it; None if unsure.
 
-        An entry VM that cannot reach the store leaves its proofs to others.
+        An entry VM that cannot reach the store, or has heard of news that it
+        has not read, leaves it to others to tell of the topic: who relied on
+        it would take the old for the newest until its proof is too old.
         """
         if self.position is None or self.failing:
             return None
+        if self.told_position > self.position:
+            return None
         return self.position, self.proved_ms
 
     def take_proof(self, position: int, as_of_ms: float) -> None:
         """Nothing followed ``position`` in the store at ``as_of_ms``."""
         if self.position is None:
             return
+        self.told_position = max(self.told_position, position)
         if position > self.position:
             self._news.set()
         elif position == self.position and as_of_ms > self.proved_ms:
--- a/src/carawayward/forwarding/proofs.py
+++ b/src/carawayward/forwarding/proofs.py
@@ -67,7 +67,11 @@
 
 @attrs.define(eq=False)
 class ProofsController:
-    """Asks a reader for proofs, and answers those who ask."""
+    """Asks a reader for proofs, and answers those who ask.
+
+    ``answered_ms`` is when the last question was sent of which the answer told
+    of a topic, by the topic's name.
+    """
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
@@ -77,7 +81,7 @@
         factory=collections.OrderedDict
     )
     askers: dict[str, proof_messages.Ask] = attrs.field(factory=dict)
-    answered_ms: float = board_module.NEVER
+    answered_ms: dict[str, float] = attrs.field(factory=dict)
     reader: str = ""
     _number: int = attrs.field(factory=lambda: secrets.randbits(32))
 
@@ -96,10 +100,14 @@
         """Exchange proofs of a topic."""
         self.topics[name] = topic
 
-    def relies(self) -> bool:
-        """Whether another entry VM reads the store for this one just now."""
-        now_ms = self.clock.boot_ms()
-        return bool(self.reader) and now_ms - self.answered_ms < SILENT_MS
+    def relies(self, name: str) -> bool:
+        """Whether another entry VM reads a topic for this one just now.
+
+        A reader that tells of one topic may be behind on another: it has heard
+        of news that it cannot read.
+        """
+        answered_ms = self.answered_ms.get(name, board_module.NEVER)
+        return self.clock.boot_ms() - answered_ms < SILENT_MS
 
     def tell_news(self) -> None:
         """A topic has grown; tell those who rely on this entry VM."""
@@ -121,7 +129,7 @@
         if reader == self.reader:
             return
         self.reader = reader
-        self.answered_ms = board_module.NEVER
+        self.answered_ms.clear()
         events.log_event(events.Event.READER_CHOSEN, reader=reader or own)
 
     def _ask(self, reader: str) -> None:
@@ -166,13 +174,14 @@
     def _take_proof(self, peer: str, fields: list) -> None:
         proof = proof_messages.Proof.from_fields(fields)
         asked = self.asked.get(proof.number)
-        if asked is None or asked.peer != peer:
+        if asked is None or asked.peer != peer or peer != self.reader:
             return
-        self.answered_ms = max(self.answered_ms, asked.sent_ms)
         behind = False
         for name, told in proof.topics.items():
             topic = self.topics.get(name)
             if topic is not None:
+                answered_ms = self.answered_ms.get(name, asked.sent_ms)
+                self.answered_ms[name] = max(answered_ms, asked.sent_ms)
                 behind |= self._take_told(name, topic, told, asked)
         if behind:
             self._ask(peer)
@@ -185,17 +194,24 @@
         asked: Asked,
     ) -> bool:
         """Take what is told of a topic; whether more of it is to be told."""
-        known = topic.describe()
-        start = asked.positions.get(name)
-        if told.entries and known is not None and start is not None:
-            # News is told again until the next question, so that some of the
-            # first records may have been taken already.
-            self._take_entries(topic, told.entries[max(0, known[0] - start) :])
-            if start + len(told.entries) < told.position:
-                return True
+        if self._take_entries(topic, told, asked.positions.get(name)):
+            return True
         topic.take(told.position, asked.sent_ms - told.age_ms)
         return False
 
-    def _take_entries(self, topic: Topic, entries: Entries) -> None:
-        if entries and topic.take_entries is not None:
-            topic.take_entries(entries)
+    def _take_entries(
+        self, topic: Topic, told: proof_messages.Told, start: int | None
+    ) -> bool:
+        """Take records from ``start`` on; whether more follow these.
+
+        Only where they were of use: to ask again for records that cannot be
+        taken just now would bring them again at once, and without end.
+        """
+        known = topic.describe()
+        if topic.take_entries is None or known is None or start is None:
+            return False
+        # News is told again until the next question, so that some of the
+        # first records may have been taken already.
+        topic.take_entries(told.entries[max(0, known[0] - start) :])
+        now = topic.describe()
+        return now is not None and known[0] < now[0] < told.position
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -126,8 +126,13 @@
         return facts.RolloutState.RUNNING
 
     def describe(self) -> tuple[int, float] | None:
-        """How far all statuses were read, and when nothing followed."""
-        return None if self.end is None else (self.end, self.as_of_ms)
+        """How far all statuses were read, and when nothing followed.
+
+        None where that is not known, or news of more has come.
+        """
+        if self.end is None or self.as_of_ms == board_module.NEVER:
+            return None
+        return self.end, self.as_of_ms
 
     def take_proof(self, end: int, as_of_ms: float) -> None:
         """Nothing followed ``end`` in the store at ``as_of_ms``."""
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -176,3 +176,22 @@
     assert contact.find_shortest_ms() == 0.0
     contact.note_failure(contact.note_call())
     assert contact.out
+
+
+def test_feed_that_is_behind_tells_nothing():
+    """A configuration is in force three seconds late on an entry VM.
+
+    It relied on one that had heard of the change and could not read it. That
+    one went on telling that nothing followed the place where it stood, as of
+    before the change.
+    """
+    contact = make_contact(typing.cast(typing.Any, clock_module.ManualClock()))
+    topic: typing.Any = Topic()
+    reader = make_feed("declarations", topic, contact)
+    reader.position = 5
+    reader.take_proof(5, 100.0)
+    assert reader.describe() == (5, 100.0)
+    reader.take_proof(6, 200.0)
+    assert reader.describe() is None
+    reader.position = 6
+    assert reader.describe() == (6, 100.0)
--- a/tests/cover/test_forwarding_proofs.py
+++ b/tests/cover/test_forwarding_proofs.py
@@ -151,7 +151,7 @@
     right = proof_messages.Proof(number, told).to_bytes()
     deliver(asker, "vm-c", right)
     assert not topic.taken
-    assert not asker.relies()
+    assert not asker.relies("keys")
     for _ in range(proofs.ASKS_KEPT):
         ask_once(asker)
     deliver(asker, reader.board.name, right)
@@ -190,9 +190,9 @@
     _, question = ask_once(asker)
     deliver(reader, asker.board.name, question)
     deliver(asker, reader.board.name, reader.hints.sent[-1][1])
-    assert asker.relies()
+    assert asker.relies("keys")
     clock.advance(proofs.SILENT_MS)
-    assert not asker.relies()
+    assert not asker.relies("keys")
 
 
 def make_rounds(relies):
@@ -262,9 +262,13 @@
 
 @attrs.define
 class Registry:
-    """A topic whose records are told; it knows those up to its position."""
+    """A topic whose records are told; it knows those up to its position.
+
+    While ``busy`` a call of its own is under way, and it takes none.
+    """
 
     records: list[tuple[str, bytes | None]]
+    busy: bool = False
     proved: bool = False
     read: bool = False
 
@@ -275,7 +279,8 @@
         return self.records[start:]
 
     def take_entries(self, entries):
-        self.records += entries
+        if not self.busy:
+            self.records += entries
 
     def take(self, position, as_of_ms):
         self.proved |= position == len(self.records)
@@ -303,12 +308,15 @@
 
 def exchange(asker, reader):
     """Deliver all that is sent until nothing more is."""
-    while asker.hints.sent or reader.hints.sent:
+    for _ in range(100):
+        if not asker.hints.sent and not reader.hints.sent:
+            return
         for one, other in ((asker, reader), (reader, asker)):
             sent, one.hints.sent[:] = list(one.hints.sent), []
             for _, data in sent:
                 assert len(data) <= 1_400
                 deliver(other, one.board.name, data)
+    raise AssertionError("they never stop")
 
 
 def test_short_records_come_with_the_proof():
@@ -344,6 +352,20 @@
     assert not mine.read
 
 
+def test_records_that_cannot_be_taken_are_not_asked_for_again():
+    """Two entry VMs send each other datagrams as fast as they can.
+
+    One is behind by more than a datagram holds, and takes nothing while a
+    call of its own is under way.
+    """
+    known = [(f"desk-{number}", b"x" * 300) for number in range(20)]
+    ((asker, _, _), (reader, _, _)), (mine, theirs) = make_registries(known)
+    mine.busy = True
+    ask_once(asker)
+    exchange(asker, reader)
+    assert mine.read and not mine.records
+
+
 def test_record_that_fits_no_datagram_is_read_from_the_store():
     """An entry is longer than a datagram."""
     known = [("desk-0", b"x" * proof_messages.MOST_RECORD_BYTES)]
--- a/tests/failures/test_forwarding_proofs.py
+++ b/tests/failures/test_forwarding_proofs.py
@@ -3,6 +3,7 @@
 import trio
 
 from carawayward import errors
+from carawayward.forwarding import assembly
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -23,17 +24,18 @@
     return made.daemons[daemon].controllers[-1]
 
 
+def relies(made, daemon):
+    return find_proofs(made, daemon).relies(assembly.DECLARATIONS)
+
+
 async def wait_for_readers(made):
     """Wait until all but one entry VM rely on another; return that one."""
     count = len(made.daemons)
     await made.wait_for(
-        lambda: (
-            sum(find_proofs(made, n).relies() for n in range(count))
-            == count - 1
-        )
+        lambda: sum(relies(made, n) for n in range(count)) == count - 1
     )
     await trio.sleep(1.6)
-    (reader,) = [n for n in range(count) if not find_proofs(made, n).relies()]
+    (reader,) = [n for n in range(count) if not relies(made, n)]
     return reader
 
 
