--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -27,9 +27,6 @@
 # Part of what may meet a bad version that is used: entry VMs' counts are a
 # moment old, and those that see a halt late send a few more.
 EXPOSURE_PART = 0.85
-# Requests come by chance: more than are expected by so many deviations may
-# still come once everything goes to the new version and nothing may go back.
-SURGE_DEVIATIONS = 2.0
 # So long before the time is up a roll-out is reported as completed, though
 # something still runs on the old version; the store takes some ms, and entry
 # VMs take turns.
@@ -169,8 +166,7 @@
     allowed = exposure.share * total + exposure.slack
     if verdict is Verdict.GOOD and part >= TRIAL_PART:
         to_come = total * max(0.0, 1.0 - part)
-        surge = SURGE_DEVIATIONS * math.sqrt(to_come)
-        if exposure.sent_new + to_come + surge <= EXPOSURE_PART * allowed:
+        if exposure.sent_new + to_come <= EXPOSURE_PART * allowed:
             return 1.0
     wanted = min(TRIAL_REQUESTS, TRIAL_EXPOSURE * allowed)
     return min(MOST_SHARE, max(LEAST_SHARE, wanted / total))
