Rely on a neighbour's proof no longer than one with the store would make it

Cause, from the logs: edge-hall-b-3, which read for its failure domain, lost the store at about 2.5 s. Its poll has 1.5 s and a second more until it counts as failed (4.52 s); until then it went on telling what it had proved before. Its neighbours, whom the store would have served, waited for its word until that was 3.6 s old, and had revisions 16 to 26 at 5.249 and 5.262 s.

Ruled out: to tell positions in all hints, across failure domains (readers of several domains may lose the store at once).

Change: a proof from a reader with the store is never older than two of its polls, a question and its way. What is older is not relied on, for the table as for endpoints: the asker reads for itself. That is a poll and half a second after a change at the worst, so the poll on the table is half of the time in which a configuration has to be in force (a new bound of the settings): 1.0 s and known after 1.5 s, where 2 are allowed; endpoints after 1.6 s.

An arithmetic test holds it for all bounds from 1.5 to 10 s.

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -37,11 +37,29 @@
 # Polls while entries are missing wait at least so long, should the clocks of
 # poll and wait differ by a little.
 LEAST_MISSING_POLL_MS = 20.0
+# Part of the time within which a configuration has to be in force that a poll
+# on the table may wait. Who relies on a reader that lost the store just before
+# a change finds the reader's proof too old a poll and half a second after it,
+# and reads the change.
+APPLY_PART = 0.5
+# A question later than usual, and the way of its answer.
+PROOF_SLACK_MS = 100.0
 # Part of the lease on keys from which on an entry VM reads the store itself,
 # though another reads it for this one: time for two calls that fail.
 OWN_PART = 0.8
 
 
+def find_oldest_proof(poll_ms: float) -> float:
+    """How old a proof may be that comes from a reader with the store, in ms.
+
+    It is as of the sending of a poll: one before the last when it is told,
+    and as old as until the next question when that is answered. A reader
+    that has lost the store goes on telling what it had proved, until the poll
+    under way counts as failed; its proof then is older than this.
+    """
+    return 2.0 * poll_ms + proofs_module.ASK_MS + PROOF_SLACK_MS
+
+
 def make_feeds(
     settings: settings_module.ForwardingSettings,
     board: board_module.ForwardingBoard,
@@ -65,8 +83,9 @@
     )
 
     def find_table_wait() -> float:
-        lease_ms = board.bounds.key_lease_ms
-        return feed.find_poll_ms(lease_ms - board_module.LEASE_MARGIN_MS)
+        lease_ms = board.bounds.key_lease_ms - board_module.LEASE_MARGIN_MS
+        apply_ms = APPLY_PART * board.bounds.apply_ms
+        return min(apply_ms, feed.find_poll_ms(lease_ms))
 
     def find_endpoints_wait() -> float:
         poll_ms = find_endpoints_poll()
@@ -81,12 +100,11 @@
         board.store_failing = failing
 
     def find_table_own() -> float:
-        lease_ms = board.bounds.key_lease_ms
-        return OWN_PART * (lease_ms - board_module.LEASE_MARGIN_MS)
+        lease_ms = board.bounds.key_lease_ms - board_module.LEASE_MARGIN_MS
+        return min(OWN_PART * lease_ms, find_oldest_proof(find_table_wait()))
 
     def find_endpoints_own() -> float:
-        # A reader's proof is as old as two of its polls at most.
-        return 2.0 * find_endpoints_poll() + proofs_module.SILENT_MS
+        return find_oldest_proof(find_endpoints_poll())
 
     def relies_on_entries() -> bool:
         return proofs.relies(ENDPOINTS) and not entries.missing
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -34,13 +34,15 @@
     ``key_lease_ms`` is how long after a key was taken away a request with
     it may still run; ``grace_ms`` is the time between the signal to stop
     and the end; ``drain_ms`` is how long an endpoint that leaves still
-    takes work. With ``keys_fail_closed`` unset, keys never lapse.
+    takes work; ``apply_ms`` is within what a new configuration has to be in
+    force. With ``keys_fail_closed`` unset, keys never lapse.
     """
 
     key_lease_ms: int = 5_000
     keys_fail_closed: bool = True
     grace_ms: int = 8_000
     drain_ms: int = 2_000
+    apply_ms: int = 2_000
     rollback_ms: int = 5_000
     session_ms: int = 5_000
     retry_ratio: float = 0.9
--- /dev/null
+++ b/tests/cover/test_forwarding_neighbours.py
@@ -0,0 +1,186 @@
+"""What an entry VM knows while a neighbour reads the store for it."""
+
+import types
+import typing
+
+import attrs
+import trio
+import trio.testing
+
+from carawayward import clock as clock_module
+from carawayward.decisions import readers
+from carawayward import errors
+from carawayward.forwarding import assembly
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import facts
+from carawayward.forwarding import hint_messages
+from carawayward.forwarding import keyed_log
+from carawayward.forwarding import proofs
+from carawayward.forwarding import settings
+from carawayward.forwarding import table
+from carawayward.platform import store
+
+NAMES = ("vm-a", "vm-b")
+READER = readers.choose_reader(NAMES[0], NAMES)
+(ASKER,) = set(NAMES) - {READER}
+# When the reader loses the store at the earliest; polls last up to 1.5 s.
+LOST_S = 6.0
+POLL_S = 1.5
+ANSWER_S = 0.01
+
+
+class TrioClock(clock_module.Clock):
+    """The clock of trio's tests."""
+
+    def now_ms(self) -> float:
+        """The time in ms."""
+        return trio.current_time() * 1000
+
+    def boot_ms(self) -> float:
+        """The time in ms."""
+        return trio.current_time() * 1000
+
+
+@attrs.define
+class Topic:
+    """A topic with one record, and another from ``changed_s`` on.
+
+    From ``lost_s`` on calls and polls are left without an answer.
+    """
+
+    changed_s: float
+    lost_s: float = float("inf")
+
+    def _list(self):
+        count = 1 + (trio.current_time() >= self.changed_s)
+        return [keyed_log.Record("one", b"x", n) for n in range(count)]
+
+    async def read_newest(self):
+        await self._answer()
+        return keyed_log.Batch(self._list(), len(self._list()))
+
+    async def read(self, start, wait_ms):
+        until_s = trio.current_time() + wait_ms / 1000
+        if start < 2:
+            until_s = min(until_s, self.changed_s)
+        if until_s >= self.lost_s:
+            await trio.sleep(wait_ms / 1000)
+        await trio.sleep_until(max(until_s, trio.current_time()))
+        await self._answer()
+        return keyed_log.Batch(self._list()[start:], len(self._list()))
+
+    async def _answer(self):
+        await trio.sleep(ANSWER_S)
+        if trio.current_time() >= self.lost_s:
+            await trio.sleep(store.CALL_TIMEOUT_MS / 1000)
+            raise errors.PlatformUnavailable("store", "no answer")
+
+
+@attrs.define
+class Wire:
+    """Datagrams between the two entry VMs; they arrive at once."""
+
+    name: str
+    others: dict[str, "Wire"]
+    handlers: dict = attrs.field(factory=dict)
+
+    def list_near(self):
+        return [name for name in NAMES if name != self.name]
+
+    def add_handler(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, name, data):
+        fields = hint_messages.decode(data)
+        self.others[name].handlers[fields[0]](self.name, fields)
+
+
+def decode_declaration(record):
+    return table.RoutingTable(
+        revision=record.offset + 1,
+        routes=(),
+        services={},
+        customers_by_key={},
+        keyed=True,
+        limits=table.CallerLimits(
+            header_bytes=1, body_bytes=1, header_ms=1, idle_ms=1
+        ),
+    )
+
+
+def decode_endpoint(record):
+    return facts.EndpointEntry(
+        name="desk",
+        service="desk",
+        address="127.0.0.1:1",
+        failure_domain="north",
+        leaving=record.offset > 0,
+    )
+
+
+def make_vm(name, wires, changed_s, lost_s):
+    """The feeds and proofs of an entry VM, wired as the daemon does."""
+    clock = TrioClock()
+    board = board_module.ForwardingBoard(name=name, failure_domain="north")
+    wire: typing.Any = wires[name]
+    exchanged = proofs.ProofsController(board, clock, wire)
+    ports: typing.Any = types.SimpleNamespace(
+        declarations=Topic(changed_s, lost_s),
+        endpoints=Topic(changed_s, lost_s),
+        decode_declaration=decode_declaration,
+        decode_endpoint=decode_endpoint,
+    )
+    own = settings.ForwardingSettings(
+        name=name,
+        failure_domain="north",
+        listen=settings.Listen(callers="", readiness="", peers=""),
+        store=settings.Store(address=""),
+    )
+    feeds = assembly.make_feeds(own, board, clock, ports, exchanged)
+    return board, [*feeds, exchanged]
+
+
+async def find_delays(reader_lost_s, changed_s):
+    """How long after a change the asker knows table and endpoint, in s."""
+    wires: dict[str, Wire] = {}
+    for name in NAMES:
+        wires[name] = Wire(name, wires)
+    boards = {}
+    delays: dict[str, float] = {}
+    async with trio.open_nursery() as nursery:
+        for name in NAMES:
+            lost_s = reader_lost_s if name == READER else float("inf")
+            board, controllers = make_vm(name, wires, changed_s, lost_s)
+            boards[name] = board
+            for each in controllers:
+                await each.start(nursery)
+        board = boards[ASKER]
+        while len(delays) < 2 and trio.current_time() < changed_s + 6.0:
+            await trio.sleep(0.01)
+            late_s = trio.current_time() - changed_s
+            if board.table is not None and board.table.revision == 2:
+                delays.setdefault("table", late_s)
+            if any(each.leaving for each in board.endpoints.values()):
+                delays.setdefault("endpoint", late_s)
+        nursery.cancel_scope.cancel()
+    return delays
+
+
+def test_change_is_known_in_time_though_the_reader_has_lost_the_store():
+    """An old configuration is in force 2.5 s after it was changed.
+
+    The store falls silent to the entry VM that reads for its neighbours. Its
+    poll has two and a half seconds until it counts as failed; until then it
+    goes on telling what it had proved before, and the neighbours, whom the
+    store would serve, wait for its word. The change was at 2.753 s; they had
+    it at 5.249 s, and requests at 5.041 s met the old one.
+    """
+    most_s = 0.9 * settings.Bounds().drain_ms / 1000
+    for phase in range(6):
+        lost_s = LOST_S + phase * POLL_S / 6
+        for step in range(26):
+            changed_s = lost_s + 0.1 * step
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            delays = trio.run(find_delays, lost_s, changed_s, clock=clock)
+            assert set(delays) == {"table", "endpoint"}, (lost_s, changed_s)
+            assert max(delays.values()) < most_s, (lost_s, changed_s, delays)
--- a/tests/cover/test_forwarding_proofs.py
+++ b/tests/cover/test_forwarding_proofs.py
@@ -384,11 +384,21 @@
     """
     slow_ms = 700.0
     noticed_ms = proofs.SILENT_MS + feed.RELY_MS
-    assert noticed_ms + slow_ms <= settings.Bounds().drain_ms
+    bounds = settings.Bounds()
+    assert noticed_ms + slow_ms <= bounds.drain_ms
     for lease_ms in range(4_000, 20_000, 500):
         usable_ms = lease_ms - board_module.LEASE_MARGIN_MS
-        oldest_ms = 2.0 * feed.find_poll_ms(usable_ms) + proofs.ASK_MS
+        poll_ms = min(
+            feed.find_poll_ms(usable_ms),
+            assembly.APPLY_PART * bounds.apply_ms,
+        )
         own_ms = assembly.OWN_PART * usable_ms
         # What a living reader tells is young enough not to be read anew.
-        assert oldest_ms <= own_ms + proofs.ASK_MS
+        assert assembly.find_oldest_proof(poll_ms) <= own_ms
         assert own_ms + slow_ms <= usable_ms
+    for bound_ms in range(1_500, 10_000, 500):
+        for part in (assembly.APPLY_PART, assembly.DRAIN_PART):
+            # The reader lost the store a moment after it had sent a poll.
+            poll_ms = part * bound_ms
+            known_ms = assembly.find_oldest_proof(poll_ms) - poll_ms
+            assert known_ms < bound_ms
