Keep polls on the endpoints shorter than an outage in which entries lapse

With 3.0 s for draining and a heartbeat of 1.2 s polls on the endpoints wait 1.65 s. Who relied on a reader that has gone reads for itself 2.15 s after the last proof was taken, and from 2.1 s on a gap counts as an outage in which entries may have run out: an endpoint that left just then would be waited for 2 s more, 4.2 s after it left, where 3.0 s are allowed.

Change: such polls wait no longer than leaves the gap under that, 1.4 s here. With 2.0 s for draining it stays at 1.1 s, so that the eight entry VMs of the first deployments behave as before.

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -6,6 +6,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import extra_runs
+from carawayward.decisions import lapses
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import declarations
@@ -34,6 +35,8 @@
 # on the endpoints may wait. The store may leave polls in the dark while it
 # drops its history; then only the end of a poll brings the news.
 DRAIN_PART = 0.55
+# However often endpoints renew their entries, polls wait for so long.
+LEAST_REGISTRY_POLL_MS = 500.0
 # Polls while entries are missing wait at least so long, should the clocks of
 # poll and wait differ by a little.
 LEAST_MISSING_POLL_MS = 20.0
@@ -49,6 +52,21 @@
 OWN_PART = 0.8
 
 
+def find_registry_poll(drain_ms: float, heartbeat_ms: float) -> float:
+    """How long a poll on the endpoints may wait, in ms.
+
+    Besides the time for draining: an entry VM whose reader has gone reads for
+    itself half a second after a poll of the reader's at the latest. If that
+    looked like an outage in which entries run out, endpoints that left
+    meanwhile would be waited for, and get work beyond their time.
+    """
+    lapse_ms = lapses.SAFE_HEARTBEATS * heartbeat_ms
+    unlike_lapse_ms = lapse_ms - proofs_module.ASK_MS - 3.0 * PROOF_SLACK_MS
+    return min(
+        DRAIN_PART * drain_ms, max(LEAST_REGISTRY_POLL_MS, unlike_lapse_ms)
+    )
+
+
 def find_oldest_proof(poll_ms: float) -> float:
     """How old a proof may be that comes from a reader with the store, in ms.
 
@@ -72,7 +90,7 @@
     contact = store_contact.StoreContact(clock)
 
     def find_endpoints_poll() -> float:
-        return DRAIN_PART * board.bounds.drain_ms
+        return find_registry_poll(board.bounds.drain_ms, settings.heartbeat_ms)
 
     entries = registry.RegistryReader(
         board=board,
--- a/tests/cover/test_forwarding_proofs.py
+++ b/tests/cover/test_forwarding_proofs.py
@@ -7,6 +7,7 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import lapses
 from carawayward.decisions import readers
 from carawayward.forwarding import assembly
 from carawayward.forwarding import board as board_module
@@ -402,3 +403,19 @@
             poll_ms = part * bound_ms
             known_ms = assembly.find_oldest_proof(poll_ms) - poll_ms
             assert known_ms < bound_ms
+
+
+def test_reader_that_dies_does_not_look_like_an_outage_of_the_store():
+    """An endpoint that left just then is waited for, and sent work meanwhile.
+
+    Who relied on the reader has read nothing since the reader's last answer,
+    and takes what is missing for entries that ran out.
+    """
+    for drain_ms in range(1_000, 6_000, 500):
+        for heartbeat_ms in (1_000.0, 1_200.0, 2_000.0, 5_000.0):
+            poll_ms = assembly.find_registry_poll(drain_ms, heartbeat_ms)
+            proof_ms = assembly.find_oldest_proof(poll_ms)
+            read_after_ms = proof_ms - poll_ms + 100.0
+            assert lapses.is_too_short(read_after_ms, heartbeat_ms)
+            assert poll_ms <= assembly.DRAIN_PART * drain_ms
+    assert assembly.find_registry_poll(2_000, 1_200) == 1_100.0
