Fill the bound on configurations into the settings as the other bounds

Cause: the template has a section for the new bound, which the test's filling does not know. It is a plain field now, like the other bounds, which every deployment has; the test fills it in and checks it.

--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -44,6 +44,7 @@
     "bounds.revokeMs": "5000",
     "bounds.revokeFailClosed|json": "true",
     "bounds.drainMs": "2000",
+    "bounds.configApplyMs": "2000",
     "bounds.rollbackMs": "5000",
     "bounds.retryBudgetRatio": "0.9",
     "bounds.retryBudgetSlack": "58",
@@ -256,6 +257,7 @@
     found = settings.ForwardingSettings.from_config(text)
     assert found.listen.peers == "10.0.0.1:7340"
     assert found.bounds.key_lease_ms == 5000
+    assert found.bounds.apply_ms == 2000
     assert found.bounds.retry_ratio == 0.9
 
 
