Give polls of the store a decision module, and the feeds one for their wiring

make_feeds had grown to 90 lines in which bounds, closures and wiring stood side by side. How long calls wait and how old proofs may be is now in decisions/store_polls, without I/O and with the load it answers; each feed is put together by a function of its own in forwarding/feeds. assembly keeps placement and the application.

No change of behaviour: the same numbers, by the same tests, which call the functions under their new names.

--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -13,6 +13,7 @@
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import assembly
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import feeds as feeds_module
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import ports as ports_module
 from carawayward.forwarding import replies
@@ -83,7 +84,7 @@
             bounds=settings.bounds,
         )
         parts = assembly.make_placing(settings, board, clock, ports)
-        feeds = assembly.make_feeds(
+        feeds = feeds_module.make_feeds(
             settings, board, clock, ports, parts.proofs
         )
         return cls(
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -7,6 +7,7 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import store_polls
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import board as board_module
@@ -14,14 +15,6 @@
 from carawayward.forwarding import store_contact
 from carawayward import supervision
 
-# A long poll on the tail ends after this at the latest even if nothing came,
-# and so proves that nothing was missed up to when it was sent.
-POLL_MS = 1_500.0
-# So many long polls fit into a lease that rests on their proof: a proof is as
-# old as its poll when it comes, and has to last until the next one comes, and
-# a poll may fail and be made again.
-POLLS_A_LEASE = 3.0
-LEAST_POLL_MS = 100.0
 # As many records as a burst of changes brings between two questions.
 TAIL_RECORDS = 64
 # How often a feed that waits for another entry VM's word looks whether that
@@ -29,11 +22,6 @@
 RELY_MS = 200.0
 
 
-def find_poll_ms(lease_ms: float) -> float:
-    """How long a poll may wait, so that its proof keeps a lease alive."""
-    return max(LEAST_POLL_MS, min(POLL_MS, lease_ms / POLLS_A_LEASE))
-
-
 @attrs.define(eq=False)
 class TopicFeed:
     """Keeps a reader up to date with one topic.
@@ -59,10 +47,10 @@
     replace: typing.Callable[[list[keyed_log.Record]], None]
     apply: typing.Callable[[keyed_log.Record], None]
     prove: typing.Callable[[float], None] = lambda as_of_ms: None
-    find_wait: typing.Callable[[], float] = lambda: POLL_MS
+    find_wait: typing.Callable[[], float] = lambda: store_polls.POLL_MS
     note_failing: typing.Callable[[bool], None] = lambda failing: None
     relies: typing.Callable[[], bool] = lambda: False
-    find_own_ms: typing.Callable[[], float] = lambda: POLL_MS
+    find_own_ms: typing.Callable[[], float] = lambda: store_polls.POLL_MS
     note_news: typing.Callable[[], None] = lambda: None
     position: int | None = None
     proved_ms: float = board_module.NEVER
--- /dev/null
+++ b/src/carawayward/forwarding/feeds.py
@@ -0,0 +1,148 @@
+"""Puts together what keeps the routing table and the endpoints up to date.
+
+Each topic is followed by a feed, which reads the store or takes what a
+neighbour has read, and folded into the blackboard by a reader of its own.
+"""
+
+import functools
+
+from carawayward import clock as clock_module
+from carawayward.decisions import lapses
+from carawayward.decisions import store_polls
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import declarations
+from carawayward.forwarding import feed
+from carawayward.forwarding import ports as ports_module
+from carawayward.forwarding import proofs as proofs_module
+from carawayward.forwarding import registry
+from carawayward.forwarding import settings as settings_module
+from carawayward.forwarding import store_contact
+
+# The topics, by the names that logs and datagrams have.
+DECLARATIONS = "declarations"
+ENDPOINTS = "endpoints"
+# Polls while entries are missing wait at least so long, should the clocks of
+# poll and wait differ by a little.
+LEAST_MISSING_POLL_MS = 20.0
+
+
+def make_feeds(
+    settings: settings_module.ForwardingSettings,
+    board: board_module.ForwardingBoard,
+    clock: clock_module.Clock,
+    ports: ports_module.Ports,
+    proofs: proofs_module.ProofsController,
+) -> list[feed.TopicFeed]:
+    """The feeds of routing table and endpoints."""
+    contact = store_contact.StoreContact(clock)
+    return [
+        make_table_feed(board, contact, ports, proofs),
+        make_endpoints_feed(settings, board, contact, ports, proofs),
+    ]
+
+
+def make_table_feed(
+    board: board_module.ForwardingBoard,
+    contact: store_contact.StoreContact,
+    ports: ports_module.Ports,
+    proofs: proofs_module.ProofsController,
+) -> feed.TopicFeed:
+    """The feed of the routing table and the roll-out orders."""
+    reader = declarations.DeclarationReader(board, ports.decode_declaration)
+
+    def find_lease() -> float:
+        return board.bounds.key_lease_ms - board_module.LEASE_MARGIN_MS
+
+    def find_wait() -> float:
+        return store_polls.find_table_poll(find_lease(), board.bounds.apply_ms)
+
+    def find_own() -> float:
+        return store_polls.find_oldest_table(
+            find_lease(), board.bounds.apply_ms
+        )
+
+    def note_store(failing: bool) -> None:
+        board.store_failing = failing
+
+    made = feed.TopicFeed(
+        DECLARATIONS,
+        ports.declarations,
+        contact.clock,
+        contact,
+        reader.replace,
+        reader.apply,
+        reader.prove,
+        find_wait=find_wait,
+        note_failing=note_store,
+        relies=functools.partial(proofs.relies, DECLARATIONS),
+        find_own_ms=find_own,
+        note_news=proofs.tell_news,
+    )
+    proofs.add_topic(
+        made.name, proofs_module.Topic(made.describe, made.take_proof)
+    )
+    return made
+
+
+def make_endpoints_feed(
+    settings: settings_module.ForwardingSettings,
+    board: board_module.ForwardingBoard,
+    contact: store_contact.StoreContact,
+    ports: ports_module.Ports,
+    proofs: proofs_module.ProofsController,
+) -> feed.TopicFeed:
+    """The feed of the endpoints."""
+    longest_gap_ms = lapses.SAFE_HEARTBEATS * settings.heartbeat_ms
+
+    def find_poll() -> float:
+        return store_polls.find_registry_poll(
+            board.bounds.drain_ms, longest_gap_ms
+        )
+
+    entries = registry.RegistryReader(
+        board=board,
+        contact=contact,
+        decode=ports.decode_endpoint,
+        heartbeat_ms=settings.heartbeat_ms,
+        find_poll_ms=find_poll,
+    )
+
+    def find_wait() -> float:
+        if not entries.missing:
+            return find_poll()
+        # Only the end of a poll drops what stayed missing, so it ends when
+        # the time to come back does.
+        settled_in_ms = entries.find_settled_in_ms()
+        return min(find_poll(), max(LEAST_MISSING_POLL_MS, settled_in_ms))
+
+    def find_own() -> float:
+        return store_polls.find_oldest_proof(find_poll())
+
+    def relies() -> bool:
+        return proofs.relies(ENDPOINTS) and not entries.missing
+
+    made = feed.TopicFeed(
+        ENDPOINTS,
+        ports.endpoints,
+        contact.clock,
+        contact,
+        entries.replace,
+        entries.apply,
+        entries.prove,
+        find_wait=find_wait,
+        relies=relies,
+        find_own_ms=find_own,
+        note_news=proofs.tell_news,
+    )
+    # Endpoints come and go by the dozen, and an entry is a few hundred bytes;
+    # a table is too long for a datagram.
+    proofs.add_topic(
+        made.name,
+        proofs_module.Topic(
+            made.describe,
+            made.take_proof,
+            made.list_since,
+            made.take_entries,
+        ),
+    )
+    return made
--- a/src/carawayward/forwarding/proofs.py
+++ b/src/carawayward/forwarding/proofs.py
@@ -19,18 +19,16 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import readers
+from carawayward.decisions import store_polls
 from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import proof_messages
 from carawayward import supervision
 
-# How often a reader is asked. News is told at once; this is for the proofs of
-# its absence, and for news whose datagram was lost.
-ASK_MS = 400.0
 # Two questions in a row without an answer; a third of the readers' polls on
 # the topic that has to be known soonest.
-SILENT_MS = 2.5 * ASK_MS
+SILENT_MS = 2.5 * store_polls.ASK_MS
 # Questions that may still be answered; more than fit into SILENT_MS.
 ASKS_KEPT = 8
 
@@ -119,7 +117,7 @@
             self._choose_reader()
             if self.reader:
                 self._ask(self.reader)
-            await self.clock.sleep(ASK_MS)
+            await self.clock.sleep(store_polls.ASK_MS)
 
     def _choose_reader(self) -> None:
         own = self.board.name
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from carawayward import clock as clock_module
+from carawayward.decisions import store_polls
 from carawayward import errors
 from carawayward.forwarding import feed
 from carawayward.forwarding import keyed_log
@@ -103,7 +104,7 @@
                 proved
                 and proved[0] <= back_s + 1.1 * store_contact.RETRY_MS / 1000
             )
-            assert topic.waits[-1] == feed.POLL_MS
+            assert topic.waits[-1] == store_polls.POLL_MS
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/cover/test_forwarding_neighbours.py
+++ b/tests/cover/test_forwarding_neighbours.py
@@ -10,9 +10,9 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import readers
 from carawayward import errors
-from carawayward.forwarding import assembly
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
+from carawayward.forwarding import feeds as feeds_module
 from carawayward.forwarding import hint_messages
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import proofs
@@ -136,7 +136,7 @@
         listen=settings.Listen(callers="", readiness="", peers=""),
         store=settings.Store(address=""),
     )
-    feeds = assembly.make_feeds(own, board, clock, ports, exchanged)
+    feeds = feeds_module.make_feeds(own, board, clock, ports, exchanged)
     return board, [*feeds, exchanged]
 
 
--- a/tests/failures/test_forwarding_proofs.py
+++ b/tests/failures/test_forwarding_proofs.py
@@ -3,7 +3,7 @@
 import trio
 
 from carawayward import errors
-from carawayward.forwarding import assembly
+from carawayward.forwarding import feeds
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -25,7 +25,7 @@
 
 
 def relies(made, daemon):
-    return find_proofs(made, daemon).relies(assembly.DECLARATIONS)
+    return find_proofs(made, daemon).relies(feeds.DECLARATIONS)
 
 
 async def wait_for_readers(made):
