--- a/src/carawayward/forwarding/proofs.py
+++ b/src/carawayward/forwarding/proofs.py
@@ -26,8 +26,8 @@
 from carawayward.forwarding import proof_messages
 from carawayward import supervision
 
-# Two questions in a row without an answer; a third of the readers' polls on
-# the topic that has to be known soonest.
+# Two questions in a row without an answer: one lost datagram makes nobody read
+# for itself, and a reader that has gone is noticed within a second.
 SILENT_MS = 2.5 * store_polls.ASK_MS
 # Questions that may still be answered; more than fit into SILENT_MS.
 ASKS_KEPT = 8
