Show that a listener that closes resets callers who wait to be accepted

Suspected cause, now brought about step by step: the kernel has accepted the connection and its request, the process has not, and closing the listening socket resets what waits in its queue.

--- a/tests/failures/test_listener_stop.py
+++ b/tests/failures/test_listener_stop.py
@@ -115,3 +115,19 @@
                 assert await read_status(caller) == b""
 
     run_beside_listener(scenario)
+
+
+def test_connection_that_waits_to_be_accepted_is_served():
+    """Callers in the listen queue get a reset when the listener closes."""
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        stop.set()
+        # Blocking calls: the listener's task cannot accept in between.
+        callers = [socket.create_connection((host, port)) for _ in range(9)]
+        for caller in callers:
+            caller.sendall(REQUEST)
+        for caller in callers:
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+            assert await read_status(stream) == b"HTTP/1.1 200 "
+
+    run_beside_listener(scenario)
