Serve the connections that wait in the queue of a listener that closes

What callers saw: a request sent to an entry VM just as its listener closed got a reset instead of an answer, in a planned stop that is to cut off nothing.

Cause: trio's serve_listeners closes the listening socket when it is cancelled, and the kernel resets the connections in its queue. The 0.1 s in which idle connections may still send a request began only with those that the process had accepted.

Ruled out: a longer wait before the listener closes (the queue is as full then); shutdown of the listening socket (resets the queue as well).

Why it holds: nothing runs between the last accept, which finds the queue empty, and the close. A connection whose handshake ends in these microseconds is still reset; its caller cannot have been told anything.

--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -11,8 +11,10 @@
 import functools
 import json
 import socket
+import ssl
 import typing
 
+import attrs
 import h11
 from hypercorn import events as hypercorn_events
 from hypercorn.protocol import events as hypercorn_protocol_events
@@ -321,22 +323,26 @@
     """Serve until ``stop`` is set, then let open requests finish."""
     context = worker_context.WorkerContext(None)
     open_connections: set[Connection] = set()
-    handler = functools.partial(
-        Connection,
-        open_connections,
-        hypercorn_utils.wrap_app(app, config.wsgi_max_body_size, "asgi"),
-        config,
-        context,
-        hypercorn_typing.ConnectionState({}),
-    )
-    listeners = make_listeners(config)
+    wrapped = hypercorn_utils.wrap_app(app, config.wsgi_max_body_size, "asgi")
+
+    async def handle(stream: trio.abc.Stream) -> None:
+        await Connection(
+            open_connections,
+            wrapped,
+            config,
+            context,
+            hypercorn_typing.ConnectionState({}),
+            stream,
+        )
+
+    ports = make_ports(config)
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
             accepting.start_soon(
                 functools.partial(
                     trio.serve_listeners,
-                    handler,
-                    listeners,
+                    handle,
+                    [port.listener for port in ports],
                     handler_nursery=connections,
                 )
             )
@@ -345,6 +351,9 @@
                 with trio.move_on_after(IDLE_CHECK_S):
                     await stop.wait()
             accepting.cancel_scope.cancel()
+        for port in ports:
+            for stream in port.close():
+                connections.start_soon(handle, stream)
         await context.terminated.set()
         with trio.move_on_after(config.graceful_timeout):
             await trio.sleep(LINGER_S)
@@ -370,21 +379,81 @@
         connection.end_idle()
 
 
-def make_listeners(
-    config: listening.ListenerConfig,
-) -> list[trio.abc.Listener]:
-    """Listen on the configured addresses, with TLS if there is any."""
+class QueueListener(trio.abc.Listener[trio.SocketStream]):
+    """Accepts connections; ``aclose`` leaves its socket open.
+
+    Closing a listening socket resets the connections that the kernel has
+    accepted and the process has not, and with them requests that their
+    callers have sent. ``drain`` takes these, then closes the socket.
+    """
+
+    def __init__(self, listening_socket: socket.socket) -> None:
+        self.listening_socket = listening_socket
+        self.inner = trio.SocketListener(
+            trio.socket.from_stdlib_socket(listening_socket)
+        )
+
+    async def accept(self) -> trio.SocketStream:
+        """Wait for the next connection."""
+        return await self.inner.accept()
+
+    async def aclose(self) -> None:
+        """Leave the socket to ``drain``."""
+        await trio.lowlevel.checkpoint()
+
+    def drain(self) -> typing.Iterator[trio.SocketStream]:
+        """Accept the connections that wait, then close the socket."""
+        with self.listening_socket:
+            while True:
+                try:
+                    accepted, _ = self.listening_socket.accept()
+                except BlockingIOError:
+                    return
+                except OSError as fault:
+                    events.log_event(
+                        events.Event.FAULT,
+                        task="closing a listener",
+                        detail=supervision.describe_fault(fault),
+                    )
+                    return
+                yield trio.SocketStream(
+                    trio.socket.from_stdlib_socket(accepted)
+                )
+
+
+@attrs.frozen(eq=False)
+class Port:
+    """One listening address, with TLS if there is a context for it."""
+
+    queue: QueueListener
+    tls: ssl.SSLContext | None = None
+
+    @property
+    def listener(self) -> trio.abc.Listener:
+        """What is served until the stop."""
+        if self.tls is None:
+            return self.queue
+        return trio.SSLListener(self.queue, self.tls, https_compatible=True)
+
+    def close(self) -> typing.Iterator[trio.abc.Stream]:
+        """Close the address; yields the connections that still waited."""
+        for stream in self.queue.drain():
+            if self.tls is None:
+                yield stream
+                continue
+            yield trio.SSLStream(
+                stream, self.tls, server_side=True, https_compatible=True
+            )
+
+
+def make_ports(config: listening.ListenerConfig) -> list[Port]:
+    """Listen on the configured addresses."""
     sockets = config.create_sockets()
-    listeners: list[trio.abc.Listener] = []
+    ports = []
     for plain in sockets.insecure_sockets + sockets.secure_sockets:
         plain.listen(config.backlog)
-        listener = trio.SocketListener(trio.socket.from_stdlib_socket(plain))
+        tls = None
         if plain in sockets.secure_sockets:
-            context = config.create_ssl_context()
-            assert context is not None
-            listeners.append(
-                trio.SSLListener(listener, context, https_compatible=True)
-            )
-        else:
-            listeners.append(listener)
-    return listeners
+            tls = config.create_ssl_context()
+        ports.append(Port(QueueListener(plain), tls))
+    return ports
