Rename: delegated reads of the store in the field's terms

Names only: proofs are freshness reports, readers for neighbours delegates, askers clients, questions queries. The same tests, the same count.

--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -4,7 +4,7 @@
 ``escalation`` (which model answers), ``extra_runs`` (how many second runs),
 ``avoidance`` (endpoints to pass over), ``canary`` (how far a new version is
 let in), ``redirection`` (when callers do better elsewhere), ``lapses``
-(which endpoints have left when entries are missing), ``readers`` (who reads
+(which endpoints have left when entries are missing), ``delegates`` (who reads
 the store for whom) and ``store_polls`` (how long calls wait for news).
 
 Those of the callers' API: ``admission``, ``queueing``, ``retry``,
--- a/src/carawayward/decisions/readers.py
+++ b/src/carawayward/decisions/delegates.py
@@ -16,18 +16,18 @@
 
 # So many ask one reader. It answers each some three times a second, with 70
 # bytes, within what an entry VM may spend on control.
-ASKERS_MOST = 16
+MAX_CLIENTS_PER_DELEGATE = 16
 
 
-def list_readers(names: typing.Collection[str]) -> list[str]:
+def list_delegates(names: typing.Collection[str]) -> list[str]:
     """The readers among the entry VMs of a failure domain."""
-    count = -(-len(names) // ASKERS_MOST)
+    count = -(-len(names) // MAX_CLIENTS_PER_DELEGATE)
     return sorted(names, key=placement.hash_key)[:count]
 
 
-def choose_reader(own: str, names: typing.Collection[str]) -> str:
+def choose_delegate(own: str, names: typing.Collection[str]) -> str:
     """Who reads for ``own``, among ``names`` with itself; maybe itself."""
-    readers = list_readers(names)
+    readers = list_delegates(names)
     if own in readers:
         return own
     return max(
--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -23,15 +23,15 @@
 # However often endpoints renew their entries, polls wait for so long.
 LEAST_REGISTRY_POLL_MS = 500.0
 # Part of the time within which a configuration has to be in force that a poll
-# on the table may wait. Who relies on a reader that lost the store just before
+# on the table may wait. Who has_delegate on a reader that lost the store just before
 # a change finds the reader's proof too old a poll and half a second after it,
 # and reads the change.
 APPLY_PART = 0.5
 # How often a reader is asked. News is told at once; this is for the proofs of
 # its absence, and for news whose datagram was lost.
-ASK_MS = 400.0
+QUERY_MS = 400.0
 # A question later than usual, and the way of its answer.
-PROOF_SLACK_MS = 100.0
+REPORT_SLACK_MS = 100.0
 # Part of the lease on keys from which on an entry VM reads the store itself,
 # though another reads it for this one: time for an answer of a slow store.
 OWN_PART = 0.8
@@ -60,13 +60,13 @@
     ``longest_gap_ms`` it would look like an outage in which entries run out:
     endpoints that left meanwhile would be waited for, and sent work.
     """
-    unlike_outage_ms = longest_gap_ms - ASK_MS - 3.0 * PROOF_SLACK_MS
+    unlike_outage_ms = longest_gap_ms - QUERY_MS - 3.0 * REPORT_SLACK_MS
     return min(
         DRAIN_PART * drain_ms, max(LEAST_REGISTRY_POLL_MS, unlike_outage_ms)
     )
 
 
-def find_oldest_proof(poll_ms: float) -> float:
+def compute_max_report_age(poll_ms: float) -> float:
     """How old a proof may be that comes from a reader with the store.
 
     It is as of the sending of a poll: one before the last when it is told,
@@ -74,10 +74,10 @@
     that has lost the store goes on telling what it had proved, until the poll
     under way counts as failed; its proof then is older than this.
     """
-    return 2.0 * poll_ms + ASK_MS + PROOF_SLACK_MS
+    return 2.0 * poll_ms + QUERY_MS + REPORT_SLACK_MS
 
 
-def find_oldest_table(lease_ms: float, apply_ms: float) -> float:
+def compute_max_table_age(lease_ms: float, apply_ms: float) -> float:
     """How old a neighbour's proof of the routing table may be."""
     poll_ms = find_table_poll(lease_ms, apply_ms)
-    return min(OWN_PART * lease_ms, find_oldest_proof(poll_ms))
+    return min(OWN_PART * lease_ms, compute_max_report_age(poll_ms))
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -152,7 +152,7 @@
         "An endpoint's entry was missing after an outage of the store; the "
         "endpoint is still used until it is known whether it has left.",
     )
-    READER_CHOSEN = EventKind(
+    DELEGATE_CHOSEN = EventKind(
         1203,
         "Another entry VM, or this one itself, reads the platform's store "
         "for this one from now on.",
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -10,11 +10,11 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import exchange
 from carawayward.forwarding import fleet as fleet_module
+from carawayward.forwarding import freshness as freshness_module
 from carawayward.forwarding import hints as hints_module
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import placing
 from carawayward.forwarding import ports as ports_module
-from carawayward.forwarding import proofs as proofs_module
 from carawayward.forwarding import relaying
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
@@ -32,7 +32,7 @@
 
     placer: placing.Placer
     hints: hints_module.HintsController
-    proofs: proofs_module.ProofsController
+    freshness: freshness_module.FreshnessController
     rounds: rollout_rounds.RolloutRounds
 
 
@@ -52,7 +52,7 @@
         fleet.loads,
         fleet.find_memory,
     )
-    proofs = proofs_module.ProofsController(board, clock, hints)
+    freshness = freshness_module.FreshnessController(board, clock, hints)
     rollouts = rollouts_module.Rollouts(board, clock)
     hints.add_topic(
         "rollouts", hints_module.Topic(rollouts.describe, rollouts.take)
@@ -64,10 +64,10 @@
         ports.statuses,
         ports.decode_status,
         ports.encode_status,
-        functools.partial(proofs.relies, STATUSES),
+        functools.partial(freshness.has_delegate, STATUSES),
     )
-    proofs.add_topic(
-        STATUSES, proofs_module.Topic(rounds.describe, rounds.take_proof)
+    freshness.add_topic(
+        STATUSES, freshness_module.Topic(rounds.describe, rounds.confirm)
     )
 
     def make_budget() -> extra_runs.ExtraRuns:
@@ -81,7 +81,7 @@
     placer = placing.Placer(
         clock, fleet, rollouts, hints, measures, make_budget
     )
-    return Placing(placer, hints, proofs, rounds)
+    return Placing(placer, hints, freshness, rounds)
 
 
 def make_app(
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -85,14 +85,14 @@
         )
         parts = assembly.make_placing(settings, board, clock, ports)
         feeds = feeds_module.make_feeds(
-            settings, board, clock, ports, parts.proofs
+            settings, board, clock, ports, parts.freshness
         )
         return cls(
             settings=settings,
             board=board,
             clock=clock,
             ports=ports,
-            controllers=[*feeds, parts.rounds, parts.hints, parts.proofs],
+            controllers=[*feeds, parts.rounds, parts.hints, parts.freshness],
             app=assembly.make_app(board, clock, ports, parts.placer),
             read_bounds=read_bounds or (lambda: settings.bounds),
         )
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -19,7 +19,7 @@
 TAIL_RECORDS = 64
 # How often a feed that waits for another entry VM's word looks whether that
 # one is still heard.
-RELY_MS = 200.0
+DELEGATE_CHECK_MS = 200.0
 
 
 @attrs.define(eq=False)
@@ -30,13 +30,13 @@
     record. ``prove`` is told the boot time at which the call was sent that
     showed the reader to be up to date. ``contact`` is shared by all feeds.
     ``note_failing`` is called at the first failed call and at the first that
-    succeeds again. ``find_wait`` says how long the next poll may wait, in ms.
+    succeeds again. ``get_poll_wait`` says how long the next poll may wait, in ms.
 
-    While ``relies`` says so another entry VM reads the store for this one,
-    and ``take_proof`` gets what it proves. The feed then calls only for news,
-    or when what was proved last is older than ``find_own_ms`` says.
-    ``note_news`` is called when records have come. The last ones are kept in
-    ``tail``, for those who are a little behind. ``told_position`` is the
+    While ``has_delegate`` says so another entry VM reads the store for this one,
+    and ``confirm`` gets what it proves. The feed then calls only for news,
+    or when what was proved last is older than ``get_max_age`` says.
+    ``push_updates`` is called when records have come. The last ones are kept in
+    ``tail``, for those who are a little behind. ``announced_position`` is the
     farthest that another entry VM has told of.
     """
 
@@ -47,20 +47,20 @@
     replace: typing.Callable[[list[keyed_log.Record]], None]
     apply: typing.Callable[[keyed_log.Record], None]
     prove: typing.Callable[[float], None] = lambda as_of_ms: None
-    find_wait: typing.Callable[[], float] = lambda: store_polls.POLL_MS
+    get_poll_wait: typing.Callable[[], float] = lambda: store_polls.POLL_MS
     note_failing: typing.Callable[[bool], None] = lambda failing: None
-    relies: typing.Callable[[], bool] = lambda: False
-    find_own_ms: typing.Callable[[], float] = lambda: store_polls.POLL_MS
-    note_news: typing.Callable[[], None] = lambda: None
+    has_delegate: typing.Callable[[], bool] = lambda: False
+    get_max_age: typing.Callable[[], float] = lambda: store_polls.POLL_MS
+    push_updates: typing.Callable[[], None] = lambda: None
     position: int | None = None
     proved_ms: float = board_module.NEVER
-    told_position: int = 0
+    announced_position: int = 0
     failing: bool = False
     tail: collections.deque[keyed_log.Record] = attrs.field(
         factory=lambda: collections.deque(maxlen=TAIL_RECORDS)
     )
-    _relying: bool = False
-    _news: trio.Event = attrs.field(factory=trio.Event)
+    _delegating: bool = False
+    _wakeup: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to follow."""
@@ -73,22 +73,22 @@
         """The position reached, and when nothing followed it; None if unsure.
 
         An entry VM that cannot reach the store, or has heard of news that it
-        has not read, leaves it to others to tell of the topic: who relied on
+        has not read, leaves it to others to tell of the topic: who delegated on
         it would take the old for the newest until its proof is too old.
         """
         if self.position is None or self.failing:
             return None
-        if self.told_position > self.position:
+        if self.announced_position > self.position:
             return None
         return self.position, self.proved_ms
 
-    def take_proof(self, position: int, as_of_ms: float) -> None:
+    def confirm(self, position: int, as_of_ms: float) -> None:
         """Nothing followed ``position`` in the store at ``as_of_ms``."""
         if self.position is None:
             return
-        self.told_position = max(self.told_position, position)
+        self.announced_position = max(self.announced_position, position)
         if position > self.position:
-            self._news.set()
+            self._wakeup.set()
         elif position == self.position and as_of_ms > self.proved_ms:
             # So long as nothing has changed, an entry VM that cannot reach
             # the store knows as much as one that can.
@@ -105,7 +105,7 @@
             if record.offset >= start:
                 yield record.key, record.value
 
-    def take_entries(
+    def apply_entries(
         self, entries: typing.Iterable[tuple[str, bytes | None]]
     ) -> None:
         """Take records that another entry VM read, from the position on.
@@ -113,19 +113,21 @@
         Only while this one waits for its word: a call of its own that is
         under way would bring the same ones again, and older over newer.
         """
-        if not self._relying or self.position is None:
+        if not self._delegating or self.position is None:
             return
         for key, value in entries:
             self._apply(keyed_log.Record(key, value, self.position))
             self.position += 1
-        self.note_news()
+        self.push_updates()
 
     async def _follow(self) -> None:
         while True:
-            relied = await self._wait_for_news()
+            delegated = await self._wait_for_update()
             # What was proved is nearly too old where a neighbour has fallen
             # silent; a poll that waits would prove nothing for a second more.
-            wait_ms = 0.0 if relied or self.failing else self.find_wait()
+            wait_ms = (
+                0.0 if delegated or self.failing else self.get_poll_wait()
+            )
             sent_ms = self.contact.note_call()
             try:
                 batch = await self._read(wait_ms)
@@ -147,24 +149,24 @@
             if batch.complete:
                 self._prove(sent_ms)
             if batch.records:
-                self.note_news()
-
-    async def _wait_for_news(self) -> bool:
-        """Wait while another entry VM reads; whether this one relied on it."""
-        relied = False
-        while self._may_rely() and not self._news.is_set():
-            relied = self._relying = True
-            left_ms = self.find_own_ms() - self._find_age_ms()
-            with trio.move_on_after(min(left_ms, RELY_MS) / 1000):
-                await self._news.wait()
-        self._relying = False
-        self._news = trio.Event()
-        return relied
-
-    def _may_rely(self) -> bool:
-        if self.position is None or self.failing or not self.relies():
+                self.push_updates()
+
+    async def _wait_for_update(self) -> bool:
+        """Wait while another entry VM reads; whether this one delegated on it."""
+        delegated = False
+        while self._may_delegate() and not self._wakeup.is_set():
+            delegated = self._delegating = True
+            left_ms = self.get_max_age() - self._find_age_ms()
+            with trio.move_on_after(min(left_ms, DELEGATE_CHECK_MS) / 1000):
+                await self._wakeup.wait()
+        self._delegating = False
+        self._wakeup = trio.Event()
+        return delegated
+
+    def _may_delegate(self) -> bool:
+        if self.position is None or self.failing or not self.has_delegate():
             return False
-        return self._find_age_ms() < self.find_own_ms()
+        return self._find_age_ms() < self.get_max_age()
 
     def _find_age_ms(self) -> float:
         return self.clock.boot_ms() - self.proved_ms
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -12,8 +12,8 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import declarations
 from carawayward.forwarding import feed
+from carawayward.forwarding import freshness as freshness_module
 from carawayward.forwarding import ports as ports_module
-from carawayward.forwarding import proofs as proofs_module
 from carawayward.forwarding import registry
 from carawayward.forwarding import settings as settings_module
 from carawayward.forwarding import store_contact
@@ -31,13 +31,13 @@
     board: board_module.ForwardingBoard,
     clock: clock_module.Clock,
     ports: ports_module.Ports,
-    proofs: proofs_module.ProofsController,
+    freshness: freshness_module.FreshnessController,
 ) -> list[feed.TopicFeed]:
     """The feeds of routing table and endpoints."""
     contact = store_contact.StoreContact(clock)
     return [
-        make_table_feed(board, contact, ports, proofs),
-        make_endpoints_feed(settings, board, contact, ports, proofs),
+        make_table_feed(board, contact, ports, freshness),
+        make_endpoints_feed(settings, board, contact, ports, freshness),
     ]
 
 
@@ -45,7 +45,7 @@
     board: board_module.ForwardingBoard,
     contact: store_contact.StoreContact,
     ports: ports_module.Ports,
-    proofs: proofs_module.ProofsController,
+    freshness: freshness_module.FreshnessController,
 ) -> feed.TopicFeed:
     """The feed of the routing table and the roll-out orders."""
     reader = declarations.DeclarationReader(board, ports.decode_declaration)
@@ -53,11 +53,11 @@
     def find_lease() -> float:
         return board.bounds.key_lease_ms - board_module.LEASE_MARGIN_MS
 
-    def find_wait() -> float:
+    def get_poll_wait() -> float:
         return store_polls.find_table_poll(find_lease(), board.bounds.apply_ms)
 
-    def find_own() -> float:
-        return store_polls.find_oldest_table(
+    def get_max_age() -> float:
+        return store_polls.compute_max_table_age(
             find_lease(), board.bounds.apply_ms
         )
 
@@ -72,14 +72,14 @@
         reader.replace,
         reader.apply,
         reader.prove,
-        find_wait=find_wait,
+        get_poll_wait=get_poll_wait,
         note_failing=note_store,
-        relies=functools.partial(proofs.relies, DECLARATIONS),
-        find_own_ms=find_own,
-        note_news=proofs.tell_news,
+        has_delegate=functools.partial(freshness.has_delegate, DECLARATIONS),
+        get_max_age=get_max_age,
+        push_updates=freshness.push_updates,
     )
-    proofs.add_topic(
-        made.name, proofs_module.Topic(made.describe, made.take_proof)
+    freshness.add_topic(
+        made.name, freshness_module.Topic(made.describe, made.confirm)
     )
     return made
 
@@ -89,7 +89,7 @@
     board: board_module.ForwardingBoard,
     contact: store_contact.StoreContact,
     ports: ports_module.Ports,
-    proofs: proofs_module.ProofsController,
+    freshness: freshness_module.FreshnessController,
 ) -> feed.TopicFeed:
     """The feed of the endpoints."""
     longest_gap_ms = lapses.SAFE_HEARTBEATS * settings.heartbeat_ms
@@ -107,7 +107,7 @@
         find_poll_ms=find_poll,
     )
 
-    def find_wait() -> float:
+    def get_poll_wait() -> float:
         if not entries.missing:
             return find_poll()
         # Only the end of a poll drops what stayed missing, so it ends when
@@ -115,11 +115,11 @@
         settled_in_ms = entries.find_settled_in_ms()
         return min(find_poll(), max(LEAST_MISSING_POLL_MS, settled_in_ms))
 
-    def find_own() -> float:
-        return store_polls.find_oldest_proof(find_poll())
+    def get_max_age() -> float:
+        return store_polls.compute_max_report_age(find_poll())
 
-    def relies() -> bool:
-        return proofs.relies(ENDPOINTS) and not entries.missing
+    def has_delegate() -> bool:
+        return freshness.has_delegate(ENDPOINTS) and not entries.missing
 
     made = feed.TopicFeed(
         ENDPOINTS,
@@ -129,20 +129,20 @@
         entries.replace,
         entries.apply,
         entries.prove,
-        find_wait=find_wait,
-        relies=relies,
-        find_own_ms=find_own,
-        note_news=proofs.tell_news,
+        get_poll_wait=get_poll_wait,
+        has_delegate=has_delegate,
+        get_max_age=get_max_age,
+        push_updates=freshness.push_updates,
     )
     # Endpoints come and go by the dozen, and an entry is a few hundred bytes;
     # a table is too long for a datagram.
-    proofs.add_topic(
+    freshness.add_topic(
         made.name,
-        proofs_module.Topic(
+        freshness_module.Topic(
             made.describe,
-            made.take_proof,
+            made.confirm,
             made.list_since,
-            made.take_entries,
+            made.apply_entries,
         ),
     )
     return made
--- a/src/carawayward/forwarding/proof_messages.py
+++ b/src/carawayward/forwarding/freshness_messages.py
@@ -6,8 +6,8 @@
 import cbor2
 
 # The first element of each, apart from the versions of hints.
-ASK = 20
-PROOF = 21
+QUERY = 20
+REPORT = 21
 
 
 # What follows an asker's place fits into an Ethernet frame with the rest.
@@ -18,7 +18,7 @@
 
 
 @attrs.frozen
-class Told:
+class TopicReport:
     """A topic as of a proof.
 
     All records before ``position`` have been read, and nothing followed them
@@ -36,7 +36,7 @@
         return [self.position, round(self.age_ms) + 1, entries]
 
     @classmethod
-    def from_fields(cls, fields: list) -> "Told":
+    def from_fields(cls, fields: list) -> "TopicReport":
         """Read the decoded fields; raises ValueError or TypeError."""
         position, age_ms, entries = fields
         return cls(
@@ -47,7 +47,7 @@
 
 
 @attrs.frozen
-class Ask:
+class Query:
     """Asks for proofs; ``number`` tells the answer from others.
 
     ``positions`` are the asker's places in topics whose records are told.
@@ -58,10 +58,10 @@
 
     def to_bytes(self) -> bytes:
         """The bytes that go out."""
-        return cbor2.dumps([ASK, self.number, dict(self.positions)])
+        return cbor2.dumps([QUERY, self.number, dict(self.positions)])
 
     @classmethod
-    def from_fields(cls, fields: list) -> "Ask":
+    def from_fields(cls, fields: list) -> "Query":
         """Read the decoded fields; raises ValueError or TypeError."""
         _, number, positions = fields
         return cls(
@@ -71,25 +71,25 @@
 
 
 @attrs.frozen
-class Proof:
+class FreshnessReport:
     """Answers an ask, with what is known of each topic."""
 
     number: int
-    topics: typing.Mapping[str, Told]
+    topics: typing.Mapping[str, TopicReport]
 
     def to_bytes(self) -> bytes:
         """The bytes that go out."""
         topics = {name: told.to_fields() for name, told in self.topics.items()}
-        return cbor2.dumps([PROOF, self.number, topics])
+        return cbor2.dumps([REPORT, self.number, topics])
 
     @classmethod
-    def from_fields(cls, fields: list) -> "Proof":
+    def from_fields(cls, fields: list) -> "FreshnessReport":
         """Read the decoded fields; raises ValueError or TypeError."""
         _, number, topics = fields
         return cls(
             check_count(number),
             {
-                str(name): Told.from_fields(told)
+                str(name): TopicReport.from_fields(told)
                 for name, told in dict(topics).items()
             },
         )
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -28,7 +28,7 @@
 READ_MS = 1_800.0
 # The same where another entry VM reads it for this one: its own proof, one
 # question and a tick more. Below rollout_state.STALE_MS.
-RELYING_READ_MS = 2_800.0
+DELEGATED_READ_MS = 2_800.0
 # Entry VMs act on a decision one after the other, so that mostly one does.
 TURN_MS = 60.0
 MOST_TURNS = 6
@@ -39,8 +39,8 @@
     """Goes through the roll-outs that run.
 
     ``end`` is how far all statuses were read, and ``as_of_ms`` when nothing
-    followed, on the boot clock. While ``relies`` says so another entry VM
-    reads them for this one, and ``take_proof`` gets what it proves.
+    followed, on the boot clock. While ``has_delegate`` says so another entry VM
+    reads them for this one, and ``confirm`` gets what it proves.
     """
 
     board: board_module.ForwardingBoard
@@ -51,7 +51,7 @@
         [keyed_log.Record], facts.RolloutStatus | None
     ]
     encode_status: typing.Callable[[facts.RolloutStatus], keyed_log.Record]
-    relies: typing.Callable[[], bool] = lambda: False
+    has_delegate: typing.Callable[[], bool] = lambda: False
     end: int | None = None
     as_of_ms: float = board_module.NEVER
 
@@ -134,7 +134,7 @@
             return None
         return self.end, self.as_of_ms
 
-    def take_proof(self, end: int, as_of_ms: float) -> None:
+    def confirm(self, end: int, as_of_ms: float) -> None:
         """Nothing followed ``end`` in the store at ``as_of_ms``."""
         if self.end is None or end < self.end:
             return
@@ -153,7 +153,9 @@
         if not rollout.known or self.as_of_ms == board_module.NEVER:
             return True
         age_ms = self.clock.now_ms() - rollout.read_ms
-        return age_ms >= (RELYING_READ_MS if self.relies() else READ_MS)
+        return age_ms >= (
+            DELEGATED_READ_MS if self.has_delegate() else READ_MS
+        )
 
     async def _read_statuses(self) -> int:
         """Take the statuses that stand in the store; return the log's end."""
--- a/tests/cover/test_forwarding_neighbours.py
+++ b/tests/cover/test_forwarding_delegates.py
@@ -8,20 +8,20 @@
 import trio.testing
 
 from carawayward import clock as clock_module
-from carawayward.decisions import readers
+from carawayward.decisions import delegates
 from carawayward import errors
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
 from carawayward.forwarding import feeds as feeds_module
+from carawayward.forwarding import freshness
 from carawayward.forwarding import hint_messages
 from carawayward.forwarding import keyed_log
-from carawayward.forwarding import proofs
 from carawayward.forwarding import settings
 from carawayward.forwarding import table
 from carawayward.platform import store
 
 NAMES = ("vm-a", "vm-b")
-READER = readers.choose_reader(NAMES[0], NAMES)
+READER = delegates.choose_delegate(NAMES[0], NAMES)
 (ASKER,) = set(NAMES) - {READER}
 # When the reader loses the store at the earliest; polls last up to 1.5 s.
 LOST_S = 6.0
@@ -123,7 +123,7 @@
     clock = TrioClock()
     board = board_module.ForwardingBoard(name=name, failure_domain="north")
     wire: typing.Any = wires[name]
-    exchanged = proofs.ProofsController(board, clock, wire)
+    exchanged = freshness.FreshnessController(board, clock, wire)
     ports: typing.Any = types.SimpleNamespace(
         declarations=Topic(changed_s, lost_s),
         endpoints=Topic(changed_s, lost_s),
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -182,7 +182,7 @@
 def test_feed_that_is_behind_tells_nothing():
     """A configuration is in force three seconds late on an entry VM.
 
-    It relied on one that had heard of the change and could not read it. That
+    It delegated on one that had heard of the change and could not read it. That
     one went on telling that nothing followed the place where it stood, as of
     before the change.
     """
@@ -190,9 +190,9 @@
     topic: typing.Any = Topic()
     reader = make_feed("declarations", topic, contact)
     reader.position = 5
-    reader.take_proof(5, 100.0)
+    reader.confirm(5, 100.0)
     assert reader.describe() == (5, 100.0)
-    reader.take_proof(6, 200.0)
+    reader.confirm(6, 200.0)
     assert reader.describe() is None
     reader.position = 6
     assert reader.describe() == (6, 100.0)
--- a/tests/cover/test_forwarding_proofs.py
+++ b/tests/cover/test_forwarding_freshness.py
@@ -7,13 +7,13 @@
 import trio
 
 from carawayward import clock as clock_module
-from carawayward.decisions import readers
+from carawayward.decisions import delegates
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
+from carawayward.forwarding import freshness
+from carawayward.forwarding import freshness_messages
 from carawayward.forwarding import hint_messages
 from carawayward.forwarding import keyed_log
-from carawayward.forwarding import proof_messages
-from carawayward.forwarding import proofs
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts
@@ -55,13 +55,13 @@
 def make_controller(name, near):
     clock: typing.Any = clock_module.ManualClock(now=10_000.0)
     hints: typing.Any = Hints(near)
-    made = proofs.ProofsController(
+    made = freshness.FreshnessController(
         board_module.ForwardingBoard(name=name, failure_domain="north"),
         clock,
         hints,
     )
     topic = Feed()
-    made.add_topic("keys", proofs.Topic(topic.describe, topic.take))
+    made.add_topic("keys", freshness.Topic(topic.describe, topic.take))
     return made, clock, topic
 
 
@@ -72,8 +72,8 @@
 
 def ask_once(made):
     """Have a controller ask its reader; return the reader and the bytes."""
-    made._choose_reader()
-    made._ask(made.reader)
+    made._choose_delegate()
+    made._query(made.delegate)
     return made.hints.sent[-1]
 
 
@@ -81,7 +81,9 @@
     """Two entry VMs, the first of which asks the second."""
     first, second = sorted(
         ("vm-a", "vm-b"),
-        key=lambda name: readers.choose_reader(name, ["vm-a", "vm-b"]) == name,
+        key=lambda name: (
+            delegates.choose_delegate(name, ["vm-a", "vm-b"]) == name
+        ),
     )
     return make_controller(first, [second]), make_controller(second, [first])
 
@@ -90,14 +92,14 @@
     """Calls to the store do not grow with the entry VMs of a domain."""
     for count in (1, 2, 3, 16, 17, 24, 82):
         names = [f"vm-{number}" for number in range(count)]
-        chosen = [readers.choose_reader(name, names) for name in names]
+        chosen = [delegates.choose_delegate(name, names) for name in names]
         reading = set(chosen)
-        assert len(reading) <= -(-count // readers.ASKERS_MOST)
+        assert len(reading) <= -(-count // delegates.MAX_CLIENTS_PER_DELEGATE)
         assert all(
-            readers.choose_reader(name, names) == name for name in reading
+            delegates.choose_delegate(name, names) == name for name in reading
         )
         most = max(chosen.count(name) for name in reading)
-        assert most <= 2.5 * readers.ASKERS_MOST
+        assert most <= 2.5 * delegates.MAX_CLIENTS_PER_DELEGATE
 
 
 def test_proof_is_as_of_the_question():
@@ -127,7 +129,7 @@
     deliver(reader, asker.board.name, question)
     known.position = 8
     sent = len(reader.hints.sent)
-    reader.tell_news()
+    reader.push_updates()
     ((name, answer),) = reader.hints.sent[sent:]
     assert name == asker.board.name
     deliver(asker, reader.board.name, answer)
@@ -141,15 +143,15 @@
     """
     (asker, clock, topic), (reader, _, _) = make_pair()
     _, question = ask_once(asker)
-    number = proof_messages.Ask.from_fields(cbor2.loads(question)).number
-    told = {"keys": proof_messages.Told(7, 0.0)}
-    wrong = proof_messages.Proof(number + 1, told).to_bytes()
+    number = freshness_messages.Query.from_fields(cbor2.loads(question)).number
+    told = {"keys": freshness_messages.TopicReport(7, 0.0)}
+    wrong = freshness_messages.FreshnessReport(number + 1, told).to_bytes()
     deliver(asker, reader.board.name, wrong)
-    right = proof_messages.Proof(number, told).to_bytes()
+    right = freshness_messages.FreshnessReport(number, told).to_bytes()
     deliver(asker, "vm-c", right)
     assert not topic.taken
-    assert not asker.relies("keys")
-    for _ in range(proofs.ASKS_KEPT):
+    assert not asker.has_delegate("keys")
+    for _ in range(freshness.MAX_PENDING_QUERIES):
         ask_once(asker)
     deliver(asker, reader.board.name, right)
     assert not topic.taken
@@ -161,17 +163,21 @@
     _, question = ask_once(asker)
     number = cbor2.loads(question)[1]
     for fields in (
-        [proof_messages.PROOF],
-        [proof_messages.PROOF, number],
-        [proof_messages.PROOF, number, {"keys": [7, -5_000, []]}],
-        [proof_messages.PROOF, number, {"keys": [7, 0.5, []]}],
-        [proof_messages.PROOF, number, {"keys": [True, 0, []]}],
-        [proof_messages.PROOF, number, {"keys": [7, 0, [["key"]]]}],
-        [proof_messages.PROOF, number, {"keys": [7, 0, [["key", "text"]]]}],
-        [proof_messages.PROOF, number, {"keys": [7, 0, [[3, b"value"]]]}],
-        [proof_messages.PROOF, number, {"keys": 3}],
-        [proof_messages.PROOF, number, 4],
-        [proof_messages.PROOF, "x", {}],
+        [freshness_messages.REPORT],
+        [freshness_messages.REPORT, number],
+        [freshness_messages.REPORT, number, {"keys": [7, -5_000, []]}],
+        [freshness_messages.REPORT, number, {"keys": [7, 0.5, []]}],
+        [freshness_messages.REPORT, number, {"keys": [True, 0, []]}],
+        [freshness_messages.REPORT, number, {"keys": [7, 0, [["key"]]]}],
+        [
+            freshness_messages.REPORT,
+            number,
+            {"keys": [7, 0, [["key", "text"]]]},
+        ],
+        [freshness_messages.REPORT, number, {"keys": [7, 0, [[3, b"value"]]]}],
+        [freshness_messages.REPORT, number, {"keys": 3}],
+        [freshness_messages.REPORT, number, 4],
+        [freshness_messages.REPORT, "x", {}],
     ):
         try:
             deliver(asker, reader.board.name, cbor2.dumps(fields))
@@ -187,12 +193,12 @@
     _, question = ask_once(asker)
     deliver(reader, asker.board.name, question)
     deliver(asker, reader.board.name, reader.hints.sent[-1][1])
-    assert asker.relies("keys")
-    clock.advance(proofs.SILENT_MS)
-    assert not asker.relies("keys")
+    assert asker.has_delegate("keys")
+    clock.advance(freshness.DELEGATE_TIMEOUT_MS)
+    assert not asker.has_delegate("keys")
 
 
-def make_rounds(relies):
+def make_rounds(has_delegate):
     """Rounds of one roll-out that runs, and how often they read."""
     clock: typing.Any = clock_module.ManualClock(now=10_000.0)
     board = board_module.ForwardingBoard(name="vm", failure_domain="north")
@@ -209,7 +215,7 @@
         typing.cast(typing.Any, Statuses()),
         lambda record: None,
         lambda status: keyed_log.Record("desk", b"running"),
-        lambda: relies,
+        lambda: has_delegate,
     )
     return made, clock, chosen.rollouts["desk"]
 
@@ -237,20 +243,20 @@
     """
 
     async def main():
-        made, clock, rollout = make_rounds(relies=True)
+        made, clock, rollout = make_rounds(has_delegate=True)
         rollout.told = "running"
         await made._step(rollout)
         assert made.statuses.calls == 1
         for _ in range(20):
             clock.advance(400.0)
-            made.take_proof(5, clock.now - 1_900.0)
+            made.confirm(5, clock.now - 1_900.0)
             await made._step(rollout)
         assert made.statuses.calls == 1
         assert clock.now - rollout.read_ms <= rollout_state.STALE_MS
-        made.take_proof(6, clock.now)
+        made.confirm(6, clock.now)
         await made._step(rollout)
         assert made.statuses.calls == 2
-        clock.advance(rollout_rounds.RELYING_READ_MS)
+        clock.advance(rollout_rounds.DELEGATED_READ_MS)
         await made._step(rollout)
         assert made.statuses.calls == 3
 
@@ -275,7 +281,7 @@
     def list_since(self, start):
         return self.records[start:]
 
-    def take_entries(self, entries):
+    def apply_entries(self, entries):
         if not self.busy:
             self.records += entries
 
@@ -292,11 +298,11 @@
         topic = Registry(list(records))
         made.add_topic(
             "endpoints",
-            proofs.Topic(
+            freshness.Topic(
                 topic.describe,
                 topic.take,
                 topic.list_since,
-                topic.take_entries,
+                topic.apply_entries,
             ),
         )
         topics.append(topic)
@@ -322,7 +328,7 @@
     More than fit into a datagram are told in several, without a pause.
     """
     entry = b"x" * 300
-    known: list[proof_messages.Entry] = [
+    known: list[freshness_messages.Entry] = [
         (f"desk-{number}", entry) for number in range(20)
     ]
     known.append(("desk-0", None))
@@ -343,7 +349,7 @@
     exchange(asker, reader)
     for record in (("desk-0", b"ready"), ("desk-0", None)):
         theirs.records.append(record)
-        reader.tell_news()
+        reader.push_updates()
         exchange(asker, reader)
     assert mine.records == theirs.records
     assert not mine.read
@@ -365,7 +371,7 @@
 
 def test_record_that_fits_no_datagram_is_read_from_the_store():
     """An entry is longer than a datagram."""
-    known = [("desk-0", b"x" * proof_messages.MOST_RECORD_BYTES)]
+    known = [("desk-0", b"x" * freshness_messages.MOST_RECORD_BYTES)]
     ((asker, _, _), (reader, _, _)), (mine, theirs) = make_registries(known)
     ask_once(asker)
     exchange(asker, reader)
--- a/tests/cover/test_forwarding_registry.py
+++ b/tests/cover/test_forwarding_registry.py
@@ -174,7 +174,7 @@
             reader.replace,
             reader.apply,
             reader.prove,
-            find_wait=find_wait,
+            get_poll_wait=find_wait,
         ),
     ]
     dropped = {}
--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -4,7 +4,7 @@
 from carawayward.decisions import store_polls
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import feed
-from carawayward.forwarding import proofs
+from carawayward.forwarding import freshness
 from carawayward.forwarding import settings
 
 
@@ -16,7 +16,7 @@
     as long as a slow one does.
     """
     slow_ms = 700.0
-    noticed_ms = proofs.SILENT_MS + feed.RELY_MS
+    noticed_ms = freshness.DELEGATE_TIMEOUT_MS + feed.DELEGATE_CHECK_MS
     bounds = settings.Bounds()
     assert noticed_ms + slow_ms <= bounds.drain_ms
     for lease_ms in range(4_000, 20_000, 500):
@@ -24,20 +24,20 @@
         poll_ms = store_polls.find_table_poll(usable_ms, bounds.apply_ms)
         own_ms = store_polls.OWN_PART * usable_ms
         # What a living reader tells is young enough not to be read anew.
-        assert store_polls.find_oldest_proof(poll_ms) <= own_ms
+        assert store_polls.compute_max_report_age(poll_ms) <= own_ms
         assert own_ms + slow_ms <= usable_ms
     for bound_ms in range(1_500, 10_000, 500):
         for part in (store_polls.APPLY_PART, store_polls.DRAIN_PART):
             # The reader lost the store a moment after it had sent a poll.
             poll_ms = part * bound_ms
-            known_ms = store_polls.find_oldest_proof(poll_ms) - poll_ms
+            known_ms = store_polls.compute_max_report_age(poll_ms) - poll_ms
             assert known_ms < bound_ms
 
 
 def test_reader_that_dies_does_not_look_like_an_outage_of_the_store():
     """An endpoint that left just then is waited for, and sent work meanwhile.
 
-    Who relied on the reader has read nothing since the reader's last answer,
+    Who delegated on the reader has read nothing since the reader's last answer,
     and takes what is missing for entries that ran out.
     """
     for drain_ms in range(1_000, 6_000, 500):
@@ -45,7 +45,7 @@
             poll_ms = store_polls.find_registry_poll(
                 drain_ms, lapses.SAFE_HEARTBEATS * heartbeat_ms
             )
-            proof_ms = store_polls.find_oldest_proof(poll_ms)
+            proof_ms = store_polls.compute_max_report_age(poll_ms)
             read_after_ms = proof_ms - poll_ms + 100.0
             assert lapses.is_too_short(read_after_ms, heartbeat_ms)
             assert poll_ms <= store_polls.DRAIN_PART * drain_ms
--- a/tests/failures/test_forwarding_proofs.py
+++ b/tests/failures/test_forwarding_delegates.py
@@ -20,22 +20,22 @@
         raise errors.PlatformUnavailable("store", "cut off")
 
 
-def find_proofs(made, daemon):
+def find_freshness(made, daemon):
     return made.daemons[daemon].controllers[-1]
 
 
-def relies(made, daemon):
-    return find_proofs(made, daemon).relies(feeds.DECLARATIONS)
+def has_delegate(made, daemon):
+    return find_freshness(made, daemon).has_delegate(feeds.DECLARATIONS)
 
 
-async def wait_for_readers(made):
+async def wait_for_delegates(made):
     """Wait until all but one entry VM rely on another; return that one."""
     count = len(made.daemons)
     await made.wait_for(
-        lambda: sum(relies(made, n) for n in range(count)) == count - 1
+        lambda: sum(has_delegate(made, n) for n in range(count)) == count - 1
     )
     await trio.sleep(1.6)
-    (reader,) = [n for n in range(count) if not relies(made, n)]
+    (reader,) = [n for n in range(count) if not has_delegate(made, n)]
     return reader
 
 
@@ -48,7 +48,7 @@
     async def main():
         desk = backend.Backend("desk-0")
         async with forwarding.open_forwarding(desk, daemons=4) as made:
-            await wait_for_readers(made)
+            await wait_for_delegates(made)
             made.store.calls = 0
             await trio.sleep(3.0)
             # One entry VM polls for the table every 1.5 s and for endpoints
@@ -70,7 +70,7 @@
     async def main():
         desks = [backend.Backend(f"desk-{number}") for number in range(2)]
         async with forwarding.open_forwarding(*desks, daemons=3) as made:
-            await wait_for_readers(made)
+            await wait_for_delegates(made)
             config = forwarding.make_config(2)
             config["tenants"][0]["apiKeys"] = []
             made.store.put("keyed.op", "config", config)
@@ -99,7 +99,7 @@
         async with forwarding.open_forwarding(
             desk, daemons=3, key_lease_ms=lease_ms
         ) as made:
-            reader = await wait_for_readers(made)
+            reader = await wait_for_delegates(made)
             cut = (reader + 1) % 3
             feed = made.find_controller(TABLE, cut)
             feed.topic = CutTopic()
@@ -128,8 +128,8 @@
         async with forwarding.open_forwarding(
             desk, daemons=3, key_lease_ms=4_000
         ) as made:
-            reader = await wait_for_readers(made)
-            await find_proofs(made, reader).hints.close()
+            reader = await wait_for_delegates(made)
+            await find_freshness(made, reader).hints.close()
             others = [n for n in range(3) if n != reader]
             for _ in range(60):
                 await trio.sleep(0.1)
@@ -138,7 +138,7 @@
                     boot_ms = daemon.clock.boot_ms()
                     assert daemon.board.is_fresh(boot_ms)
                     assert not daemon.board.store_failing
-            chosen = {find_proofs(made, n).reader for n in others}
+            chosen = {find_freshness(made, n).delegate for n in others}
             names = {made.daemons[n].board.name for n in others}
             assert chosen - {""} <= names
 
--- a/tests/model/test_proofs.py
+++ b/tests/model/test_delegated_reads.py
@@ -13,9 +13,9 @@
 import attrs
 
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import freshness
+from carawayward.forwarding import freshness_messages
 from carawayward.forwarding import hint_messages
-from carawayward.forwarding import proof_messages
-from carawayward.forwarding import proofs
 
 SEEDS = 1_500
 STEPS = 60
@@ -47,10 +47,10 @@
             name=self.name, failure_domain="north"
         )
         node: typing.Any = self
-        self.controller = proofs.ProofsController(board, node, node)
-        self.controller.reader = self.peer
+        self.controller = freshness.FreshnessController(board, node, node)
+        self.controller.delegate = self.peer
         self.controller.add_topic(
-            "keys", proofs.Topic(self.describe, self.take)
+            "keys", freshness.Topic(self.describe, self.take)
         )
 
     def boot_ms(self):
@@ -122,9 +122,9 @@
             case "end":
                 node.end_poll()
             case "ask":
-                node.controller._ask(node.peer)
+                node.controller._query(node.peer)
             case "news":
-                node.controller.tell_news()
+                node.controller.push_updates()
             case "stand still":
                 self.now_ms += self.draw.random() * LATE_MS
             case "restart":
@@ -174,7 +174,7 @@
 
 def test_guards_are_seen_to_fail():
     """Each guard taken out lets some schedule prove what is not so."""
-    ask = proofs.Asked
+    ask = freshness.PendingQuery
 
     def take_arrival(peer, sent_ms, positions):
         return ask(peer, sent_ms + LATE_MS, positions)
@@ -182,7 +182,9 @@
     def forget_age(told):
         return [told.position, 0, []]
 
-    with mock.patch.object(proofs, "Asked", take_arrival):
+    with mock.patch.object(freshness, "PendingQuery", take_arrival):
         assert is_caught()
-    with mock.patch.object(proof_messages.Told, "to_fields", forget_age):
+    with mock.patch.object(
+        freshness_messages.TopicReport, "to_fields", forget_age
+    ):
         assert is_caught()
