Pass changes of the store on by delegates, whole tables included

Causes, by reading and by test: 1. Whether a delegate is alive was a by-product of load reports. With 33 peers in a failure domain they go to 16 peers a round, an idle round lasts 1.5 s, and a peer counted as gone after 3 s: three rounds are longer. Delegates changed for ever, and each change threw away what was attested. 2. Updates were pushed from the position of the client's last query. In a burst the records that fit into a datagram had all been taken; nothing moved, and the client read the store, 30 times in four seconds. 3. A change of the table was read by every entry VM. 4. A roll-out's status was read by each entry VM at each tick while it had to be written, and written by 33 of 195 at the same instant.

Change: queries themselves are the failure detector: three in a row without an answer and the entry VM is passed over until a probe is answered, however many peers there are; a newly preferred delegate is queried beside the former one, so that nothing is lost between them; whoever has clients reads for itself. Reports say from where to where their changes lead, superseded records are left out, pushes go on from what was sent, a gap is queried for at once, and records longer than a datagram come in compressed chunks. What is still missing after 600 ms, or is not known to the delegate, is read from the store. Statuses are a feed like the others, idle while no roll-out runs; their writers take turns of which each has twice as many as the one before, and back off after failures.

Ruled out: faster load reports (their bytes grow with the peers).

Tests, failing before: a burst of 162 registrations with and without lost datagrams, tables in chunks, turns of 195 entry VMs. The model of delegated reads takes changes too; the model of roll-outs reads once a round, so it goes through five rounds and four faults for as many states. An entry VM that has lost the store now gets a new table by its delegate and answers 401 where it answered 503; that test asks for 401.

--- /dev/null
+++ b/src/carawayward/decisions/turns.py
@@ -0,0 +1,42 @@
+"""When one of many entry VMs that all see the same thing to do should do it.
+
+Load: several hundred entry VMs find within a moment that a roll-out's status
+has to be written. Failure prevented: all of them read and write at once, of
+which one write succeeds; or, while the store is away, all of them try again
+in step.
+"""
+
+import typing
+
+from carawayward.decisions import placement
+
+# Time for a write, and for its record to reach the others.
+TURN_MS = 400.0
+# Pauses after failed writes double up to the longest.
+FIRST_BACKOFF_MS = 800.0
+LONGEST_BACKOFF_MS = 6_400.0
+
+
+def compute_turn_ms(
+    own: str, names: typing.Iterable[str], subject: str
+) -> float:
+    """How long ``own`` leaves a write to others among ``names``, in ms.
+
+    Each turn has twice as many writers as the one before, so that few write
+    where all is well, and a large part of them may be gone without a delay
+    that grows with their number.
+    """
+    own_hash = placement.hash_key(f"{own}/{subject}")
+    rank = sum(
+        placement.hash_key(f"{name}/{subject}") < own_hash
+        for name in names
+        if name != own
+    )
+    return TURN_MS * ((rank + 1).bit_length() - 1)
+
+
+def compute_backoff_ms(failures: int, own: str) -> float:
+    """The pause after so many failed writes in a row, in ms."""
+    pause_ms = min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failures - 1))
+    jitter = placement.hash_key(f"{own}/{failures}") / 2.0**64
+    return pause_ms * (0.5 + 0.5 * jitter)
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -1,7 +1,5 @@
 """Puts the parts of one entry VM together; nothing runs yet."""
 
-import functools
-
 import attrs
 
 from carawayward import clock as clock_module
@@ -22,9 +20,6 @@
 from carawayward.forwarding import standing as standing_module
 from carawayward.forwarding import work_items
 
-# The topic of statuses, by the name that datagrams have.
-STATUSES = "statuses"
-
 
 @attrs.frozen
 class Placing:
@@ -64,10 +59,7 @@
         ports.statuses,
         ports.decode_status,
         ports.encode_status,
-        functools.partial(freshness.has_delegate, STATUSES),
-    )
-    freshness.add_topic(
-        STATUSES, freshness_module.Topic(rounds.describe, rounds.confirm)
+        hints.list_members,
     )
 
     def make_budget() -> extra_runs.ExtraRuns:
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -85,7 +85,7 @@
         )
         parts = assembly.make_placing(settings, board, clock, ports)
         feeds = feeds_module.make_feeds(
-            settings, board, clock, ports, parts.freshness
+            settings, board, clock, ports, parts.freshness, parts.rounds
         )
         return cls(
             settings=settings,
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -1,6 +1,5 @@
 """Follows one topic of the store: newest records first, then the tail."""
 
-import collections
 import typing
 
 import attrs
@@ -11,15 +10,18 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import change_log
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import store_contact
 from carawayward import supervision
 
-# As many records as a burst of changes brings between two questions.
-TAIL_RECORDS = 64
-# How often a feed that waits for another entry VM's word looks whether that
-# one is still heard.
+# How often a feed that waits for its delegate checks that it still has one.
 DELEGATE_CHECK_MS = 200.0
+# How often a feed that is not needed checks whether it is.
+NEEDED_CHECK_MS = 200.0
+# A feed that is behind its delegate for longer than this reads the store: a
+# datagram with a change was lost, and the next query's answer was as well.
+MAX_BEHIND_MS = 600.0
 
 
 @attrs.define(eq=False)
@@ -32,12 +34,14 @@
     ``note_failing`` is called at the first failed call and at the first that
     succeeds again. ``get_poll_wait`` says how long the next poll may wait, in ms.
 
-    While ``has_delegate`` says so another entry VM reads the store for this one,
-    and ``confirm`` gets what it proves. The feed then calls only for news,
-    or when what was proved last is older than ``get_max_age`` says.
-    ``push_updates`` is called when records have come. The last ones are kept in
-    ``tail``, for those who are a little behind. ``announced_position`` is the
-    farthest that another entry VM has told of.
+    While ``has_delegate`` says so another entry VM reads the store for this
+    one, ``confirm`` gets what it attests and ``apply_changes`` what it read.
+    The feed then calls only if it cannot be brought up to date so, or when
+    what was proved last is older than ``get_max_age`` says, in ms.
+    Nothing is read while ``is_needed`` says so.
+    ``push_updates`` is called when records have come. ``log`` keeps what can
+    be passed on to others; ``announced_position`` is the farthest that
+    another entry VM has reported, ``behind_since_ms`` since when it is ahead.
     """
 
     name: str
@@ -50,16 +54,17 @@
     get_poll_wait: typing.Callable[[], float] = lambda: store_polls.POLL_MS
     note_failing: typing.Callable[[bool], None] = lambda failing: None
     has_delegate: typing.Callable[[], bool] = lambda: False
+    is_needed: typing.Callable[[], bool] = lambda: True
     get_max_age: typing.Callable[[], float] = lambda: store_polls.POLL_MS
     push_updates: typing.Callable[[], None] = lambda: None
     position: int | None = None
     proved_ms: float = board_module.NEVER
     announced_position: int = 0
+    behind_since_ms: float | None = None
     failing: bool = False
-    tail: collections.deque[keyed_log.Record] = attrs.field(
-        factory=lambda: collections.deque(maxlen=TAIL_RECORDS)
-    )
+    log: change_log.ChangeLog = attrs.field(factory=change_log.ChangeLog)
     _delegating: bool = False
+    _lost: bool = False
     _wakeup: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -76,52 +81,70 @@
         has not read, leaves it to others to tell of the topic: who delegated on
         it would take the old for the newest until its proof is too old.
         """
-        if self.position is None or self.failing:
+        if self.position is None or self.failing or self._is_behind():
             return None
-        if self.announced_position > self.position:
+        if not self.is_needed():
             return None
         return self.position, self.proved_ms
 
+    def get_position(self) -> int | None:
+        """The position read; None where nothing was."""
+        return self.position
+
+    def get_known_end(self) -> int | None:
+        """The end of the topic; None where that is not known just now."""
+        return None if self.failing or self._is_behind() else self.position
+
     def confirm(self, position: int, as_of_ms: float) -> None:
         """Nothing followed ``position`` in the store at ``as_of_ms``."""
-        if self.position is None:
-            return
-        self.announced_position = max(self.announced_position, position)
-        if position > self.position:
-            self._wakeup.set()
-        elif position == self.position and as_of_ms > self.proved_ms:
+        if position == self.position and as_of_ms > self.proved_ms:
             # So long as nothing has changed, an entry VM that cannot reach
             # the store knows as much as one that can.
             self._note_well()
             self._prove(as_of_ms)
 
-    def list_since(
-        self, start: int
-    ) -> typing.Iterator[tuple[str, bytes | None]]:
-        """Keys and values of all records from ``start`` on, if kept."""
-        if not self.tail or self.tail[0].offset > start:
+    def announce(self, position: int, served: bool) -> None:
+        """The store goes on up to ``position``; read it unless ``served``."""
+        self.announced_position = max(self.announced_position, position)
+        if not self._is_behind():
             return
-        for record in self.tail:
-            if record.offset >= start:
-                yield record.key, record.value
+        if self.behind_since_ms is None:
+            self.behind_since_ms = self.clock.boot_ms()
+        if not served:
+            self._wakeup.set()
 
-    def apply_entries(
-        self, entries: typing.Iterable[tuple[str, bytes | None]]
-    ) -> None:
-        """Take records that another entry VM read, from the position on.
+    def list_since(self, start: int) -> list[change_log.Change] | None:
+        """Changes from ``start`` on; None if some are not known."""
+        return self.log.list_since(start)
+
+    def apply_changes(
+        self,
+        start: int,
+        reach: int,
+        changed: typing.Sequence[change_log.Change],
+    ) -> bool:
+        """Take changes that another entry VM read, up to ``reach``.
 
-        Only while this one waits for its word: a call of its own that is
-        under way would bring the same ones again, and older over newer.
+        Only while this one waits for them: a call of its own that is under
+        way would bring the same ones again, and older over newer.
         """
         if not self._delegating or self.position is None:
-            return
-        for key, value in entries:
-            self._apply(keyed_log.Record(key, value, self.position))
-            self.position += 1
+            return False
+        if not start <= self.position < reach:
+            return False
+        for each in changed:
+            if each.offset >= self.position:
+                self._apply(
+                    keyed_log.Record(each.key, each.value, each.offset)
+                )
+        self._move_to(reach)
         self.push_updates()
+        return True
 
     async def _follow(self) -> None:
         while True:
+            while not self.is_needed():
+                await self.clock.sleep(NEEDED_CHECK_MS)
             delegated = await self._wait_for_update()
             # What was proved is nearly too old where a neighbour has fallen
             # silent; a poll that waits would prove nothing for a second more.
@@ -133,7 +156,7 @@
                 batch = await self._read(wait_ms)
             except keyed_log.HistoryLost:
                 self.contact.note_answer()
-                self.position = None
+                self._lost = True
                 continue
             except errors.PlatformUnavailable as fault:
                 self._note_failure(sent_ms, fault)
@@ -152,7 +175,7 @@
                 self.push_updates()
 
     async def _wait_for_update(self) -> bool:
-        """Wait while another entry VM reads; whether this one delegated on it."""
+        """Wait while another entry VM reads; whether one did."""
         delegated = False
         while self._may_delegate() and not self._wakeup.is_set():
             delegated = self._delegating = True
@@ -166,8 +189,18 @@
     def _may_delegate(self) -> bool:
         if self.position is None or self.failing or not self.has_delegate():
             return False
+        if self.behind_since_ms is not None:
+            behind_ms = self.clock.boot_ms() - self.behind_since_ms
+            if behind_ms >= MAX_BEHIND_MS:
+                return False
         return self._find_age_ms() < self.get_max_age()
 
+    def _is_behind(self) -> bool:
+        return (
+            self.position is not None
+            and self.announced_position > self.position
+        )
+
     def _find_age_ms(self) -> float:
         return self.clock.boot_ms() - self.proved_ms
 
@@ -187,21 +220,27 @@
         return None
 
     async def _call(self, wait_ms: float) -> keyed_log.Batch:
-        if self.position is None:
+        if self.position is None or self._lost:
             return await self.topic.read_newest()
         return await self.topic.read(self.position, wait_ms)
 
     def _take(self, batch: keyed_log.Batch) -> None:
-        if self.position is None:
-            self.tail.clear()
+        if self.position is None or self._lost:
+            self._lost = False
+            self.log.replace(batch.records, self.position, batch.end)
             self.replace(batch.records)
         else:
             for record in batch.records:
                 self._apply(record)
-        self.position = batch.end
+        self._move_to(batch.end)
+
+    def _move_to(self, position: int) -> None:
+        self.position = position
+        if not self._is_behind():
+            self.behind_since_ms = None
 
     def _apply(self, record: keyed_log.Record) -> None:
-        self.tail.append(record)
+        self.log.apply(record)
         self.apply(record)
 
     def _note_well(self) -> None:
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -15,12 +15,17 @@
 from carawayward.forwarding import freshness as freshness_module
 from carawayward.forwarding import ports as ports_module
 from carawayward.forwarding import registry
+from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import settings as settings_module
 from carawayward.forwarding import store_contact
 
 # The topics, by the names that logs and datagrams have.
 DECLARATIONS = "declarations"
 ENDPOINTS = "endpoints"
+STATUSES = "statuses"
+# How old what a delegate attests of the statuses may be; below the time after
+# which no session tries a new version (``rollout_state.STALE_MS``).
+STATUSES_MAX_AGE_MS = 2_800.0
 # Polls while entries are missing wait at least so long, should the clocks of
 # poll and wait differ by a little.
 LEAST_MISSING_POLL_MS = 20.0
@@ -32,12 +37,14 @@
     clock: clock_module.Clock,
     ports: ports_module.Ports,
     freshness: freshness_module.FreshnessController,
+    rounds: rollout_rounds.RolloutRounds,
 ) -> list[feed.TopicFeed]:
-    """The feeds of routing table and endpoints."""
+    """The feeds of routing table, endpoints and statuses of roll-outs."""
     contact = store_contact.StoreContact(clock)
     return [
         make_table_feed(board, contact, ports, freshness),
         make_endpoints_feed(settings, board, contact, ports, freshness),
+        make_statuses_feed(contact, ports, freshness, rounds),
     ]
 
 
@@ -76,11 +83,9 @@
         note_failing=note_store,
         has_delegate=functools.partial(freshness.has_delegate, DECLARATIONS),
         get_max_age=get_max_age,
-        push_updates=freshness.push_updates,
-    )
-    freshness.add_topic(
-        made.name, freshness_module.Topic(made.describe, made.confirm)
+        push_updates=functools.partial(freshness.push_updates, DECLARATIONS),
     )
+    freshness.add_topic(made.name, made)
     return made
 
 
@@ -132,17 +137,33 @@
         get_poll_wait=get_poll_wait,
         has_delegate=has_delegate,
         get_max_age=get_max_age,
-        push_updates=freshness.push_updates,
+        push_updates=functools.partial(freshness.push_updates, ENDPOINTS),
     )
-    # Endpoints come and go by the dozen, and an entry is a few hundred bytes;
-    # a table is too long for a datagram.
-    freshness.add_topic(
-        made.name,
-        freshness_module.Topic(
-            made.describe,
-            made.confirm,
-            made.list_since,
-            made.apply_entries,
-        ),
+    freshness.add_topic(made.name, made)
+    return made
+
+
+def make_statuses_feed(
+    contact: store_contact.StoreContact,
+    ports: ports_module.Ports,
+    freshness: freshness_module.FreshnessController,
+    rounds: rollout_rounds.RolloutRounds,
+) -> feed.TopicFeed:
+    """The feed of the statuses of roll-outs; idle while none runs."""
+    made = feed.TopicFeed(
+        STATUSES,
+        ports.statuses,
+        contact.clock,
+        contact,
+        rounds.replace,
+        rounds.apply,
+        rounds.prove,
+        is_needed=rounds.is_running,
+        has_delegate=functools.partial(freshness.has_delegate, STATUSES),
+        get_max_age=lambda: STATUSES_MAX_AGE_MS,
+        push_updates=functools.partial(freshness.push_updates, STATUSES),
     )
+    rounds.get_end = made.get_known_end
+    rounds.request_read = functools.partial(made.announce, served=False)
+    freshness.add_topic(made.name, made)
     return made
--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -1,16 +1,18 @@
-"""Takes proofs of what the store holds from entry VMs that read it.
+"""Delegated reads: what one entry VM reads in the store serves its domain.
 
-An entry VM that asks knows when it sent its question. The answer was written
-after that, and says how long before its writing nothing newer was in the
-store. So a proof is as of the question's sending less the age told, with no
-clock in common: an answer that is late, or an entry VM that stood still
-meanwhile, only makes it older.
+A client knows when it sent its query. The report was written after that, and
+says how long before its writing nothing newer was in the store. So what it
+attests is as of the query's sending less the age in the report, with no clock
+in common: a report that is late, or a delegate that stood still meanwhile,
+only makes it older.
 
-What is proved is that nothing followed a position of the log. Whoever is at
-that position takes the proof; whoever is behind it reads the store at once.
+What is attested is that nothing followed a position of the log. A client at
+that position is up to date; one behind it gets the changes with the report,
+or in chunks where a record is longer than a datagram, or reads the store.
 """
 
 import collections
+import functools
 import secrets
 import typing
 
@@ -22,199 +24,299 @@
 from carawayward.decisions import store_polls
 from carawayward import events
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import change_log
 from carawayward.forwarding import freshness_messages
 from carawayward.forwarding import hints as hints_module
 from carawayward import supervision
 
-# Two questions in a row without an answer: one lost datagram makes nobody read
-# for itself, and a reader that has gone is noticed within a second.
+# Two queries in a row without an answer: after one lost datagram nobody reads
+# for itself, and a delegate that has gone is noticed within a second.
 DELEGATE_TIMEOUT_MS = 2.5 * store_polls.QUERY_MS
-# Questions that may still be answered; more than fit into DELEGATE_TIMEOUT_MS.
-MAX_PENDING_QUERIES = 8
+# Queries that may still be answered; more than fit into the timeout.
+MAX_PENDING_QUERIES = 12
+# Who has queried within this time counts as a client.
+CLIENT_TTL_MS = 3.0 * store_polls.QUERY_MS
+# A client that has missed an update queries at once, but no more often.
+CATCH_UP_PAUSE_MS = 50.0
+# Long records of which chunks are kept until the others have come.
+MAX_ASSEMBLIES = 4
 
 
-Entries = tuple[freshness_messages.Entry, ...]
-Listing = typing.Callable[[int], typing.Iterable[freshness_messages.Entry]]
+class Followed(typing.Protocol):
+    """A topic whose reads are delegated; times in ms on the boot clock."""
 
+    def describe(self) -> tuple[int, float] | None:
+        """The position read, and when nothing followed; None if unsure."""
 
-@attrs.frozen
-class Topic:
-    """A topic of the store whose proofs are exchanged.
-
-    ``describe`` gives the position up to which all was read, and the boot
-    time in ms at which nothing followed; None if that is not known here.
-    ``take`` gets the same of another entry VM's. Topics whose records are
-    short have them told: ``list_since`` gives those kept from a place on, and
-    ``apply_entries`` gets the first of those that follow the own place.
-    """
+    def get_position(self) -> int | None:
+        """The position read; None where nothing was."""
+
+    def list_since(self, start: int) -> list[change_log.Change] | None:
+        """Changes from a position on; None if some are not known."""
+
+    def apply_changes(
+        self,
+        start: int,
+        reach: int,
+        changed: typing.Sequence[change_log.Change],
+    ) -> bool:
+        """Take what leads from ``start`` to ``reach``; whether it did."""
 
-    describe: typing.Callable[[], tuple[int, float] | None]
-    take: typing.Callable[[int, float], None]
-    list_since: Listing | None = None
-    apply_entries: typing.Callable[[Entries], None] | None = None
+    def confirm(self, position: int, as_of_ms: float) -> None:
+        """Nothing followed ``position`` at that time."""
+
+    def announce(self, position: int, served: bool) -> None:
+        """The topic goes up to ``position``; whether the rest will come."""
 
 
 @attrs.frozen
 class PendingQuery:
-    """A question that may still be answered, on the boot clock in ms."""
+    """A query that may still be answered, on the boot clock in ms."""
 
     peer: str
     sent_ms: float
-    positions: typing.Mapping[str, int] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Client:
+    """An entry VM that reads through this one.
+
+    ``positions`` are how far it was served, from its last query on.
+    """
+
+    number: int
+    queried_ms: float
+    positions: dict[str, int]
 
 
 @attrs.define(eq=False)
 class FreshnessController:
-    """Asks a reader for proofs, and answers those who ask.
+    """Queries a delegate, and answers its own clients.
 
-    ``answered_ms`` is when the last question was sent of which the answer told
-    of a topic, by the topic's name.
+    ``answered_ms`` is when the last query was sent whose answer reported on
+    a topic, by the topic's name.
     """
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
     hints: hints_module.HintsController
-    topics: dict[str, Topic] = attrs.field(factory=dict)
+    topics: dict[str, Followed] = attrs.field(factory=dict)
     pending: collections.OrderedDict[int, PendingQuery] = attrs.field(
         factory=collections.OrderedDict
     )
-    clients: dict[str, freshness_messages.Query] = attrs.field(factory=dict)
+    clients: dict[str, Client] = attrs.field(factory=dict)
     answered_ms: dict[str, float] = attrs.field(factory=dict)
-    delegate: str = ""
+    choice: delegates.DelegateChoice = attrs.field(init=False)
+    caught_up_ms: float = board_module.NEVER
+    assemblies: collections.OrderedDict[
+        tuple[str, int, int], dict[int, bytes]
+    ] = attrs.field(factory=collections.OrderedDict)
     _number: int = attrs.field(factory=lambda: secrets.randbits(32))
 
     def __attrs_post_init__(self) -> None:
-        self.hints.add_handler(freshness_messages.QUERY, self._on_query)
-        self.hints.add_handler(freshness_messages.REPORT, self._on_report)
+        self.choice = delegates.DelegateChoice(self.board.name)
+        for kind, handler in (
+            (freshness_messages.QUERY, self._on_query),
+            (freshness_messages.REPORT, self._on_report),
+            (freshness_messages.CHUNK, self._on_chunk),
+        ):
+            self.hints.add_handler(kind, handler)
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Begin to ask."""
+        """Begin to query."""
         nursery.start_soon(supervision.keep_running, self._query_forever, ())
 
     async def close(self) -> None:
         """Nothing to release; the nursery ends the task."""
 
-    def add_topic(self, name: str, topic: Topic) -> None:
-        """Exchange proofs of a topic."""
+    def add_topic(self, name: str, topic: Followed) -> None:
+        """Delegate the reads of a topic."""
         self.topics[name] = topic
 
     def has_delegate(self, name: str) -> bool:
         """Whether another entry VM reads a topic for this one just now.
 
-        A reader that tells of one topic may be behind on another: it has heard
-        of news that it cannot read.
+        A delegate may report on one topic and be behind on another. Whoever
+        has clients reads for itself: two that query each other would both
+        wait for what neither reads.
         """
         answered_ms = self.answered_ms.get(name, board_module.NEVER)
-        return self.clock.boot_ms() - answered_ms < DELEGATE_TIMEOUT_MS
+        if self.clock.boot_ms() - answered_ms >= DELEGATE_TIMEOUT_MS:
+            return False
+        return not self.list_clients()
+
+    def list_clients(self) -> dict[str, Client]:
+        """Entry VMs that read through this one just now."""
+        oldest_ms = self.clock.boot_ms() - CLIENT_TTL_MS
+        for name, client in list(self.clients.items()):
+            if client.queried_ms < oldest_ms:
+                del self.clients[name]
+        return self.clients
 
-    def push_updates(self) -> None:
-        """A topic has grown; tell those who rely on this entry VM."""
-        for name, ask in list(self.clients.items()):
-            self._send_report(name, ask)
+    def push_updates(self, name: str) -> None:
+        """A topic has grown; send its changes to all clients."""
+        for peer, client in list(self.list_clients().items()):
+            self._send_report(peer, client, (name,))
 
     async def _query_forever(self) -> None:
         while True:
-            self._choose_delegate()
-            if self.delegate:
-                self._query(self.delegate)
+            self._query_delegates()
             await self.clock.sleep(store_polls.QUERY_MS)
 
-    def _choose_delegate(self) -> None:
-        own = self.board.name
-        names = {own, *self.hints.list_near()}
-        chosen = delegates.choose_delegate(own, names)
-        reader = "" if chosen == own else chosen
-        if reader == self.delegate:
-            return
-        self.delegate = reader
-        self.answered_ms.clear()
-        events.log_event(events.Event.DELEGATE_CHOSEN, reader=reader or own)
+    def _query_delegates(self) -> None:
+        before = self.choice.delegate
+        delegate = self.choice.choose(self.hints.list_near())
+        if delegate != before:
+            events.log_event(events.Event.DELEGATE_CHOSEN, reader=delegate)
+        for peer in self.choice.list_targets(self.clock.boot_ms()):
+            self._query(peer)
 
-    def _query(self, reader: str) -> None:
+    def _query(self, peer: str) -> None:
         self._number += 1
-        now_ms = self.clock.boot_ms()
+        self.pending[self._number] = PendingQuery(peer, self.clock.boot_ms())
+        while len(self.pending) > MAX_PENDING_QUERIES:
+            self.pending.popitem(last=False)
         positions = {
-            name: known[0]
+            name: position
             for name, topic in self.topics.items()
-            if topic.list_since and (known := topic.describe()) is not None
+            if (position := topic.get_position()) is not None
         }
-        self.pending[self._number] = PendingQuery(reader, now_ms, positions)
-        while len(self.pending) > MAX_PENDING_QUERIES:
-            self.pending.popitem(last=False)
-        ask = freshness_messages.Query(self._number, positions)
-        self.hints.send(reader, ask.to_bytes())
+        query = freshness_messages.Query(self._number, positions)
+        self.hints.send(peer, query.to_bytes())
 
     def _on_query(self, peer: str, fields: list) -> None:
-        ask = freshness_messages.Query.from_fields(fields)
-        self.clients[peer] = ask
-        self._send_report(peer, ask)
-
-    def _send_report(self, peer: str, ask: freshness_messages.Query) -> None:
-        """Tell a peer what is known here; nothing where that is doubtful."""
-        now_ms = self.clock.boot_ms()
-        told = {}
-        for name, topic in self.topics.items():
-            known = topic.describe()
+        query = freshness_messages.Query.from_fields(fields)
+        client = Client(
+            query.number, self.clock.boot_ms(), dict(query.positions)
+        )
+        self.clients[peer] = client
+        self._send_report(peer, client, tuple(self.topics))
+
+    def _send_report(
+        self, peer: str, client: Client, names: typing.Iterable[str]
+    ) -> None:
+        """Report what is known here; nothing where that is doubtful."""
+        reports = {}
+        for name in names:
+            known = self.topics[name].describe()
             if known is not None:
-                position, as_of_ms = known
-                age_ms = max(0.0, now_ms - as_of_ms)
-                entries = self._list_entries(topic, ask.positions.get(name))
-                told[name] = freshness_messages.TopicReport(
-                    position, age_ms, entries
-                )
-        if told:
-            proof = freshness_messages.FreshnessReport(ask.number, told)
-            self.hints.send(peer, proof.to_bytes())
-
-    def _list_entries(self, topic: Topic, start: int | None) -> Entries:
-        if topic.list_since is None or start is None:
-            return ()
-        return freshness_messages.choose_first(topic.list_since(start))
+                reports[name] = self._make_report(peer, client, name, *known)
+        if reports:
+            report = freshness_messages.FreshnessReport(client.number, reports)
+            self.hints.send(peer, report.to_bytes())
+
+    def _make_report(
+        self,
+        peer: str,
+        client: Client,
+        name: str,
+        position: int,
+        as_of_ms: float,
+    ) -> freshness_messages.TopicReport:
+        """Report on a topic; a change too long for it goes out in chunks."""
+        make = functools.partial(
+            freshness_messages.TopicReport,
+            position,
+            max(0.0, self.clock.boot_ms() - as_of_ms),
+        )
+        start = client.positions.get(name)
+        if start is None or start >= position:
+            return make(position, position)
+        listed = self.topics[name].list_since(start)
+        if listed is None:
+            return make(start, start, served=False)
+        chosen = freshness_messages.choose_first(listed)
+        reach = position
+        if len(chosen) < len(listed):
+            reach = chosen[-1].offset + 1 if chosen else start
+        if listed and not chosen:
+            served = self._send_chunks(peer, client, name, start, listed[0])
+            client.positions[name] = listed[0].offset + 1
+            return make(start, start, served=served)
+        client.positions[name] = reach
+        return make(start, reach, chosen)
+
+    def _send_chunks(
+        self,
+        peer: str,
+        client: Client,
+        name: str,
+        start: int,
+        change: change_log.Change,
+    ) -> bool:
+        chunks = freshness_messages.split_change(
+            client.number, name, start, change
+        )
+        for chunk in chunks:
+            self.hints.send(peer, chunk.to_bytes())
+        return bool(chunks)
 
     def _on_report(self, peer: str, fields: list) -> None:
-        proof = freshness_messages.FreshnessReport.from_fields(fields)
-        asked = self.pending.get(proof.number)
-        if asked is None or asked.peer != peer or peer != self.delegate:
+        report = freshness_messages.FreshnessReport.from_fields(fields)
+        query = self._find_query(report.number, peer)
+        if query is None:
             return
-        behind = False
-        for name, told in proof.topics.items():
+        self.choice.record_answer(peer)
+        for name, each in report.topics.items():
             topic = self.topics.get(name)
             if topic is not None:
-                answered_ms = self.answered_ms.get(name, asked.sent_ms)
-                self.answered_ms[name] = max(answered_ms, asked.sent_ms)
-                behind |= self._merge_topic(name, topic, told, asked)
-        if behind:
-            self._query(peer)
+                answered_ms = self.answered_ms.get(name, query.sent_ms)
+                self.answered_ms[name] = max(answered_ms, query.sent_ms)
+                self._merge_topic(topic, each, query)
+
+    def _find_query(self, number: int, peer: str) -> PendingQuery | None:
+        """The query that a datagram answers; None if there is none."""
+        query = self.pending.get(number)
+        return query if query is not None and query.peer == peer else None
 
     def _merge_topic(
         self,
-        name: str,
-        topic: Topic,
-        told: freshness_messages.TopicReport,
-        asked: PendingQuery,
-    ) -> bool:
-        """Take what is told of a topic; whether more of it is to be told."""
-        if self._take_entries(topic, told, asked.positions.get(name)):
-            return True
-        topic.take(told.position, asked.sent_ms - told.age_ms)
-        return False
+        topic: Followed,
+        report: freshness_messages.TopicReport,
+        query: PendingQuery,
+    ) -> None:
+        """Take a report; catch up where it is ahead of what is known here."""
+        before = topic.get_position()
+        if before is None:
+            return
+        moved = report.reach > before and topic.apply_changes(
+            report.start, report.reach, report.changes
+        )
+        after = topic.get_position()
+        if after is not None and after < report.position:
+            topic.announce(report.position, report.served)
+            if moved or report.start > before:
+                self._catch_up(query.peer)
+            return
+        topic.confirm(report.position, query.sent_ms - report.age_ms)
 
-    def _take_entries(
-        self,
-        topic: Topic,
-        told: freshness_messages.TopicReport,
-        start: int | None,
-    ) -> bool:
-        """Take records from ``start`` on; whether more follow these.
+    def _catch_up(self, peer: str) -> None:
+        """Query for the changes that follow, or that were lost."""
+        now_ms = self.clock.boot_ms()
+        if now_ms - self.caught_up_ms >= CATCH_UP_PAUSE_MS:
+            self.caught_up_ms = now_ms
+            self._query(peer)
 
-        Only where they were of use: to ask again for records that cannot be
-        taken just now would bring them again at once, and without end.
-        """
-        known = topic.describe()
-        if topic.apply_entries is None or known is None or start is None:
-            return False
-        # News is told again until the next question, so that some of the
-        # first records may have been taken already.
-        topic.apply_entries(told.entries[max(0, known[0] - start) :])
-        now = topic.describe()
-        return now is not None and known[0] < now[0] < told.position
+    def _on_chunk(self, peer: str, fields: list) -> None:
+        chunk = freshness_messages.Chunk.from_fields(fields)
+        topic = self.topics.get(chunk.topic)
+        if topic is None or self._find_query(chunk.number, peer) is None:
+            return
+        position = topic.get_position()
+        if position is None or position > chunk.offset:
+            return
+        key = (chunk.topic, chunk.offset, chunk.count)
+        parts = self.assemblies.setdefault(key, {})
+        parts[chunk.index] = chunk.data
+        if len(parts) < chunk.count:
+            while len(self.assemblies) > MAX_ASSEMBLIES:
+                self.assemblies.popitem(last=False)
+            return
+        del self.assemblies[key]
+        value = freshness_messages.join_chunks(
+            [parts[index] for index in range(chunk.count)]
+        )
+        change = change_log.Change(chunk.offset, chunk.key, value)
+        if topic.apply_changes(chunk.start, chunk.offset + 1, (change,)):
+            # The report that came with the chunks is of the place before.
+            self._query(peer)
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -121,16 +121,21 @@
             return
 
     def list_near(self) -> list[str]:
-        """Peers of this failure domain that may be relied on just now."""
-        now_ms = self.clock.now_ms()
+        """Peers of this failure domain that say that they reach the store.
+
+        However long ago they said so: with many peers their reports come
+        seldom, and whoever relies on one finds out itself if it has gone.
+        """
         return [
             peer.name
             for peer in self.peers.values()
-            if peer.near
-            and not peer.stale
-            and now_ms - peer.heard_ms < SILENT_MS
+            if peer.near and not peer.stale
         ]
 
+    def list_members(self) -> list[str]:
+        """All entry VMs that are known, with this one."""
+        return [self.board.name, *self.peers]
+
     def add_load(self, engine: str, change: engine_load.Load) -> None:
         """Note a change of the own outstanding work, and tell it."""
         engine_load.add_own(self.loads, engine, change)
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -12,7 +12,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import canary
-from carawayward.decisions import placement
+from carawayward.decisions import turns
 from carawayward import errors
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
@@ -23,24 +23,28 @@
 
 # How often new orders are looked for, and roll-outs that run gone through.
 TICK_MS = 200.0
-# How often the status is read while a roll-out runs, to see what others have
-# decided. They tell of a halt at once; this is for whoever hears no peers.
-READ_MS = 1_800.0
-# The same where another entry VM reads it for this one: its own proof, one
-# question and a tick more. Below rollout_state.STALE_MS.
-DELEGATED_READ_MS = 2_800.0
-# Entry VMs act on a decision one after the other, so that mostly one does.
-TURN_MS = 60.0
-MOST_TURNS = 6
+
+
+@attrs.define
+class Intent:
+    """A status that is to be written, and when this entry VM may write it.
+
+    ``subject`` names order and status; times are in ms.
+    """
+
+    subject: str
+    due_ms: float
+    failures: int = 0
 
 
 @attrs.define(eq=False)
 class RolloutRounds:
     """Goes through the roll-outs that run.
 
-    ``end`` is how far all statuses were read, and ``as_of_ms`` when nothing
-    followed, on the boot clock. While ``has_delegate`` says so another entry VM
-    reads them for this one, and ``confirm`` gets what it proves.
+    Statuses come from a feed; ``get_end`` is how far it has read, None while
+    it knows of more. ``list_members`` gives the names of all entry VMs.
+    ``latest`` holds the newest status of each service, which was the newest
+    at ``as_of_ms`` on the boot clock.
     """
 
     board: board_module.ForwardingBoard
@@ -51,8 +55,11 @@
         [keyed_log.Record], facts.RolloutStatus | None
     ]
     encode_status: typing.Callable[[facts.RolloutStatus], keyed_log.Record]
-    has_delegate: typing.Callable[[], bool] = lambda: False
-    end: int | None = None
+    list_members: typing.Callable[[], typing.Iterable[str]]
+    get_end: typing.Callable[[], int | None] = lambda: None
+    request_read: typing.Callable[[int], None] = lambda end: None
+    latest: dict[str, facts.RolloutStatus] = attrs.field(factory=dict)
+    intents: dict[str, Intent] = attrs.field(factory=dict)
     as_of_ms: float = board_module.NEVER
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -62,6 +69,28 @@
     async def close(self) -> None:
         """Nothing to release; the nursery ends the task."""
 
+    def is_running(self) -> bool:
+        """Whether a roll-out is under way, so that statuses matter."""
+        return any(each.running for each in self.rollouts.rollouts.values())
+
+    def replace(self, records: list[keyed_log.Record]) -> None:
+        """Take all newest statuses."""
+        for record in records:
+            self.apply(record)
+
+    def apply(self, record: keyed_log.Record) -> None:
+        """Take one status."""
+        status = self.decode_status(record)
+        if status is not None:
+            self.latest[status.service] = status
+            self._take_status(status)
+
+    def prove(self, as_of_ms: float) -> None:
+        """Nothing followed the statuses at ``as_of_ms`` on the boot clock."""
+        self.as_of_ms = max(self.as_of_ms, as_of_ms)
+        for rollout in self.rollouts.rollouts.values():
+            self._refresh(rollout)
+
     async def _watch(self) -> None:
         while True:
             self.rollouts.take_orders()
@@ -71,34 +100,61 @@
             await self.clock.sleep(TICK_MS)
 
     async def _step(self, rollout: rollout_state.Rollout) -> None:
-        """Read the status if it is time, and write what is decided."""
+        """Judge by what is known, and write what is decided."""
+        status = self.latest.get(rollout.order.service)
+        if status is not None:
+            self._take_status(status)
+        self._refresh(rollout)
         self.rollouts.count_slow_runs(rollout)
         self.rollouts.judge(rollout)
-        if not self._is_due(rollout) and self._find_wanted(rollout) is None:
-            return
-        try:
-            await self._read_statuses()
-            if self._find_wanted(rollout) is not None:
-                await self._decide(rollout)
-        except errors.PlatformUnavailable:
-            # The feeds log outages; a later round tries again.
-            return
-        except keyed_log.Conflict:
-            # Somebody else wrote in between; the next round reads it.
-            return
-
-    async def _decide(self, rollout: rollout_state.Rollout) -> None:
-        """Write the status that the counts ask for, if it is not there."""
-        turn = placement.hash_key(f"{self.board.name}/{rollout.order}")
-        await self.clock.sleep(TURN_MS * (turn % MOST_TURNS))
-        end = await self._read_statuses()
         wanted = self._find_wanted(rollout)
-        if wanted is None:
+        end = self.get_end()
+        if wanted is None or end is None or not rollout.known:
+            return
+        intent = self._schedule(rollout, wanted)
+        if self.clock.now_ms() < intent.due_ms:
             return
+        await self._write(rollout, wanted, end, intent)
+
+    def _schedule(
+        self, rollout: rollout_state.Rollout, wanted: facts.RolloutState
+    ) -> Intent:
+        """When this entry VM is to write ``wanted``, if nobody else has."""
+        service = rollout.order.service
+        subject = f"{rollout.order}/{wanted.value}"
+        intent = self.intents.get(service)
+        if intent is None or intent.subject != subject:
+            turn_ms = turns.compute_turn_ms(
+                self.board.name, self.list_members(), subject
+            )
+            intent = Intent(subject, self.clock.now_ms() + turn_ms)
+            self.intents[service] = intent
+        return intent
+
+    async def _write(
+        self,
+        rollout: rollout_state.Rollout,
+        wanted: facts.RolloutState,
+        end: int,
+        intent: Intent,
+    ) -> None:
+        """Write a status unless something was written after ``end``."""
         order = rollout.order
         status = facts.RolloutStatus(order.service, order.version, wanted)
-        await self.statuses.append([self.encode_status(status)], end)
-        self.rollouts.take_state(rollout, wanted)
+        try:
+            await self.statuses.append([self.encode_status(status)], end)
+        except keyed_log.Conflict as fault:
+            # Somebody else wrote in between; what, decides the next round.
+            self.request_read(fault.end)
+        except errors.PlatformUnavailable:
+            # The feeds log outages.
+            intent.failures += 1
+            intent.due_ms = self.clock.now_ms() + turns.compute_backoff_ms(
+                intent.failures, self.board.name
+            )
+        else:
+            self.latest[order.service] = status
+            self.rollouts.take_state(rollout, wanted)
 
     def _find_wanted(
         self, rollout: rollout_state.Rollout
@@ -125,51 +181,13 @@
             return None
         return facts.RolloutState.RUNNING
 
-    def describe(self) -> tuple[int, float] | None:
-        """How far all statuses were read, and when nothing followed.
-
-        None where that is not known, or news of more has come.
-        """
-        if self.end is None or self.as_of_ms == board_module.NEVER:
-            return None
-        return self.end, self.as_of_ms
-
-    def confirm(self, end: int, as_of_ms: float) -> None:
-        """Nothing followed ``end`` in the store at ``as_of_ms``."""
-        if self.end is None or end < self.end:
-            return
-        if end > self.end:
-            self.as_of_ms = board_module.NEVER
-            return
-        self.as_of_ms = max(self.as_of_ms, as_of_ms)
-        age_ms = self.clock.boot_ms() - as_of_ms
-        read_ms = self.clock.now_ms() - age_ms
-        for rollout in self.rollouts.rollouts.values():
-            if rollout.known:
-                rollout.read_ms = max(rollout.read_ms, read_ms)
-
-    def _is_due(self, rollout: rollout_state.Rollout) -> bool:
-        """Whether the status has to be read before anything is decided."""
-        if not rollout.known or self.as_of_ms == board_module.NEVER:
-            return True
-        age_ms = self.clock.now_ms() - rollout.read_ms
-        return age_ms >= (
-            DELEGATED_READ_MS if self.has_delegate() else READ_MS
-        )
-
-    async def _read_statuses(self) -> int:
-        """Take the statuses that stand in the store; return the log's end."""
-        sent_ms = self.clock.boot_ms()
-        batch = await self.statuses.read_newest()
-        for record in batch.records:
-            status = self.decode_status(record)
-            if status is not None:
-                self._take_status(status)
-        for rollout in self.rollouts.rollouts.values():
+    def _refresh(self, rollout: rollout_state.Rollout) -> None:
+        """Note when the statuses were last known to be the newest."""
+        age_ms = self.clock.boot_ms() - self.as_of_ms
+        if age_ms < rollout_state.STALE_MS:
             rollout.known = True
-            rollout.read_ms = self.clock.now_ms()
-        self.end, self.as_of_ms = batch.end, sent_ms
-        return batch.end
+            read_ms = self.clock.now_ms() - age_ms
+            rollout.read_ms = max(rollout.read_ms, read_ms)
 
     def _take_status(self, status: facts.RolloutStatus) -> None:
         rollout = self.rollouts.rollouts.get(status.service)
