--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -1,45 +1,43 @@
-"""How long calls to the store may wait for news, and how old proofs may be.
+"""How long calls to the store may wait, and how old their results may get.
 
 Load: nothing changes for seconds, and an entry VM has to know that it does;
-then the store, or the neighbour that reads it, falls silent just before a
-change. Harm prevented: calls in short turns that bring nothing; or keys and
+then the store, or the delegate that reads it, stops answering just before a
+change. Failure prevented: short polls that bring nothing; or keys and
 endpoints that are trusted for longer than the bounds allow.
 
-A poll proves something when it ends: that nothing followed up to when it was
-sent. All times are in ms.
+A poll shows, when it ends, that nothing followed up to when it was sent. All
+times are in ms.
 """
 
 # A poll ends after this at the latest even if nothing came.
 POLL_MS = 1_500.0
-# So many polls fit into a lease that rests on their proof: a proof is as
-# old as its poll when it comes, and has to last until the next one comes, and
-# a poll may fail and be made again.
-POLLS_A_LEASE = 3.0
-LEAST_POLL_MS = 100.0
+# Polls that fit into a lease: what a poll shows is as old as the poll when it
+# comes and has to last until the next one ends, and one may fail.
+POLLS_PER_LEASE = 3.0
+MIN_POLL_MS = 100.0
 # Part of the time for which a leaving endpoint may still get work that a poll
-# on the endpoints may wait. The store may leave polls in the dark while it
-# drops its history; then only the end of a poll brings the news.
+# on the endpoints may wait. While the store drops its history, polls may miss
+# a change until they end.
 DRAIN_PART = 0.55
 # However often endpoints renew their entries, polls wait for so long.
-LEAST_REGISTRY_POLL_MS = 500.0
+MIN_REGISTRY_POLL_MS = 500.0
 # Part of the time within which a configuration has to be in force that a poll
-# on the table may wait. Who has_delegate on a reader that lost the store just before
-# a change finds the reader's proof too old a poll and half a second after it,
-# and reads the change.
+# on the table may wait. A client whose delegate lost the store just before a
+# change finds the report too old a poll and half a second after the change.
 APPLY_PART = 0.5
-# How often a reader is asked. News is told at once; this is for the proofs of
-# its absence, and for news whose datagram was lost.
+# How often a delegate is queried. Changes are pushed at once; queries show
+# that nothing changed, and bring changes whose datagrams were lost.
 QUERY_MS = 400.0
-# A question later than usual, and the way of its answer.
+# A query that is sent late, and the time its answer takes.
 REPORT_SLACK_MS = 100.0
-# Part of the lease on keys from which on an entry VM reads the store itself,
-# though another reads it for this one: time for an answer of a slow store.
+# Part of the lease on keys from which on an entry VM reads the store itself
+# though it has a delegate: time for an answer of a slow store.
 OWN_PART = 0.8
 
 
 def find_poll(lease_ms: float) -> float:
     """How long a poll may wait, so that its proof keeps a lease alive."""
-    return max(LEAST_POLL_MS, min(POLL_MS, lease_ms / POLLS_A_LEASE))
+    return max(MIN_POLL_MS, min(POLL_MS, lease_ms / POLLS_PER_LEASE))
 
 
 def find_table_poll(lease_ms: float, apply_ms: float) -> float:
@@ -62,22 +60,22 @@
     """
     unlike_outage_ms = longest_gap_ms - QUERY_MS - 3.0 * REPORT_SLACK_MS
     return min(
-        DRAIN_PART * drain_ms, max(LEAST_REGISTRY_POLL_MS, unlike_outage_ms)
+        DRAIN_PART * drain_ms, max(MIN_REGISTRY_POLL_MS, unlike_outage_ms)
     )
 
 
 def compute_max_report_age(poll_ms: float) -> float:
-    """How old a proof may be that comes from a reader with the store.
+    """How old the report of a delegate that reaches the store may be.
 
-    It is as of the sending of a poll: one before the last when it is told,
-    and as old as until the next question when that is answered. A reader
-    that has lost the store goes on telling what it had proved, until the poll
-    under way counts as failed; its proof then is older than this.
+    It is as of the sending of the poll before the last, and gets older until
+    the next query is answered. A delegate that has lost the store reports
+    what it knew until the poll under way counts as failed; its reports are
+    then older than this.
     """
     return 2.0 * poll_ms + QUERY_MS + REPORT_SLACK_MS
 
 
 def compute_max_table_age(lease_ms: float, apply_ms: float) -> float:
-    """How old a neighbour's proof of the routing table may be."""
+    """How old a delegate's report on the routing table may be."""
     poll_ms = find_table_poll(lease_ms, apply_ms)
     return min(OWN_PART * lease_ms, compute_max_report_age(poll_ms))
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -32,13 +32,13 @@
     record. ``prove`` is told the boot time at which the call was sent that
     showed the reader to be up to date. ``contact`` is shared by all feeds.
     ``note_failing`` is called at the first failed call and at the first that
-    succeeds again. ``get_poll_wait`` says how long the next poll may wait, in ms.
+    succeeds again. ``get_poll_wait`` says how long the next poll may wait, in
+    ms. Nothing is read while ``is_needed`` says that the topic is not.
 
     While ``has_delegate`` says so another entry VM reads the store for this
     one, ``confirm`` gets what it attests and ``apply_changes`` what it read.
     The feed then calls only if it cannot be brought up to date so, or when
     what was proved last is older than ``get_max_age`` says, in ms.
-    Nothing is read while ``is_needed`` says so.
     ``push_updates`` is called when records have come. ``log`` keeps what can
     be passed on to others; ``announced_position`` is the farthest that
     another entry VM has reported, ``behind_since_ms`` since when it is ahead.
@@ -77,9 +77,9 @@
     def describe(self) -> tuple[int, float] | None:
         """The position reached, and when nothing followed it; None if unsure.
 
-        An entry VM that cannot reach the store, or has heard of news that it
-        has not read, leaves it to others to tell of the topic: who delegated on
-        it would take the old for the newest until its proof is too old.
+        An entry VM that cannot reach the store, or knows of records that it
+        has not read, reports nothing: its clients would take the old for the
+        newest until the report is too old.
         """
         if self.position is None or self.failing or self._is_behind():
             return None
@@ -146,8 +146,8 @@
             while not self.is_needed():
                 await self.clock.sleep(NEEDED_CHECK_MS)
             delegated = await self._wait_for_update()
-            # What was proved is nearly too old where a neighbour has fallen
-            # silent; a poll that waits would prove nothing for a second more.
+            # What was proved is nearly too old where a delegate has failed; a
+            # poll that waits would prove nothing for a second more.
             wait_ms = (
                 0.0 if delegated or self.failing else self.get_poll_wait()
             )
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -180,12 +180,7 @@
 
 
 def test_feed_that_is_behind_tells_nothing():
-    """A configuration is in force three seconds late on an entry VM.
-
-    It delegated on one that had heard of the change and could not read it. That
-    one went on telling that nothing followed the place where it stood, as of
-    before the change.
-    """
+    """A configuration is in force three seconds late on an entry VM."""
     contact = make_contact(typing.cast(typing.Any, clock_module.ManualClock()))
     topic: typing.Any = Topic()
     reader = make_feed("declarations", topic, contact)
--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -35,11 +35,7 @@
 
 
 def test_reader_that_dies_does_not_look_like_an_outage_of_the_store():
-    """An endpoint that left just then is waited for, and sent work meanwhile.
-
-    Who delegated on the reader has read nothing since the reader's last answer,
-    and takes what is missing for entries that ran out.
-    """
+    """An endpoint that left just then is waited for, and sent work meanwhile."""
     for drain_ms in range(1_000, 6_000, 500):
         for heartbeat_ms in (1_000.0, 1_200.0, 2_000.0, 5_000.0):
             poll_ms = store_polls.find_registry_poll(
