--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -35,7 +35,7 @@
 
 
 def test_reader_that_dies_does_not_look_like_an_outage_of_the_store():
-    """An endpoint that left just then is waited for, and sent work meanwhile."""
+    """An endpoint that left just then is waited for, and gets work."""
     for drain_ms in range(1_000, 6_000, 500):
         for heartbeat_ms in (1_000.0, 1_200.0, 2_000.0, 5_000.0):
             poll_ms = store_polls.find_registry_poll(
