Merge load reports at a cost that does not grow with the entry VMs

Cause: each datagram of a peer had the roll-out judged, which adds up the counts of all entry VMs by route, and each placement added up the reports of all peers, some five times a request. Both grow with the square of the entry VMs. Besides, with many peers each gets a report in turn only, every 4 s from other domains, and counted for 1.5 s: engines there looked idle most of the time, and an entry VM that has lost the store was forgotten between two of its reports.

Ruled out: fewer reports (the bytes are within what control may take).

--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -8,7 +8,7 @@
 
 Work is counted in weighted tokens: prompt tokens that still have to be read,
 times how much of an engine's time the model takes for one of them, against
-the largest. What peers have outstanding comes from their last word.
+the largest. What peers have outstanding comes from their last reports.
 """
 
 import collections
@@ -22,8 +22,10 @@
 # Work goes to another failure domain if that saves more than this part of its
 # target. Less is felt by nobody, and what crosses between domains is paid for.
 REMOTE_PART = 0.05
-# A peer's word that is older has been overtaken or the peer has gone.
-PEER_LIFE_MS = 1_500.0
+# Older reports are dropped: the load has changed or the peer has failed.
+PEER_REPORT_TTL_MS = 1_500.0
+# How often peers' reports are checked for their age.
+EXPIRY_CHECK_MS = 100.0
 # Part of an engine's memory that kept prompts are assumed to have; the rest
 # holds what is running.
 CACHED_PART = 0.6
@@ -39,9 +41,9 @@
 
 @attrs.define
 class PeerLoads:
-    """What a peer has outstanding, and when it said so."""
+    """What a peer has outstanding, and until when its report counts."""
 
-    heard_ms: float
+    expires_ms: float
     loads: dict[str, Load]
 
 
@@ -57,10 +59,17 @@
 
 @attrs.define
 class EngineLoads:
-    """All that one entry VM knows of the engines' outstanding work."""
+    """All that one entry VM knows of the engines' outstanding work.
+
+    ``of_peers`` is the sum of the reports in ``peers``, kept up to date with
+    each: with hundreds of peers, adding them up for each prompt would cost
+    more than all else that is done for it.
+    """
 
     own: dict[str, Load] = attrs.field(factory=dict)
     peers: dict[str, PeerLoads] = attrs.field(factory=dict)
+    of_peers: dict[str, Load] = attrs.field(factory=dict)
+    checked_ms: float = float("-inf")
     cached: dict[str, CachedParts] = attrs.field(factory=dict)
 
 
@@ -159,34 +168,60 @@
         loads.own.pop(engine, None)
 
 
-def take_peer(
-    loads: EngineLoads, peer: str, told: dict[str, Load], now_ms: float
+def merge_peer_report(
+    loads: EngineLoads,
+    peer: str,
+    report: dict[str, Load],
+    now_ms: float,
+    ttl_ms: float = PEER_REPORT_TTL_MS,
 ) -> None:
-    """Take a peer's word on its outstanding work."""
-    loads.peers[peer] = PeerLoads(now_ms, told)
-
-
-def sum_loads(loads: EngineLoads, now_ms: float) -> dict[str, Load]:
-    """The outstanding work of everybody, by engine."""
-    total = dict(loads.own)
-    for peer, told in list(loads.peers.items()):
-        if now_ms - told.heard_ms > PEER_LIFE_MS:
-            del loads.peers[peer]
-            continue
-        for engine, load in told.loads.items():
-            known = total.get(engine, Load())
-            total[engine] = Load(
-                known.weight + load.weight, known.streams + load.streams
-            )
-    return total
-
-
-def find_mean_weight(
+    """Replace the last known outstanding work of ``peer``."""
+    _drop_report(loads, peer)
+    loads.peers[peer] = PeerLoads(now_ms + ttl_ms, report)
+    for engine, load in report.items():
+        known = loads.of_peers.get(engine, Load())
+        loads.of_peers[engine] = Load(
+            known.weight + load.weight, known.streams + load.streams
+        )
+
+
+def _drop_report(loads: EngineLoads, peer: str) -> None:
+    dropped = loads.peers.pop(peer, None)
+    if dropped is None:
+        return
+    for engine, load in dropped.loads.items():
+        known = loads.of_peers[engine]
+        left = Load(known.weight - load.weight, known.streams - load.streams)
+        if left.streams > 0 or left.weight >= 1.0:
+            loads.of_peers[engine] = left
+        else:
+            del loads.of_peers[engine]
+
+
+def expire_reports(loads: EngineLoads, now_ms: float) -> None:
+    """Drop the reports that are too old."""
+    if now_ms - loads.checked_ms < EXPIRY_CHECK_MS:
+        return
+    loads.checked_ms = now_ms
+    for peer, report in list(loads.peers.items()):
+        if now_ms > report.expires_ms:
+            _drop_report(loads, peer)
+
+
+def get_load(loads: EngineLoads, engine: str) -> Load:
+    """The outstanding work of everybody at an engine."""
+    own, peers = loads.own.get(engine), loads.of_peers.get(engine)
+    if own is None or peers is None:
+        return own or peers or Load()
+    return Load(own.weight + peers.weight, own.streams + peers.streams)
+
+
+def compute_mean_weight(
     loads: EngineLoads, engines: typing.Collection[str], now_ms: float
 ) -> float:
     """What each of some engines still has to read, on average."""
-    total = sum_loads(loads, now_ms)
-    known = sum(total[name].weight for name in engines if name in total)
+    expire_reports(loads, now_ms)
+    known = sum(get_load(loads, name).weight for name in engines)
     return known / max(1, len(engines))
 
 
@@ -236,11 +271,11 @@
     Those in other failure domains count as if they had ``remote_weight`` more
     to read before.
     """
-    total = sum_loads(loads, now_ms)
+    expire_reports(loads, now_ms)
     best: list[Choice] = []
     least = float("inf")
     for candidate in candidates:
-        load = total.get(candidate.name, Load())
+        load = get_load(loads, candidate.name)
         unread = count_unread(loads, candidate.name, prompt)
         weight = load.weight + unread * prompt.model_weight
         cost = (
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -115,7 +115,7 @@
             for view in pool.views
             if health_module.may_take(view.health, now_ms, view.in_flight)
         ]
-        weight = engine_load.find_mean_weight(self.loads, names, now_ms)
+        weight = engine_load.compute_mean_weight(self.loads, names, now_ms)
         return weight * self.find_pace(service).token_ms
 
     def find_pool(self, want: Want) -> placement.Candidates:
--- a/src/carawayward/forwarding/hint_channels.py
+++ b/src/carawayward/forwarding/hint_channels.py
@@ -22,12 +22,21 @@
 # Told to at most this many peers; beyond it, a part of the others each time.
 MOST_PEERS = 16
 
+# With many peers each gets a report in turn only: what one says counts for so
+# many of the intervals at which its reports come, within these bounds.
+INTERVALS_PER_TTL = 2.5
+MAX_REPORT_TTL_MS = 10_000.0
+INTERVAL_GAIN = 0.3
+
 Address = tuple[str, int]
 
 
 @attrs.define
 class Peer:
-    """Another entry VM; ``stale`` if it cannot prove its keys."""
+    """Another entry VM; ``stale`` if it cannot prove its keys.
+
+    ``interval_ms`` is how long there is between two of its reports.
+    """
 
     name: str
     address: Address
@@ -36,6 +45,19 @@
     near: bool = True
     sequence: int = 0
     stale: bool = False
+    interval_ms: float = 0.0
+
+    def record_report(self, sequence: int, now_ms: float) -> None:
+        """A report has come."""
+        if self.sequence:
+            gap_ms = now_ms - self.heard_ms
+            self.interval_ms += INTERVAL_GAIN * (gap_ms - self.interval_ms)
+        self.sequence, self.heard_ms = sequence, now_ms
+
+    def compute_ttl_ms(self, least_ms: float) -> float:
+        """How long its last report counts."""
+        ttl_ms = INTERVALS_PER_TTL * self.interval_ms
+        return max(least_ms, min(ttl_ms, MAX_REPORT_TTL_MS))
 
 
 @attrs.define(eq=False)
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/hints.py
@@ -170,7 +170,8 @@
         """Other entry VMs known, and those that said lately they are stale."""
         now_ms = self.clock.now_ms()
         stale = sum(
-            peer.stale and now_ms - peer.heard_ms < SILENT_MS
+            peer.stale
+            and now_ms - peer.heard_ms < peer.compute_ttl_ms(SILENT_MS)
             for peer in self.peers.values()
         )
         return len(self.peers), stale
@@ -362,7 +363,7 @@
         self, peer: hint_channels.Peer, message: hint_messages.Message
     ) -> None:
         now_ms = self.clock.now_ms()
-        peer.sequence, peer.heard_ms = message.sequence, now_ms
+        peer.record_report(message.sequence, now_ms)
         peer.stale = message.stale
         names = self._name_engines()
         told = {
@@ -370,7 +371,10 @@
             for number, load in message.loads.items()
             if number in names
         }
-        engine_load.take_peer(self.loads, peer.name, told, now_ms)
+        ttl_ms = peer.compute_ttl_ms(engine_load.PEER_REPORT_TTL_MS)
+        engine_load.merge_peer_report(
+            self.loads, peer.name, told, now_ms, ttl_ms
+        )
         for part in message.parts:
             engine = names.get(part.engine)
             if engine is not None:
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -298,6 +298,8 @@
             # An entry VM that started amid a roll-out would begin it anew.
             began_ms = self.clock.now_ms() - float(age_ms)
             rollout.began_ms = min(rollout.began_ms, began_ms)
+            # Judging goes through the counts of all entry VMs: at hundreds
+            # of them, doing so for each report would take a tenth of a core.
+            # The next round judges.
             if halted:
                 self._halt(rollout)
-            self.judge(rollout)
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -11,6 +11,7 @@
 
 from carawayward.decisions import engine_load
 from carawayward.decisions import escalation
+from carawayward.forwarding import hint_channels
 
 TOKEN_MS = 0.06
 BASE_MS = 120.0
@@ -85,7 +86,7 @@
             )
             head_ms = engine_load.predict_head(pace, row + tokens)
             names = [str(i) for i in range(len(engines))]
-            mean = engine_load.find_mean_weight(loads, names, now_ms)
+            mean = engine_load.compute_mean_weight(loads, names, now_ms)
             backlog_part = mean * TOKEN_MS / SHORTEST_MS
             if escalate(20.0, backlog_part, head_ms / TARGET_MS):
                 replay.heads.append(send(now_ms, tokens, 1.0) - began_ms)
@@ -215,13 +216,51 @@
     assert list(loads.cached["a"].parts) == [4, 5, 6, 7, 8, 9]
 
 
-def test_word_of_a_peer_that_fell_silent_counts_no_more():
-    """A peer told of a long row and was killed; its requests are gone."""
+def test_report_of_a_peer_that_has_failed_expires():
+    """A peer reported a long row and was killed; its requests are gone."""
     loads = engine_load.EngineLoads()
-    told = {"a": engine_load.Load(50_000.0, 3)}
-    engine_load.take_peer(loads, "peer", told, 0.0)
-    assert engine_load.sum_loads(loads, 1_000.0)["a"].streams == 3
-    assert not engine_load.sum_loads(loads, 2_000.0)
+    report = {"a": engine_load.Load(50_000.0, 3)}
+    engine_load.merge_peer_report(loads, "peer", report, 0.0)
+    engine_load.expire_reports(loads, 1_000.0)
+    assert engine_load.get_load(loads, "a").streams == 3
+    engine_load.expire_reports(loads, 2_000.0)
+    assert engine_load.get_load(loads, "a") == engine_load.Load()
+    assert not loads.of_peers
+
+
+def test_sum_of_reports_is_that_of_the_last_of_each_peer():
+    """A sum that is kept up to date drifts from what peers reported."""
+    draw = random.Random(11)
+    loads = engine_load.EngineLoads()
+    last: dict[str, dict[str, engine_load.Load]] = {}
+    for step in range(2_000):
+        peer = f"vm-{draw.randrange(40)}"
+        last[peer] = {
+            f"engine-{draw.randrange(6)}": engine_load.Load(
+                float(draw.randrange(30_000)), draw.randrange(1, 9)
+            )
+            for _ in range(draw.randrange(4))
+        }
+        engine_load.merge_peer_report(loads, peer, last[peer], float(step))
+        engine = f"engine-{draw.randrange(6)}"
+        listed = [each[engine] for each in last.values() if engine in each]
+        found = engine_load.get_load(loads, engine)
+        assert found.streams == sum(each.streams for each in listed)
+        weight = sum(each.weight for each in listed)
+        assert abs(found.weight - weight) < 1.0
+
+
+def test_reports_that_come_seldom_count_for_longer():
+    """160 peers of other domains report every 4 s and look idle between."""
+    peer = hint_channels.Peer("vm", ("127.0.0.1", 1), "a", 0.0)
+    least_ms = engine_load.PEER_REPORT_TTL_MS
+    assert peer.compute_ttl_ms(least_ms) == least_ms
+    for sequence in range(1, 12):
+        peer.record_report(sequence, 4_000.0 * sequence)
+    assert peer.compute_ttl_ms(least_ms) > 8_000.0
+    for sequence in range(12, 40):
+        peer.record_report(sequence, 44_000.0 + 100.0 * sequence)
+    assert peer.compute_ttl_ms(least_ms) == least_ms
 
 
 def test_pace_is_learned_from_long_rows_and_the_base_from_short_ones():
@@ -266,7 +305,7 @@
         engine_load.add_own(loads, name, engine_load.Load(20_000.0, 10))
 
     def find_strain():
-        weight = engine_load.find_mean_weight(loads, names, 0.0)
+        weight = engine_load.compute_mean_weight(loads, names, 0.0)
         part = weight * pace.token_ms / 1_000.0
         return escalation.find_strain(part, 0.0).behind
 
