Count calls of the store by topic and cause

A feed names the cause before it calls, which also says whether the call may wait: only a poll does. A client of a delegate that works calls for its start and once more (test, 30 s); no other behaviour changes.

--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -85,7 +85,13 @@
         )
         parts = assembly.make_placing(settings, board, clock, ports)
         feeds = feeds_module.make_feeds(
-            settings, board, clock, ports, parts.freshness, parts.rounds
+            settings,
+            board,
+            clock,
+            ports,
+            parts.freshness,
+            parts.rounds,
+            parts.placer.measures,
         )
         return cls(
             settings=settings,
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -1,5 +1,6 @@
 """Follows one topic of the store: newest records first, then the tail."""
 
+import enum
 import typing
 
 import attrs
@@ -24,6 +25,19 @@
 MAX_BEHIND_MS = 600.0
 
 
+class Cause(enum.StrEnum):
+    """Why a feed calls the store."""
+
+    START = "start"
+    POLL = "poll"
+    RETRY = "retry"
+    HISTORY_LOST = "history lost"
+    DELEGATE_LOST = "delegate lost"
+    REPORT_OLD = "report old"
+    BEHIND = "behind"
+    NOT_SERVED = "not served"
+
+
 @attrs.define(eq=False)
 class TopicFeed:
     """Keeps a reader up to date with one topic.
@@ -57,6 +71,7 @@
     is_needed: typing.Callable[[], bool] = lambda: True
     get_max_age: typing.Callable[[], float] = lambda: store_polls.POLL_MS
     push_updates: typing.Callable[[], None] = lambda: None
+    count_call: typing.Callable[[Cause], None] = lambda cause: None
     position: int | None = None
     proved_ms: float = board_module.NEVER
     announced_position: int = 0
@@ -145,12 +160,11 @@
         while True:
             while not self.is_needed():
                 await self.clock.sleep(NEEDED_CHECK_MS)
-            delegated = await self._wait_for_update()
-            # What was proved is nearly too old where a delegate has failed; a
-            # poll that waits would prove nothing for a second more.
-            wait_ms = (
-                0.0 if delegated or self.failing else self.get_poll_wait()
-            )
+            cause = await self._wait_for_cause()
+            self.count_call(cause)
+            # Only a poll waits for records. What was proved is nearly too old
+            # in all other cases, and proved anew only when the call ends.
+            wait_ms = self.get_poll_wait() if cause is Cause.POLL else 0.0
             sent_ms = self.contact.note_call()
             try:
                 batch = await self._read(wait_ms)
@@ -174,26 +188,40 @@
             if batch.records:
                 self.push_updates()
 
-    async def _wait_for_update(self) -> bool:
-        """Wait while another entry VM reads; whether one did."""
-        delegated = False
-        while self._may_delegate() and not self._wakeup.is_set():
-            delegated = self._delegating = True
+    async def _wait_for_cause(self) -> Cause:
+        """Wait while another entry VM reads; why this one has to call."""
+        if self.position is None:
+            return Cause.START
+        if self._lost:
+            return Cause.HISTORY_LOST
+        if self.failing:
+            return Cause.RETRY
+        if not self._is_behind():
+            self._wakeup = trio.Event()
+        while (cause := self._find_cause()) is None:
+            self._delegating = True
             left_ms = self.get_max_age() - self._find_age_ms()
             with trio.move_on_after(min(left_ms, DELEGATE_CHECK_MS) / 1000):
                 await self._wakeup.wait()
+            if self._wakeup.is_set():
+                cause = Cause.NOT_SERVED
+                break
+        if not self._delegating:
+            return Cause.POLL
         self._delegating = False
-        self._wakeup = trio.Event()
-        return delegated
+        return cause
 
-    def _may_delegate(self) -> bool:
-        if self.position is None or self.failing or not self.has_delegate():
-            return False
+    def _find_cause(self) -> Cause | None:
+        """Why the delegate does not serve just now; None if it does."""
+        if not self.has_delegate():
+            return Cause.DELEGATE_LOST
         if self.behind_since_ms is not None:
             behind_ms = self.clock.boot_ms() - self.behind_since_ms
             if behind_ms >= MAX_BEHIND_MS:
-                return False
-        return self._find_age_ms() < self.get_max_age()
+                return Cause.BEHIND
+        if self._find_age_ms() >= self.get_max_age():
+            return Cause.REPORT_OLD
+        return None
 
     def _is_behind(self) -> bool:
         return (
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -13,6 +13,7 @@
 from carawayward.forwarding import declarations
 from carawayward.forwarding import feed
 from carawayward.forwarding import freshness as freshness_module
+from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import ports as ports_module
 from carawayward.forwarding import registry
 from carawayward.forwarding import rollout_rounds
@@ -38,14 +39,25 @@
     ports: ports_module.Ports,
     freshness: freshness_module.FreshnessController,
     rounds: rollout_rounds.RolloutRounds,
+    measures: measures_module.Measures,
 ) -> list[feed.TopicFeed]:
     """The feeds of routing table, endpoints and statuses of roll-outs."""
     contact = store_contact.StoreContact(clock)
-    return [
+    made = [
         make_table_feed(board, contact, ports, freshness),
         make_endpoints_feed(settings, board, contact, ports, freshness),
         make_statuses_feed(contact, ports, freshness, rounds),
     ]
+    for each in made:
+        each.count_call = functools.partial(count_call, measures, each.name)
+    return made
+
+
+def count_call(
+    measures: measures_module.Measures, topic: str, cause: feed.Cause
+) -> None:
+    """Count a call of the store by topic and cause."""
+    measures.count("store_calls", topic=topic, cause=cause.value)
 
 
 def make_table_feed(
--- a/tests/cover/test_forwarding_delegates.py
+++ b/tests/cover/test_forwarding_delegates.py
@@ -12,10 +12,12 @@
 from carawayward import errors
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
+from carawayward.forwarding import feed
 from carawayward.forwarding import feeds as feeds_module
 from carawayward.forwarding import freshness
 from carawayward.forwarding import hint_messages
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import measures
 from carawayward.forwarding import settings
 from carawayward.forwarding import table
 from carawayward.platform import store
@@ -141,7 +143,7 @@
         is_running=lambda: False, replace=None, apply=None, prove=None
     )
     feeds = feeds_module.make_feeds(
-        own, board, clock, ports, exchanged, rounds
+        own, board, clock, ports, exchanged, rounds, measures.Measures()
     )
     return board, [*feeds, exchanged]
 
@@ -190,3 +192,28 @@
             delays = trio.run(find_delays, lost_s, changed_s, clock=clock)
             assert set(delays) == {"table", "endpoint"}, (lost_s, changed_s)
             assert max(delays.values()) < most_s, (lost_s, changed_s, delays)
+
+
+async def count_causes(quiet_s):
+    """The calls of the client by cause, while nothing changes."""
+    wires: dict[str, Wire] = {}
+    for name in NAMES:
+        wires[name] = Wire(name, wires)
+    causes: list[feed.Cause] = []
+    async with trio.open_nursery() as nursery:
+        for name in NAMES:
+            _, controllers = make_vm(name, wires, 1e9, float("inf"))
+            if name == ASKER:
+                controllers[0].count_call = causes.append
+            for each in controllers:
+                await each.start(nursery)
+        await trio.sleep(quiet_s)
+        nursery.cancel_scope.cancel()
+    return causes
+
+
+def test_client_calls_the_store_at_its_start_only():
+    """Each entry VM polls the store though its delegate does."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    causes = trio.run(count_causes, 30.0, clock=clock)
+    assert causes == [feed.Cause.START, feed.Cause.POLL]
