--- a/bench/hints.py
+++ b/bench/load_reports.py
@@ -1,6 +1,6 @@
-"""What telling each other costs a node: ``./build.sh bench hints``.
+"""What load reports cost a node: ``./build.sh bench load_reports``.
 
-Entry VMs in one process tell each other of prompts over datagrams on
+Entry VMs in one process report prompts to each other by datagrams on
 loopback, idle and with prompts at each of them. Bytes are counted as sent by
 one of them, without the headers of the network.
 """
@@ -15,8 +15,8 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import engine_load
 from carawayward.forwarding import board as board_module
-from carawayward.forwarding import hints
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import load_reports
 from tests.common import loopback
 
 # Up to the most that one datagram goes to, and past it.
@@ -29,7 +29,7 @@
 DOMAINS = 3
 SETTLE_S = 2.0
 MEASURED_S = 5.0
-RESULTS = pathlib.Path("bench/results/hints.md")
+RESULTS = pathlib.Path("bench/results/load_reports.md")
 
 
 @attrs.define
@@ -77,11 +77,11 @@
         self.socket.close()
 
 
-def make_controllers(count: int) -> list[hints.HintsController]:
+def make_controllers(count: int) -> list[load_reports.LoadReporter]:
     """Entry VMs that find each other in one topic."""
     members = Members()
     return [
-        hints.HintsController(
+        load_reports.LoadReporter(
             board_module.ForwardingBoard(
                 name=f"vm-{port}", failure_domain=f"domain-{number % DOMAINS}"
             ),
@@ -95,7 +95,7 @@
     ]
 
 
-async def serve_prompts(made: hints.HintsController, seed: int) -> None:
+async def serve_prompts(made: load_reports.LoadReporter, seed: int) -> None:
     """Take prompts at random moments, as callers send them."""
     draw = random.Random(seed)
     async with trio.open_nursery() as nursery:
@@ -105,7 +105,7 @@
 
 
 async def serve_prompt(
-    made: hints.HintsController, draw: random.Random
+    made: load_reports.LoadReporter, draw: random.Random
 ) -> None:
     """One prompt: outstanding until its head, a stream until its end."""
     engine = f"i-{draw.randrange(ENGINES):010x}"
@@ -157,7 +157,7 @@
     table = "\n".join(lines)
     print(table)
     RESULTS.write_text(
-        "# What telling each other costs\n\n`./build.sh bench hints`: sent by "
+        "# What load reports cost\n\n`./build.sh bench load_reports`: sent by "
         f"one entry VM; {PROMPTS_A_SECOND:g} prompts a second at each, "
         f"{ENGINES} engines, {MEASURED_S:g} s each.\n\n{table}\n"
     )
--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -5,7 +5,8 @@
 ``avoidance`` (endpoints to pass over), ``canary`` (how far a new version is
 let in), ``redirection`` (when callers do better elsewhere), ``lapses``
 (which endpoints have left when entries are missing), ``delegates`` (who reads
-the store for whom) and ``store_polls`` (how long calls wait for news).
+the store for whom), ``turns`` (who writes first) and ``store_polls`` (how long
+calls wait).
 
 Those of the callers' API: ``admission``, ``queueing``, ``retry``,
 ``suspicion``, ``cascade``, ``evidence``, ``exposure``, ``rollout``,
--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -101,7 +101,7 @@
 # engines do.
 PACE_STEP = 0.04
 # Rows up to the first say what the base is, those past the second what a
-# token takes; between them the two cannot be told apart.
+# token takes; between them the two cannot be separated.
 SHORT_BACKLOG = 500.0
 LONG_BACKLOG = 3_000.0
 
@@ -127,7 +127,7 @@
 def note_head(pace: Pace, weight: float, took_ms: float) -> None:
     """Learn from a prompt that was read with ``weight`` up to its end."""
     if weight < SHORT_BACKLOG:
-        # One that met a prompt nobody told of yet says nothing of the base.
+        # One that met a prompt not yet reported says nothing of the base.
         seen_ms = min(took_ms, 2.0 * pace.base_ms)
         pace.base_ms += BASE_GAIN * (seen_ms - pace.base_ms)
     elif weight > LONG_BACKLOG:
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -9,7 +9,7 @@
 from carawayward.forwarding import exchange
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import freshness as freshness_module
-from carawayward.forwarding import hints as hints_module
+from carawayward.forwarding import load_reports
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import placing
 from carawayward.forwarding import ports as ports_module
@@ -26,7 +26,7 @@
     """Placement, and the controllers that it learns from."""
 
     placer: placing.Placer
-    hints: hints_module.HintsController
+    reporter: load_reports.LoadReporter
     freshness: freshness_module.FreshnessController
     rounds: rollout_rounds.RolloutRounds
 
@@ -39,7 +39,7 @@
 ) -> Placing:
     """Placement, and the controllers that it learns from."""
     fleet = fleet_module.Fleet(board, clock)
-    hints = hints_module.HintsController(
+    reporter = load_reports.LoadReporter(
         board,
         clock,
         ports.members,
@@ -47,10 +47,10 @@
         fleet.loads,
         fleet.find_memory,
     )
-    freshness = freshness_module.FreshnessController(board, clock, hints)
+    freshness = freshness_module.FreshnessController(board, clock, reporter)
     rollouts = rollouts_module.Rollouts(board, clock)
-    hints.add_topic(
-        "rollouts", hints_module.Topic(rollouts.describe, rollouts.take)
+    reporter.add_topic(
+        "rollouts", load_reports.Topic(rollouts.describe, rollouts.merge)
     )
     rounds = rollout_rounds.RolloutRounds(
         board,
@@ -59,7 +59,7 @@
         ports.statuses,
         ports.decode_status,
         ports.encode_status,
-        hints.list_members,
+        reporter.list_members,
     )
 
     def make_budget() -> extra_runs.ExtraRuns:
@@ -71,9 +71,9 @@
 
     measures = measures_module.Measures()
     placer = placing.Placer(
-        clock, fleet, rollouts, hints, measures, make_budget
+        clock, fleet, rollouts, reporter, measures, make_budget
     )
-    return Placing(placer, hints, freshness, rounds)
+    return Placing(placer, reporter, freshness, rounds)
 
 
 def make_app(
@@ -84,7 +84,7 @@
 ) -> app_module.ForwardingApp:
     """The application behind the callers' listener."""
 
-    standing = standing_module.Standing(board, clock, placer.hints)
+    standing = standing_module.Standing(board, clock, placer.reporter)
 
     def may_send(work: work_items.Work) -> bool:
         # A run that broke off goes on though keys have lapsed since: its key
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -98,7 +98,12 @@
             board=board,
             clock=clock,
             ports=ports,
-            controllers=[*feeds, parts.rounds, parts.hints, parts.freshness],
+            controllers=[
+                *feeds,
+                parts.rounds,
+                parts.reporter,
+                parts.freshness,
+            ],
             app=assembly.make_app(board, clock, ports, parts.placer),
             read_bounds=read_bounds or (lambda: settings.bounds),
         )
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -43,7 +43,7 @@
     """Keeps a reader up to date with one topic.
 
     ``replace`` gets all newest records after a gap, ``apply`` each further
-    record. ``prove`` is told the boot time at which the call was sent that
+    record. ``prove`` gets the boot time at which the call was sent that
     showed the reader to be up to date. ``contact`` is shared by all feeds.
     ``note_failing`` is called at the first failed call and at the first that
     succeeds again. ``get_poll_wait`` says how long the next poll may wait, in
@@ -242,7 +242,7 @@
             return await self._call(wait_ms)
         with self.contact.give_up_at_return():
             # A poll proves something only when it ends. The first after a
-            # failure does not wait for news, or everything that rests on its
+            # failure does not wait, or everything that rests on its
             # proof would stay refused for the length of a poll, 1.5 s.
             return await self._call(wait_ms)
         return None
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -193,11 +193,11 @@
         name, now_ms = place.entry.name, self.clock.now_ms()
         avoidance_module.note_unreached(self.avoidance, name, now_ms)
         domain = place.entry.failure_domain
-        heard_ms = self.reached_ms.get(domain, float("-inf"))
+        last_seen_ms = self.reached_ms.get(domain, float("-inf"))
         if (
             domain == self.board.failure_domain
             or took_ms < SILENT_CONNECT_MS
-            or heard_ms > now_ms - took_ms
+            or last_seen_ms > now_ms - took_ms
         ):
             return
         avoidance_module.note_domain_silent(
--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -26,7 +26,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import change_log
 from carawayward.forwarding import freshness_messages
-from carawayward.forwarding import hints as hints_module
+from carawayward.forwarding import load_reports
 from carawayward import supervision
 
 # Two queries in a row without an answer: after one lost datagram nobody reads
@@ -99,7 +99,7 @@
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
-    hints: hints_module.HintsController
+    reporter: load_reports.LoadReporter
     topics: dict[str, Followed] = attrs.field(factory=dict)
     pending: collections.OrderedDict[int, PendingQuery] = attrs.field(
         factory=collections.OrderedDict
@@ -120,7 +120,7 @@
             (freshness_messages.REPORT, self._on_report),
             (freshness_messages.CHUNK, self._on_chunk),
         ):
-            self.hints.add_handler(kind, handler)
+            self.reporter.add_handler(kind, handler)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to query."""
@@ -165,7 +165,7 @@
 
     def _query_delegates(self) -> None:
         before = self.choice.delegate
-        delegate = self.choice.choose(self.hints.list_near())
+        delegate = self.choice.choose(self.reporter.list_domain_peers())
         if delegate != before:
             events.log_event(events.Event.DELEGATE_CHOSEN, reader=delegate)
         for peer in self.choice.list_targets(self.clock.boot_ms()):
@@ -182,7 +182,7 @@
             if (position := topic.get_position()) is not None
         }
         query = freshness_messages.Query(self._number, positions)
-        self.hints.send(peer, query.to_bytes())
+        self.reporter.send(peer, query.to_bytes())
 
     def _on_query(self, peer: str, fields: list) -> None:
         query = freshness_messages.Query.from_fields(fields)
@@ -203,7 +203,7 @@
                 reports[name] = self._make_report(peer, client, name, *known)
         if reports:
             report = freshness_messages.FreshnessReport(client.number, reports)
-            self.hints.send(peer, report.to_bytes())
+            self.reporter.send(peer, report.to_bytes())
 
     def _make_report(
         self,
@@ -248,7 +248,7 @@
             client.number, name, start, change
         )
         for chunk in chunks:
-            self.hints.send(peer, chunk.to_bytes())
+            self.reporter.send(peer, chunk.to_bytes())
         return bool(chunks)
 
     def _on_report(self, peer: str, fields: list) -> None:
--- a/src/carawayward/forwarding/hint_messages.py
+++ b/src/carawayward/forwarding/load_report_messages.py
@@ -1,8 +1,8 @@
-"""The datagram by which entry VMs tell each other what they have sent.
+"""The datagram of a load report.
 
-Names are told as numbers of 32 bits, since most datagrams cross between
+Names go out as numbers of 32 bits, since most datagrams cross between
 failure domains, where bytes are paid for: with six engines and the parts of
-two prompts one has 131 bytes, and 276 with names and each part told twice.
+two prompts one has 131 bytes, and 276 with names and each part sent twice.
 """
 
 import typing
@@ -69,7 +69,7 @@
 
 @attrs.frozen
 class CachedPart:
-    """A part of a prompt that an engine, told by number, will have read."""
+    """A part of a prompt that an engine, given by number, will have read."""
 
     engine: int
     key: int
--- a/src/carawayward/forwarding/hints.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -1,12 +1,12 @@
-"""Tells the other entry VMs what this one has outstanding at the engines.
+"""Load reports: what this entry VM has outstanding at the engines.
 
-Datagrams, since a word that comes late is worth nothing: on a connection it
+Datagrams, since a report that comes late is worth nothing: on a connection it
 would wait behind a lost one. A lost datagram is made good by the next.
 Entry VMs find each other in a topic of the store; each that starts adds
-itself and greets those that it finds there.
+itself and sends a report to those that it finds there.
 
-Entry VMs of the same failure domain mostly share its engines and are told at
-once; those of others are told as often as a budget of bytes allows.
+Entry VMs of the same failure domain mostly share its engines and get reports
+at once; those of others get them as often as a budget of bytes allows.
 """
 
 import socket
@@ -20,46 +20,47 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import board as board_module
-from carawayward.forwarding import hint_channels
-from carawayward.forwarding import hint_messages
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import load_report_messages
+from carawayward.forwarding import report_channels
 from carawayward import settings as settings_module
 from carawayward import supervision
 
-# While anything is outstanding it is told anew this often, well within the
-# life of a word; with nothing outstanding only that one is alive.
+# While anything is outstanding it is reported this often, well within the
+# TTL of a report; with nothing outstanding a heartbeat goes out.
 REPEAT_MS = 400.0
-ALIVE_MS = 1_500.0
-# What a peer said of itself counts no more when it was unheard for this long.
-SILENT_MS = 2 * ALIVE_MS
-# Unheard for this long a peer is no longer told of.
-FORGET_MS = 30_000.0
+HEARTBEAT_MS = 1_500.0
+# What a peer reported of itself counts for this long at the least.
+PEER_TIMEOUT_MS = 2 * HEARTBEAT_MS
+# A peer without a report for this long gets none any more.
+REMOVE_AFTER_MS = 30_000.0
 # So many engines fit into an Ethernet frame beside the parts.
-MOST_ENGINES = 30
-MOST_BYTES = 8_192
-FIND_RETRY_MS = 500.0
+MAX_ENGINES = 30
+MAX_DATAGRAM_BYTES = 8_192
+JOIN_RETRY_MS = 500.0
 
 
 @attrs.frozen
 class Topic:
-    """What another controller has told with each datagram.
+    """What another controller adds to each report.
 
     ``describe`` gives a value that CBOR can carry, None for nothing;
-    ``take`` gets a peer's name with its incarnation, and the value.
+    ``merge`` gets a peer's name with its incarnation, the value, and for how
+    long it counts, in ms.
     """
 
     describe: typing.Callable[[], typing.Any]
-    take: typing.Callable[[str, typing.Any], None]
+    merge: typing.Callable[[str, typing.Any, float], None]
 
 
 # Takes a peer's name and the decoded fields of its datagram; raises one of
-# ``hint_messages.UNREADABLE`` for what cannot be read.
+# ``load_report_messages.UNREADABLE`` for what cannot be read.
 Handler = typing.Callable[[str, list], None]
 
 
 @attrs.define(eq=False)
-class HintsController:
-    """Exchanges hints with the other entry VMs."""
+class LoadReporter:
+    """Exchanges load reports with the other entry VMs."""
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
@@ -67,32 +68,32 @@
     address: str
     loads: engine_load.EngineLoads
     memory_tokens: typing.Callable[[str], int]
-    peers: dict[str, hint_channels.Peer] = attrs.field(factory=dict)
+    peers: dict[str, report_channels.Peer] = attrs.field(factory=dict)
     peer_names: dict[int, str] = attrs.field(factory=dict)
     engine_names: dict[int, str] = attrs.field(factory=dict)
     generation: int = -1
     topics: dict[str, Topic] = attrs.field(factory=dict)
     handlers: dict[int, Handler] = attrs.field(factory=dict)
-    addresses: dict[hint_channels.Address, str] = attrs.field(factory=dict)
+    addresses: dict[report_channels.Address, str] = attrs.field(factory=dict)
     sequence: int = 0
-    channels: list[hint_channels.Channel] = attrs.field(
-        factory=hint_channels.make_channels
+    channels: list[report_channels.Channel] = attrs.field(
+        factory=report_channels.make_channels
     )
     _socket: typing.Any = None
     _sender: socket.socket | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Begin to listen and to tell."""
+        """Begin to listen and to report."""
         sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sender.setblocking(False)
         sender.bind(settings_module.split_address(self.address))
         self._sender = sender
         self._socket = trio.socket.from_stdlib_socket(sender)
-        for task in (self._listen, self._find_peers):
+        for task in (self._listen, self._join):
             nursery.start_soon(supervision.keep_running, task, ())
         for channel in self.channels:
             nursery.start_soon(
-                supervision.keep_running, self._tell_forever, (channel,)
+                supervision.keep_running, self._send_forever, (channel,)
             )
 
     async def close(self) -> None:
@@ -120,7 +121,7 @@
             # that was lost on its way, which the sender makes good.
             return
 
-    def list_near(self) -> list[str]:
+    def list_domain_peers(self) -> list[str]:
         """Peers of this failure domain that say that they reach the store.
 
         However long ago they said so: with many peers their reports come
@@ -137,33 +138,33 @@
         return [self.board.name, *self.peers]
 
     def add_load(self, engine: str, change: engine_load.Load) -> None:
-        """Note a change of the own outstanding work, and tell it."""
+        """Record a change of the own outstanding work, and report it."""
         engine_load.add_own(self.loads, engine, change)
         self._wake()
 
     def _wake(self) -> None:
         for channel in self.channels:
-            channel.news.set()
+            channel.changed.set()
 
     def add_cached(
         self, engine: str, parts: typing.Iterable[tuple[int, int]]
     ) -> None:
-        """Note what an engine will have read, and tell it."""
+        """Record what an engine will have read, and report it."""
         parts = list(parts)
         engine_load.note_cached(
             self.loads, engine, parts, self.memory_tokens(engine)
         )
-        number = hint_messages.shorten(engine)
-        told = [
-            hint_messages.CachedPart(number, key, tokens)
+        number = load_report_messages.shorten(engine)
+        cached = [
+            load_report_messages.CachedPart(number, key, tokens)
             for key, tokens in parts
         ]
         for channel in self.channels:
-            channel.add_parts(told)
+            channel.add_parts(cached)
         self._wake()
 
     def count_known(self) -> int:
-        """Entry VMs that were heard of some time ago, this one among them."""
+        """Entry VMs that are known, this one among them."""
         return 1 + len(self.peers)
 
     def count_stale(self) -> tuple[int, int]:
@@ -171,12 +172,13 @@
         now_ms = self.clock.now_ms()
         stale = sum(
             peer.stale
-            and now_ms - peer.heard_ms < peer.compute_ttl_ms(SILENT_MS)
+            and now_ms - peer.last_seen_ms
+            < peer.compute_ttl_ms(PEER_TIMEOUT_MS)
             for peer in self.peers.values()
         )
         return len(self.peers), stale
 
-    async def _find_peers(self) -> None:
+    async def _join(self) -> None:
         """Add this entry VM to the topic and greet those in it.
 
         First add, then read: of two that start at the same moment at least
@@ -191,25 +193,25 @@
                 batch = await self.members.read_newest()
                 break
             except errors.PlatformUnavailable:
-                await self.clock.sleep(FIND_RETRY_MS)
+                await self.clock.sleep(JOIN_RETRY_MS)
         for found in batch.records:
-            self._take_member(found)
+            self._add_member(found)
         self._wake()
 
-    def _describe_self(self) -> hint_messages.Sender:
-        return hint_messages.Sender(
+    def _describe_self(self) -> load_report_messages.Sender:
+        return load_report_messages.Sender(
             self.board.name,
             self.board.incarnation,
             self.address,
             self.board.failure_domain,
         )
 
-    def _take_member(self, record: keyed_log.Record) -> None:
+    def _add_member(self, record: keyed_log.Record) -> None:
         try:
-            self._take_peer(
-                hint_messages.Sender.from_bytes(record.value or b"")
+            self._add_peer(
+                load_report_messages.Sender.from_bytes(record.value or b"")
             )
-        except hint_messages.UNREADABLE as fault:
+        except load_report_messages.UNREADABLE as fault:
             events.log_event(
                 events.Event.ENTRY_UNREADABLE,
                 key=record.key,
@@ -217,14 +219,14 @@
                 fault=type(fault).__name__,
             )
 
-    def _take_peer(
-        self, sender: hint_messages.Sender
-    ) -> hint_channels.Peer | None:
+    def _add_peer(
+        self, sender: load_report_messages.Sender
+    ) -> report_channels.Peer | None:
         if sender.name == self.board.name:
             return None
         peer = self.peers.get(sender.name)
         if peer is None or peer.incarnation != sender.incarnation:
-            peer = hint_channels.Peer(
+            peer = report_channels.Peer(
                 sender.name,
                 settings_module.split_address(sender.address),
                 sender.incarnation,
@@ -252,27 +254,27 @@
         }
 
     def _find_sender(
-        self, sender: hint_messages.Sender | int
-    ) -> hint_channels.Peer | None:
+        self, sender: load_report_messages.Sender | int
+    ) -> report_channels.Peer | None:
         """The peer that a datagram is from; None until it says its name."""
-        if isinstance(sender, hint_messages.Sender):
-            return self._take_peer(sender)
+        if isinstance(sender, load_report_messages.Sender):
+            return self._add_peer(sender)
         return self.peers.get(self.peer_names.get(sender, ""))
 
-    async def _tell_forever(self, channel: hint_channels.Channel) -> None:
+    async def _send_forever(self, channel: report_channels.Channel) -> None:
         while True:
-            pause_ms = REPEAT_MS if self.loads.own else ALIVE_MS
+            pause_ms = REPEAT_MS if self.loads.own else HEARTBEAT_MS
             with trio.move_on_after(pause_ms / 1000):
-                await channel.news.wait()
-            channel.news = trio.Event()
-            sent_bytes = await self._tell(channel)
+                await channel.changed.wait()
+            channel.changed = trio.Event()
+            sent_bytes = await self._send_next(channel)
             await self.clock.sleep(channel.find_pause_ms(sent_bytes))
 
-    async def _tell(self, channel: hint_channels.Channel) -> int:
+    async def _send_next(self, channel: report_channels.Channel) -> int:
         """Send one datagram to the peers whose turn it is; return bytes."""
         now_ms = self.clock.now_ms()
         for name, peer in list(self.peers.items()):
-            if now_ms - peer.heard_ms > FORGET_MS:
+            if now_ms - peer.last_seen_ms > REMOVE_AFTER_MS:
                 del self.peers[name]
                 self._forget_number(name)
         peers = channel.choose_peers(self.peers.values())
@@ -288,21 +290,21 @@
                 continue
         return len(data) * len(peers)
 
-    def _write(self, channel: hint_channels.Channel) -> bytes:
+    def _write(self, channel: report_channels.Channel) -> bytes:
         self.sequence += 1
         heaviest = sorted(
             self.loads.own.items(), key=lambda item: -item[1].weight
         )
         sender = self._describe_self()
         introduces = channel.introduces(self.clock.now_ms())
-        message = hint_messages.Message(
+        message = load_report_messages.Message(
             sender=sender if introduces else sender.number,
             sequence=self.sequence,
             stale=self.board.store_failing
             or not self.board.is_fresh(self.clock.boot_ms()),
             loads={
-                hint_messages.shorten(engine): load
-                for engine, load in heaviest[:MOST_ENGINES]
+                load_report_messages.shorten(engine): load
+                for engine, load in heaviest[:MAX_ENGINES]
             },
             parts=channel.take_parts(),
             topics=self._describe_topics(),
@@ -310,70 +312,73 @@
         return message.to_bytes()
 
     def _describe_topics(self) -> dict[str, typing.Any]:
-        told = {name: topic.describe() for name, topic in self.topics.items()}
-        return {name: value for name, value in told.items() if value}
+        values = {
+            name: topic.describe() for name, topic in self.topics.items()
+        }
+        return {name: value for name, value in values.items() if value}
 
     async def _listen(self) -> None:
         while True:
             try:
-                data, address = await self._socket.recvfrom(MOST_BYTES)
+                data, address = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except ConnectionError:
                 continue
             self._take(data, address)
 
     def _take(
-        self, data: bytes, address: hint_channels.Address | None = None
+        self, data: bytes, address: report_channels.Address | None = None
     ) -> None:
         """Take a peer's datagram; one that cannot be read is dropped.
 
         Hints say whom they are from; other kinds are known by ``address``.
         """
         try:
-            fields = hint_messages.decode(data)
+            fields = load_report_messages.decode(data)
             handler = self.handlers.get(fields[0])
             if handler is None:
-                self._take_hint(fields)
+                self._on_report(fields)
                 return
             peer = self.addresses.get(address) if address else None
             if peer is not None:
                 handler(peer, fields)
-        except hint_messages.UNREADABLE as fault:
+        except load_report_messages.UNREADABLE as fault:
             events.log_event(
                 events.Event.PEER_REFUSED, fault=type(fault).__name__
             )
 
-    def _take_hint(self, fields: list) -> None:
-        message = hint_messages.Message.from_fields(fields)
+    def _on_report(self, fields: list) -> None:
+        message = load_report_messages.Message.from_fields(fields)
         if message is None:
             return
         peer = self._find_sender(message.sender)
         if peer is None or message.sequence <= peer.sequence:
             return
-        self._take_topics(peer, message)
-        self._take_message(peer, message)
+        self._merge_topics(peer, message)
+        self._merge_loads(peer, message)
 
-    def _take_topics(
-        self, peer: hint_channels.Peer, message: hint_messages.Message
+    def _merge_topics(
+        self, peer: report_channels.Peer, message: load_report_messages.Message
     ) -> None:
-        teller = f"{peer.name}/{peer.incarnation}"
+        sender = f"{peer.name}/{peer.incarnation}"
+        ttl_ms = peer.compute_ttl_ms(PEER_TIMEOUT_MS)
         for topic in message.topics.keys() & self.topics.keys():
-            self.topics[topic].take(teller, message.topics[topic])
+            self.topics[topic].merge(sender, message.topics[topic], ttl_ms)
 
-    def _take_message(
-        self, peer: hint_channels.Peer, message: hint_messages.Message
+    def _merge_loads(
+        self, peer: report_channels.Peer, message: load_report_messages.Message
     ) -> None:
         now_ms = self.clock.now_ms()
         peer.record_report(message.sequence, now_ms)
         peer.stale = message.stale
         names = self._name_engines()
-        told = {
+        reported = {
             names[number]: load
             for number, load in message.loads.items()
             if number in names
         }
         ttl_ms = peer.compute_ttl_ms(engine_load.PEER_REPORT_TTL_MS)
         engine_load.merge_peer_report(
-            self.loads, peer.name, told, now_ms, ttl_ms
+            self.loads, peer.name, reported, now_ms, ttl_ms
         )
         for part in message.parts:
             engine = names.get(part.engine)
@@ -387,7 +392,7 @@
         if self.generation != self.board.generation:
             self.generation = self.board.generation
             self.engine_names = {
-                hint_messages.shorten(name): name
+                load_report_messages.shorten(name): name
                 for name in self.board.endpoints
             }
         return self.engine_names
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -12,7 +12,7 @@
 from carawayward import events
 from carawayward.forwarding import facts
 from carawayward.forwarding import fleet as fleet_module
-from carawayward.forwarding import hints as hints_module
+from carawayward.forwarding import load_reports
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
@@ -30,7 +30,7 @@
     clock: clock_module.Clock
     fleet: fleet_module.Fleet
     rollouts: rollouts_module.Rollouts
-    hints: hints_module.HintsController
+    reporter: load_reports.LoadReporter
     measures: measures_module.Measures
     make_budget: typing.Callable[[], extra_runs.ExtraRuns]
     budgets: dict[str, extra_runs.ExtraRuns] = attrs.field(factory=dict)
@@ -40,7 +40,7 @@
         budget = self.budgets.get(service)
         if budget is None:
             budget = self.budgets[service] = self.make_budget()
-        budget.vms = self.hints.count_known()
+        budget.vms = self.reporter.count_known()
         return budget
 
     def choose_model(self, work: work_items.Work) -> None:
@@ -146,13 +146,13 @@
     ) -> work_items.Reading:
         """Count a prompt as outstanding at its engine."""
         prompt = work_items.make_prompt(work)
-        reading = work_items.Reading(self.hints, place.entry.name, 0.0)
+        reading = work_items.Reading(self.reporter, place.entry.name, 0.0)
         if prompt is not None:
             unread = engine_load.count_unread(
-                self.hints.loads, place.entry.name, prompt
+                self.reporter.loads, place.entry.name, prompt
             )
             reading.weight = unread * prompt.model_weight
-            self.hints.add_cached(place.entry.name, prompt.parts[:-1])
+            self.reporter.add_cached(place.entry.name, prompt.parts[:-1])
         work.reading = reading if prompt is not None else None
         reading.begin()
         return reading
--- a/src/carawayward/forwarding/hint_channels.py
+++ b/src/carawayward/forwarding/report_channels.py
@@ -1,4 +1,4 @@
-"""Which entry VMs are told of prompts, how often, and of what."""
+"""Which entry VMs get load reports, how often, and of what."""
 
 import typing
 
@@ -6,21 +6,20 @@
 import trio
 
 from carawayward.forwarding import board as board_module
-from carawayward.forwarding import hint_messages
+from carawayward.forwarding import load_report_messages
 
 # No more often than this: with the ten or so dispatches a second of one entry
 # VM, most go out at once and bursts are grouped.
-LEAST_PAUSE_MS = 30.0
-# What may go to entry VMs of other failure domains, in bytes a second. Between
-# domains bytes are paid for; told at once, with names, hints were a quarter of
-# them. It is what an entry VM may spend on control.
-FAR_BYTES_A_SECOND = 6_000.0
+MIN_PAUSE_MS = 30.0
+# What may go to entry VMs of other failure domains, in bytes a second: bytes
+# between domains are paid for.
+REMOTE_BYTES_PER_SECOND = 6_000.0
 # How often an entry VM gives its name and address; its number goes out else.
 INTRODUCE_MS = 1_000.0
 # So many parts fit into an Ethernet frame beside the engines.
-MOST_PARTS = 40
+MAX_PARTS = 40
 # Told to at most this many peers; beyond it, a part of the others each time.
-MOST_PEERS = 16
+MAX_PEERS_PER_DATAGRAM = 16
 
 # With many peers each gets a report in turn only: what one says counts for so
 # many of the intervals at which its reports come, within these bounds.
@@ -41,7 +40,7 @@
     name: str
     address: Address
     incarnation: str
-    heard_ms: float
+    last_seen_ms: float
     near: bool = True
     sequence: int = 0
     stale: bool = False
@@ -50,9 +49,9 @@
     def record_report(self, sequence: int, now_ms: float) -> None:
         """A report has come."""
         if self.sequence:
-            gap_ms = now_ms - self.heard_ms
+            gap_ms = now_ms - self.last_seen_ms
             self.interval_ms += INTERVAL_GAIN * (gap_ms - self.interval_ms)
-        self.sequence, self.heard_ms = sequence, now_ms
+        self.sequence, self.last_seen_ms = sequence, now_ms
 
     def compute_ttl_ms(self, least_ms: float) -> float:
         """How long its last report counts."""
@@ -62,25 +61,29 @@
 
 @attrs.define(eq=False)
 class Channel:
-    """What peers of this failure domain, or all others, are still to be told.
+    """What peers of this failure domain, or all others, have yet to get.
 
     ``turn`` is where among them the next datagram begins. Near, each part is
-    told twice, so that one lost datagram loses none.
+    reported twice, so that one lost datagram loses none.
     """
 
     near: bool
-    news: trio.Event = attrs.field(factory=trio.Event)
-    new_parts: list[hint_messages.CachedPart] = attrs.field(factory=list)
-    last_parts: list[hint_messages.CachedPart] = attrs.field(factory=list)
+    changed: trio.Event = attrs.field(factory=trio.Event)
+    new_parts: list[load_report_messages.CachedPart] = attrs.field(
+        factory=list
+    )
+    last_parts: list[load_report_messages.CachedPart] = attrs.field(
+        factory=list
+    )
     introduced_ms: float = board_module.NEVER
     turn: int = 0
 
-    def add_parts(self, parts: list[hint_messages.CachedPart]) -> None:
-        """Have parts told; the newest, if there are too many."""
+    def add_parts(self, parts: list[load_report_messages.CachedPart]) -> None:
+        """Add parts to report; the newest, if there are too many."""
         self.new_parts += parts
-        del self.new_parts[:-MOST_PARTS]
+        del self.new_parts[:-MAX_PARTS]
 
-    def take_parts(self) -> list[hint_messages.CachedPart]:
+    def take_parts(self) -> list[load_report_messages.CachedPart]:
         """The parts for the next datagram."""
         parts = self.last_parts + self.new_parts
         self.last_parts = self.new_parts if self.near else []
@@ -88,7 +91,7 @@
         return parts
 
     def introduces(self, now_ms: float) -> bool:
-        """Whether the next datagram is to tell who sends it."""
+        """Whether the next datagram is to name its sender."""
         if now_ms - self.introduced_ms < INTRODUCE_MS:
             return False
         self.introduced_ms = now_ms
@@ -97,17 +100,17 @@
     def choose_peers(self, known: typing.Iterable[Peer]) -> list[Peer]:
         """Those that the next datagram goes to."""
         peers = [peer for peer in known if peer.near == self.near]
-        if len(peers) <= MOST_PEERS:
+        if len(peers) <= MAX_PEERS_PER_DATAGRAM:
             return peers
-        self.turn += MOST_PEERS
+        self.turn += MAX_PEERS_PER_DATAGRAM
         start = self.turn % len(peers)
-        return (peers + peers)[start : start + MOST_PEERS]
+        return (peers + peers)[start : start + MAX_PEERS_PER_DATAGRAM]
 
     def find_pause_ms(self, sent_bytes: int) -> float:
         """How long to be quiet after so many bytes."""
         if self.near:
-            return LEAST_PAUSE_MS
-        return max(LEAST_PAUSE_MS, 1000.0 * sent_bytes / FAR_BYTES_A_SECOND)
+            return MIN_PAUSE_MS
+        return max(MIN_PAUSE_MS, 1000.0 * sent_bytes / REMOTE_BYTES_PER_SECOND)
 
 
 def make_channels() -> list[Channel]:
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -177,7 +177,7 @@
         if part > 1.0:
             # Nothing speaks for the version; what was there is known.
             return facts.RolloutState.ROLLED_BACK
-        if rollout.told:
+        if rollout.reported:
             return None
         return facts.RolloutState.RUNNING
 
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -1,7 +1,7 @@
 """What an entry VM knows of one roll-out, and of the runs that it judges by.
 
-Its own counts and what the others last told stand side by side: a peer's
-word replaces its former one.
+Its own counts and those that the others last reported stand side by side: a
+peer's report replaces its former one.
 """
 
 import typing
@@ -14,7 +14,7 @@
 from carawayward.forwarding import settings
 from carawayward.forwarding import work_items
 
-# Without news for this long an entry VM may have missed a halt: it lets no
+# Without reports for this long an entry VM may have missed a halt: it lets no
 # session try the new version until it reads the store again.
 STALE_MS = 3_500.0
 
@@ -23,7 +23,7 @@
 class Choice:
     """The version that a request goes to.
 
-    ``new`` tells whether it is the one that the roll-out brings in; with
+    ``new`` says whether it is the one that the roll-out brings in; with
     ``strict`` unset the other one serves where this has no endpoint.
     """
 
@@ -66,10 +66,14 @@
 
 
 @attrs.frozen(kw_only=True)
-class Told:
-    """What another entry VM last told of a roll-out."""
+class PeerCounts:
+    """What another entry VM last reported of a roll-out.
 
-    heard_ms: float
+    It goes on to count but for ``old_in_flight``: after ``expires_ms`` its
+    sender may have failed, and what it ran has ended.
+    """
+
+    expires_ms: float
     old_in_flight: int
     sent: int
     sent_new: int
@@ -86,14 +90,14 @@
     known: bool = False
     verdict: canary.Verdict = canary.Verdict.UNKNOWN
     read_ms: float = board_module.NEVER
-    told: str = ""
+    reported: str = ""
     old_in_flight: int = 0
     sent: int = 0
     sent_new: int = 0
     opened: bool = False
     answers_at_opening: int = 0
     tallies: dict[str, canary.Tally] = attrs.field(factory=dict)
-    others: dict[str, Told] = attrs.field(factory=dict)
+    others: dict[str, PeerCounts] = attrs.field(factory=dict)
     usual: dict[tuple[str, str], canary.Usual] = attrs.field(factory=dict)
     runs: set[Run] = attrs.field(factory=set)
 
@@ -109,19 +113,19 @@
     def count_old_in_flight(self, now_ms: float) -> int:
         """Runs on the old version, at all entry VMs that are alive."""
         return self.old_in_flight + sum(
-            told.old_in_flight
-            for told in self.others.values()
-            if now_ms - told.heard_ms < STALE_MS
+            each.old_in_flight
+            for each in self.others.values()
+            if now_ms < each.expires_ms
         )
 
     def sum_exposure(self, bounds: settings.Bounds) -> canary.Exposure:
         """What has been sent so far, against what may meet a bad version."""
-        told = self.others.values()
+        others = self.others.values()
         return canary.Exposure(
             share=bounds.exposure_share,
             slack=bounds.exposure_slack,
-            sent=self.sent + sum(each.sent for each in told),
-            sent_new=self.sent_new + sum(each.sent_new for each in told),
+            sent=self.sent + sum(each.sent for each in others),
+            sent_new=self.sent_new + sum(each.sent_new for each in others),
         )
 
     def count_answers(self) -> int:
@@ -131,7 +135,7 @@
     def sum_tallies(self) -> dict[str, canary.Tally]:
         """All counts that are known, by route."""
         merged = dict(self.tallies)
-        for told in self.others.values():
-            for route, tally in told.tallies.items():
+        for each in self.others.values():
+            for route, tally in each.tallies.items():
                 merged[route] = merged.get(route, canary.Tally()) + tally
         return merged
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -1,6 +1,6 @@
 """Which version of a service a request goes to, and how its answers count.
 
-Every entry VM counts the answers of the new and of the old version and tells
+Every entry VM counts the answers of the new and of the old version and reports
 its counts to the others; each judges the sum by the same rules.
 """
 
@@ -237,7 +237,7 @@
         self, rollout: rollout_state.Rollout, state: facts.RolloutState
     ) -> None:
         """Take what has been decided."""
-        rollout.told = state.value
+        rollout.reported = state.value
         if state is rollout.state:
             return
         rollout.state = state
@@ -249,7 +249,7 @@
         )
 
     def describe(self) -> list:
-        """What the other entry VMs are told of the roll-outs under way."""
+        """What reports to other entry VMs say of the roll-outs under way."""
         now_ms = self.clock.now_ms()
         return [
             [
@@ -268,8 +268,8 @@
             if rollout.running
         ]
 
-    def take(self, teller: str, value: typing.Any) -> None:
-        """Take what another entry VM tells of its roll-outs.
+    def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
+        """Take what another entry VM reports of its roll-outs.
 
         Raises ValueError or TypeError for what cannot be read.
         """
@@ -285,8 +285,8 @@
             rollout = self.rollouts.get(service)
             if rollout is None or rollout.order.version != version:
                 continue
-            rollout.others[teller] = rollout_state.Told(
-                heard_ms=self.clock.now_ms(),
+            rollout.others[peer] = rollout_state.PeerCounts(
+                expires_ms=self.clock.now_ms() + ttl_ms,
                 old_in_flight=int(in_flight),
                 sent=int(sent[0]),
                 sent_new=int(sent[1]),
--- a/src/carawayward/forwarding/standing.py
+++ b/src/carawayward/forwarding/standing.py
@@ -5,7 +5,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import redirection
 from carawayward.forwarding import board as board_module
-from carawayward.forwarding import hints as hints_module
+from carawayward.forwarding import load_reports
 
 # Another entry VM takes the request; there is nothing to wait for.
 ELSEWHERE_MS = 20.0
@@ -20,7 +20,7 @@
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
-    hints: hints_module.HintsController
+    reporter: load_reports.LoadReporter
 
     def is_fresh(self) -> bool:
         """Whether the table's keys may still be relied on."""
@@ -51,5 +51,5 @@
         return self.board.store_failing or not self.is_fresh()
 
     def _others_may_serve(self) -> bool:
-        known, stale = self.hints.count_stale()
+        known, stale = self.reporter.count_stale()
         return redirection.others_may_serve(known, stale)
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -7,8 +7,8 @@
 from carawayward.decisions import engine_load
 from carawayward.forwarding import attempt as attempt_module
 from carawayward.forwarding import facts
-from carawayward.forwarding import hint_messages
-from carawayward.forwarding import hints as hints_module
+from carawayward.forwarding import load_report_messages
+from carawayward.forwarding import load_reports
 from carawayward.forwarding import replies
 from carawayward.forwarding import table
 from carawayward import http_client as http
@@ -69,26 +69,26 @@
 class Reading:
     """A prompt at an engine: outstanding until the head of its answer."""
 
-    hints: hints_module.HintsController
+    reporter: load_reports.LoadReporter
     engine: str
     weight: float
 
     def begin(self) -> None:
         """The prompt goes to its engine."""
         load = engine_load.Load(self.weight, 1)
-        self.hints.add_load(self.engine, load)
+        self.reporter.add_load(self.engine, load)
 
     def note_head(self) -> None:
         """The prompt has been read; the answer comes."""
         if self.weight:
             load = engine_load.Load(-self.weight, 0)
-            self.hints.add_load(self.engine, load)
+            self.reporter.add_load(self.engine, load)
             self.weight = 0.0
 
     def end(self) -> None:
         """The run is over."""
         load = engine_load.Load(-self.weight, -1)
-        self.hints.add_load(self.engine, load)
+        self.reporter.add_load(self.engine, load)
         self.weight = 0.0
 
 
@@ -112,7 +112,7 @@
 class Work:
     """What is known of one request while it is served; times in ms.
 
-    ``mark`` is that of the attempt under way; ``ran`` tells whether an
+    ``mark`` is that of the attempt under way; ``ran`` says whether an
     earlier one may have run. Endpoints in ``failed_at`` are asked again only
     when there is no other, those in ``useless`` not at all. ``backlog`` is
     what its engine reads up to its first text, in weighted tokens, and
@@ -168,7 +168,7 @@
     weight = costs.get(model, 1.0) / max(costs.values(), default=1.0)
     return engine_load.Prompt(
         parts=tuple(
-            (hint_messages.shorten(f"{model}/{part.name}"), part.tokens)
+            (load_report_messages.shorten(f"{model}/{part.name}"), part.tokens)
             for part in work.facts.prompt
         ),
         model_weight=weight,
--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -9,7 +9,7 @@
 import trio
 
 from carawayward.forwarding import daemon as daemon_module
-from carawayward.forwarding import hints as hints_module
+from carawayward.forwarding import load_reports
 from carawayward.forwarding import settings as settings_module
 from carawayward.forwarding import table
 from carawayward.platform import entry
@@ -135,9 +135,9 @@
         """A controller of an entry VM, in the order of their start."""
         return self.daemons[daemon].controllers[index]
 
-    def find_hints(self) -> hints_module.HintsController:
+    def find_hints(self) -> load_reports.LoadReporter:
         """What the first entry VM tells the others, and has been told."""
-        return self.daemon.app.standing.hints
+        return self.daemon.app.standing.reporter
 
     def find_table(self) -> table.RoutingTable:
         """The first entry VM's routing table."""
--- a/tests/cover/test_forwarding_delegates.py
+++ b/tests/cover/test_forwarding_delegates.py
@@ -15,8 +15,8 @@
 from carawayward.forwarding import feed
 from carawayward.forwarding import feeds as feeds_module
 from carawayward.forwarding import freshness
-from carawayward.forwarding import hint_messages
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import measures
 from carawayward.forwarding import settings
 from carawayward.forwarding import table
@@ -86,14 +86,14 @@
     others: dict[str, "Wire"]
     handlers: dict = attrs.field(factory=dict)
 
-    def list_near(self):
+    def list_domain_peers(self):
         return [name for name in NAMES if name != self.name]
 
     def add_handler(self, kind, handler):
         self.handlers[kind] = handler
 
     def send(self, name, data):
-        fields = hint_messages.decode(data)
+        fields = load_report_messages.decode(data)
         self.others[name].handlers[fields[0]](self.name, fields)
 
 
--- a/tests/cover/test_forwarding_freshness.py
+++ b/tests/cover/test_forwarding_freshness.py
@@ -15,21 +15,21 @@
 from carawayward.forwarding import facts
 from carawayward.forwarding import freshness
 from carawayward.forwarding import freshness_messages
-from carawayward.forwarding import hint_messages
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts
 
 
 @attrs.define
-class Hints:
+class Reporter:
     """Entry VMs of one failure domain; what is sent is kept."""
 
     near: list[str]
     sent: list[tuple[str, bytes]] = attrs.field(factory=list)
     handlers: dict = attrs.field(factory=dict)
 
-    def list_near(self):
+    def list_domain_peers(self):
         return self.near
 
     def add_handler(self, kind, handler):
@@ -70,11 +70,11 @@
 
 def make_controller(name, near):
     clock: typing.Any = clock_module.ManualClock(now=10_000.0)
-    hints: typing.Any = Hints(near)
+    reporter: typing.Any = Reporter(near)
     made = freshness.FreshnessController(
         board_module.ForwardingBoard(name=name, failure_domain="north"),
         clock,
-        hints,
+        reporter,
     )
     topic = Feed()
     made.add_topic("keys", typing.cast(typing.Any, topic))
@@ -82,14 +82,14 @@
 
 
 def deliver(made, peer, data):
-    fields = hint_messages.decode(data)
-    made.hints.handlers[fields[0]](peer, fields)
+    fields = load_report_messages.decode(data)
+    made.reporter.handlers[fields[0]](peer, fields)
 
 
 def ask_once(made):
     """Have a controller ask its reader; return the reader and the bytes."""
     made._query_delegates()
-    return made.hints.sent[-1]
+    return made.reporter.sent[-1]
 
 
 def make_pair():
@@ -129,7 +129,7 @@
     reader_clock.advance(500.0)
     known.as_of_ms = reader_clock.now - 1_200.0
     deliver(reader, asker.board.name, question)
-    _, answer = reader.hints.sent[-1]
+    _, answer = reader.reporter.sent[-1]
     clock.advance(2_000.0)
     deliver(asker, reader.board.name, answer)
     ((position, as_of_ms),) = topic.taken
@@ -143,9 +143,9 @@
     _, question = ask_once(asker)
     deliver(reader, asker.board.name, question)
     known.position = 8
-    sent = len(reader.hints.sent)
+    sent = len(reader.reporter.sent)
     reader.push_updates("keys")
-    ((name, answer),) = reader.hints.sent[sent:]
+    ((name, answer),) = reader.reporter.sent[sent:]
     assert name == asker.board.name
     deliver(asker, reader.board.name, answer)
     assert topic.announced == [8]
@@ -216,7 +216,7 @@
     ):
         try:
             deliver(asker, reader.board.name, cbor2.dumps(fields))
-        except hint_messages.UNREADABLE:
+        except load_report_messages.UNREADABLE:
             continue
         raise AssertionError(fields)
     assert not topic.taken
@@ -227,7 +227,7 @@
     (asker, clock, _), (reader, _, _) = make_pair()
     _, question = ask_once(asker)
     deliver(reader, asker.board.name, question)
-    deliver(asker, reader.board.name, reader.hints.sent[-1][1])
+    deliver(asker, reader.board.name, reader.reporter.sent[-1][1])
     assert asker.has_delegate("keys")
     clock.advance(freshness.DELEGATE_TIMEOUT_MS)
     assert not asker.has_delegate("keys")
@@ -391,10 +391,10 @@
 def exchange(asker, reader, lose=lambda: False):
     """Deliver all that is sent until nothing more is."""
     for _ in range(300):
-        if not asker.hints.sent and not reader.hints.sent:
+        if not asker.reporter.sent and not reader.reporter.sent:
             return
         for one, other in ((asker, reader), (reader, asker)):
-            sent, one.hints.sent[:] = list(one.hints.sent), []
+            sent, one.reporter.sent[:] = list(one.reporter.sent), []
             for _, data in sent:
                 assert len(data) <= 1_400
                 if not lose():
@@ -460,7 +460,7 @@
     for value in (b"ready", None):
         theirs.write("desk-0", value)
         delegate.push_updates("endpoints")
-        twice = delegate.hints.sent[-1]
+        twice = delegate.reporter.sent[-1]
         exchange(client, delegate)
         deliver(client, delegate.board.name, twice[1])
     assert not mine.log.newest and mine.position == 2
@@ -516,14 +516,14 @@
     theirs.write("table", random.Random(3).randbytes(3_000))
     _, question = ask_once(client)
     deliver(delegate, client.board.name, question)
-    sent = [cbor2.loads(data) for _, data in delegate.hints.sent]
+    sent = [cbor2.loads(data) for _, data in delegate.reporter.sent]
     chunks = [f for f in sent if f[0] == freshness_messages.CHUNK]
     assert len(chunks) > 2
     chunks[-1][-1] = chunks[-1][-1][:-1] + b"!"
     try:
         for fields in chunks:
             deliver(client, delegate.board.name, cbor2.dumps(fields))
-    except hint_messages.UNREADABLE:
+    except load_report_messages.UNREADABLE:
         assert mine.position == 0
         return
     raise AssertionError("a damaged table was taken")
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -11,7 +11,7 @@
 
 from carawayward.decisions import engine_load
 from carawayward.decisions import escalation
-from carawayward.forwarding import hint_channels
+from carawayward.forwarding import report_channels
 
 TOKEN_MS = 0.06
 BASE_MS = 120.0
@@ -252,7 +252,7 @@
 
 def test_reports_that_come_seldom_count_for_longer():
     """160 peers of other domains report every 4 s and look idle between."""
-    peer = hint_channels.Peer("vm", ("127.0.0.1", 1), "a", 0.0)
+    peer = report_channels.Peer("vm", ("127.0.0.1", 1), "a", 0.0)
     least_ms = engine_load.PEER_REPORT_TTL_MS
     assert peer.compute_ttl_ms(least_ms) == least_ms
     for sequence in range(1, 12):
--- a/tests/cover/test_forwarding_hints.py
+++ b/tests/cover/test_forwarding_load_reports.py
@@ -8,10 +8,10 @@
 from carawayward.decisions import engine_load
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
-from carawayward.forwarding import hint_channels
-from carawayward.forwarding import hint_messages
-from carawayward.forwarding import hints
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import load_report_messages
+from carawayward.forwarding import load_reports
+from carawayward.forwarding import report_channels
 
 
 @attrs.define
@@ -44,7 +44,7 @@
 
 
 def make_controller(name, members, port=0):
-    return hints.HintsController(
+    return load_reports.LoadReporter(
         make_board(name),
         clock_module.Clock(),
         members,
@@ -66,7 +66,7 @@
         made = [make_controller(f"vm-{n}", members) for n in range(5)]
         async with trio.open_nursery() as nursery:
             for each in made:
-                nursery.start_soon(each._find_peers)
+                nursery.start_soon(each._join)
         for one in made:
             for other in made:
                 if one is other:
@@ -96,8 +96,12 @@
     """One entry VM sends a prompt; the other knows of it at once."""
     one, other = (make_controller(f"vm-{n}", Members()) for n in range(2))
     told = []
-    one.add_topic("news", hints.Topic(lambda: {"a": 1}, lambda t, v: None))
-    other.add_topic("news", hints.Topic(dict, lambda t, v: told.append(v)))
+    one.add_topic(
+        "news", load_reports.Topic(lambda: {"a": 1}, lambda t, v, ttl: None)
+    )
+    other.add_topic(
+        "news", load_reports.Topic(dict, lambda t, v, ttl: told.append(v))
+    )
     one.add_load("engine", engine_load.Load(5_000.0, 1))
     one.add_cached("engine", [(1, 800)])
     other._take(write_datagram(one))
@@ -179,8 +183,8 @@
         b"",
         b"\xff\xff",
         cbor2.dumps(17),
-        cbor2.dumps([hint_messages.VERSION]),
-        cbor2.dumps([hint_messages.VERSION + 1, "x"]),
+        cbor2.dumps([load_report_messages.VERSION]),
+        cbor2.dumps([load_report_messages.VERSION + 1, "x"]),
         write(one, f1=["vm-0", "x", "nowhere", "north"]),
         write(one, f1=["vm-0"]),
         write(one, f2="first"),
@@ -215,12 +219,15 @@
     made = make_controller("vm-0", Members())
     for number in range(8):
         domain = "north" if number < 2 else "south"
-        sender = hint_messages.Sender(
+        sender = load_report_messages.Sender(
             f"vm-{number + 1}", "x", f"127.0.0.1:{number + 2}", domain
         )
-        made._take_peer(sender)
+        made._add_peer(sender)
     near, far = made.channels
     assert len(near.choose_peers(made.peers.values())) == 2
     assert len(far.choose_peers(made.peers.values())) == 6
-    assert near.find_pause_ms(10_000) == hint_channels.LEAST_PAUSE_MS
-    assert tell_prompts(made, far, 10) < 11 * hint_channels.FAR_BYTES_A_SECOND
+    assert near.find_pause_ms(10_000) == report_channels.MIN_PAUSE_MS
+    assert (
+        tell_prompts(made, far, 10)
+        < 11 * report_channels.REMOTE_BYTES_PER_SECOND
+    )
--- a/tests/failures/test_forwarding_delegates.py
+++ b/tests/failures/test_forwarding_delegates.py
@@ -128,7 +128,7 @@
             desk, daemons=3, key_lease_ms=4_000
         ) as made:
             reader = await wait_for_delegates(made)
-            await find_freshness(made, reader).hints.close()
+            await find_freshness(made, reader).reporter.close()
             others = [n for n in range(3) if n != reader]
             for _ in range(60):
                 await trio.sleep(0.1)
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from carawayward.forwarding import hint_channels
+from carawayward.forwarding import report_channels
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -14,8 +14,8 @@
     return [backend.Backend(f"desk-{number}") for number in range(count)]
 
 
-def make_peer(name, heard_ms):
-    return hint_channels.Peer(name, ("127.0.0.1", 9), "x", heard_ms)
+def make_peer(name, last_seen_ms):
+    return report_channels.Peer(name, ("127.0.0.1", 9), "x", last_seen_ms)
 
 
 def test_nothing_is_known_before_the_first_configuration():
@@ -116,7 +116,7 @@
             assert answer.headers["connection"] == "close"
             assert await made.ask_ready(0) == 503
             for peer in peers.values():
-                peer.heard_ms, peer.stale = clock.now_ms(), True
+                peer.last_seen_ms, peer.stale = clock.now_ms(), True
             answer = await made.call("GET", "/look/")
             assert answer.status == 503
             assert float(answer.headers["retry-after"]) >= 1.0
--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -250,7 +250,7 @@
             engine.always = backend.stay_silent
         async with forwarding.open_forwarding(*engines, daemons=2) as made:
             peers = [
-                daemon.app.forwarder.placer.hints.peers
+                daemon.app.forwarder.placer.reporter.peers
                 for daemon in made.daemons
             ]
             await made.wait_for(lambda: all(peers))
@@ -280,7 +280,7 @@
     placer = made.daemon.app.forwarder.placer
     for engine in engines:
         load = engine_load.Load(weight, 1)
-        engine_load.add_own(placer.hints.loads, engine.name, load)
+        engine_load.add_own(placer.reporter.loads, engine.name, load)
     return placer.fleet.find_pace("engines")
 
 
--- a/tests/model/rollout_steps.py
+++ b/tests/model/rollout_steps.py
@@ -230,7 +230,7 @@
                     vm.waiting,
                     vm.seen,
                     vm.rollout.state,
-                    vm.rollout.told,
+                    vm.rollout.reported,
                 )
                 for vm in self.vms.values()
             ),
--- a/tests/model/test_delegated_reads.py
+++ b/tests/model/test_delegated_reads.py
@@ -16,7 +16,7 @@
 from carawayward.forwarding import change_log
 from carawayward.forwarding import freshness
 from carawayward.forwarding import freshness_messages
-from carawayward.forwarding import hint_messages
+from carawayward.forwarding import load_report_messages
 
 SEEDS = 1_500
 STEPS = 60
@@ -57,7 +57,7 @@
     def add_handler(self, kind, handler):
         self.handlers[kind] = handler
 
-    def list_near(self):
+    def list_domain_peers(self):
         return [self.peer]
 
     def send(self, name, data):
@@ -103,7 +103,7 @@
             self.polled_ms = None
 
     def take_datagram(self, data):
-        fields = hint_messages.decode(data)
+        fields = load_report_messages.decode(data)
         self.handlers[fields[0]](self.peer, fields)
 
 
