Call the store less often around starts, bursts and roll-outs

Causes: a delegate polled again as soon as a record had come; statuses were polled every 1.5 s, for reports that may be 2.8 s old; an entry VM polled until its first report. Besides, with short leases reports were too old now and then, which a test of a lease of 1.6 s met by chance.

Change: a call that brought records is followed by the next no sooner than 200 ms; statuses are polled every second; what a start has listed counts until its delegate has had a second to answer, unless it reads for itself; polls on the table are short enough for reports to fit into OWN_PART of the lease.

--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -44,9 +44,13 @@
     """How long a poll on the routing table may wait.
 
     ``lease_ms`` is how long keys last without a proof, ``apply_ms`` within
-    what a configuration has to be in force.
+    what a configuration has to be in force. A client whose delegate polls for
+    longer than this finds its reports too old for the lease now and then, and
+    turns callers away if it cannot read the store itself.
     """
-    return min(APPLY_PART * apply_ms, find_poll(lease_ms))
+    for_reports_ms = (OWN_PART * lease_ms - QUERY_MS - REPORT_SLACK_MS) / 2.0
+    wanted_ms = min(APPLY_PART * apply_ms, find_poll(lease_ms), for_reports_ms)
+    return max(MIN_POLL_MS, wanted_ms)
 
 
 def find_registry_poll(drain_ms: float, longest_gap_ms: float) -> float:
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -20,6 +20,9 @@
 DELEGATE_CHECK_MS = 200.0
 # How often a feed that is not needed checks whether it is.
 NEEDED_CHECK_MS = 200.0
+# A poll that brought records is followed by the next no sooner than this. Each
+# of a burst of records would otherwise cost a call of its own.
+MIN_CALL_GAP_MS = 200.0
 # A feed that is behind its delegate for longer than this reads the store: a
 # datagram with a change was lost, and the next query's answer was as well.
 MAX_BEHIND_MS = 600.0
@@ -187,6 +190,13 @@
                 self._prove(sent_ms)
             if batch.records:
                 self.push_updates()
+                await self._pace(sent_ms)
+
+    async def _pace(self, sent_ms: float) -> None:
+        """Let further records of a burst come before the next call."""
+        left_ms = sent_ms + MIN_CALL_GAP_MS - self.clock.boot_ms()
+        if left_ms > 0.0 and not self._is_behind():
+            await self.clock.sleep(left_ms)
 
     async def _wait_for_cause(self) -> Cause:
         """Wait while another entry VM reads; why this one has to call."""
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -27,6 +27,7 @@
 # How old what a delegate attests of the statuses may be; below the time after
 # which no session tries a new version (``rollout_state.STALE_MS``).
 STATUSES_MAX_AGE_MS = 2_800.0
+STATUSES_POLL_MS = 1_000.0
 # Polls while entries are missing wait at least so long, should the clocks of
 # poll and wait differ by a little.
 LEAST_MISSING_POLL_MS = 20.0
@@ -170,6 +171,7 @@
         rounds.replace,
         rounds.apply,
         rounds.prove,
+        get_poll_wait=lambda: STATUSES_POLL_MS,
         is_needed=rounds.is_running,
         has_delegate=functools.partial(freshness.has_delegate, STATUSES),
         get_max_age=lambda: STATUSES_MAX_AGE_MS,
--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -107,6 +107,7 @@
     clients: dict[str, Client] = attrs.field(factory=dict)
     answered_ms: dict[str, float] = attrs.field(factory=dict)
     choice: delegates.DelegateChoice = attrs.field(init=False)
+    started_ms: float = board_module.NEVER
     caught_up_ms: float = board_module.NEVER
     assemblies: collections.OrderedDict[
         tuple[str, int, int], dict[int, bytes]
@@ -124,6 +125,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to query."""
+        self.started_ms = self.clock.boot_ms()
         nursery.start_soon(supervision.keep_running, self._query_forever, ())
 
     async def close(self) -> None:
@@ -141,6 +143,10 @@
         wait for what neither reads.
         """
         answered_ms = self.answered_ms.get(name, board_module.NEVER)
+        if self.choice.delegate != self.board.name:
+            # At its start an entry VM has just listed all topics, and its
+            # delegate is about to answer.
+            answered_ms = max(answered_ms, self.started_ms)
         if self.clock.boot_ms() - answered_ms >= DELEGATE_TIMEOUT_MS:
             return False
         return not self.list_clients()
@@ -159,6 +165,9 @@
             self._send_report(peer, client, (name,))
 
     async def _query_forever(self) -> None:
+        # Peers that are not known yet cannot be chosen.
+        with trio.move_on_after(DELEGATE_TIMEOUT_MS / 1000):
+            await self.reporter.joined.wait()
         while True:
             self._query_delegates()
             await self.clock.sleep(store_polls.QUERY_MS)
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -79,6 +79,7 @@
     channels: list[report_channels.Channel] = attrs.field(
         factory=report_channels.make_channels
     )
+    joined: trio.Event = attrs.field(factory=trio.Event)
     _socket: typing.Any = None
     _sender: socket.socket | None = None
 
@@ -196,6 +197,7 @@
                 await self.clock.sleep(JOIN_RETRY_MS)
         for found in batch.records:
             self._add_member(found)
+        self.joined.set()
         self._wake()
 
     def _describe_self(self) -> load_report_messages.Sender:
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -191,3 +191,50 @@
     assert reader.describe() is None
     reader.position = 6
     assert reader.describe() == (6, 100.0)
+
+
+@attrs.define
+class BurstTopic:
+    """A topic that grows by a record each ``gap_s``; counts its calls."""
+
+    gap_s: float
+    calls: int = 0
+
+    def _count(self) -> int:
+        return int(trio.current_time() / self.gap_s)
+
+    async def read_newest(self) -> keyed_log.Batch:
+        """Nothing is in it yet."""
+        return keyed_log.Batch([], 0)
+
+    async def read(self, start: int, wait_ms: float) -> keyed_log.Batch:
+        """What has come, or the next."""
+        self.calls += 1
+        if self._count() <= start:
+            await trio.sleep_until((start + 1) * self.gap_s + 1e-6)
+        end = self._count()
+        records = [
+            keyed_log.Record(f"desk-{offset}", b"x", offset)
+            for offset in range(start, end)
+        ]
+        return keyed_log.Batch(records, end)
+
+
+def test_burst_of_records_is_read_in_few_calls():
+    """162 endpoints register one by one, and each costs a call a delegate."""
+
+    async def main():
+        topic = BurstTopic(0.05)
+        reader = make_feed(
+            "endpoints",
+            typing.cast(typing.Any, topic),
+            make_contact(TrioClock()),
+        )
+        async with trio.open_nursery() as nursery:
+            await reader.start(nursery)
+            await trio.sleep(162 * 0.05)
+            nursery.cancel_scope.cancel()
+        assert reader.position is not None and reader.position >= 155
+        assert topic.calls <= 162 * 0.05 * 1000 / feed.MIN_CALL_GAP_MS + 1
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -46,3 +46,11 @@
             assert lapses.is_too_short(read_after_ms, heartbeat_ms)
             assert poll_ms <= store_polls.DRAIN_PART * drain_ms
     assert store_polls.find_registry_poll(2_000, 2_100) == 1_100.0
+
+
+def test_reports_of_a_delegate_are_young_enough_for_short_leases():
+    """An entry VM without the store turns callers away now and then."""
+    for lease_ms in range(1_000, 8_000, 100):
+        poll_ms = store_polls.find_table_poll(lease_ms, 4_000.0)
+        oldest_ms = store_polls.compute_max_report_age(poll_ms)
+        assert oldest_ms <= store_polls.OWN_PART * lease_ms + 1e-6
