--- a/bench/quality_cost.py
+++ b/bench/quality_cost.py
@@ -161,7 +161,7 @@
                 messages=[],
                 text="",
             )
-            planning.note_answer(board, answer, task.rated_share, 500.0)
+            planning.record_answer(board, answer, task.rated_share, 500.0)
             while board.quality.outbox:
                 sample = board.quality.outbox.popleft()
                 cheap = sample.key.version == "cheap"
--- a/bench/rig_node.py
+++ b/bench/rig_node.py
@@ -88,7 +88,7 @@
         view = self.views[name]
         self.raw[name] = max(0.0, load - view.in_flight)
         if self.policy.has("reports"):
-            placement.note_report(view, load)
+            placement.record_report(view, load)
 
     def submit(self, job: rig_world.Job) -> None:
         """Take a caller's request."""
@@ -227,7 +227,7 @@
         self.runs_begun += 1
         engine = self.engines[view.name]
         run = rig_world.Run(
-            job, engine, self._end, self._note_first, self.loop.now
+            job, engine, self._end, self._record_first, self.loop.now
         )
         self.live.setdefault(job, []).append(run)
         if not self.is_cut(self.failure_domain, engine.failure_domain):
@@ -237,10 +237,10 @@
         if self.policy.has("hedging") and delay is not None and first:
             self.loop.at(self.loop.now + delay, lambda: self._hedge(job, run))
 
-    def _note_first(self, run: rig_world.Run) -> None:
+    def _record_first(self, run: rig_world.Run) -> None:
         """The first text of a run: it is kept and the others cancelled."""
         took = self.loop.now - run.began
-        retry.note_first_text(self.first_times, took)
+        retry.record_first_text(self.first_times, took)
         self._stop_others(run.job, run)
 
     def _hedge(self, job: rig_world.Job, first: rig_world.Run) -> None:
@@ -254,46 +254,46 @@
         job, view = run.job, self.views[run.engine.name]
         self._vacate(run)
         if how == "answered":
-            self._note_answer(run, view)
+            self._record_answer(run, view)
             if not job.outcome:
                 self._stop_others(job, run)
                 self._finish(job, "answered")
         else:
-            self._note_failure(run, view, how)
+            self._record_failure(run, view, how)
             if not job.outcome and not self.live.get(job):
                 self._retry(job, view.name, how)
         self.pump()
 
-    def _note_answer(self, run: rig_world.Run, view: placement.View) -> None:
+    def _record_answer(self, run: rig_world.Run, view: placement.View) -> None:
         took = self.loop.now - run.began
         unit = took / (run.job.tokens + UNIT_BASE)
         if self.policy.has("limits"):
             if self.policy.has("part"):
                 others = view.others
-                limits.note_part(
+                limits.record_part(
                     view.limit, view.in_flight + 1, others, self.entry_vms
                 )
-            limits.note_answer(view.limit, unit, view.in_flight + 1)
+            limits.record_answer(view.limit, unit, view.in_flight + 1)
         if self.policy.has("ejection"):
-            if health.note_success(view.health, unit) and self.policy.has(
+            if health.record_success(view.health, unit) and self.policy.has(
                 "limits"
             ):
                 limits.restart(view.limit, self.entry_vms)
             self._judge(view)
-        admission.note_work(self.times, run.job.customer, took)
-        retry.note_success(self.retries)
-        retry.note_success(self.hedges)
+        admission.record_work(self.times, run.job.customer, took)
+        retry.record_success(self.retries)
+        retry.record_success(self.hedges)
 
-    def _note_failure(
+    def _record_failure(
         self, run: rig_world.Run, view: placement.View, how: str
     ) -> None:
         if how == "crashed" and run.job.killer:
             crash = suspicion.Crash(
                 "killer", view.name, WALL_MS + int(self.loop.now), "r"
             )
-            suspicion.note_crash(self.book, crash)
+            suspicion.record_crash(self.book, crash)
         if self.policy.has("ejection"):
-            health.note_failure(view.health)
+            health.record_failure(view.health)
             self._judge(view)
 
     def _judge(self, view: placement.View) -> None:
@@ -333,7 +333,7 @@
             self._vacate(run)
             if self.policy.has("ejection"):
                 view = self.views[run.engine.name]
-                health.note_failure(view.health)
+                health.record_failure(view.health)
                 self._judge(view)
 
     def _drop_hopeless(self, job: rig_world.Job) -> None:
@@ -351,7 +351,7 @@
             queueing.remove(self.queue, item)
         for run in self.live.get(job, ()):
             took = self.loop.now - run.began
-            admission.note_work(self.times, job.customer, took)
+            admission.record_work(self.times, job.customer, took)
         self._stop_others(job, None)
         self._finish(job, "late")
         self.pump()
--- a/bench/rig_scenarios.py
+++ b/bench/rig_scenarios.py
@@ -100,7 +100,7 @@
                     failure_domain=DOMAINS[number % len(DOMAINS)],
                     engines=by_name,
                     draw=random.Random(1_000 * scenario.seed + number),
-                    ended=self._note_end,
+                    ended=self._record_end,
                     book=book,
                     weights=WEIGHTS,
                     entry_vms=scenario.nodes,
@@ -219,7 +219,7 @@
             pause = self.scenario.killer_every_ms
             self.loop.at(self.loop.now + pause, self._send_killer)
 
-    def _note_end(self, job: rig_world.Job) -> None:
+    def _record_end(self, job: rig_world.Job) -> None:
         if job.outcome == "answered" or job.killer:
             return
         again = attrs.evolve(job, outcome="", attempts=0, told_ms=None)
--- a/bench/rig_timing.py
+++ b/bench/rig_timing.py
@@ -38,7 +38,7 @@
         view.limit.value = 8.0
         for step in range(held):
             by_version[f"v{(number + step) % versions}"].append(view)
-        placement.note_report(view, draw.uniform(0, 8))
+        placement.record_report(view, draw.uniform(0, 8))
         view.health.unit_ms = draw.uniform(9.0, 11.0)
     return by_version
 
--- a/src/carawayward/controllers/claims.py
+++ b/src/carawayward/controllers/claims.py
@@ -175,10 +175,10 @@
             try:
                 await self._read_once()
             except errors.PlatformUnavailable as fault:
-                self._note_reachable(False, str(fault))
+                self._record_reachable(False, str(fault))
                 await self.clock.sleep(RETRY_MS)
                 continue
-            self._note_reachable(True, "")
+            self._record_reachable(True, "")
             if not self._waiting:
                 with trio.move_on_after(IDLE_READ_MS / 1000):
                     await self._wanted.wait()
@@ -186,7 +186,7 @@
                     # waiting on the same one.
                     self._wanted = trio.Event()
 
-    def _note_reachable(self, reachable: bool, detail: str) -> None:
+    def _record_reachable(self, reachable: bool, detail: str) -> None:
         if reachable != self.reachable:
             event = events.Event.CLAIMS_BACK
             if not reachable:
--- a/src/carawayward/controllers/rollouts.py
+++ b/src/carawayward/controllers/rollouts.py
@@ -233,9 +233,9 @@
             node=self.board.name,
             reason=reason,
         )
-        self.note_halt(halt)
+        self.record_halt(halt)
 
-    def note_halt(self, halt: decisions.Halt) -> None:
+    def record_halt(self, halt: decisions.Halt) -> None:
         """Take note of a halt from anywhere; a halt is never taken back."""
         key = (halt.rollout, halt.generation)
         if key in self.halts:
@@ -381,7 +381,7 @@
     async def take_state(self, peer: str, body: typing.Any) -> None:
         """Merge what a peer knows."""
         for data in body["halts"]:
-            self.note_halt(decisions.Halt(**data))
+            self.record_halt(decisions.Halt(**data))
         self.reader.take_fold(
             int(body["read_to"]),
             {
--- a/src/carawayward/controllers/suspects.py
+++ b/src/carawayward/controllers/suspects.py
@@ -122,7 +122,7 @@
         if not self.judged[fingerprint]:
             del self.judged[fingerprint]
 
-    def note_crash(
+    def record_crash(
         self, fingerprint: str, endpoint: str, request_key: str
     ) -> None:
         """Note that a request was in flight on an endpoint that crashed."""
@@ -134,13 +134,13 @@
         )
         self._take_crash(crash)
 
-    def note_answer(self, fingerprint: str) -> None:
+    def record_answer(self, fingerprint: str) -> None:
         """Note a whole answer; it clears a suspect."""
         self._take_answer(fingerprint, self.clock.wall_ms())
 
     def _take_crash(self, crash: suspicion.Crash) -> None:
         before = self.is_convicted(crash.fingerprint)
-        if not suspicion.note_crash(self.book, crash):
+        if not suspicion.record_crash(self.book, crash):
             return
         convicting = not before and self.is_convicted(crash.fingerprint)
         self._tell(["crash", *attrs.astuple(crash)], urgent=convicting)
@@ -150,7 +150,7 @@
             )
 
     def _take_answer(self, fingerprint: str, wall_ms: int) -> None:
-        if suspicion.note_answer(self.book, fingerprint, wall_ms):
+        if suspicion.record_answer(self.book, fingerprint, wall_ms):
             self._tell(["answer", fingerprint, wall_ms])
             events.log_event(
                 events.Event.REQUEST_CLEARED, fingerprint=fingerprint
--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -1,8 +1,8 @@
 """Decisions under load: pure functions without sockets or clocks.
 
 Those of forwarded routes: ``engine_load`` (which engine takes a prompt),
-``escalation`` (which model answers), ``extra_runs`` (how many second runs),
-``avoidance`` (endpoints to pass over), ``canary`` (how far a new version is
+``escalation`` (which model answers), ``retry_budget`` (how many second runs),
+``quarantine`` (endpoints to pass over), ``canary`` (how far a new version is
 let in), ``redirection`` (when callers do better elsewhere), ``lapses``
 (which endpoints have left when entries are missing), ``delegates`` (who reads
 the store for whom), ``turns`` (who writes first) and ``store_polls`` (how long
--- a/src/carawayward/decisions/admission.py
+++ b/src/carawayward/decisions/admission.py
@@ -97,7 +97,7 @@
     return deadline_ms - min(longest, LEAST_PATIENCE * (deadline_ms - now_ms))
 
 
-def note_work(times: WorkTimes, kind: str, took_ms: float) -> None:
+def record_work(times: WorkTimes, kind: str, took_ms: float) -> None:
     """Learn from a run, also from one that was cut off at its deadline.
 
     Learning from answers alone would make a pool look fast just because
--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -93,13 +93,12 @@
 # What the first text takes on an idle engine, and a weighted token more, in
 # ms; both until learned. Engines differ, so that these only have to be near.
 FIRST_BASE_MS = 120.0
-FIRST_PACE_MS = 0.06
+FIRST_TOKEN_COST_MS = 0.06
 BASE_GAIN = 0.1
-# The pace follows the median of what is seen, a step of this part at a time.
-# Heads that come late for another reason, over links that lose packets or
-# from engines about to die, are up to a third; a mean would go to twice what
-# engines do.
-PACE_STEP = 0.04
+# The cost of a token follows the median of what is seen, in steps of this
+# part. Up to a third of first tokens come late for another reason, such as
+# lost packets, which would double a mean.
+TOKEN_COST_STEP = 0.04
 # Rows up to the first say what the base is, those past the second what a
 # token takes; between them the two cannot be separated.
 SHORT_BACKLOG = 500.0
@@ -107,32 +106,34 @@
 
 
 @attrs.define
-class Pace:
+class LatencyModel:
     """How fast a service's engines come to the first text."""
 
     base_ms: float = FIRST_BASE_MS
-    token_ms: float = FIRST_PACE_MS
+    token_ms: float = FIRST_TOKEN_COST_MS
 
 
-def predict_head(pace: Pace, weight: float) -> float:
+def predict_ttft(model: LatencyModel, weight: float) -> float:
     """When the first text comes, in ms, behind so many weighted tokens."""
-    return pace.base_ms + weight * pace.token_ms
+    return model.base_ms + weight * model.token_ms
 
 
-def find_remote_weight(pace: Pace, target_ms: float) -> float:
+def find_remote_weight(model: LatencyModel, target_ms: float) -> float:
     """What an engine in another failure domain has to be better by."""
-    return REMOTE_PART * target_ms / pace.token_ms
+    return REMOTE_PART * target_ms / model.token_ms
 
 
-def note_head(pace: Pace, weight: float, took_ms: float) -> None:
+def observe_ttft(model: LatencyModel, weight: float, took_ms: float) -> None:
     """Learn from a prompt that was read with ``weight`` up to its end."""
     if weight < SHORT_BACKLOG:
         # One that met a prompt not yet reported says nothing of the base.
-        seen_ms = min(took_ms, 2.0 * pace.base_ms)
-        pace.base_ms += BASE_GAIN * (seen_ms - pace.base_ms)
+        seen_ms = min(took_ms, 2.0 * model.base_ms)
+        model.base_ms += BASE_GAIN * (seen_ms - model.base_ms)
     elif weight > LONG_BACKLOG:
-        slower = took_ms - pace.base_ms > weight * pace.token_ms
-        pace.token_ms *= 1.0 + PACE_STEP if slower else 1.0 - PACE_STEP
+        slower = took_ms - model.base_ms > weight * model.token_ms
+        model.token_ms *= (
+            1.0 + TOKEN_COST_STEP if slower else 1.0 - TOKEN_COST_STEP
+        )
 
 
 @attrs.frozen
@@ -225,7 +226,7 @@
     return known / max(1, len(engines))
 
 
-def note_cached(
+def record_cached(
     loads: EngineLoads,
     engine: str,
     parts: typing.Iterable[tuple[int, int]],
--- a/src/carawayward/decisions/escalation.py
+++ b/src/carawayward/decisions/escalation.py
@@ -37,13 +37,13 @@
 # answer out of one that is in time.
 EARLY_HEAD = 0.3
 LATEST_HEAD = 0.9
-# Up to this strain the largest model takes requests that could not escalate.
+# Up to this overload the largest model takes requests that could not escalate.
 # Past it half of the answers, given in time, are better than all given late.
-MOST_STRAIN_FOR_LARGEST = 0.5
+MAX_OVERLOAD_FOR_LARGEST = 0.5
 
 
 @attrs.frozen
-class Strain:
+class Overload:
     """How much speaks against giving the largest model work, each 0 to 1.
 
     ``behind`` is about what it does to everybody else's answers, ``lateness``
@@ -54,7 +54,7 @@
     lateness: float = 0.0
 
 
-def find_strain(backlog_part: float, head_part: float) -> Strain:
+def compute_overload(backlog_part: float, head_part: float) -> Overload:
     """What speaks against giving the largest model work.
 
     ``backlog_part`` is how far the engines are behind on average, as a part
@@ -63,13 +63,13 @@
     """
     behind = (backlog_part - CALM_BACKLOG) / (HIGH_BACKLOG - CALM_BACKLOG)
     lateness = (head_part - EARLY_HEAD) / (LATEST_HEAD - EARLY_HEAD)
-    return Strain(
+    return Overload(
         behind=min(1.0, max(0.0, behind)),
         lateness=min(1.0, max(0.0, lateness)),
     )
 
 
-def choose_first(models: int, may_escalate: bool, strain: Strain) -> int:
+def choose_first(models: int, may_escalate: bool, overload: Overload) -> int:
     """The model to begin with, as a place in the list, smallest first.
 
     Where a dropped answer could not be followed by another run, the largest
@@ -79,8 +79,8 @@
     runs are left. Harm prevented: the largest model for everybody takes over
     twice the reading of a cascade, just when a part of the engines is gone.
     """
-    most = max(strain.behind, strain.lateness)
-    if may_escalate or most >= MOST_STRAIN_FOR_LARGEST:
+    most = max(overload.behind, overload.lateness)
+    if may_escalate or most >= MAX_OVERLOAD_FOR_LARGEST:
         return 0
     return models - 1
 
@@ -89,12 +89,12 @@
     index: int,
     models: int,
     confidence: float | None,
-    strain: Strain,
+    overload: Overload,
 ) -> int | None:
     """The model to ask next, or None to keep this answer.
 
-    A model that gives no opinion is taken at its word. ``strain`` is what
-    ``find_strain`` gives.
+    A model that gives no opinion is taken at its word. ``overload`` is what
+    ``compute_overload`` gives.
 
     Load: more hard requests than the engines can read prompts for. Harm
     prevented: if all of them escalate, queues grow until every answer on every
@@ -103,9 +103,9 @@
     """
     if confidence is None or index >= models - 1:
         return None
-    if strain.behind >= 1.0:
+    if overload.behind >= 1.0:
         return None
-    kept = SPREAD * strain.behind + LATE_SPREAD * strain.lateness
+    kept = SPREAD * overload.behind + LATE_SPREAD * overload.lateness
     if confidence >= LEAST_CONFIDENCE - kept:
         return None
     return models - 1
--- a/src/carawayward/decisions/health.py
+++ b/src/carawayward/decisions/health.py
@@ -58,7 +58,7 @@
     probes: int = 0
 
 
-def note_success(health: Health, unit_ms: float) -> bool:
+def record_success(health: Health, unit_ms: float) -> bool:
     """Learn from an answer; return True if it brings the endpoint back."""
     health.failures = 0
     health.samples += 1
@@ -84,7 +84,7 @@
     health.unit_ms = old + gain * (unit_ms - old)
 
 
-def note_failure(health: Health) -> None:
+def record_failure(health: Health) -> None:
     """Learn from a failure that the endpoint is to blame for."""
     health.failures += 1
     health.samples += 1
--- a/src/carawayward/decisions/limits.py
+++ b/src/carawayward/decisions/limits.py
@@ -19,7 +19,7 @@
 
 # All entry VMs together begin with about so many on an endpoint, and each
 # with one at least: a small batch for any engine. The limit doubles in each
-# good window until the first sign of strain. Entry VMs that all start into
+# good window until the first sign of overload. Entry VMs that all start into
 # saturation with two each would learn the strained latency as the best.
 FIRST_TOGETHER = 8.0
 LEAST = 1.0
@@ -63,7 +63,7 @@
     return in_flight < int(limit.value)
 
 
-def note_answer(limit: Limit, unit_ms: float, in_flight: int) -> None:
+def record_answer(limit: Limit, unit_ms: float, in_flight: int) -> None:
     """Learn from a whole answer that took ``unit_ms`` per unit of work."""
     limit.window_sum += unit_ms
     limit.window_count += 1
@@ -72,7 +72,7 @@
         _close_window(limit)
 
 
-def note_part(
+def record_part(
     limit: Limit, in_flight: int, others: float, entry_vms: int
 ) -> None:
     """Note how this entry VM's part of the load compares to an equal one.
@@ -90,7 +90,7 @@
         limit.part = min(high, max(low, equal / in_flight))
 
 
-def note_overload(limit: Limit) -> None:
+def record_overload(limit: Limit) -> None:
     """Learn from a refusal by the endpoint or from its silence."""
     limit.starting = False
     limit.value = max(LEAST, limit.value * DEEPEST_CUT)
--- a/src/carawayward/decisions/placement.py
+++ b/src/carawayward/decisions/placement.py
@@ -110,7 +110,7 @@
     return tuple(hash_key(f"{name}#{point}") for point in range(RING_POINTS))
 
 
-def note_report(view: View, load: float) -> None:
+def record_report(view: View, load: float) -> None:
     """Take an endpoint's report of its whole load."""
     others = max(0.0, load - view.in_flight)
     view.others += REPORT_GAIN * (others - view.others)
--- a/src/carawayward/decisions/avoidance.py
+++ b/src/carawayward/decisions/quarantine.py
@@ -1,12 +1,8 @@
 """Which endpoints are passed over since they would not take work just now.
 
-Load: a failure domain is cut off, endpoints went dark without a word, or some
-turn away what they are sent; requests go on to arrive for all of them. Harm
+Load: a failure domain is cut off, endpoints are out of reach, or some decline
+what they are sent, while requests go on to arrive for all of them. Failure
 prevented: such endpoints look idle, so that each request tries them first.
-Played with 14 of 18 endpoints out of reach for 4 s, entry VMs tried them 219
-times in one second, and 29 requests were refused though others had room; with
-one of three that declines everything, 18 of 20 requests needed a second run
-and used the extra runs up.
 
 Kept apart from health: a try costs little and never a run, and from inside a
 cut most of a pool may be out of reach at once, where the ejection of outliers
@@ -19,18 +15,13 @@
 import attrs
 
 # How long an endpoint is passed over, doubled with each try in a row up to
-# the longest. The first after a connection that failed is short, since a lost
-# packet looks the same; outages last seconds. The first after a word that it
-# takes nothing is about the time in which one that is full has room again.
-# Who tries too often makes callers wait, who tries too seldom leaves an
-# endpoint idle that is back.
+# the longest. Short after a connection that failed, since a lost packet looks
+# the same, and shorter after it declined, as one that is full soon has room.
 UNREACHED_MS = 300.0
 DECLINED_MS = 50.0
 LONGEST_MS = 3_000.0
 # While one request tries an endpoint the others pass it over for this long:
-# the time that a connection may take, or a word that it takes nothing. One
-# that has said nothing by then has the request; kept out for longer, engines
-# that decline half of their prompts stood idle and the others' rows grew.
+# the time that a connection may take, or a refusal.
 REACHING_MS = 500.0
 DECLINING_MS = 50.0
 
@@ -48,19 +39,19 @@
 
 
 @attrs.define
-class Avoidance:
+class Quarantine:
     """Endpoints that would not take work from one entry VM, by name."""
 
     endpoints: dict[str, Avoided] = attrs.field(factory=dict)
 
 
-def note_unreached(avoidance: Avoidance, name: str, now_ms: float) -> None:
+def record_unreached(quarantine: Quarantine, name: str, now_ms: float) -> None:
     """No connection came about."""
-    _avoid(avoidance, name, now_ms, UNREACHED_MS, REACHING_MS)
+    _quarantine(quarantine, name, now_ms, UNREACHED_MS, REACHING_MS)
 
 
-def note_domain_silent(
-    avoidance: Avoidance, names: typing.Iterable[str], now_ms: float
+def record_domain_silent(
+    quarantine: Quarantine, names: typing.Iterable[str], now_ms: float
 ) -> None:
     """Nobody in another failure domain answers; these are in it.
 
@@ -69,50 +60,50 @@
     for as long as a connection may take.
     """
     for name in names:
-        if name not in avoidance.endpoints:
+        if name not in quarantine.endpoints:
             until_ms = now_ms + UNREACHED_MS
-            avoidance.endpoints[name] = Avoided(until_ms, 0, REACHING_MS)
+            quarantine.endpoints[name] = Avoided(until_ms, 0, REACHING_MS)
 
 
-def note_declined(avoidance: Avoidance, name: str, now_ms: float) -> None:
+def record_declined(quarantine: Quarantine, name: str, now_ms: float) -> None:
     """The endpoint says that it did not run a request."""
-    _avoid(avoidance, name, now_ms, DECLINED_MS, DECLINING_MS)
+    _quarantine(quarantine, name, now_ms, DECLINED_MS, DECLINING_MS)
 
 
-def _avoid(
-    avoidance: Avoidance,
+def _quarantine(
+    quarantine: Quarantine,
     name: str,
     now_ms: float,
     first_ms: float,
     try_ms: float,
 ) -> None:
-    known = avoidance.endpoints.get(name)
+    known = quarantine.endpoints.get(name)
     tries = known.tries if known else 0
     pause_ms = min(LONGEST_MS, first_ms * 2.0**tries)
-    avoidance.endpoints[name] = Avoided(now_ms + pause_ms, tries + 1, try_ms)
+    quarantine.endpoints[name] = Avoided(now_ms + pause_ms, tries + 1, try_ms)
 
 
-def note_taken(avoidance: Avoidance, name: str) -> None:
+def record_taken(quarantine: Quarantine, name: str) -> None:
     """The endpoint took a request, or is another one now."""
-    avoidance.endpoints.pop(name, None)
+    quarantine.endpoints.pop(name, None)
 
 
-def begin_try(avoidance: Avoidance, name: str, now_ms: float) -> None:
+def begin_try(quarantine: Quarantine, name: str, now_ms: float) -> None:
     """A request tries an endpoint; until it is over the others pass it over.
 
     Otherwise all that arrive in the moment when its time is up try it.
     """
-    known = avoidance.endpoints.get(name)
+    known = quarantine.endpoints.get(name)
     if known is not None:
         known.until_ms = max(known.until_ms, now_ms + known.try_ms)
 
 
-def list_avoided(avoidance: Avoidance, now_ms: float) -> frozenset[str]:
+def list_quarantined(quarantine: Quarantine, now_ms: float) -> frozenset[str]:
     """Endpoints to pass over as long as there are others."""
-    if not avoidance.endpoints:
+    if not quarantine.endpoints:
         return frozenset()
     return frozenset(
         name
-        for name, each in avoidance.endpoints.items()
+        for name, each in quarantine.endpoints.items()
         if now_ms < each.until_ms
     )
--- a/src/carawayward/decisions/redirection.py
+++ b/src/carawayward/decisions/redirection.py
@@ -2,10 +2,8 @@
 
 Load: some entry VMs cannot prove that their keys are the newest, since the
 store is out of their reach or turns them away, while callers go on to arrive
-at all of them. Harm prevented: each caller is told to come back when the
-store may have returned, so that a request that any other entry VM would have
-served at once comes late. Played with 3 of 8 entry VMs cut off for 12 s, half
-of all requests came late though engines came to the first text in 0.1 s.
+at all of them. Failure prevented: callers wait for the store's return, though
+any other entry VM would serve them at once.
 
 If it is the store that has gone, the others cannot serve either, and a caller
 that goes on at once has used up its repeat for nothing.
@@ -20,7 +18,7 @@
 def others_may_serve(known: int, stale: int) -> bool:
     """Whether other entry VMs are likely to serve what this one cannot.
 
-    ``known`` counts the others that were heard of some time ago, ``stale``
-    those of them that said lately that they cannot prove their keys.
+    ``known`` counts the others, ``stale``
+    those of them whose last report says that they cannot prove their keys.
     """
     return stale < STALE_EVERYWHERE * known
--- a/src/carawayward/decisions/retry.py
+++ b/src/carawayward/decisions/retry.py
@@ -40,7 +40,7 @@
     high_ms: float | None = None
 
 
-def note_success(budget: Budget) -> None:
+def record_success(budget: Budget) -> None:
     """Earn a share of a second run."""
     budget.saved = min(MOST_SAVED, budget.saved + budget.share)
 
@@ -65,7 +65,7 @@
     return not reached_caller and (repeatable or not sent)
 
 
-def note_first_text(times: FirstText, took_ms: float) -> None:
+def record_first_text(times: FirstText, took_ms: float) -> None:
     """Learn the time to the first text; rises fast, falls slowly."""
     if times.high_ms is None:
         times.high_ms = took_ms
--- a/src/carawayward/decisions/extra_runs.py
+++ b/src/carawayward/decisions/retry_budget.py
@@ -1,7 +1,7 @@
 """How many runs beyond the first of each request may reach a service.
 
 Load: a pool of which a part fails or sheds, so that many requests want a
-second run at once, beside the runs that escalate to a larger model. Harm
+second run at once, beside the runs that escalate to a larger model. Failure
 prevented: second runs fill what is left of the pool.
 
 The bound holds for all entry VMs together: each keeps to the ratio of its own
@@ -20,7 +20,7 @@
 
 
 @attrs.define
-class ExtraRuns:
+class RetryBudget:
     """Counts of one service in a sliding window; times in ms.
 
     ``vms`` is among how many entry VMs the slack is split.
@@ -35,12 +35,12 @@
     )
 
 
-def note_request(runs: ExtraRuns, now_ms: float) -> None:
+def record_request(runs: RetryBudget, now_ms: float) -> None:
     """Count a caller's request."""
     _find_slice(runs, now_ms)[1] += 1
 
 
-def may_spend(runs: ExtraRuns, now_ms: float, reserve: float = 0.0) -> bool:
+def may_spend(runs: RetryBudget, now_ms: float, reserve: float = 0.0) -> bool:
     """Whether one more run fits; ``reserve`` is a part kept for others."""
     _find_slice(runs, now_ms)
     requests = sum(each[1] for each in runs.slices)
@@ -49,12 +49,12 @@
     return extra + 1 <= most * (1.0 - reserve)
 
 
-def spend(runs: ExtraRuns, now_ms: float) -> None:
+def spend(runs: RetryBudget, now_ms: float) -> None:
     """Count a run beyond a request's first."""
     _find_slice(runs, now_ms)[2] += 1
 
 
-def _find_slice(runs: ExtraRuns, now_ms: float) -> list[float]:
+def _find_slice(runs: RetryBudget, now_ms: float) -> list[float]:
     """The slice of this moment: when it began, requests, extra runs."""
     oldest = now_ms - runs.window_ms
     while runs.slices and runs.slices[0][0] < oldest:
--- a/src/carawayward/decisions/suspicion.py
+++ b/src/carawayward/decisions/suspicion.py
@@ -87,7 +87,7 @@
     return hashlib.sha256(request_key.encode()).hexdigest()[:12]
 
 
-def note_crash(book: SuspectBook, crash: Crash) -> bool:
+def record_crash(book: SuspectBook, crash: Crash) -> bool:
     """Add a crash; return False if it tells nothing new."""
     known = book.crashes.setdefault(crash.fingerprint, [])
     if crash in known:
@@ -101,7 +101,7 @@
     return True
 
 
-def note_answer(book: SuspectBook, fingerprint: str, wall_ms: int) -> bool:
+def record_answer(book: SuspectBook, fingerprint: str, wall_ms: int) -> bool:
     """Clear a suspect that was answered; return False if it was none."""
     if fingerprint not in book.crashes:
         return False
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -18,8 +18,8 @@
 from carawayward.forwarding import exchange
 from carawayward.forwarding import facts
 from carawayward.forwarding import measures as measures_module
+from carawayward.forwarding import readiness as readiness_module
 from carawayward.forwarding import replies
-from carawayward.forwarding import standing as standing_module
 from carawayward.forwarding import table as table_module
 from carawayward.forwarding import work_items
 
@@ -50,18 +50,19 @@
 class AsgiReply:
     """A reply over ASGI; ``finished`` once its end has been handed over.
 
-    ``sends_away`` tells whether the caller's connection is to end with it.
+    ``redirects_callers`` says whether the caller's connection is to end with
+    it.
     """
 
     send_event: Send
-    sends_away: typing.Callable[[], bool]
+    redirects_callers: typing.Callable[[], bool]
     begun: bool = False
     finished: bool = False
 
     async def begin(self, status: int, headers: facts.Headers) -> None:
         """Send status and headers."""
         self.begun = True
-        if self.sends_away():
+        if self.redirects_callers():
             headers = [*headers, (b"connection", b"close")]
         await self.send_event(
             {
@@ -94,7 +95,7 @@
     clock: clock_module.Clock
     dialect: facts.Dialect
     forwarder: exchange.Forwarder
-    standing: standing_module.Standing
+    readiness: readiness_module.Readiness
     measures: measures_module.Measures
 
     async def __call__(
@@ -103,7 +104,7 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        reply = AsgiReply(send, self.standing.sends_away)
+        reply = AsgiReply(send, self.readiness.redirects_callers)
         self.board.open_requests += 1
         try:
             await self._serve(scope, receive, reply)
@@ -131,7 +132,7 @@
             served = True
             nursery.cancel_scope.cancel()
         if not served:
-            self.forwarder.note_left(work)
+            self.forwarder.record_left(work)
 
     def _find_limits(self) -> table_module.CallerLimits:
         table = self.board.table
@@ -145,7 +146,7 @@
         if table is None:
             raise Refused(503, "no routing table yet", NOT_READY_MS)
         if self.board.refusing:
-            raise Refused(503, "leaving", standing_module.ELSEWHERE_MS)
+            raise Refused(503, "leaving", readiness_module.ELSEWHERE_MS)
         try:
             known = self.dialect.read_request(request.headers)
         except errors.BadRequest as fault:
@@ -154,7 +155,7 @@
         if route is None:
             # A table that may be out of date cannot say that there is no
             # such route: a newer one may have added it.
-            if not self.standing.is_fresh():
+            if not self.readiness.is_fresh():
                 raise self._refuse_stale("table may be old")
             raise Refused(404, "no such route")
         customer = self._find_customer(table, route, known)
@@ -181,7 +182,7 @@
     ) -> str:
         if not table.needs_key(route):
             return ""
-        if not self.standing.is_fresh():
+        if not self.readiness.is_fresh():
             raise self._refuse_stale("keys may be old")
         customer = table.customers_by_key.get(known.key)
         if customer is None:
@@ -190,7 +191,7 @@
 
     def _refuse_stale(self, cause: str) -> Refused:
         """Refuse what a proof of the table would be needed for."""
-        return Refused(503, cause, self.standing.find_come_back_ms())
+        return Refused(503, cause, self.readiness.compute_retry_after_ms())
 
     def _log_refusal(self, scope: dict, refusal: Refused) -> None:
         self.measures.count("refusals", cause=refusal.cause)
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -3,7 +3,7 @@
 import attrs
 
 from carawayward import clock as clock_module
-from carawayward.decisions import extra_runs
+from carawayward.decisions import retry_budget
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import exchange
@@ -13,11 +13,11 @@
 from carawayward.forwarding import measures as measures_module
 from carawayward.forwarding import placing
 from carawayward.forwarding import ports as ports_module
+from carawayward.forwarding import readiness as readiness_module
 from carawayward.forwarding import relaying
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import settings as settings_module
-from carawayward.forwarding import standing as standing_module
 from carawayward.forwarding import work_items
 
 
@@ -62,8 +62,8 @@
         reporter.list_members,
     )
 
-    def make_budget() -> extra_runs.ExtraRuns:
-        return extra_runs.ExtraRuns(
+    def make_budget() -> retry_budget.RetryBudget:
+        return retry_budget.RetryBudget(
             board.bounds.retry_window_ms,
             board.bounds.retry_ratio,
             board.bounds.retry_slack,
@@ -84,14 +84,14 @@
 ) -> app_module.ForwardingApp:
     """The application behind the callers' listener."""
 
-    standing = standing_module.Standing(board, clock, placer.reporter)
+    readiness = readiness_module.Readiness(board, clock, placer.reporter)
 
     def may_send(work: work_items.Work) -> bool:
         # A run that broke off goes on though keys have lapsed since: its key
         # was proved when the request came, and as long as the run had lasted
         # nothing would have stopped it either. In a cut failure domain 13
         # requests failed in 6 s that had lost their first engine to the cut.
-        return not work.customer or work.ran or standing.is_fresh()
+        return not work.customer or work.ran or readiness.is_fresh()
 
     forwarder = exchange.Forwarder(
         clock,
@@ -99,9 +99,9 @@
         placer,
         relaying.Relay(placer),
         may_send,
-        standing.find_come_back_ms,
+        readiness.compute_retry_after_ms,
         placer.measures,
     )
     return app_module.ForwardingApp(
-        board, clock, ports.dialect, forwarder, standing, placer.measures
+        board, clock, ports.dialect, forwarder, readiness, placer.measures
     )
--- a/src/carawayward/forwarding/patience.py
+++ b/src/carawayward/forwarding/attempt_timeouts.py
@@ -18,7 +18,7 @@
 SILENCE_MS = 3_000
 
 
-def find_patience_ms(
+def compute_attempt_timeout_ms(
     route: table.Route, left_ms: float, predicted_ms: float
 ) -> float:
     """How long to wait for the head of an answer.
@@ -29,20 +29,18 @@
     if not route.repeatable:
         return FOREVER_MS
     if route.kind is table.RouteKind.STREAM:
-        return _find_stream_patience_ms(route, left_ms, predicted_ms)
+        return _compute_stream_timeout_ms(route, left_ms, predicted_ms)
     return HEAD_TARGETS * route.target_ms
 
 
-def _find_stream_patience_ms(
+def _compute_stream_timeout_ms(
     route: table.Route, left_ms: float, predicted_ms: float
 ) -> float:
     """How long to wait for the first text of a stream.
 
-    Load: engines are so far behind that heads take as long as this wait. Harm
-    prevented: the prompts are read once more elsewhere, too late there as
-    well, and the engines given up are left out as if they were ill. Played
-    after a restart of all entry VMs, 67 prompts were given up so in 12 s
-    before four engines.
+    Load: engines are so far behind that first tokens take as long as this
+    wait. Failure prevented: the prompts are read once more elsewhere, too late
+    there as well, and the engines given up are ejected.
     """
     wait_ms = STREAM_HEAD_PART * left_ms
     needed_ms = max(route.target_ms, HEAD_MARGIN * predicted_ms)
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -211,7 +211,7 @@
     async def _answer_readiness(
         self, scope: dict, receive: typing.Any, send: typing.Any
     ) -> None:
-        ready = self.app.standing.is_ready()
+        ready = self.app.readiness.is_ready()
         reply = app_module.AsgiReply(send, lambda: False)
         await replies.refuse(reply, 200 if ready else 503, None)
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -7,14 +7,14 @@
 import trio
 
 from carawayward import clock as clock_module
-from carawayward.decisions import extra_runs
+from carawayward.decisions import retry_budget
 from carawayward import events
 from carawayward.forwarding import attempt as attempt_module
+from carawayward.forwarding import attempt_timeouts
 from carawayward.forwarding import facts
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import hops
 from carawayward.forwarding import measures as measures_module
-from carawayward.forwarding import patience
 from carawayward.forwarding import placing
 from carawayward.forwarding import relaying
 from carawayward.forwarding import replies
@@ -47,8 +47,8 @@
     """Serves forwarded requests.
 
     ``may_send`` is asked at the instant before a request's first byte goes
-    to an endpoint; ``find_come_back_ms`` is when a caller that it withheld
-    should come back.
+    to an endpoint; ``compute_retry_after_ms`` is when a caller that it
+    withheld should come back.
     """
 
     clock: clock_module.Clock
@@ -56,7 +56,7 @@
     placer: placing.Placer
     relay: relaying.Relay
     may_send: typing.Callable[[work_items.Work], bool]
-    find_come_back_ms: typing.Callable[[], float]
+    compute_retry_after_ms: typing.Callable[[], float]
     measures: measures_module.Measures
 
     @property
@@ -72,7 +72,9 @@
     async def serve(self, work: work_items.Work, reply: replies.Reply) -> None:
         """Answer one request; the caller's leaving cancels this call."""
         now_ms = self.clock.now_ms()
-        extra_runs.note_request(self.placer.find_budget(work.service), now_ms)
+        retry_budget.record_request(
+            self.placer.find_budget(work.service), now_ms
+        )
         self.placer.choose_model(work)
         left_ms = work.deadline_ms - now_ms - REPLY_MARGIN_MS
         with trio.move_on_after(max(0.0, left_ms) / 1000) as scope:
@@ -99,7 +101,7 @@
             self._note(work, place, outcome)
             if isinstance(outcome, work_items.Withheld):
                 # No other endpoint may have it either.
-                come_back_ms = self.find_come_back_ms()
+                come_back_ms = self.compute_retry_after_ms()
                 await self._give_up(work, reply, outcome.cause, come_back_ms)
                 return
             if not self._may_try_again(work, outcome):
@@ -113,17 +115,17 @@
         prevented: these wait for nothing, and their prompts are read though
         nobody is there for the answer.
 
-        An engine that has nothing else to read is always tried: if the pace
+        An engine that has nothing else to read is always tried: if the model
         was learned wrong, only an answer can put it right.
         """
         if work.may_have_run or not work.waits:
             return False
         left_ms = work.deadline_ms - self.clock.now_ms()
-        return self.placer.predict_head(work) > left_ms
+        return self.placer.predict_ttft(work) > left_ms
 
     def _find_return_ms(self, work: work_items.Work) -> float:
         """When engines will have read enough to answer a request in time."""
-        behind_ms = self.placer.predict_head(work) - work.route.target_ms
+        behind_ms = self.placer.predict_ttft(work) - work.route.target_ms
         return max(COME_BACK_MS, behind_ms)
 
     async def _attempt(
@@ -159,7 +161,7 @@
             work.mark = None
         if isinstance(outcome, work_items.Delivered):
             took_ms = self.clock.now_ms() - began_ms
-            self.fleet.note_success(place, took_ms)
+            self.fleet.record_success(place, took_ms)
         return outcome
 
     async def _send(
@@ -170,7 +172,7 @@
         reply: replies.Reply,
     ) -> work_items.Outcome:
         async with contextlib.AsyncExitStack() as stack:
-            wait_ms = self._find_patience_ms(work)
+            wait_ms = self._compute_attempt_timeout_ms(work)
             with trio.move_on_after(wait_ms / 1000) as waiting:
                 answer = await stack.enter_async_context(
                     attempt_module.open_attempt(
@@ -179,7 +181,7 @@
                         work.facts.request_id,
                         self.dialect.read_answer,
                         mark,
-                        patience.find_silence_ms(work.route),
+                        attempt_timeouts.find_silence_ms(work.route),
                     )
                 )
             if waiting.cancelled_caught:
@@ -187,13 +189,15 @@
                     return work_items.Unreached("no connection in time")
                 return work_items.Failed("no answer in time")
             if not answer.head.facts.declined:
-                self.fleet.note_taken(place)
+                self.fleet.record_taken(place)
             return await self.relay.pass_on(work, answer, reply)
 
-    def _find_patience_ms(self, work: work_items.Work) -> float:
+    def _compute_attempt_timeout_ms(self, work: work_items.Work) -> float:
         left_ms = work.deadline_ms - self.clock.now_ms()
-        predicted_ms = self.placer.predict_head(work)
-        return patience.find_patience_ms(work.route, left_ms, predicted_ms)
+        predicted_ms = self.placer.predict_ttft(work)
+        return attempt_timeouts.compute_attempt_timeout_ms(
+            work.route, left_ms, predicted_ms
+        )
 
     def _make_forward(
         self, work: work_items.Work, place: fleet_module.Place
@@ -234,19 +238,19 @@
             case work_items.Unreached():
                 work.useless |= {name}
                 took_ms = self.clock.now_ms() - work.progress.began_ms
-                self.fleet.note_unreached(place, took_ms)
+                self.fleet.record_unreached(place, took_ms)
                 work.unreached_ms += took_ms
-                self.fleet.note_failure(place, outcome.cause)
+                self.fleet.record_failure(place, outcome.cause)
             case work_items.Declined():
                 work.useless |= {name}
-                self.fleet.note_declined(place)
+                self.fleet.record_declined(place)
                 work.runs += 1
             case work_items.Failed():
                 work.failed_at |= {name}
                 work.runs += 1
                 work.ran = True
                 work.failure = outcome
-                self.fleet.note_failure(place, outcome.cause)
+                self.fleet.record_failure(place, outcome.cause)
         self.measures.count("attempts", outcome=type(outcome).__name__.lower())
         events.log_event(
             events.Event.ATTEMPT_ENDED,
@@ -274,9 +278,9 @@
             self.placer.find_budget(work.service),
             self.clock.now_ms(),
         )
-        if not extra_runs.may_spend(budget, now_ms):
+        if not retry_budget.may_spend(budget, now_ms):
             return False
-        extra_runs.spend(budget, now_ms)
+        retry_budget.spend(budget, now_ms)
         return True
 
     async def _give_up(
@@ -304,7 +308,7 @@
             await replies.refuse(reply, status, come_back_ms)
         self._log_end(work, status, cause)
 
-    def note_left(self, work: work_items.Work) -> None:
+    def record_left(self, work: work_items.Work) -> None:
         """The caller has left before it had its whole answer."""
         self._log_end(work, 0, "caller left")
 
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -48,7 +48,7 @@
     ``replace`` gets all newest records after a gap, ``apply`` each further
     record. ``prove`` gets the boot time at which the call was sent that
     showed the reader to be up to date. ``contact`` is shared by all feeds.
-    ``note_failing`` is called at the first failed call and at the first that
+    ``record_failing`` is called at the first failed call and at the first that
     succeeds again. ``get_poll_wait`` says how long the next poll may wait, in
     ms. Nothing is read while ``is_needed`` says that the topic is not.
 
@@ -69,7 +69,7 @@
     apply: typing.Callable[[keyed_log.Record], None]
     prove: typing.Callable[[float], None] = lambda as_of_ms: None
     get_poll_wait: typing.Callable[[], float] = lambda: store_polls.POLL_MS
-    note_failing: typing.Callable[[bool], None] = lambda failing: None
+    record_failing: typing.Callable[[bool], None] = lambda failing: None
     has_delegate: typing.Callable[[], bool] = lambda: False
     is_needed: typing.Callable[[], bool] = lambda: True
     get_max_age: typing.Callable[[], float] = lambda: store_polls.POLL_MS
@@ -118,7 +118,7 @@
         if position == self.position and as_of_ms > self.proved_ms:
             # So long as nothing has changed, an entry VM that cannot reach
             # the store knows as much as one that can.
-            self._note_well()
+            self._record_well()
             self._prove(as_of_ms)
 
     def announce(self, position: int, served: bool) -> None:
@@ -168,24 +168,24 @@
             # Only a poll waits for records. What was proved is nearly too old
             # in all other cases, and proved anew only when the call ends.
             wait_ms = self.get_poll_wait() if cause is Cause.POLL else 0.0
-            sent_ms = self.contact.note_call()
+            sent_ms = self.contact.record_call()
             try:
                 batch = await self._read(wait_ms)
             except keyed_log.HistoryLost:
-                self.contact.note_answer()
+                self.contact.record_answer()
                 self._lost = True
                 continue
             except errors.PlatformUnavailable as fault:
-                self._note_failure(sent_ms, fault)
+                self._record_failure(sent_ms, fault)
                 await self.contact.pause()
                 continue
             if batch is None:
                 continue
             # Told before the records are taken in: what is missing among
             # them may have lapsed in the outage that ends with them.
-            self.contact.note_answer()
+            self.contact.record_answer()
             self._take(batch)
-            self._note_well()
+            self._record_well()
             if batch.complete:
                 self._prove(sent_ms)
             if batch.records:
@@ -281,20 +281,20 @@
         self.log.apply(record)
         self.apply(record)
 
-    def _note_well(self) -> None:
+    def _record_well(self) -> None:
         if not self.failing:
             return
         self.failing = False
-        self.note_failing(False)
+        self.record_failing(False)
         events.log_event(events.Event.PLATFORM_BACK, topic=self.name)
 
-    def _note_failure(
+    def _record_failure(
         self, sent_ms: float, fault: errors.PlatformUnavailable
     ) -> None:
-        self.contact.note_failure(sent_ms)
+        self.contact.record_failure(sent_ms)
         if not self.failing:
             self.failing = True
-            self.note_failing(True)
+            self.record_failing(True)
             events.log_event(
                 events.Event.PLATFORM_DOWN, topic=self.name, detail=str(fault)
             )
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -81,7 +81,7 @@
             find_lease(), board.bounds.apply_ms
         )
 
-    def note_store(failing: bool) -> None:
+    def record_store(failing: bool) -> None:
         board.store_failing = failing
 
     made = feed.TopicFeed(
@@ -93,7 +93,7 @@
         reader.apply,
         reader.prove,
         get_poll_wait=get_poll_wait,
-        note_failing=note_store,
+        record_failing=record_store,
         has_delegate=functools.partial(freshness.has_delegate, DECLARATIONS),
         get_max_age=get_max_age,
         push_updates=functools.partial(freshness.push_updates, DECLARATIONS),
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -5,11 +5,11 @@
 import attrs
 
 from carawayward import clock as clock_module
-from carawayward.decisions import avoidance as avoidance_module
 from carawayward.decisions import engine_load
 from carawayward.decisions import health as health_module
 from carawayward.decisions import limits
 from carawayward.decisions import placement
+from carawayward.decisions import quarantine as quarantine_module
 from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
@@ -59,9 +59,11 @@
     loads: engine_load.EngineLoads = attrs.field(
         factory=engine_load.EngineLoads
     )
-    paces: dict[str, engine_load.Pace] = attrs.field(factory=dict)
-    avoidance: avoidance_module.Avoidance = attrs.field(
-        factory=avoidance_module.Avoidance
+    latency_models: dict[str, engine_load.LatencyModel] = attrs.field(
+        factory=dict
+    )
+    quarantine: quarantine_module.Quarantine = attrs.field(
+        factory=quarantine_module.Quarantine
     )
     reached_ms: dict[str, float] = attrs.field(factory=dict)
 
@@ -101,9 +103,11 @@
             remote_weight,
         )
 
-    def find_pace(self, service: str) -> engine_load.Pace:
+    def get_latency_model(self, service: str) -> engine_load.LatencyModel:
         """How fast a service's engines read prompts."""
-        return self.paces.setdefault(service, engine_load.Pace())
+        return self.latency_models.setdefault(
+            service, engine_load.LatencyModel()
+        )
 
     def find_backlog_ms(
         self, service: str, pool: placement.Candidates
@@ -116,7 +120,7 @@
             if health_module.may_take(view.health, now_ms, view.in_flight)
         ]
         weight = engine_load.compute_mean_weight(self.loads, names, now_ms)
-        return weight * self.find_pace(service).token_ms
+        return weight * self.get_latency_model(service).token_ms
 
     def find_pool(self, want: Want) -> placement.Candidates:
         """The endpoints that may serve."""
@@ -166,32 +170,32 @@
         """Note that a request goes to an endpoint."""
         place.view.in_flight += 1
         health_module.begin_probe(place.view.health)
-        avoidance_module.begin_try(
-            self.avoidance, place.entry.name, self.clock.now_ms()
+        quarantine_module.begin_try(
+            self.quarantine, place.entry.name, self.clock.now_ms()
         )
 
     def vacate(self, place: Place) -> None:
         """Note that a request has left an endpoint."""
         place.view.in_flight -= 1
 
-    def list_avoided(self) -> frozenset[str]:
+    def list_quarantined(self) -> frozenset[str]:
         """Endpoints that would not take work a moment ago."""
         now_ms = self.clock.now_ms()
-        return avoidance_module.list_avoided(self.avoidance, now_ms)
+        return quarantine_module.list_quarantined(self.quarantine, now_ms)
 
-    def note_taken(self, place: Place) -> None:
+    def record_taken(self, place: Place) -> None:
         """An endpoint has taken a request."""
-        avoidance_module.note_taken(self.avoidance, place.entry.name)
+        quarantine_module.record_taken(self.quarantine, place.entry.name)
         self.reached_ms[place.entry.failure_domain] = self.clock.now_ms()
 
-    def note_unreached(self, place: Place, took_ms: float) -> None:
+    def record_unreached(self, place: Place, took_ms: float) -> None:
         """No connection to an endpoint came about, after so long.
 
         If nothing has come from its failure domain in all that time either,
         the domain may be cut off, and its other endpoints are passed over too.
         """
         name, now_ms = place.entry.name, self.clock.now_ms()
-        avoidance_module.note_unreached(self.avoidance, name, now_ms)
+        quarantine_module.record_unreached(self.quarantine, name, now_ms)
         domain = place.entry.failure_domain
         last_seen_ms = self.reached_ms.get(domain, float("-inf"))
         if (
@@ -200,8 +204,8 @@
             or last_seen_ms > now_ms - took_ms
         ):
             return
-        avoidance_module.note_domain_silent(
-            self.avoidance,
+        quarantine_module.record_domain_silent(
+            self.quarantine,
             [
                 each.entry.name
                 for each in self.places.values()
@@ -210,21 +214,21 @@
             now_ms,
         )
 
-    def note_declined(self, place: Place) -> None:
+    def record_declined(self, place: Place) -> None:
         """An endpoint would not run a request."""
         name, now_ms = place.entry.name, self.clock.now_ms()
-        avoidance_module.note_declined(self.avoidance, name, now_ms)
+        quarantine_module.record_declined(self.quarantine, name, now_ms)
 
-    def note_success(self, place: Place, unit_ms: float) -> None:
+    def record_success(self, place: Place, unit_ms: float) -> None:
         """Learn from a whole answer."""
-        if health_module.note_success(place.view.health, unit_ms):
+        if health_module.record_success(place.view.health, unit_ms):
             events.log_event(
                 events.Event.ENDPOINT_BACK, endpoint=place.entry.name
             )
 
-    def note_failure(self, place: Place, cause: str) -> None:
+    def record_failure(self, place: Place, cause: str) -> None:
         """Learn from a failure that the endpoint is to blame for."""
-        health_module.note_failure(place.view.health)
+        health_module.record_failure(place.view.health)
         pool = self.find_pool(Want(place.entry.service))
         healths = [view.health for view in pool.views]
         if health_module.judge(
@@ -248,13 +252,13 @@
             if place is None or _identify(place.entry) != _identify(entry):
                 place = Place(entry=entry, view=_make_view(entry))
                 self.loads.cached.pop(name, None)
-                avoidance_module.note_taken(self.avoidance, name)
+                quarantine_module.record_taken(self.quarantine, name)
             place.entry = entry
             kept[name] = place
         self.places = kept
         engine_load.forget_engines(self.loads, kept)
-        for name in self.avoidance.endpoints.keys() - kept.keys():
-            avoidance_module.note_taken(self.avoidance, name)
+        for name in self.quarantine.endpoints.keys() - kept.keys():
+            quarantine_module.record_taken(self.quarantine, name)
 
 
 def _identify(entry: facts.EndpointEntry) -> Identity:
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -152,7 +152,7 @@
     ) -> None:
         """Record what an engine will have read, and report it."""
         parts = list(parts)
-        engine_load.note_cached(
+        engine_load.record_cached(
             self.loads, engine, parts, self.memory_tokens(engine)
         )
         number = load_report_messages.shorten(engine)
@@ -402,7 +402,7 @@
             if engine is not None:
                 kept = [(part.key, part.tokens)]
                 memory = self.memory_tokens(engine)
-                engine_load.note_cached(self.loads, engine, kept, memory)
+                engine_load.record_cached(self.loads, engine, kept, memory)
 
     def _name_engines(self) -> dict[int, str]:
         """The listed endpoints by what stands for their names."""
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -7,8 +7,8 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import engine_load
 from carawayward.decisions import escalation
-from carawayward.decisions import extra_runs
 from carawayward.decisions import placement
+from carawayward.decisions import retry_budget
 from carawayward import events
 from carawayward.forwarding import facts
 from carawayward.forwarding import fleet as fleet_module
@@ -32,10 +32,10 @@
     rollouts: rollouts_module.Rollouts
     reporter: load_reports.LoadReporter
     measures: measures_module.Measures
-    make_budget: typing.Callable[[], extra_runs.ExtraRuns]
-    budgets: dict[str, extra_runs.ExtraRuns] = attrs.field(factory=dict)
+    make_budget: typing.Callable[[], retry_budget.RetryBudget]
+    budgets: dict[str, retry_budget.RetryBudget] = attrs.field(factory=dict)
 
-    def find_budget(self, service: str) -> extra_runs.ExtraRuns:
+    def find_budget(self, service: str) -> retry_budget.RetryBudget:
         """The extra runs of a service."""
         budget = self.budgets.get(service)
         if budget is None:
@@ -50,39 +50,41 @@
         may_escalate = (
             work.route.repeatable
             and work.route.max_attempts > 1
-            and extra_runs.may_spend(
+            and retry_budget.may_spend(
                 self.find_budget(work.service),
                 self.clock.now_ms(),
                 ESCALATION_RESERVE,
             )
         )
-        strain = (
-            escalation.Strain() if may_escalate else self._find_strain(work)
+        overload = (
+            escalation.Overload()
+            if may_escalate
+            else self._compute_overload(work)
         )
         work.model = escalation.choose_first(
-            len(work.route.models), may_escalate, strain
+            len(work.route.models), may_escalate, overload
         )
 
-    def _find_strain(self, work: work_items.Work) -> escalation.Strain:
+    def _compute_overload(self, work: work_items.Work) -> escalation.Overload:
         """How much speaks against the largest model for a request."""
         prompt = work_items.make_prompt(work, work.route.models[-1])
         if prompt is None:
-            return escalation.Strain()
-        excluded = work.useless | self.fleet.list_avoided()
+            return escalation.Overload()
+        excluded = work.useless | self.fleet.list_quarantined()
         for want in self._list_wants(work, self.rollouts.choose(work)):
             pool = self.fleet.find_pool(want)
             engine = self._choose_engine(work, pool, prompt, excluded)
             if engine is None:
                 continue
-            head_ms = engine_load.predict_head(
-                self.fleet.find_pace(work.service), engine.weight
+            head_ms = engine_load.predict_ttft(
+                self.fleet.get_latency_model(work.service), engine.weight
             )
             work.backlog_ms = self.fleet.find_backlog_ms(work.service, pool)
             shortest_ms = work.table.find_shortest_target(work.service)
-            return escalation.find_strain(
+            return escalation.compute_overload(
                 work.backlog_ms / shortest_ms, head_ms / work.route.target_ms
             )
-        return escalation.Strain(behind=1.0)
+        return escalation.Overload(behind=1.0)
 
     def choose(
         self, work: work_items.Work, choice: rollout_state.Choice | None
@@ -90,8 +92,8 @@
         """Choose an endpoint: of the version wanted, else of the other."""
         wants = self._list_wants(work, choice)
         tried = work.useless | work.failed_at
-        avoided = self.fleet.list_avoided()
-        for excluded in (tried | avoided, tried, work.useless):
+        quarantined = self.fleet.list_quarantined()
+        for excluded in (tried | quarantined, tried, work.useless):
             for want in wants:
                 place = self._place_among(work, want, excluded)
                 if place is not None:
@@ -123,7 +125,7 @@
         excluded: frozenset[str],
     ) -> engine_load.Choice | None:
         remote_weight = engine_load.find_remote_weight(
-            self.fleet.find_pace(work.service), work.route.target_ms
+            self.fleet.get_latency_model(work.service), work.route.target_ms
         )
         return self.fleet.choose_engine(pool, prompt, excluded, remote_weight)
 
@@ -157,24 +159,24 @@
         reading.begin()
         return reading
 
-    def predict_head(self, work: work_items.Work) -> float:
+    def predict_ttft(self, work: work_items.Work) -> float:
         """When the first text comes from where the work was placed, in ms.
 
         0 for what no engine reads.
         """
         if not work.backlog:
             return 0.0
-        pace = self.fleet.find_pace(work.service)
-        return engine_load.predict_head(pace, work.backlog)
+        model = self.fleet.get_latency_model(work.service)
+        return engine_load.predict_ttft(model, work.backlog)
 
-    def note_head(self, work: work_items.Work) -> None:
+    def observe_ttft(self, work: work_items.Work) -> None:
         """Learn from a prompt that its engine has read."""
         progress = work.progress
         progress.head_ms = took_ms = self.clock.now_ms() - progress.began_ms
         if work.reading is None:
             return
-        work.reading.note_head()
-        predicted_ms = self.predict_head(work)
+        work.reading.observe_ttft()
+        predicted_ms = self.predict_ttft(work)
         progress.predicted_ms = predicted_ms
         events.log_event(
             events.Event.HEAD_READ,
@@ -187,8 +189,8 @@
             behind_ms=round(work.backlog_ms),
             confidence=work.confidence,
         )
-        pace = self.fleet.find_pace(work.service)
-        engine_load.note_head(pace, work.backlog, took_ms)
+        model = self.fleet.get_latency_model(work.service)
+        engine_load.observe_ttft(model, work.backlog, took_ms)
         self.measures.observe("head", took_ms, model=work.model_name)
 
     def find_larger(self, work: work_items.Work) -> int | None:
@@ -198,11 +200,11 @@
         if work.runs + 1 >= work.route.max_attempts:
             return None
         budget = self.find_budget(work.service)
-        if not extra_runs.may_spend(budget, self.clock.now_ms()):
+        if not retry_budget.may_spend(budget, self.clock.now_ms()):
             return None
         return escalation.find_next(
             work.model,
             len(work.route.models),
             work.confidence,
-            self._find_strain(work),
+            self._compute_overload(work),
         )
--- a/src/carawayward/forwarding/standing.py
+++ b/src/carawayward/forwarding/readiness.py
@@ -15,7 +15,7 @@
 
 
 @attrs.define(eq=False)
-class Standing:
+class Readiness:
     """What this entry VM can say of itself, next to the others."""
 
     board: board_module.ForwardingBoard
@@ -26,7 +26,7 @@
         """Whether the table's keys may still be relied on."""
         return self.board.is_fresh(self.clock.boot_ms())
 
-    def sends_away(self) -> bool:
+    def redirects_callers(self) -> bool:
         """Whether callers do better to leave for another entry VM.
 
         So from the first failed call for the table on, not only when its keys
@@ -37,7 +37,7 @@
             return True
         return self._is_in_doubt() and self._others_may_serve()
 
-    def find_come_back_ms(self) -> float:
+    def compute_retry_after_ms(self) -> float:
         """When a caller should come back that needs a proof of its key."""
         others = self._others_may_serve()
         return ELSEWHERE_MS if others else KEYS_OLD_MS
@@ -45,7 +45,7 @@
     def is_ready(self) -> bool:
         """Whether a balancer should send new connections."""
         ready = self.board.state is board_module.State.READY
-        return ready and not self.sends_away()
+        return ready and not self.redirects_callers()
 
     def _is_in_doubt(self) -> bool:
         return self.board.store_failing or not self.is_fresh()
--- a/src/carawayward/forwarding/registry.py
+++ b/src/carawayward/forwarding/registry.py
@@ -75,7 +75,7 @@
             self._drop(record.key, "unreadable entry")
             return
         self.missing.discard(entry.name)
-        self._note_taken(record)
+        self._record_taken(record)
         known = self.board.endpoints.get(entry.name)
         if known == entry:
             return
@@ -133,7 +133,7 @@
         ):
             self._drop_missing("entry removed during an outage")
 
-    def _note_taken(self, record: keyed_log.Record) -> None:
+    def _record_taken(self, record: keyed_log.Record) -> None:
         """Note when a record was read first; the newest are read again."""
         known = self.taken.get(record.key)
         if known is None or known.offset != record.offset:
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -66,7 +66,7 @@
     ) -> work_items.Outcome:
         """Pass whole events on as they come."""
         work.confidence = answer.head.facts.confidence
-        self.placer.note_head(work)
+        self.placer.observe_ttft(work)
         larger = None if reply.begun else self.placer.find_larger(work)
         if larger is not None:
             work.progress.status = answer.head.status
--- a/src/carawayward/forwarding/store_contact.py
+++ b/src/carawayward/forwarding/store_contact.py
@@ -36,12 +36,12 @@
     _failed_ms: float = 0.0
     _waiting: set[trio.CancelScope] = attrs.field(factory=set)
 
-    def note_call(self) -> float:
+    def record_call(self) -> float:
         """A call is about to be sent; returns the time."""
         self.sent_ms = self.clock.boot_ms()
         return self.sent_ms
 
-    def note_failure(self, sent_ms: float) -> None:
+    def record_failure(self, sent_ms: float) -> None:
         """The call that was sent then has failed.
 
         A call from before the return may fail a second after it, when its
@@ -56,7 +56,7 @@
         self._last_lost_ms = sent_ms
         self._failed_ms = now_ms
 
-    def note_answer(self) -> None:
+    def record_answer(self) -> None:
         """The store has answered a call.
 
         Other feeds may wait for an answer that was lost in the outage, or for
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -78,7 +78,7 @@
         load = engine_load.Load(self.weight, 1)
         self.reporter.add_load(self.engine, load)
 
-    def note_head(self) -> None:
+    def observe_ttft(self) -> None:
         """The prompt has been read; the answer comes."""
         if self.weight:
             load = engine_load.Load(-self.weight, 0)
--- a/src/carawayward/gateway/fleet.py
+++ b/src/carawayward/gateway/fleet.py
@@ -81,7 +81,7 @@
         view = self.views[name]
         fresh = known is None or known.reported_ms != endpoint.reported_ms
         if fresh and endpoint.reported_ms:
-            placement.note_report(view, endpoint.reported_load)
+            placement.record_report(view, endpoint.reported_load)
         back = endpoint.reported_ms > self.unreachable.get(name, now_ms)
         if back:
             del self.unreachable[name]
@@ -104,7 +104,7 @@
             and name not in self.unreachable
         )
 
-    def note_unreachable(self, view: placement.View, now_ms: float) -> None:
+    def record_unreachable(self, view: placement.View, now_ms: float) -> None:
         """Take an endpoint that refuses connections out until it reports.
 
         Nothing can be in flight on it, so this needs no floor: with all of
@@ -125,17 +125,17 @@
         view.in_flight -= 1
         self.board.in_flight[view.name] = view.in_flight
 
-    def note_success(self, view: placement.View, unit_ms: float) -> None:
+    def record_success(self, view: placement.View, unit_ms: float) -> None:
         """Learn from a whole answer."""
-        limits.note_part(
+        limits.record_part(
             view.limit, view.in_flight, view.others, self.entry_vms
         )
-        limits.note_answer(view.limit, unit_ms, view.in_flight)
-        if health.note_success(view.health, unit_ms):
+        limits.record_answer(view.limit, unit_ms, view.in_flight)
+        if health.record_success(view.health, unit_ms):
             limits.restart(view.limit, self.entry_vms)
             events.log_event(events.Event.ENDPOINT_BACK, endpoint=view.name)
 
-    def note_failure(
+    def record_failure(
         self,
         view: placement.View,
         candidates: placement.Candidates,
@@ -143,9 +143,9 @@
         overload: bool,
     ) -> None:
         """Learn from a failure and leave the endpoint out if it is due."""
-        health.note_failure(view.health)
+        health.record_failure(view.health)
         if overload:
-            limits.note_overload(view.limit)
+            limits.record_overload(view.limit)
         self.judge(view, candidates, now_ms)
 
     def judge(
--- a/src/carawayward/gateway/lifecycle.py
+++ b/src/carawayward/gateway/lifecycle.py
@@ -72,12 +72,12 @@
         """Answer a completion within its deadline, and measure it."""
         watch = self.metrics.watch(customer.name, request.task)
 
-        async def note_text(text: str) -> None:
-            watch.note_piece()
+        async def record_text(text: str) -> None:
+            watch.record_piece()
             await on_text(text)
 
-        outcome = await self._complete(customer, request, pins, note_text)
-        note_outcome(watch, outcome)
+        outcome = await self._complete(customer, request, pins, record_text)
+        record_outcome(watch, outcome)
         return outcome
 
     async def _complete(
@@ -189,7 +189,7 @@
             if not isinstance(result, running.StepDone):
                 return result
             end = result.end
-            self._note_answer(
+            self._record_answer(
                 customer, request, index, step.version, result, began_ms
             )
             cost += self._price(step.version, end.output_tokens)
@@ -212,7 +212,7 @@
             return await self._bill(customer, request.request_key, answer)
         raise AssertionError("a plan ends with a step that always stands")
 
-    def _note_answer(
+    def _record_answer(
         self,
         customer: declaration.Customer,
         request: requests.Completion,
@@ -224,7 +224,7 @@
         """Let a step's answer be rated and its time be learned."""
         config = self.board.config
         task = config.tasks.get(request.task) if config else None
-        planning.note_answer(
+        planning.record_answer(
             self.board,
             quality.SampledAnswer(
                 answer_id=f"{customer.name} {request.request_key} {index}",
@@ -301,22 +301,22 @@
                 outcome = await self._bill(
                     customer, call.request_key, outcome, attempts
                 )
-            note_outcome(watch, outcome)
+            record_outcome(watch, outcome)
             return outcome
         finally:
             self.board.running -= 1
 
 
-def note_outcome(
+def record_outcome(
     watch: metrics_module.AnswerWatch, outcome: outcomes.Outcome
 ) -> None:
     """Measure how a request ended."""
     match outcome:
         case outcomes.Answered(plan=plan, cost=cost):
-            watch.note_end("answered", "+".join(plan), cost)
+            watch.record_end("answered", "+".join(plan), cost)
         case outcomes.NotRun():
-            watch.note_end("not_run", "", 0.0)
+            watch.record_end("not_run", "", 0.0)
         case outcomes.Unknown():
-            watch.note_end("unknown", "", 0.0)
+            watch.record_end("unknown", "", 0.0)
         case outcomes.Interrupted():
-            watch.note_end("interrupted", "", 0.0)
+            watch.record_end("interrupted", "", 0.0)
--- a/src/carawayward/gateway/planning.py
+++ b/src/carawayward/gateway/planning.py
@@ -202,7 +202,7 @@
     )
 
 
-def note_answer(
+def record_answer(
     board: blackboard_module.Blackboard,
     sample: quality.SampledAnswer,
     rated_share: float,
--- a/src/carawayward/gateway/relay.py
+++ b/src/carawayward/gateway/relay.py
@@ -51,12 +51,12 @@
                 # the handlers of typed errors do not know.
                 fault = caught
             finally:
-                self._note_outcome()
+                self._record_outcome()
             nursery.cancel_scope.cancel()
         if fault is not None:
             raise fault
 
-    def _note_outcome(self) -> None:
+    def _record_outcome(self) -> None:
         outcome = self.outcome or outcomes.Unknown(
             outcomes.Reason.CALLER_LEFT,
             "the caller left while it ran; it may be sent again",
--- a/src/carawayward/gateway/running.py
+++ b/src/carawayward/gateway/running.py
@@ -110,7 +110,7 @@
         self.pieces += 1
         if self.pieces == 1:
             first_ms = now_ms - self.began_ms
-            retry.note_first_text(self.lane.first_text, first_ms)
+            retry.record_first_text(self.lane.first_text, first_ms)
         await self.on_text(text)
         self.held_up_ms += self.clock.now_ms() - now_ms
 
@@ -148,12 +148,12 @@
         if index and not race.faults:
             # The silent first run was cancelled: without this its endpoint
             # would look idle and go on drawing requests.
-            self.fleet.note_failure(
+            self.fleet.record_failure(
                 views[0], lane.candidates, self.clock.now_ms(), False
             )
-        self.suspects.note_answer(step.fingerprint)
-        retry.note_success(lane.retries)
-        retry.note_success(lane.hedges)
+        self.suspects.record_answer(step.fingerprint)
+        retry.record_success(lane.retries)
+        retry.record_success(lane.hedges)
         text = "".join(step.parts)
         if step.buffered:
             await step.on_text(text)
@@ -208,22 +208,22 @@
                 end = await self.endpoints.run_engine(
                     endpoint, run, watch.write
                 )
-                self._note_answer(step.lane, waiter, view, watch, end)
+                self._record_answer(step.lane, waiter, view, watch, end)
                 return end
             except trio.Cancelled:
                 now_ms = self.clock.now_ms()
                 if now_ms >= step.deadline_ms:
-                    self._note_work(step.lane, waiter, now_ms - began_ms)
+                    self._record_work(step.lane, waiter, now_ms - began_ms)
                 raise
             except errors.EndpointError as fault:
-                await self._note_failure(step, view, fault)
+                await self._record_failure(step, view, fault)
                 raise
             finally:
                 self.lanes.release(view, waiter)
 
         return runner
 
-    def _note_answer(
+    def _record_answer(
         self,
         lane: lanes_module.Lane,
         waiter: lanes_module.Waiter | None,
@@ -238,14 +238,14 @@
         """
         now_ms = self.clock.now_ms()
         took_ms = now_ms - watch.began_ms
-        self._note_work(lane, waiter, took_ms)
+        self._record_work(lane, waiter, took_ms)
         if watch.held_up_ms > MOST_HELD_UP * took_ms:
             return
         unit_ms = took_ms / (end.output_tokens + UNIT_BASE)
-        self.fleet.note_success(view, unit_ms)
+        self.fleet.record_success(view, unit_ms)
         self.fleet.judge(view, lane.candidates, now_ms)
 
-    def _note_work(
+    def _record_work(
         self,
         lane: lanes_module.Lane,
         waiter: lanes_module.Waiter | None,
@@ -253,9 +253,9 @@
     ) -> None:
         if waiter is not None:
             customer = waiter.item.customer
-            admission.note_work(lane.times, customer, took_ms)
+            admission.record_work(lane.times, customer, took_ms)
 
-    async def _note_failure(
+    async def _record_failure(
         self, step: Step, view: placement.View, fault: errors.EndpointError
     ) -> None:
         """Learn from a failed run, and look whether it was a crash.
@@ -264,7 +264,7 @@
         has crashed it, or was in flight when another did. Silence is no
         crash: cut-off networks look the same.
         """
-        self._note_fault(step.lane, view, fault)
+        self._record_fault(step.lane, view, fault)
         if not fault.sent or fault.silent or fault.status is not None:
             return
         self.suspects.begin_judging(step.fingerprint)
@@ -273,8 +273,8 @@
                 events.log_event(
                     events.Event.ENDPOINT_CRASHED, endpoint=view.name
                 )
-                self.fleet.note_unreachable(view, self.clock.now_ms())
-                self.suspects.note_crash(
+                self.fleet.record_unreachable(view, self.clock.now_ms())
+                self.suspects.record_crash(
                     step.fingerprint, view.name, step.request.request_key
                 )
         finally:
@@ -290,7 +290,7 @@
             return not fault.silent and fault.status is None
         return False
 
-    def _note_fault(
+    def _record_fault(
         self,
         lane: lanes_module.Lane,
         view: placement.View,
@@ -306,9 +306,9 @@
         )
         now_ms = self.clock.now_ms()
         if not fault.sent and fault.status is None:
-            self.fleet.note_unreachable(view, now_ms)
+            self.fleet.record_unreachable(view, now_ms)
         overload = fault.silent or fault.status == 503
-        self.fleet.note_failure(view, lane.candidates, now_ms, overload)
+        self.fleet.record_failure(view, lane.candidates, now_ms, overload)
 
     async def call(
         self,
@@ -330,15 +330,15 @@
                 call.may_send,
             )
         except errors.EndpointError as fault:
-            self._note_fault(lane, view, fault)
+            self._record_fault(lane, view, fault)
             raise
         finally:
             self.lanes.release(view)
         took_ms = self.clock.now_ms() - began_ms
-        self.fleet.note_success(view, took_ms)
+        self.fleet.record_success(view, took_ms)
         self.fleet.judge(view, lane.candidates, began_ms)
-        self._note_work(lane, waiter, took_ms)
-        retry.note_success(lane.retries)
+        self._record_work(lane, waiter, took_ms)
+        retry.record_success(lane.retries)
         return outcomes.Answered(
             text=body, version=call.service, endpoint=view.name
         )
--- a/src/carawayward/gateway/streams.py
+++ b/src/carawayward/gateway/streams.py
@@ -144,7 +144,7 @@
                     break
             if self.offset > before:
                 self.heard = trio.current_time()
-            self._note_resume()
+            self._record_resume()
             resume = True
         raise self._fail("the stream ended before its end mark")
 
@@ -170,7 +170,7 @@
             ):
                 raise self._fail(name, silent) from cause
 
-    def _note_resume(self) -> None:
+    def _record_resume(self) -> None:
         events.log_event(
             events.Event.RUN_RESUMED,
             endpoint=self.endpoint.name,
--- a/src/carawayward/metrics.py
+++ b/src/carawayward/metrics.py
@@ -99,7 +99,7 @@
     began_ms: float
     last_ms: float | None = None
 
-    def note_piece(self) -> None:
+    def record_piece(self) -> None:
         """Note that a piece of the answer is on its way to the caller."""
         now_ms = self.metrics.clock.now_ms()
         if self.last_ms is None:
@@ -108,7 +108,7 @@
             self._observe(Metric.BETWEEN_TOKENS, now_ms - self.last_ms)
         self.last_ms = now_ms
 
-    def note_end(self, outcome: str, plan: str, cost: float) -> None:
+    def record_end(self, outcome: str, plan: str, cost: float) -> None:
         """Note the outcome; refusals are counted, not timed."""
         self.metrics.count(f"outcomes.{outcome}")
         if outcome != "answered":
--- a/src/carawayward/peers/dialling.py
+++ b/src/carawayward/peers/dialling.py
@@ -72,7 +72,7 @@
         self.routes.update(self.hub.settings.peer_routes)
         nursery.start_soon(self._keep_links)
 
-    def note_arrival(self, dialled: str, given: str) -> None:
+    def record_arrival(self, dialled: str, given: str) -> None:
         """Note that a peer answered a dial, and which address it gave."""
         if dialled in self.hub.settings.peers:
             self.routes[given] = dialled
--- a/src/carawayward/peers/hub.py
+++ b/src/carawayward/peers/hub.py
@@ -205,7 +205,7 @@
         ) as socket:
             with trio.fail_after(HANDSHAKE_S):
                 identity = await self._introduce(socket)
-            self._dialler.note_arrival(address, identity.address)
+            self._dialler.record_arrival(address, identity.address)
             await self._run_link(identity, socket, dialled=True)
 
     async def _introduce(self, socket: typing.Any) -> handshake.Identity:
@@ -254,7 +254,7 @@
         self.links[link.peer] = link
         if older is not None and self._nursery is not None:
             self._nursery.start_soon(linger, older)
-        self._note_linked(identity)
+        self._record_linked(identity)
         events.log_event(events.Event.PEER_UP, peer=link.peer)
         for greet in self._greeters:
             await greet(link.peer)
@@ -265,7 +265,7 @@
             del self.links[link.peer]
             events.log_event(events.Event.PEER_DOWN, peer=link.peer)
 
-    def _note_linked(self, identity: handshake.Identity) -> None:
+    def _record_linked(self, identity: handshake.Identity) -> None:
         """Take what a peer has proved of itself."""
         members = self.board.entry_vms
         known = members.get(identity.name)
--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -137,7 +137,7 @@
 
     def find_hints(self) -> load_reports.LoadReporter:
         """What the first entry VM tells the others, and has been told."""
-        return self.daemon.app.standing.reporter
+        return self.daemon.app.readiness.reporter
 
     def find_table(self) -> table.RoutingTable:
         """The first entry VM's routing table."""
--- a/tests/common/quality_rig.py
+++ b/tests/common/quality_rig.py
@@ -232,7 +232,7 @@
             return ""
         version = plan.steps[0].version
         self.exposed[version] = self.exposed.get(version, 0) + 1
-        planning.note_answer(
+        planning.record_answer(
             node.board,
             quality.SampledAnswer(
                 answer_id=key,
--- a/tests/cover/test_decisions_endpoints.py
+++ b/tests/cover/test_decisions_endpoints.py
@@ -41,9 +41,9 @@
     limit = limits.Limit()
     for unit_ms in answers:
         if unit_ms is None:
-            limits.note_overload(limit)
+            limits.record_overload(limit)
         else:
-            limits.note_answer(limit, unit_ms, int(limit.value))
+            limits.record_answer(limit, unit_ms, int(limit.value))
         assert limits.LEAST <= limit.value <= limits.MOST
 
 
@@ -52,7 +52,7 @@
     seen = []
     for _ in range(4_000):
         in_flight = int(limit.value)
-        limits.note_answer(limit, max(1.0, in_flight / 16.0), in_flight)
+        limits.record_answer(limit, max(1.0, in_flight / 16.0), in_flight)
         seen.append(limit.value)
     assert all(12.0 <= value <= 34.0 for value in seen[1_000:])
 
@@ -60,7 +60,7 @@
 def test_limit_that_is_not_used_does_not_rise():
     limit = limits.Limit()
     for _ in range(1_000):
-        limits.note_answer(limit, 1.0, 1)
+        limits.record_answer(limit, 1.0, 1)
     assert limit.value <= 4.0
 
 
@@ -69,7 +69,9 @@
     for _ in range(6_000):
         total = sum(int(limit.value) for limit in shared)
         for limit in shared:
-            limits.note_answer(limit, max(1.0, total / 16.0), int(limit.value))
+            limits.record_answer(
+                limit, max(1.0, total / 16.0), int(limit.value)
+            )
     first, second = (limit.value for limit in shared)
     assert 0.5 < first / second < 2.0
 
@@ -89,9 +91,9 @@
         if health.may_take(one, float(now), 0):
             health.begin_probe(one)
         if well:
-            health.note_success(one, 1.0)
+            health.record_success(one, 1.0)
         else:
-            health.note_failure(one)
+            health.record_failure(one)
             health.judge(one, pool, float(now))
         out = sum(h.state is not health.State.IN for h in pool)
         assert out <= size / 2
@@ -100,18 +102,18 @@
 def test_ejected_endpoint_comes_back_by_one_probe_at_a_time():
     pool = [health.Health() for _ in range(4)]
     for _ in range(health.FAILURES_IN_A_ROW):
-        health.note_failure(pool[0])
+        health.record_failure(pool[0])
     assert health.judge(pool[0], pool, 0.0)
     assert not health.may_take(pool[0], 1.0, 0)
     later = pool[0].until_ms
     assert health.may_take(pool[0], later, 0)
     assert not health.may_take(pool[0], later, 1)
     health.begin_probe(pool[0])
-    health.note_failure(pool[0])
+    health.record_failure(pool[0])
     assert health.judge(pool[0], pool, later)
     assert pool[0].until_ms - later > later
     health.begin_probe(pool[0])
-    assert health.note_success(pool[0], 1.0)
+    assert health.record_success(pool[0], 1.0)
     assert pool[0].state is health.State.IN
 
 
@@ -119,7 +121,7 @@
     pool = [health.Health() for _ in range(4)]
     for _ in range(health.LEAST_SAMPLES):
         for index, one in enumerate(pool):
-            health.note_success(one, 40.0 if index == 0 else 10.0)
+            health.record_success(one, 40.0 if index == 0 else 10.0)
     assert health.judge(pool[0], pool, 0.0)
     assert not any(health.judge(one, pool, 0.0) for one in pool[1:])
 
@@ -190,7 +192,7 @@
         view.in_flight = 3
     views[0].in_flight = 0
     for _ in range(3):
-        health.note_failure(views[0].health)
+        health.record_failure(views[0].health)
     first, second = (placement.score(v, 1.0) for v in views)
     assert first > second
 
@@ -202,11 +204,11 @@
     found = placement.Candidates.from_views(views)
     key = placement.hash_key("prefix")
     home = place(found, key, "a", lambda n: 0)
-    placement.note_report(home, 8.0)
+    placement.record_report(home, 8.0)
     found.decisions = 0
     assert place(found, key, "a", lambda n: 0) is home
     for _ in range(100):
-        placement.note_report(home, 8.0)
+        placement.record_report(home, 8.0)
     found.decisions = 0
     assert place(found, key, "a", lambda n: 0) is not home
 
@@ -224,7 +226,7 @@
     for succeeded, pause in steps:
         now += pause
         if succeeded:
-            retry.note_success(budget)
+            retry.record_success(budget)
             successes += 1
         elif retry.spend(budget, now):
             spent += 1
@@ -246,7 +248,7 @@
     assert retry.find_hedge_delay(times) is None
     draw = random.Random(3)
     for _ in range(500):
-        retry.note_first_text(times, draw.uniform(50.0, 100.0))
+        retry.record_first_text(times, draw.uniform(50.0, 100.0))
     delay = retry.find_hedge_delay(times)
     assert delay is not None
     assert 200.0 < delay < 400.0
--- a/tests/cover/test_decisions_queueing.py
+++ b/tests/cover/test_decisions_queueing.py
@@ -127,8 +127,8 @@
 def test_customer_with_longer_answers_gets_as_many_fewer_of_them():
     queue, times = queueing.FairQueue(), admission.WorkTimes()
     for _ in range(20):
-        admission.note_work(times, "long", 300.0)
-        admission.note_work(times, "short", 100.0)
+        admission.record_work(times, "long", 300.0)
+        admission.record_work(times, "short", 100.0)
     for name in ("long", "short"):
         work = admission.expect_work(times, name)
         push_many(queue, (name, 1.0, work, 100))
@@ -214,7 +214,7 @@
 def test_runs_cut_off_are_learned_from_but_leave_room_to_try():
     times = admission.WorkTimes()
     for _ in range(50):
-        admission.note_work(times, "c", 3_000.0)
+        admission.record_work(times, "c", 3_000.0)
     latest = admission.find_latest_start(times, "c", 0.0, 3_000.0)
     assert latest > 0.0
     assert admission.expect_work(times, "other") == 3_000.0
--- a/tests/cover/test_decisions_suspicion.py
+++ b/tests/cover/test_decisions_suspicion.py
@@ -16,9 +16,9 @@
 
 def test_second_crash_convicts_and_a_convicted_request_gets_a_new_trial():
     book = suspicion.SuspectBook()
-    suspicion.note_crash(book, make_crash("e1", NOW))
+    suspicion.record_crash(book, make_crash("e1", NOW))
     assert not suspicion.is_convicted(book, "f", NOW)
-    suspicion.note_crash(book, make_crash("e2", NOW + 10))
+    suspicion.record_crash(book, make_crash("e2", NOW + 10))
     assert suspicion.is_convicted(book, "f", NOW + 10)
     later = NOW + suspicion.FACT_LIFE_MS + 10
     assert not suspicion.is_convicted(book, "f", later)
@@ -29,24 +29,24 @@
 def test_one_crash_seen_by_several_entry_vms_counts_once():
     book = suspicion.SuspectBook()
     for shift in range(5):
-        suspicion.note_crash(book, make_crash("e1", NOW + 100 * shift))
+        suspicion.record_crash(book, make_crash("e1", NOW + 100 * shift))
     assert not suspicion.is_convicted(book, "f", NOW + 500)
 
 
 def test_answer_clears_a_suspect_but_not_a_later_crash():
     book = suspicion.SuspectBook()
-    suspicion.note_crash(book, make_crash("e1", NOW))
-    assert suspicion.note_answer(book, "f", NOW + 5)
+    suspicion.record_crash(book, make_crash("e1", NOW))
+    assert suspicion.record_answer(book, "f", NOW + 5)
     assert not suspicion.is_suspect(book, "f", NOW + 5)
-    suspicion.note_crash(book, make_crash("e2", NOW + 10))
+    suspicion.record_crash(book, make_crash("e2", NOW + 10))
     assert not suspicion.is_convicted(book, "f", NOW + 10)
-    assert not suspicion.note_answer(book, "unsuspected", NOW)
+    assert not suspicion.record_answer(book, "unsuspected", NOW)
 
 
 def test_trials_of_one_endpoint_are_in_turn_and_on_another_endpoint():
     book = suspicion.SuspectBook()
     for name in ("f2", "f1", "f3"):
-        suspicion.note_crash(book, make_crash("e1", NOW, name))
+        suspicion.record_crash(book, make_crash("e1", NOW, name))
     rings = {"f1": ["e1", "e2"], "f2": ["e2", "e1"], "f3": ["e3"]}
     plan = suspicion.plan_trials(book, rings.__getitem__, NOW)
     first = NOW + suspicion.SETTLE_MS
@@ -56,7 +56,7 @@
     alone = suspicion.plan_trials(book, lambda fingerprint: ["e1"], NOW)
     later = NOW + suspicion.SAME_CRASH_MS
     assert alone["f1"] == suspicion.Trial("e1", later)
-    suspicion.note_answer(book, "f1", NOW + 300)
+    suspicion.record_answer(book, "f1", NOW + 300)
     plan = suspicion.plan_trials(book, rings.__getitem__, NOW + 300)
     assert plan["f2"] == suspicion.Trial("e2", first)
     assert "f1" not in plan
@@ -64,7 +64,7 @@
 
 def test_request_in_flight_at_a_crash_is_never_called_not_run():
     book = suspicion.SuspectBook()
-    suspicion.note_crash(book, make_crash("e1", NOW, request="r1"))
+    suspicion.record_crash(book, make_crash("e1", NOW, request="r1"))
     assert suspicion.may_have_run(book, "f", "r1")
     assert not suspicion.may_have_run(book, "f", "r2")
 
@@ -88,12 +88,12 @@
     for order in itertools.permutations(facts):
         book = suspicion.SuspectBook()
         # A clearance counts from any entry VM that knows a crash.
-        suspicion.note_crash(book, make_crash("e0", NOW - 1))
+        suspicion.record_crash(book, make_crash("e0", NOW - 1))
         for fact in order:
             if isinstance(fact, suspicion.Crash):
-                suspicion.note_crash(book, fact)
+                suspicion.record_crash(book, fact)
             else:
-                suspicion.note_answer(book, "f", fact)
+                suspicion.record_answer(book, "f", fact)
         crashes = suspicion.list_crashes(book, "f", NOW + 20_000)
         convicted = suspicion.is_convicted(book, "f", NOW + 20_000)
         verdicts.add((tuple(crashes), convicted))
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -164,18 +164,18 @@
     clock: typing.Any = clock_module.ManualClock()
     contact = make_contact(clock)
     clock.now = 100.0
-    contact.note_failure(contact.note_call())
+    contact.record_failure(contact.record_call())
     clock.now = 400.0
-    lost_ms = contact.note_call()
+    lost_ms = contact.record_call()
     clock.now = 900.0
-    contact.note_call()
-    contact.note_answer()
+    contact.record_call()
+    contact.record_answer()
     clock.now = 1_400.0
-    contact.note_failure(lost_ms)
+    contact.record_failure(lost_ms)
     assert not contact.out
     assert contact.back_ms == 900.0
     assert contact.find_shortest_ms() == 0.0
-    contact.note_failure(contact.note_call())
+    contact.record_failure(contact.record_call())
     assert contact.out
 
 
--- a/tests/cover/test_forwarding_fleet.py
+++ b/tests/cover/test_forwarding_fleet.py
@@ -28,7 +28,7 @@
 
 def fail(fleet, clock, name, took_ms):
     clock.advance(took_ms)
-    fleet.note_unreached(fleet.places[name], took_ms)
+    fleet.record_unreached(fleet.places[name], took_ms)
 
 
 def test_cut_failure_domain_is_passed_over_as_a_whole():
@@ -40,30 +40,30 @@
     """
     fleet, clock = make_fleet()
     fail(fleet, clock, "engine-0", 500.0)
-    assert fleet.list_avoided() == {"engine-0", "engine-1", "engine-2"}
+    assert fleet.list_quarantined() == {"engine-0", "engine-1", "engine-2"}
     clock.advance(400.0)
-    assert not fleet.list_avoided()
+    assert not fleet.list_quarantined()
 
 
 def test_dead_endpoint_does_not_take_its_failure_domain_along():
     """One machine has lost power; others of its domain go on answering."""
     fleet, clock = make_fleet()
     clock.advance(300.0)
-    fleet.note_taken(fleet.places["engine-1"])
+    fleet.record_taken(fleet.places["engine-1"])
     clock.advance(300.0)
-    fleet.note_unreached(fleet.places["engine-0"], 500.0)
-    assert fleet.list_avoided() == {"engine-0"}
+    fleet.record_unreached(fleet.places["engine-0"], 500.0)
+    assert fleet.list_quarantined() == {"engine-0"}
 
 
 def test_connection_that_is_refused_says_nothing_of_the_domain():
     """A process has ended; its machine says so within milliseconds."""
     fleet, clock = make_fleet()
     fail(fleet, clock, "engine-0", 3.0)
-    assert fleet.list_avoided() == {"engine-0"}
+    assert fleet.list_quarantined() == {"engine-0"}
 
 
 def test_own_failure_domain_is_never_passed_over_as_a_whole():
     """What is here is reached over no cut; one engine is just dark."""
     fleet, clock = make_fleet()
     fail(fleet, clock, "engine-4", 500.0)
-    assert fleet.list_avoided() == {"engine-4"}
+    assert fleet.list_quarantined() == {"engine-4"}
--- a/tests/cover/test_forwarding_load.py
+++ b/tests/cover/test_forwarding_load.py
@@ -17,7 +17,7 @@
 BASE_MS = 120.0
 TARGET_MS = 4_000.0
 SHORTEST_MS = 2_000.0
-CALM = escalation.Strain()
+CALM = escalation.Overload()
 SMALL_WEIGHT = 0.07
 
 
@@ -53,7 +53,7 @@
 def run(replay, place, escalate):
     """Play a load; heads are the times to the text that callers see."""
     loads = engine_load.EngineLoads()
-    pace = engine_load.Pace(BASE_MS, TOKEN_MS)
+    pace = engine_load.LatencyModel(BASE_MS, TOKEN_MS)
     engines = [Engine() for _ in range(replay.engines)]
     done: list[tuple[float, int, float]] = []
     draw = random.Random(7)
@@ -84,7 +84,7 @@
                 loads.own.get(str(i), engine_load.Load()).weight
                 for i in range(len(engines))
             )
-            head_ms = engine_load.predict_head(pace, row + tokens)
+            head_ms = engine_load.predict_ttft(pace, row + tokens)
             names = [str(i) for i in range(len(engines))]
             mean = engine_load.compute_mean_weight(loads, names, now_ms)
             backlog_part = mean * TOKEN_MS / SHORTEST_MS
@@ -127,8 +127,8 @@
 
 
 def escalate_by_backlog(confidence, backlog_part, head_part):
-    strain = escalation.find_strain(backlog_part, head_part)
-    return escalation.find_next(0, 2, confidence, strain) == 1
+    overload = escalation.compute_overload(backlog_part, head_part)
+    return escalation.find_next(0, 2, confidence, overload) == 1
 
 
 def always_escalate(confidence, backlog_part, head_part):
@@ -190,7 +190,7 @@
     loads = engine_load.EngineLoads()
     prompt = engine_load.Prompt(parts=((1, 8_000), (2, 500)))
     names = [engine_load.Candidate(name, True) for name in ("a", "b")]
-    engine_load.note_cached(loads, "b", [(1, 8_000)], 100_000)
+    engine_load.record_cached(loads, "b", [(1, 8_000)], 100_000)
     first = engine_load.choose(loads, names, prompt, 0.0, lambda n: 0)
     engine_load.add_own(loads, "b", engine_load.Load(20_000.0, 2))
     second = engine_load.choose(loads, names, prompt, 0.0, lambda n: 0)
@@ -202,9 +202,9 @@
     """Engines keep a part only if all parts before it are kept too."""
     loads = engine_load.EngineLoads()
     prompt = engine_load.Prompt(parts=((1, 100), (2, 200), (3, 50)))
-    engine_load.note_cached(loads, "a", [(2, 200)], 10_000)
+    engine_load.record_cached(loads, "a", [(2, 200)], 10_000)
     assert engine_load.count_unread(loads, "a", prompt) == 350
-    engine_load.note_cached(loads, "a", [(1, 100)], 10_000)
+    engine_load.record_cached(loads, "a", [(1, 100)], 10_000)
     assert engine_load.count_unread(loads, "a", prompt) == 50
 
 
@@ -212,7 +212,7 @@
     """What was used longest ago is forgotten first."""
     loads = engine_load.EngineLoads()
     for key in range(10):
-        engine_load.note_cached(loads, "a", [(key, 100)], 1_000)
+        engine_load.record_cached(loads, "a", [(key, 100)], 1_000)
     assert list(loads.cached["a"].parts) == [4, 5, 6, 7, 8, 9]
 
 
@@ -265,10 +265,10 @@
 
 def test_pace_is_learned_from_long_rows_and_the_base_from_short_ones():
     """Engines of another make than the first guess is for."""
-    pace = engine_load.Pace()
+    pace = engine_load.LatencyModel()
     for _ in range(80):
-        engine_load.note_head(pace, 100.0, 300.0)
-        engine_load.note_head(pace, 20_000.0, 300.0 + 20_000 * 0.1)
+        engine_load.observe_ttft(pace, 100.0, 300.0)
+        engine_load.observe_ttft(pace, 20_000.0, 300.0 + 20_000 * 0.1)
     assert abs(pace.token_ms - 0.1) < 0.01
     assert abs(pace.base_ms - 300.0) < 30.0
 
@@ -279,12 +279,14 @@
     The pace went to twice what engines do, and with it the pressure: hard
     requests got the smallest model's answers on engines with nothing to do.
     """
-    pace = engine_load.Pace()
+    pace = engine_load.LatencyModel()
     draw = random.Random(3)
     seen = []
     for _ in range(400):
         factor = 6.0 if draw.random() < 0.33 else draw.uniform(0.8, 1.2)
-        engine_load.note_head(pace, 20_000.0, 120.0 + 20_000 * 0.06 * factor)
+        engine_load.observe_ttft(
+            pace, 20_000.0, 120.0 + 20_000 * 0.06 * factor
+        )
         seen.append(pace.token_ms)
     assert sum(seen) / len(seen) < 0.08
     assert max(seen) < 0.1
@@ -298,23 +300,23 @@
     from engines that came to the first text in 0.2 s. What has been read, and
     what went down with an engine, is no backlog.
     """
-    pace = engine_load.Pace(token_ms=0.06)
+    pace = engine_load.LatencyModel(token_ms=0.06)
     loads = engine_load.EngineLoads()
     names = [f"engine-{number}" for number in range(6)]
     for name in names:
         engine_load.add_own(loads, name, engine_load.Load(20_000.0, 10))
 
-    def find_strain():
+    def compute_overload():
         weight = engine_load.compute_mean_weight(loads, names, 0.0)
         part = weight * pace.token_ms / 1_000.0
-        return escalation.find_strain(part, 0.0).behind
+        return escalation.compute_overload(part, 0.0).behind
 
-    assert find_strain() == 1.0
+    assert compute_overload() == 1.0
     for name in names[:3]:
         engine_load.add_own(loads, name, engine_load.Load(-20_000.0, -10))
     for name in names[3:]:
         engine_load.add_own(loads, name, engine_load.Load(-18_000.0, 0))
-    assert find_strain() == 0.0
+    assert compute_overload() == 0.0
 
 
 def test_backlog_is_held_against_the_shortest_target():
@@ -323,15 +325,15 @@
     Held against the digests' own target, escalations made rows of 1 s, and
     the questions came late.
     """
-    assert escalation.find_strain(0.2, 0.0) == CALM
-    assert 0.0 < escalation.find_strain(0.5, 0.0).behind < 1.0
-    assert escalation.find_strain(0.9, 0.0).behind == 1.0
+    assert escalation.compute_overload(0.2, 0.0) == CALM
+    assert 0.0 < escalation.compute_overload(0.5, 0.0).behind < 1.0
+    assert escalation.compute_overload(0.9, 0.0).behind == 1.0
 
 
 def test_first_model_is_the_largest_where_nothing_could_follow():
     """Without a second attempt a poor first answer could not be mended."""
-    assert escalation.choose_first(3, may_escalate=False, strain=CALM) == 2
-    assert escalation.choose_first(3, may_escalate=True, strain=CALM) == 0
+    assert escalation.choose_first(3, may_escalate=False, overload=CALM) == 2
+    assert escalation.choose_first(3, may_escalate=True, overload=CALM) == 0
 
 
 def test_engines_that_are_behind_get_no_largest_model_to_begin_with():
@@ -340,10 +342,14 @@
     Half of all requests then began with the largest model, on the engines
     that were left, and first texts of every kind came after 2 s.
     """
-    strain = escalation.find_strain(escalation.HIGH_BACKLOG, 0.0)
-    assert escalation.choose_first(3, may_escalate=False, strain=strain) == 0
-    strain = escalation.find_strain(0.0, escalation.LATEST_HEAD)
-    assert escalation.choose_first(3, may_escalate=False, strain=strain) == 0
+    overload = escalation.compute_overload(escalation.HIGH_BACKLOG, 0.0)
+    assert (
+        escalation.choose_first(3, may_escalate=False, overload=overload) == 0
+    )
+    overload = escalation.compute_overload(0.0, escalation.LATEST_HEAD)
+    assert (
+        escalation.choose_first(3, may_escalate=False, overload=overload) == 0
+    )
 
 
 def test_poor_answer_is_worse_than_a_late_one():
@@ -352,7 +358,7 @@
     Cause: the larger model's text would have come late, and so no confidence
     was low enough to ask for it.
     """
-    late = escalation.find_strain(0.0, 2.0)
+    late = escalation.compute_overload(0.0, 2.0)
     assert escalation.find_next(0, 3, 40.0, late) == 2
     assert escalation.find_next(0, 3, 50.0, late) is None
     assert escalation.find_next(0, 3, 50.0, CALM) == 2
@@ -392,7 +398,7 @@
     pace that was learned, whatever that is.
     """
     for token_ms in (0.01, 0.1):
-        pace = engine_load.Pace(token_ms=token_ms)
+        pace = engine_load.LatencyModel(token_ms=token_ms)
         remote_weight = engine_load.find_remote_weight(pace, 2_000.0)
         loads = engine_load.EngineLoads()
         load = engine_load.Load(80.0 / token_ms, 0)
--- a/tests/cover/test_forwarding_extra_runs.py
+++ b/tests/cover/test_forwarding_retry_budget.py
@@ -1,6 +1,6 @@
 """How many runs beyond the first of each request reach a service."""
 
-from carawayward.decisions import extra_runs
+from carawayward.decisions import retry_budget
 
 
 def test_extra_runs_keep_to_the_ratio_in_every_window():
@@ -9,15 +9,15 @@
     Whoever repeats each would double the load on what is left; in no
     window do sixteen entry VMs together pass the deployment's bound.
     """
-    vms = [extra_runs.ExtraRuns() for _ in range(16)]
+    vms = [retry_budget.RetryBudget() for _ in range(16)]
     spent: list[float] = []
     for tick in range(600):
         now_ms = tick * 50.0
         runs = vms[tick % 16]
-        extra_runs.note_request(runs, now_ms)
+        retry_budget.record_request(runs, now_ms)
         for _ in range(3):
-            if extra_runs.may_spend(runs, now_ms):
-                extra_runs.spend(runs, now_ms)
+            if retry_budget.may_spend(runs, now_ms):
+                retry_budget.spend(runs, now_ms)
                 spent.append(now_ms)
     for start in range(0, 20_000, 500):
         extra = sum(start <= at < start + 10_000 for at in spent)
@@ -29,21 +29,21 @@
 
     A sixteenth of the slack for each was four and a half times the slack.
     """
-    vms = [extra_runs.ExtraRuns(slack=184.0, vms=72) for _ in range(72)]
+    vms = [retry_budget.RetryBudget(slack=184.0, vms=72) for _ in range(72)]
     spent = 0
     for runs in vms:
-        while extra_runs.may_spend(runs, 0.0):
-            extra_runs.spend(runs, 0.0)
+        while retry_budget.may_spend(runs, 0.0):
+            retry_budget.spend(runs, 0.0)
             spent += 1
     assert 72 <= spent <= 184
 
 
 def test_climbs_leave_extra_runs_for_failures():
     """Half of the requests escalate; an endpoint fails in the same second."""
-    runs = extra_runs.ExtraRuns()
+    runs = retry_budget.RetryBudget()
     for tick in range(100):
         now_ms = tick * 100.0
-        extra_runs.note_request(runs, now_ms)
-        if extra_runs.may_spend(runs, now_ms, 0.3):
-            extra_runs.spend(runs, now_ms)
-    assert extra_runs.may_spend(runs, 10_000.0)
+        retry_budget.record_request(runs, now_ms)
+        if retry_budget.may_spend(runs, now_ms, 0.3):
+            retry_budget.spend(runs, now_ms)
+    assert retry_budget.may_spend(runs, 10_000.0)
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -3,8 +3,8 @@
 import random
 
 from carawayward import clock as clock_module
-from carawayward.decisions import avoidance
 from carawayward.decisions import canary
+from carawayward.decisions import quarantine
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
 from carawayward.forwarding import rollouts as rollouts_module
@@ -113,35 +113,35 @@
     Longer each time, up to a bound; while one request tries it again the
     others pass it over, and one that it takes ends it.
     """
-    book = avoidance.Avoidance()
-    avoidance.note_unreached(book, "a", 0.0)
-    assert avoidance.list_avoided(book, 100.0) == {"a"}
-    again_ms = avoidance.UNREACHED_MS
-    assert not avoidance.list_avoided(book, again_ms)
-    avoidance.begin_try(book, "a", again_ms)
-    assert avoidance.list_avoided(book, again_ms) == {"a"}
+    book = quarantine.Quarantine()
+    quarantine.record_unreached(book, "a", 0.0)
+    assert quarantine.list_quarantined(book, 100.0) == {"a"}
+    again_ms = quarantine.UNREACHED_MS
+    assert not quarantine.list_quarantined(book, again_ms)
+    quarantine.begin_try(book, "a", again_ms)
+    assert quarantine.list_quarantined(book, again_ms) == {"a"}
     for _ in range(10):
-        avoidance.note_unreached(book, "a", 1_000.0)
-    late_ms = 1_000.0 + avoidance.LONGEST_MS
-    assert avoidance.list_avoided(book, late_ms - 1.0) == {"a"}
-    assert not avoidance.list_avoided(book, late_ms)
-    avoidance.note_taken(book, "a")
-    avoidance.begin_try(book, "a", 2_000.0)
-    assert not avoidance.list_avoided(book, 2_000.0)
+        quarantine.record_unreached(book, "a", 1_000.0)
+    late_ms = 1_000.0 + quarantine.LONGEST_MS
+    assert quarantine.list_quarantined(book, late_ms - 1.0) == {"a"}
+    assert not quarantine.list_quarantined(book, late_ms)
+    quarantine.record_taken(book, "a")
+    quarantine.begin_try(book, "a", 2_000.0)
+    assert not quarantine.list_quarantined(book, 2_000.0)
 
 
 def test_full_endpoint_is_soon_tried_again_and_one_that_stays_full_seldom():
     """A server that is full for a moment must not stand idle after it."""
-    book = avoidance.Avoidance()
-    avoidance.note_declined(book, "a", 0.0)
-    assert not avoidance.list_avoided(book, avoidance.DECLINED_MS)
-    avoidance.begin_try(book, "a", 60.0)
-    tried_ms = 60.0 + avoidance.DECLINING_MS
-    assert avoidance.list_avoided(book, tried_ms - 1.0) == {"a"}
-    assert not avoidance.list_avoided(book, tried_ms)
+    book = quarantine.Quarantine()
+    quarantine.record_declined(book, "a", 0.0)
+    assert not quarantine.list_quarantined(book, quarantine.DECLINED_MS)
+    quarantine.begin_try(book, "a", 60.0)
+    tried_ms = 60.0 + quarantine.DECLINING_MS
+    assert quarantine.list_quarantined(book, tried_ms - 1.0) == {"a"}
+    assert not quarantine.list_quarantined(book, tried_ms)
     for _ in range(5):
-        avoidance.note_declined(book, "a", 100.0)
-    assert avoidance.list_avoided(book, 1_000.0) == {"a"}
+        quarantine.record_declined(book, "a", 100.0)
+    assert quarantine.list_quarantined(book, 1_000.0) == {"a"}
 
 
 def test_completion_waits_for_answers_under_full_load():
--- a/tests/cover/test_lanes.py
+++ b/tests/cover/test_lanes.py
@@ -140,8 +140,8 @@
         got: list = []
         async with trio.open_nursery() as nursery:
             await start_waiting(nursery, lanes, lane, waiter, got)
-            lanes.suspects.note_crash("f", "e8", "r")
-            lanes.suspects.note_crash("f", "e9", "r")
+            lanes.suspects.record_crash("f", "e8", "r")
+            lanes.suspects.record_crash("f", "e9", "r")
             lanes.pump_all()
             with trio.fail_after(1):
                 while not got:
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -170,7 +170,7 @@
             assert answer.status == 503
             assert float(answer.headers["retry-after"]) >= 1.0
             assert not any(desk.runs for desk in desks)
-            assert not forwarder.fleet.list_avoided()
+            assert not forwarder.fleet.list_quarantined()
             counted = made.daemon.app.measures.counters
             assert counted["attempts", (("outcome", "withheld"),)] == 1.0
 
--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -281,7 +281,7 @@
     for engine in engines:
         load = engine_load.Load(weight, 1)
         engine_load.add_own(placer.reporter.loads, engine.name, load)
-    return placer.fleet.find_pace("engines")
+    return placer.fleet.get_latency_model("engines")
 
 
 def test_prompt_that_no_engine_reads_in_time_is_refused_at_once():
@@ -318,7 +318,7 @@
         engines = make_engines()
         async with forwarding.open_forwarding(*engines) as made:
             placer = made.daemon.app.forwarder.placer
-            pace = placer.fleet.find_pace("engines")
+            pace = placer.fleet.get_latency_model("engines")
             pace.base_ms = 60_000.0
             answer = await made.ask_engine()
             assert answer.status == 200
@@ -348,6 +348,6 @@
             answer = await made.ask_engine(carawayward_deadline_ms="1600")
             assert answer.status == 200
             assert sum(engine.arrivals for engine in engines) == 1
-            assert not made.daemon.app.forwarder.fleet.list_avoided()
+            assert not made.daemon.app.forwarder.fleet.list_quarantined()
 
     trio.run(main)
--- a/tests/history/search.py
+++ b/tests/history/search.py
@@ -74,7 +74,7 @@
         """The entry VM that a target stands for."""
         return self.running.entry_vms[target % len(self.running.entry_vms)]
 
-    def note_outage(self, names: list[str], began_ms: float) -> None:
+    def record_outage(self, names: list[str], began_ms: float) -> None:
         """Note that entry VMs heard nothing until now."""
         ended_ms = recorder_module.now_ms()
         outage = events.Outage(
@@ -100,7 +100,7 @@
         self.running.freeze(vm)
         time.sleep(lasts_s)
         self.running.wake(vm)
-        self.note_outage([vm.name], began_ms)
+        self.record_outage([vm.name], began_ms)
 
     def cut(self, target: int, lasts_s: float) -> None:
         """Cut a failure domain off from everything."""
@@ -115,7 +115,7 @@
             for vm in self.running.entry_vms
             if vm.failure_domain == domain
         ]
-        self.note_outage(names, began_ms)
+        self.record_outage(names, began_ms)
 
     def cut_platform(self, target: int, lasts_s: float) -> None:
         """Cut a failure domain off from the platform alone."""
@@ -133,7 +133,7 @@
         time.sleep(lasts_s)
         self.running.switch("log", **dict.fromkeys(faults, 0))
         names = [vm.name for vm in self.running.entry_vms]
-        self.note_outage(names, began_ms)
+        self.record_outage(names, began_ms)
 
     def stop_log(self, target: int, lasts_s: float) -> None:
         """Take the log down."""
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -102,7 +102,7 @@
             self.running.remove(run)
             run.state = state
 
-    def note_run(self, body: dict) -> None:
+    def record_run(self, body: dict) -> None:
         """Keep a run's note for the tests."""
         self.runs.append(
             {
@@ -122,13 +122,13 @@
             return responses.Response("", 503)
         mark = self.faults.get("crash_mark")
         if mark and mark in json.dumps(body["messages"]):
-            self.note_run(body)
+            self.record_run(body)
             print(RUNS_LEFT + json.dumps(self.runs), flush=True)
             os._exit(CRASH_EXIT)
         if self.faults.get("silent"):
             await serving.fall_silent()
         run_id = body["run_id"]
-        self.note_run(body)
+        self.record_run(body)
         self.kept[run_id] = run = Run(body)
         self.running.add(run)
         return responses.StreamingResponse(
