Go on catching up when one of several datagrams brought nothing new

Change: one query for what follows at a time, sent again when its answer has come or 50 ms have passed, and only after progress since the last one.

--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -36,10 +36,9 @@
 MAX_PENDING_QUERIES = 12
 # Who has queried within this time counts as a client.
 CLIENT_TTL_MS = 3.0 * store_polls.QUERY_MS
-# A client that has missed an update queries at once, but no more often; so
-# does one that has got a part of the changes and queries for the next.
+# A client that is behind waits so long for the answer to a query for what
+# follows before it sends another.
 CATCH_UP_PAUSE_MS = 50.0
-NEXT_PART_PAUSE_MS = 5.0
 # Datagrams of one update to a client; what follows it queries for.
 MAX_REPORTS_PER_UPDATE = 8
 # Long records of which chunks are kept until the others have come.
@@ -81,6 +80,15 @@
     sent_ms: float
 
 
+@attrs.frozen
+class CatchUp:
+    """The last query of a client that is behind, sent at ``position``."""
+
+    number: int
+    sent_ms: float
+    position: int
+
+
 @attrs.define
 class Client:
     """An entry VM that reads through this one.
@@ -112,7 +120,7 @@
     answered_ms: dict[str, float] = attrs.field(factory=dict)
     choice: delegates.DelegateChoice = attrs.field(init=False)
     started_ms: float = board_module.NEVER
-    caught_up_ms: float = board_module.NEVER
+    catch_ups: dict[str, CatchUp] = attrs.field(factory=dict)
     assemblies: collections.OrderedDict[
         tuple[str, int, int], dict[int, bytes]
     ] = attrs.field(factory=collections.OrderedDict)
@@ -280,7 +288,7 @@
             if topic is not None:
                 answered_ms = self.answered_ms.get(name, query.sent_ms)
                 self.answered_ms[name] = max(answered_ms, query.sent_ms)
-                self._merge_topic(topic, each, query)
+                self._merge_topic(name, each, report.number, query)
 
     def _find_query(self, number: int, peer: str) -> PendingQuery | None:
         """The query that a datagram answers; None if there is none."""
@@ -289,33 +297,45 @@
 
     def _merge_topic(
         self,
-        topic: Followed,
+        name: str,
         report: freshness_messages.TopicReport,
+        number: int,
         query: PendingQuery,
     ) -> None:
         """Take a report; catch up where it is ahead of what is known here."""
+        topic = self.topics[name]
         before = topic.get_position()
         if before is None:
             return
-        moved = report.reach > before and topic.apply_changes(
-            report.start, report.reach, report.changes
-        )
+        if report.reach > before:
+            topic.apply_changes(report.start, report.reach, report.changes)
         after = topic.get_position()
         if after is not None and after < report.position:
             topic.announce(report.position, report.served)
-            if moved:
-                self._catch_up(query.peer, NEXT_PART_PAUSE_MS)
-            elif report.start > before:
-                self._catch_up(query.peer, CATCH_UP_PAUSE_MS)
+            self._catch_up(
+                name, query.peer, number, after, report.start > before
+            )
             return
         topic.confirm(report.position, query.sent_ms - report.age_ms)
 
-    def _catch_up(self, peer: str, pause_ms: float) -> None:
-        """Query for changes that follow, or that were lost."""
+    def _catch_up(
+        self, name: str, peer: str, answered: int, position: int, gap: bool
+    ) -> None:
+        """Query for changes that follow, or after a gap for those lost.
+
+        One query at a time, and only after progress: a client that cannot
+        take changes just now would get them again and again.
+        """
         now_ms = self.clock.boot_ms()
-        if now_ms - self.caught_up_ms >= pause_ms:
-            self.caught_up_ms = now_ms
-            self._query(peer)
+        last = self.catch_ups.get(name)
+        if last is not None:
+            waited = now_ms - last.sent_ms >= CATCH_UP_PAUSE_MS
+            if last.number != answered and not waited:
+                return
+            if position <= last.position and not (gap and waited):
+                return
+        self._query(peer)
+        self.catch_ups[name] = CatchUp(self._number, now_ms, position)
 
     def _on_chunk(self, peer: str, fields: list) -> None:
         chunk = freshness_messages.Chunk.from_fields(fields)
