Pass a roll-out's last status on, and write it in shorter turns

Causes: what a delegate reads ends its need for statuses, and a feed that was not needed reported nothing, so that the last status was never pushed; clients read the store themselves, or could not. And writers of a status took turns of 400 ms, where a third of them could not write.

Change: a feed that is idle reports what it has read; turns of 200 ms, several times what a write and its way to the others take. Test: the record that ends the need is pushed (failed before).

--- a/src/carawayward/decisions/turns.py
+++ b/src/carawayward/decisions/turns.py
@@ -11,7 +11,7 @@
 from carawayward.decisions import placement
 
 # Time for a write, and for its record to reach the others.
-TURN_MS = 400.0
+TURN_MS = 200.0
 # Pauses after failed writes double up to the longest.
 FIRST_BACKOFF_MS = 800.0
 LONGEST_BACKOFF_MS = 6_400.0
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -102,8 +102,6 @@
         """
         if self.position is None or self.failing or self._is_behind():
             return None
-        if not self.is_needed():
-            return None
         return self.position, self.proved_ms
 
     def get_position(self) -> int | None:
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -10,6 +10,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import store_polls
 from carawayward import errors
+from carawayward.forwarding import change_log
 from carawayward.forwarding import feed
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import store_contact
@@ -238,3 +239,24 @@
         assert topic.calls <= 162 * 0.05 * 1000 / feed.MIN_CALL_GAP_MS + 1
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_last_record_is_passed_on_though_nothing_more_is_needed():
+    """Clients learn seconds late that a roll-out has been decided.
+
+    Its status ends the need for statuses on the delegate that reads it.
+    """
+    contact = make_contact(typing.cast(typing.Any, clock_module.ManualClock()))
+    reader = make_feed("statuses", typing.cast(typing.Any, Topic()), contact)
+    applied: list[keyed_log.Record] = []
+    pushed = []
+    reader.apply = applied.append
+    reader.is_needed = lambda: not applied
+    reader.push_updates = lambda: pushed.append(reader.describe())
+    reader.position = 4
+    reader._delegating = True
+    change = change_log.Change(4, "desk", b"completed")
+    assert reader.apply_changes(4, 5, (change,))
+    ((position, _),) = pushed
+    assert position == 5
+    assert reader.list_since(4) == [change]
