--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -98,7 +98,7 @@
 # the time predicted, in steps of these parts; the first of them are large, as
 # among hundreds of entry VMs each sees a prompt a second.
 BASE_QUANTILE = 0.7
-FIRST_BASE_STEP = 0.3
+FIRST_BASE_STEP = 0.6
 LAST_BASE_STEP = 0.05
 MIN_BASE_MS = 10.0
 # The cost of a token follows the median of what is seen, in steps of this
