Send load reports without a turn of the scheduler each

Profiled among 195 entry VMs: 120 datagrams sent a second, each through a checkpoint of trio, were some 120 of 290 turns of the scheduler a second.

Change: they go out through the same non-blocking socket as queries do; one that does not fit into its buffer is lost as any datagram may be.

--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -22,6 +22,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import load_report_messages
+from carawayward.forwarding import peer_book
 from carawayward.forwarding import report_channels
 from carawayward import settings as settings_module
 from carawayward import supervision
@@ -32,8 +33,6 @@
 HEARTBEAT_MS = 1_500.0
 # What a peer reported of itself counts for this long at the least.
 PEER_TIMEOUT_MS = 2 * HEARTBEAT_MS
-# A peer without a report for this long gets none any more.
-REMOVE_AFTER_MS = 30_000.0
 # So many engines fit into an Ethernet frame beside the parts.
 MAX_ENGINES = 30
 MAX_DATAGRAM_BYTES = 8_192
@@ -68,13 +67,11 @@
     address: str
     loads: engine_load.EngineLoads
     memory_tokens: typing.Callable[[str], int]
-    peers: dict[str, report_channels.Peer] = attrs.field(factory=dict)
-    peer_names: dict[int, str] = attrs.field(factory=dict)
+    book: peer_book.PeerBook = attrs.field(init=False)
     engine_names: dict[int, str] = attrs.field(factory=dict)
     generation: int = -1
     topics: dict[str, Topic] = attrs.field(factory=dict)
     handlers: dict[int, Handler] = attrs.field(factory=dict)
-    addresses: dict[report_channels.Address, str] = attrs.field(factory=dict)
     sequence: int = 0
     channels: list[report_channels.Channel] = attrs.field(
         factory=report_channels.make_channels
@@ -83,6 +80,21 @@
     _socket: typing.Any = None
     _sender: socket.socket | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self.book = peer_book.PeerBook(
+            load_report_messages.Sender(
+                self.board.name,
+                self.board.incarnation,
+                self.address,
+                self.board.failure_domain,
+            )
+        )
+
+    @property
+    def peers(self) -> dict[str, report_channels.Peer]:
+        """The other entry VMs that are known, by name."""
+        return self.book.peers
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to listen and to report."""
         sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -191,8 +203,7 @@
         one then finds the other. The other way round, entry VMs that were
         started together read an empty topic and never met.
         """
-        sender = self._describe_self()
-        record = keyed_log.Record(self.board.name, sender.to_bytes())
+        record = keyed_log.Record(self.board.name, self.book.own.to_bytes())
         while True:
             try:
                 await self.members.append([record])
@@ -220,14 +231,6 @@
             if peer.near:
                 self.send(peer.name, data)
 
-    def _describe_self(self) -> load_report_messages.Sender:
-        return load_report_messages.Sender(
-            self.board.name,
-            self.board.incarnation,
-            self.address,
-            self.board.failure_domain,
-        )
-
     def _add_member(self, record: keyed_log.Record) -> None:
         try:
             self._add_peer(
@@ -241,47 +244,19 @@
                 fault=type(fault).__name__,
             )
 
-    def _add_peer(
-        self, sender: load_report_messages.Sender
-    ) -> report_channels.Peer | None:
-        if sender.name == self.board.name:
-            return None
-        peer = self.peers.get(sender.name)
-        if peer is None or peer.incarnation != sender.incarnation:
-            peer = report_channels.Peer(
-                sender.name,
-                settings_module.split_address(sender.address),
-                sender.incarnation,
-                self.clock.now_ms(),
-                sender.failure_domain == self.board.failure_domain,
-            )
-            self._forget_number(sender.name)
-            self.peers[sender.name] = peer
-            self.peer_names[sender.number] = sender.name
-            self.addresses[peer.address] = sender.name
+    def _add_peer(self, sender: load_report_messages.Sender) -> None:
+        if self.book.add(sender, self.clock.now_ms()):
             for channel in self.channels:
                 channel.introduced_ms = board_module.NEVER
-        return peer
-
-    def _forget_number(self, name: str) -> None:
-        """Take no more datagrams by a former start's number for this name.
-
-        One that comes late would raise the sequence number past those of the
-        present start, whose datagrams would then count as overtaken.
-        """
-        self.peer_names = {
-            number: known
-            for number, known in self.peer_names.items()
-            if known != name
-        }
 
     def _find_sender(
         self, sender: load_report_messages.Sender | int
     ) -> report_channels.Peer | None:
         """The peer that a datagram is from; None until it says its name."""
-        if isinstance(sender, load_report_messages.Sender):
-            return self._add_peer(sender)
-        return self.peers.get(self.peer_names.get(sender, ""))
+        if isinstance(sender, int):
+            return self.book.get_by_number(sender)
+        self._add_peer(sender)
+        return self.peers.get(sender.name)
 
     async def _send_forever(self, channel: report_channels.Channel) -> None:
         while True:
@@ -289,27 +264,18 @@
             with trio.move_on_after(pause_ms / 1000):
                 await channel.changed.wait()
             channel.changed = trio.Event()
-            sent_bytes = await self._send_next(channel)
+            sent_bytes = self._send_next(channel)
             await self.clock.sleep(channel.find_pause_ms(sent_bytes))
 
-    async def _send_next(self, channel: report_channels.Channel) -> int:
+    def _send_next(self, channel: report_channels.Channel) -> int:
         """Send one datagram to the peers whose turn it is; return bytes."""
-        now_ms = self.clock.now_ms()
-        for name, peer in list(self.peers.items()):
-            if now_ms - peer.last_seen_ms > REMOVE_AFTER_MS:
-                del self.peers[name]
-                self._forget_number(name)
+        self.book.remove_silent(self.clock.now_ms())
         peers = channel.choose_peers(self.peers.values())
         if not peers:
             return 0
         data = self._write(channel)
         for peer in peers:
-            try:
-                await self._socket.sendto(data, peer.address)
-            except OSError:
-                # A peer that is gone or cut off; it is forgotten when it
-                # stays silent.
-                continue
+            self.send(peer.name, data)
         return len(data) * len(peers)
 
     def _write(self, channel: report_channels.Channel) -> bytes:
@@ -317,7 +283,7 @@
         heaviest = sorted(
             self.loads.own.items(), key=lambda item: -item[1].weight
         )
-        sender = self._describe_self()
+        sender = self.book.own
         introduces = channel.introduces(self.clock.now_ms())
         message = load_report_messages.Message(
             sender=sender if introduces else sender.number,
@@ -360,7 +326,7 @@
             if handler is None:
                 self._on_report(fields)
                 return
-            peer = self.addresses.get(address) if address else None
+            peer = self.book.addresses.get(address) if address else None
             if peer is not None:
                 handler(peer, fields)
         except load_report_messages.UNREADABLE as fault:
--- a/tests/cover/test_delegate_failures.py
+++ b/tests/cover/test_delegate_failures.py
@@ -7,11 +7,11 @@
 import trio
 import trio.testing
 
-from carawayward import clock as clock_module
 from carawayward.decisions import delegates
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import freshness
 from carawayward.forwarding import load_report_messages
+from tests.common import clocks
 
 TOPIC = "keys"
 SIZES = (8, 40, 100)
@@ -22,18 +22,6 @@
 WAY_S = 0.0005
 
 
-class TrioClock(clock_module.Clock):
-    """The clock of trio's tests."""
-
-    def now_ms(self) -> float:
-        """The time in ms."""
-        return trio.current_time() * 1000
-
-    def boot_ms(self) -> float:
-        """The time in ms."""
-        return trio.current_time() * 1000
-
-
 @attrs.define
 class Topic:
     """A topic in which nothing changes, always just read."""
@@ -116,7 +104,7 @@
             name=node.name, failure_domain="north"
         )
         node.controller = freshness.FreshnessController(
-            board, TrioClock(), typing.cast(typing.Any, node)
+            board, clocks.TrioClock(), typing.cast(typing.Any, node)
         )
         node.controller.add_topic(TOPIC, Topic())
         network.nodes[node.name] = node
--- a/tests/cover/test_forwarding_delegates.py
+++ b/tests/cover/test_forwarding_delegates.py
@@ -7,7 +7,6 @@
 import trio
 import trio.testing
 
-from carawayward import clock as clock_module
 from carawayward.decisions import delegates
 from carawayward import errors
 from carawayward.forwarding import board as board_module
@@ -21,6 +20,7 @@
 from carawayward.forwarding import settings
 from carawayward.forwarding import table
 from carawayward.platform import store
+from tests.common import clocks
 
 NAMES = ("vm-a", "vm-b")
 READER = delegates.choose_delegate(NAMES[0], NAMES)
@@ -31,18 +31,6 @@
 ANSWER_S = 0.01
 
 
-class TrioClock(clock_module.Clock):
-    """The clock of trio's tests."""
-
-    def now_ms(self) -> float:
-        """The time in ms."""
-        return trio.current_time() * 1000
-
-    def boot_ms(self) -> float:
-        """The time in ms."""
-        return trio.current_time() * 1000
-
-
 @attrs.define
 class Topic:
     """A topic with one record, and another from ``changed_s`` on.
@@ -128,7 +116,7 @@
 
 def make_vm(name, wires, changed_s, lost_s):
     """The feeds and proofs of an entry VM, wired as the daemon does."""
-    clock = TrioClock()
+    clock = clocks.TrioClock()
     board = board_module.ForwardingBoard(name=name, failure_domain="north")
     wire: typing.Any = wires[name]
     exchanged = freshness.FreshnessController(board, clock, wire)
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -15,6 +15,7 @@
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import store_contact
 from carawayward.platform import store
+from tests.common import clocks
 
 
 @attrs.define
@@ -52,14 +53,6 @@
         return keyed_log.Batch([], start)
 
 
-class TrioClock(clock_module.Clock):
-    """The clock of trio's tests."""
-
-    def boot_ms(self) -> float:
-        """The time in ms."""
-        return trio.current_time() * 1000
-
-
 def make_contact(clock):
     return store_contact.StoreContact(clock)
 
@@ -89,7 +82,7 @@
         reader = make_feed(
             "keys",
             topic,
-            make_contact(TrioClock()),
+            make_contact(clocks.TrioClock()),
             lambda as_of_ms: proved.append(trio.current_time()),
         )
         async with trio.open_nursery() as nursery:
@@ -122,7 +115,7 @@
 
     async def main():
         topic: typing.Any = Topic()
-        contact = make_contact(TrioClock())
+        contact = make_contact(clocks.TrioClock())
         proved: list[float] = []
         feeds = [
             make_feed(
@@ -229,7 +222,7 @@
         reader = make_feed(
             "endpoints",
             typing.cast(typing.Any, topic),
-            make_contact(TrioClock()),
+            make_contact(clocks.TrioClock()),
         )
         async with trio.open_nursery() as nursery:
             await reader.start(nursery)
