--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -1,4 +1,4 @@
-"""Follows one topic of the store: newest records first, then the tail."""
+"""Follows one topic of the store, by its own calls or by a delegate's."""
 
 import enum
 import typing
@@ -180,8 +180,8 @@
                 continue
             if batch is None:
                 continue
-            # Told before the records are taken in: what is missing among
-            # them may have lapsed in the outage that ends with them.
+            # Recorded before the records are applied: what is missing among
+            # them may have expired in the outage that ends with them.
             self.contact.record_answer()
             self._take(batch)
             self._record_well()
