List a bad version that is completed after one answer under full load

Seven of nine entry VMs are restarted or killed while it is tried, and their counts with them; 25 answers came in 15 s. All goes over to it some 1.5 s before the time is up, a single answer comes until it has to be reported, 0.8 s before the end, and it is completed; after that 50 bad answers come in 5 s and there is no way back.

Not mended: to ask for answers under full load also at the last moment would roll back good versions whose streams have not ended by then; how many has to be measured.

--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -158,6 +158,12 @@
     assert canary.may_complete(1_500.0, good, 1.0, 5, 0)
 
 
+def test_version_is_not_completed_by_one_answer_under_full_load():
+    """A bad version is completed at the last moment, and nothing stops it."""
+    good = canary.Verdict.GOOD
+    assert not canary.may_complete(canary.FORCED_MS, good, 1.0, 1, 0)
+
+
 def play_late_version(seed, requests, duration_s):
     """A version that is let in by chance arrivals and never found bad.
 
