Recognise a delegate that has lost the store by its overdue call

Cause: a delegate that loses the store reports on until its poll counts as failed, and its clients recognised it by the age of what it attests, at most two polls and half a second. Right after a change polls are short, so that what was attested last is fresh and that age took up to 2.7 s to show. Second, a client that then read for itself had proved nothing for longer than entries outlive an outage, took its own wait for an outage of the store, and kept the endpoint that was missing for two seconds more.

Change: a report says when the call ends that is under way; half a second after that the client reads for itself. An extended due time also counts as a proof that the store was not away. A limit on the age stays for the lease on keys. New cause `report overdue`.

Why it holds: a change that a delegate misses falls after the end of its last call; the next is sent within 0.2 s and has to end within a poll, and whoever does not see it end within half a second more reads: 1.8 s where a poll takes 1.1 s. The gap between proofs stays below the time that entries outlive.

--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -30,6 +30,8 @@
 QUERY_MS = 400.0
 # A query that is sent late, and the time its answer takes.
 REPORT_SLACK_MS = 100.0
+# A report shows at most this late that a delegate's call has ended in time.
+OVERDUE_MS = QUERY_MS + REPORT_SLACK_MS
 # Part of the lease on keys from which on an entry VM reads the store itself
 # though it has a delegate: time for an answer of a slow store.
 OWN_PART = 0.8
@@ -72,11 +74,9 @@
     """How old the report of a delegate that reaches the store may be.
 
     It is as of the sending of the poll before the last, and gets older until
-    the next query is answered. A delegate that has lost the store reports
-    what it knew until the poll under way counts as failed; its reports are
-    then older than this.
+    the next query is answered.
     """
-    return 2.0 * poll_ms + QUERY_MS + REPORT_SLACK_MS
+    return 2.0 * poll_ms + OVERDUE_MS
 
 
 def compute_max_table_age(lease_ms: float, apply_ms: float) -> float:
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -10,6 +10,7 @@
 from carawayward.decisions import store_polls
 from carawayward import errors
 from carawayward import events
+from carawayward.forwarding import attestation
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import change_log
 from carawayward.forwarding import keyed_log
@@ -38,6 +39,7 @@
     HISTORY_LOST = "history lost"
     DELEGATE_LOST = "delegate lost"
     REPORT_OLD = "report old"
+    REPORT_OVERDUE = "report overdue"
     BEHIND = "behind"
     NOT_SERVED = "not served"
 
@@ -55,8 +57,9 @@
 
     While ``has_delegate`` says so another entry VM reads the store for this
     one, ``confirm`` gets what it attests and ``apply_changes`` what it read.
-    The feed then calls only if it cannot be brought up to date so, or when
-    what was proved last is older than ``get_max_age`` says, in ms.
+    The feed then calls only if it cannot be brought up to date so, when what
+    was proved last is older than ``get_max_age`` says, in ms, or when it was
+    to be shown anew by ``due_ms`` and was not.
     ``push_updates`` is called when records have come. ``log`` keeps what can
     be passed on to others; ``announced_position`` is the farthest that
     another entry VM has reported, ``behind_since_ms`` since when it is ahead.
@@ -78,6 +81,7 @@
     count_call: typing.Callable[[Cause], None] = lambda cause: None
     position: int | None = None
     proved_ms: float = board_module.NEVER
+    due_ms: float = board_module.NEVER
     announced_position: int = 0
     behind_since_ms: float | None = None
     failing: bool = False
@@ -93,8 +97,8 @@
     async def close(self) -> None:
         """Nothing to release; the nursery ends the task."""
 
-    def describe(self) -> tuple[int, float] | None:
-        """The position reached, and when nothing followed it; None if unsure.
+    def describe(self) -> attestation.Attestation | None:
+        """What this entry VM can attest; None if unsure.
 
         An entry VM that cannot reach the store, or knows of records that it
         has not read, reports nothing: its clients would take the old for the
@@ -102,7 +106,9 @@
         """
         if self.position is None or self.failing or self._is_behind():
             return None
-        return self.position, self.proved_ms
+        return attestation.Attestation(
+            self.position, self.proved_ms, self.due_ms
+        )
 
     def get_position(self) -> int | None:
         """The position read; None where nothing was."""
@@ -112,13 +118,20 @@
         """The end of the topic; None where that is not known just now."""
         return None if self.failing or self._is_behind() else self.position
 
-    def confirm(self, position: int, as_of_ms: float) -> None:
-        """Nothing followed ``position`` in the store at ``as_of_ms``."""
-        if position == self.position and as_of_ms > self.proved_ms:
+    def confirm(self, attested: attestation.Attestation) -> None:
+        """Take what another entry VM attests, on the clock of this one."""
+        if attested.position != self.position:
+            return
+        latest_ms = self.clock.boot_ms() + self.get_poll_wait()
+        due_ms = min(attested.due_ms, latest_ms)
+        if attested.as_of_ms <= self.proved_ms and due_ms <= self.due_ms:
+            return
+        self.due_ms = max(self.due_ms, due_ms)
+        if attested.as_of_ms > self.proved_ms:
             # So long as nothing has changed, an entry VM that cannot reach
             # the store knows as much as one that can.
             self._record_well()
-            self._prove(as_of_ms)
+        self._prove(max(attested.as_of_ms, self.proved_ms))
 
     def announce(self, position: int, served: bool) -> None:
         """The store goes on up to ``position``; read it unless ``served``."""
@@ -168,6 +181,7 @@
             # in all other cases, and proved anew only when the call ends.
             wait_ms = self.get_poll_wait() if cause is Cause.POLL else 0.0
             sent_ms = self.contact.record_call()
+            self.due_ms = sent_ms + wait_ms
             try:
                 batch = await self._read(wait_ms)
             except keyed_log.HistoryLost:
@@ -187,6 +201,10 @@
             self._record_well()
             if batch.complete:
                 self._prove(sent_ms)
+            if cause is not Cause.POLL:
+                # Lasts as long as a poll, in which a delegate that is well has
+                # read as much.
+                self.due_ms = sent_ms + self.get_poll_wait()
             if batch.records:
                 self.push_updates()
                 await self._pace(sent_ms)
@@ -209,7 +227,10 @@
             self._wakeup = trio.Event()
         while (cause := self._find_cause()) is None:
             self._delegating = True
-            left_ms = self.get_max_age() - self._find_age_ms()
+            left_ms = min(
+                self.get_max_age() - self._find_age_ms(),
+                store_polls.OVERDUE_MS - self._find_overdue_ms(),
+            )
             with trio.move_on_after(min(left_ms, DELEGATE_CHECK_MS) / 1000):
                 await self._wakeup.wait()
             if self._wakeup.is_set():
@@ -230,6 +251,9 @@
                 return Cause.BEHIND
         if self._find_age_ms() >= self.get_max_age():
             return Cause.REPORT_OLD
+        if self._find_overdue_ms() >= store_polls.OVERDUE_MS:
+            # The delegate attests what it proved before it lost the store.
+            return Cause.REPORT_OVERDUE
         return None
 
     def _is_behind(self) -> bool:
@@ -241,6 +265,9 @@
     def _find_age_ms(self) -> float:
         return self.clock.boot_ms() - self.proved_ms
 
+    def _find_overdue_ms(self) -> float:
+        return self.clock.boot_ms() - self.due_ms
+
     def _prove(self, as_of_ms: float) -> None:
         self.proved_ms = as_of_ms
         self.prove(as_of_ms)
--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -4,7 +4,8 @@
 says how long before its writing nothing newer was in the store. So what it
 attests is as of the query's sending less the age in the report, with no clock
 in common: a report that is late, or a delegate that stood still meanwhile,
-only makes it older.
+only makes it older. The report also says when the delegate's next call ends;
+a delegate that has lost the store goes on to report, and shows it by that.
 
 What is attested is that nothing followed a position of the log. A client at
 that position is up to date; one behind it gets the changes with the report,
@@ -23,6 +24,7 @@
 from carawayward.decisions import delegates
 from carawayward.decisions import store_polls
 from carawayward import events
+from carawayward.forwarding import attestation
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import change_log
 from carawayward.forwarding import freshness_messages
@@ -48,8 +50,8 @@
 class Followed(typing.Protocol):
     """A topic whose reads are delegated; times in ms on the boot clock."""
 
-    def describe(self) -> tuple[int, float] | None:
-        """The position read, and when nothing followed; None if unsure."""
+    def describe(self) -> attestation.Attestation | None:
+        """What is known of the topic; None if unsure."""
 
     def get_position(self) -> int | None:
         """The position read; None where nothing was."""
@@ -65,8 +67,8 @@
     ) -> bool:
         """Take what leads from ``start`` to ``reach``; whether it did."""
 
-    def confirm(self, position: int, as_of_ms: float) -> None:
-        """Nothing followed ``position`` at that time."""
+    def confirm(self, attested: attestation.Attestation) -> None:
+        """Take what another entry VM attests, on the clock of this one."""
 
     def announce(self, position: int, served: bool) -> None:
         """The topic goes up to ``position``; whether the rest will come."""
@@ -226,7 +228,7 @@
         for name in names:
             known = self.topics[name].describe()
             if known is not None:
-                reports[name] = self._make_report(peer, client, name, *known)
+                reports[name] = self._make_report(peer, client, name, known)
         if reports:
             report = freshness_messages.FreshnessReport(client.number, reports)
             self.reporter.send(peer, report.to_bytes())
@@ -236,14 +238,15 @@
         peer: str,
         client: Client,
         name: str,
-        position: int,
-        as_of_ms: float,
+        known: attestation.Attestation,
     ) -> freshness_messages.TopicReport:
         """Report on a topic; a change too long for it goes out in chunks."""
+        position, now_ms = known.position, self.clock.boot_ms()
         make = functools.partial(
             freshness_messages.TopicReport,
             position,
-            max(0.0, self.clock.boot_ms() - as_of_ms),
+            max(0.0, now_ms - known.as_of_ms),
+            known.due_ms - now_ms,
         )
         start = client.positions.get(name)
         if start is None or start >= position:
@@ -316,7 +319,13 @@
                 name, query.peer, number, after, report.start > before
             )
             return
-        topic.confirm(report.position, query.sent_ms - report.age_ms)
+        topic.confirm(
+            attestation.Attestation(
+                report.position,
+                query.sent_ms - report.age_ms,
+                query.sent_ms + report.due_in_ms,
+            )
+        )
 
     def _catch_up(
         self, name: str, peer: str, answered: int, position: int, gap: bool
--- a/src/carawayward/forwarding/freshness_messages.py
+++ b/src/carawayward/forwarding/freshness_messages.py
@@ -1,5 +1,6 @@
 """The datagrams of delegated reads: queries, reports and chunks."""
 
+import math
 import typing
 import zlib
 
@@ -29,13 +30,16 @@
     """A topic as its delegate knows it.
 
     All records before ``position`` have been read, and nothing followed them
-    ``age_ms`` before the datagram was written. ``changes`` bring a client
-    from ``start`` to ``reach``. With ``served`` unset the delegate cannot
-    bring it any further; a client that is behind has to read the store.
+    ``age_ms`` before the datagram was written. The delegate's call that shows
+    it anew ends ``due_in_ms`` after that, or before if negative. ``changes``
+    bring a client from ``start`` to ``reach``. With ``served`` unset the
+    delegate cannot bring it any further; a client that is behind has to read
+    the store.
     """
 
     position: int
     age_ms: float
+    due_in_ms: float
     start: int
     reach: int
     changes: tuple[change_log.Change, ...] = ()
@@ -46,6 +50,7 @@
         return [
             self.position,
             round(self.age_ms) + 1,
+            math.floor(self.due_in_ms),
             self.start,
             self.reach,
             [list(attrs.astuple(each)) for each in self.changes],
@@ -55,10 +60,11 @@
     @classmethod
     def from_fields(cls, fields: list) -> "TopicReport":
         """Read the decoded fields; raises ValueError or TypeError."""
-        position, age_ms, start, reach, changed, served = fields
+        position, age_ms, due_in_ms, start, reach, changed, served = fields
         return cls(
             check_count(position),
             check_count(age_ms),
+            check_number(due_in_ms),
             check_count(start),
             check_count(reach),
             tuple(check_change(*each) for each in changed),
@@ -216,8 +222,16 @@
     return change_log.Change(check_count(offset), key, value)
 
 
+def check_number(value: object) -> int:
+    """A whole number, or ValueError."""
+    if type(value) is not int:
+        raise ValueError(f"a whole number expected, not {value!r}")
+    return value
+
+
 def check_count(value: object) -> int:
     """A whole number that is not negative, or ValueError."""
-    if type(value) is not int or value < 0:
+    number = check_number(value)
+    if number < 0:
         raise ValueError(f"a count expected, not {value!r}")
-    return value
+    return number
--- a/tests/cover/test_delegate_failures.py
+++ b/tests/cover/test_delegate_failures.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from carawayward.decisions import delegates
+from carawayward.forwarding import attestation
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import freshness
 from carawayward.forwarding import load_report_messages
@@ -27,7 +28,8 @@
     """A topic in which nothing changes, always just read."""
 
     def describe(self):
-        return 7, trio.current_time() * 1000
+        now_ms = trio.current_time() * 1000
+        return attestation.Attestation(7, now_ms, now_ms)
 
     def get_position(self):
         return 7
@@ -38,7 +40,7 @@
     def apply_changes(self, start, reach, changed):
         return False
 
-    def confirm(self, position, as_of_ms):
+    def confirm(self, attested):
         """Nothing is done with it."""
 
     def announce(self, position, served):
--- a/tests/cover/test_forwarding_delegates.py
+++ b/tests/cover/test_forwarding_delegates.py
@@ -1,5 +1,6 @@
 """What an entry VM knows while a neighbour reads the store for it."""
 
+import random
 import types
 import typing
 
@@ -29,21 +30,30 @@
 LOST_S = 6.0
 POLL_S = 1.5
 ANSWER_S = 0.01
+WAY_S = 0.004
 
 
 @attrs.define
 class Topic:
-    """A topic with one record, and another from ``changed_s`` on.
+    """A topic with one record, and another at each of ``written_s``.
 
-    From ``lost_s`` on calls and polls are left without an answer.
+    The last one is removed where ``removes_last``. From ``lost_s`` on calls
+    and polls are left without an answer.
     """
 
-    changed_s: float
+    written_s: tuple[float, ...]
     lost_s: float = float("inf")
+    removes_last: bool = False
 
     def _list(self):
-        count = 1 + (trio.current_time() >= self.changed_s)
-        return [keyed_log.Record("one", b"x", n) for n in range(count)]
+        now_s = trio.current_time()
+        count = 1 + sum(at_s <= now_s for at_s in self.written_s)
+        return [self._make(offset) for offset in range(count)]
+
+    def _make(self, offset):
+        last = offset == len(self.written_s)
+        value = None if last and self.removes_last else b"x"
+        return keyed_log.Record("desk", value, offset)
 
     async def read_newest(self):
         await self._answer()
@@ -51,8 +61,8 @@
 
     async def read(self, start, wait_ms):
         until_s = trio.current_time() + wait_ms / 1000
-        if start < 2:
-            until_s = min(until_s, self.changed_s)
+        if start <= len(self.written_s):
+            until_s = min(until_s, self.written_s[start - 1])
         if until_s >= self.lost_s:
             await trio.sleep(wait_ms / 1000)
         await trio.sleep_until(max(until_s, trio.current_time()))
@@ -68,11 +78,13 @@
 
 @attrs.define
 class Wire:
-    """Datagrams between the two entry VMs; they arrive at once."""
+    """Datagrams between the two entry VMs; each takes up to ``WAY_S``."""
 
     name: str
     others: dict[str, "Wire"]
+    nursery: trio.Nursery
     handlers: dict = attrs.field(factory=dict)
+    draw: random.Random = attrs.field(factory=lambda: random.Random(1))
 
     @property
     def joined(self):
@@ -87,6 +99,10 @@
         self.handlers[kind] = handler
 
     def send(self, name, data):
+        self.nursery.start_soon(self._deliver, name, data)
+
+    async def _deliver(self, name, data):
+        await trio.sleep(WAY_S * self.draw.random())
         fields = load_report_messages.decode(data)
         self.others[name].handlers[fields[0]](self.name, fields)
 
@@ -106,23 +122,22 @@
 
 def decode_endpoint(record):
     return facts.EndpointEntry(
-        name="desk",
+        name=record.key,
         service="desk",
         address="127.0.0.1:1",
         failure_domain="north",
-        leaving=record.offset > 0,
     )
 
 
-def make_vm(name, wires, changed_s, lost_s):
+def make_vm(name, wires, written_s, lost_s):
     """The feeds and proofs of an entry VM, wired as the daemon does."""
     clock = clocks.TrioClock()
     board = board_module.ForwardingBoard(name=name, failure_domain="north")
     wire: typing.Any = wires[name]
     exchanged = freshness.FreshnessController(board, clock, wire)
     ports: typing.Any = types.SimpleNamespace(
-        declarations=Topic(changed_s, lost_s),
-        endpoints=Topic(changed_s, lost_s),
+        declarations=Topic(written_s, lost_s),
+        endpoints=Topic(written_s, lost_s, removes_last=True),
         statuses=None,
         decode_declaration=decode_declaration,
         decode_endpoint=decode_endpoint,
@@ -142,17 +157,21 @@
     return board, [*feeds, exchanged]
 
 
-async def find_delays(reader_lost_s, changed_s):
-    """How long after a change the asker knows table and endpoint, in s."""
+async def find_delays(reader_lost_s, written_s):
+    """How long after the last change the client knows it, in s.
+
+    It changes the routing table, and an endpoint leaves.
+    """
+    changed_s = written_s[-1]
     wires: dict[str, Wire] = {}
-    for name in NAMES:
-        wires[name] = Wire(name, wires)
     boards = {}
     delays: dict[str, float] = {}
     async with trio.open_nursery() as nursery:
+        for name in NAMES:
+            wires[name] = Wire(name, wires, nursery)
         for name in NAMES:
             lost_s = reader_lost_s if name == READER else float("inf")
-            board, controllers = make_vm(name, wires, changed_s, lost_s)
+            board, controllers = make_vm(name, wires, written_s, lost_s)
             boards[name] = board
             for each in controllers:
                 await each.start(nursery)
@@ -160,9 +179,11 @@
         while len(delays) < 2 and trio.current_time() < changed_s + 6.0:
             await trio.sleep(0.01)
             late_s = trio.current_time() - changed_s
-            if board.table is not None and board.table.revision == 2:
+            if late_s < 0.0:
+                continue
+            if board.table.revision == len(written_s) + 1:
                 delays.setdefault("table", late_s)
-            if any(each.leaving for each in board.endpoints.values()):
+            if not board.endpoints:
                 delays.setdefault("endpoint", late_s)
         nursery.cancel_scope.cancel()
     return delays
@@ -183,20 +204,36 @@
         for step in range(26):
             changed_s = lost_s + 0.1 * step
             clock = trio.testing.MockClock(autojump_threshold=0)
-            delays = trio.run(find_delays, lost_s, changed_s, clock=clock)
+            delays = trio.run(find_delays, lost_s, (changed_s,), clock=clock)
             assert set(delays) == {"table", "endpoint"}, (lost_s, changed_s)
             assert max(delays.values()) < most_s, (lost_s, changed_s, delays)
 
 
+def test_change_is_known_in_time_though_the_reader_was_lost_after_others():
+    """Work goes on to an endpoint that left three seconds before.
+
+    The delegate had just read other changes when it lost the store.
+    """
+    most_s = 0.95 * settings.Bounds().drain_ms / 1000
+    for before_s in (0.01, 0.05, 0.15, 0.25, 0.6, 0.85):
+        others_s = (LOST_S - before_s - 0.05, LOST_S - before_s)
+        for step in range(16):
+            written_s = (*others_s, LOST_S + 0.1 * step)
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            delays = trio.run(find_delays, LOST_S, written_s, clock=clock)
+            assert set(delays) == {"table", "endpoint"}, written_s
+            assert max(delays.values()) < most_s, (written_s, delays)
+
+
 async def count_causes(quiet_s):
     """The calls of the client by cause, while nothing changes."""
     wires: dict[str, Wire] = {}
-    for name in NAMES:
-        wires[name] = Wire(name, wires)
     causes: list[feed.Cause] = []
     async with trio.open_nursery() as nursery:
         for name in NAMES:
-            _, controllers = make_vm(name, wires, 1e9, float("inf"))
+            wires[name] = Wire(name, wires, nursery)
+        for name in NAMES:
+            _, controllers = make_vm(name, wires, (1e9,), float("inf"))
             if name == ASKER:
                 controllers[0].count_call = causes.append
             for each in controllers:
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -10,6 +10,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import store_polls
 from carawayward import errors
+from carawayward.forwarding import attestation
 from carawayward.forwarding import change_log
 from carawayward.forwarding import feed
 from carawayward.forwarding import keyed_log
@@ -179,12 +180,28 @@
     topic: typing.Any = Topic()
     reader = make_feed("declarations", topic, contact)
     reader.position = 5
-    reader.confirm(5, 100.0)
-    assert reader.describe() == (5, 100.0)
+    known = attestation.Attestation(5, 100.0, 700.0)
+    reader.confirm(known)
+    assert reader.describe() == known
     reader.announce(6, served=True)
     assert reader.describe() is None
     reader.position = 6
-    assert reader.describe() == (6, 100.0)
+    assert reader.describe() == attestation.Attestation(6, 100.0, 700.0)
+
+
+def test_attestation_without_a_newer_call_leaves_the_due_time():
+    """A delegate that lost the store passes for one that reaches it."""
+    contact = make_contact(typing.cast(typing.Any, clock_module.ManualClock()))
+    topic: typing.Any = Topic()
+    reader = make_feed("endpoints", topic, contact)
+    reader.position = 5
+    reader.confirm(attestation.Attestation(5, 100.0, 700.0))
+    reader.confirm(attestation.Attestation(5, 100.0, 690.0))
+    assert reader.due_ms == 700.0
+    reader.confirm(attestation.Attestation(5, 90.0, 800.0))
+    assert reader.describe() == attestation.Attestation(5, 100.0, 800.0)
+    reader.confirm(attestation.Attestation(5, 110.0, 9e9))
+    assert reader.due_ms == store_polls.POLL_MS
 
 
 @attrs.define
@@ -250,6 +267,6 @@
     reader._delegating = True
     change = change_log.Change(4, "desk", b"completed")
     assert reader.apply_changes(4, 5, (change,))
-    ((position, _),) = pushed
-    assert position == 5
+    (attested,) = pushed
+    assert attested.position == 5
     assert reader.list_since(4) == [change]
--- a/tests/cover/test_forwarding_freshness.py
+++ b/tests/cover/test_forwarding_freshness.py
@@ -10,6 +10,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import delegates
 from carawayward import errors
+from carawayward.forwarding import attestation
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import change_log
 from carawayward.forwarding import facts
@@ -50,7 +51,9 @@
     announced: list[int] = attrs.field(factory=list)
 
     def describe(self):
-        return self.position, self.as_of_ms
+        return attestation.Attestation(
+            self.position, self.as_of_ms, self.as_of_ms
+        )
 
     def get_position(self):
         return self.position
@@ -61,9 +64,9 @@
     def apply_changes(self, start, reach, changed):
         return False
 
-    def confirm(self, position, as_of_ms):
-        if position == self.position:
-            self.taken.append((position, as_of_ms))
+    def confirm(self, attested):
+        if attested.position == self.position:
+            self.taken.append((attested.position, attested.as_of_ms))
 
     def announce(self, position, served):
         self.announced.append(position)
@@ -160,7 +163,7 @@
     (asker, clock, topic), (reader, _, _) = make_pair()
     _, question = ask_once(asker)
     number = freshness_messages.Query.from_fields(cbor2.loads(question)).number
-    told = {"keys": freshness_messages.TopicReport(7, 0.0, 7, 7)}
+    told = {"keys": freshness_messages.TopicReport(7, 0.0, 0.0, 7, 7)}
     wrong = freshness_messages.FreshnessReport(number + 1, told).to_bytes()
     deliver(asker, reader.board.name, wrong)
     right = freshness_messages.FreshnessReport(number, told).to_bytes()
@@ -348,7 +351,7 @@
     read: bool = False
 
     def describe(self):
-        return self.position, 0.0
+        return attestation.Attestation(self.position, 0.0, 0.0)
 
     def get_position(self):
         return self.position
@@ -371,8 +374,8 @@
         self.position = reach
         return True
 
-    def confirm(self, position, as_of_ms):
-        self.proved |= position == self.position
+    def confirm(self, attested):
+        self.proved |= attested.position == self.position
 
     def announce(self, position, served):
         self.read |= not served
--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -34,6 +34,23 @@
             assert known_ms < bound_ms
 
 
+def test_delegate_that_lost_the_store_after_a_change_is_noticed_in_time():
+    """What it attests is fresh, and an endpoint leaves just then."""
+    for bound_ms in range(2_000, 10_000, 500):
+        for part in (store_polls.APPLY_PART, store_polls.DRAIN_PART):
+            known_ms = (
+                feed.MIN_CALL_GAP_MS + part * bound_ms + store_polls.OVERDUE_MS
+            )
+            assert known_ms <= 0.9 * bound_ms
+    for heartbeat_ms in (1_000.0, 1_200.0, 2_000.0, 5_000.0):
+        for drain_ms in range(1_000, 6_000, 500):
+            poll_ms = store_polls.find_registry_poll(
+                drain_ms, lapses.SAFE_HEARTBEATS * heartbeat_ms
+            )
+            gap_ms = poll_ms + store_polls.OVERDUE_MS
+            assert lapses.is_too_short(gap_ms, heartbeat_ms)
+
+
 def test_reader_that_dies_does_not_look_like_an_outage_of_the_store():
     """An endpoint that left just then is waited for, and gets work."""
     for drain_ms in range(1_000, 6_000, 500):
--- a/tests/model/test_delegated_reads.py
+++ b/tests/model/test_delegated_reads.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from carawayward.forwarding import attestation
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import change_log
 from carawayward.forwarding import freshness
@@ -64,7 +65,9 @@
         self.world.under_way.append((self.world.now_ms, self.name, name, data))
 
     def describe(self):
-        return self.position, self.proved_ms
+        return attestation.Attestation(
+            self.position, self.proved_ms, self.proved_ms
+        )
 
     def get_position(self):
         return self.position
@@ -86,12 +89,12 @@
     def announce(self, position, served):
         """Nothing: polls come by themselves."""
 
-    def confirm(self, position, as_of_ms):
-        if position != self.position:
+    def confirm(self, attested):
+        if attested.position != self.position:
             return
-        true_ms = as_of_ms - self.skew_ms
-        self.world.check(position, true_ms)
-        self.proved_ms = max(self.proved_ms, as_of_ms)
+        true_ms = attested.as_of_ms - self.skew_ms
+        self.world.check(attested.position, true_ms)
+        self.proved_ms = max(self.proved_ms, attested.as_of_ms)
 
     def poll(self):
         self.polled_ms = self.boot_ms()
@@ -198,7 +201,7 @@
         return ask(peer, sent_ms + LATE_MS)
 
     def forget_age(told):
-        return [told.position, 0, told.start, told.reach, [], True]
+        return [told.position, 0, 0, told.start, told.reach, [], True]
 
     with mock.patch.object(freshness, "PendingQuery", take_arrival):
         assert is_caught()
