Count the streams of a new version from their first token on

What callers saw: bad versions that were completed, and good ones of which little was known when their time was up.

Cause: a stream counted for or against its version when it ended; only one whose first token was far too late counted before.

Ruled out: counting when the request is sent (a version that answers nothing would pass for good). What a stream shows of its version beyond the first token, a status, is known by then; one that breaks off later said nothing of its version before either.

Change: whatever has given its first token is counted at the next round, late or in time. The test has no counterpart before: in-time streams were not counted until their end.

--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -105,7 +105,7 @@
         if status is not None:
             self._take_status(status)
         self._refresh(rollout)
-        self.rollouts.count_slow_runs(rollout)
+        self.rollouts.count_streams(rollout)
         self.rollouts.judge(rollout)
         wanted = self._find_wanted(rollout)
         end = self.get_end()
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -159,29 +159,36 @@
         answer_ms = run.progress.head_ms
         if answer_ms is None:
             answer_ms = self.clock.now_ms() - run.progress.began_ms
-        slow = run.is_slow(answer_ms)
         if status == TIME_OVER:
             # The endpoint ran out of the time that it was given, which is
             # the caller's own doing unless it used to be enough.
-            if slow:
+            if run.is_slow(answer_ms):
                 self._count(run, bad=True)
             return
-        if status < FAILURES_FROM and not slow:
+        if status >= FAILURES_FROM:
+            self._count(run, bad=True)
+            return
+        self._count_success(run, answer_ms)
+
+    def _count_success(self, run: rollout_state.Run, answer_ms: float) -> None:
+        """Count an answer that is no failure; it may still be too slow."""
+        slow = run.is_slow(answer_ms)
+        if not slow:
             run.learn(answer_ms)
-        self._count(run, bad=status >= FAILURES_FROM or slow)
+        self._count(run, bad=slow)
 
-    def count_slow_runs(self, rollout: rollout_state.Rollout) -> None:
-        """Count streams whose heads came far too late, before they end.
+    def count_streams(self, rollout: rollout_state.Rollout) -> None:
+        """Count streams by their first tokens, before they end.
 
-        A version that is several times slower would otherwise be found out
-        only by its few short answers: long ones outlive the trial. A head
-        that has not come counts for nothing: its endpoint may have died.
+        Long streams outlive the trial: a version that is several times slower
+        would be found out only by its few short answers, and little would be
+        known of a good one when its time is up. A first token that has not
+        come counts for nothing: its endpoint may have died.
         """
         for run in list(rollout.runs):
-            head_ms = run.progress.head_ms
-            if not run.counted and head_ms is not None:
-                if run.is_slow(head_ms):
-                    self._count(run, bad=True)
+            ttft_ms = run.progress.head_ms
+            if not run.counted and ttft_ms is not None:
+                self._count_success(run, ttft_ms)
 
     def _count(self, run: rollout_state.Run, bad: bool) -> None:
         run.counted = True
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -7,7 +7,9 @@
 from carawayward.decisions import quarantine
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
+from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
+from carawayward.forwarding import work_items
 
 
 def judge(**routes):
@@ -210,20 +212,36 @@
         assert sum(kept) / len(kept) < 0.1
 
 
-def test_session_on_the_new_version_stays_there_when_room_runs_out():
-    """A session would change its version a second time."""
+def make_rollouts(duration_ms=20_000.0):
+    """The roll-outs of an entry VM, one of them just ordered."""
     clock = clock_module.Clock()
     board = board_module.ForwardingBoard(name="vm", failure_domain="north")
     rollouts = rollouts_module.Rollouts(board, clock)
-    order = facts.RolloutOrder(
-        service="desk", version="v2", duration_ms=20_000.0
+    board.orders["desk"] = facts.RolloutOrder(
+        service="desk", version="v2", duration_ms=duration_ms
     )
-    board.orders["desk"] = order
     rollouts.take_orders()
-    rollout = rollouts.rollouts["desk"]
-    rollout.began_ms = clock.now_ms() - 17_000.0
+    return rollouts, rollouts.rollouts["desk"]
+
+
+def test_stream_counts_from_its_first_token_on():
+    """A version is judged by the short answers alone; long ones outlive it."""
+    rollouts, rollout = make_rollouts()
+    for ttft_ms in (None, 300.0, 9_000.0):
+        progress = work_items.Progress(0.0, ttft_ms, predicted_ms=300.0)
+        kind = ("review", "large")
+        rollout.runs.add(rollout_state.Run(rollout, True, kind, progress))
+    for _ in range(2):
+        rollouts.count_streams(rollout)
+        assert rollout.tallies == {"review": canary.Tally(new=2, new_bad=1)}
+
+
+def test_session_on_the_new_version_stays_there_when_room_runs_out():
+    """A session would change its version a second time."""
+    rollouts, rollout = make_rollouts()
+    rollout.began_ms = rollouts.clock.now_ms() - 17_000.0
     rollout.known = rollout.opened = True
-    rollout.read_ms = clock.now_ms()
+    rollout.read_ms = rollouts.clock.now_ms()
     rollout.verdict = canary.Verdict.GOOD
     rollout.sent, rollout.sent_new = 400, 91
     rollouts.sessions.remember("desk", "begun", "v2")
