Complete a roll-out only when its answers speak for the new version

Six of nine entry VMs were then restarted and three killed; everything went to v2 0.9 s before the time was up, five answers came, and 0.5 s before the end it was completed, whatever was known. "Good" meant eight answers and nothing against the version.

Ruled out: counts lost with restarted entry VMs (peers keep them, by incarnation); a verdict that came and was not heeded (bad was never judged); a write out of turn.

Change: completing needs five answers under full load at the least, and on each route with a tenth of the answers, and under full load, a likelihood ratio of 4 for "fails as seldom as the old version" against "two fifths more of its answers fail". Else it is rolled back when its time is over.

Why it holds: silence can no longer complete a version, however it comes about; what is completed has been seen to answer on every route that matters and while everything went there.

--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -37,6 +37,17 @@
 # once the old version's endpoints have stopped there is no way back.
 SETTLED_ANSWERS = 40
 SETTLING_MS = 1_800.0
+# Without so many it is not completed at all: whoever keeps the old version
+# may order the roll-out again, and a bad version without an old one stays.
+MIN_SETTLED_ANSWERS = 5
+# A version is completed when its answers are this many times likelier from
+# one that fails as seldom as the old version than from a bad one, of which
+# SUSPECTED_RATE more of the answers fail. That holds for each route with
+# ROUTE_PART of the answers or more: a version may be bad on one route only.
+LIKELIHOOD_RATIO = 4.0
+SUSPECTED_RATE = 0.4
+MAX_RATE = 0.95
+ROUTE_PART = 0.1
 # Requests beyond the expected number that are allowed for, in standard
 # deviations of a Poisson count.
 SURGE_DEVIATIONS = 2.5
@@ -118,11 +129,16 @@
     return took_ms > HEAD_SLOW_MS and took_ms > HEAD_SLOW_FACTOR * predicted_ms
 
 
+def compute_usual_rate(tally: Tally) -> float:
+    """The part of the old version's answers that are bad, never 0."""
+    return (tally.old_bad + 0.5) / (tally.old + 5.0)
+
+
 def is_worse(tally: Tally) -> bool:
     """Whether the new version fails clearly more often than the old."""
     if tally.new_bad < LEAST_BAD:
         return False
-    expected = (tally.old_bad + 0.5) / (tally.old + 5.0)
+    expected = compute_usual_rate(tally)
     rate = tally.new_bad / tally.new
     spread = math.sqrt(tally.new * expected * (1.0 - expected))
     surplus = tally.new_bad - tally.new * expected
@@ -140,6 +156,33 @@
     return Verdict.GOOD if total.new >= LEAST_ANSWERS else Verdict.UNKNOWN
 
 
+def is_proven(by_route: typing.Mapping[str, Tally], under_load: Tally) -> bool:
+    """Whether the answers speak for a version, not just not against it.
+
+    On each route, since one that nobody took in the trial shows nothing of a
+    version that is bad there; and ``under_load``, since everything goes to
+    the new version.
+    """
+    if not is_likely_good(under_load):
+        return False
+    least = ROUTE_PART * sum(each.new + each.old for each in by_route.values())
+    return all(
+        is_likely_good(each)
+        for each in by_route.values()
+        if each.new + each.old >= least
+    )
+
+
+def is_likely_good(tally: Tally) -> bool:
+    """Whether the answers are much likelier from a good than a bad version."""
+    usual = compute_usual_rate(tally)
+    bad = min(MAX_RATE, usual + SUSPECTED_RATE)
+    good_answers = tally.new - tally.new_bad
+    log_ratio = good_answers * math.log((1.0 - usual) / (1.0 - bad))
+    log_ratio += tally.new_bad * math.log(usual / bad)
+    return log_ratio >= math.log(LIKELIHOOD_RATIO)
+
+
 @attrs.frozen(kw_only=True)
 class Exposure:
     """How many requests may meet a bad version, and have met the new one.
@@ -208,6 +251,8 @@
     """
     if verdict is not Verdict.GOOD or share < 1.0:
         return False
+    if answers < MIN_SETTLED_ANSWERS:
+        return False
     if left_ms <= FORCED_MS:
         return True
     settled = answers >= SETTLED_ANSWERS or left_ms <= SETTLING_MS
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -23,6 +23,9 @@
 
 # How often new orders are looked for, and roll-outs that run gone through.
 TICK_MS = 200.0
+# The same once everything goes to a new version: little time is left then,
+# and it has to be completed before it is over.
+OPENED_TICK_MS = 50.0
 
 
 @attrs.define
@@ -97,7 +100,14 @@
             for rollout in list(self.rollouts.rollouts.values()):
                 if rollout.running:
                     await self._step(rollout)
-            await self.clock.sleep(TICK_MS)
+            await self.clock.sleep(self._find_tick_ms())
+
+    def _find_tick_ms(self) -> float:
+        opened = any(
+            each.running and each.opened
+            for each in self.rollouts.rollouts.values()
+        )
+        return OPENED_TICK_MS if opened else TICK_MS
 
     async def _step(self, rollout: rollout_state.Rollout) -> None:
         """Judge by what is known, and write what is decided."""
@@ -166,16 +176,20 @@
         part = rollout.find_part(now_ms)
         if rollout.verdict is canary.Verdict.BAD:
             return facts.RolloutState.ROLLED_BACK
-        if canary.may_complete(
+        under_load = rollout.sum_under_load()
+        may_complete = canary.may_complete(
             (1.0 - part) * rollout.order.duration_ms,
             rollout.verdict,
             self.rollouts.find_share(rollout, now_ms),
-            rollout.count_answers() - rollout.answers_at_opening,
+            under_load.new,
             rollout.count_old_in_flight(now_ms),
+        )
+        if may_complete and canary.is_proven(
+            rollout.sum_tallies(), under_load
         ):
             return facts.RolloutState.COMPLETED
         if part > 1.0:
-            # Nothing speaks for the version; what was there is known.
+            # Too little speaks for the version; what was there is known.
             return facts.RolloutState.ROLLED_BACK
         if rollout.reported:
             return None
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -82,7 +82,10 @@
 
 @attrs.define(eq=False)
 class Rollout:
-    """What this entry VM knows of one order."""
+    """What this entry VM knows of one order.
+
+    ``opening`` is what was counted when everything went to the new version.
+    """
 
     order: facts.RolloutOrder
     began_ms: float
@@ -95,7 +98,7 @@
     sent: int = 0
     sent_new: int = 0
     opened: bool = False
-    answers_at_opening: int = 0
+    opening: canary.Tally = canary.Tally()
     tallies: dict[str, canary.Tally] = attrs.field(factory=dict)
     others: dict[str, PeerCounts] = attrs.field(factory=dict)
     usual: dict[tuple[str, str], canary.Usual] = attrs.field(factory=dict)
@@ -128,9 +131,18 @@
             sent_new=self.sent_new + sum(each.sent_new for each in others),
         )
 
-    def count_answers(self) -> int:
-        """Answers of the new version that are known."""
-        return sum(tally.new for tally in self.sum_tallies().values())
+    def sum_routes(self) -> canary.Tally:
+        """All counts that are known, of all routes together."""
+        return sum(self.sum_tallies().values(), canary.Tally())
+
+    def sum_under_load(self) -> canary.Tally:
+        """Answers of the new version since everything goes there."""
+        total = self.sum_routes()
+        return attrs.evolve(
+            total,
+            new=total.new - self.opening.new,
+            new_bad=total.new_bad - self.opening.new_bad,
+        )
 
     def sum_tallies(self) -> dict[str, canary.Tally]:
         """All counts that are known, by route."""
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -100,7 +100,7 @@
         if rollout.opened and rollout.verdict is not canary.Verdict.BAD:
             return 1.0
         if share >= 1.0 and not rollout.opened:
-            rollout.answers_at_opening = rollout.count_answers()
+            rollout.opening = rollout.sum_routes()
         rollout.opened = share >= 1.0
         return share
 
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -166,6 +166,31 @@
     assert not canary.may_complete(canary.FORCED_MS, good, 1.0, 1, 0)
 
 
+def test_version_is_not_proven_on_a_route_that_it_hardly_served():
+    """A version is completed that is bad on the one route not tried."""
+
+    def prove(**routes):
+        return canary.is_proven(
+            {name: canary.Tally(*counts) for name, counts in routes.items()},
+            canary.Tally(new=20, old=100),
+        )
+
+    assert prove(a=(8, 0, 40, 4), b=(8, 0, 43, 2), c=(6, 0, 38, 2))
+    assert not prove(a=(8, 0, 40, 4), b=(1, 0, 43, 2), c=(6, 0, 38, 2))
+    assert not prove(a=(8, 0, 40, 4), b=(8, 0, 43, 2), c=(6, 2, 38, 2))
+    assert prove(a=(8, 0, 40, 4), b=(8, 0, 43, 2), c=(0, 0, 3, 0))
+    assert prove(a=(20, 6, 80, 24))
+    assert not prove(a=(20, 0, 80, 80))
+
+
+def test_version_is_not_proven_by_answers_from_before_the_full_load():
+    """A version is completed that turned bad when everything went there."""
+    by_route = {"a": canary.Tally(new=30, new_bad=2, old=200)}
+    for new_bad, proven in ((0, True), (2, False)):
+        under_load = canary.Tally(new=5, new_bad=new_bad, old=200)
+        assert canary.is_proven(by_route, under_load) is proven
+
+
 def play_late_version(seed, requests, duration_s):
     """A version that is let in by chance arrivals and never found bad.
 
