Order positions in the store's topics by its eras

What callers would see after a drill in which the store comes back from a copy some seconds old: an entry VM at the end of the lost history finds "nothing followed" in the new one, and keeps a configuration, keys and endpoints that are not the store's for as long as it lives.

Cause: a position was an offset, and offsets go back and are given out again. A read from one that the store has not got gets 410, but one that was given out again looks like any other.

Change: a position is an era and an offset in one whole number, the era first, made in platform/ from the header Store-Era (0 without it) and compared, kept and sent as before. A position of another era than the answer's lists the topic anew; a conditional append on a position of a former era is a conflict without a call, and one that was met by chance in a new era counts as one; an answer of a lower era than one seen counts as no answer, as one whose era is no whole number. A delegate does not know the removals that a new era implies, so that its clients list for themselves. Event 1204, cause `era changed`.

Ruled out: comparing eras beside offsets at each place (change logs, freshness reports, chunks, conditions and caches each compare positions); forgetting all positions at a rise (one entry VM meets it seconds after another, and reports between them would mix).

Not in this commit: entries that are missing right after a return, orders and statuses of the copy, members. All entry VMs list at once after a return.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -74,6 +74,13 @@
         logging.WARNING,
     )
     PLATFORM_BACK = EventKind(1202, "A platform service answers again.")
+    STORE_ERA_CHANGED = EventKind(
+        1204,
+        "The platform's store came back from a copy and may have lost what it "
+        "acknowledged; all topics are listed anew.",
+        'see "the store comes back from a copy" in OPERATIONS',
+        logging.WARNING,
+    )
     PEER_UP = EventKind(1301, "A link to a peer is up.")
     PEER_DOWN = EventKind(
         1302,
--- a/src/carawayward/forwarding/change_log.py
+++ b/src/carawayward/forwarding/change_log.py
@@ -5,6 +5,7 @@
 import attrs
 
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import positions
 
 # Removed keys that are remembered; older removals cannot be passed on.
 MAX_REMOVED = 1_000
@@ -41,14 +42,15 @@
         """Take all newest records, read up to ``end``.
 
         With ``start``, the position reached before, keys that are missing
-        now were removed since; without it, nothing is known of removals.
+        now were removed since; without it, or if it is of another era,
+        nothing is known of removals.
         """
         known = self.newest
         self.newest = {
             each.key: Change(each.offset, each.key, each.value)
             for each in records
         }
-        if start is None:
+        if start is None or not positions.is_same_era(start, end):
             self.floor = end
             self.removed.clear()
             return
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -14,6 +14,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import change_log
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import positions
 from carawayward.forwarding import store_contact
 from carawayward import supervision
 
@@ -37,6 +38,7 @@
     POLL = "poll"
     RETRY = "retry"
     HISTORY_LOST = "history lost"
+    ERA_CHANGED = "era changed"
     DELEGATE_LOST = "delegate lost"
     REPORT_OLD = "report old"
     REPORT_OVERDUE = "report overdue"
@@ -63,6 +65,10 @@
     ``push_updates`` is called when records have come. ``log`` keeps what can
     be passed on to others; ``announced_position`` is the farthest that
     another entry VM has reported, ``behind_since_ms`` since when it is ahead.
+
+    ``begin_era`` is called before ``replace`` where the records are those of
+    a store that came back from a copy: what is missing may be written again,
+    and what is there may be older than what is known.
     """
 
     name: str
@@ -79,6 +85,7 @@
     get_max_age: typing.Callable[[], float] = lambda: store_polls.POLL_MS
     push_updates: typing.Callable[[], None] = lambda: None
     count_call: typing.Callable[[Cause], None] = lambda cause: None
+    begin_era: typing.Callable[[], None] = lambda: None
     position: int | None = None
     proved_ms: float = board_module.NEVER
     due_ms: float = board_module.NEVER
@@ -87,7 +94,7 @@
     failing: bool = False
     log: change_log.ChangeLog = attrs.field(factory=change_log.ChangeLog)
     _delegating: bool = False
-    _lost: bool = False
+    _lost: Cause | None = None
     _wakeup: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -184,9 +191,13 @@
             self.due_ms = sent_ms + wait_ms
             try:
                 batch = await self._read(wait_ms)
+            except keyed_log.EraChanged:
+                self.contact.record_answer()
+                self._lost = Cause.ERA_CHANGED
+                continue
             except keyed_log.HistoryLost:
                 self.contact.record_answer()
-                self._lost = True
+                self._lost = Cause.HISTORY_LOST
                 continue
             except errors.PlatformUnavailable as fault:
                 self._record_failure(sent_ms, fault)
@@ -219,8 +230,8 @@
         """Wait while another entry VM reads; why this one has to call."""
         if self.position is None:
             return Cause.START
-        if self._lost:
-            return Cause.HISTORY_LOST
+        if self._lost is not None:
+            return self._lost
         if self.failing:
             return Cause.RETRY
         if not self._is_behind():
@@ -284,13 +295,17 @@
         return None
 
     async def _call(self, wait_ms: float) -> keyed_log.Batch:
-        if self.position is None or self._lost:
+        if self.position is None or self._lost is not None:
             return await self.topic.read_newest()
         return await self.topic.read(self.position, wait_ms)
 
     def _take(self, batch: keyed_log.Batch) -> None:
-        if self.position is None or self._lost:
-            self._lost = False
+        if self.position is None or self._lost is not None:
+            self._lost = None
+            if self.position is not None and not positions.is_same_era(
+                self.position, batch.end
+            ):
+                self.begin_era()
             self.log.replace(batch.records, self.position, batch.end)
             self.replace(batch.records)
         else:
--- a/src/carawayward/forwarding/keyed_log.py
+++ b/src/carawayward/forwarding/keyed_log.py
@@ -7,7 +7,11 @@
 
 @attrs.frozen
 class Record:
-    """One record; without a value the key is dropped."""
+    """One record; without a value the key is dropped.
+
+    ``offset`` is its position, as are all that this module speaks of: see
+    ``positions``.
+    """
 
     key: str
     value: bytes | None
@@ -30,6 +34,10 @@
     """The records asked for have left the log; read the newest instead."""
 
 
+class EraChanged(HistoryLost):
+    """The log is another than the one that the position is of."""
+
+
 class Conflict(Exception):
     """The log did not end at the offset that an append was conditional on."""
 
--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import re
 import struct
 import typing
 
@@ -10,7 +11,10 @@
 import trio
 
 from carawayward import errors
+from carawayward import events
+from carawayward.forwarding import facts
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import positions
 from carawayward.gateway import connections
 from carawayward import http_client as http
 
@@ -21,13 +25,29 @@
 # Long polls carry nothing for seconds; a connection whose other side has
 # gone silent for good must not hold one up for longer than this, in ms.
 SILENCE_MS = 3_000
+# Rises by one each time the store comes back from a copy of its data.
+ERA_HEADER = b"store-era"
+ERA_PATTERN = re.compile(rb"[0-9]{1,9}")
+
+
+@attrs.frozen
+class Answer:
+    """An answer of the store, and the era of the data that it is from."""
+
+    status: int
+    content: bytes
+    era: int
 
 
 @attrs.define(eq=False)
 class Store:
-    """Calls of the store at one address."""
+    """Calls of the store at one address.
+
+    ``era`` is the highest that an answer had; 0 where none says one.
+    """
 
     address: str
+    era: int = 0
     pool: httpcore.AsyncConnectionPool = attrs.field(
         factory=lambda: connections.make_pool(8, 8, SILENCE_MS)
     )
@@ -38,7 +58,7 @@
         path: str,
         body: bytes = b"",
         wait_ms: float = 0.0,
-    ) -> tuple[int, bytes]:
+    ) -> Answer:
         """Make one call; raise PlatformUnavailable without an answer."""
         mark = http.SentMark()
         try:
@@ -59,7 +79,25 @@
             raise errors.PlatformUnavailable(
                 "store", f"status {response.status}", sent=False
             )
-        return response.status, response.content
+        era = read_era(response.headers)
+        self._record_era(era)
+        return Answer(response.status, response.content, era)
+
+    def _record_era(self, era: int) -> None:
+        """Note the era of an answer; raise PlatformUnavailable for a former.
+
+        An answer of a former era comes from a part of the store that lags:
+        what it says has been lost.
+        """
+        if era < self.era:
+            raise errors.PlatformUnavailable(
+                "store", f"answer of era {era} after one of era {self.era}"
+            )
+        if era > self.era:
+            events.log_event(
+                events.Event.STORE_ERA_CHANGED, old=self.era, new=era
+            )
+            self.era = era
 
     async def close(self) -> None:
         """Close all connections."""
@@ -83,37 +121,46 @@
         end: int | None = None
         after = ""
         while True:
-            status, content = await self.store.call(
+            answer = await self.store.call(
                 "GET",
                 f"/api/log-newest?topic={self.topic}&part={PART}{after}",
             )
-            body = parse_json(status, content)
+            body = parse_json(answer)
             if end is None:
-                end = int(body["end"])
-            records += [read_item(item) for item in body["items"]]
+                end = positions.make_position(answer.era, int(body["end"]))
+            elif positions.get_era(end) != answer.era:
+                # The pages before are of another history.
+                return await self.read_newest()
+            records += [read_item(item, answer.era) for item in body["items"]]
             if not body["hasMore"] or not body["items"]:
                 return keyed_log.Batch(records, end)
             after = f"&after={body['items'][-1]['key']}"
 
     async def read(self, start: int, wait_ms: float) -> keyed_log.Batch:
         """Records from ``start`` on."""
-        status, content = await self.store.call(
+        offset = positions.get_offset(start)
+        answer = await self.store.call(
             "GET",
-            f"/api/log-read?topic={self.topic}&part={PART}&from={start}"
+            f"/api/log-read?topic={self.topic}&part={PART}&from={offset}"
             f"&waitMs={int(wait_ms)}",
             wait_ms=wait_ms,
         )
-        if status == 410:
+        if answer.era != positions.get_era(start):
+            raise keyed_log.EraChanged()
+        if answer.status == 410:
             raise keyed_log.HistoryLost()
-        if status != 200 or len(content) < 16:
-            raise errors.PlatformUnavailable("store", f"status {status}")
-        end, _ = struct.unpack_from(">QQ", content)
+        if answer.status != 200 or len(answer.content) < 16:
+            raise errors.PlatformUnavailable(
+                "store", f"status {answer.status}"
+            )
+        end, _ = struct.unpack_from(">QQ", answer.content)
         records = [
             read_record(raw, start + index)
-            for index, raw in enumerate(split_records(content[16:]))
+            for index, raw in enumerate(split_records(answer.content[16:]))
         ]
         position = start + len(records)
-        return keyed_log.Batch(records, position, position >= end)
+        complete = positions.get_offset(position) >= end
+        return keyed_log.Batch(records, position, complete)
 
     async def append(
         self,
@@ -121,32 +168,65 @@
         end: int | None = None,
     ) -> int:
         """Append all or nothing; return the new end."""
-        condition = "" if end is None else f"&at={end}"
+        condition = ""
+        if end is not None:
+            if positions.get_era(end) < self.store.era:
+                # The offset is one of a history that is lost.
+                raise keyed_log.Conflict(
+                    positions.make_position(self.store.era, 0)
+                )
+            condition = f"&at={positions.get_offset(end)}"
         body = b"".join(write_record(record) for record in records)
-        status, content = await self.store.call(
+        answer = await self.store.call(
             "POST",
             f"/api/log-append?topic={self.topic}&part={PART}{condition}",
             body,
         )
-        if status == 412:
-            raise keyed_log.Conflict(int(json.loads(content)["end"]))
-        return int(parse_json(status, content)["end"])
+        if answer.status == 412:
+            found = int(json.loads(answer.content)["end"])
+            raise keyed_log.Conflict(
+                positions.make_position(answer.era, found)
+            )
+        position = positions.make_position(
+            answer.era, int(parse_json(answer)["end"])
+        )
+        if end is not None and not positions.is_same_era(end, position):
+            # The condition was met by chance, by a history not read yet.
+            raise keyed_log.Conflict(position)
+        return position
+
+
+def read_era(headers: facts.Headers) -> int:
+    """The era of an answer; 0 without the header.
+
+    Raises PlatformUnavailable if it is no whole number: what cannot be told
+    from a former history counts for nothing.
+    """
+    for name, value in headers:
+        if name.lower() == ERA_HEADER:
+            if not ERA_PATTERN.fullmatch(value):
+                raise errors.PlatformUnavailable(
+                    "store", f"the era is no whole number: {value!r}"
+                )
+            return int(value)
+    return 0
 
 
-def parse_json(status: int, content: bytes) -> typing.Any:
+def parse_json(answer: Answer) -> typing.Any:
     """The body of a good answer; raise PlatformUnavailable for others."""
-    if status != 200:
-        raise errors.PlatformUnavailable("store", f"status {status}")
+    if answer.status != 200:
+        raise errors.PlatformUnavailable("store", f"status {answer.status}")
     try:
-        return json.loads(content)
+        return json.loads(answer.content)
     except ValueError as cause:
         raise errors.PlatformUnavailable("store", "no JSON") from cause
 
 
-def read_item(item: dict) -> keyed_log.Record:
+def read_item(item: dict, era: int) -> keyed_log.Record:
     """An entry of a list of newest records; values are in base64."""
     value = base64.b64decode(item["value"])
-    return keyed_log.Record(item["key"], value or None, int(item["offset"]))
+    position = positions.make_position(era, int(item["offset"]))
+    return keyed_log.Record(item["key"], value or None, position)
 
 
 def split_records(content: bytes) -> typing.Iterator[bytes]:
--- a/tests/standins/raw_http.py
+++ b/tests/standins/raw_http.py
@@ -27,6 +27,7 @@
     request: Request
     stream: trio.SocketStream
     closed: trio.Event = attrs.field(factory=trio.Event)
+    fixed_headers: dict[str, str] = attrs.field(factory=dict)
 
     async def answer(
         self,
@@ -37,7 +38,12 @@
         """Send a whole answer."""
         await self.stream.send_all(
             make_head(
-                status, {**(headers or {}), "content-length": str(len(body))}
+                status,
+                {
+                    **self.fixed_headers,
+                    **(headers or {}),
+                    "content-length": str(len(body)),
+                },
             )
             + body
         )
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -55,7 +55,8 @@
     ``refusing`` is a status for every call. ``silent`` leaves calls without
     an answer and notes their topics in ``held``. ``losing`` carries appends
     out and resets the connection. While ``deaf`` is set polls hear of no new
-    record before their time is up.
+    record before their time is up. ``era`` stands in all answers, None in
+    none.
     """
 
     topics: dict[str, Topic] = attrs.field(factory=dict)
@@ -65,6 +66,29 @@
     deaf: bool = False
     calls: int = 0
     held: list[str] = attrs.field(factory=list)
+    era: int | None = None
+    saved: dict[str, Topic] = attrs.field(factory=dict)
+
+    def save_copy(self) -> None:
+        """Copy all data, for ``restore_copy``."""
+        self.saved = {
+            name: attrs.evolve(
+                topic,
+                records=list(topic.records),
+                newest=dict(topic.newest),
+                grown=trio.Event(),
+            )
+            for name, topic in self.topics.items()
+        }
+
+    def restore_copy(self) -> None:
+        """Come back from the copy, in a new era; polls are answered."""
+        before = list(self.topics.values())
+        self.topics = self.saved
+        self.save_copy()
+        self.era = (self.era or 0) + 1
+        for topic in before:
+            topic.grown.set()
 
     def topic(self, name: str) -> Topic:
         """A topic, made on first use."""
@@ -78,6 +102,8 @@
     async def handle(self, exchange: raw_http.Exchange) -> None:
         """Answer one call."""
         self.calls += 1
+        if self.era is not None:
+            exchange.fixed_headers = {"Store-Era": str(self.era)}
         target = urllib.parse.urlsplit(exchange.request.target)
         query = dict(urllib.parse.parse_qsl(target.query))
         if self.silent:
@@ -115,12 +141,16 @@
         self, exchange: raw_http.Exchange, topic: Topic, query: dict[str, str]
     ) -> None:
         start = int(query["from"])
+        era = self.era
         if start >= topic.end:
             with trio.move_on_after(int(query.get("waitMs", 0)) / 1000):
                 await topic.grown.wait()
                 while self.deaf:
                     await trio.sleep(0.01)
-        if start < topic.first:
+        if self.era != era:
+            await exchange.reset()
+            return
+        if not topic.first <= start <= topic.end:
             body = json.dumps({"first": topic.first}).encode()
             await exchange.answer(410, body=body)
             return
