Wait for endpoints that a copy of the store lacks, and leave out those that left

What callers would see after a return from a copy: a pool without endpoints though all are well, since those that registered after the copy are missing; and work sent to endpoints that left after it, since the copy lists them as ready.

Change: what is missing when a new era is listed is kept for two seconds, as after an outage. A record of the copy that names an endpoint known to leave or to have left, in the same start, is held: it counts once its entry has outlived any lease, so that the endpoint lives, or when it is written again. Departures are remembered for a minute. Event 1518 says that an endpoint is held.

Ruled out: taking what is missing as gone (empties pools); never taking a departed endpoint back (an entry that lapsed while the store was away comes back under the same start).

The stand-in answers 410 at once for a position after its end.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -159,6 +159,11 @@
         "An endpoint's entry was missing after an outage of the store; the "
         "endpoint is still used until it is known whether it has left.",
     )
+    ENDPOINT_HELD = EventKind(
+        1518,
+        "A copy of the store lists an endpoint that has left since; it gets "
+        "no work unless its entry is renewed.",
+    )
     DELEGATE_CHOSEN = EventKind(
         1203,
         "Another entry VM, or this one itself, reads the platform's store "
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -151,6 +151,7 @@
         has_delegate=has_delegate,
         get_max_age=get_max_age,
         push_updates=functools.partial(freshness.push_updates, ENDPOINTS),
+        begin_era=entries.begin_era,
     )
     freshness.add_topic(made.name, made)
     return made
--- a/src/carawayward/forwarding/registry.py
+++ b/src/carawayward/forwarding/registry.py
@@ -16,6 +16,8 @@
 RETURN_MS = 2_000.0
 # A poll without news that is answered no later than this is no outage.
 POLL_SLACK_MS = 200.0
+# Departures that are remembered, longer than a copy of the store is old.
+DEPARTURE_TTL_MS = 60_000.0
 
 Decode = typing.Callable[[keyed_log.Record], facts.EndpointEntry | None]
 
@@ -28,6 +30,22 @@
     at_ms: float
 
 
+@attrs.frozen
+class Departure:
+    """When an endpoint left, and which start of it that was."""
+
+    at_ms: float
+    born: int | None
+
+
+@attrs.frozen
+class Held:
+    """A record of an endpoint that had left, not taken until ``until_ms``."""
+
+    record: keyed_log.Record
+    until_ms: float
+
+
 @attrs.define(eq=False, kw_only=True)
 class RegistryReader:
     """Folds registry records into the blackboard.
@@ -39,6 +57,10 @@
     that endpoints reached the store all the while, the outage was this entry
     VM's own, and what is missing has left.
 
+    A store that came back from a copy lists endpoints that have left since the
+    copy, and lacks those that came. What is missing is waited for as after an
+    outage, and what had left is not used unless it outlives any lease.
+
     Times are in ms on the boot clock. ``read_ms`` is when all records were
     last read; from ``settled_ms`` on what lapsed in an outage is back.
     ``find_poll_ms`` says how long a poll waits for news.
@@ -53,12 +75,24 @@
     taken: dict[str, Taken] = attrs.field(factory=dict)
     read_ms: float | None = None
     settled_ms: float = board_module.NEVER
+    departures: dict[str, Departure] = attrs.field(factory=dict)
+    held: dict[str, Held] = attrs.field(factory=dict)
+    _copied: bool = False
+
+    def begin_era(self) -> None:
+        """The records that come next are those of a copy of the store."""
+        self.settled_ms = self.contact.clock.boot_ms() + RETURN_MS
+        self._copied = True
 
     def replace(self, records: list[keyed_log.Record]) -> None:
         """Take all newest records; what is not among them has gone."""
         present = {record.key for record in records}
+        copied, self._copied = self._copied, False
         for record in records:
-            self.apply(record)
+            if copied and self._had_left(record):
+                self._hold(record)
+            else:
+                self.apply(record)
         for name in list(self.board.endpoints):
             if name not in present:
                 self._take_missing(name)
@@ -66,6 +100,7 @@
 
     def apply(self, record: keyed_log.Record) -> None:
         """Take one record."""
+        self.held.pop(record.key, None)
         if record.value is None:
             self._take_missing(record.key)
             return
@@ -94,6 +129,9 @@
     def prove(self, as_of_ms: float) -> None:
         """All records there are have been read; drop what has left."""
         now_ms = self.contact.clock.boot_ms()
+        for each in list(self.held.values()):
+            if now_ms >= each.until_ms:
+                self.apply(each.record)
         if self.read_ms is not None and self._may_have_lapsed():
             self._end_outage(self.read_ms, now_ms)
         elif now_ms >= self.settled_ms:
@@ -133,6 +171,36 @@
         ):
             self._drop_missing("entry removed during an outage")
 
+    def _had_left(self, record: keyed_log.Record) -> bool:
+        """Whether a record of a copy is of an endpoint that has left since."""
+        entry = self.decode(record)
+        if entry is None or entry.leaving:
+            return False
+        known = self.board.endpoints.get(entry.name)
+        if known is not None and known.leaving:
+            return known.born == entry.born
+        departure = self.departures.get(entry.name)
+        if departure is None or departure.born != entry.born:
+            return False
+        age_ms = self.contact.clock.boot_ms() - departure.at_ms
+        return age_ms < DEPARTURE_TTL_MS
+
+    def _hold(self, record: keyed_log.Record) -> None:
+        """Leave a record out until its entry has outlived any lease."""
+        lease_ms = lapses.LEASE_HEARTBEATS * self.heartbeat_ms
+        until_ms = self.contact.clock.boot_ms() + lease_ms
+        self.held[record.key] = Held(record, until_ms)
+        events.log_event(events.Event.ENDPOINT_HELD, endpoint=record.key)
+
+    def _record_departure(self, name: str, born: int | None) -> None:
+        now_ms = self.contact.clock.boot_ms()
+        self.departures.pop(name, None)
+        self.departures[name] = Departure(now_ms, born)
+        for each, departure in list(self.departures.items()):
+            if now_ms - departure.at_ms < DEPARTURE_TTL_MS:
+                break
+            del self.departures[each]
+
     def _record_taken(self, record: keyed_log.Record) -> None:
         """Note when a record was read first; the newest are read again."""
         known = self.taken.get(record.key)
@@ -162,8 +230,10 @@
     def _drop(self, name: str, cause: str) -> None:
         self.missing.discard(name)
         self.taken.pop(name, None)
-        if self.board.endpoints.pop(name, None) is None:
+        known = self.board.endpoints.pop(name, None)
+        if known is None:
             return
+        self._record_departure(name, known.born)
         self.board.generation += 1
         events.log_event(
             events.Event.ENDPOINT_UNLISTED, endpoint=name, cause=cause
--- a/tests/failures/test_forwarding_eras.py
+++ b/tests/failures/test_forwarding_eras.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from carawayward.forwarding import registry
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -34,3 +35,65 @@
             await made.wait_for(lambda: list_revisions(made) == [3, 3])
 
     trio.run(main)
+
+
+def list_endpoints(made):
+    """The endpoints that get work at the first entry VM."""
+    places = made.daemon.board.endpoints
+    return sorted(e.name for e in places.values() if not e.leaving)
+
+
+def test_endpoints_that_came_after_the_copy_are_kept_until_they_return():
+    """A pool is empty after a return, though all its endpoints are well.
+
+    One that does not write its entry again has left.
+    """
+
+    async def main():
+        desks = make_desks(3)
+        async with forwarding.open_forwarding(*desks) as made:
+            made.store.put("keyed.servers", desks[1].name, None)
+            made.store.put("keyed.servers", desks[2].name, None)
+            await made.wait_for(lambda: list_endpoints(made) == ["desk-0"])
+            made.store.save_copy()
+            made.register(desks[1])
+            made.register(desks[2])
+            everybody = ["desk-0", "desk-1", "desk-2"]
+            await made.wait_for(lambda: list_endpoints(made) == everybody)
+            made.store.restore_copy()
+            began = trio.current_time()
+            while trio.current_time() - began < registry.RETURN_MS / 2000:
+                assert list_endpoints(made) == everybody
+                await trio.sleep(0.02)
+            made.register(desks[1], sequence=2)
+            rest = ["desk-0", "desk-1"]
+            await made.wait_for(lambda: list_endpoints(made) == rest)
+            late_ms = 1000.0 * (trio.current_time() - began)
+            assert registry.RETURN_MS <= late_ms <= registry.RETURN_MS + 700.0
+
+    trio.run(main)
+
+
+def test_endpoint_that_left_after_the_copy_gets_no_work_again():
+    """Work goes to endpoints that left, or leave, and may end any moment."""
+
+    async def main():
+        desks = make_desks(3)
+        async with forwarding.open_forwarding(*desks) as made:
+            made.store.save_copy()
+            made.store.put("keyed.servers", desks[1].name, None)
+            made.register(desks[2], state="draining", sequence=2)
+            await made.wait_for(lambda: list_endpoints(made) == ["desk-0"])
+            made.store.restore_copy()
+            made.store.put("keyed.op", "config", forwarding.make_config(2))
+            await made.wait_for(lambda: list_revisions(made) == [2])
+            began = trio.current_time()
+            while trio.current_time() - began < 2.0:
+                assert list_endpoints(made) == ["desk-0"]
+                await trio.sleep(0.02)
+            made.register(desks[2], born=7, sequence=1)
+            await made.wait_for(
+                lambda: list_endpoints(made) == ["desk-0", "desk-2"]
+            )
+
+    trio.run(main)
--- a/tests/model/test_eras.py
+++ b/tests/model/test_eras.py
@@ -1,10 +1,10 @@
 """Delegated reads of a store that comes back from copies of its data.
 
-The shipped feeds and controllers of three entry VMs run in virtual time over a
-store, links and datagrams with seeded faults: keys are written and dropped, the
-store comes back from a copy some seconds old, entry VMs lose it for a while and
-datagrams are lost. What a feed proves must be so, and once the faults are over
-all have what the store has.
+The shipped feeds and controllers of three entry VMs run in virtual time over
+a store, links and datagrams with seeded faults: keys are written and dropped,
+the store comes back from a copy some seconds old, entry VMs lose it for a
+while and datagrams are lost. What a feed proves must be so, and once the
+faults are over all have what the store has.
 """
 
 import functools
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -142,7 +142,7 @@
     ) -> None:
         start = int(query["from"])
         era = self.era
-        if start >= topic.end:
+        if start == topic.end:
             with trio.move_on_after(int(query.get("waitMs", 0)) / 1000):
                 await topic.grown.wait()
                 while self.deaf:
