Write decisions of roll-outs again that a copy of the store lacks

What operators and callers would see after a return from a copy: a roll-out under way whose old servers have stopped, or none; an order that was replaced since begun anew; and a decision that some entry VMs have in force written over by others that had not learned it.

Cause: statuses were read only while a roll-out runs here, and what was decided was never looked at again; any order that differs from the known one began a roll-out.

Change: when a new era is listed, statuses are read again whatever runs. A decision in force that the store lacks, or has as under way, is written again on the condition and in the turns of any status, so that one of the entry VMs writes it; one that is in the store is never written over. Entry VMs without a decision write none for two seconds; their own halts hold at once all the same. Orders that others followed are remembered, and a copy's record of one is left out.

Ruled out: writing at the end of each outage (most lose nothing); keeping the statuses' feed awake at all times (a poll a second for each failure domain).

Tests: of the three new ones the first and the third fail without the change; the second guards what it must not bring.

--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -10,6 +10,9 @@
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import table
 
+# Orders that others have followed and that are remembered.
+MAX_SUPERSEDED = 100
+
 Decoded = table.RoutingTable | facts.RolloutOrder | None
 
 
@@ -23,18 +26,37 @@
 
     board: board_module.ForwardingBoard
     decode: typing.Callable[[keyed_log.Record], Decoded]
+    superseded: list[facts.RolloutOrder] = attrs.field(factory=list)
+    _copied: bool = False
+
+    def begin_era(self) -> None:
+        """The records that come next are those of a copy of the store."""
+        self._copied = True
 
     def replace(self, records: list[keyed_log.Record]) -> None:
         """Take all newest records."""
+        copied, self._copied = self._copied, False
         for record in records:
-            self.apply(record)
+            decoded = self.decode(record)
+            # An order of the copy that another one has followed since would
+            # begin a roll-out anew that was over.
+            if not copied or decoded not in self.superseded:
+                self._take(decoded)
 
     def apply(self, record: keyed_log.Record) -> None:
         """Take one record."""
-        decoded = self.decode(record)
+        self._take(self.decode(record))
+
+    def _take(self, decoded: Decoded) -> None:
         if isinstance(decoded, table.RoutingTable):
             self._take_table(decoded)
         elif isinstance(decoded, facts.RolloutOrder):
+            known = self.board.orders.get(decoded.service)
+            if known is not None and known != decoded:
+                self.superseded.append(known)
+                del self.superseded[:-MAX_SUPERSEDED]
+            if decoded in self.superseded:
+                self.superseded.remove(decoded)
             self.board.orders[decoded.service] = decoded
             events.log_event(
                 events.Event.ROLLOUT_ORDERED,
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -45,7 +45,7 @@
     """The feeds of routing table, endpoints and statuses of roll-outs."""
     contact = store_contact.StoreContact(clock)
     made = [
-        make_table_feed(board, contact, ports, freshness),
+        make_table_feed(board, contact, ports, freshness, rounds),
         make_endpoints_feed(settings, board, contact, ports, freshness),
         make_statuses_feed(contact, ports, freshness, rounds),
     ]
@@ -66,6 +66,7 @@
     contact: store_contact.StoreContact,
     ports: ports_module.Ports,
     freshness: freshness_module.FreshnessController,
+    rounds: rollout_rounds.RolloutRounds,
 ) -> feed.TopicFeed:
     """The feed of the routing table and the roll-out orders."""
     reader = declarations.DeclarationReader(board, ports.decode_declaration)
@@ -81,6 +82,11 @@
             find_lease(), board.bounds.apply_ms
         )
 
+    def begin_era() -> None:
+        reader.begin_era()
+        # Their feed is idle while no roll-out runs.
+        rounds.begin_era()
+
     def record_store(failing: bool) -> None:
         board.store_failing = failing
 
@@ -97,6 +103,7 @@
         has_delegate=functools.partial(freshness.has_delegate, DECLARATIONS),
         get_max_age=get_max_age,
         push_updates=functools.partial(freshness.push_updates, DECLARATIONS),
+        begin_era=begin_era,
     )
     freshness.add_topic(made.name, made)
     return made
@@ -173,10 +180,11 @@
         rounds.apply,
         rounds.prove,
         get_poll_wait=lambda: STATUSES_POLL_MS,
-        is_needed=rounds.is_running,
+        is_needed=rounds.is_needed,
         has_delegate=functools.partial(freshness.has_delegate, STATUSES),
         get_max_age=lambda: STATUSES_MAX_AGE_MS,
         push_updates=functools.partial(freshness.push_updates, STATUSES),
+        begin_era=rounds.begin_listing,
     )
     rounds.get_end = made.get_known_end
     rounds.request_read = functools.partial(made.announce, served=False)
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -21,6 +21,9 @@
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward import supervision
 
+# Entry VMs that know of no decision write none for so long after the store
+# came back from a copy: those that know of one that was lost write it again.
+RESTORE_MS = 2_000.0
 # How often new orders are looked for, and roll-outs that run gone through.
 TICK_MS = 200.0
 # The same once everything goes to a new version: little time is left then,
@@ -47,7 +50,8 @@
     Statuses come from a feed; ``get_end`` is how far it has read, None while
     it knows of more. ``list_members`` gives the names of all entry VMs.
     ``latest`` holds the newest status of each service, which was the newest
-    at ``as_of_ms`` on the boot clock.
+    at ``as_of_ms`` on the boot clock. ``restoring`` is set while decisions may
+    be missing in a store that came back from a copy at ``era_ms``.
     """
 
     board: board_module.ForwardingBoard
@@ -64,6 +68,8 @@
     latest: dict[str, facts.RolloutStatus] = attrs.field(factory=dict)
     intents: dict[str, Intent] = attrs.field(factory=dict)
     as_of_ms: float = board_module.NEVER
+    restoring: bool = False
+    era_ms: float = board_module.NEVER
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Begin to look for orders."""
@@ -72,9 +78,25 @@
     async def close(self) -> None:
         """Nothing to release; the nursery ends the task."""
 
-    def is_running(self) -> bool:
+    def is_needed(self) -> bool:
         """Whether a roll-out is under way, so that statuses matter."""
-        return any(each.running for each in self.rollouts.rollouts.values())
+        return self.restoring or any(
+            each.running for each in self.rollouts.rollouts.values()
+        )
+
+    def begin_era(self) -> None:
+        """The store came back from a copy, and may lack statuses."""
+        self.restoring = True
+        self.era_ms = self.clock.boot_ms()
+
+    def begin_listing(self) -> None:
+        """The statuses that come next are those of another era."""
+        self.begin_era()
+        self.latest.clear()
+        self.intents.clear()
+        for rollout in self.rollouts.rollouts.values():
+            if rollout.running:
+                rollout.reported = ""
 
     def replace(self, records: list[keyed_log.Record]) -> None:
         """Take all newest statuses."""
@@ -98,8 +120,9 @@
         while True:
             self.rollouts.take_orders()
             for rollout in list(self.rollouts.rollouts.values()):
-                if rollout.running:
+                if rollout.running or self.restoring:
                     await self._step(rollout)
+            self._end_restoring()
             await self.clock.sleep(self._find_tick_ms())
 
     def _find_tick_ms(self) -> float:
@@ -171,6 +194,8 @@
     ) -> facts.RolloutState | None:
         """The state to write, None if nothing is to be written."""
         if not rollout.running:
+            return rollout.state if self._is_lost(rollout) else None
+        if self.clock.boot_ms() - self.era_ms < RESTORE_MS:
             return None
         now_ms = self.clock.now_ms()
         part = rollout.find_part(now_ms)
@@ -195,6 +220,26 @@
             return None
         return facts.RolloutState.RUNNING
 
+    def _is_lost(self, rollout: rollout_state.Rollout) -> bool:
+        """Whether the store lacks a decision that was in force.
+
+        A decision that it has is never written over.
+        """
+        order = rollout.order
+        status = self.latest.get(order.service)
+        if status is None or status.version != order.version:
+            return True
+        return status.state is facts.RolloutState.RUNNING
+
+    def _end_restoring(self) -> None:
+        """Stop once the time to restore is over and nothing is lost."""
+        if self.clock.boot_ms() - self.era_ms < RESTORE_MS:
+            return
+        self.restoring = self.restoring and any(
+            not each.running and self._is_lost(each)
+            for each in self.rollouts.rollouts.values()
+        )
+
     def _refresh(self, rollout: rollout_state.Rollout) -> None:
         """Note when the statuses were last known to be the newest."""
         age_ms = self.clock.boot_ms() - self.as_of_ms
--- a/tests/cover/test_forwarding_delegates.py
+++ b/tests/cover/test_forwarding_delegates.py
@@ -149,7 +149,12 @@
         store=settings.Store(address=""),
     )
     rounds: typing.Any = types.SimpleNamespace(
-        is_running=lambda: False, replace=None, apply=None, prove=None
+        is_needed=lambda: False,
+        replace=None,
+        apply=None,
+        prove=None,
+        begin_era=None,
+        begin_listing=None,
     )
     feeds = feeds_module.make_feeds(
         own, board, clock, ports, exchanged, rounds, measures.Measures()
--- a/tests/failures/test_forwarding_eras.py
+++ b/tests/failures/test_forwarding_eras.py
@@ -1,7 +1,10 @@
 """The store comes back from a copy that lacks the last seconds."""
 
+import json
+
 import trio
 
+from carawayward.forwarding import facts
 from carawayward.forwarding import registry
 from tests.common import forwarding
 from tests.standins import backend
@@ -97,3 +100,85 @@
             )
 
     trio.run(main)
+
+
+def read_status(made):
+    """The state of the roll-out of desks that operators read."""
+    found = made.store.topic("keyed.status").newest.get("rollout/desk")
+    return json.loads(found[1])["state"] if found else None
+
+
+def decide(made, state):
+    """Have all entry VMs follow a decision that one of them has written."""
+    order = {"service": "desk", "target": "v2", "durationS": 20.0}
+    made.store.put("keyed.op", "rollout/desk", order)
+    status = {"state": state, "target": "v2"}
+    made.store.put("keyed.status", "rollout/desk", status)
+
+
+def list_states(made):
+    """The state of the roll-out at each entry VM."""
+    books = [d.controllers[3].rollouts.rollouts for d in made.daemons]
+    return [book["desk"].state for book in books if "desk" in book]
+
+
+def test_decision_that_the_copy_lacks_is_written_again():
+    """Operators see a roll-out under way whose old servers have stopped."""
+
+    async def main():
+        desks = make_desks(2)
+        async with forwarding.open_forwarding(*desks, daemons=3) as made:
+            made.store.save_copy()
+            decide(made, "completed")
+            decided = [facts.RolloutState.COMPLETED] * 3
+            await made.wait_for(lambda: list_states(made) == decided)
+            made.store.restore_copy()
+            assert read_status(made) is None
+            await made.wait_for(lambda: read_status(made) == "completed")
+            assert list_states(made) == decided
+            topic = made.store.topic("keyed.status")
+            await trio.sleep(1.5)
+            assert len(topic.records) == 1
+
+    trio.run(main)
+
+
+def test_decision_in_the_store_is_not_written_over_after_a_return():
+    """Two halves of the entry VMs write over each other's decisions."""
+
+    async def main():
+        desks = make_desks(2)
+        async with forwarding.open_forwarding(*desks, daemons=2) as made:
+            made.store.save_copy()
+            decide(made, "completed")
+            decided = [facts.RolloutState.COMPLETED] * 2
+            await made.wait_for(lambda: list_states(made) == decided)
+            made.store.restore_copy()
+            status = {"state": "rolled_back", "target": "v2"}
+            made.store.put("keyed.status", "rollout/desk", status)
+            await trio.sleep(3.0)
+            assert read_status(made) == "rolled_back"
+
+    trio.run(main)
+
+
+def test_order_of_the_copy_that_another_followed_begins_nothing():
+    """A version that was replaced long ago is rolled out again."""
+
+    async def main():
+        desks = make_desks(2)
+        async with forwarding.open_forwarding(*desks) as made:
+            orders = made.daemon.board.orders
+            order = {"service": "desk", "target": "v2", "durationS": 20.0}
+            made.store.put("keyed.op", "rollout/desk", order)
+            await made.wait_for(lambda: "desk" in orders)
+            made.store.save_copy()
+            order["target"] = "v3"
+            made.store.put("keyed.op", "rollout/desk", order)
+            await made.wait_for(lambda: orders["desk"].version == "v3")
+            made.store.restore_copy()
+            made.store.put("keyed.op", "config", forwarding.make_config(2))
+            await made.wait_for(lambda: list_revisions(made) == [2])
+            assert orders["desk"].version == "v3"
+
+    trio.run(main)
