Shorten the turns of those who write a status when little time is left

What operators would see: a good version rolled back, or completed after its time, since the entry VM that had the evidence left the write to others.

Once it is over they are as long as before.

--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -157,10 +157,14 @@
         subject = f"{rollout.order}/{wanted.value}"
         intent = self.intents.get(service)
         if intent is None or intent.subject != subject:
+            now_ms = self.clock.now_ms()
+            left_ms = (1.0 - rollout.find_part(now_ms)) * (
+                rollout.order.duration_ms
+            )
             turn_ms = turns.compute_turn_ms(
-                self.board.name, self.list_members(), subject
+                self.board.name, self.list_members(), subject, left_ms
             )
-            intent = Intent(subject, self.clock.now_ms() + turn_ms)
+            intent = Intent(subject, now_ms + turn_ms)
             self.intents[service] = intent
         return intent
 
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -5,6 +5,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import canary
 from carawayward.decisions import quarantine
+from carawayward.decisions import turns
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
 from carawayward.forwarding import rollout_state
@@ -272,3 +273,19 @@
     rollouts.sessions.remember("desk", "begun", "v2")
     assert rollouts._takes_new(rollout, "begun", "one")
     assert not rollouts._takes_new(rollout, "", "two")
+
+
+def test_turns_of_many_writers_fit_into_the_time_left():
+    """A roll-out is completed in time, and reported when it is over."""
+    names = [f"vm-{number}" for number in range(410)]
+    for left_ms in (100.0, 400.0, 1_000.0):
+        waits = [
+            turns.compute_turn_ms(name, names, "done", left_ms)
+            for name in names
+        ]
+        assert max(waits) <= 0.5 * left_ms
+        assert waits.count(0.0) == 1
+    over = [turns.compute_turn_ms(name, names, "done", -5.0) for name in names]
+    assert max(over) == turns.compute_turn_ms(
+        names[over.index(max(over))], names, "done"
+    )
