--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -78,7 +78,7 @@
         1204,
         "The platform's store came back from a copy and may have lost what it "
         "acknowledged; all topics are listed anew.",
-        'see "the store comes back from a copy" in OPERATIONS',
+        'see "the store comes back from a copy" in operations/forwarding',
         logging.WARNING,
     )
     PEER_UP = EventKind(1301, "A link to a peer is up.")
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -86,6 +86,7 @@
         reader.begin_era()
         # Their feed is idle while no roll-out runs.
         rounds.begin_era()
+        freshness.reporter.registration.begin_era()
 
     def record_store(failing: bool) -> None:
         board.store_failing = failing
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -23,6 +23,7 @@
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import peer_book
+from carawayward.forwarding import registration as registration_module
 from carawayward.forwarding import report_channels
 from carawayward import settings as settings_module
 from carawayward import supervision
@@ -36,7 +37,6 @@
 # So many engines fit into an Ethernet frame beside the parts.
 MAX_ENGINES = 30
 MAX_DATAGRAM_BYTES = 8_192
-JOIN_RETRY_MS = 500.0
 
 
 @attrs.frozen
@@ -68,6 +68,7 @@
     loads: engine_load.EngineLoads
     memory_tokens: typing.Callable[[str], int]
     book: peer_book.PeerBook = attrs.field(init=False)
+    registration: registration_module.Registration = attrs.field(init=False)
     engine_names: dict[int, str] = attrs.field(factory=dict)
     generation: int = -1
     topics: dict[str, Topic] = attrs.field(factory=dict)
@@ -89,6 +90,11 @@
                 self.board.failure_domain,
             )
         )
+        self.registration = registration_module.Registration(
+            self.members,
+            self.clock,
+            keyed_log.Record(self.board.name, self.book.own.to_bytes()),
+        )
 
     @property
     def peers(self) -> dict[str, report_channels.Peer]:
@@ -102,6 +108,7 @@
         sender.bind(settings_module.split_address(self.address))
         self._sender = sender
         self._socket = trio.socket.from_stdlib_socket(sender)
+        await self.registration.start(nursery)
         for task in (self._listen, self._join):
             nursery.start_soon(supervision.keep_running, task, ())
         for channel in self.channels:
@@ -203,14 +210,13 @@
         one then finds the other. The other way round, entry VMs that were
         started together read an empty topic and never met.
         """
-        record = keyed_log.Record(self.board.name, self.book.own.to_bytes())
+        await self.registration.add()
         while True:
             try:
-                await self.members.append([record])
                 batch = await self.members.read_newest()
                 break
             except errors.PlatformUnavailable:
-                await self.clock.sleep(JOIN_RETRY_MS)
+                await self.clock.sleep(registration_module.RETRY_MS)
         for found in batch.records:
             self._add_member(found)
         self._introduce()
--- a/tests/failures/test_forwarding_eras.py
+++ b/tests/failures/test_forwarding_eras.py
@@ -5,9 +5,11 @@
 import trio
 
 from carawayward.forwarding import facts
+from carawayward.forwarding import registration
 from carawayward.forwarding import registry
 from tests.common import forwarding
 from tests.standins import backend
+from tests.standins import store
 
 
 def make_desks(count):
@@ -182,3 +184,22 @@
             assert orders["desk"].version == "v3"
 
     trio.run(main)
+
+
+def test_entry_vm_that_the_copy_lacks_is_met_by_those_that_join_later():
+    """Two entry VMs never hear of each other's load, keys and roll-outs."""
+
+    async def main():
+        (desk,) = make_desks(1)
+        async with forwarding.open_forwarding(desk, daemons=2) as made:
+            members = made.store.topic("keyed.members")
+            await made.wait_for(lambda: len(members.newest) == 2)
+            made.store.save_copy()
+            made.store.saved["keyed.members"] = store.Topic()
+            made.store.restore_copy()
+            members = made.store.topic("keyed.members")
+            await made.wait_for(lambda: len(members.newest) == 2)
+            await trio.sleep(registration.ERA_SPREAD_MS / 1000)
+            assert len(members.records) == 2
+
+    trio.run(main)
