--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -86,7 +86,7 @@
 
     def begin_era(self) -> None:
         """The store came back from a copy, and may lack statuses."""
-        self.restoring = True
+        self.restoring = bool(self.rollouts.rollouts)
         self.era_ms = self.clock.boot_ms()
 
     def begin_listing(self) -> None:
