Rename: the first token of a stream, in roll-outs and placing

head_ms, is_head_slow and HEAD_SLOW become ttft_ms, is_ttft_slow and TTFT_SLOW, as the latency model already says; a constant loses the story of its value. Nothing else changes. The events and metrics keep their names.

--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -65,13 +65,10 @@
 # what a busy machine adds.
 LEAST_SLOW_MS = 20.0
 
-
-# The head of a prompt's answer is slow from so many times the prediction and
-# so many ms on. Replayed days: 2 to 4 of 100 heads of an old version are, 3 to
-# 8 of a good new one whose engines keep no prompts yet, and 43 to 69 of one
-# that answers half of its requests eight times slower.
-HEAD_SLOW_FACTOR = 2.5
-HEAD_SLOW_MS = 500.0
+# A first token is slow that took this many times the prediction, and this
+# long. Engines that are new keep no prompts and have to read whole ones.
+TTFT_SLOW_FACTOR = 2.5
+TTFT_SLOW_MS = 500.0
 # Answers of an old version from which on a time counts as usual, and how
 # much each changes what is.
 LEAST_USUAL = 3
@@ -124,9 +121,9 @@
         )
 
 
-def is_head_slow(took_ms: float, predicted_ms: float) -> bool:
-    """Whether the head of a prompt's answer came far later than predicted."""
-    return took_ms > HEAD_SLOW_MS and took_ms > HEAD_SLOW_FACTOR * predicted_ms
+def is_ttft_slow(took_ms: float, predicted_ms: float) -> bool:
+    """Whether a prompt's first token came far later than predicted."""
+    return took_ms > TTFT_SLOW_MS and took_ms > TTFT_SLOW_FACTOR * predicted_ms
 
 
 def compute_usual_rate(tally: Tally) -> float:
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -76,13 +76,13 @@
             engine = self._choose_engine(work, pool, prompt, excluded)
             if engine is None:
                 continue
-            head_ms = engine_load.predict_ttft(
+            ttft_ms = engine_load.predict_ttft(
                 self.fleet.get_latency_model(work.service), engine.weight
             )
             work.backlog_ms = self.fleet.find_backlog_ms(work.service, pool)
             shortest_ms = work.table.find_shortest_target(work.service)
             return escalation.compute_overload(
-                work.backlog_ms / shortest_ms, head_ms / work.route.target_ms
+                work.backlog_ms / shortest_ms, ttft_ms / work.route.target_ms
             )
         return escalation.Overload(behind=1.0)
 
@@ -172,7 +172,7 @@
     def observe_ttft(self, work: work_items.Work) -> None:
         """Learn from a prompt that its engine has read."""
         progress = work.progress
-        progress.head_ms = took_ms = self.clock.now_ms() - progress.began_ms
+        progress.ttft_ms = took_ms = self.clock.now_ms() - progress.began_ms
         if work.reading is None:
             return
         work.reading.observe_ttft()
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -46,14 +46,14 @@
     counted: bool = False
 
     def is_slow(self, answer_ms: float) -> bool:
-        """Whether its answer, or the head of its stream, took too long.
+        """Whether its answer, or the first token of its stream, took too long.
 
-        A prompt's head is held against what was predicted for it: an engine
+        A first token is held against what was predicted for it: an engine
         that is new reads whole prompts of which others keep the shared parts.
         """
         progress = self.progress
         if progress.predicted_ms is not None:
-            return canary.is_head_slow(answer_ms, progress.predicted_ms)
+            return canary.is_ttft_slow(answer_ms, progress.predicted_ms)
         return self._find_usual().is_slow(answer_ms)
 
     def learn(self, answer_ms: float) -> None:
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -156,7 +156,7 @@
             self._count_answer(run, status)
 
     def _count_answer(self, run: rollout_state.Run, status: int) -> None:
-        answer_ms = run.progress.head_ms
+        answer_ms = run.progress.ttft_ms
         if answer_ms is None:
             answer_ms = self.clock.now_ms() - run.progress.began_ms
         if status == TIME_OVER:
@@ -186,7 +186,7 @@
         come counts for nothing: its endpoint may have died.
         """
         for run in list(rollout.runs):
-            ttft_ms = run.progress.head_ms
+            ttft_ms = run.progress.ttft_ms
             if not run.counted and ttft_ms is not None:
                 self._count_success(run, ttft_ms)
 
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -96,14 +96,14 @@
 class Progress:
     """How far one attempt has come; times in ms.
 
-    ``head_ms`` is how long the head of a stream took, ``predicted_ms`` how
-    long it should have taken by what its engine had to read before. ``status``
+    ``ttft_ms`` is the time to the first token of a stream, ``predicted_ms``
+    what it should have been by what its engine had to read before. ``status``
     is set once it is known what the endpoint's answer is worth, though the
     caller may not have it yet.
     """
 
     began_ms: float
-    head_ms: float | None = None
+    ttft_ms: float | None = None
     predicted_ms: float | None = None
     status: int | None = None
 
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -105,9 +105,9 @@
 
 def test_head_is_slow_by_what_its_engine_had_to_read():
     """A long row is no slowness; nor is what callers hardly notice."""
-    assert not canary.is_head_slow(2_400.0, 1_000.0)
-    assert canary.is_head_slow(2_600.0, 1_000.0)
-    assert not canary.is_head_slow(450.0, 100.0)
+    assert not canary.is_ttft_slow(2_400.0, 1_000.0)
+    assert canary.is_ttft_slow(2_600.0, 1_000.0)
+    assert not canary.is_ttft_slow(450.0, 100.0)
 
 
 def test_endpoint_out_of_reach_is_passed_over_by_all_but_one():
