Forget held endpoints that a later listing lacks

Read in the diff: an endpoint held after one return, and not listed after the next, would have been listed again once its time was over, though it had ended. The new test shows it, and fails without the change.

--- a/src/carawayward/forwarding/registry.py
+++ b/src/carawayward/forwarding/registry.py
@@ -87,6 +87,8 @@
     def replace(self, records: list[keyed_log.Record]) -> None:
         """Take all newest records; what is not among them has gone."""
         present = {record.key for record in records}
+        for name in self.held.keys() - present:
+            del self.held[name]
         copied, self._copied = self._copied, False
         for record in records:
             if copied and self._had_left(record):
--- a/tests/cover/test_store_eras.py
+++ b/tests/cover/test_store_eras.py
@@ -1,12 +1,19 @@
 """Answers and positions of a store that comes back from copies."""
 
+import typing
+
 from hypothesis import given
 from hypothesis import strategies
 import trio
 
+from carawayward import clock as clock_module
 from carawayward import errors
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import facts
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import positions
+from carawayward.forwarding import registry
+from carawayward.forwarding import store_contact
 from carawayward.platform import store
 
 
@@ -53,6 +60,40 @@
     trio.run(main)
 
 
+def decode_endpoint(record):
+    return facts.EndpointEntry(
+        name=record.key,
+        service="desk",
+        address="127.0.0.1:1",
+        failure_domain="north",
+    )
+
+
+def test_held_endpoint_that_the_next_copy_lacks_stays_out():
+    """An endpoint that ended long ago is listed again, and gets work."""
+    clock: typing.Any = clock_module.ManualClock()
+    board = board_module.ForwardingBoard(name="vm", failure_domain="north")
+    reader = registry.RegistryReader(
+        board=board,
+        contact=store_contact.StoreContact(clock),
+        decode=decode_endpoint,
+        heartbeat_ms=1_200.0,
+        find_poll_ms=lambda: 1_000.0,
+    )
+    stays, left = (keyed_log.Record(name, b"x") for name in ("a", "b"))
+    reader.replace([stays, left])
+    reader.prove(0.0)
+    reader.apply(keyed_log.Record("b", None))
+    for copy in ([stays, left], [stays]):
+        reader.begin_era()
+        reader.replace(copy)
+        assert set(board.endpoints) == {"a"}
+    for _ in range(10):
+        clock.now += 1_000.0
+        reader.prove(clock.now)
+        assert set(board.endpoints) == {"a"}
+
+
 @given(
     eras=strategies.tuples(*[strategies.integers(0, 2**20)] * 2),
     offsets=strategies.tuples(*[strategies.integers(0, 2**40 - 1)] * 2),
