Take a delegate's changes while an own call gets no answer

What callers saw: work sent to an endpoint for seconds after it had left, by an entry VM that had lost the store while its delegate, which it reached, knew.

Cause: changes were taken only while the feed waited for its delegate, since a call under way could bring older records over newer ones. A feed whose calls fail has one under way or is about to make one all the time; it stays behind its delegate's position, and what is attested of another position counts for nothing.

Ruled out: making no call while the delegate is well (who has no clients would not notice that the store is back; the delegate may be the next to lose it).

Change: changes count at any time, and what a call brings that lies before the position is left out; a list that ends before it is dropped. A call proves nothing older than what is proved already.

--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -162,12 +162,10 @@
     ) -> bool:
         """Take changes that another entry VM read, up to ``reach``.
 
-        Only while this one waits for them: a call of its own that is under
-        way would bring the same ones again, and older over newer.
+        Also while a call of this one is under way: what it brings that is
+        older than the position is left out.
         """
-        if not self._delegating or self.position is None:
-            return False
-        if not start <= self.position < reach:
+        if self.position is None or not start <= self.position < reach:
             return False
         for each in changed:
             if each.offset >= self.position:
@@ -211,7 +209,7 @@
             self._take(batch)
             self._record_well()
             if batch.complete:
-                self._prove(sent_ms)
+                self._prove(max(sent_ms, self.proved_ms))
             if cause is not Cause.POLL:
                 # Lasts as long as a poll, in which a delegate that is well has
                 # read as much.
@@ -300,19 +298,27 @@
         return await self.topic.read(self.position, wait_ms)
 
     def _take(self, batch: keyed_log.Batch) -> None:
-        if self.position is None or self._lost is not None:
-            self._lost = None
-            if self.position is not None and not positions.is_same_era(
-                self.position, batch.end
-            ):
-                self.begin_era()
-            self.log.replace(batch.records, self.position, batch.end)
-            self.replace(batch.records)
+        """Take what a call brought, unless a delegate's changes are newer."""
+        before, lost = self.position, self._lost
+        self._lost = None
+        if before is not None and batch.end < before:
+            return
+        if before is None or lost is not None:
+            self._replace(batch)
         else:
             for record in batch.records:
-                self._apply(record)
+                if record.offset >= before:
+                    self._apply(record)
         self._move_to(batch.end)
 
+    def _replace(self, batch: keyed_log.Batch) -> None:
+        """Take a list of all newest records."""
+        before = self.position
+        if before is not None and not positions.is_same_era(before, batch.end):
+            self.begin_era()
+        self.log.replace(batch.records, before, batch.end)
+        self.replace(batch.records)
+
     def _move_to(self, position: int) -> None:
         self.position = position
         behind = self._is_behind()
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -270,3 +270,58 @@
     (attested,) = pushed
     assert attested.position == 5
     assert reader.list_since(4) == [change]
+
+
+@attrs.define
+class SlowTopic:
+    """A topic of which calls see ``records`` and answer ``late_s`` after."""
+
+    records: list[keyed_log.Record] = attrs.field(factory=list)
+    late_s: float = 0.0
+
+    async def read_newest(self) -> keyed_log.Batch:
+        """All that is there when the call comes."""
+        found, end = list(self.records), len(self.records)
+        await trio.sleep(self.late_s)
+        return keyed_log.Batch(found, end)
+
+    async def read(self, start: int, wait_ms: float) -> keyed_log.Batch:
+        """What is there when the call comes; nothing further is waited for."""
+        found, end = self.records[start:], len(self.records)
+        await trio.sleep(max(self.late_s, wait_ms / 1000))
+        return keyed_log.Batch(found, max(start, end))
+
+
+def make_record(offset, value):
+    return keyed_log.Record("desk", value, offset)
+
+
+def test_changes_are_taken_while_an_own_call_gets_no_answer():
+    """Work goes to an endpoint that left, though the delegate tells so.
+
+    The answer that comes after all is older, and takes nothing back.
+    """
+    known: list[tuple[int, bytes | None]] = []
+
+    async def main():
+        topic = SlowTopic([make_record(0, b"a")])
+        contact = make_contact(clocks.TrioClock())
+        reader = make_feed(
+            "endpoints", typing.cast(typing.Any, topic), contact
+        )
+        reader.apply = lambda each: known.append((each.offset, each.value))
+        async with trio.open_nursery() as nursery:
+            await reader.start(nursery)
+            await trio.sleep(0.1)
+            topic.records.append(make_record(1, b"b"))
+            topic.late_s = 5.0
+            await trio.sleep(store_polls.POLL_MS / 1000 + 1.0)
+            change = change_log.Change(2, "desk", None)
+            assert reader.apply_changes(1, 3, (change,))
+            assert known[-1] == (2, None)
+            await trio.sleep(6.0)
+            assert reader.position == 3
+            assert known == [(2, None)]
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
