List a burst that ended at a deadline; no wall-clock deadline in a property test

test_walk_through_a_pool_ends_and_keeps_the_cap: an example took 327 ms, then 3.9 ms when Hypothesis played it again; its default deadline of 200 ms of the wall clock failed the test, no property did. The other property tests of pure functions have no such deadline; this one has none now, and the same examples and assertions.

test_burst_is_answered_or_refused_truthfully_and_small_ones_get_in: one call of the burst got 504 when its deadline passed in an engine. A real answer to a real caller; listed, not traced.

--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -51,7 +51,7 @@
     assert orders.choose_changing(POOL, ORDER, done, 99) == ([], [])
 
 
-@hypothesis.settings(derandomize=True, max_examples=60)
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
 @hypothesis.given(strategies.integers(1, 40), strategies.randoms())
 def test_walk_through_a_pool_ends_and_keeps_the_cap(size, draw):
     """Whatever finishes first, each is changed once and the cap holds."""
