Judge a new version's first tokens by predictions that it has not taught

What callers saw: streams of a version with first tokens of 1.5 s instead of some 100 ms broke off at their deadlines, and it was judged good.

In one log the predictions for it were 267, 322, 387, 462, 551, 654, 772, 911, 1068, 1252, 1461 and 1699 ms while it took 1554 to 1737; tallies [12, 2, 12, 0], "good". The other three logs show the same. Four to six streams reached it before the order was read and counted for nothing.

Now the endpoint's version decides when the first token comes.

Before: the new cover test fails (predictions rise to 1.5 s).

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -140,7 +140,9 @@
         work.mark = mark
         work.endpoint = place.entry.name
         began_ms = self.clock.now_ms()
-        work.progress = work_items.Progress(began_ms)
+        work.progress = work_items.Progress(
+            began_ms, version=place.entry.version
+        )
         run = self.rollouts.begin(choice, work, place.entry.version)
         self.fleet.occupy(place)
         reading = self.placer.begin_reading(work, place)
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -189,8 +189,11 @@
             behind_ms=round(work.backlog_ms),
             confidence=work.confidence,
         )
-        model = self.fleet.get_latency_model(work.service)
-        engine_load.observe_ttft(model, work.backlog, took_ms)
+        if not self.rollouts.is_on_trial(work.service, progress.version):
+            # A version that learned predictions follow would pass for good
+            # however slow it is.
+            model = self.fleet.get_latency_model(work.service)
+            engine_load.observe_ttft(model, work.backlog, took_ms)
         self.measures.observe("head", took_ms, model=work.model_name)
 
     def find_larger(self, work: work_items.Work) -> int | None:
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -113,6 +113,15 @@
         share = self.find_share(choice.rollout, self.clock.now_ms())
         return canary.count_trial_endpoints(endpoints, share)
 
+    def is_on_trial(self, service: str, version: str) -> bool:
+        """Whether a roll-out under way brings in this version."""
+        rollout = self.rollouts.get(service)
+        return (
+            rollout is not None
+            and rollout.running
+            and rollout.order.version == version
+        )
+
     def begin(
         self,
         choice: rollout_state.Choice | None,
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -99,13 +99,14 @@
     ``ttft_ms`` is the time to the first token of a stream, ``predicted_ms``
     what it should have been by what its engine had to read before. ``status``
     is set once it is known what the endpoint's answer is worth, though the
-    caller may not have it yet.
+    caller may not have it yet. ``version`` is that of the endpoint.
     """
 
     began_ms: float
     ttft_ms: float | None = None
     predicted_ms: float | None = None
     status: int | None = None
+    version: str = ""
 
 
 @attrs.define(eq=False, kw_only=True)
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -1,13 +1,17 @@
 """Decisions about new versions and endpoints out of reach, without I/O."""
 
 import random
+import types
+import typing
 
 from carawayward import clock as clock_module
 from carawayward.decisions import canary
+from carawayward.decisions import engine_load
 from carawayward.decisions import quarantine
 from carawayward.decisions import turns
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
+from carawayward.forwarding import placing
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import work_items
@@ -289,3 +293,43 @@
     assert max(over) == turns.compute_turn_ms(
         names[over.index(max(over))], names, "done"
     )
+
+
+def observe_first_token(rollouts, model, version):
+    """Let a stream of a version, begun by no roll-out, come to its text."""
+    nothing: typing.Any = types.SimpleNamespace(
+        get_latency_model=lambda service: model,
+        observe=lambda *args, **labels: None,
+        observe_ttft=lambda: None,
+        request_id="one",
+    )
+    began_ms = rollouts.clock.now_ms() - 1_500.0
+    work: typing.Any = types.SimpleNamespace(
+        progress=work_items.Progress(began_ms, version=version),
+        reading=nothing,
+        facts=nothing,
+        service="desk",
+        endpoint="engine",
+        model_name="large",
+        backlog=100.0,
+        backlog_ms=0.0,
+        confidence=None,
+    )
+    placing.Placer(
+        rollouts.clock, nothing, rollouts, nothing, nothing, nothing
+    ).observe_ttft(work)
+
+
+def test_slow_version_does_not_teach_the_prediction_it_is_judged_by():
+    """A version eight times slower is found good, and completed."""
+    rollouts, rollout = make_rollouts()
+    for version, learns in (("v2", False), ("v1", True)):
+        model = engine_load.LatencyModel()
+        before_ms = model.base_ms
+        for _ in range(20):
+            observe_first_token(rollouts, model, version)
+        assert (model.base_ms > before_ms) is learns
+    rollout.state = facts.RolloutState.COMPLETED
+    model = engine_load.LatencyModel()
+    observe_first_token(rollouts, model, "v2")
+    assert model.base_ms > engine_load.FIRST_BASE_MS
