--- a/src/carawayward/decisions/admission.py
+++ b/src/carawayward/decisions/admission.py
@@ -97,20 +97,6 @@
     return deadline_ms - min(longest, LEAST_PATIENCE * (deadline_ms - now_ms))
 
 
-def is_too_late(
-    times: WorkTimes, kind: str, now_ms: float, deadline_ms: float, busy: bool
-) -> bool:
-    """Whether a request that has waited would no longer end in time.
-
-    Load: a burst fills the batches, and runs take several times as long as
-    when the waiting requests were admitted. Harm prevented: these start all
-    the same, and end at their deadlines without an answer. Where nothing
-    runs, ``busy`` unset, a request always starts: only an answer can correct
-    what was learned.
-    """
-    return busy and now_ms + expect_longest(times, kind) > deadline_ms
-
-
 def record_work(times: WorkTimes, kind: str, took_ms: float) -> None:
     """Learn from a run, also from one that was cut off at its deadline.
 
--- a/src/carawayward/gateway/dispatch.py
+++ b/src/carawayward/gateway/dispatch.py
@@ -216,7 +216,6 @@
         return lanes_module.Waiter(
             item=item,
             key=placement.hash_key(running.find_prefix(step)),
-            deadline_ms=step.deadline_ms - REFUSAL_MARGIN_MS,
             fingerprint=step.fingerprint,
             excluded=step.excluded,
         )
--- a/src/carawayward/gateway/lanes.py
+++ b/src/carawayward/gateway/lanes.py
@@ -27,13 +27,11 @@
 class Waiter:
     """A request in a lane; ``view`` is set when it may start.
 
-    ``suspect`` tells whether it starts as a suspect's trial. From
-    ``deadline_ms`` on, on the own clock, an answer is of no use.
+    ``suspect`` tells whether it starts as a suspect's trial.
     """
 
     item: queueing.Item
     key: int | None
-    deadline_ms: float = float("inf")
     fingerprint: str = ""
     excluded: frozenset[str] = frozenset()
     event: trio.Event = attrs.field(factory=trio.Event)
@@ -180,24 +178,11 @@
                 lane.side.remove(waiter)
                 return True
         for item in queueing.list_heads(lane.queue):
-            if self._is_too_late(lane, item.payload):
-                queueing.remove(lane.queue, item)
-                item.payload.event.set()
-                return True
             if self._place(lane, item.payload) is not None:
                 queueing.take(lane.queue, item)
                 return True
         return False
 
-    def _is_too_late(self, lane: Lane, waiter: Waiter) -> bool:
-        return admission.is_too_late(
-            lane.times,
-            waiter.item.customer,
-            self.clock.now_ms(),
-            waiter.deadline_ms,
-            any(view.in_flight for view in lane.candidates.views),
-        )
-
     def _place(self, lane: Lane, waiter: Waiter) -> placement.View | None:
         suspect, trial = False, None
         if waiter.fingerprint:
