Spare cold endpoints, and send nothing to evacuated failure domains

An endpoint that has just started has nothing to do, so that all entry VMs choose it at once.

Cold endpoints: the registry says for how long; one that does not say is cold from when it is first seen, and one whose failure domain comes back from an evacuation again. While it is cold three entry VMs of its failure domain, found by rendezvous hashing, share half of the bound in permits; a permit is held from the choice until a second after the request was sent. The others pass it over. Half, since entry VMs cut in two halves find holders in each; a process that has just started, or does not know the others, holds none.

Ways weighed: a share for each entry VM (12.9 / 71 is less than one request); permits dealt out by the delegate of a failure domain (lost with it, and a message a request); nothing at all while cold (a domain that comes back under a burst stays empty for 3 s).

Evacuation: op/evacuate/ZONE comes through the feed of declarations, whose age is now bounded by evacuateMs as well. One that a copy of the store lacks goes on for 2 s, since operators' records are written again.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -159,6 +159,16 @@
         "An endpoint's entry was missing after an outage of the store; the "
         "endpoint is still used until it is known whether it has left.",
     )
+    DOMAIN_EVACUATED = EventKind(
+        1519,
+        "An operator has a failure domain evacuated; its endpoints get no "
+        "new requests.",
+    )
+    DOMAIN_RETURNED = EventKind(
+        1520,
+        "The endpoints of a failure domain are used again after an "
+        "evacuation, as if they were cold at first.",
+    )
     ENDPOINT_HELD = EventKind(
         1518,
         "A copy of the store lists an endpoint that has left since; it gets "
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -47,6 +47,7 @@
         fleet.loads,
         fleet.find_memory,
     )
+    fleet.cold_starts.list_members = reporter.list_domain_members
     freshness = freshness_module.FreshnessController(board, clock, reporter)
     rollouts = rollouts_module.Rollouts(board, clock)
     reporter.add_topic(
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -18,6 +18,14 @@
 LEASE_MARGIN_MS = 500.0
 
 
+@attrs.frozen
+class ColdReport:
+    """How long an endpoint was to be cold at ``at_ms``; None if unknown."""
+
+    at_ms: float
+    remaining_ms: float | None
+
+
 class State(enum.StrEnum):
     """Where this entry VM is in its life."""
 
@@ -33,7 +41,9 @@
     ``table_as_of_ms`` is the latest moment at which ``table`` is known to
     have been the newest. ``generation`` rises with each change of
     ``endpoints``. ``store_failing`` is set from a failed call for the table
-    to the next that succeeds. ``refusing`` is set once a stop leaves no time
+    to the next that succeeds. ``cold_reports`` are of the endpoints that may
+    be cold, ``evacuated`` are failure domains whose endpoints get nothing.
+    ``refusing`` is set once a stop leaves no time
     for new requests.
     """
 
@@ -50,6 +60,8 @@
     endpoints_known: bool = False
     generation: int = 0
     orders: dict[str, facts.RolloutOrder] = attrs.field(factory=dict)
+    cold_reports: dict[str, ColdReport] = attrs.field(factory=dict)
+    evacuated: set[str] = attrs.field(factory=set)
     open_requests: int = 0
 
     def is_fresh(self, boot_ms: float) -> bool:
--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from carawayward import clock as clock_module
 from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
@@ -12,8 +13,11 @@
 
 # Orders that others have followed and that are remembered.
 MAX_SUPERSEDED = 100
+# What operators wrote is written again so soon after the store came back from
+# a copy that lacks it.
+RESTORE_MS = 2_000.0
 
-Decoded = table.RoutingTable | facts.RolloutOrder | None
+Decoded = table.RoutingTable | facts.RolloutOrder | facts.Evacuation | None
 
 
 @attrs.define(eq=False)
@@ -26,7 +30,9 @@
 
     board: board_module.ForwardingBoard
     decode: typing.Callable[[keyed_log.Record], Decoded]
+    clock: clock_module.Clock = attrs.field(factory=clock_module.Clock)
     superseded: list[facts.RolloutOrder] = attrs.field(factory=list)
+    missing_since_ms: dict[str, float] = attrs.field(factory=dict)
     _copied: bool = False
 
     def begin_era(self) -> None:
@@ -36,20 +42,59 @@
     def replace(self, records: list[keyed_log.Record]) -> None:
         """Take all newest records."""
         copied, self._copied = self._copied, False
+        missing = set(self.board.evacuated)
         for record in records:
             decoded = self.decode(record)
+            if isinstance(decoded, facts.Evacuation):
+                missing.discard(decoded.failure_domain)
             # An order of the copy that another one has followed since would
             # begin a roll-out anew that was over.
             if not copied or decoded not in self.superseded:
                 self._take(decoded)
+        for failure_domain in missing:
+            if copied:
+                now_ms = self.clock.boot_ms()
+                self.missing_since_ms.setdefault(failure_domain, now_ms)
+            elif failure_domain not in self.missing_since_ms:
+                self._lift(failure_domain)
 
     def apply(self, record: keyed_log.Record) -> None:
         """Take one record."""
         self._take(self.decode(record))
 
+    def _evacuate(self, failure_domain: str) -> None:
+        self.missing_since_ms.pop(failure_domain, None)
+        if failure_domain in self.board.evacuated:
+            return
+        self.board.evacuated.add(failure_domain)
+        self.board.generation += 1
+        events.log_event(
+            events.Event.DOMAIN_EVACUATED, failure_domain=failure_domain
+        )
+
+    def _lift(self, failure_domain: str) -> None:
+        self.missing_since_ms.pop(failure_domain, None)
+        if failure_domain not in self.board.evacuated:
+            return
+        self.board.evacuated.discard(failure_domain)
+        self.board.generation += 1
+        # Endpoints that had nothing to do may have turned cold.
+        report = board_module.ColdReport(self.clock.boot_ms(), None)
+        for name, entry in self.board.endpoints.items():
+            if entry.failure_domain == failure_domain:
+                self.board.cold_reports[name] = report
+        events.log_event(
+            events.Event.DOMAIN_RETURNED, failure_domain=failure_domain
+        )
+
     def _take(self, decoded: Decoded) -> None:
         if isinstance(decoded, table.RoutingTable):
             self._take_table(decoded)
+        elif isinstance(decoded, facts.Evacuation):
+            if decoded.lifted:
+                self._lift(decoded.failure_domain)
+            else:
+                self._evacuate(decoded.failure_domain)
         elif isinstance(decoded, facts.RolloutOrder):
             known = self.board.orders.get(decoded.service)
             if known is not None and known != decoded:
@@ -67,6 +112,9 @@
 
     def prove(self, as_of_ms: float) -> None:
         """Note that the table was the newest at ``as_of_ms``."""
+        for failure_domain, at_ms in list(self.missing_since_ms.items()):
+            if as_of_ms >= at_ms + RESTORE_MS:
+                self._lift(failure_domain)
         if self.board.table is not None:
             self.board.table_as_of_ms = as_of_ms
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -136,7 +136,15 @@
         reply: replies.Reply,
     ) -> work_items.Outcome:
         """Send the request to one endpoint and pass its answer on."""
-        mark = http.SentMark(may_send=lambda: self.may_send(work))
+        permit = self.fleet.cold_starts.take(place.entry)
+
+        def may_send() -> bool:
+            if not self.may_send(work):
+                return False
+            self.fleet.cold_starts.record_sent(permit)
+            return True
+
+        mark = http.SentMark(may_send=may_send)
         work.mark = mark
         work.endpoint = place.entry.name
         began_ms = self.clock.now_ms()
@@ -156,6 +164,7 @@
             else:
                 outcome = work_items.Unreached(fault.detail)
         finally:
+            self.fleet.cold_starts.give_back(permit)
             self.fleet.vacate(place)
             reading.end()
             self.rollouts.end(run, work)
--- a/src/carawayward/forwarding/facts.py
+++ b/src/carawayward/forwarding/facts.py
@@ -97,7 +97,8 @@
     """What the registry says of one endpoint.
 
     ``born`` tells one start of an endpoint from the next under the same
-    name; None where the registry does not say.
+    name; None where the registry does not say. ``cold_ms`` is how much
+    longer it was to be cold when it wrote this, None if it does not say.
     """
 
     name: str
@@ -108,6 +109,18 @@
     slots: int = 1
     leaving: bool = False
     born: int | None = None
+    cold_ms: float | None = attrs.field(default=None, eq=False)
+
+
+@attrs.frozen
+class Evacuation:
+    """An operator's wish about a failure domain's endpoints.
+
+    They get no new requests until it is ``lifted``.
+    """
+
+    failure_domain: str
+    lifted: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -69,18 +69,21 @@
     rounds: rollout_rounds.RolloutRounds,
 ) -> feed.TopicFeed:
     """The feed of the routing table and the roll-out orders."""
-    reader = declarations.DeclarationReader(board, ports.decode_declaration)
+    reader = declarations.DeclarationReader(
+        board, ports.decode_declaration, contact.clock
+    )
 
     def find_lease() -> float:
         return board.bounds.key_lease_ms - board_module.LEASE_MARGIN_MS
 
+    def find_apply() -> float:
+        return min(board.bounds.apply_ms, board.bounds.evacuate_ms)
+
     def get_poll_wait() -> float:
-        return store_polls.find_table_poll(find_lease(), board.bounds.apply_ms)
+        return store_polls.find_table_poll(find_lease(), find_apply())
 
     def get_max_age() -> float:
-        return store_polls.compute_max_table_age(
-            find_lease(), board.bounds.apply_ms
-        )
+        return store_polls.compute_max_table_age(find_lease(), find_apply())
 
     def begin_era() -> None:
         reader.begin_era()
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -12,6 +12,7 @@
 from carawayward.decisions import quarantine as quarantine_module
 from carawayward import events
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import cold_starts as cold_starts_module
 from carawayward.forwarding import facts
 
 # A connection that failed sooner was turned away by a machine that is there.
@@ -66,6 +67,12 @@
         factory=quarantine_module.Quarantine
     )
     reached_ms: dict[str, float] = attrs.field(factory=dict)
+    cold_starts: cold_starts_module.ColdStarts = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.cold_starts = cold_starts_module.ColdStarts(
+            self.board, self.clock
+        )
 
     def find_memory(self, name: str) -> int:
         """How many tokens an engine's memory holds; 0 if it is unknown."""
@@ -138,6 +145,7 @@
             for place in self.places.values()
             if place.entry.service == want.service
             and not place.entry.leaving
+            and place.entry.failure_domain not in self.board.evacuated
             and (
                 not want.version
                 or (place.entry.version == want.version) != want.other
--- a/src/carawayward/forwarding/peer_book.py
+++ b/src/carawayward/forwarding/peer_book.py
@@ -35,6 +35,7 @@
             sender.incarnation,
             now_ms,
             sender.failure_domain == self.own.failure_domain,
+            failure_domain=sender.failure_domain,
         )
         self._forget_number(sender.name)
         self.peers[sender.name] = peer
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -70,7 +70,8 @@
         prompt = work_items.make_prompt(work, work.route.models[-1])
         if prompt is None:
             return escalation.Overload()
-        excluded = work.useless | self.fleet.list_quarantined()
+        closed = self.fleet.cold_starts.list_closed()
+        excluded = work.useless | closed | self.fleet.list_quarantined()
         for want in self._list_wants(work, self.rollouts.choose(work)):
             pool = self.fleet.find_pool(want)
             engine = self._choose_engine(work, pool, prompt, excluded)
@@ -91,9 +92,10 @@
     ) -> fleet_module.Place | None:
         """Choose an endpoint: of the version wanted, else of the other."""
         wants = self._list_wants(work, choice)
-        tried = work.useless | work.failed_at
+        useless = work.useless | self.fleet.cold_starts.list_closed()
+        tried = useless | work.failed_at
         quarantined = self.fleet.list_quarantined()
-        for excluded in (tried | quarantined, tried, work.useless):
+        for excluded in (tried | quarantined, tried, useless):
             for want in wants:
                 place = self._place_among(work, want, excluded)
                 if place is not None:
--- a/src/carawayward/forwarding/registry.py
+++ b/src/carawayward/forwarding/registry.py
@@ -114,6 +114,7 @@
         self.missing.discard(entry.name)
         self._record_taken(record)
         known = self.board.endpoints.get(entry.name)
+        self._record_cold(entry, known)
         if known == entry:
             return
         self.board.endpoints[entry.name] = entry
@@ -128,6 +129,20 @@
                 leaving=entry.leaving,
             )
 
+    def _record_cold(
+        self, entry: facts.EndpointEntry, known: facts.EndpointEntry | None
+    ) -> None:
+        """Note how long an endpoint is cold; one that does not say may be."""
+        if entry.cold_ms is None and known is not None:
+            if (known.address, known.born) == (entry.address, entry.born):
+                return
+        if entry.cold_ms == 0.0:
+            self.board.cold_reports.pop(entry.name, None)
+            return
+        self.board.cold_reports[entry.name] = board_module.ColdReport(
+            self.contact.clock.boot_ms(), entry.cold_ms
+        )
+
     def prove(self, as_of_ms: float) -> None:
         """All records there are have been read; drop what has left."""
         now_ms = self.contact.clock.boot_ms()
@@ -232,6 +247,7 @@
     def _drop(self, name: str, cause: str) -> None:
         self.missing.discard(name)
         self.taken.pop(name, None)
+        self.board.cold_reports.pop(name, None)
         known = self.board.endpoints.pop(name, None)
         if known is None:
             return
--- a/src/carawayward/forwarding/report_channels.py
+++ b/src/carawayward/forwarding/report_channels.py
@@ -45,6 +45,7 @@
     sequence: int = 0
     stale: bool = False
     interval_ms: float = 0.0
+    failure_domain: str = ""
 
     def record_report(self, sequence: int, now_ms: float) -> None:
         """A report has come."""
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -35,7 +35,9 @@
     it may still run; ``grace_ms`` is the time between the signal to stop
     and the end; ``drain_ms`` is how long an endpoint that leaves still
     takes work; ``apply_ms`` is within what a new configuration has to be in
-    force. With ``keys_fail_closed`` unset, keys never lapse.
+    force, ``evacuate_ms`` an evacuation. A cold endpoint gets ``cold_slack``
+    requests more in a second than ``cold_overshoot`` times what it bears.
+    With ``keys_fail_closed`` unset, keys never lapse.
     """
 
     key_lease_ms: int = 5_000
@@ -50,6 +52,9 @@
     retry_slack: int = 58
     exposure_share: float = 0.15
     exposure_slack: int = 30
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    evacuate_ms: int = 5_000
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carawayward/forwarding/table.py
+++ b/src/carawayward/forwarding/table.py
@@ -90,12 +90,18 @@
 
 @attrs.frozen(kw_only=True)
 class Service:
-    """A pool of endpoints that serve the same routes."""
+    """A pool of endpoints that serve the same routes.
+
+    An endpoint is cold for ``cold_start_ms`` after its start, and bears only
+    ``cold_per_s`` requests a second then; None where nothing is said of that.
+    """
 
     name: str
     health_path: str = ""
     max_connections: int | None = None
     engine: Engine | None = None
+    cold_start_ms: float = 0.0
+    cold_per_s: float | None = None
 
 
 @attrs.frozen
--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import math
 import typing
 
 from carawayward import errors
@@ -14,6 +15,7 @@
 
 DECLARATION = "config"
 ROLLOUT_PREFIX = "rollout/"
+EVACUATION_PREFIX = "evacuate/"
 
 KINDS = {
     "safe": table.RouteKind.IDEMPOTENT,
@@ -34,8 +36,13 @@
 
 def decode_declaration(
     record: keyed_log.Record,
-) -> table.RoutingTable | facts.RolloutOrder | None:
+) -> table.RoutingTable | facts.RolloutOrder | facts.Evacuation | None:
     """A record of the operators' topic; None if it is of no use."""
+    if record.key.startswith(EVACUATION_PREFIX):
+        # Its body says nothing, so that one that cannot be read counts too.
+        domain = record.key.removeprefix(EVACUATION_PREFIX)
+        lifted = record.value is None
+        return facts.Evacuation(domain, lifted) if domain else None
     if record.value is None:
         return None
     try:
@@ -63,6 +70,7 @@
             slots=_check(body.get("slots", 1), int),
             leaving=STATES[body["state"]],
             born=born if type(born) is int else None,
+            cold_ms=_read_number(body.get("coldRemainingMs")),
         )
         host, _, port = entry.address.rpartition(":")
         if not host or not 0 < int(port) < 65536:
@@ -130,6 +138,8 @@
         name=body["name"],
         health_path=body.get("healthPath", ""),
         max_connections=body.get("maxConnections"),
+        cold_start_ms=1000.0 * (_read_number(body.get("coldStartS")) or 0.0),
+        cold_per_s=_read_number(body.get("coldPerS")),
         engine=table.Engine(
             slots=engine["slots"],
             cache_tokens=engine["kvCapacityTokens"],
@@ -174,6 +184,13 @@
     )
 
 
+def _read_number(value: typing.Any) -> float | None:
+    """A finite number that is not negative; None for anything else."""
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        return None
+    return float(value)
+
+
 def _check(value: typing.Any, kind: type) -> typing.Any:
     if type(value) is not kind:
         raise TypeError(f"{kind.__name__} expected")
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -240,11 +240,25 @@
     raise AssertionError("the event was kept")
 
 
-def fill_template(**changes):
+SECTIONS = {"heartbeatMs": "1200"}
+COLD_SECTIONS = {
+    "bounds.coldOvershoot": "1.5",
+    "bounds.coldSlack": "5",
+    "bounds.evacuateMs": "4000",
+}
+
+
+def fill_template(sections=SECTIONS, **changes):
+    """Fill in values, and the sections for which there is one."""
+
+    def fill_section(found):
+        value = sections.get(found[1])
+        return found[2].replace("{{.}}", value) if value else ""
+
     text = pathlib.Path("deploy/settings.yaml").read_text()
     text = re.sub(
-        r"{{#heartbeatMs}}(.*?){{/heartbeatMs}}", r"\1", text
-    ).replace("{{.}}", "1200")
+        r"{{#([\w.]+)}}(.*?){{/\1}}", fill_section, text, flags=re.DOTALL
+    )
     for name, value in {**TEMPLATE_FIELDS, **changes}.items():
         text = text.replace("{{" + name + "}}", value)
     return text
@@ -259,6 +273,15 @@
     assert found.bounds.key_lease_ms == 5000
     assert found.bounds.apply_ms == 2000
     assert found.bounds.retry_ratio == 0.9
+    assert found.bounds.cold_slack == 0.0
+
+
+def test_bounds_of_cold_endpoints_reach_the_settings():
+    """A deployment that has cold endpoints says what they may get."""
+    text = fill_template(SECTIONS | COLD_SECTIONS)
+    found = settings.ForwardingSettings.from_config(text).bounds
+    assert (found.cold_overshoot, found.cold_slack) == (1.5, 5.0)
+    assert found.evacuate_ms == 4000
 
 
 def test_bad_settings_name_the_field_and_the_remedy():
