--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -12,13 +12,10 @@
 """
 
 import collections
-import functools
 import typing
 
 import attrs
 
-from carawayward.decisions import placement
-
 # A stream that runs takes little of an engine's time beside the prompts: a
 # step of a batch grows by a fortieth for each. In weighted tokens.
 STREAM_WEIGHT = 150.0
@@ -32,9 +29,6 @@
 # Part of an engine's memory that kept prompts are assumed to have; the rest
 # holds what is running.
 CACHED_PART = 0.6
-# Engines whose hashes are kept, and the bits of a hash that are compared.
-MAX_FACTORS_KEPT = 2_048
-HASH_MASK = (1 << 64) - 1
 
 
 @attrs.frozen
@@ -79,11 +73,6 @@
     cached: dict[str, CachedParts] = attrs.field(factory=dict)
 
 
-# Part of a prompt's shared tokens that its home is assumed to have kept where
-# nothing is known, or to keep for later prompts.
-HOME_PART = 0.5
-
-
 @attrs.frozen(kw_only=True)
 class Prompt:
     """A prompt to place: its parts as (key, tokens), and its model's weight.
@@ -100,16 +89,6 @@
         """All tokens of the prompt."""
         return sum(tokens for _, tokens in self.parts)
 
-    @property
-    def own_tokens(self) -> int:
-        """Tokens of the last part, which no other prompt shares."""
-        return self.parts[-1][1] if self.parts else 0
-
-    @property
-    def shared_key(self) -> int | None:
-        """The key of the longest beginning that other prompts share."""
-        return self.parts[-2][0] if len(self.parts) > 1 else None
-
 
 # What the first text takes on an idle engine, and a weighted token more, in
 # ms; both until learned. Engines differ, so that these only have to be near.
@@ -290,35 +269,6 @@
     return unread
 
 
-def find_home(
-    candidates: typing.Iterable[Candidate], prompt: Prompt
-) -> str | None:
-    """The engine that prompts with the same beginning are to meet at.
-
-    By rendezvous hashing, the same on every entry VM without a message: one
-    among hundreds sees too few prompts to know which engine has read what.
-    """
-    key = prompt.shared_key
-    if key is None:
-        return None
-    return max(
-        (candidate.name for candidate in candidates),
-        key=lambda name: mix(key, find_factor(name)),
-        default=None,
-    )
-
-
-def mix(key: int, factor: int) -> int:
-    """A hash of both; the upper half of a product depends on all bits."""
-    return ((key ^ (factor >> 32)) * factor & HASH_MASK) >> 24
-
-
-@functools.lru_cache(maxsize=MAX_FACTORS_KEPT)
-def find_factor(name: str) -> int:
-    """An odd number that stands for an engine in multiplicative hashing."""
-    return placement.hash_key(name) | 1
-
-
 def choose(
     loads: EngineLoads,
     candidates: typing.Sequence[Candidate],
@@ -335,17 +285,12 @@
     expire_reports(loads, now_ms)
     best: list[Choice] = []
     least = float("inf")
-    home = find_home(candidates, prompt)
     for candidate in candidates:
         load = get_load(loads, candidate.name)
         unread = count_unread(loads, candidate.name, prompt)
-        hoped = 0.0
-        if candidate.name == home:
-            hoped = HOME_PART * max(0, unread - prompt.own_tokens)
         weight = load.weight + unread * prompt.model_weight
         cost = (
             weight
-            - hoped * prompt.model_weight
             + load.streams * STREAM_WEIGHT
             + (0.0 if candidate.local else remote_weight)
         )
