Halt a new version only where chance is unlikelier to have made it look bad

Cause: three bad answers of twelve on one route are enough, and at a usual rate of 6 in 100 that comes by chance on one of three routes in one roll-out of five (worked out). Bad versions fail in 40 of 100 or so.

Change: 3.5 standard deviations in place of 2.5. Ruled out: asking for four bad answers as well (later for little).

--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -56,7 +56,7 @@
 LEAST_BAD = 3
 # How much worse than the old version a share of bad answers has to be.
 WORSE = 0.12
-DEVIATIONS = 2.5
+DEVIATIONS = 3.5
 # An answer that took this many times the mean of its kind on the old version
 # counts as bad: versions that are "several times slower" are, while batching
 # and cold caches stay under it.
