--- a/src/carawayward/decisions/delegates.py
+++ b/src/carawayward/decisions/delegates.py
@@ -20,7 +20,7 @@
 from carawayward.decisions import placement
 
 # A delegate sends each client some three reports a second.
-MAX_CLIENTS_PER_DELEGATE = 24
+MAX_CLIENTS_PER_DELEGATE = 16
 # Queries in a row without an answer after which a delegate is passed over. A
 # process that was paused itself has sent fewer when it goes on.
 MAX_UNANSWERED = 3
