--- a/src/carawayward/decisions/cold_starts.py
+++ b/src/carawayward/decisions/cold_starts.py
@@ -55,7 +55,7 @@
 
 @attrs.define(eq=False)
 class Permit:
-    """Leave to send one request; held until ``expires_ms``.
+    """Permission to send one request; counts until ``expires_ms``.
 
     It does not expire before the request has been sent: a connection may
     take long to come about.
--- a/src/carawayward/forwarding/measures.py
+++ b/src/carawayward/forwarding/measures.py
@@ -61,6 +61,8 @@
     gauges: dict[str, float] = {
         "open_requests": board.open_requests,
         "endpoints": len(board.endpoints),
+        "endpoints_cold": len(board.cold_reports),
+        "failure_domains_evacuated": len(board.evacuated),
         "ready": board.state is board_module.State.READY,
     }
     if board.table is not None:
