--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -288,21 +288,19 @@
             with trio.move_on_after(pause_ms / 1000):
                 await channel.changed.wait()
             channel.changed = trio.Event()
-            sent_bytes, datagrams = self._send_next(channel)
-            await self.clock.sleep(
-                channel.find_pause_ms(sent_bytes, datagrams)
-            )
+            sent_bytes = self._send_next(channel)
+            await self.clock.sleep(channel.find_pause_ms(sent_bytes))
 
-    def _send_next(self, channel: report_channels.Channel) -> tuple[int, int]:
-        """Report to the peers whose turn it is; return bytes and datagrams."""
+    def _send_next(self, channel: report_channels.Channel) -> int:
+        """Send one datagram to the peers whose turn it is; return bytes."""
         self.book.remove_silent(self.clock.now_ms())
         peers = channel.choose_peers(self.peers.values())
         if not peers:
-            return 0, 0
+            return 0
         data = self._write(channel)
         for peer in peers:
             self.send(peer.name, data)
-        return len(data) * len(peers), len(peers)
+        return len(data) * len(peers)
 
     def _write(self, channel: report_channels.Channel) -> bytes:
         self.sequence += 1
--- a/src/carawayward/forwarding/report_channels.py
+++ b/src/carawayward/forwarding/report_channels.py
@@ -14,9 +14,6 @@
 # What may go to entry VMs of other failure domains, in bytes a second: bytes
 # between domains are paid for.
 REMOTE_BYTES_PER_SECOND = 6_000.0
-# Datagrams a second to entry VMs of this failure domain. Taking reports apart
-# is most of what control costs, and each of many peers sends to each.
-NEAR_DATAGRAMS_PER_SECOND = 60.0
 # How often an entry VM gives its name and address; its number goes out else.
 INTRODUCE_MS = 1_000.0
 # So many parts fit into an Ethernet frame beside the engines.
@@ -110,13 +107,11 @@
         start = self.turn % len(peers)
         return (peers + peers)[start : start + MAX_PEERS_PER_DATAGRAM]
 
-    def find_pause_ms(self, sent_bytes: int, datagrams: int = 0) -> float:
-        """How long to be quiet after so many bytes in so many datagrams."""
+    def find_pause_ms(self, sent_bytes: int) -> float:
+        """How long to be quiet after so many bytes."""
         if self.near:
-            used_s = datagrams / NEAR_DATAGRAMS_PER_SECOND
-        else:
-            used_s = sent_bytes / REMOTE_BYTES_PER_SECOND
-        return max(MIN_PAUSE_MS, 1000.0 * used_s)
+            return MIN_PAUSE_MS
+        return max(MIN_PAUSE_MS, 1000.0 * sent_bytes / REMOTE_BYTES_PER_SECOND)
 
 
 def make_channels() -> list[Channel]:
