Split the marking of a sent request and the list of a failure domain's VMs

Nothing behaves differently. Forwarder._attempt and ColdStarts._find_most had grown; the names of a domain's entry VMs belong to the book of peers.

--- a/src/carawayward/forwarding/cold_starts.py
+++ b/src/carawayward/forwarding/cold_starts.py
@@ -8,6 +8,7 @@
 from carawayward.decisions import cold_starts
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import facts
+from carawayward.forwarding import table as table_module
 
 # Lists the entry VMs of a failure domain, or all of them where it has none;
 # None while they are not known.
@@ -74,20 +75,26 @@
             else:
                 yield name, most
 
+    def _find_service(
+        self, name: str
+    ) -> tuple[facts.EndpointEntry | None, table_module.Service | None]:
+        """An endpoint's entry, and what the routing table says of its pool."""
+        entry, table = self.board.endpoints.get(name), self.board.table
+        if entry is None or table is None:
+            return entry, None
+        return entry, table.services.get(entry.service)
+
     def _find_most(
         self, name: str, report: board_module.ColdReport, now_ms: float
     ) -> int | None:
         """How many permits are held for an endpoint; None if it is warm."""
-        entry, table = self.board.endpoints.get(name), self.board.table
-        service = (
-            table.services.get(entry.service) if entry and table else None
-        )
+        entry, service = self._find_service(name)
         if entry is None or service is None or service.cold_per_s is None:
             return None
-        remaining_ms = report.remaining_ms
-        if remaining_ms is None:
-            remaining_ms = service.cold_start_ms
-        if now_ms - report.at_ms >= min(remaining_ms, cold_starts.MAX_COLD_MS):
+        cold_ms = report.remaining_ms
+        if cold_ms is None:
+            cold_ms = service.cold_start_ms
+        if now_ms - report.at_ms >= min(cold_ms, cold_starts.MAX_COLD_MS):
             return None
         if now_ms - self.started_ms < cold_starts.WINDOW_MS:
             # What the process before this one has sent is not known.
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -7,6 +7,7 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import cold_starts
 from carawayward.decisions import retry_budget
 from carawayward import events
 from carawayward.forwarding import attempt as attempt_module
@@ -137,14 +138,7 @@
     ) -> work_items.Outcome:
         """Send the request to one endpoint and pass its answer on."""
         permit = self.fleet.cold_starts.take(place.entry)
-
-        def may_send() -> bool:
-            if not self.may_send(work):
-                return False
-            self.fleet.cold_starts.record_sent(permit)
-            return True
-
-        mark = http.SentMark(may_send=may_send)
+        mark = self._make_mark(work, permit)
         work.mark = mark
         work.endpoint = place.entry.name
         began_ms = self.clock.now_ms()
@@ -175,6 +169,19 @@
             self.fleet.record_success(place, took_ms)
         return outcome
 
+    def _make_mark(
+        self, work: work_items.Work, permit: cold_starts.Permit | None
+    ) -> http.SentMark:
+        """A mark that uses the permit when the request goes out."""
+
+        def may_send() -> bool:
+            if not self.may_send(work):
+                return False
+            self.fleet.cold_starts.record_sent(permit)
+            return True
+
+        return http.SentMark(may_send=may_send)
+
     async def _send(
         self,
         work: work_items.Work,
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -160,20 +160,10 @@
     def list_domain_members(
         self, failure_domain: str
     ) -> typing.Collection[str] | None:
-        """The entry VMs of a failure domain, or all if none is known there.
-
-        None until this one has read who the others are.
-        """
+        """The entry VMs of a failure domain, or all; None before joining."""
         if not self.joined.is_set():
             return None
-        members = [
-            peer.name
-            for peer in self.peers.values()
-            if peer.failure_domain == failure_domain
-        ]
-        if failure_domain == self.board.failure_domain:
-            members.append(self.board.name)
-        return members or self.list_members()
+        return self.book.list_domain(failure_domain) or self.list_members()
 
     def add_load(self, engine: str, change: engine_load.Load) -> None:
         """Record a change of the own outstanding work, and report it.
--- a/src/carawayward/forwarding/peer_book.py
+++ b/src/carawayward/forwarding/peer_book.py
@@ -47,6 +47,17 @@
         """The peer whose present start has this number."""
         return self.peers.get(self.names.get(number, ""))
 
+    def list_domain(self, failure_domain: str) -> list[str]:
+        """The names of a failure domain's entry VMs, with the own one."""
+        names = [
+            peer.name
+            for peer in self.peers.values()
+            if peer.failure_domain == failure_domain
+        ]
+        if self.own.failure_domain == failure_domain:
+            names.append(self.own.name)
+        return names
+
     def remove_silent(self, now_ms: float) -> None:
         """Remove the peers without a report for long."""
         for name, peer in list(self.peers.items()):
--- a/tests/cover/test_forwarding_load_reports.py
+++ b/tests/cover/test_forwarding_load_reports.py
@@ -235,6 +235,20 @@
     )
 
 
+def test_entry_vms_of_a_failure_domain_are_known_after_joining():
+    """One that has not read who the others are takes itself for all."""
+    made = make_controller("vm-0", Members())
+    assert made.list_domain_members("north") is None
+    made.joined.set()
+    for name, domain in (("vm-1", "north"), ("vm-2", "south")):
+        made._add_peer(
+            load_report_messages.Sender(name, "x", "127.0.0.1:9", domain)
+        )
+    assert made.list_domain_members("north") == ["vm-1", "vm-0"]
+    assert made.list_domain_members("south") == ["vm-2"]
+    assert set(made.list_domain_members("east")) == {"vm-0", "vm-1", "vm-2"}
+
+
 @attrs.define
 class Sender:
     """A socket that keeps what is sent."""
