Log the request limits that endpoints name in their responses

Endpoints in need name how many requests a second they accept from all entry VMs together. The dialect reads the header, and event 1521 tells of each change. Nothing is decided by it yet.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -176,6 +176,11 @@
         "The store, restored from a backup, lists an endpoint that has left; "
         "it gets no requests unless its entry is renewed.",
     )
+    ENDPOINT_LIMITED = EventKind(
+        1521,
+        "An endpoint has named, changed or lifted a limit on the requests a "
+        "second that it accepts from all entry VMs together.",
+    )
     DELEGATE_CHOSEN = EventKind(
         1203,
         "From now on, the entry VM named in the event, possibly this one "
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -223,6 +223,7 @@
                 return work_items.Failed(
                     "no response before the attempt timeout"
                 )
+            self.fleet.record_response(endpoint, answer.head.metadata)
             if not answer.head.metadata.declined:
                 self.fleet.record_accepted(endpoint)
             return await self.relay.relay_response(work, answer, reply)
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -37,10 +37,15 @@
 
 @attrs.define(eq=False, kw_only=True)
 class TrackedEndpoint:
-    """A registry entry with the endpoint's load and health."""
+    """A registry entry with the endpoint's load and health.
+
+    ``request_limit`` is how many requests a second the endpoint accepts from
+    all entry VMs together, None if its last response named no limit.
+    """
 
     entry: message_types.EndpointEntry
     view: placement.EndpointView
+    request_limit: float | None = None
 
 
 @attrs.define(eq=False)
@@ -208,6 +213,29 @@
             self.clock.now_ms()
         )
 
+    def record_response(
+        self,
+        endpoint: TrackedEndpoint,
+        metadata: message_types.ResponseMetadata,
+    ) -> None:
+        """Record what an endpoint's response says about the endpoint.
+
+        A limit is in force until a response without one. Only responses that
+        the endpoint has signed count as such.
+        """
+        limit = metadata.request_limit
+        if limit == endpoint.request_limit or (
+            limit is None and not metadata.signed
+        ):
+            return
+        events.log_event(
+            events.Event.ENDPOINT_LIMITED,
+            endpoint=endpoint.entry.name,
+            per_s=limit,
+            previous_per_s=endpoint.request_limit,
+        )
+        endpoint.request_limit = limit
+
     def record_unreachable(
         self, endpoint: TrackedEndpoint, took_ms: float
     ) -> None:
--- a/src/carawayward/forwarding/message_types.py
+++ b/src/carawayward/forwarding/message_types.py
@@ -67,13 +67,16 @@
 
     ``declined`` says that the endpoint did not and will not run the request.
     ``confidence`` is the model's own rating of its answer, 0 to 100. A success
-    that is not ``signed`` does not come from the endpoint.
+    that is not ``signed`` does not come from the endpoint. ``request_limit``
+    is how many requests a second the endpoint accepts from all entry VMs
+    together, None if it names no limit.
     """
 
     request_id: str = ""
     declined: bool = False
     signed: bool = False
     confidence: float | None = None
+    request_limit: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -18,6 +18,7 @@
 SERVER_SEAL = b"carawayward-server-seal"
 NOT_EXECUTED = b"carawayward-not-executed"
 CONFIDENCE = b"carawayward-confidence"
+SERVER_LIMIT = b"server-limit"
 EXPECT_INSTANCE = b"carawayward-expect-instance"
 CUSTOMER = b"carawayward-tenant"
 REQUEST_PRIORITY = b"carawayward-request-priority"
@@ -107,6 +108,7 @@
         declined=NOT_EXECUTED in values or status == MISDIRECTED,
         signed=SERVER_SEAL in values,
         confidence=_get_number(values, CONFIDENCE),
+        request_limit=_get_number(values, SERVER_LIMIT),
     )
 
 
--- a/tests/cover/test_forwarding_fleet.py
+++ b/tests/cover/test_forwarding_fleet.py
@@ -1,8 +1,10 @@
 """Tests of quarantine by endpoint and by failure domain, without sockets."""
 
 import typing
+from unittest import mock
 
 from carawayward import clock as clock_module
+from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import message_types
@@ -67,3 +69,26 @@
     fleet, clock = make_fleet()
     fail(fleet, clock, "engine-4", 500.0)
     assert fleet.list_quarantined() == {"engine-4"}
+
+
+def test_named_changed_and_lifted_request_limits_are_logged_once():
+    """Only the endpoint's own response can lift its limit."""
+    fleet, _ = make_fleet()
+    endpoint = fleet.tracked["engine-0"]
+    with mock.patch.object(events, "log_event") as log_event:
+        for limit, signed in (
+            (None, True),
+            (2.0, True),
+            (2.0, False),
+            (None, False),
+            (1.5, False),
+            (None, True),
+        ):
+            fleet.record_response(
+                endpoint,
+                message_types.ResponseMetadata(
+                    signed=signed, request_limit=limit
+                ),
+            )
+    logged = [call.kwargs["per_s"] for call in log_event.call_args_list]
+    assert logged == [2.0, 1.5, None]
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -380,3 +380,15 @@
         assert b"carawayward_table_revision 1" in page
 
     trio.run(main)
+
+
+def test_request_limit_of_an_endpoint_is_read_from_its_response():
+    """A limit that cannot be read must not stop an endpoint's requests."""
+
+    def read(value):
+        return headers.read_response(200, [(b"Server-Limit", value)])
+
+    assert read(b"1.3").request_limit == 1.3
+    assert read(b"0").request_limit == 0.0
+    assert read(b"many").request_limit is None
+    assert headers.read_response(200, []).request_limit is None
