--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -35,6 +35,7 @@
     Each request takes the next of ``behaviours``; once they are used up,
     ``always`` handles the rest, or a normal answer if that is None. Streams
     have ``events`` events, ``pause_ms`` apart, and begin after ``head_ms``.
+    ``notices`` are headers that it adds to each of its answers.
     """
 
     name: str
@@ -46,10 +47,12 @@
     head_ms: float = 0.0
     pause_ms: float = 1.0
     confidence: dict[str, float] = attrs.field(factory=dict)
+    notices: dict[str, str] = attrs.field(factory=dict)
     behaviours: list[Behaviour] = attrs.field(factory=list)
     always: Behaviour | None = None
     runs: list[Run] = attrs.field(factory=list)
     arrivals: int = 0
+    arrived_s: list[float] = attrs.field(factory=list)
     port: int = 0
 
     @property
@@ -78,6 +81,7 @@
         A request that expects another instance is refused with 421.
         """
         self.arrivals += 1
+        self.arrived_s.append(trio.current_time())
         expected = exchange.request.headers.get("carawayward-expect-instance")
         if expected != self.name:
             await exchange.answer(421, {"carawayward-instance-id": self.name})
@@ -105,6 +109,7 @@
                 ATTEMPT_ID_HEADER, ""
             ),
             SEAL_HEADER: f"{self.name}.seal",
+            **self.notices,
         }
 
 
