Keep to the request limits of endpoints, all entry VMs together

Callers saw nothing yet; an endpoint in need got as many requests as before it named its limit (Server-Limit), 2.7 a second where it took 1, and would have failed under them.

Cause: the dialect decoded a fixed set of response headers; what else an endpoint says of itself reached no decision. Class: a signal of an endpoint that no decision reads, and a bound for all entry VMs that each could only keep for itself.

Change: decisions/rate_limits shares a limit. A few holders, by rendezvous hashing, get nine tenths of it; each of the others may send now and then, a tenth together, so that an entry VM that sends nothing still learns of the limit's end. Load reports say it sooner. The share counts when the endpoint is chosen, on first attempts, retries, escalations and resumed streams alike, and in the last resort too. A request for which only limited endpoints remain is refused at once with the time of the next free share. Limited engines no longer count as idle ones when the backlog is estimated.

--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -4,7 +4,8 @@
 ``escalation`` (which model answers), ``retry_budget`` (how many extra runs a
 service may get), ``quarantine`` (endpoints to skip for now), ``canary`` (how
 much traffic a new version gets), ``cold_starts`` (how many requests a cold
-endpoint gets), ``redirection`` (when to send callers to another entry VM),
+endpoint gets), ``rate_limits`` (each entry VM's share of a limit that an
+endpoint names), ``redirection`` (when to send callers to another entry VM),
 ``lapses`` (whether missing registry entries have expired), ``delegates``
 (which entry VM reads the store for which others), ``turns`` (which entry VM
 writes first) and ``store_polls`` (how long polls of the store may wait).
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -48,6 +48,13 @@
         fleet.find_cache_tokens,
     )
     fleet.cold_starts.list_members = reporter.list_domain_members
+    fleet.rate_limits.list_members = reporter.list_joined_members
+    reporter.add_topic(
+        "limits",
+        load_reports.Topic(
+            fleet.rate_limits.describe, fleet.rate_limits.merge
+        ),
+    )
     freshness = freshness_module.FreshnessController(board, clock, reporter)
     rollouts = rollouts_module.Rollouts(board, clock)
     reporter.add_topic(
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -45,9 +45,10 @@
     been the newest revision. ``generation`` is incremented by each change to
     ``endpoints``. ``store_failing`` is set from a failed read of the table to
     the next successful one. ``cold_reports`` has an entry for each endpoint
-    that may be cold. ``evacuated`` holds the failure domains whose endpoints
-    get no requests. ``refusing`` is set during a shutdown, once the load
-    balancer has had time to stop sending new connections.
+    that may be cold. ``limited`` holds the endpoints that limit how many
+    requests they accept. ``evacuated`` holds the failure domains whose
+    endpoints get no requests. ``refusing`` is set during a shutdown, once the
+    load balancer has had time to stop sending new connections.
     """
 
     name: str
@@ -66,6 +67,7 @@
     generation: int = 0
     orders: dict[str, message_types.RolloutOrder] = attrs.field(factory=dict)
     cold_reports: dict[str, ColdReport] = attrs.field(factory=dict)
+    limited: set[str] = attrs.field(factory=set)
     evacuated: set[str] = attrs.field(factory=set)
     open_requests: int = 0
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -38,6 +38,9 @@
 # Retry-After while it is unknown when an endpoint will be free: a new endpoint
 # is known from the registry within about a second.
 DEFAULT_RETRY_AFTER_MS = 1_000.0
+# Retries reach other entry VMs, whose share of an endpoint's limit may be free
+# sooner.
+MAX_RETRY_AFTER_MS = 5_000.0
 
 
 # Outcomes after which the request is certain not to have run.
@@ -95,7 +98,7 @@
             choice = self.rollouts.choose_version(work)
             endpoint = self.placer.choose(work, choice)
             if endpoint is None:
-                await self._send_final_failure(work, reply, "no endpoint")
+                await self._refuse_for_lack_of_endpoints(work, reply)
                 return
             if self._would_miss_deadline(work):
                 await self._send_final_failure(
@@ -121,6 +124,18 @@
                 await self._send_final_failure(work, reply, outcome.cause)
                 return
 
+    async def _refuse_for_lack_of_endpoints(
+        self, work: work_items.Work, reply: replies.Reply
+    ) -> None:
+        """Refuse a request that no endpoint can take now."""
+        wait_ms = self.placer.compute_limit_wait_ms(work)
+        if wait_ms is None:
+            await self._send_final_failure(work, reply, "no endpoint")
+            return
+        await self._send_final_failure(
+            work, reply, "endpoints limited", min(wait_ms, MAX_RETRY_AFTER_MS)
+        )
+
     def _would_miss_deadline(self, work: work_items.Work) -> bool:
         """Whether the first token is predicted after the deadline.
 
@@ -150,6 +165,7 @@
     ) -> work_items.Outcome:
         """Send the request to one endpoint and relay its response."""
         permit = self.fleet.cold_starts.acquire(endpoint.entry)
+        self.fleet.rate_limits.acquire(endpoint.entry)
         mark = self._make_sent_mark(work, permit)
         work.mark = mark
         work.endpoint = endpoint.entry.name
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -14,6 +14,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import cold_starts as cold_starts_module
 from carawayward.forwarding import message_types
+from carawayward.forwarding import rate_limits as rate_limits_module
 
 # A connection attempt that fails sooner was refused by a machine that is up.
 MIN_SILENT_CONNECT_MS = 400.0
@@ -37,15 +38,10 @@
 
 @attrs.define(eq=False, kw_only=True)
 class TrackedEndpoint:
-    """A registry entry with the endpoint's load and health.
-
-    ``request_limit`` is how many requests a second the endpoint accepts from
-    all entry VMs together, None if its last response named no limit.
-    """
+    """A registry entry with the endpoint's load and health."""
 
     entry: message_types.EndpointEntry
     view: placement.EndpointView
-    request_limit: float | None = None
 
 
 @attrs.define(eq=False)
@@ -76,11 +72,15 @@
     )
     last_reached_ms: dict[str, float] = attrs.field(factory=dict)
     cold_starts: cold_starts_module.ColdStartLimiter = attrs.field(init=False)
+    rate_limits: rate_limits_module.RequestLimiter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.cold_starts = cold_starts_module.ColdStartLimiter(
             self.board, self.clock
         )
+        self.rate_limits = rate_limits_module.RequestLimiter(
+            self.board, self.clock
+        )
 
     def find_cache_tokens(self, name: str) -> int:
         """Return an engine's cache size in tokens; 0 if it is unknown."""
@@ -127,12 +127,17 @@
     def find_backlog_ms(
         self, service: str, pool: placement.Candidates
     ) -> float:
-        """Estimate the engines' mean backlog of unread prompts, in ms."""
+        """Estimate the engines' mean backlog of unread prompts, in ms.
+
+        Engines that take no request because of a limit are no spare capacity.
+        """
         now_ms = self.clock.now_ms()
+        limited = self.rate_limits.list_exhausted()
         names = [
             view.name
             for view in pool.views
-            if health_module.accepts_request(
+            if view.name not in limited
+            and health_module.accepts_request(
                 view.health, now_ms, view.in_flight
             )
         ]
@@ -218,23 +223,13 @@
         endpoint: TrackedEndpoint,
         metadata: message_types.ResponseMetadata,
     ) -> None:
-        """Record what an endpoint's response says about the endpoint.
+        """Record what an endpoint's response says about the endpoint."""
+        self.rate_limits.record_response(endpoint.entry, metadata)
 
-        A limit is in force until a response without one. Only responses that
-        the endpoint has signed count as such.
-        """
-        limit = metadata.request_limit
-        if limit == endpoint.request_limit or (
-            limit is None and not metadata.signed
-        ):
-            return
-        events.log_event(
-            events.Event.ENDPOINT_LIMITED,
-            endpoint=endpoint.entry.name,
-            per_s=limit,
-            previous_per_s=endpoint.request_limit,
-        )
-        endpoint.request_limit = limit
+    def list_unavailable(self) -> frozenset[str]:
+        """Return the endpoints that must not get a request now."""
+        exhausted = self.cold_starts.list_exhausted()
+        return exhausted | self.rate_limits.list_exhausted()
 
     def record_unreachable(
         self, endpoint: TrackedEndpoint, took_ms: float
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -159,6 +159,10 @@
         """The names of all known entry VMs, including this one."""
         return [self.board.name, *self.peers]
 
+    def list_joined_members(self) -> typing.Collection[str] | None:
+        """The names of all known entry VMs; None before joining."""
+        return self.list_members() if self.joined.is_set() else None
+
     def list_domain_members(
         self, failure_domain: str
     ) -> typing.Collection[str] | None:
--- a/src/carawayward/forwarding/message_types.py
+++ b/src/carawayward/forwarding/message_types.py
@@ -69,7 +69,8 @@
     ``confidence`` is the model's own rating of its answer, 0 to 100. A success
     that is not ``signed`` does not come from the endpoint. ``request_limit``
     is how many requests a second the endpoint accepts from all entry VMs
-    together, None if it names no limit.
+    together, None if it names no limit. ``limit_malformed`` says that the
+    response names one that cannot be read.
     """
 
     request_id: str = ""
@@ -77,6 +78,7 @@
     signed: bool = False
     confidence: float | None = None
     request_limit: float | None = None
+    limit_malformed: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carawayward/forwarding/metrics.py
+++ b/src/carawayward/forwarding/metrics.py
@@ -62,6 +62,7 @@
         "open_requests": board.open_requests,
         "endpoints": len(board.endpoints),
         "endpoints_cold": len(board.cold_reports),
+        "endpoints_limited": len(board.limited),
         "failure_domains_evacuated": len(board.evacuated),
         "ready": board.state is board_module.State.READY,
     }
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -77,8 +77,8 @@
         prompt = work_items.make_prompt(work, work.route.models[-1])
         if prompt is None:
             return escalation.Overload()
-        exhausted = self.fleet.cold_starts.list_exhausted()
-        excluded = work.unusable | exhausted | self.fleet.list_quarantined()
+        unavailable = self.fleet.list_unavailable()
+        excluded = work.unusable | unavailable | self.fleet.list_quarantined()
         for endpoint_filter in self._list_filters(
             work, self.rollouts.choose_version(work)
         ):
@@ -105,7 +105,7 @@
         only if there is no other of either version.
         """
         endpoint_filters = self._list_filters(work, choice)
-        unusable = work.unusable | self.fleet.cold_starts.list_exhausted()
+        unusable = work.unusable | self.fleet.list_unavailable()
         tried = unusable | work.failed_endpoints
         quarantined = self.fleet.list_quarantined()
         for excluded in (tried | quarantined, tried, unusable):
@@ -158,6 +158,15 @@
         max_endpoints = self.rollouts.limit_endpoints(choice, count)
         return [attrs.evolve(new, max_endpoints=max_endpoints), old]
 
+    def compute_limit_wait_ms(self, work: work_items.Work) -> float | None:
+        """Return the time until an endpoint's limit allows the request.
+
+        None if no endpoint of the service that the request may use is limited.
+        """
+        pool = self.fleet.find_pool(fleet_module.EndpointFilter(work.service))
+        names = {view.name for view in pool.views} - work.unusable
+        return self.fleet.rate_limits.compute_wait_ms(names)
+
     def begin_reading(
         self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
     ) -> work_items.Reading:
--- /dev/null
+++ b/src/carawayward/forwarding/rate_limits.py
@@ -0,0 +1,261 @@
+"""Keeps to the request limits that endpoints name in their responses."""
+
+import random
+import typing
+
+import attrs
+
+from carawayward import clock as clock_module
+from carawayward.decisions import rate_limits
+from carawayward import events
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import load_report_messages
+from carawayward.forwarding import message_types
+
+# How long a limit is reported to peers after it was last observed. With many
+# peers, each is sent a report only once in 10 s.
+REPORTED_MS = 20_000.0
+MAX_LIMITS_PER_REPORT = 16
+# How often a change of the known entry VMs is applied to the shares.
+MEMBERS_CHECK_MS = 1_000.0
+# An endpoint's limit outlives its registry entry for this long: entries of
+# live endpoints expire during an outage of the store and are written again.
+KEPT_MS = 60_000.0
+
+# Lists all entry VMs; None while they are unknown.
+ListMembers = typing.Callable[[], typing.Collection[str] | None]
+
+
+def list_unknown_members() -> None:
+    """Return None: the other entry VMs are unknown."""
+
+
+@attrs.define(eq=False)
+class LimitedEndpoint:
+    """The last known limit of an endpoint, and what was sent under it.
+
+    ``per_s`` is None if the limit was lifted. ``observed_ms`` is the time of
+    the response that said so, to this entry VM if ``own`` is set or else to a
+    peer. ``share`` is None while the other entry VMs are unknown.
+    """
+
+    address: str
+    born: int | None
+    per_s: float | None
+    observed_ms: float
+    own: bool = False
+    share: rate_limits.Share | None = None
+    bucket: rate_limits.Bucket | None = None
+
+
+@attrs.define(eq=False)
+class RequestLimiter:
+    """Limits what this entry VM sends to endpoints that have named a limit.
+
+    Other entry VMs get to know of limits by load reports, so that those which
+    send an endpoint nothing learn that its limit has been lifted. Times are in
+    ms on the boot clock, which goes on while the VM is suspended.
+    """
+
+    board: board_module.ForwardingBoard
+    clock: clock_module.Clock
+    list_members: ListMembers = list_unknown_members
+    draw: typing.Callable[[], float] = random.random
+    endpoints: dict[str, LimitedEndpoint] = attrs.field(factory=dict)
+    members: frozenset[str] | None = None
+    checked_ms: float = board_module.NEVER
+
+    def record_response(
+        self,
+        entry: message_types.EndpointEntry,
+        metadata: message_types.ResponseMetadata,
+    ) -> None:
+        """Record the limit, or its absence, in an endpoint's response.
+
+        Only a response that the endpoint has signed can lift the limit.
+        """
+        if metadata.request_limit is None:
+            known = self._find(entry)
+            if known is None or known.per_s is None:
+                return
+            if metadata.limit_malformed or not metadata.signed:
+                return
+        self._record(
+            entry,
+            metadata.request_limit,
+            self.clock.boot_ms(),
+            metadata.request_id,
+        )
+
+    def list_exhausted(self) -> frozenset[str]:
+        """Return the endpoints that get no request now because of a limit."""
+        if not self.endpoints:
+            return frozenset()
+        return frozenset(
+            name for name, wait_ms in self._list_waits() if wait_ms > 0.0
+        )
+
+    def compute_wait_ms(self, names: typing.Container[str]) -> float | None:
+        """Return the time until one of ``names`` may get a request.
+
+        None if no limit applies to them. The time is spread by up to the
+        interval between two requests, so that callers who are refused at the
+        same moment do not return together.
+        """
+        waits = [
+            wait_ms + self.draw() * share.interval_ms
+            for name, wait_ms in self._list_waits()
+            if name in names and (share := self.endpoints[name].share)
+        ]
+        return min(waits, default=None)
+
+    def acquire(self, entry: message_types.EndpointEntry) -> None:
+        """Count a request that is about to be sent to an endpoint."""
+        limited = self._find(entry)
+        if limited is None or not limited.share or not limited.bucket:
+            return
+        rate_limits.take(limited.bucket, limited.share, self.clock.boot_ms())
+
+    def describe(self) -> list:
+        """The limits last observed by this entry VM, for load reports."""
+        now_ms = self.clock.boot_ms()
+        observed = [
+            (name, limited)
+            for name, limited in self.endpoints.items()
+            if limited.own and now_ms - limited.observed_ms < REPORTED_MS
+        ]
+        observed.sort(key=lambda each: -each[1].observed_ms)
+        return [
+            [
+                load_report_messages.hash_name(name),
+                limited.per_s,
+                round(now_ms - limited.observed_ms),
+            ]
+            for name, limited in observed[:MAX_LIMITS_PER_REPORT]
+        ]
+
+    def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
+        """Merge the limits that a peer reports, if they are newer.
+
+        Raises ValueError or TypeError if they are malformed.
+        """
+        reported = {
+            int(number): (
+                None if per_s is None else float(per_s),
+                self.clock.boot_ms() - float(age_ms),
+            )
+            for number, per_s, age_ms in value
+        }
+        for name, entry in self.board.endpoints.items():
+            report = reported.get(load_report_messages.hash_name(name))
+            if report is None:
+                continue
+            per_s, observed_ms = report
+            known = self._find(entry)
+            if known is None and per_s is None:
+                continue
+            if known is None or known.observed_ms < observed_ms:
+                self._record(entry, per_s, observed_ms, peer=peer)
+
+    def _find(
+        self, entry: message_types.EndpointEntry
+    ) -> LimitedEndpoint | None:
+        """Return what is known of this process of an endpoint."""
+        limited = self.endpoints.get(entry.name)
+        if limited is None or (limited.address, limited.born) != (
+            entry.address,
+            entry.born,
+        ):
+            return None
+        return limited
+
+    def _record(
+        self,
+        entry: message_types.EndpointEntry,
+        per_s: float | None,
+        observed_ms: float,
+        request: str = "",
+        peer: str = "",
+    ) -> None:
+        limited = self._find(entry)
+        previous = limited.per_s if limited is not None else None
+        if limited is None:
+            limited = self.endpoints[entry.name] = LimitedEndpoint(
+                entry.address, entry.born, per_s, observed_ms
+            )
+        limited.per_s, limited.observed_ms = per_s, observed_ms
+        limited.own = not peer
+        if per_s == previous:
+            return
+        self._share_limit(entry.name, limited)
+        events.log_event(
+            events.Event.ENDPOINT_LIMITED,
+            endpoint=entry.name,
+            per_s=per_s,
+            previous_per_s=previous,
+            request=request,
+            peer=peer,
+            interval_ms=limited.share and round(limited.share.interval_ms),
+        )
+
+    def _share_limit(self, name: str, limited: LimitedEndpoint) -> None:
+        """Compute this entry VM's share of a limit."""
+        self.board.limited.discard(name)
+        limited.share = None
+        if limited.per_s is None:
+            return
+        self.board.limited.add(name)
+        self._update_members()
+        if self.members is None:
+            return
+        now_ms = self.clock.boot_ms()
+        share = limited.share = rate_limits.compute_share(
+            self.board.name, self.members, name, limited.per_s
+        )
+        if limited.bucket is None:
+            limited.bucket = rate_limits.make_bucket(
+                share, now_ms, self.draw()
+            )
+        else:
+            rate_limits.adapt(limited.bucket, share, now_ms)
+
+    def _update_members(self) -> None:
+        members = self.list_members()
+        self.members = None if members is None else frozenset(members)
+        self.checked_ms = self.clock.boot_ms()
+
+    def _list_waits(self) -> typing.Iterator[tuple[str, float]]:
+        """List the limited endpoints and the time until the next request."""
+        now_ms = self.clock.boot_ms()
+        if now_ms - self.checked_ms >= MEMBERS_CHECK_MS:
+            self._drop_unlisted(now_ms)
+            previous = self.members
+            self._update_members()
+            if self.members != previous:
+                for name, limited in self.endpoints.items():
+                    self._share_limit(name, limited)
+        for name, limited in self.endpoints.items():
+            if limited.per_s is None:
+                continue
+            if limited.share is None or limited.bucket is None:
+                # Who else sends to this endpoint is not known yet.
+                yield name, MEMBERS_CHECK_MS
+                continue
+            yield (
+                name,
+                rate_limits.compute_wait_ms(
+                    limited.bucket, limited.share, now_ms
+                ),
+            )
+
+    def _drop_unlisted(self, now_ms: float) -> None:
+        """Forget limits of endpoints that have left or were replaced."""
+        for name, limited in list(self.endpoints.items()):
+            entry = self.board.endpoints.get(name)
+            if entry is None:
+                gone = now_ms - limited.observed_ms > KEPT_MS
+            else:
+                gone = self._find(entry) is None
+            if gone:
+                del self.endpoints[name]
+                self.board.limited.discard(name)
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -101,6 +101,7 @@
 ) -> message_types.ResponseMetadata:
     """Parse an endpoint's headers."""
     values = {name.lower(): value for name, value in headers}
+    request_limit = _get_lowest(headers, SERVER_LIMIT)
     return message_types.ResponseMetadata(
         request_id=_get_text(values, REQUEST_ID),
         # A process that has taken over the address of another replies with
@@ -108,7 +109,8 @@
         declined=NOT_EXECUTED in values or status == MISDIRECTED,
         signed=SERVER_SEAL in values,
         confidence=_get_number(values, CONFIDENCE),
-        request_limit=_get_number(values, SERVER_LIMIT),
+        request_limit=request_limit,
+        limit_malformed=request_limit is None and SERVER_LIMIT in values,
     )
 
 
@@ -133,6 +135,16 @@
     return None
 
 
+def _get_lowest(headers: message_types.Headers, name: bytes) -> float | None:
+    """The lowest of a repeated header's numbers; None if it has none."""
+    numbers = [
+        _get_number({name: value}, name)
+        for each, value in headers
+        if each.lower() == name
+    ]
+    return min((each for each in numbers if each is not None), default=None)
+
+
 def _get_integer(
     values: typing.Mapping[bytes, bytes], name: bytes
 ) -> int | None:
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -383,12 +383,18 @@
 
 
 def test_request_limit_of_an_endpoint_is_read_from_its_response():
-    """A limit that cannot be read must not stop an endpoint's requests."""
+    """A limit that cannot be read neither sets nor lifts one."""
 
-    def read(value):
-        return headers.read_response(200, [(b"Server-Limit", value)])
+    def read(*values):
+        pairs = [(b"Server-Limit", value) for value in values]
+        return headers.read_response(200, pairs)
 
     assert read(b"1.3").request_limit == 1.3
     assert read(b"0").request_limit == 0.0
-    assert read(b"many").request_limit is None
-    assert headers.read_response(200, []).request_limit is None
+    assert read(b"1e300").request_limit == 1e300
+    assert read(b"3", b"x", b"2").request_limit == 2.0
+    for value in (b"many", b"", b"-1", b"nan"):
+        assert read(value).request_limit is None
+        assert read(value).limit_malformed
+    assert read().request_limit is None
+    assert not read().limit_malformed
--- a/tests/failures/test_forwarding_limits.py
+++ b/tests/failures/test_forwarding_limits.py
@@ -62,3 +62,43 @@
         assert most <= allowed, f"{most} requests in {WINDOW_S} s"
 
     trio.run(main)
+
+
+def test_request_is_refused_at_once_while_all_endpoints_are_limited():
+    """Waiting for an endpoint would take the caller's time for nothing."""
+
+    async def main():
+        (desk, _) = make_desks()
+        desk.notices["server-limit"] = "0.5"
+        async with forwarding.open_forwarding(desk) as made:
+            answers = []
+            while not answers or answers[-1].status == 200:
+                answers.append(await made.call("POST", "/log/"))
+            began_s = trio.current_time()
+            answer = await made.call("POST", "/log/")
+            took_s = trio.current_time() - began_s
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0.0
+        assert took_s < NOTICE_S
+        assert len(desk.runs) == len(answers) - 1
+
+    trio.run(main)
+
+
+def test_all_entry_vms_use_an_endpoint_again_once_its_limit_is_lifted():
+    """An entry VM that sends nothing gets no response without a limit."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, daemons=ENTRY_VMS
+        ) as made:
+            desks[0].notices["server-limit"] = str(PER_S)
+            await call_all(made, WINDOW_S)
+            desks[0].notices.clear()
+            await call_all(made, WINDOW_S / 2)
+            await made.wait_for(
+                lambda: not any(each.board.limited for each in made.daemons)
+            )
+
+    trio.run(main)
