Log that an endpoint has said in a response that it leaves

The registry said nothing of it while the store was down, and no log line showed whether an entry VM had read the notice. Event 1522 does. Nothing is decided by it yet.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -176,6 +176,9 @@
         "The store, restored from a backup, lists an endpoint that has left; "
         "it gets no requests unless its entry is renewed.",
     )
+    ENDPOINT_LEAVES = EventKind(
+        1522, "An endpoint has said in a response that it is about to stop."
+    )
     ENDPOINT_LIMITED = EventKind(
         1521,
         "An endpoint has named, changed or lifted a limit on the requests a "
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -38,10 +38,15 @@
 
 @attrs.define(eq=False, kw_only=True)
 class TrackedEndpoint:
-    """A registry entry with the endpoint's load and health."""
+    """A registry entry with the endpoint's load and health.
+
+    ``leaving`` is set once a response has said that the endpoint is about to
+    stop; its entry says so too, unless it cannot reach the store.
+    """
 
     entry: message_types.EndpointEntry
     view: placement.EndpointView
+    leaving: bool = False
 
 
 @attrs.define(eq=False)
@@ -225,6 +230,14 @@
     ) -> None:
         """Record what an endpoint's response says about the endpoint."""
         self.rate_limits.record_response(endpoint.entry, metadata)
+        if metadata.leaving and not endpoint.leaving:
+            endpoint.leaving = True
+            events.log_event(
+                events.Event.ENDPOINT_LEAVES,
+                endpoint=endpoint.entry.name,
+                request=metadata.request_id,
+                listed_as_leaving=endpoint.entry.leaving,
+            )
 
     def list_unavailable(self) -> frozenset[str]:
         """Return the endpoints that must not get a request now."""
--- a/src/carawayward/forwarding/message_types.py
+++ b/src/carawayward/forwarding/message_types.py
@@ -70,7 +70,8 @@
     that is not ``signed`` does not come from the endpoint. ``request_limit``
     is how many requests a second the endpoint accepts from all entry VMs
     together, None if it names no limit. ``limit_malformed`` says that the
-    response names one that cannot be read.
+    response names one that cannot be read. ``leaving`` says that the endpoint
+    is about to stop.
     """
 
     request_id: str = ""
@@ -79,6 +80,7 @@
     confidence: float | None = None
     request_limit: float | None = None
     limit_malformed: bool = False
+    leaving: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -19,6 +19,7 @@
 NOT_EXECUTED = b"carawayward-not-executed"
 CONFIDENCE = b"carawayward-confidence"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 EXPECT_INSTANCE = b"carawayward-expect-instance"
 CUSTOMER = b"carawayward-tenant"
 REQUEST_PRIORITY = b"carawayward-request-priority"
@@ -111,6 +112,8 @@
         confidence=_get_number(values, CONFIDENCE),
         request_limit=request_limit,
         limit_malformed=request_limit is None and SERVER_LIMIT in values,
+        leaving=_get_text(values, SERVER_LEAVING) == "1"
+        and status != MISDIRECTED,
     )
 
 
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -398,3 +398,18 @@
         assert read(value).limit_malformed
     assert read().request_limit is None
     assert not read().limit_malformed
+
+
+def test_endpoint_that_leaves_is_recognised_by_its_response():
+    """Another process at its address does not speak for it."""
+
+    def read(value, status=200):
+        pairs = [(b"Server-Leaving", value)]
+        return headers.read_response(status, pairs).leaving
+
+    assert read(b"1")
+    assert read(b"1", 503)
+    assert not read(b"0")
+    assert not read(b"")
+    assert not read(b"1", 421)
+    assert not headers.read_response(200, []).leaving
