Reproduce requests to an endpoint that said it leaves, known red

Three endpoints, one of which says so in its responses while the store is down: after drain_ms it goes on getting its share of 24 requests.

--- /dev/null
+++ b/tests/failures/test_forwarding_notices.py
@@ -0,0 +1,85 @@
+"""Tests of what endpoints say of themselves in their responses."""
+
+import trio
+
+from tests.common import forwarding
+from tests.standins import backend
+
+DRAIN_MS = 300
+
+
+def make_desks(count=3):
+    return [backend.Backend(f"desk-{number}") for number in range(count)]
+
+
+async def call_until(made, condition, **headers):
+    """Call until ``condition`` holds; returns the last answer."""
+    with trio.fail_after(forwarding.START_S):
+        while True:
+            answer = await made.call("GET", "/look/", **headers)
+            if condition():
+                return answer
+
+
+def test_endpoint_that_says_it_leaves_gets_no_requests_while_store_is_down():
+    """The registry lists it as ready for as long as the store is down."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, drain_ms=DRAIN_MS
+        ) as made:
+            made.store.silent = True
+            desks[0].notices["server-leaving"] = "1"
+            await call_until(made, lambda: desks[0].runs)
+            await trio.sleep(DRAIN_MS / 1000)
+            desks[0].runs.clear()
+            for _ in range(24):
+                assert (await made.call("POST", "/log/")).status == 200
+            assert not desks[0].runs
+
+    trio.run(main)
+
+
+def test_leaving_endpoint_gets_no_requests_when_it_is_listed_as_ready_again():
+    """Its entry expired in an outage of the store and was written again."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, drain_ms=DRAIN_MS
+        ) as made:
+            desks[0].notices["server-leaving"] = "1"
+            await call_until(made, lambda: desks[0].runs)
+            made.store.put("keyed.servers", "desk-0", None)
+            await made.wait_for(
+                lambda: "desk-0" not in made.daemon.board.endpoints
+            )
+            made.register(desks[0], sequence=2)
+            await made.wait_for(
+                lambda: "desk-0" in made.daemon.board.endpoints
+            )
+            desks[0].runs.clear()
+            for _ in range(24):
+                assert (await made.call("POST", "/log/")).status == 200
+            assert not desks[0].runs
+
+    trio.run(main)
+
+
+def test_endpoint_that_registers_anew_after_leaving_gets_requests_again():
+    """A new process under the same name has not said that it leaves."""
+
+    async def main():
+        desks = make_desks(2)
+        async with forwarding.open_forwarding(
+            *desks, drain_ms=DRAIN_MS
+        ) as made:
+            desks[0].notices["server-leaving"] = "1"
+            await call_until(made, lambda: desks[0].runs)
+            desks[0].notices.clear()
+            made.register(desks[0], born=1_800_000_000_000)
+            desks[0].runs.clear()
+            await call_until(made, lambda: desks[0].runs)
+
+    trio.run(main)
