--- a/tests/failures/test_forwarding_limits.py
+++ b/tests/failures/test_forwarding_limits.py
@@ -71,7 +71,7 @@
         (desk, _) = make_desks()
         desk.notices["server-limit"] = "0.5"
         async with forwarding.open_forwarding(desk) as made:
-            answers = []
+            answers: list[forwarding.Answer] = []
             while not answers or answers[-1].status == 200:
                 answers.append(await made.call("POST", "/log/"))
             began_s = trio.current_time()
