Send an endpoint nothing once its response has said that it leaves

What was seen: while the store was down, entry VMs sent requests to a desk up to 2.3 s after its answers had said that it leaves; 2.0 s are allowed. Such requests may be broken off when the process stops.

Cause: the registry was the only source for an endpoint's leaving. The store could not take the desk's entry for 12 s, and nothing read Server-Leaving. Class: a signal of an endpoint that no decision reads; here also one source of truth that fails together with what it is needed for.

Evidence: the failing tests need a silent store and nothing else.

No pool lists the endpoint, hence no first attempt, retry, resumed stream or share of a roll-out goes there.

Before: two tests fail. After: both pass.

--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -14,6 +14,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import cold_starts as cold_starts_module
 from carawayward.forwarding import message_types
+from carawayward.forwarding import notices as notices_module
 from carawayward.forwarding import rate_limits as rate_limits_module
 
 # A connection attempt that fails sooner was refused by a machine that is up.
@@ -38,15 +39,10 @@
 
 @attrs.define(eq=False, kw_only=True)
 class TrackedEndpoint:
-    """A registry entry with the endpoint's load and health.
-
-    ``leaving`` is set once a response has said that the endpoint is about to
-    stop; its entry says so too, unless it cannot reach the store.
-    """
+    """A registry entry with the endpoint's load and health."""
 
     entry: message_types.EndpointEntry
     view: placement.EndpointView
-    leaving: bool = False
 
 
 @attrs.define(eq=False)
@@ -78,6 +74,7 @@
     last_reached_ms: dict[str, float] = attrs.field(factory=dict)
     cold_starts: cold_starts_module.ColdStartLimiter = attrs.field(init=False)
     rate_limits: rate_limits_module.RequestLimiter = attrs.field(init=False)
+    notices: notices_module.EndpointNotices = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.cold_starts = cold_starts_module.ColdStartLimiter(
@@ -86,6 +83,7 @@
         self.rate_limits = rate_limits_module.RequestLimiter(
             self.board, self.clock
         )
+        self.notices = notices_module.EndpointNotices(self.board, self.clock)
 
     def find_cache_tokens(self, name: str) -> int:
         """Return an engine's cache size in tokens; 0 if it is unknown."""
@@ -169,6 +167,7 @@
             for endpoint in self.tracked.values()
             if endpoint.entry.service == endpoint_filter.service
             and not endpoint.entry.leaving
+            and not self.notices.is_leaving(endpoint.entry)
             and endpoint.entry.failure_domain not in self.board.evacuated
             and (
                 not endpoint_filter.version
@@ -230,14 +229,8 @@
     ) -> None:
         """Record what an endpoint's response says about the endpoint."""
         self.rate_limits.record_response(endpoint.entry, metadata)
-        if metadata.leaving and not endpoint.leaving:
-            endpoint.leaving = True
-            events.log_event(
-                events.Event.ENDPOINT_LEAVES,
-                endpoint=endpoint.entry.name,
-                request=metadata.request_id,
-                listed_as_leaving=endpoint.entry.leaving,
-            )
+        if self.notices.record_response(endpoint.entry, metadata):
+            self.pools.clear()
 
     def list_unavailable(self) -> frozenset[str]:
         """Return the endpoints that must not get a request now."""
@@ -307,6 +300,7 @@
             return
         self.generation = self.board.generation
         self.pools.clear()
+        self.notices.drop_obsolete()
         kept = {}
         for name, entry in self.board.endpoints.items():
             endpoint = self.tracked.get(name)
