Log for how long an endpoint that declined asks for rest

1512 said only that a request was declined with status 503. Event 1523 has the time that the endpoint asked for. Nothing is decided by it yet.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -179,6 +179,11 @@
     ENDPOINT_LEAVES = EventKind(
         1522, "An endpoint has said in a response that it is about to stop."
     )
+    ENDPOINT_RESTS = EventKind(
+        1523,
+        "An endpoint has declined a request and asked this entry VM to send "
+        "it none for some time.",
+    )
     ENDPOINT_LIMITED = EventKind(
         1521,
         "An endpoint has named, changed or lifted a limit on the requests a "
--- a/src/carawayward/forwarding/message_types.py
+++ b/src/carawayward/forwarding/message_types.py
@@ -71,7 +71,8 @@
     is how many requests a second the endpoint accepts from all entry VMs
     together, None if it names no limit. ``limit_malformed`` says that the
     response names one that cannot be read. ``leaving`` says that the endpoint
-    is about to stop.
+    is about to stop, ``rest_ms`` for how long it wants no further request from
+    this entry VM.
     """
 
     request_id: str = ""
@@ -81,6 +82,7 @@
     request_limit: float | None = None
     limit_malformed: bool = False
     leaving: bool = False
+    rest_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carawayward/forwarding/notices.py
+++ b/src/carawayward/forwarding/notices.py
@@ -45,6 +45,13 @@
         metadata: message_types.ResponseMetadata,
     ) -> bool:
         """Record an endpoint's response; return whether it begins to leave."""
+        if metadata.rest_ms > 0.0:
+            events.log_event(
+                events.Event.ENDPOINT_RESTS,
+                endpoint=entry.name,
+                request=metadata.request_id,
+                rest_ms=round(metadata.rest_ms),
+            )
         if not metadata.leaving:
             return False
         known = self.is_leaving(entry)
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -1,6 +1,9 @@
 """Parses and writes the platform's headers."""
 
 import contextlib
+import email.utils
+import math
+import time
 import typing
 
 from carawayward import errors
@@ -20,6 +23,7 @@
 CONFIDENCE = b"carawayward-confidence"
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 EXPECT_INSTANCE = b"carawayward-expect-instance"
 CUSTOMER = b"carawayward-tenant"
 REQUEST_PRIORITY = b"carawayward-request-priority"
@@ -41,6 +45,8 @@
     )
 )
 MISDIRECTED = 421
+# Statuses with which an endpoint may ask for a pause.
+OVERLOADED = frozenset((429, 503))
 
 
 def read_request(
@@ -114,6 +120,9 @@
         limit_malformed=request_limit is None and SERVER_LIMIT in values,
         leaving=_get_text(values, SERVER_LEAVING) == "1"
         and status != MISDIRECTED,
+        rest_ms=_parse_delay_ms(_get_text(values, RETRY_AFTER))
+        if status in OVERLOADED
+        else 0.0,
     )
 
 
@@ -148,6 +157,22 @@
     return min((each for each in numbers if each is not None), default=None)
 
 
+def _parse_delay_ms(text: str) -> float:
+    """The delay of a Retry-After header (RFC 9110, 10.2.3), in ms.
+
+    It is a number of seconds or a date; 0 for anything else.
+    """
+    try:
+        delay_s = float(text)
+    except ValueError:
+        try:
+            date = email.utils.parsedate_to_datetime(text)
+        except ValueError:
+            return 0.0
+        delay_s = date.timestamp() - time.time()
+    return delay_s * 1000.0 if 0.0 < delay_s < math.inf else 0.0
+
+
 def _get_integer(
     values: typing.Mapping[bytes, bytes], name: bytes
 ) -> int | None:
