Reproduce requests to an endpoint that asked for rest, known red

One of three endpoints declines a request with 503 and Retry-After: it gets more requests well within that time, though the two others take all.

--- a/tests/failures/test_forwarding_notices.py
+++ b/tests/failures/test_forwarding_notices.py
@@ -83,3 +83,51 @@
             await call_until(made, lambda: desks[0].runs)
 
     trio.run(main)
+
+
+REST_S = 3.0
+
+
+async def ask_for_rest(desk, exchange):
+    """Decline a request as an overloaded server does."""
+    headers = {"carawayward-not-executed": "1", "retry-after": str(REST_S)}
+    await exchange.answer(503, headers)
+
+
+def test_endpoint_that_asks_for_rest_gets_no_requests_from_the_entry_vm():
+    """Each request would cost it work, and the caller an attempt."""
+
+    async def main():
+        desks = make_desks()
+        desks[0].always = ask_for_rest
+        async with forwarding.open_forwarding(*desks) as made:
+            await call_until(made, lambda: desks[0].arrivals)
+            asked_s = trio.current_time()
+            while trio.current_time() < asked_s + REST_S - 0.5:
+                assert (await made.call("POST", "/log/")).status == 200
+            assert desks[0].arrivals == 1
+            desks[0].always = None
+            await call_until(made, lambda: desks[0].runs)
+            assert trio.current_time() >= asked_s + REST_S - 0.1
+
+    trio.run(main)
+
+
+def test_request_is_refused_at_once_while_all_endpoints_rest():
+    """It would be passed from one resting endpoint to the next."""
+
+    async def main():
+        desks = make_desks()
+        for desk in desks:
+            desk.always = ask_for_rest
+        async with forwarding.open_forwarding(*desks) as made:
+            await call_until(
+                made, lambda: all(desk.arrivals for desk in desks)
+            )
+            for _ in range(6):
+                answer = await made.call("POST", "/log/")
+                assert answer.status == 503
+                assert 0.5 < float(answer.headers["retry-after"]) < 6.0
+            assert [desk.arrivals for desk in desks] == [1, 1, 1]
+
+    trio.run(main)
