Send an endpoint nothing while it rests after declining a request

What callers saw: a request was passed from one endpoint that had asked for 3 s of rest to the next, used up its attempts in 25 ms and was refused, while other endpoints took requests. The endpoints, overloaded, had to decline 12 of 12 requests in a second.

Cause: Retry-After of a declined request was not read. An endpoint that declined was skipped for 50 ms, doubled each time and ended by the next success, and that only as a preference. Class: a signal of an endpoint that no decision reads.

Change: EndpointNotices keeps until when each process of an endpoint rests; a longer time extends it, a shorter one does not cut it. Resting endpoints are left out of every choice, also the last resort. A request for which no other is left is refused at once, and whatever ends a request that has not run, the caller is told to come back when the first endpoint takes one again, after limits too. That replaces the estimate which knew limits only.

--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -46,9 +46,10 @@
     ``endpoints``. ``store_failing`` is set from a failed read of the table to
     the next successful one. ``cold_reports`` has an entry for each endpoint
     that may be cold. ``limited`` holds the endpoints that limit how many
-    requests they accept. ``evacuated`` holds the failure domains whose
-    endpoints get no requests. ``refusing`` is set during a shutdown, once the
-    load balancer has had time to stop sending new connections.
+    requests they accept, ``resting_until`` the times before which endpoints
+    want no request from this entry VM. ``evacuated`` holds the failure domains
+    whose endpoints get no requests. ``refusing`` is set during a shutdown,
+    once the load balancer has had time to stop sending new connections.
     """
 
     name: str
@@ -68,6 +69,7 @@
     orders: dict[str, message_types.RolloutOrder] = attrs.field(factory=dict)
     cold_reports: dict[str, ColdReport] = attrs.field(factory=dict)
     limited: set[str] = attrs.field(factory=set)
+    resting_until: dict[str, float] = attrs.field(factory=dict)
     evacuated: set[str] = attrs.field(factory=set)
     open_requests: int = 0
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -38,8 +38,7 @@
 # Retry-After while it is unknown when an endpoint will be free: a new endpoint
 # is known from the registry within about a second.
 DEFAULT_RETRY_AFTER_MS = 1_000.0
-# Retries reach other entry VMs, whose share of an endpoint's limit may be free
-# sooner.
+# Retries reach other entry VMs, for which an endpoint may be available sooner.
 MAX_RETRY_AFTER_MS = 5_000.0
 
 
@@ -98,7 +97,11 @@
             choice = self.rollouts.choose_version(work)
             endpoint = self.placer.choose(work, choice)
             if endpoint is None:
-                await self._refuse_for_lack_of_endpoints(work, reply)
+                rest = self.fleet.compute_wait_ms(work.service) is not None
+                cause = "endpoints rest or are limited"
+                await self._send_final_failure(
+                    work, reply, cause if rest else "no endpoint"
+                )
                 return
             if self._would_miss_deadline(work):
                 await self._send_final_failure(
@@ -124,18 +127,6 @@
                 await self._send_final_failure(work, reply, outcome.cause)
                 return
 
-    async def _refuse_for_lack_of_endpoints(
-        self, work: work_items.Work, reply: replies.Reply
-    ) -> None:
-        """Refuse a request that no endpoint can take now."""
-        wait_ms = self.placer.compute_limit_wait_ms(work)
-        if wait_ms is None:
-            await self._send_final_failure(work, reply, "no endpoint")
-            return
-        await self._send_final_failure(
-            work, reply, "endpoints limited", min(wait_ms, MAX_RETRY_AFTER_MS)
-        )
-
     def _would_miss_deadline(self, work: work_items.Work) -> bool:
         """Whether the first token is predicted after the deadline.
 
@@ -341,12 +332,14 @@
         work: work_items.Work,
         reply: replies.Reply,
         cause: str,
-        retry_after_ms: float = DEFAULT_RETRY_AFTER_MS,
+        retry_after_ms: float | None = None,
     ) -> None:
         """Send the final reply to a request whose attempts have failed.
 
         If the last failed attempt has a response, that is relayed. Otherwise
         503 says that the request has not run, 502 or 504 that it may have.
+        Without ``retry_after_ms`` the caller is told when the first endpoint
+        takes a request again.
         """
         if reply.started:
             # An unfinished body shows the caller that the reply is truncated.
@@ -362,9 +355,18 @@
             await replies.send_response(reply, status, [], b"")
         else:
             status = 503
+            if retry_after_ms is None:
+                retry_after_ms = self._compute_endpoint_wait_ms(work)
             await replies.refuse(reply, status, retry_after_ms)
         self._log_end(work, status, cause)
 
+    def _compute_endpoint_wait_ms(self, work: work_items.Work) -> float:
+        """Return the Retry-After that endpoints have caused, in ms."""
+        wait_ms = self.fleet.compute_wait_ms(work.service)
+        if wait_ms is None:
+            return DEFAULT_RETRY_AFTER_MS
+        return min(wait_ms / replies.RETRY_AFTER_JITTER[0], MAX_RETRY_AFTER_MS)
+
     def record_caller_left(self, work: work_items.Work) -> None:
         """Log that the caller left before it had the whole response."""
         self._log_end(work, 0, "caller left")
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -132,14 +132,17 @@
     ) -> float:
         """Estimate the engines' mean backlog of unread prompts, in ms.
 
-        Engines that take no request because of a limit are no spare capacity.
+        Engines that rest or have reached a limit are no spare capacity.
         """
         now_ms = self.clock.now_ms()
-        limited = self.rate_limits.list_exhausted()
+        busy = (
+            self.rate_limits.list_exhausted()
+            | self.notices.list_rests().keys()
+        )
         names = [
             view.name
             for view in pool.views
-            if view.name not in limited
+            if view.name not in busy
             and health_module.accepts_request(
                 view.health, now_ms, view.in_flight
             )
@@ -234,8 +237,25 @@
 
     def list_unavailable(self) -> frozenset[str]:
         """Return the endpoints that must not get a request now."""
-        exhausted = self.cold_starts.list_exhausted()
-        return exhausted | self.rate_limits.list_exhausted()
+        return (
+            self.cold_starts.list_exhausted()
+            | self.rate_limits.list_exhausted()
+            | self.notices.list_rests().keys()
+        )
+
+    def compute_wait_ms(self, service: str) -> float | None:
+        """Return the time until an endpoint of a service takes a request.
+
+        None unless all of them rest or have reached their limits.
+        """
+        names = {v.name for v in self.find_pool(EndpointFilter(service)).views}
+        rests = self.notices.list_rests()
+        limits_ms = self.rate_limits.list_waits()
+        waits = [
+            max(rests.get(name, 0.0), limits_ms.get(name, 0.0))
+            for name in names
+        ]
+        return min(waits, default=0.0) or None
 
     def record_unreachable(
         self, endpoint: TrackedEndpoint, took_ms: float
--- a/src/carawayward/forwarding/metrics.py
+++ b/src/carawayward/forwarding/metrics.py
@@ -63,6 +63,9 @@
         "endpoints": len(board.endpoints),
         "endpoints_cold": len(board.cold_reports),
         "endpoints_limited": len(board.limited),
+        "endpoints_resting": sum(
+            boot_ms < until_ms for until_ms in board.resting_until.values()
+        ),
         "failure_domains_evacuated": len(board.evacuated),
         "ready": board.state is board_module.State.READY,
     }
--- a/src/carawayward/forwarding/notices.py
+++ b/src/carawayward/forwarding/notices.py
@@ -1,7 +1,8 @@
 """Remembers what endpoints say of themselves in their responses.
 
-The registry says it too, but not while an endpoint cannot reach the store. A
-notice binds the entry VM that has relayed it, whatever the registry lists.
+An endpoint that leaves says so, also while it cannot reach the store; one that
+declines a request may ask for a pause. A notice binds the entry VM that has
+read it, whatever the registry lists.
 """
 
 import attrs
@@ -17,15 +18,19 @@
 
 
 @attrs.define
-class Departure:
-    """An endpoint's notice that it leaves, last repeated at ``at_ms``.
+class Notice:
+    """What one process of an endpoint has said of itself.
 
-    ``address`` and ``born`` tell its process from a later one of that name.
+    ``address`` and ``born`` tell it from a later process of the same name.
+    The endpoint wants no request before ``rests_until_ms``. The notice may be
+    forgotten ``KEPT_MS`` after ``read_ms`` once the endpoint is not listed.
     """
 
     address: str
     born: int | None
-    at_ms: float
+    read_ms: float
+    leaving: bool = False
+    rests_until_ms: float = board_module.NEVER
 
 
 @attrs.define(eq=False)
@@ -37,7 +42,7 @@
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
-    departures: dict[str, Departure] = attrs.field(factory=dict)
+    notices: dict[str, Notice] = attrs.field(factory=dict)
 
     def record_response(
         self,
@@ -45,21 +50,19 @@
         metadata: message_types.ResponseMetadata,
     ) -> bool:
         """Record an endpoint's response; return whether it begins to leave."""
-        if metadata.rest_ms > 0.0:
-            events.log_event(
-                events.Event.ENDPOINT_RESTS,
-                endpoint=entry.name,
-                request=metadata.request_id,
-                rest_ms=round(metadata.rest_ms),
-            )
-        if not metadata.leaving:
+        if not metadata.leaving and metadata.rest_ms <= 0.0:
             return False
-        known = self.is_leaving(entry)
-        self.departures[entry.name] = Departure(
-            entry.address, entry.born, self.clock.boot_ms()
-        )
-        if known:
+        now_ms = self.clock.boot_ms()
+        notice = self._find(entry)
+        if notice is None:
+            notice = Notice(entry.address, entry.born, now_ms)
+            self.notices[entry.name] = notice
+        notice.read_ms = now_ms
+        if metadata.rest_ms > 0.0:
+            self._record_rest(entry, notice, metadata)
+        if not metadata.leaving or notice.leaving:
             return False
+        notice.leaving = True
         events.log_event(
             events.Event.ENDPOINT_LEAVES,
             endpoint=entry.name,
@@ -70,20 +73,70 @@
 
     def is_leaving(self, entry: message_types.EndpointEntry) -> bool:
         """Whether this process of an endpoint has said that it leaves."""
-        departure = self.departures.get(entry.name)
-        return departure is not None and (
-            departure.address,
-            departure.born,
-        ) == (entry.address, entry.born)
+        notice = self._find(entry)
+        return notice is not None and notice.leaving
+
+    def is_resting(self, entry: message_types.EndpointEntry) -> bool:
+        """Whether this process of an endpoint wants no request now."""
+        notice = self._find(entry)
+        return (
+            notice is not None and self.clock.boot_ms() < notice.rests_until_ms
+        )
+
+    def list_rests(self) -> dict[str, float]:
+        """Return the resting endpoints, and how long each still rests."""
+        if not self.board.resting_until:
+            return {}
+        now_ms = self.clock.boot_ms()
+        for name, until_ms in list(self.board.resting_until.items()):
+            entry = self.board.endpoints.get(name)
+            if now_ms >= until_ms or (
+                entry is not None and not self.is_resting(entry)
+            ):
+                del self.board.resting_until[name]
+        return {
+            name: until_ms - now_ms
+            for name, until_ms in self.board.resting_until.items()
+        }
 
     def drop_obsolete(self) -> None:
         """Forget processes that have been replaced or unlisted for long."""
         now_ms = self.clock.boot_ms()
-        for name, departure in list(self.departures.items()):
+        for name, notice in list(self.notices.items()):
             entry = self.board.endpoints.get(name)
             if entry is None:
-                obsolete = now_ms - departure.at_ms > KEPT_MS
+                last_ms = max(notice.read_ms, notice.rests_until_ms)
+                obsolete = now_ms - last_ms > KEPT_MS
             else:
-                obsolete = not self.is_leaving(entry)
+                obsolete = self._find(entry) is None
             if obsolete:
-                del self.departures[name]
+                del self.notices[name]
+
+    def _find(self, entry: message_types.EndpointEntry) -> Notice | None:
+        """Return the notice of this process of an endpoint."""
+        notice = self.notices.get(entry.name)
+        if notice is None or (notice.address, notice.born) != (
+            entry.address,
+            entry.born,
+        ):
+            return None
+        return notice
+
+    def _record_rest(
+        self,
+        entry: message_types.EndpointEntry,
+        notice: Notice,
+        metadata: message_types.ResponseMetadata,
+    ) -> None:
+        """Extend an endpoint's rest; a shorter one does not cut it."""
+        until_ms = self.clock.boot_ms() + metadata.rest_ms
+        if until_ms <= notice.rests_until_ms:
+            return
+        notice.rests_until_ms = until_ms
+        self.board.resting_until[entry.name] = until_ms
+        events.log_event(
+            events.Event.ENDPOINT_RESTS,
+            endpoint=entry.name,
+            request=metadata.request_id,
+            rest_ms=round(metadata.rest_ms),
+        )
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -158,15 +158,6 @@
         max_endpoints = self.rollouts.limit_endpoints(choice, count)
         return [attrs.evolve(new, max_endpoints=max_endpoints), old]
 
-    def compute_limit_wait_ms(self, work: work_items.Work) -> float | None:
-        """Return the time until an endpoint's limit allows the request.
-
-        None if no endpoint of the service that the request may use is limited.
-        """
-        pool = self.fleet.find_pool(fleet_module.EndpointFilter(work.service))
-        names = {view.name for view in pool.views} - work.unusable
-        return self.fleet.rate_limits.compute_wait_ms(names)
-
     def begin_reading(
         self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
     ) -> work_items.Reading:
--- a/src/carawayward/forwarding/rate_limits.py
+++ b/src/carawayward/forwarding/rate_limits.py
@@ -95,19 +95,21 @@
             name for name, wait_ms in self._list_waits() if wait_ms > 0.0
         )
 
-    def compute_wait_ms(self, names: typing.Container[str]) -> float | None:
-        """Return the time until one of ``names`` may get a request.
+    def list_waits(self) -> dict[str, float]:
+        """Return the endpoints at their limits, and the time until a request.
 
-        None if no limit applies to them. The time is spread by up to the
-        interval between two requests, so that callers who are refused at the
-        same moment do not return together.
+        The times are spread by up to the interval between two requests, so
+        that callers who are refused at the same moment do not return together.
         """
-        waits = [
-            wait_ms + self.draw() * share.interval_ms
+        return {
+            name: wait_ms + self.draw() * self._get_interval_ms(name)
             for name, wait_ms in self._list_waits()
-            if name in names and (share := self.endpoints[name].share)
-        ]
-        return min(waits, default=None)
+            if wait_ms > 0.0
+        }
+
+    def _get_interval_ms(self, name: str) -> float:
+        share = self.endpoints[name].share
+        return share.interval_ms if share is not None else 0.0
 
     def acquire(self, entry: message_types.EndpointEntry) -> None:
         """Count a request that is about to be sent to an endpoint."""
--- a/tests/cover/test_forwarding_rate_limits.py
+++ b/tests/cover/test_forwarding_rate_limits.py
@@ -67,7 +67,7 @@
     name_limit(limiter, PER_S)
     assert exhaust(limiter) == 1
     assert limiter.board.limited == {"e-1"}
-    wait_ms = limiter.compute_wait_ms({"e-1"})
+    wait_ms = limiter.list_waits()["e-1"]
     assert 0.0 < wait_ms < 10_000.0
     clock.advance(wait_ms)
     assert exhaust(limiter) >= 1
