Divert a request whose endpoint asks for rest before it is sent

Class: a signal of an endpoint, bypassed by requests that were placed before it. A connection may take half a second; a request that waited for it went to an endpoint that had meanwhile asked for rest. Whether it still may is now asked right before the first byte, where permits of cold endpoints are recorded; the request tries another endpoint, for which it needs no retry budget. Test: fails before, passes after.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -46,6 +46,7 @@
 NOT_RUN_OUTCOMES = (
     work_items.Unreached,
     work_items.Withheld,
+    work_items.Diverted,
     work_items.Declined,
 )
 
@@ -157,7 +158,7 @@
         """Send the request to one endpoint and relay its response."""
         permit = self.fleet.cold_starts.acquire(endpoint.entry)
         self.fleet.rate_limits.acquire(endpoint.entry)
-        mark = self._make_sent_mark(work, permit)
+        mark = self._make_sent_mark(work, endpoint, permit)
         work.mark = mark
         work.endpoint = endpoint.entry.name
         began_ms = self.clock.now_ms()
@@ -170,7 +171,10 @@
         try:
             outcome = await self._send_attempt(work, endpoint, mark, reply)
         except attempt_module.AttemptWithheld:
-            outcome = work_items.Withheld("keys may be old")
+            if self.may_send(work):
+                outcome = work_items.Diverted("endpoint rests")
+            else:
+                outcome = work_items.Withheld("keys may be old")
         except attempt_module.AttemptFailed as fault:
             if fault.sent:
                 outcome = work_items.Failed(fault.detail)
@@ -189,16 +193,22 @@
         return outcome
 
     def _make_sent_mark(
-        self, work: work_items.Work, permit: cold_starts.Permit | None
+        self,
+        work: work_items.Work,
+        endpoint: fleet_module.TrackedEndpoint,
+        permit: cold_starts.Permit | None,
     ) -> http.SentMark:
         """Make a mark that is asked right before the first byte is sent.
 
-        It checks ``may_send`` and records the permit as used.
+        It checks ``may_send`` and whether the endpoint has asked for rest
+        while the connection was established, and records the permit as used.
         """
 
         def may_send() -> bool:
             if not self.may_send(work):
                 return False
+            if self.fleet.notices.is_resting(endpoint.entry):
+                return False
             self.fleet.cold_starts.record_sent(permit)
             return True
 
@@ -267,6 +277,7 @@
         endpoint: fleet_module.TrackedEndpoint,
         outcome: work_items.Unreached
         | work_items.Withheld
+        | work_items.Diverted
         | work_items.Declined
         | work_items.Unsure
         | work_items.Failed,
@@ -284,6 +295,8 @@
                 self.fleet.record_unreachable(endpoint, took_ms)
                 work.unreached_ms += took_ms
                 self.fleet.record_failure(endpoint, outcome.cause)
+            case work_items.Diverted():
+                work.unusable |= {name}
             case work_items.Declined():
                 work.unusable |= {name}
                 self.fleet.record_declined(endpoint)
@@ -309,6 +322,8 @@
         self, work: work_items.Work, outcome: work_items.Outcome
     ) -> bool:
         """Whether to try another endpoint; a further run uses retry budget."""
+        if isinstance(outcome, work_items.Diverted):
+            return True
         if isinstance(outcome, work_items.Unreached):
             return work.unreached_ms <= MAX_UNREACHED_MS
         if work.runs >= work.route.max_attempts:
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -35,6 +35,13 @@
     cause: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Diverted:
+    """The endpoint wants no request any more; another one may get it."""
+
+    cause: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Declined:
     """The endpoint reported that it did not and will not run the request."""
@@ -65,7 +72,9 @@
     body: bytes = b""
 
 
-Outcome = Delivered | Unreached | Withheld | Declined | Unsure | Failed
+Outcome = (
+    Delivered | Unreached | Withheld | Diverted | Declined | Unsure | Failed
+)
 
 
 @attrs.define(eq=False)
--- a/tests/failures/test_forwarding_notices.py
+++ b/tests/failures/test_forwarding_notices.py
@@ -1,5 +1,7 @@
 """Tests of what endpoints say of themselves in their responses."""
 
+from unittest import mock
+
 import trio
 
 from tests.common import forwarding
@@ -131,3 +133,30 @@
             assert [desk.arrivals for desk in desks] == [1, 1, 1]
 
     trio.run(main)
+
+
+def test_request_goes_elsewhere_if_its_endpoint_rests_before_it_is_sent():
+    """The endpoint asks for rest while a connection to it is made."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(*desks) as made:
+            notices = made.daemon.app.forwarder.fleet.notices
+
+            def is_resting(entry):
+                return entry.name == "desk-0"
+
+            with mock.patch.object(
+                type(notices), "is_resting", staticmethod(is_resting)
+            ):
+                for _ in range(12):
+                    assert (await made.call("POST", "/log/")).status == 200
+            assert not desks[0].arrivals
+            outcomes = {
+                dict(labels).get("outcome")
+                for name, labels in made.daemon.app.metrics.counters
+                if name == "attempts"
+            }
+            assert outcomes == {"diverted"}
+
+    trio.run(main)
