Keep endpoints' notices to the router from callers

Server-Limit and Server-Leaving speak to the router; callers got them with the relayed response, and an intermediary of theirs could have taken them for the router's own. The dialect names such headers. The test fails before (both reach the caller of a plain and of a streaming route).

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -110,7 +110,7 @@
         clock,
         ports.dialect,
         placer,
-        relaying.Relay(placer),
+        relaying.Relay(placer, ports.dialect.internal_headers),
         may_send,
         readiness.compute_retry_after_ms,
         placer.metrics,
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -363,7 +363,9 @@
         failure = work.failure
         if failure is not None and failure.head is not None:
             status = failure.head.status
-            headers = hops.select_response_headers(failure.head.headers)
+            headers = hops.select_response_headers(
+                failure.head.headers, self.dialect.internal_headers
+            )
             await replies.send_response(reply, status, headers, failure.body)
         elif work.may_have_run:
             status = 504 if cause == "deadline" else 502
--- a/src/carawayward/forwarding/hops.py
+++ b/src/carawayward/forwarding/hops.py
@@ -29,14 +29,16 @@
 
 
 def select_response_headers(
-    headers: message_types.Headers,
+    headers: message_types.Headers, internal: frozenset[bytes]
 ) -> message_types.Headers:
     """Select the headers of an endpoint's response that the caller gets.
 
-    Content-Length is left out: the reply is framed anew.
+    Content-Length is left out, since the reply is framed anew, and so are the
+    ``internal`` headers.
     """
     return [
         pair
         for pair in drop_hop_by_hop_headers(headers)
         if pair[0].lower() != b"content-length"
+        and pair[0].lower() not in internal
     ]
--- a/src/carawayward/forwarding/message_types.py
+++ b/src/carawayward/forwarding/message_types.py
@@ -90,7 +90,8 @@
     """Reads and writes the headers of one deployment.
 
     ``read_request`` raises BadRequest for invalid headers. ``find_id`` returns
-    the request's id for log lines, empty if it has none.
+    the request's id for log lines, empty if it has none. Callers do not get
+    the ``internal_headers`` of a response, which are addressed to the router.
     """
 
     find_id: typing.Callable[[Headers], str]
@@ -98,6 +99,7 @@
     read_request: typing.Callable[[Headers], RequestMetadata]
     write_request: typing.Callable[[Headers, DispatchMetadata], Headers]
     read_response: typing.Callable[[int, Headers], ResponseMetadata]
+    internal_headers: frozenset[bytes] = frozenset()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -25,9 +25,13 @@
 
 @attrs.define(eq=False)
 class Relay:
-    """Relays those responses that the caller may have."""
+    """Relays those responses that the caller may have.
+
+    Without ``internal_headers``, which are addressed to the router.
+    """
 
     placer: placing.Placer
+    internal_headers: frozenset[bytes]
 
     async def relay_response(
         self,
@@ -62,7 +66,7 @@
         await replies.send_response(
             reply,
             head.status,
-            hops.select_response_headers(head.headers),
+            hops.select_response_headers(head.headers, self.internal_headers),
             body,
         )
         return work_items.Delivered(head.status)
@@ -130,7 +134,9 @@
         if not reply.started:
             await reply.start(
                 answer.head.status,
-                hops.select_response_headers(answer.head.headers),
+                hops.select_response_headers(
+                    answer.head.headers, self.internal_headers
+                ),
             )
         await reply.send(event.raw)
         return None
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -131,6 +131,7 @@
     read_request=read_request,
     write_request=write_request,
     read_response=read_response,
+    internal_headers=frozenset((SERVER_LIMIT, SERVER_LEAVING)),
 )
 
 
--- a/tests/failures/test_forwarding_notices.py
+++ b/tests/failures/test_forwarding_notices.py
@@ -160,3 +160,23 @@
             assert outcomes == {"diverted"}
 
     trio.run(main)
+
+
+def test_caller_does_not_get_an_endpoints_notices_to_the_router():
+    """A proxy behind the caller would take them for the router's own."""
+
+    async def main():
+        (desk,) = make_desks(1)
+        engine = backend.Backend("engine-0", service="engines", engine=True)
+        async with forwarding.open_forwarding(desk, engine) as made:
+            for each in (desk, engine):
+                each.notices = {"server-limit": "9", "server-leaving": "1"}
+            desk.behaviours = [backend.fail]
+            answers = [await made.call("POST", "/log/")]
+            answers.append(await made.request_stream())
+        assert [answer.status for answer in answers] == [500, 200]
+        for answer in answers:
+            assert "carawayward-server-seal" in answer.headers
+            assert not {"server-limit", "server-leaving"} & set(answer.headers)
+
+    trio.run(main)
