--- a/src/carawayward/forwarding/rate_limits.py
+++ b/src/carawayward/forwarding/rate_limits.py
@@ -18,6 +18,9 @@
 MAX_LIMITS_PER_REPORT = 16
 # How often a change of the known entry VMs is applied to the shares.
 MEMBERS_CHECK_MS = 1_000.0
+# Number of shares that one request recomputes after such a change: each ranks
+# all entry VMs.
+MAX_SHARES_AT_ONCE = 4
 # An endpoint's limit outlives its registry entry for this long: entries of
 # live endpoints expire during an outage of the store and are written again.
 KEPT_MS = 60_000.0
@@ -54,7 +57,8 @@
 
     Other entry VMs get to know of limits by load reports, so that those which
     send an endpoint nothing learn that its limit has been lifted. Times are in
-    ms on the boot clock, which goes on while the VM is suspended.
+    ms on the boot clock, which goes on while the VM is suspended. The shares
+    of the ``outdated`` endpoints rest on former ``members``.
     """
 
     board: board_module.ForwardingBoard
@@ -64,6 +68,7 @@
     endpoints: dict[str, LimitedEndpoint] = attrs.field(factory=dict)
     members: frozenset[str] | None = None
     checked_ms: float = board_module.NEVER
+    outdated: list[str] = attrs.field(factory=list)
 
     def record_response(
         self,
@@ -234,8 +239,11 @@
             previous = self.members
             self._update_members()
             if self.members != previous:
-                for name, limited in self.endpoints.items():
-                    self._share_limit(name, limited)
+                self.outdated = list(self.endpoints)
+        for name in self.outdated[:MAX_SHARES_AT_ONCE]:
+            if name in self.endpoints:
+                self._share_limit(name, self.endpoints[name])
+        del self.outdated[:MAX_SHARES_AT_ONCE]
         for name, limited in self.endpoints.items():
             if limited.per_s is None:
                 continue
--- a/tests/cover/test_forwarding_rate_limits.py
+++ b/tests/cover/test_forwarding_rate_limits.py
@@ -1,6 +1,7 @@
 """Tests of endpoints' request limits as one entry VM sees them, no I/O."""
 
 import typing
+from unittest import mock
 
 from nose2.tools import params
 
@@ -176,3 +177,22 @@
     name_limit(limiter, 10.0)
     clock.advance(2_000.0)
     assert exhaust(limiter) >= 1
+
+
+def test_change_of_entry_vms_delays_no_request_by_all_limited_endpoints():
+    """Each share ranks all entry VMs, which takes time when there are many."""
+    members = list(MEMBERS)
+    entries = [make_entry(f"e-{number}") for number in range(100)]
+    limiter, clock = make_limiter(MEMBERS[0], members, *entries)
+    for entry in entries:
+        name_limit(limiter, PER_S, entry)
+    members.append("vm-new")
+    clock.advance(1_000.0)
+    with mock.patch.object(
+        decisions, "compute_share", wraps=decisions.compute_share
+    ) as compute_share:
+        limiter.list_exhausted()
+        assert compute_share.call_count <= rate_limits.MAX_SHARES_AT_ONCE
+        for _ in entries:
+            limiter.list_exhausted()
+        assert compute_share.call_count == len(entries)
