Update all shares when a new limit shows a change of the entry VMs

A new limit read who the entry VMs are, and so kept the next check from seeing that they had changed: shares of limits that were known before rested on former members until the next change. Found on reading the change again; the test fails before.

--- a/src/carawayward/forwarding/rate_limits.py
+++ b/src/carawayward/forwarding/rate_limits.py
@@ -194,6 +194,7 @@
         limited.own = not peer
         if per_s == previous:
             return
+        self._update_members()
         self._share_limit(entry.name, limited)
         events.log_event(
             events.Event.ENDPOINT_LIMITED,
@@ -212,7 +213,6 @@
         if limited.per_s is None:
             return
         self.board.limited.add(name)
-        self._update_members()
         if self.members is None:
             return
         now_ms = self.clock.boot_ms()
@@ -227,19 +227,20 @@
             rate_limits.adapt(limited.bucket, share, now_ms)
 
     def _update_members(self) -> None:
-        members = self.list_members()
-        self.members = None if members is None else frozenset(members)
+        """Read who the entry VMs are; if that changed, shares are outdated."""
+        listed = self.list_members()
+        members = None if listed is None else frozenset(listed)
         self.checked_ms = self.clock.boot_ms()
+        if members != self.members:
+            self.members = members
+            self.outdated = list(self.endpoints)
 
     def _list_waits(self) -> typing.Iterator[tuple[str, float]]:
         """List the limited endpoints and the time until the next request."""
         now_ms = self.clock.boot_ms()
         if now_ms - self.checked_ms >= MEMBERS_CHECK_MS:
             self._drop_unlisted(now_ms)
-            previous = self.members
             self._update_members()
-            if self.members != previous:
-                self.outdated = list(self.endpoints)
         for name in self.outdated[:MAX_SHARES_AT_ONCE]:
             if name in self.endpoints:
                 self._share_limit(name, self.endpoints[name])
--- a/tests/cover/test_forwarding_rate_limits.py
+++ b/tests/cover/test_forwarding_rate_limits.py
@@ -196,3 +196,17 @@
         for _ in entries:
             limiter.list_exhausted()
         assert compute_share.call_count == len(entries)
+
+
+def test_limit_named_right_after_a_change_of_entry_vms_updates_all_shares():
+    """The change, once noticed for the new limit, was not noticed again."""
+    members = [MEMBERS[0]]
+    entries = [make_entry("e-1"), make_entry("e-2")]
+    limiter, clock = make_limiter(MEMBERS[0], members, *entries)
+    name_limit(limiter, PER_S, entries[0])
+    alone = limiter.endpoints["e-1"].share
+    members += MEMBERS[1:]
+    name_limit(limiter, PER_S, entries[1])
+    clock.advance(2_000.0)
+    limiter.list_exhausted()
+    assert limiter.endpoints["e-1"].share.interval_ms > alone.interval_ms
