Read no limit from the response of another process at the same address

A process that has taken over an endpoint's address answers 421; a limit in that response would have been kept for the endpoint that the request was meant for. The check fails before.

--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -108,18 +108,22 @@
 ) -> message_types.ResponseMetadata:
     """Parse an endpoint's headers."""
     values = {name.lower(): value for name, value in headers}
+    request_id = _get_text(values, REQUEST_ID)
+    if status == MISDIRECTED:
+        # A process that has taken over the address of another does not run
+        # the request, and nothing that it says is about the other.
+        return message_types.ResponseMetadata(
+            request_id=request_id, declined=True
+        )
     request_limit = _get_lowest(headers, SERVER_LIMIT)
     return message_types.ResponseMetadata(
-        request_id=_get_text(values, REQUEST_ID),
-        # A process that has taken over the address of another replies with
-        # this status and does not run the request.
-        declined=NOT_EXECUTED in values or status == MISDIRECTED,
+        request_id=request_id,
+        declined=NOT_EXECUTED in values,
         signed=SERVER_SEAL in values,
         confidence=_get_number(values, CONFIDENCE),
         request_limit=request_limit,
         limit_malformed=request_limit is None and SERVER_LIMIT in values,
-        leaving=_get_text(values, SERVER_LEAVING) == "1"
-        and status != MISDIRECTED,
+        leaving=_get_text(values, SERVER_LEAVING) == "1",
         rest_ms=_parse_delay_ms(_get_text(values, RETRY_AFTER))
         if status in OVERLOADED
         else 0.0,
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -400,6 +400,9 @@
         assert read(value).limit_malformed
     assert read().request_limit is None
     assert not read().limit_malformed
+    other = headers.read_response(421, [(b"Server-Limit", b"1")])
+    assert other.request_limit is None
+    assert not other.signed
 
 
 def test_endpoint_that_leaves_is_recognised_by_its_response():
