Look up the endpoints of reported limits by the known hashes

Each load report with limits hashed the names of all endpoints again, 790 of them in the largest deployment; the load reporter has the map already.

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -49,6 +49,7 @@
     )
     fleet.cold_starts.list_members = reporter.list_domain_members
     fleet.rate_limits.list_members = reporter.list_joined_members
+    fleet.rate_limits.get_names = reporter.get_engine_names
     reporter.add_topic(
         "limits",
         load_reports.Topic(
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -392,7 +392,7 @@
         now_ms = self.clock.now_ms()
         peer.record_report(message.sequence, now_ms)
         peer.stale = message.stale
-        names = self._get_engine_names()
+        names = self.get_engine_names()
         reported = {
             names[number]: load
             for number, load in message.loads.items()
@@ -411,7 +411,7 @@
                     self.loads, engine, cached, cache_tokens
                 )
 
-    def _get_engine_names(self) -> dict[int, str]:
+    def get_engine_names(self) -> dict[int, str]:
         """The names of the listed endpoints, by their hashes."""
         if self.generation != self.board.generation:
             self.generation = self.board.generation
--- a/src/carawayward/forwarding/rate_limits.py
+++ b/src/carawayward/forwarding/rate_limits.py
@@ -58,12 +58,14 @@
     Other entry VMs get to know of limits by load reports, so that those which
     send an endpoint nothing learn that its limit has been lifted. Times are in
     ms on the boot clock, which goes on while the VM is suspended. The shares
-    of the ``outdated`` endpoints rest on former ``members``.
+    of the ``outdated`` endpoints rest on former ``members``. ``get_names``
+    returns the endpoints' names by their hashes.
     """
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
     list_members: ListMembers = list_unknown_members
+    get_names: typing.Callable[[], typing.Mapping[int, str]] = dict
     draw: typing.Callable[[], float] = random.random
     endpoints: dict[str, LimitedEndpoint] = attrs.field(factory=dict)
     members: frozenset[str] | None = None
@@ -153,11 +155,11 @@
             )
             for number, per_s, age_ms in value
         }
-        for name, entry in self.board.endpoints.items():
-            report = reported.get(load_report_messages.hash_name(name))
-            if report is None:
+        names = self.get_names()
+        for number, (per_s, observed_ms) in reported.items():
+            entry = self.board.endpoints.get(names.get(number, ""))
+            if entry is None:
                 continue
-            per_s, observed_ms = report
             known = self._find(entry)
             if known is None and per_s is None:
                 continue
--- a/tests/cover/test_forwarding_rate_limits.py
+++ b/tests/cover/test_forwarding_rate_limits.py
@@ -8,6 +8,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import rate_limits as decisions
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
 from carawayward.forwarding import rate_limits
 
@@ -30,8 +31,11 @@
     board = board_module.ForwardingBoard(name=own, failure_domain="north")
     for entry in entries or (make_entry(),):
         board.endpoints[entry.name] = entry
+    names = {
+        load_report_messages.hash_name(name): name for name in board.endpoints
+    }
     limiter = rate_limits.RequestLimiter(
-        board, clock, lambda: members, draw=lambda: 0.5
+        board, clock, lambda: members, lambda: names, draw=lambda: 0.5
     )
     return limiter, clock
 
