Log changes of one endpoint's request limit once a second at most

An endpoint may name another limit in each response; each entry VM logged a line for each of them and for each peer's report. The new test fails before.

--- a/src/carawayward/forwarding/rate_limits.py
+++ b/src/carawayward/forwarding/rate_limits.py
@@ -21,6 +21,9 @@
 # Number of shares that one request recomputes after such a change: each ranks
 # all entry VMs.
 MAX_SHARES_AT_ONCE = 4
+# An endpoint may name another limit in each response; such changes of one
+# limit are logged no more often than this.
+MIN_LOG_INTERVAL_MS = 1_000.0
 # An endpoint's limit outlives its registry entry for this long: entries of
 # live endpoints expire during an outage of the store and are written again.
 KEPT_MS = 60_000.0
@@ -49,6 +52,7 @@
     own: bool = False
     share: rate_limits.Share | None = None
     bucket: rate_limits.Bucket | None = None
+    logged_ms: float = board_module.NEVER
 
 
 @attrs.define(eq=False)
@@ -198,6 +202,11 @@
             return
         self._update_members()
         self._share_limit(entry.name, limited)
+        now_ms = self.clock.boot_ms()
+        varies = None not in (per_s, previous)
+        if varies and now_ms - limited.logged_ms < MIN_LOG_INTERVAL_MS:
+            return
+        limited.logged_ms = now_ms
         events.log_event(
             events.Event.ENDPOINT_LIMITED,
             endpoint=entry.name,
--- a/tests/cover/test_forwarding_rate_limits.py
+++ b/tests/cover/test_forwarding_rate_limits.py
@@ -7,6 +7,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import rate_limits as decisions
+from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
@@ -214,3 +215,16 @@
     clock.advance(2_000.0)
     limiter.list_exhausted()
     assert limiter.endpoints["e-1"].share.interval_ms > alone.interval_ms
+
+
+def test_limit_that_varies_from_response_to_response_is_logged_rarely():
+    """A line for each response would fill the log of a busy entry VM."""
+    limiter, clock = make_limiter(MEMBERS[0])
+    with mock.patch.object(events, "log_event") as log_event:
+        for number in range(200):
+            name_limit(limiter, PER_S + number % 7 / 10.0)
+            clock.advance(50.0)
+        name_limit(limiter, None)
+    assert limiter.endpoints["e-1"].per_s is None
+    assert 2 <= log_event.call_count <= 14
+    assert log_event.call_args.kwargs["per_s"] is None
