--- a/src/carawayward/decisions/rate_limits.py
+++ b/src/carawayward/decisions/rate_limits.py
@@ -1,6 +1,6 @@
-"""How many requests an endpoint gets that limits the rate of all entry VMs.
+"""Each entry VM's share of a limit on an endpoint's requests a second.
 
-Under load an endpoint may accept only a few requests a second. If each entry
+An overloaded endpoint may accept only a few requests a second. If each entry
 VM kept to such a limit by itself, the endpoint would get a multiple of it.
 
 The limit holds for all entry VMs together without any messages between them. A
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -17,6 +17,7 @@
 from carawayward.forwarding import message_types
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import placing
+from carawayward.forwarding import refusals
 from carawayward.forwarding import relaying
 from carawayward.forwarding import replies
 from carawayward.forwarding import rollout_state
@@ -35,11 +36,6 @@
 # endpoint costs a whole connect timeout, one that refuses the connection a few
 # ms. After this time the caller is told to retry.
 MAX_UNREACHED_MS = 1_500.0
-# Retry-After while it is unknown when an endpoint will be free: a new endpoint
-# is known from the registry within about a second.
-DEFAULT_RETRY_AFTER_MS = 1_000.0
-# Retries reach other entry VMs, for which an endpoint may be available sooner.
-MAX_RETRY_AFTER_MS = 5_000.0
 
 
 # Outcomes after which the request is certain not to have run.
@@ -98,11 +94,8 @@
             choice = self.rollouts.choose_version(work)
             endpoint = self.placer.choose(work, choice)
             if endpoint is None:
-                rest = self.fleet.compute_wait_ms(work.service) is not None
-                cause = "endpoints rest or are limited"
-                await self._send_final_failure(
-                    work, reply, cause if rest else "no endpoint"
-                )
+                cause = refusals.explain_shortage(self.fleet, work.service)
+                await self._send_final_failure(work, reply, cause)
                 return
             if self._would_miss_deadline(work):
                 await self._send_final_failure(
@@ -146,7 +139,7 @@
     def _estimate_retry_after_ms(self, work: work_items.Work) -> float:
         """Estimate the time until the backlog is within the target."""
         behind_ms = self.placer.predict_ttft(work) - work.route.target_ms
-        return max(DEFAULT_RETRY_AFTER_MS, behind_ms)
+        return max(refusals.DEFAULT_RETRY_AFTER_MS, behind_ms)
 
     async def _try_endpoint(
         self,
@@ -373,17 +366,12 @@
         else:
             status = 503
             if retry_after_ms is None:
-                retry_after_ms = self._compute_endpoint_wait_ms(work)
+                retry_after_ms = refusals.compute_retry_after_ms(
+                    self.fleet, work.service
+                )
             await replies.refuse(reply, status, retry_after_ms)
         self._log_end(work, status, cause)
 
-    def _compute_endpoint_wait_ms(self, work: work_items.Work) -> float:
-        """Return the Retry-After that endpoints have caused, in ms."""
-        wait_ms = self.fleet.compute_wait_ms(work.service)
-        if wait_ms is None:
-            return DEFAULT_RETRY_AFTER_MS
-        return min(wait_ms / replies.RETRY_AFTER_JITTER[0], MAX_RETRY_AFTER_MS)
-
     def record_caller_left(self, work: work_items.Work) -> None:
         """Log that the caller left before it had the whole response."""
         self._log_end(work, 0, "caller left")
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -135,14 +135,11 @@
         Engines that rest or have reached a limit are no spare capacity.
         """
         now_ms = self.clock.now_ms()
-        busy = (
-            self.rate_limits.list_exhausted()
-            | self.notices.list_rests().keys()
-        )
+        excluded = self._list_paused()
         names = [
             view.name
             for view in pool.views
-            if view.name not in busy
+            if view.name not in excluded
             and health_module.accepts_request(
                 view.health, now_ms, view.in_flight
             )
@@ -237,25 +234,25 @@
 
     def list_unavailable(self) -> frozenset[str]:
         """Return the endpoints that must not get a request now."""
-        return (
-            self.cold_starts.list_exhausted()
-            | self.rate_limits.list_exhausted()
-            | self.notices.list_rests().keys()
-        )
+        return self.cold_starts.list_exhausted() | self._list_paused()
+
+    def _list_paused(self) -> frozenset[str]:
+        """Return the endpoints that rest or have reached their limits."""
+        rests = self.notices.list_rests()
+        return self.rate_limits.list_exhausted() | rests.keys()
 
     def compute_wait_ms(self, service: str) -> float | None:
         """Return the time until an endpoint of a service takes a request.
 
         None unless all of them rest or have reached their limits.
         """
-        names = {v.name for v in self.find_pool(EndpointFilter(service)).views}
-        rests = self.notices.list_rests()
+        rests_ms = self.notices.list_rests()
         limits_ms = self.rate_limits.list_waits()
-        waits = [
-            max(rests.get(name, 0.0), limits_ms.get(name, 0.0))
-            for name in names
+        waits_ms = [
+            max(rests_ms.get(view.name, 0.0), limits_ms.get(view.name, 0.0))
+            for view in self.find_pool(EndpointFilter(service)).views
         ]
-        return min(waits, default=0.0) or None
+        return min(waits_ms, default=0.0) or None
 
     def record_unreachable(
         self, endpoint: TrackedEndpoint, took_ms: float
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -27,7 +27,7 @@
 class Relay:
     """Relays those responses that the caller may have.
 
-    Without ``internal_headers``, which are addressed to the router.
+    The caller does not get the ``internal_headers``.
     """
 
     placer: placing.Placer
