Ignore what a former process of an endpoint says of itself

A late response of an endpoint's former process replaced the notice of the next one: an endpoint that had said it leaves was used again. Found by a test that plays random notices, expiries and restarts; it and the test of a late response fail before.

--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -227,7 +227,15 @@
         endpoint: TrackedEndpoint,
         metadata: message_types.ResponseMetadata,
     ) -> None:
-        """Record what an endpoint's response says about the endpoint."""
+        """Record what an endpoint's response says about the endpoint.
+
+        A late response of an earlier process says nothing about the next one.
+        """
+        listed = self.board.endpoints.get(endpoint.entry.name)
+        if listed is not None and _identify(listed) != _identify(
+            endpoint.entry
+        ):
+            return
         self.rate_limits.record_response(endpoint.entry, metadata)
         if self.notices.record_response(endpoint.entry, metadata):
             self.pools.clear()
