Keep notices and limits by the endpoint's process

Kept by name, they could still be replaced by a late response of a former process while the endpoint was not listed: start, leave, expire, late response, listed again. What tells processes apart stood in three places; it is a property of the registry's entry now.

--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -68,11 +68,18 @@
     generation: int = 0
     orders: dict[str, message_types.RolloutOrder] = attrs.field(factory=dict)
     cold_reports: dict[str, ColdReport] = attrs.field(factory=dict)
-    limited: set[str] = attrs.field(factory=set)
-    resting_until: dict[str, float] = attrs.field(factory=dict)
+    limited: set[message_types.Process] = attrs.field(factory=set)
+    resting_until: dict[message_types.Process, float] = attrs.field(
+        factory=dict
+    )
     evacuated: set[str] = attrs.field(factory=set)
     open_requests: int = 0
 
+    def is_listed(self, process: message_types.Process) -> bool:
+        """Whether this process of an endpoint is the one that is listed."""
+        entry = self.endpoints.get(process[0])
+        return entry is not None and entry.process == process
+
     def is_key_lease_valid(self, boot_ms: float) -> bool:
         """Whether the keys of the current table may still be accepted.
 
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -20,8 +20,6 @@
 # A connection attempt that fails sooner was refused by a machine that is up.
 MIN_SILENT_CONNECT_MS = 400.0
 
-EndpointIdentity = tuple[str, int | None]
-
 
 @attrs.frozen
 class EndpointFilter:
@@ -227,15 +225,7 @@
         endpoint: TrackedEndpoint,
         metadata: message_types.ResponseMetadata,
     ) -> None:
-        """Record what an endpoint's response says about the endpoint.
-
-        A late response of an earlier process says nothing about the next one.
-        """
-        listed = self.board.endpoints.get(endpoint.entry.name)
-        if listed is not None and _identify(listed) != _identify(
-            endpoint.entry
-        ):
-            return
+        """Record what an endpoint's response says about the endpoint."""
         self.rate_limits.record_response(endpoint.entry, metadata)
         if self.notices.record_response(endpoint.entry, metadata):
             self.pools.clear()
@@ -329,9 +319,7 @@
         kept = {}
         for name, entry in self.board.endpoints.items():
             endpoint = self.tracked.get(name)
-            if endpoint is None or _identify(endpoint.entry) != _identify(
-                entry
-            ):
+            if endpoint is None or endpoint.entry.process != entry.process:
                 endpoint = TrackedEndpoint(entry=entry, view=_make_view(entry))
                 self.loads.cached.pop(name, None)
                 quarantine_module.record_accepted(self.quarantine, name)
@@ -343,10 +331,6 @@
             quarantine_module.record_accepted(self.quarantine, name)
 
 
-def _identify(entry: message_types.EndpointEntry) -> EndpointIdentity:
-    return entry.address, entry.born
-
-
 def _make_view(entry: message_types.EndpointEntry) -> placement.EndpointView:
     """Make a view whose concurrency limit is the endpoint's slot count."""
     return placement.EndpointView(
--- a/src/carawayward/forwarding/message_types.py
+++ b/src/carawayward/forwarding/message_types.py
@@ -102,6 +102,10 @@
     internal_headers: frozenset[bytes] = frozenset()
 
 
+# An endpoint's name, address and ``born``.
+Process = tuple[str, str, int | None]
+
+
 @attrs.frozen(kw_only=True)
 class EndpointEntry:
     """An endpoint's entry in the registry.
@@ -121,6 +125,11 @@
     born: int | None = None
     cold_ms: float | None = attrs.field(default=None, eq=False)
 
+    @property
+    def process(self) -> "Process":
+        """What tells its process from others under the same name."""
+        return self.name, self.address, self.born
+
 
 @attrs.frozen
 class Evacuation:
--- a/src/carawayward/forwarding/notices.py
+++ b/src/carawayward/forwarding/notices.py
@@ -21,13 +21,10 @@
 class Notice:
     """What one process of an endpoint has said of itself.
 
-    ``address`` and ``born`` tell it from a later process of the same name.
     The endpoint wants no request before ``rests_until_ms``. The notice may be
     forgotten ``KEPT_MS`` after ``read_ms`` once the endpoint is not listed.
     """
 
-    address: str
-    born: int | None
     read_ms: float
     leaving: bool = False
     rests_until_ms: float = board_module.NEVER
@@ -35,14 +32,14 @@
 
 @attrs.define(eq=False)
 class EndpointNotices:
-    """The notices that this entry VM has read.
+    """The notices that this entry VM has read, by the endpoint's process.
 
     Times are in ms on the boot clock, which goes on while the VM is suspended.
     """
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
-    notices: dict[str, Notice] = attrs.field(factory=dict)
+    notices: dict[message_types.Process, Notice] = attrs.field(factory=dict)
 
     def record_response(
         self,
@@ -53,10 +50,7 @@
         if not metadata.leaving and metadata.rest_ms <= 0.0:
             return False
         now_ms = self.clock.boot_ms()
-        notice = self._find(entry)
-        if notice is None:
-            notice = Notice(entry.address, entry.born, now_ms)
-            self.notices[entry.name] = notice
+        notice = self.notices.setdefault(entry.process, Notice(now_ms))
         notice.read_ms = now_ms
         if metadata.rest_ms > 0.0:
             self._record_rest(entry, notice, metadata)
@@ -73,12 +67,12 @@
 
     def is_leaving(self, entry: message_types.EndpointEntry) -> bool:
         """Whether this process of an endpoint has said that it leaves."""
-        notice = self._find(entry)
+        notice = self.notices.get(entry.process)
         return notice is not None and notice.leaving
 
     def is_resting(self, entry: message_types.EndpointEntry) -> bool:
         """Whether this process of an endpoint wants no request now."""
-        notice = self._find(entry)
+        notice = self.notices.get(entry.process)
         return (
             notice is not None and self.clock.boot_ms() < notice.rests_until_ms
         )
@@ -88,39 +82,26 @@
         if not self.board.resting_until:
             return {}
         now_ms = self.clock.boot_ms()
-        for name, until_ms in list(self.board.resting_until.items()):
-            entry = self.board.endpoints.get(name)
-            if now_ms >= until_ms or (
-                entry is not None and not self.is_resting(entry)
-            ):
-                del self.board.resting_until[name]
-        return {
-            name: until_ms - now_ms
-            for name, until_ms in self.board.resting_until.items()
-        }
+        rests_ms = {}
+        for process, until_ms in list(self.board.resting_until.items()):
+            if self.board.is_listed(process) and now_ms < until_ms:
+                rests_ms[process[0]] = until_ms - now_ms
+            elif process[0] in self.board.endpoints or now_ms >= until_ms:
+                del self.board.resting_until[process]
+        return rests_ms
 
     def drop_obsolete(self) -> None:
         """Forget processes that have been replaced or unlisted for long."""
         now_ms = self.clock.boot_ms()
-        for name, notice in list(self.notices.items()):
-            entry = self.board.endpoints.get(name)
-            if entry is None:
-                last_ms = max(notice.read_ms, notice.rests_until_ms)
-                obsolete = now_ms - last_ms > KEPT_MS
-            else:
-                obsolete = self._find(entry) is None
-            if obsolete:
-                del self.notices[name]
-
-    def _find(self, entry: message_types.EndpointEntry) -> Notice | None:
-        """Return the notice of this process of an endpoint."""
-        notice = self.notices.get(entry.name)
-        if notice is None or (notice.address, notice.born) != (
-            entry.address,
-            entry.born,
-        ):
-            return None
-        return notice
+        for process, notice in list(self.notices.items()):
+            if self.board.is_listed(process):
+                continue
+            last_ms = max(notice.read_ms, notice.rests_until_ms)
+            if (
+                process[0] in self.board.endpoints
+                or now_ms - last_ms > KEPT_MS
+            ):
+                del self.notices[process]
 
     def _record_rest(
         self,
@@ -133,7 +114,7 @@
         if until_ms <= notice.rests_until_ms:
             return
         notice.rests_until_ms = until_ms
-        self.board.resting_until[entry.name] = until_ms
+        self.board.resting_until[entry.process] = until_ms
         events.log_event(
             events.Event.ENDPOINT_RESTS,
             endpoint=entry.name,
--- a/src/carawayward/forwarding/rate_limits.py
+++ b/src/carawayward/forwarding/rate_limits.py
@@ -45,8 +45,6 @@
     peer. ``share`` is None while the other entry VMs are unknown.
     """
 
-    address: str
-    born: int | None
     per_s: float | None
     observed_ms: float
     own: bool = False
@@ -71,10 +69,12 @@
     list_members: ListMembers = list_unknown_members
     get_names: typing.Callable[[], typing.Mapping[int, str]] = dict
     draw: typing.Callable[[], float] = random.random
-    endpoints: dict[str, LimitedEndpoint] = attrs.field(factory=dict)
+    endpoints: dict[message_types.Process, LimitedEndpoint] = attrs.field(
+        factory=dict
+    )
     members: frozenset[str] | None = None
     checked_ms: float = board_module.NEVER
-    outdated: list[str] = attrs.field(factory=list)
+    outdated: list[message_types.Process] = attrs.field(factory=list)
 
     def record_response(
         self,
@@ -86,7 +86,7 @@
         Only a response that the endpoint has signed can lift the limit.
         """
         if metadata.request_limit is None:
-            known = self._find(entry)
+            known = self.endpoints.get(entry.process)
             if known is None or known.per_s is None:
                 return
             if metadata.limit_malformed or not metadata.signed:
@@ -119,12 +119,12 @@
         }
 
     def _get_interval_ms(self, name: str) -> float:
-        share = self.endpoints[name].share
+        share = self.endpoints[self.board.endpoints[name].process].share
         return share.interval_ms if share is not None else 0.0
 
     def acquire(self, entry: message_types.EndpointEntry) -> None:
         """Count a request that is about to be sent to an endpoint."""
-        limited = self._find(entry)
+        limited = self.endpoints.get(entry.process)
         if limited is None or not limited.share or not limited.bucket:
             return
         rate_limits.take(limited.bucket, limited.share, self.clock.boot_ms())
@@ -133,8 +133,8 @@
         """The limits last observed by this entry VM, for load reports."""
         now_ms = self.clock.boot_ms()
         observed = [
-            (name, limited)
-            for name, limited in self.endpoints.items()
+            (process[0], limited)
+            for process, limited in self.endpoints.items()
             if limited.own and now_ms - limited.observed_ms < REPORTED_MS
         ]
         observed.sort(key=lambda each: -each[1].observed_ms)
@@ -164,24 +164,12 @@
             entry = self.board.endpoints.get(names.get(number, ""))
             if entry is None:
                 continue
-            known = self._find(entry)
+            known = self.endpoints.get(entry.process)
             if known is None and per_s is None:
                 continue
             if known is None or known.observed_ms < observed_ms:
                 self._record(entry, per_s, observed_ms, peer=peer)
 
-    def _find(
-        self, entry: message_types.EndpointEntry
-    ) -> LimitedEndpoint | None:
-        """Return what is known of this process of an endpoint."""
-        limited = self.endpoints.get(entry.name)
-        if limited is None or (limited.address, limited.born) != (
-            entry.address,
-            entry.born,
-        ):
-            return None
-        return limited
-
     def _record(
         self,
         entry: message_types.EndpointEntry,
@@ -190,18 +178,17 @@
         request: str = "",
         peer: str = "",
     ) -> None:
-        limited = self._find(entry)
+        limited = self.endpoints.get(entry.process)
         previous = limited.per_s if limited is not None else None
         if limited is None:
-            limited = self.endpoints[entry.name] = LimitedEndpoint(
-                entry.address, entry.born, per_s, observed_ms
-            )
+            limited = LimitedEndpoint(per_s, observed_ms)
+            self.endpoints[entry.process] = limited
         limited.per_s, limited.observed_ms = per_s, observed_ms
         limited.own = not peer
         if per_s == previous:
             return
         self._update_members()
-        self._share_limit(entry.name, limited)
+        self._share_limit(entry.process, limited)
         now_ms = self.clock.boot_ms()
         varies = None not in (per_s, previous)
         if varies and now_ms - limited.logged_ms < MIN_LOG_INTERVAL_MS:
@@ -217,18 +204,20 @@
             interval_ms=limited.share and round(limited.share.interval_ms),
         )
 
-    def _share_limit(self, name: str, limited: LimitedEndpoint) -> None:
+    def _share_limit(
+        self, process: message_types.Process, limited: LimitedEndpoint
+    ) -> None:
         """Compute this entry VM's share of a limit."""
-        self.board.limited.discard(name)
+        self.board.limited.discard(process)
         limited.share = None
         if limited.per_s is None:
             return
-        self.board.limited.add(name)
+        self.board.limited.add(process)
         if self.members is None:
             return
         now_ms = self.clock.boot_ms()
         share = limited.share = rate_limits.compute_share(
-            self.board.name, self.members, name, limited.per_s
+            self.board.name, self.members, process[0], limited.per_s
         )
         if limited.bucket is None:
             limited.bucket = rate_limits.make_bucket(
@@ -252,19 +241,19 @@
         if now_ms - self.checked_ms >= MEMBERS_CHECK_MS:
             self._drop_unlisted(now_ms)
             self._update_members()
-        for name in self.outdated[:MAX_SHARES_AT_ONCE]:
-            if name in self.endpoints:
-                self._share_limit(name, self.endpoints[name])
+        for process in self.outdated[:MAX_SHARES_AT_ONCE]:
+            if process in self.endpoints:
+                self._share_limit(process, self.endpoints[process])
         del self.outdated[:MAX_SHARES_AT_ONCE]
-        for name, limited in self.endpoints.items():
-            if limited.per_s is None:
+        for process, limited in self.endpoints.items():
+            if limited.per_s is None or not self.board.is_listed(process):
                 continue
             if limited.share is None or limited.bucket is None:
                 # Who else sends to this endpoint is not known yet.
-                yield name, MEMBERS_CHECK_MS
+                yield process[0], MEMBERS_CHECK_MS
                 continue
             yield (
-                name,
+                process[0],
                 rate_limits.compute_wait_ms(
                     limited.bucket, limited.share, now_ms
                 ),
@@ -272,12 +261,12 @@
 
     def _drop_unlisted(self, now_ms: float) -> None:
         """Forget limits of endpoints that have left or were replaced."""
-        for name, limited in list(self.endpoints.items()):
-            entry = self.board.endpoints.get(name)
-            if entry is None:
-                gone = now_ms - limited.observed_ms > KEPT_MS
-            else:
-                gone = self._find(entry) is None
-            if gone:
-                del self.endpoints[name]
-                self.board.limited.discard(name)
+        for process, limited in list(self.endpoints.items()):
+            if self.board.is_listed(process):
+                continue
+            if (
+                process[0] in self.board.endpoints
+                or now_ms - limited.observed_ms > KEPT_MS
+            ):
+                del self.endpoints[process]
+                self.board.limited.discard(process)
--- a/tests/cover/test_forwarding_rate_limits.py
+++ b/tests/cover/test_forwarding_rate_limits.py
@@ -72,7 +72,7 @@
     assert exhaust(limiter) == 100
     name_limit(limiter, PER_S)
     assert exhaust(limiter) == 1
-    assert limiter.board.limited == {"e-1"}
+    assert limiter.board.limited == {make_entry().process}
     wait_ms = limiter.list_waits()["e-1"]
     assert 0.0 < wait_ms < 10_000.0
     clock.advance(wait_ms)
@@ -167,11 +167,11 @@
     members = [MEMBERS[0]]
     limiter, clock = make_limiter(MEMBERS[0], members)
     name_limit(limiter, PER_S)
-    alone = limiter.endpoints["e-1"].share
+    alone = limiter.endpoints[make_entry().process].share
     members += MEMBERS[1:]
     clock.advance(1_000.0)
     limiter.list_exhausted()
-    shared = limiter.endpoints["e-1"].share
+    shared = limiter.endpoints[make_entry().process].share
     assert shared.interval_ms > 2 * alone.interval_ms
 
 
@@ -209,12 +209,15 @@
     entries = [make_entry("e-1"), make_entry("e-2")]
     limiter, clock = make_limiter(MEMBERS[0], members, *entries)
     name_limit(limiter, PER_S, entries[0])
-    alone = limiter.endpoints["e-1"].share
+    alone = limiter.endpoints[make_entry().process].share
     members += MEMBERS[1:]
     name_limit(limiter, PER_S, entries[1])
     clock.advance(2_000.0)
     limiter.list_exhausted()
-    assert limiter.endpoints["e-1"].share.interval_ms > alone.interval_ms
+    assert (
+        limiter.endpoints[make_entry().process].share.interval_ms
+        > alone.interval_ms
+    )
 
 
 def test_limit_that_varies_from_response_to_response_is_logged_rarely():
@@ -225,6 +228,6 @@
             name_limit(limiter, PER_S + number % 7 / 10.0)
             clock.advance(50.0)
         name_limit(limiter, None)
-    assert limiter.endpoints["e-1"].per_s is None
+    assert limiter.endpoints[make_entry().process].per_s is None
     assert 2 <= log_event.call_count <= 14
     assert log_event.call_args.kwargs["per_s"] is None
