--- a/tests/failures/test_agreed_config.py
+++ b/tests/failures/test_agreed_config.py
@@ -127,7 +127,7 @@
     try:
         running.publish(file)
     except subprocess.CalledProcessError as fault:
-        assert "wait" in fault.stderr
+        assert "wait" in fault.stderr, fault.stderr
         return False
     return True
 
