Tell operators to wait while the log does not show the configuration

'show' printed revision 0 without a document, 'diff' compared with nothing, and a draft in the console could be rebased on nothing.

Cause: read_state returned a state that is not known as if it were the empty one.

Change: read_state raises ConfigurationForgotten, which says to wait.

--- a/src/carawayward/controllers/publishing.py
+++ b/src/carawayward/controllers/publishing.py
@@ -111,5 +111,11 @@
 
 
 async def read_state(log: log_module.LogClient) -> config_log.ConfigState:
-    """Read the whole log and return the current state."""
-    return await Publisher(log).read_to_tail()
+    """Read the whole log and return the current state.
+
+    Raises ConfigurationForgotten when the log does not hold enough to know it.
+    """
+    state = await Publisher(log).read_to_tail()
+    if not state.known:
+        raise errors.ConfigurationForgotten()
+    return state
