Start with any figure that an unseen deployment's sheet may have

Cause: bounds were whole numbers by type, though they are times and budgets that every user of them takes as real numbers.

Change: bounds and heartbeat_ms are numbers; 1e3 is one too, which YAML 1.1 takes for a text. A bound without a value keeps its default and is logged (1009). Not a number, infinite, negative and other types are refused by name as before.

--- a/src/carawayward/documents.py
+++ b/src/carawayward/documents.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import re
 import typing
 
 import cattrs
@@ -23,6 +24,9 @@
 MAX_DOCUMENT_BYTES = 1_000_000
 
 
+_EXPONENT = re.compile(r"[-+]?[0-9]+(\.[0-9]*)?[eE][-+]?[0-9]+")
+
+
 class WrongType(ValueError):
     """A value whose type does not match its field."""
 
@@ -36,8 +40,8 @@
         # cattrs also calls the hook for str for its subclasses, the enums.
         if _is_enum(target):
             return _structure_enum(value, target)
-        if kind is float and type(value) is int:
-            return float(value)
+        if kind is float and (type(value) is int or _is_exponent(value)):
+            return float(typing.cast(typing.Any, value))
         if type(value) is not kind:
             raise WrongType(value, name)
         return value
@@ -45,6 +49,11 @@
     return check
 
 
+def _is_exponent(value: object) -> bool:
+    """Whether it is a number like 1e3, which YAML 1.1 reads as a text."""
+    return isinstance(value, str) and bool(_EXPONENT.fullmatch(value))
+
+
 def _structure_enum(value: object, kind: type[enum.Enum]) -> enum.Enum:
     try:
         return kind(value)
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -32,6 +32,9 @@
         logging.ERROR,
     )
     SETTINGS_READ = EventKind(1006, "The settings were reloaded.")
+    SETTING_UNSET = EventKind(
+        1009, "A setting has no value; its default is used."
+    )
     SETTINGS_REFUSED = EventKind(
         1007,
         "Reloading found invalid settings; the previous ones stay in force.",
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -1,9 +1,12 @@
 """Settings of an entry VM that serves forwarded routes."""
 
+import math
+
 import attrs
 
 from carawayward import documents
 from carawayward import errors
+from carawayward import events
 from carawayward import settings as settings_module
 
 
@@ -41,21 +44,21 @@
     accepted however old the table is.
     """
 
-    key_lease_ms: int = 5_000
+    key_lease_ms: float = 5_000.0
     keys_fail_closed: bool = True
-    grace_ms: int = 8_000
-    drain_ms: int = 2_000
-    apply_ms: int = 2_000
-    rollback_ms: int = 5_000
-    session_ms: int = 5_000
+    grace_ms: float = 8_000.0
+    drain_ms: float = 2_000.0
+    apply_ms: float = 2_000.0
+    rollback_ms: float = 5_000.0
+    session_ms: float = 5_000.0
     retry_ratio: float = 0.9
-    retry_window_ms: int = 10_000
-    retry_slack: int = 58
+    retry_window_ms: float = 10_000.0
+    retry_slack: float = 58.0
     exposure_share: float = 0.15
-    exposure_slack: int = 30
+    exposure_slack: float = 30.0
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
-    evacuate_ms: int = 5_000
+    evacuate_ms: float = 5_000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -67,14 +70,18 @@
     listen: Listen
     store: Store
     bounds: Bounds = attrs.field(factory=Bounds)
-    heartbeat_ms: int = 1_200
+    heartbeat_ms: float = 1_200.0
     log_level: str = "info"
 
     @classmethod
     def from_config(cls, text: str) -> "ForwardingSettings":
-        """Parse and validate YAML text."""
+        """Parse and validate YAML text.
+
+        Bounds without a value keep their defaults: a deployment may have none
+        for what it does not use.
+        """
         error = errors.SettingsError
-        data = documents.parse_yaml(text, error)
+        data = _drop_unset_bounds(documents.parse_yaml(text, error))
         settings = documents.structure(cls, data, error)
         for field, address in (
             ("listen.callers", settings.listen.callers),
@@ -87,9 +94,14 @@
             settings_module.check_address(
                 "listen.metrics", settings.listen.metrics
             )
-        for field, value in attrs.asdict(settings.bounds).items():
-            if value < 0:
-                raise error(f"bounds.{field}", value, "write 0 or more")
+        numbers = {
+            f"bounds.{field}": value
+            for field, value in attrs.asdict(settings.bounds).items()
+        }
+        numbers["heartbeat_ms"] = settings.heartbeat_ms
+        for field, value in numbers.items():
+            if not 0 <= value < math.inf:
+                raise error(field, value, "write a number, 0 or more")
         if not settings.name or not settings.failure_domain:
             raise error(
                 "name, failure_domain", "", "set both for this entry VM"
@@ -100,3 +112,16 @@
     def from_file(cls, path: str) -> "ForwardingSettings":
         """Read, parse and validate a settings file."""
         return cls.from_config(settings_module.read_settings_file(path))
+
+
+def _drop_unset_bounds(data: object) -> object:
+    """Remove the bounds without a value from parsed YAML, and log them."""
+    if not isinstance(data, dict) or not isinstance(data.get("bounds"), dict):
+        return data
+    bounds = data["bounds"]
+    for field in [name for name, value in bounds.items() if value is None]:
+        events.log_event(events.Event.SETTING_UNSET, field=f"bounds.{field}")
+    return {
+        **data,
+        "bounds": {n: v for n, v in bounds.items() if v is not None},
+    }
