--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -234,8 +234,8 @@
         events.log_event(
             events.Event.NODE_LEAVING, open=self.board.open_requests
         )
-        drain_s = (self.settings.bounds.grace_ms - STREAM_CUTOFF_MS) / 1000
-        with trio.move_on_after(drain_s):
+        drain_ms = self.settings.bounds.grace_ms - STREAM_CUTOFF_MS
+        with trio.move_on_after(max(0.0, drain_ms) / 1000):
             await self.clock.sleep(BALANCER_REMOVAL_MS)
             self.board.refusing = True
             while self.board.open_requests:
--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -213,7 +213,7 @@
                 response = await pool.request("GET", f"http://{address}/ready")
         return response.status
 
-    async def start_daemon(self, **bounds: int | bool) -> None:
+    async def start_daemon(self, **bounds: float | bool) -> None:
         """Start one more entry VM and wait until it is ready."""
         daemon = await self.start_daemon_unready(**bounds)
         await self.wait_for(lambda: daemon.board.state.value == "ready")
@@ -222,7 +222,7 @@
         )
 
     async def start_daemon_unready(
-        self, **bounds: int | bool
+        self, **bounds: float | bool
     ) -> daemon_module.ForwardingDaemon:
         """Start one more entry VM."""
         number = len(self.daemons)
@@ -265,7 +265,7 @@
     daemons: int = 1,
     heartbeat_ms: int = 1_200,
     era: int | None = None,
-    **bounds: int | bool,
+    **bounds: float | bool,
 ) -> typing.AsyncIterator[Forwarding]:
     """Run a store, servers and entry VMs until the test ends.
 
