Give polls on the endpoints a minimum length

With a drain time near 0 they had none, and each entry VM would have called the store without a pause, within its limits for all others.

--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -72,9 +72,10 @@
     endpoints that left in the meantime would be kept and sent work.
     """
     unlike_outage_ms = longest_gap_ms - QUERY_MS - 3.0 * REPORT_SLACK_MS
-    return min(
+    wanted_ms = min(
         DRAIN_PART * drain_ms, max(MIN_REGISTRY_POLL_MS, unlike_outage_ms)
     )
+    return max(MIN_POLL_MS, wanted_ms)
 
 
 def compute_max_report_age(poll_ms: float) -> float:
--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -72,3 +72,15 @@
         poll_ms = store_polls.compute_table_poll_ms(lease_ms, 4_000.0)
         oldest_ms = store_polls.compute_max_report_age(poll_ms)
         assert oldest_ms <= store_polls.OWN_READ_PART * lease_ms + 1e-6
+
+
+def test_polls_are_never_so_short_that_they_flood_the_store():
+    """A deployment's bounds may be near 0."""
+    for bound_ms in (0.0, 0.5, 10.0):
+        for gap_ms in (0.0, 4_000.0):
+            registry_ms = store_polls.compute_registry_poll_ms(
+                bound_ms, gap_ms
+            )
+            assert registry_ms >= store_polls.MIN_POLL_MS
+        table_ms = store_polls.compute_table_poll_ms(bound_ms, bound_ms)
+        assert table_ms >= store_polls.MIN_POLL_MS
