Take the bounds that a deployment gives in seconds

Sessions were pinned to a version for the default of 5 s, whatever the deployment's sessionS; 8.5 s on the grown ones. A request that followed after 5 to 8.5 s of a roll-out could run on another version. graceS and budgetWindowS were not read either; all known sheets have the defaults there. Bounds may be given as a text in seconds. The test fails before.

--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -1,6 +1,7 @@
 """Settings of an entry VM that serves forwarded routes."""
 
 import math
+import re
 
 import attrs
 
@@ -9,6 +10,8 @@
 from carawayward import events
 from carawayward import settings as settings_module
 
+SECONDS = re.compile(r"([-+]?[0-9.]+(?:[eE][-+]?[0-9]+)?) s")
+
 
 @attrs.frozen(kw_only=True)
 class Listen:
@@ -78,10 +81,10 @@
         """Parse and validate YAML text.
 
         Bounds without a value keep their defaults: a deployment may have none
-        for what it does not use.
+        for what it does not use. Times may be given in seconds: "8.5 s".
         """
         error = errors.SettingsError
-        data = _drop_unset_bounds(documents.parse_yaml(text, error))
+        data = _prepare_bounds(documents.parse_yaml(text, error))
         settings = documents.structure(cls, data, error)
         for field, address in (
             ("listen.callers", settings.listen.callers),
@@ -114,14 +117,25 @@
         return cls.from_config(settings_module.read_settings_file(path))
 
 
-def _drop_unset_bounds(data: object) -> object:
-    """Remove the bounds without a value from parsed YAML, and log them."""
+def _prepare_bounds(data: object) -> object:
+    """Convert the bounds of parsed YAML to numbers in ms.
+
+    Those without a value are removed and logged.
+    """
     if not isinstance(data, dict) or not isinstance(data.get("bounds"), dict):
         return data
-    bounds = data["bounds"]
-    for field in [name for name, value in bounds.items() if value is None]:
-        events.log_event(events.Event.SETTING_UNSET, field=f"bounds.{field}")
-    return {
-        **data,
-        "bounds": {n: v for n, v in bounds.items() if v is not None},
-    }
+    bounds = {}
+    for field, value in data["bounds"].items():
+        if value is None:
+            name = f"bounds.{field}"
+            events.log_event(events.Event.SETTING_UNSET, field=name)
+        else:
+            bounds[field] = _convert_seconds(value)
+    return {**data, "bounds": bounds}
+
+
+def _convert_seconds(value: object) -> object:
+    """Convert a text like "8.5 s" to ms; return anything else as it is."""
+    if isinstance(value, str) and (found := SECONDS.fullmatch(value)):
+        return float(found[1]) * 1000.0
+    return value
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -259,6 +259,11 @@
     "bounds.coldSlack": "5",
     "bounds.evacuateMs": "4000",
 }
+SECONDS_SECTIONS = {
+    "bounds.sessionS": "8.5",
+    "bounds.graceS": "8",
+    "bounds.budgetWindowS": "12",
+}
 
 
 def fill_template(sections=SECTIONS, **changes):
@@ -297,6 +302,15 @@
     assert found.evacuate_ms == 4000
 
 
+def test_bounds_in_seconds_reach_the_settings():
+    """Sessions were pinned for the default time, not for the deployment's."""
+    text = fill_template(SECTIONS | SECONDS_SECTIONS)
+    found = settings.ForwardingSettings.from_config(text).bounds
+    assert found.session_ms == 8_500.0
+    assert found.grace_ms == 8_000.0
+    assert found.retry_window_ms == 12_000.0
+
+
 # Each figure that the platform fills into the template, except addresses.
 FIGURES = (
     "bounds.revokeMs",
@@ -311,12 +325,15 @@
     "bounds.coldSlack",
     "bounds.evacuateMs",
     "heartbeatMs",
+    "bounds.sessionS",
+    "bounds.graceS",
+    "bounds.budgetWindowS",
 )
 
 
 def read_settings_with(**figures):
     """Fill the template with ``figures`` and read it."""
-    sections = SECTIONS | COLD_SECTIONS
+    sections = SECTIONS | COLD_SECTIONS | SECONDS_SECTIONS
     changes = {n: v for n, v in figures.items() if n not in sections}
     sections |= {n: v for n, v in figures.items() if n in sections}
     return settings.ForwardingSettings.from_config(
@@ -359,7 +376,12 @@
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
 def test_any_finite_figure_makes_an_entry_vm(name, value):
     """Values that no deployment had before reach the daemon's parts."""
-    found = read_settings_with(**{name: repr(value)})
+    try:
+        found = read_settings_with(**{name: repr(value)})
+    except errors.SettingsError as fault:
+        # In seconds, it exceeds the range of a float in ms.
+        assert value > 1e300 and name in FIGURES[-3:], str(fault)
+        return
     daemon.ForwardingDaemon.from_config(found, entry.make_ports(found))
 
 
