--- a/src/carawayward/forwarding/rate_limits.py
+++ b/src/carawayward/forwarding/rate_limits.py
@@ -11,6 +11,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
+from carawayward.forwarding import notices
 
 # How long a limit is reported to peers after it was last observed. With many
 # peers, each is sent a report only once in 10 s.
@@ -24,9 +25,6 @@
 # An endpoint may name another limit in each response; such changes of one
 # limit are logged no more often than this.
 MIN_LOG_INTERVAL_MS = 1_000.0
-# An endpoint's limit outlives its registry entry for this long: entries of
-# live endpoints expire during an outage of the store and are written again.
-KEPT_MS = 60_000.0
 
 # Lists all entry VMs; None while they are unknown.
 ListMembers = typing.Callable[[], typing.Collection[str] | None]
@@ -266,7 +264,7 @@
                 continue
             if (
                 process[0] in self.board.endpoints
-                or now_ms - limited.observed_ms > KEPT_MS
+                or now_ms - limited.observed_ms > notices.KEPT_MS
             ):
                 del self.endpoints[process]
                 self.board.limited.discard(process)
