--- a/src/carawayward/forwarding/notices.py
+++ b/src/carawayward/forwarding/notices.py
@@ -12,8 +12,9 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import message_types
 
-# A notice, or a limit, outlives the endpoint's registry entry for this long: entries of
-# live endpoints expire during an outage of the store and are written again.
+# A notice, or a limit, outlives the endpoint's registry entry for this long:
+# entries of live endpoints expire during an outage of the store and are
+# written again.
 KEPT_MS = 60_000.0
 
 
