--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies
 from nose2.tools import params
 import trio
+import yaml
 
 from carawayward import errors
 from carawayward import events
@@ -311,6 +312,40 @@
     assert found.retry_window_ms == 12_000.0
 
 
+DEPLOYMENTS = yaml.safe_load(
+    pathlib.Path("tests/common/deployment_bounds.yaml").read_text()
+)
+FIELDS = {
+    "bounds.revokeMs": "key_lease_ms",
+    "bounds.drainMs": "drain_ms",
+    "bounds.configApplyMs": "apply_ms",
+    "bounds.rollbackMs": "rollback_ms",
+    "bounds.retryBudgetRatio": "retry_ratio",
+    "bounds.retryBudgetSlack": "retry_slack",
+    "bounds.exposureShare": "exposure_share",
+    "bounds.exposureSlack": "exposure_slack",
+    "bounds.coldOvershoot": "cold_overshoot",
+    "bounds.coldSlack": "cold_slack",
+    "bounds.evacuateMs": "evacuate_ms",
+}
+
+
+@params(*DEPLOYMENTS)
+def test_settings_of_each_known_deployment_have_its_figures(name):
+    """A figure that the template misses would have its default."""
+    figures = {n: json.dumps(v) for n, v in DEPLOYMENTS[name].items()}
+    sections = {n: v for n, v in figures.items() if n not in TEMPLATE_FIELDS}
+    found = settings.ForwardingSettings.from_config(
+        fill_template(sections, **figures)
+    )
+    for figure, value in DEPLOYMENTS[name].items():
+        if figure in FIELDS:
+            assert getattr(found.bounds, FIELDS[figure]) == value, figure
+    assert found.heartbeat_ms == DEPLOYMENTS[name]["heartbeatMs"]
+    seconds = DEPLOYMENTS[name]["bounds.sessionS"]
+    assert found.bounds.session_ms == 1_000.0 * seconds
+
+
 # Each figure that the platform fills into the template, except addresses.
 FIGURES = (
     "bounds.revokeMs",
