Say why a request was withheld as it was decided

Whether keys or rest had withheld a request was asked again after its connection had been closed, when the lease on keys might have been renewed; it then went on to another endpoint. The reason is kept now. The test fails before.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -164,10 +164,8 @@
         try:
             outcome = await self._send_attempt(work, endpoint, mark, reply)
         except attempt_module.AttemptWithheld:
-            if self.may_send(work):
-                outcome = work_items.Diverted("endpoint rests")
-            else:
-                outcome = work_items.Withheld("keys may be old")
+            assert work.withheld is not None
+            outcome = work.withheld
         except attempt_module.AttemptFailed as fault:
             if fault.sent:
                 outcome = work_items.Failed(fault.detail)
@@ -195,12 +193,16 @@
 
         It checks ``may_send`` and whether the endpoint has asked for rest
         while the connection was established, and records the permit as used.
+        If the request is withheld, ``work.withheld`` says why.
         """
 
         def may_send() -> bool:
+            work.withheld = None
             if not self.may_send(work):
-                return False
-            if self.fleet.notices.is_resting(endpoint.entry):
+                work.withheld = work_items.Withheld("keys may be old")
+            elif self.fleet.notices.is_resting(endpoint.entry):
+                work.withheld = work_items.Diverted("endpoint rests")
+            if work.withheld is not None:
                 return False
             self.fleet.cold_starts.record_sent(permit)
             return True
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -130,9 +130,10 @@
 
     ``model`` is an index into the route's ``models``, None if the router does
     not choose. ``mark`` is that of the current attempt, None if that is
-    certain not to have run; ``earlier_may_have_run`` says whether an earlier
-    attempt may have run. Endpoints in ``failed_endpoints`` are tried again
-    only if there is no other, those in ``unusable`` never.
+    certain not to have run; ``withheld`` says why it was not sent.
+    ``earlier_may_have_run`` says whether an earlier attempt may have run.
+    Endpoints in ``failed_endpoints`` are tried again only if there is no
+    other, those in ``unusable`` never.
     ``backlog`` is what the chosen engine reads until the first token, in
     weighted tokens, and ``is_queued`` whether that includes other prompts.
     ``backlog_ms`` is the mean backlog of the engines, for the log.
@@ -153,6 +154,7 @@
     unreached_ms: float = 0.0
     earlier_may_have_run: bool = False
     mark: http.SentMark | None = None
+    withheld: Withheld | Diverted | None = None
     failed_endpoints: frozenset[str] = frozenset()
     unusable: frozenset[str] = frozenset()
     last_event: int | None = None
--- a/tests/failures/test_forwarding_notices.py
+++ b/tests/failures/test_forwarding_notices.py
@@ -180,3 +180,19 @@
             assert not {"server-limit", "server-leaving"} & set(answer.headers)
 
     trio.run(main)
+
+
+def test_request_withheld_for_its_key_is_not_taken_for_a_diverted_one():
+    """The lease on keys is renewed while the connection is being closed."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(*desks) as made:
+            answers = iter((False,))
+            forwarder = made.daemon.app.forwarder
+            forwarder.may_send = lambda work: next(answers, True)
+            assert (await made.call("POST", "/log/")).status == 503
+            assert not any(desk.runs for desk in desks)
+            assert (await made.call("POST", "/log/")).status == 200
+
+    trio.run(main)
