--- a/build.sh
+++ b/build.sh
@@ -7,6 +7,7 @@
 #   format   rewrite the sources in the house format
 #   test     the tests alone; extra words name tests to run
 #   search   seeded fault search: ./build.sh search --seconds N
+#   soak     entry VM processes under faults: ./build.sh soak --seed N --seconds S
 #   bench    a benchmark: ./build.sh bench NAME
 #   docs     rewrite the pages that are made from the code
 #   package  build the wheel and the source archive
@@ -47,6 +48,7 @@
 demo) python -m tests.demo "$@" ;;
 forwarded) python -m tests.demo_forwarded "$@" ;;
 search) python -m tests.history.search "$@" ;;
+soak) python -m tests.soak.run "$@" ;;
 bench)
     name="${1:?which benchmark? see bench/}"
     shift
@@ -55,5 +57,5 @@
 docs) python docs/generate.py ;;
 package) python -m build --no-isolation --outdir dist . ;;
 run) "$@" ;;
-*) sed -n '2,14p' "$0" ;;
+*) sed -n '2,15p' "$0" ;;
 esac
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak: real entry VM processes under faults from outside."""
--- /dev/null
+++ b/tests/soak/checkers.py
@@ -0,0 +1,276 @@
+"""Checks of the retry rules, one function a clause.
+
+Each returns its violations as text. They use only what endpoints got, what
+callers sent and which faults were injected; see the users' rules, BUDGET.
+"""
+
+import bisect
+import collections
+import typing
+
+import attrs
+
+from tests.soak import records
+
+MAX_REQUESTS_ON_TOO_MANY_ENDPOINTS = 3
+DEADLINE_TOLERANCE_MS = 500.0
+MAX_LATE_DEADLINES = 20
+MAX_LATE_DEADLINE_SHARE = 0.2
+CRASHES_THAT_CONVICT = 3
+MAX_RETRIES_AFTER_CRASHES = 3
+REST_BEGINS_MS = 500.0
+MAX_REQUESTS_IN_REST = 2
+
+Checker = typing.Callable[[records.History, records.Bounds], list[str]]
+
+
+def _is_in_touch(
+    history: records.History,
+    bounds: records.Bounds,
+    vm: str,
+    at_ms: float,
+) -> bool:
+    return not history.is_vm_disrupted(vm, at_ms - bounds.contact_ms, at_ms)
+
+
+def check_endpoints_per_request(
+    history: records.History, bounds: records.Bounds
+) -> list[str]:
+    """Find requests that ran on more endpoints than their route allows.
+
+    Endpoints that were disrupted meanwhile do not count.
+    """
+    runs: dict[str, list[records.Arrival]] = collections.defaultdict(list)
+    for arrival in history.arrivals:
+        if arrival.ran:
+            runs[arrival.request_id].append(arrival)
+    beyond = []
+    for request_id, arrivals in runs.items():
+        first_ms, last_ms = arrivals[0].at_ms, arrivals[-1].at_ms
+        endpoints = {
+            each.endpoint
+            for each in arrivals
+            if not history.is_endpoint_disrupted(
+                each.endpoint, first_ms, last_ms
+            )
+        }
+        max_attempts = history.sent[request_id].max_attempts
+        if len(endpoints) > max_attempts:
+            beyond.append(f"{request_id}: {len(endpoints)} of {max_attempts}")
+    if len(beyond) <= MAX_REQUESTS_ON_TOO_MANY_ENDPOINTS:
+        return []
+    return [f"endpoints beyond the route's attempts: {', '.join(beyond)}"]
+
+
+def check_deadlines(
+    history: records.History, bounds: records.Bounds
+) -> list[str]:
+    """Find more time handed to endpoints than callers have left.
+
+    Requests to an endpoint whose link was disrupted shortly before may have
+    been held up on the way, and are not counted.
+    """
+    first: dict[str, records.Arrival] = {}
+    counted = late_again = 0
+    wrong = []
+    for arrival in history.arrivals:
+        sent = history.sent[arrival.request_id]
+        if not _is_in_touch(history, bounds, sent.vm, arrival.at_ms):
+            continue
+        if history.is_endpoint_disrupted(
+            arrival.endpoint, arrival.at_ms - bounds.contact_ms, arrival.at_ms
+        ):
+            continue
+        counted += 1
+        earlier = first.setdefault(arrival.request_id, arrival)
+        after_ms = arrival.at_ms - earlier.at_ms
+        late_again += after_ms > DEADLINE_TOLERANCE_MS
+        if _has_too_much_time(sent, earlier, arrival):
+            wrong.append(arrival.request_id)
+    if len(wrong) <= MAX_LATE_DEADLINES:
+        return []
+    if len(wrong) <= MAX_LATE_DEADLINE_SHARE * (late_again or counted):
+        return []
+    return [f"more time than is left: {len(wrong)} of {counted}, {wrong[:5]}"]
+
+
+def _has_too_much_time(
+    sent: records.Sent, first: records.Arrival, arrival: records.Arrival
+) -> bool:
+    if arrival.remaining_ms is None:
+        return True
+    if arrival.remaining_ms > sent.deadline_ms + DEADLINE_TOLERANCE_MS:
+        return True
+    if arrival.at_ms - first.at_ms <= DEADLINE_TOLERANCE_MS:
+        return False
+    first_ends_ms = first.at_ms + (first.remaining_ms or 0.0)
+    ends_ms = arrival.at_ms + arrival.remaining_ms
+    latest_ms = max(first_ends_ms, sent.ends_ms)
+    return ends_ms > latest_ms + DEADLINE_TOLERANCE_MS
+
+
+def check_crashing_requests(
+    history: records.History, bounds: records.Bounds
+) -> list[str]:
+    """Find requests that are still retried after three crashes."""
+    crashes: dict[str, list[float]] = collections.defaultdict(list)
+    retries: dict[str, list[records.Arrival]] = collections.defaultdict(list)
+    for arrival in history.arrivals:
+        sent = history.sent[arrival.request_id]
+        crash_times = crashes[sent.content]
+        if arrival.crashed:
+            crash_times.append(arrival.at_ms)
+        if len(crash_times) < CRASHES_THAT_CONVICT:
+            continue
+        known_ms = crash_times[CRASHES_THAT_CONVICT - 1] + bounds.contact_ms
+        if arrival.at_ms > known_ms and _is_in_touch(
+            history, bounds, sent.vm, arrival.at_ms
+        ):
+            retries[sent.content].append(arrival)
+    return [
+        f"{content} crashed {len(crashes[content])} endpoints and reached "
+        f"endpoints {len(arrivals)} times after the third crash was known"
+        for content, arrivals in retries.items()
+        if len(arrivals) > MAX_RETRIES_AFTER_CRASHES
+    ]
+
+
+@attrs.frozen(kw_only=True)
+class Window:
+    """What a service got in one window, and what the rule allows.
+
+    ``first_ms`` is the time of its first repeat.
+    """
+
+    service: str
+    first_ms: float
+    until_ms: float
+    repeats: int
+    allowed: float
+
+
+def list_windows(
+    history: records.History, bounds: records.Bounds
+) -> list[Window]:
+    """List the windows that end with a repeat, for each service.
+
+    A repeat is an arrival beyond the first of its request. The requests are
+    those of the window, the one before or the one half a window before,
+    whichever has most.
+    """
+    requests: dict[str, list[float]] = collections.defaultdict(list)
+    for sent in history.sent.values():
+        requests[sent.service].append(sent.at_ms)
+    repeats: dict[str, list[float]] = collections.defaultdict(list)
+    seen = set()
+    for arrival in history.arrivals:
+        if arrival.request_id in seen:
+            service = history.sent[arrival.request_id].service
+            repeats[service].append(arrival.at_ms)
+        seen.add(arrival.request_id)
+    windows = []
+    for service, times in repeats.items():
+        sent_ms = sorted(requests[service])
+        for index, until_ms in enumerate(times):
+            begin = bisect.bisect_left(
+                times, until_ms - bounds.retry_window_ms
+            )
+            most = _count_requests(sent_ms, until_ms, bounds.retry_window_ms)
+            windows.append(
+                Window(
+                    service=service,
+                    first_ms=times[begin],
+                    until_ms=until_ms,
+                    repeats=index + 1 - begin,
+                    allowed=bounds.retry_ratio * most + bounds.retry_slack,
+                )
+            )
+    return windows
+
+
+def _count_requests(
+    sent_ms: list[float], until_ms: float, window_ms: float
+) -> int:
+    def count(end_ms: float) -> int:
+        begin = bisect.bisect_left(sent_ms, end_ms - window_ms)
+        return bisect.bisect_right(sent_ms, end_ms) - begin
+
+    return max(count(until_ms - back * window_ms) for back in (0.0, 0.5, 1.0))
+
+
+def check_repeats(
+    history: records.History, bounds: records.Bounds
+) -> list[str]:
+    """Find windows in which a service got too many repeats.
+
+    Of windows that overlap, the one with most beyond its bound is named.
+    """
+    worst: list[Window] = []
+    for window in list_windows(history, bounds):
+        if window.repeats <= window.allowed:
+            continue
+        last = worst[-1] if worst else None
+        if (
+            last is None
+            or last.service != window.service
+            or last.until_ms < window.first_ms
+        ):
+            worst.append(window)
+        elif window.repeats - window.allowed > last.repeats - last.allowed:
+            worst[-1] = window
+    return [
+        f"{each.service} got {each.repeats} repeats until "
+        f"{each.until_ms:.0f}, {each.allowed:.0f} allowed"
+        for each in worst
+    ]
+
+
+def check_rests(history: records.History, bounds: records.Bounds) -> list[str]:
+    """Find requests to endpoints that had asked an entry VM for rest.
+
+    A restart, freeze or cut of the entry VM excuses it.
+    """
+    arrivals: dict[tuple[str, str], list[records.Arrival]]
+    arrivals = collections.defaultdict(list)
+    for arrival in history.arrivals:
+        key = (history.find_vm(arrival), arrival.endpoint)
+        arrivals[key].append(arrival)
+    found = []
+    for (vm, endpoint), known in arrivals.items():
+        for asked in known:
+            if asked.answered_ms is None or asked.rest_ms <= 0.0:
+                continue
+            from_ms = asked.answered_ms + REST_BEGINS_MS
+            until_ms = asked.answered_ms + asked.rest_ms
+            reached = [
+                each for each in known if from_ms < each.at_ms < until_ms
+            ]
+            if len(reached) <= MAX_REQUESTS_IN_REST:
+                continue
+            if history.is_vm_disrupted(
+                vm, asked.answered_ms, reached[-1].at_ms
+            ):
+                continue
+            found.append(
+                f"{len(reached)} requests of {vm} reached {endpoint} in its "
+                f"rest of {asked.rest_ms:.0f} ms from {asked.answered_ms:.0f}"
+            )
+    return found
+
+
+CHECKERS: dict[str, Checker] = {
+    "attempts": check_endpoints_per_request,
+    "deadlines": check_deadlines,
+    "crashes": check_crashing_requests,
+    "repeats": check_repeats,
+    "rests": check_rests,
+}
+
+
+def check_all(
+    history: records.History, bounds: records.Bounds
+) -> dict[str, list[str]]:
+    """Run all checkers; the violations by clause."""
+    return {
+        clause: check(history, bounds) for clause, check in CHECKERS.items()
+    }
--- /dev/null
+++ b/tests/soak/endpoints.py
@@ -0,0 +1,237 @@
+"""Endpoints that fail, decline, crash or ask for rest as they are told."""
+
+import random
+
+import attrs
+import trio
+
+from tests.soak import records
+from tests.standins import backend
+from tests.standins import link as link_module
+from tests.standins import raw_http
+from tests.standins import store as store_module
+
+HEARTBEAT_MS = 1_200.0
+# The registry drops an entry after this many heartbeats without a word.
+HEARTBEATS_TO_EXPIRY = 3
+REPORT_PATHS = ("/healthz", "/api/")
+# Requests that wait for a slot, for each slot.
+MAX_QUEUE_PER_SLOT = 0.5
+STREAM_EVENTS = 10
+EVENT_PAUSE_S = 0.03
+
+
+@attrs.define
+class Conduct:
+    """How an endpoint treats requests until it is told otherwise.
+
+    ``failing``, ``declining`` and ``mute`` are shares of the requests;
+    ``rest_s`` is the Retry-After of those declined, 0 for none.
+    """
+
+    failing: float = 0.0
+    declining: float = 0.0
+    mute: float = 0.0
+    rest_s: float = 0.0
+    slowness: float = 1.0
+
+
+@attrs.define(eq=False, kw_only=True)
+class SoakEndpoint:
+    """One endpoint address; each start is a new incarnation with a new id.
+
+    A request whose path contains ``crash_mark`` ends each incarnation that
+    begins to run it. ``downs_ms`` is how long it then stays down.
+    """
+
+    name: str
+    service: str
+    zone: str
+    slots: int
+    engine: bool
+    work_ms: float
+    ports: tuple[int, int]
+    store: store_module.Store
+    history: records.History
+    draw: random.Random
+    crash_mark: str = "/crash-"
+    down_ms: float = 1_500.0
+    conduct: Conduct = attrs.field(factory=Conduct)
+    incarnation: int = 0
+    running: int = 0
+    sequence: int = 0
+    link: link_module.Link = attrs.field(init=False)
+    _scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+    def __attrs_post_init__(self) -> None:
+        self.link = link_module.Link(self.ports[1])
+
+    @property
+    def instance(self) -> str:
+        """The id of the running incarnation."""
+        return f"i-{self.name}-{self.incarnation}"
+
+    async def run(self) -> None:
+        """Serve, and start again after each crash."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self.incarnation += 1
+                self.running = 0
+                with trio.CancelScope() as self._scope:
+                    await self._serve()
+                nursery.start_soon(self._expire, self.instance)
+                await trio.sleep(self.down_ms / 1000)
+
+    def crash(self) -> None:
+        """End this incarnation with all that runs on it."""
+        now_ms = trio.current_time() * 1000
+        self.history.endpoint_disruptions.append(
+            records.Disruption(
+                name=self.instance,
+                kind="crash",
+                from_ms=now_ms,
+            )
+        )
+        self._scope.cancel()
+
+    async def _serve(self) -> None:
+        link_port, port = self.ports
+        async with trio.open_nursery() as nursery:
+            await nursery.start(raw_http.serve, self.handle, port)
+            await nursery.start(serve_link, self.link, link_port)
+            while True:
+                self._register()
+                await trio.sleep(HEARTBEAT_MS / 1000)
+
+    def _register(self) -> None:
+        self.sequence += 1
+        entry = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.ports[0]}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": self.sequence,
+        }
+        self.store.put("keyed.servers", self.instance, entry)
+
+    async def _expire(self, instance: str) -> None:
+        await trio.sleep(HEARTBEATS_TO_EXPIRY * HEARTBEAT_MS / 1000)
+        self.store.put("keyed.servers", instance, None)
+
+    async def handle(self, exchange: raw_http.Exchange) -> None:
+        """Answer one request."""
+        request = exchange.request
+        request_id = request.headers.get(backend.ATTEMPT_ID_HEADER, "")
+        if request.target.startswith(REPORT_PATHS):
+            await exchange.answer(
+                200, {"carawayward-instance-id": self.instance}
+            )
+            return
+        arrival = self._record(request, request_id)
+        expected = request.headers.get("carawayward-expect-instance")
+        if expected != self.instance:
+            await exchange.answer(
+                421, {"carawayward-instance-id": self.instance}
+            )
+            return
+        if self.draw.random() < self.conduct.declining or self.running >= (
+            self.slots * (1.0 + MAX_QUEUE_PER_SLOT)
+        ):
+            await self._decline(exchange, arrival)
+            return
+        self.running += 1
+        incarnation = self.incarnation
+        try:
+            await self._process(exchange, arrival)
+        finally:
+            if incarnation == self.incarnation:
+                self.running -= 1
+
+    def _record(
+        self, request: raw_http.Request, request_id: str
+    ) -> records.Arrival:
+        remaining = request.headers.get("carawayward-deadline-ms")
+        arrival = records.Arrival(
+            request_id=request_id,
+            endpoint=self.instance,
+            at_ms=trio.current_time() * 1000,
+            remaining_ms=float(remaining) if remaining else None,
+        )
+        self.history.arrivals.append(arrival)
+        return arrival
+
+    async def _decline(
+        self, exchange: raw_http.Exchange, arrival: records.Arrival
+    ) -> None:
+        headers = {
+            backend.ATTEMPT_ID_HEADER: arrival.request_id,
+            "carawayward-not-executed": "1",
+        }
+        if self.conduct.rest_s:
+            headers["retry-after"] = f"{self.conduct.rest_s:g}"
+        await exchange.answer(503, headers)
+        arrival.answered_ms = trio.current_time() * 1000
+        arrival.rest_ms = self.conduct.rest_s * 1000
+
+    async def _process(
+        self, exchange: raw_http.Exchange, arrival: records.Arrival
+    ) -> None:
+        arrival.ran = True
+        if self.crash_mark in exchange.request.target:
+            arrival.crashed = True
+            self.crash()
+            await trio.sleep_forever()
+        if self.draw.random() < self.conduct.mute:
+            await exchange.stream.receive_some(1)
+            return
+        load = max(1.0, self.running / self.slots)
+        pause_ms = self.work_ms * self.conduct.slowness * load
+        await trio.sleep(self.draw.uniform(0.5, 1.5) * pause_ms / 1000)
+        headers = {
+            backend.ATTEMPT_ID_HEADER: arrival.request_id,
+            backend.SEAL_HEADER: f"{self.instance}.seal",
+        }
+        if self.draw.random() < self.conduct.failing:
+            await exchange.answer(500, headers, b"failed")
+        elif self.engine:
+            await self._stream(exchange, headers)
+        else:
+            await exchange.answer(200, headers, b"done")
+        arrival.answered_ms = trio.current_time() * 1000
+
+    async def _stream(
+        self, exchange: raw_http.Exchange, headers: dict[str, str]
+    ) -> None:
+        small = exchange.request.headers.get("carawayward-model") == "small"
+        confidence = self.draw.randrange(30, 100) if small else 95
+        await exchange.begin_stream(
+            {
+                **headers,
+                "content-type": "text/event-stream",
+                "carawayward-confidence": str(confidence),
+            }
+        )
+        start = int(exchange.request.headers.get("last-event-id", 0)) + 1
+        for number in range(start, STREAM_EVENTS + 1):
+            await exchange.send_chunk(backend.make_event(number))
+            await trio.sleep(EVENT_PAUSE_S * self.conduct.slowness)
+        await exchange.send_chunk(b"")
+
+
+async def serve_link(
+    link: link_module.Link,
+    port: int,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Relay the connections of a port until cancelled."""
+    listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+    task_status.started()
+
+    async def relay(stream: trio.SocketStream) -> None:
+        await link_module.relay(link, stream)
+
+    await trio.serve_listeners(relay, listeners)
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,178 @@
+"""Entry VM processes, and the faults that hit them from outside."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import attrs
+import trio
+
+from tests.common import loopback
+from tests.soak import endpoints
+from tests.soak import records
+from tests.standins import link as link_module
+
+START_S = 30.0
+SETTINGS = """\
+name: {name}
+failure_domain: {zone}
+listen:
+  callers: 127.0.0.1:{callers}
+  readiness: 127.0.0.1:{readiness}
+  peers: 127.0.0.1:{peers}
+  metrics: 127.0.0.1:{metrics}
+store:
+  address: 127.0.0.1:{store}
+heartbeat_ms: 1200
+bounds:
+  key_lease_ms: 5000
+  drain_ms: 2000
+  retry_ratio: {ratio}
+  retry_slack: {slack}
+"""
+
+
+@attrs.define(eq=False, kw_only=True)
+class EntryVm:
+    """One entry VM; a new process starts soon after the last one has ended.
+
+    Callers reach it through ``caller_link``, it reaches the store through
+    ``store_link``.
+    """
+
+    name: str
+    zone: str
+    source: pathlib.Path
+    folder: pathlib.Path
+    store_port: int
+    bounds: records.Bounds
+    history: records.History
+    restart_ms: float = 600.0
+    ports: list[int] = attrs.field(factory=lambda: loopback.find_free_ports(6))
+    caller_link: link_module.Link = attrs.field(init=False)
+    store_link: link_module.Link = attrs.field(init=False)
+    process: trio.Process | None = None
+    starts: int = 0
+    ends_unasked: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.caller_link = link_module.Link(self.ports[0])
+        self.store_link = link_module.Link(self.store_port)
+
+    @property
+    def caller_port(self) -> int:
+        """Where callers connect."""
+        return self.ports[4]
+
+    async def run(self) -> None:
+        """Run processes until cancelled."""
+        path = self._write_settings()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                endpoints.serve_link, self.caller_link, self.caller_port
+            )
+            await nursery.start(
+                endpoints.serve_link, self.store_link, self.ports[5]
+            )
+            try:
+                while True:
+                    await self._run_process(path)
+                    await trio.sleep(self.restart_ms / 1000)
+            finally:
+                if self.process is not None:
+                    self.process.kill()
+
+    async def _run_process(self, path: pathlib.Path) -> None:
+        self.starts += 1
+        disruption = self.disrupt("start")
+        log = self.folder / f"{self.name}.{self.starts}.log"
+        with log.open("wb") as output:
+            self.process = await trio.lowlevel.open_process(
+                [sys.executable, "-B", str(self.source / "entry_vm.py")],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env={
+                    **os.environ,
+                    "PYTHONPATH": str(self.source),
+                    "CARAWAYWARD_CONFIG": str(path),
+                },
+            )
+        disruption.until_ms = trio.current_time() * 1000
+        if await self.process.wait() != -signal.SIGKILL:
+            self.ends_unasked += 1
+
+    def _write_settings(self) -> pathlib.Path:
+        path = self.folder / f"{self.name}.yaml"
+        callers, readiness, peers, metrics, _, store = self.ports
+        path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                zone=self.zone,
+                callers=callers,
+                readiness=readiness,
+                peers=peers,
+                metrics=metrics,
+                store=store,
+                ratio=self.bounds.retry_ratio,
+                slack=self.bounds.retry_slack,
+            ),
+            encoding="utf-8",
+        )
+        return path
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the process answers the balancer's probes with 200."""
+        with trio.fail_after(START_S):
+            while not await self._is_ready():
+                await trio.sleep(0.05)
+
+    async def _is_ready(self) -> bool:
+        try:
+            stream = await trio.open_tcp_stream("127.0.0.1", self.ports[1])
+            async with stream:
+                await stream.send_all(
+                    b"GET /ready HTTP/1.1\r\nhost: a\r\n\r\n"
+                )
+                head = await stream.receive_some(100)
+        except OSError:
+            return False
+        return head.startswith(b"HTTP/1.1 200")
+
+    def disrupt(self, kind: str) -> records.Disruption:
+        """Record a disruption that begins now."""
+        disruption = records.Disruption(
+            name=self.name, kind=kind, from_ms=trio.current_time() * 1000
+        )
+        self.history.vm_disruptions.append(disruption)
+        return disruption
+
+    def kill(self) -> None:
+        """End the process at once; it is started again."""
+        if self.process is not None and self.process.returncode is None:
+            disruption = self.disrupt("kill")
+            disruption.until_ms = disruption.from_ms
+            self.process.kill()
+
+    async def pause(self, for_ms: float) -> None:
+        """Freeze the process for a time."""
+        process = self.process
+        if process is None or process.returncode is not None:
+            return
+        disruption = self.disrupt("pause")
+        process.send_signal(signal.SIGSTOP)
+        await trio.sleep(for_ms / 1000)
+        process.send_signal(signal.SIGCONT)
+        disruption.until_ms = trio.current_time() * 1000
+
+    async def apply_link_mode(
+        self, link: link_module.Link, mode: str, for_ms: float
+    ) -> None:
+        """Set a link to a mode for a time, then open it."""
+        disruption = self.disrupt(mode)
+        link.set_mode(mode, 0.0)
+        await trio.sleep(for_ms / 1000)
+        link.set_mode("open", 0.0)
+        disruption.until_ms = trio.current_time() * 1000
--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,107 @@
+"""What callers sent, what endpoints got, and what was disrupted when.
+
+All times are in ms on the clock of the process that runs the soak, which is
+both the callers and the endpoints.
+"""
+
+import math
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Bounds:
+    """The figures of the retry rules; times in ms."""
+
+    contact_ms: float = 3_000.0
+    retry_ratio: float = 0.9
+    retry_window_ms: float = 10_000.0
+    retry_slack: float = 58.0
+
+
+@attrs.frozen(kw_only=True)
+class Sent:
+    """One request as a caller sent it, with an id of its own.
+
+    Requests with the same ``content`` have the same path, caller and body.
+    """
+
+    request_id: str
+    vm: str
+    service: str
+    content: str
+    at_ms: float
+    deadline_ms: float
+    max_attempts: int
+
+    @property
+    def ends_ms(self) -> float:
+        """When the caller gives up."""
+        return self.at_ms + self.deadline_ms
+
+
+@attrs.define(kw_only=True, eq=False)
+class Arrival:
+    """A request at an endpoint.
+
+    ``remaining_ms`` is the forwarded deadline, None without one. ``ran`` is
+    set once the endpoint has begun to work on it, ``crashed`` if that ended
+    the endpoint. ``rest_ms`` is the Retry-After of a 503, sent at
+    ``answered_ms``.
+    """
+
+    request_id: str
+    endpoint: str
+    at_ms: float
+    remaining_ms: float | None
+    ran: bool = False
+    crashed: bool = False
+    answered_ms: float | None = None
+    rest_ms: float = 0.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Disruption:
+    """A time in which an entry VM or an endpoint was disrupted."""
+
+    name: str
+    kind: str
+    from_ms: float
+    until_ms: float = math.inf
+
+    def overlaps(self, from_ms: float, until_ms: float) -> bool:
+        """Whether any of it lies in the given time."""
+        return self.from_ms <= until_ms and self.until_ms >= from_ms
+
+
+@attrs.define(eq=False)
+class History:
+    """The records of one run, in the order of their times."""
+
+    sent: dict[str, Sent] = attrs.field(factory=dict)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    vm_disruptions: list[Disruption] = attrs.field(factory=list)
+    endpoint_disruptions: list[Disruption] = attrs.field(factory=list)
+    statuses: dict[str, int] = attrs.field(factory=dict)
+
+    def find_vm(self, arrival: Arrival) -> str:
+        """The entry VM that a request came from."""
+        return self.sent[arrival.request_id].vm
+
+    def is_vm_disrupted(
+        self, vm: str, from_ms: float, until_ms: float
+    ) -> bool:
+        """Whether an entry VM was disrupted in the given time."""
+        return any(
+            each.name == vm and each.overlaps(from_ms, until_ms)
+            for each in self.vm_disruptions
+        )
+
+    def is_endpoint_disrupted(
+        self, endpoint: str, from_ms: float, until_ms: float
+    ) -> bool:
+        """Whether an endpoint was disrupted in the given time."""
+        return any(
+            each.name == endpoint and each.overlaps(from_ms, until_ms)
+            for each in self.endpoint_disruptions
+        )
--- /dev/null
+++ b/tests/soak/schedule.py
@@ -0,0 +1,80 @@
+"""Draws the faults of a seed: series of them, which overlap."""
+
+import enum
+import random
+
+import attrs
+
+SERIES_EVERY_MS = 3_000.0
+MAX_REPETITIONS = 4
+GAP_MS = (200.0, 3_000.0)
+LENGTH_MS = (500.0, 5_000.0)
+
+
+class Fault(enum.Enum):
+    """A kind of fault, by what it hits."""
+
+    VM_KILLED = "vm killed"
+    ALL_VMS_KILLED = "all vms killed"
+    VM_PAUSED = "vm paused"
+    ALL_VMS_PAUSED = "all vms paused"
+    CALLERS_CUT = "callers cut off from a vm"
+    CALLERS_RESET = "connections of callers reset"
+    STORE_CUT = "vm cut off from the store"
+    STORE_RESET = "connections to the store reset"
+    STORE_DOWN = "store down"
+    STORE_SILENT = "store silent"
+    ENDPOINT_CRASHED = "endpoint crashed"
+    ENDPOINT_CUT = "endpoint cut off"
+    ENDPOINT_RESET = "connections to an endpoint reset"
+    ENDPOINT_FAILS = "endpoint fails requests"
+    ENDPOINT_DECLINES = "endpoint declines requests"
+    SERVICE_DECLINES = "all endpoints of a service decline requests"
+    SERVICE_FAILS = "all endpoints of a service fail requests"
+    ENDPOINT_RESTS = "endpoint asks for rest"
+    SERVICE_RESTS = "most endpoints of a service ask for rest"
+    ENDPOINT_MUTE = "endpoint does not answer"
+    ENDPOINT_SLOW = "endpoint slow"
+    BURST = "more requests"
+    ABUSE = "callers repeat at once"
+    CRASHING_REQUEST = "request that crashes endpoints"
+
+
+@attrs.frozen(kw_only=True)
+class ScheduledFault:
+    """A fault; ``at_ms`` is from the start of traffic.
+
+    ``target`` selects what it hits, ``strength`` is between 0 and 1.
+    """
+
+    at_ms: float
+    fault: Fault
+    for_ms: float
+    target: int
+    strength: float
+
+
+def draw_faults(
+    seed: int, duration_ms: float, kinds: tuple[Fault, ...] = tuple(Fault)
+) -> list[ScheduledFault]:
+    """Draw the faults of a seed in the order of their times."""
+    draw = random.Random(seed)
+    faults = []
+    for _ in range(max(1, round(duration_ms / SERIES_EVERY_MS))):
+        fault = draw.choice(kinds)
+        at_ms = draw.uniform(0.0, duration_ms)
+        target = draw.randrange(1_000)
+        for _ in range(draw.randint(1, MAX_REPETITIONS)):
+            faults.append(
+                ScheduledFault(
+                    at_ms=at_ms,
+                    fault=fault,
+                    for_ms=draw.uniform(*LENGTH_MS),
+                    target=target,
+                    strength=draw.random(),
+                )
+            )
+            at_ms += draw.uniform(*GAP_MS)
+            if draw.random() < 0.5:
+                target = draw.randrange(1_000)
+    return sorted(faults, key=lambda each: each.at_ms)
