Log why a request is not tried again, and which requests have the same content

An attempt that ended without a response did not say why no other followed (the route's attempts, the retry budget, a request that may not be repeated), nor that it was the same request that had crashed other endpoints: each repeat of a caller has an id of its own.

What decides on a retry without I/O moved to forwarding/retries.py, unchanged but for its reasons. The soak can also leave writes to the store without an answer.

No decision changes.

--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -11,8 +11,8 @@
 writes first) and ``store_polls`` (how long polls of the store may wait).
 
 For the callers' API: ``admission``, ``queueing``, ``retry``,
-``suspicion``, ``cascade``, ``evidence``, ``exposure``, ``rollout``,
-``session`` and ``orders``.
+``cascade``, ``evidence``, ``exposure``, ``rollout``, ``session`` and
+``orders``.
 
-For both: ``placement``, ``limits`` and ``health``.
+For both: ``placement``, ``limits``, ``health`` and ``suspicion``.
 """
--- a/src/carawayward/decisions/retry_budget.py
+++ b/src/carawayward/decisions/retry_budget.py
@@ -56,6 +56,14 @@
     _find_slice(runs, now_ms)[2] += 1
 
 
+def try_to_spend(runs: RetryBudget, now_ms: float) -> bool:
+    """Count a run beyond a request's first if it fits."""
+    fits = may_spend(runs, now_ms)
+    if fits:
+        spend(runs, now_ms)
+    return fits
+
+
 def _find_slice(runs: RetryBudget, now_ms: float) -> list[float]:
     """The current slice: its start, requests, extra runs."""
     oldest = now_ms - runs.window_ms
--- a/src/carawayward/decisions/suspicion.py
+++ b/src/carawayward/decisions/suspicion.py
@@ -82,6 +82,15 @@
     return hashlib.sha256(text.encode()).hexdigest()[:16]
 
 
+def digest_content(*parts: bytes) -> str:
+    """A forwarded request's identity, from what repeats of it share."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()[:16]
+
+
 def digest_request(request_key: str) -> str:
     """The form in which a caller's request key is stored in a crash."""
     return hashlib.sha256(request_key.encode()).hexdigest()[:12]
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -20,6 +20,7 @@
 from carawayward.forwarding import refusals
 from carawayward.forwarding import relaying
 from carawayward.forwarding import replies
+from carawayward.forwarding import retries
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import work_items
@@ -31,12 +32,6 @@
 # An endpoint's deadline is this much earlier than the caller's, so that a
 # response just within it can still be relayed in time.
 RELAY_MARGIN_MS = 30.0
-# Attempts that could not connect do not count towards a route's limit, which
-# counts runs; they are limited by the time that they took together. A silent
-# endpoint costs a whole connect timeout, one that refuses the connection a few
-# ms. After this time the caller is told to retry.
-MAX_UNREACHED_MS = 1_500.0
-
 
 # Outcomes after which the request is certain not to have run.
 NOT_RUN_OUTCOMES = (
@@ -110,6 +105,8 @@
                 self._log_end(work, outcome.status, "delivered")
                 return
             self._record_outcome(work, endpoint, outcome)
+            refusal = self._claim_retry(work, outcome)
+            self._log_attempt(work, endpoint, outcome, refusal)
             if isinstance(outcome, work_items.Withheld):
                 # The request may not be sent to any other endpoint either.
                 retry_after_ms = self.compute_retry_after_ms()
@@ -117,7 +114,7 @@
                     work, reply, outcome.cause, retry_after_ms
                 )
                 return
-            if not self._claim_retry(work, outcome):
+            if refusal:
                 await self._send_final_failure(work, reply, outcome.cause)
                 return
 
@@ -270,12 +267,7 @@
         self,
         work: work_items.Work,
         endpoint: fleet_module.TrackedEndpoint,
-        outcome: work_items.Unreached
-        | work_items.Withheld
-        | work_items.Diverted
-        | work_items.Declined
-        | work_items.Unsure
-        | work_items.Failed,
+        outcome: work_items.Undelivered,
     ) -> None:
         """Record an attempt whose response was not delivered."""
         name = endpoint.entry.name
@@ -303,39 +295,43 @@
                 work.failure = outcome
                 self.fleet.record_failure(endpoint, outcome.cause)
         self.metrics.count("attempts", outcome=type(outcome).__name__.lower())
+
+    def _log_attempt(
+        self,
+        work: work_items.Work,
+        endpoint: fleet_module.TrackedEndpoint,
+        outcome: work_items.Undelivered,
+        refusal: str,
+    ) -> None:
+        """Log an attempt, and why no other one follows; empty if one does."""
+        if refusal:
+            self.metrics.count(
+                "retries_refused", service=work.service, cause=refusal
+            )
         events.log_event(
             events.Event.ATTEMPT_ENDED,
             request=work.metadata.request_id,
-            endpoint=name,
+            endpoint=endpoint.entry.name,
             outcome=type(outcome).__name__,
             cause=outcome.cause,
             runs=work.runs,
             last_event=work.last_event,
+            no_retry=refusal or None,
+            content=work.fingerprint
+            if isinstance(outcome, work_items.Failed)
+            else None,
         )
 
     def _claim_retry(
-        self, work: work_items.Work, outcome: work_items.Outcome
-    ) -> bool:
-        """Whether to try another endpoint; a further run uses retry budget."""
-        if isinstance(outcome, work_items.Diverted):
-            return True
-        if isinstance(outcome, work_items.Unreached):
-            return work.unreached_ms <= MAX_UNREACHED_MS
-        if work.runs >= work.route.max_attempts:
-            return False
-        if (
-            isinstance(outcome, work_items.Failed)
-            and not work.route.repeatable
-        ):
-            return False
-        budget, now_ms = (
-            self.placer.find_budget(work.service),
-            self.clock.now_ms(),
-        )
-        if not retry_budget.may_spend(budget, now_ms):
-            return False
-        retry_budget.spend(budget, now_ms)
-        return True
+        self, work: work_items.Work, outcome: work_items.Undelivered
+    ) -> str:
+        """Claim another attempt; return why there is none, else ""."""
+
+        def spend_budget() -> bool:
+            budget = self.placer.find_budget(work.service)
+            return retry_budget.try_to_spend(budget, self.clock.now_ms())
+
+        return retries.claim_retry(work, outcome, spend_budget)
 
     async def _send_final_failure(
         self,
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -5,6 +5,7 @@
 import attrs
 
 from carawayward.decisions import engine_load
+from carawayward.decisions import suspicion
 from carawayward.forwarding import attempt as attempt_module
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import load_reports
@@ -72,9 +73,8 @@
     body: bytes = b""
 
 
-Outcome = (
-    Delivered | Unreached | Withheld | Diverted | Declined | Unsure | Failed
-)
+Undelivered = Unreached | Withheld | Diverted | Declined | Unsure | Failed
+Outcome = Delivered | Undelivered
 
 
 @attrs.define(eq=False)
@@ -164,6 +164,7 @@
     backlog: float = 0.0
     is_queued: bool = False
     backlog_ms: float = 0.0
+    _fingerprint: str = attrs.field(default="", init=False)
 
     @property
     def may_have_run(self) -> bool:
@@ -172,6 +173,18 @@
             self.mark is not None and self.mark.sent
         )
 
+    @property
+    def fingerprint(self) -> str:
+        """Identifies the request's customer, method, target and body."""
+        if not self._fingerprint:
+            self._fingerprint = suspicion.digest_content(
+                self.customer.encode(),
+                self.request.method,
+                self.request.target,
+                self.request.body,
+            )
+        return self._fingerprint
+
     @property
     def model_name(self) -> str:
         """The model that the router chose; empty if it was not to choose."""
--- /dev/null
+++ b/tests/failures/test_forwarding_retries.py
@@ -0,0 +1,36 @@
+"""Tests of retries of forwarded requests, and of what limits them."""
+
+import trio
+
+from tests.common import forwarding
+from tests.standins import backend
+
+
+def count_refusals(made, cause):
+    return sum(
+        count
+        for (name, labels), count in made.daemon.app.metrics.counters.items()
+        if name == "retries_refused" and dict(labels)["cause"] == cause
+    )
+
+
+def test_refused_retries_are_counted_by_cause():
+    """Operators tell a spent budget from a route's limit of attempts."""
+
+    async def main():
+        desks = [backend.Backend(f"desk-{n}") for n in range(3)]
+        for each in desks:
+            each.always = backend.fail
+        async with forwarding.open_forwarding(
+            *desks, retry_slack=0.0, retry_ratio=0.5
+        ) as made:
+            for _ in range(10):
+                await made.call("GET", "/look/1")
+            for each in desks:
+                each.always = backend.reset_after_run
+            await made.call("POST", "/log/1")
+            assert count_refusals(made, "attempts used up") == 4
+            assert count_refusals(made, "retry budget spent") == 6
+            assert count_refusals(made, "not repeatable") == 1
+
+    trio.run(main)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -153,7 +153,9 @@
             case kind.STORE_CUT | kind.STORE_RESET:
                 mode = "held" if fault.fault is kind.STORE_CUT else "reset"
                 await vm.apply_link_mode(vm.store_link, mode, fault.for_ms)
-            case kind.STORE_DOWN | kind.STORE_SILENT:
+            case (
+                kind.STORE_DOWN | kind.STORE_SILENT | kind.STORE_LOSES_ANSWERS
+            ):
                 await self._disturb_store(fault)
             case kind.ENDPOINT_CRASHED:
                 endpoint.crash()
@@ -199,13 +201,17 @@
 
     async def _disturb_store(self, fault: schedule.ScheduledFault) -> None:
         disruptions = [vm.disrupt(fault.fault.value) for vm in self.vms]
-        if fault.fault is schedule.Fault.STORE_DOWN:
-            self.store.error_status = 503
-        else:
-            self.store.silent = True
+        match fault.fault:
+            case schedule.Fault.STORE_DOWN:
+                self.store.error_status = 503
+            case schedule.Fault.STORE_SILENT:
+                self.store.silent = True
+            case schedule.Fault.STORE_LOSES_ANSWERS:
+                self.store.dropping_append_answers = True
         await trio.sleep(fault.for_ms / 1000)
         self.store.error_status = 0
         self.store.silent = False
+        self.store.dropping_append_answers = False
         for each in disruptions:
             each.until_ms = trio.current_time() * 1000
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -24,6 +24,7 @@
     STORE_RESET = "connections to the store reset"
     STORE_DOWN = "store down"
     STORE_SILENT = "store silent"
+    STORE_LOSES_ANSWERS = "store does not answer writes"
     ENDPOINT_CRASHED = "endpoint crashed"
     ENDPOINT_CUT = "endpoint cut off"
     ENDPOINT_RESET = "connections to an endpoint reset"
