--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -285,7 +285,7 @@
             heartbeat_ms,
         )
         for each in backends:
-            each.port = await nursery.start(raw_http.serve, each.handle)
+            each.port = await nursery.start(each.serve)
             deployment.register(each)
         store.put("keyed.op", "config", config or make_config())
         for _ in range(daemons):
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -54,12 +54,20 @@
     arrivals: int = 0
     arrived_s: list[float] = attrs.field(factory=list)
     port: int = 0
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     @property
     def address(self) -> str:
         """The address that it listens on."""
         return f"127.0.0.1:{self.port}"
 
+    async def serve(
+        self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Listen until it crashes."""
+        with self.scope:
+            await raw_http.serve(self.handle, task_status=task_status)
+
     def describe(self, **changes: object) -> dict[str, object]:
         """Its entry in the server registry, with ``changes`` applied."""
         entry: dict[str, object] = {
@@ -193,6 +201,23 @@
     await exchange.reset()
 
 
+async def crash(backend: Backend, exchange: raw_http.Exchange) -> None:
+    """End the server while it executes the request."""
+    backend.begin(exchange).ended = "crashed"
+    backend.scope.cancel()
+    await trio.sleep_forever()
+
+
+def crash_on(mark: bytes) -> Behaviour:
+    """Crash on requests whose body has the mark, answer all others."""
+
+    async def behave(backend: Backend, exchange: raw_http.Exchange) -> None:
+        crashes = mark in exchange.request.body
+        await (crash if crashes else answer_normally)(backend, exchange)
+
+    return behave
+
+
 async def answer_other_request(
     backend: Backend, exchange: raw_http.Exchange
 ) -> None:
