Refuse a request that has crashed three endpoints, on all entry VMs

What callers saw: a request that ends each process that runs it came again and again, and each time took one endpoint for each attempt of its route, with all that ran on them.

Cause: forwarded routes remembered nothing of a request beyond its own attempts. Class: a fact that one entry VM has seen, on which all have to act, and that nobody kept.

Change: a run that breaks off, on an endpoint that then refuses a connection, is a crash that counts against the request's content (customer, method, target, body). Crashes and answers are facts that merge; they travel as ages in the load reports. Three crashes since the last answer convict: 503 with the time until they expire. Why three, and no trials as in the callers' API: suspects here run beside others at once, since engines have tens of harmless requests in flight, and one of those may share a second crash by chance.

--- a/src/carawayward/decisions/suspicion.py
+++ b/src/carawayward/decisions/suspicion.py
@@ -10,7 +10,8 @@
 at the same time use the same endpoint. The suspects of one endpoint run in an
 order that every entry VM computes alike from the merged records; otherwise a
 harmless one could be running when the harmful one crashes the endpoint again.
-An answer clears a suspect, a second crash convicts it.
+An answer clears a suspect, a second crash convicts it. Forwarded requests have
+no trials, as harmless ones would wait for their turn; a third crash convicts.
 
 All records only grow (crashes seen, latest clearance) and merge by union and
 maximum, so entry VMs need not agree on an order. Records expire.
@@ -25,6 +26,9 @@
 # Two crashes: the first also involves harmless requests, so one cannot
 # convict; waiting for a third would cost another endpoint for little gain.
 CONVICTING_CRASHES = 2
+# Where suspects run beside others, a harmless one may share two crashes by
+# chance.
+CRASHES_WITHOUT_TRIALS = 3
 # Long enough to outlast a caller's resends, short enough that a convicted
 # request gets a new trial after the engine may have been repaired.
 RECORD_TTL_MS = 600_000
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -238,7 +238,7 @@
     )
     REQUEST_CONVICTED = EventKind(
         1505,
-        "A request crashed two endpoints and is refused from now on.",
+        "A request crashed several endpoints and is refused from now on.",
         'see "A request that crashes endpoints" in docs/operations/load.md',
         logging.ERROR,
     )
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -18,6 +18,7 @@
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import settings as settings_module
+from carawayward.forwarding import suspects as suspects_module
 from carawayward.forwarding import work_items
 
 
@@ -94,6 +95,12 @@
     """Create the application behind the callers' listener."""
 
     readiness = readiness_module.Readiness(board, clock, placer.reporter)
+    suspects = suspects_module.SuspectRequests(
+        clock, placer.reporter.report_soon
+    )
+    placer.reporter.add_topic(
+        "suspects", load_reports.Topic(suspects.describe, suspects.merge)
+    )
 
     def may_send(work: work_items.Work) -> bool:
         # A request whose run broke off may be sent again although keys have
@@ -115,6 +122,7 @@
         may_send,
         readiness.compute_retry_after_ms,
         placer.metrics,
+        suspects,
     )
     return app_module.ForwardingApp(
         board, clock, ports.dialect, forwarder, readiness, placer.metrics
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -23,6 +23,7 @@
 from carawayward.forwarding import retries
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
+from carawayward.forwarding import suspects as suspects_module
 from carawayward.forwarding import work_items
 from carawayward import http_client as http
 
@@ -58,6 +59,7 @@
     may_send: typing.Callable[[work_items.Work], bool]
     compute_retry_after_ms: typing.Callable[[], float]
     metrics: metrics_module.Metrics
+    suspects: suspects_module.SuspectRequests
 
     @property
     def fleet(self) -> fleet_module.Fleet:
@@ -86,6 +88,14 @@
         self, work: work_items.Work, reply: replies.Reply
     ) -> None:
         while True:
+            if self.suspects.is_convicted(work):
+                await self._send_final_failure(
+                    work,
+                    reply,
+                    "crashes endpoints",
+                    self.suspects.compute_retry_after_ms(work),
+                )
+                return
             choice = self.rollouts.choose_version(work)
             endpoint = self.placer.choose(work, choice)
             if endpoint is None:
@@ -102,8 +112,12 @@
                 return
             outcome = await self._try_endpoint(work, endpoint, choice, reply)
             if isinstance(outcome, work_items.Delivered):
+                if outcome.status < 300:
+                    self.suspects.record_answer(work)
                 self._log_end(work, outcome.status, "delivered")
                 return
+            if isinstance(outcome, work_items.Failed) and outcome.broke_off:
+                await self._record_broken_run(work, endpoint)
             self._record_outcome(work, endpoint, outcome)
             refusal = self._claim_retry(work, outcome)
             self._log_attempt(work, endpoint, outcome, refusal)
@@ -165,7 +179,7 @@
             outcome = work.withheld
         except attempt_module.AttemptFailed as fault:
             if fault.sent:
-                outcome = work_items.Failed(fault.detail)
+                outcome = work_items.Failed(fault.detail, broke_off=True)
             else:
                 outcome = work_items.Unreached(fault.detail)
         finally:
@@ -180,6 +194,15 @@
             self.fleet.record_success(endpoint, took_ms)
         return outcome
 
+    async def _record_broken_run(
+        self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
+    ) -> None:
+        """Find out whether a run broke off since its endpoint crashed."""
+        began_ms = self.clock.now_ms()
+        if await self.suspects.record_broken_run(work, endpoint.entry):
+            took_ms = self.clock.now_ms() - began_ms
+            self.fleet.record_unreachable(endpoint, took_ms)
+
     def _make_sent_mark(
         self,
         work: work_items.Work,
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -184,9 +184,10 @@
         """
         engine_load.add_own_load(self.loads, engine, change)
         if change.weight:
-            self._trigger_reports()
+            self.report_soon()
 
-    def _trigger_reports(self) -> None:
+    def report_soon(self) -> None:
+        """Send a report as soon as the budgets allow."""
         for channel in self.channels:
             channel.changed.set()
 
@@ -205,7 +206,7 @@
         ]
         for channel in self.channels:
             channel.add_parts(cached)
-        self._trigger_reports()
+        self.report_soon()
 
     def count_members(self) -> int:
         """The number of known entry VMs, including this one."""
@@ -241,7 +242,7 @@
             self._add_peer_from_record(record)
         self._announce_to_domain()
         self.joined.set()
-        self._trigger_reports()
+        self.report_soon()
 
     def _announce_to_domain(self) -> None:
         """Send a report to all peers of this failure domain.
--- /dev/null
+++ b/src/carawayward/forwarding/suspects.py
@@ -0,0 +1,205 @@
+"""Remembers requests that crash endpoints, on all entry VMs.
+
+Load reports carry the crashes, so that a request that has crashed endpoints
+behind one entry VM is refused by the others too.
+"""
+
+import typing
+
+import attrs
+import trio
+
+from carawayward import clock as clock_module
+from carawayward.decisions import suspicion
+from carawayward import events
+from carawayward.forwarding import load_report_messages
+from carawayward.forwarding import message_types
+from carawayward.forwarding import work_items
+from carawayward import settings as settings_module
+
+# A process that has ended refuses connections within a round trip. Silence is
+# no proof of a crash: a network partition looks the same.
+PROBE_TIMEOUT_MS = 250.0
+# All runs of a process that has crashed break off within this time.
+PROBE_VALID_MS = 1_000.0
+# How long a crash is reported, and an answer after it. A request that is
+# refused is always reported.
+REPORTED_MS = 10_000.0
+ANSWER_REPORTED_MS = 3_000.0
+MAX_SUSPECTS_PER_REPORT = 8
+
+
+async def refuses_connections(address: str) -> bool:
+    """Whether no process listens on an address of a host that is up."""
+    probe = trio.socket.socket()
+    with probe, trio.move_on_after(PROBE_TIMEOUT_MS / 1000):
+        try:
+            await probe.connect(settings_module.split_address(address))
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+    return False
+
+
+@attrs.define(eq=False)
+class SuspectRequests:
+    """Crashes by the content of the requests that were in flight.
+
+    A request is refused after ``suspicion.CRASHES_WITHOUT_TRIALS`` crashes
+    since its last answer. ``report_soon`` is called when there is something
+    new to report. Times are in ms on the boot clock; reports have ages.
+    """
+
+    clock: clock_module.Clock
+    report_soon: typing.Callable[[], None]
+    probe: typing.Callable[[str], typing.Awaitable[bool]] = refuses_connections
+    records: suspicion.SuspectRecords = attrs.field(
+        factory=suspicion.SuspectRecords
+    )
+    crashed_ms: dict[message_types.Process, int] = attrs.field(factory=dict)
+
+    def is_convicted(self, work: work_items.Work) -> bool:
+        """Whether a request has crashed too many endpoints to be sent."""
+        if not self.records.crashes:
+            return False
+        return self._is_convicted(work.fingerprint)
+
+    def compute_retry_after_ms(self, work: work_items.Work) -> float:
+        """Return for how long a request is refused."""
+        crashes = suspicion.list_distinct_crashes(
+            self.records, work.fingerprint, self._now_ms()
+        )
+        needed = crashes[-suspicion.CRASHES_WITHOUT_TRIALS :]
+        if not needed:
+            return 0.0
+        return float(
+            needed[0].seen_ms + suspicion.RECORD_TTL_MS - self._now_ms()
+        )
+
+    async def record_broken_run(
+        self, work: work_items.Work, entry: message_types.EndpointEntry
+    ) -> bool:
+        """Record a run that broke off; return whether its endpoint crashed."""
+        if not await self._has_crashed(entry):
+            return False
+        number = load_report_messages.hash_name(f"{entry.name}/{entry.born}")
+        self._add_crash(work.fingerprint, str(number), self._now_ms())
+        return True
+
+    async def _has_crashed(self, entry: message_types.EndpointEntry) -> bool:
+        """Whether an endpoint's process has ended; probes it once."""
+        now_ms = self._now_ms()
+        self.crashed_ms = {
+            process: at_ms
+            for process, at_ms in self.crashed_ms.items()
+            if now_ms - at_ms < PROBE_VALID_MS
+        }
+        if entry.process in self.crashed_ms:
+            return True
+        if not await self.probe(entry.address):
+            return False
+        self.crashed_ms[entry.process] = self._now_ms()
+        events.log_event(events.Event.ENDPOINT_CRASHED, endpoint=entry.name)
+        return True
+
+    def record_answer(self, work: work_items.Work) -> None:
+        """Record a complete answer, which clears a suspect."""
+        if self.records.crashes:
+            self._add_answer(work.fingerprint, self._now_ms())
+
+    def describe(self) -> list:
+        """What this entry VM reports: the suspects, the newest first.
+
+        Each has the ages of its crashes by endpoint, and of its last answer.
+        """
+        now_ms = self._now_ms()
+        suspicion.drop_expired(self.records, now_ms)
+        newest = sorted(
+            self.records.crashes, key=self._find_last_ms, reverse=True
+        )
+        reported = [
+            fingerprint
+            for fingerprint in newest
+            if now_ms - self._find_last_ms(fingerprint)
+            < self._find_report_ms(fingerprint)
+        ]
+        return [
+            self._describe_suspect(fingerprint, now_ms)
+            for fingerprint in reported[:MAX_SUSPECTS_PER_REPORT]
+        ]
+
+    def _find_report_ms(self, fingerprint: str) -> float:
+        """For how long a suspect is reported after its last change."""
+        crashes = self._list_crashes(fingerprint)
+        if len(crashes) >= suspicion.CRASHES_WITHOUT_TRIALS:
+            return suspicion.RECORD_TTL_MS
+        return REPORTED_MS if crashes else ANSWER_REPORTED_MS
+
+    def _describe_suspect(self, fingerprint: str, now_ms: int) -> list:
+        cleared_ms = self.records.cleared.get(fingerprint)
+        crashes = self.records.crashes[fingerprint]
+        return [
+            bytes.fromhex(fingerprint),
+            [
+                [int(crash.endpoint), now_ms - crash.seen_ms]
+                for crash in crashes[-suspicion.CRASHES_WITHOUT_TRIALS :]
+            ],
+            None if cleared_ms is None else now_ms - cleared_ms,
+        ]
+
+    def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
+        """Merge the suspects that a peer reports.
+
+        Raises ValueError or TypeError if they are malformed.
+        """
+        now_ms = self._now_ms()
+        for digest, crashes, answer_age_ms in value:
+            fingerprint = bytes(digest).hex()
+            for endpoint, age_ms in crashes:
+                self._add_crash(
+                    fingerprint, str(int(endpoint)), now_ms - int(age_ms)
+                )
+            if answer_age_ms is not None:
+                self._add_answer(fingerprint, now_ms - int(answer_age_ms))
+
+    def _add_crash(
+        self, fingerprint: str, endpoint: str, seen_ms: int
+    ) -> None:
+        known = self.records.crashes.get(fingerprint, [])
+        if any(crash.endpoint == endpoint for crash in known):
+            return
+        before = self._is_convicted(fingerprint)
+        crash = suspicion.Crash(fingerprint, endpoint, seen_ms, "")
+        suspicion.record_crash(self.records, crash)
+        if not before and self._is_convicted(fingerprint):
+            events.log_event(
+                events.Event.REQUEST_CONVICTED, content=fingerprint
+            )
+        self.report_soon()
+
+    def _add_answer(self, fingerprint: str, answered_ms: int) -> None:
+        suspect = bool(self._list_crashes(fingerprint))
+        if not suspicion.record_answer(self.records, fingerprint, answered_ms):
+            return
+        if suspect and not self._list_crashes(fingerprint):
+            events.log_event(events.Event.REQUEST_CLEARED, content=fingerprint)
+            self.report_soon()
+
+    def _list_crashes(self, fingerprint: str) -> list[suspicion.Crash]:
+        return suspicion.list_distinct_crashes(
+            self.records, fingerprint, self._now_ms()
+        )
+
+    def _is_convicted(self, fingerprint: str) -> bool:
+        count = len(self._list_crashes(fingerprint))
+        return count >= suspicion.CRASHES_WITHOUT_TRIALS
+
+    def _find_last_ms(self, fingerprint: str) -> int:
+        """When something was last recorded of a suspect."""
+        crashes = self.records.crashes[fingerprint]
+        cleared_ms = self.records.cleared.get(fingerprint, crashes[0].seen_ms)
+        return max(cleared_ms, *(crash.seen_ms for crash in crashes))
+
+    def _now_ms(self) -> int:
+        return int(self.clock.boot_ms())
--- /dev/null
+++ b/tests/cover/test_forwarding_suspects.py
@@ -0,0 +1,181 @@
+"""What one entry VM remembers and reports of requests that crash endpoints."""
+
+import types
+import typing
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies
+from nose2.tools import params
+import trio
+
+from carawayward import clock as clock_module
+from carawayward.decisions import suspicion
+from carawayward.forwarding import load_report_messages
+from carawayward.forwarding import message_types
+from carawayward.forwarding import suspects
+
+MAX_REPORT_BYTES = 700
+STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just("crash"),
+            strategies.integers(0, 2),
+            strategies.integers(0, 4),
+        ),
+        strategies.tuples(
+            strategies.just("answer"),
+            strategies.integers(0, 2),
+            strategies.just(0),
+        ),
+        strategies.tuples(
+            strategies.just("report"),
+            strategies.integers(0, 2),
+            strategies.integers(0, 2),
+        ),
+    ),
+    max_size=30,
+)
+
+
+def make_work(body=b"body"):
+    fingerprint = suspicion.digest_content(b"ikeja", b"POST", b"/1", body)
+    work: typing.Any = types.SimpleNamespace(fingerprint=fingerprint)
+    return work
+
+
+def make_entry(name):
+    return message_types.EndpointEntry(
+        name=name,
+        service="desk",
+        address="10.0.0.1:80",
+        failure_domain="north",
+        born=1,
+    )
+
+
+def make_suspects(clock: typing.Any = None, refuses=True):
+    probed = []
+
+    async def probe(address):
+        probed.append(address)
+        return refuses
+
+    used = clock or typing.cast(
+        typing.Any, clock_module.ManualClock(10_000_000.0)
+    )
+    made = suspects.SuspectRequests(used, lambda: None, probe)
+    return made, probed
+
+
+def crash(made, *names, work=None):
+    for name in names:
+        trio.run(made.record_broken_run, work or make_work(), make_entry(name))
+
+
+def test_third_crash_convicts_a_request():
+    """A harmless request may share two crashes with another by chance."""
+    made, _ = make_suspects()
+    crash(made, "e-1", "e-2")
+    assert not made.is_convicted(make_work())
+    crash(made, "e-3")
+    assert made.is_convicted(make_work())
+    assert not made.is_convicted(make_work(b"other"))
+
+
+def test_several_runs_on_one_crashed_endpoint_count_once():
+    """All of an entry VM's identical requests break off together."""
+    made, probed = make_suspects()
+    crash(made, "e-1", "e-1", "e-1", "e-1")
+    assert not made.is_convicted(make_work())
+    assert len(probed) == 1
+
+
+def test_broken_run_on_an_endpoint_that_listens_is_no_crash():
+    """A reset of connections would make suspects by the hundred."""
+    made, _ = make_suspects(refuses=False)
+    crash(made, "e-1", "e-2", "e-3", "e-4")
+    assert not made.is_convicted(make_work())
+    assert not made.describe()
+
+
+def test_repeated_reports_of_a_crash_count_once():
+    """Each report of a peer has the same crashes with other ages."""
+    clock = clock_module.ManualClock(10_000_000.0)
+    sender, _ = make_suspects(clock)
+    receiver, _ = make_suspects(clock)
+    crash(sender, "e-1")
+    for _ in range(20):
+        clock.advance(400.0)
+        receiver.merge("edge-1/a", sender.describe(), 3_000.0)
+    assert not receiver.is_convicted(make_work())
+
+
+def test_request_is_refused_until_its_crashes_expire():
+    """The endpoint may have been repaired meanwhile."""
+    clock = clock_module.ManualClock(10_000_000.0)
+    made, _ = make_suspects(clock)
+    crash(made, "e-1", "e-2", "e-3")
+    wait_ms = made.compute_retry_after_ms(make_work())
+    clock.advance(wait_ms - 1.0)
+    assert made.is_convicted(make_work())
+    clock.advance(2.0)
+    assert not made.is_convicted(make_work())
+
+
+def test_reports_stay_small_when_many_requests_are_suspects():
+    """Endpoints with hundreds of requests in flight crash."""
+    clock = clock_module.ManualClock(10_000_000.0)
+    made, _ = make_suspects(clock)
+    bad = make_work(b"bad")
+    crash(made, "e-1", "e-2", "e-3", work=bad)
+    clock.advance(1_000.0)
+    for number in range(500):
+        work = make_work(b"%d" % number)
+        crash(made, "e-4", "e-5", work=work)
+        if number % 2:
+            made.record_answer(work)
+    assert len(cbor2.dumps(made.describe())) < MAX_REPORT_BYTES
+    clock.advance(suspects.REPORTED_MS)
+    (reported,) = made.describe()
+    assert reported[0] == bytes.fromhex(bad.fingerprint)
+
+
+@params(
+    5,
+    [5],
+    [[b"\x00"]],
+    [["text", [], None]],
+    [[b"\x00", [[1]], None]],
+    [[b"\x00", [["x", 1]], None]],
+    [[b"\x00", [[1, 2]], "x"]],
+)
+def test_malformed_reports_raise_an_error_of_decoding(value):
+    """A datagram of another version is logged and dropped."""
+    made, _ = make_suspects()
+    try:
+        made.merge("edge-1/a", value, 3_000.0)
+    except load_report_messages.DECODE_ERRORS:
+        return
+    raise AssertionError("accepted")
+
+
+@given(STEPS)
+def test_entry_vms_that_exchange_reports_agree_in_any_order(steps):
+    """Crashes, answers and reports reach entry VMs in different orders."""
+    clock = clock_module.ManualClock(10_000_000.0)
+    made = [make_suspects(clock)[0] for _ in range(3)]
+    for kind, vm, other in steps:
+        clock.advance(10.0)
+        match kind:
+            case "crash":
+                crash(made[vm], f"e-{other}")
+            case "answer":
+                made[vm].record_answer(make_work())
+            case "report":
+                made[other].merge("edge/a", made[vm].describe(), 3_000.0)
+    for _ in range(2):
+        for sender in made:
+            for receiver in made:
+                receiver.merge("edge/a", sender.describe(), 3_000.0)
+    assert len({each.is_convicted(make_work()) for each in made}) == 1
