Send an endpoint nothing once another process answers at its address

What callers saw: an endpoint crashes and is back under a new id before its old entry expires. Requests for the former process reach the new one, which declines them with 421; each costs an attempt and a part of the retry budget, and the new process gets them although it has asked for rest.

Cause: a 421 was taken as any declined request: the endpoint was skipped for 50 ms, and not where all others were tried or rested. The id that answered was not read.

Change: a 421 that names another process ends the use of the listed one. One that names the endpoint itself declines just this request, as before.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -182,6 +182,11 @@
     ENDPOINT_LEAVES = EventKind(
         1522, "An endpoint has said in a response that it is about to stop."
     )
+    ENDPOINT_REPLACED = EventKind(
+        1524,
+        "Another process answers at an endpoint's address; the endpoint gets "
+        "no more requests.",
+    )
     ENDPOINT_RESTS = EventKind(
         1523,
         "An endpoint has declined a request and asked this entry VM to send "
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -165,7 +165,7 @@
             for endpoint in self.tracked.values()
             if endpoint.entry.service == endpoint_filter.service
             and not endpoint.entry.leaving
-            and not self.notices.is_leaving(endpoint.entry)
+            and not self.notices.is_ending(endpoint.entry)
             and endpoint.entry.failure_domain not in self.board.evacuated
             and (
                 not endpoint_filter.version
--- a/src/carawayward/forwarding/message_types.py
+++ b/src/carawayward/forwarding/message_types.py
@@ -72,7 +72,8 @@
     together, None if it names no limit. ``limit_malformed`` says that the
     response names one that cannot be read. ``leaving`` says that the endpoint
     is about to stop, ``rest_ms`` for how long it wants no further request from
-    this entry VM.
+    this entry VM. ``instance`` is the endpoint that has declined a misdirected
+    request, empty if the response does not name it.
     """
 
     request_id: str = ""
@@ -83,6 +84,7 @@
     limit_malformed: bool = False
     leaving: bool = False
     rest_ms: float = 0.0
+    instance: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/carawayward/forwarding/notices.py
+++ b/src/carawayward/forwarding/notices.py
@@ -1,8 +1,9 @@
 """Remembers what endpoints say of themselves in their responses.
 
 An endpoint that leaves says so, also while it cannot reach the store; one that
-declines a request may ask for a pause. A notice binds the entry VM that has
-read it, whatever the registry lists.
+declines a request may ask for a pause. One that has crashed says nothing, but
+the process that has its address now declines its requests as misdirected. A
+notice binds the entry VM that has read it, whatever the registry lists.
 """
 
 import attrs
@@ -22,12 +23,14 @@
 class Notice:
     """What one process of an endpoint has said of itself.
 
-    The endpoint wants no request before ``rests_until_ms``. The notice may be
+    The endpoint wants no request before ``rests_until_ms``. ``replaced`` is
+    set if another process has answered at its address. The notice may be
     forgotten ``KEPT_MS`` after ``read_ms`` once the endpoint is not listed.
     """
 
     read_ms: float
     leaving: bool = False
+    replaced: bool = False
     rests_until_ms: float = board_module.NEVER
 
 
@@ -47,29 +50,41 @@
         entry: message_types.EndpointEntry,
         metadata: message_types.ResponseMetadata,
     ) -> bool:
-        """Record an endpoint's response; return whether it begins to leave."""
-        if not metadata.leaving and metadata.rest_ms <= 0.0:
+        """Record a response from an endpoint's address.
+
+        Returns whether the endpoint is no longer to be used from now on.
+        """
+        replaced = metadata.instance not in ("", entry.name)
+        if not metadata.leaving and not replaced and metadata.rest_ms <= 0.0:
             return False
         now_ms = self.clock.boot_ms()
         notice = self.notices.setdefault(entry.process, Notice(now_ms))
         notice.read_ms = now_ms
         if metadata.rest_ms > 0.0:
             self._record_rest(entry, notice, metadata)
-        if not metadata.leaving or notice.leaving:
-            return False
-        notice.leaving = True
-        events.log_event(
-            events.Event.ENDPOINT_LEAVES,
-            endpoint=entry.name,
-            request=metadata.request_id,
-            listed_as_leaving=entry.leaving,
-        )
-        return True
-
-    def is_leaving(self, entry: message_types.EndpointEntry) -> bool:
-        """Whether this process of an endpoint has said that it leaves."""
+        was_ending = notice.leaving or notice.replaced
+        if replaced and not notice.replaced:
+            notice.replaced = True
+            events.log_event(
+                events.Event.ENDPOINT_REPLACED,
+                endpoint=entry.name,
+                request=metadata.request_id,
+                found=metadata.instance,
+            )
+        if metadata.leaving and not notice.leaving:
+            notice.leaving = True
+            events.log_event(
+                events.Event.ENDPOINT_LEAVES,
+                endpoint=entry.name,
+                request=metadata.request_id,
+                listed_as_leaving=entry.leaving,
+            )
+        return not was_ending and (notice.leaving or notice.replaced)
+
+    def is_ending(self, entry: message_types.EndpointEntry) -> bool:
+        """Whether this process of an endpoint leaves or has been replaced."""
         notice = self.notices.get(entry.process)
-        return notice is not None and notice.leaving
+        return notice is not None and (notice.leaving or notice.replaced)
 
     def is_resting(self, entry: message_types.EndpointEntry) -> bool:
         """Whether this process of an endpoint wants no request now."""
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -24,6 +24,7 @@
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+INSTANCE = b"carawayward-instance-id"
 EXPECT_INSTANCE = b"carawayward-expect-instance"
 CUSTOMER = b"carawayward-tenant"
 REQUEST_PRIORITY = b"carawayward-request-priority"
@@ -113,7 +114,9 @@
         # A process that has taken over the address of another does not run
         # the request, and nothing that it says is about the other.
         return message_types.ResponseMetadata(
-            request_id=request_id, declined=True
+            request_id=request_id,
+            declined=True,
+            instance=_get_text(values, INSTANCE),
         )
     request_limit = _get_lowest(headers, SERVER_LIMIT)
     return message_types.ResponseMetadata(
--- a/tests/failures/test_forwarding_notices.py
+++ b/tests/failures/test_forwarding_notices.py
@@ -196,3 +196,36 @@
             assert (await made.call("POST", "/log/")).status == 200
 
     trio.run(main)
+
+
+def test_endpoint_whose_address_another_process_has_gets_no_requests():
+    """It crashed and its entry has not expired; the new process rests."""
+
+    async def main():
+        desk = backend.Backend("desk-0")
+        async with forwarding.open_forwarding(desk) as made:
+            desk.name = "desk-1"
+            for _ in range(9):
+                answer = await made.call("GET", "/look/1")
+                assert answer.status == 503
+            assert desk.arrivals == 1
+
+    trio.run(main)
+
+
+def test_endpoint_that_declines_a_request_as_misdirected_gets_others():
+    """It does not run the model that a caller has named."""
+
+    async def misdirect(desk, exchange):
+        name = {"carawayward-instance-id": desk.name}
+        await exchange.answer(421, name)
+
+    async def main():
+        desk = backend.Backend("desk-0")
+        desk.behaviours = [misdirect]
+        async with forwarding.open_forwarding(desk) as made:
+            assert (await made.call("GET", "/look/1")).status == 503
+            await trio.sleep(0.1)
+            assert (await made.call("GET", "/look/1")).status == 200
+
+    trio.run(main)
