Drop an endpoint's entry once another is listed at its address

Cause: the entry of a crashed endpoint stays for three heartbeats. That another endpoint is listed at the same address proves that it is gone, and nothing compared addresses.

Change: the endpoint with the newer record has the address; the other entry is dropped and not taken up again from a list. Offsets are compared within one era of the store.

--- a/src/carawayward/forwarding/registry.py
+++ b/src/carawayward/forwarding/registry.py
@@ -41,6 +41,14 @@
     born: int | None
 
 
+@attrs.frozen
+class AddressHolder:
+    """The endpoint whose process has an address, by its latest record."""
+
+    name: str
+    offset: int
+
+
 @attrs.frozen
 class HeldRecord:
     """A record of an endpoint that had left, held back until ``until_ms``."""
@@ -65,6 +73,9 @@
     same grace period as after an outage. Entries of endpoints that had left
     are held back, and used only if they outlive any lease.
 
+    An endpoint that has crashed stays listed until its entry expires. If
+    another one is listed with the same address meanwhile, its process is gone.
+
     Times are in ms on the boot clock. ``last_read_ms`` is when all records
     were last read. ``renewed_by_ms`` is the end of the grace period, by which
     entries that expired in an outage have been renewed. ``get_poll_wait_ms``
@@ -81,6 +92,7 @@
     last_read_ms: float | None = None
     renewed_by_ms: float = board_module.NEVER
     removals: dict[str, Removal] = attrs.field(factory=dict)
+    holders: dict[str, AddressHolder] = attrs.field(factory=dict)
     held_records: dict[str, HeldRecord] = attrs.field(factory=dict)
     _restored: bool = False
 
@@ -88,6 +100,8 @@
         """Expect the next records to come from a restored backup."""
         self.renewed_by_ms = self.outages.clock.boot_ms() + RENEWAL_GRACE_MS
         self._restored = True
+        # Offsets of different eras cannot be compared.
+        self.holders.clear()
 
     def replace(self, records: list[keyed_log.Record]) -> None:
         """Apply the newest record of every key; other entries are missing."""
@@ -116,6 +130,8 @@
             # An unreadable entry does not describe a usable endpoint.
             self._drop(record.key, "unreadable entry")
             return
+        if not self._claim_address(entry, record.offset):
+            return
         self.missing.discard(entry.name)
         self._record_first_read(record)
         known = self.board.endpoints.get(entry.name)
@@ -134,6 +150,31 @@
                 leaving=entry.leaving,
             )
 
+    def _claim_address(
+        self, entry: message_types.EndpointEntry, offset: int
+    ) -> bool:
+        """Drop the entry of a former process at the address of an endpoint.
+
+        Returns False if the endpoint itself is the former one: the other
+        record is newer, and a process that has ended writes none.
+        """
+        holder = self.holders.get(entry.address)
+        if holder is not None and holder.name != entry.name:
+            if offset < holder.offset:
+                self._drop(entry.name, "address taken over")
+                return False
+            self._drop(holder.name, "address taken over")
+        self._release_address(entry.name)
+        self.holders[entry.address] = AddressHolder(entry.name, offset)
+        return True
+
+    def _release_address(self, name: str) -> None:
+        """Forget at which address an endpoint was listed."""
+        known = self.board.endpoints.get(name)
+        holder = self.holders.get(known.address) if known else None
+        if known and holder and holder.name == name:
+            del self.holders[known.address]
+
     def _record_cold_report(
         self,
         entry: message_types.EndpointEntry,
@@ -266,6 +307,7 @@
         self.missing.discard(name)
         self.first_reads.pop(name, None)
         self.board.cold_reports.pop(name, None)
+        self._release_address(name)
         known = self.board.endpoints.pop(name, None)
         if known is None:
             return
