Agree on a request's crashes when entry VMs notice one at different times

Cause, in: two entry VMs may notice the crash of one process before and after an answer to the same request. Each kept its own time of it, so that one counted the crash against the request and the other did not; and of the crashes of a suspect only the last three added were reported, which need not be those that count. A harmless request could be refused by some entry VMs and served by others.

Change: of several reports of one process's crash the earliest counts, and the newest six crashes of a suspect are reported, those before its last answer too. The test is derandomized, with 300 examples.

--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -27,6 +27,8 @@
 REPORTED_MS = 10_000.0
 ANSWER_REPORTED_MS = 3_000.0
 MAX_SUSPECTS_PER_REPORT = 8
+# Those before the last answer too: a peer may have noticed one after it.
+MAX_CRASHES_PER_SUSPECT = 6
 
 
 async def refuses_connections(address: str) -> bool:
@@ -67,9 +69,7 @@
 
     def compute_retry_after_ms(self, work: work_items.Work) -> float:
         """Return for how long a request is refused."""
-        crashes = suspicion.list_distinct_crashes(
-            self.records, work.fingerprint, self._now_ms()
-        )
+        crashes = self.list_crashes(work.fingerprint)
         needed = crashes[-suspicion.CRASHES_WITHOUT_TRIALS :]
         if not needed:
             return 0.0
@@ -84,7 +84,7 @@
         if not await self._has_crashed(entry):
             return False
         number = load_report_messages.hash_name(f"{entry.name}/{entry.born}")
-        self._add_crash(work.fingerprint, str(number), self._now_ms())
+        self.add_crash(work.fingerprint, str(number), 0)
         return True
 
     async def _has_crashed(self, entry: message_types.EndpointEntry) -> bool:
@@ -131,19 +131,21 @@
 
     def _find_report_ms(self, fingerprint: str) -> float:
         """For how long a suspect is reported after its last change."""
-        crashes = self._list_crashes(fingerprint)
+        crashes = self.list_crashes(fingerprint)
         if len(crashes) >= suspicion.CRASHES_WITHOUT_TRIALS:
             return suspicion.RECORD_TTL_MS
         return REPORTED_MS if crashes else ANSWER_REPORTED_MS
 
     def _describe_suspect(self, fingerprint: str, now_ms: int) -> list:
         cleared_ms = self.records.cleared.get(fingerprint)
-        crashes = self.records.crashes[fingerprint]
+        crashes = sorted(
+            self.records.crashes[fingerprint], key=lambda each: -each.seen_ms
+        )
         return [
             bytes.fromhex(fingerprint),
             [
                 [int(crash.endpoint), now_ms - crash.seen_ms]
-                for crash in crashes[-suspicion.CRASHES_WITHOUT_TRIALS :]
+                for crash in crashes[:MAX_CRASHES_PER_SUSPECT]
             ],
             None if cleared_ms is None else now_ms - cleared_ms,
         ]
@@ -157,18 +159,23 @@
         for digest, crashes, answer_age_ms in value:
             fingerprint = bytes(digest).hex()
             for endpoint, age_ms in crashes:
-                self._add_crash(
-                    fingerprint, str(int(endpoint)), now_ms - int(age_ms)
-                )
+                self.add_crash(fingerprint, str(int(endpoint)), int(age_ms))
             if answer_age_ms is not None:
                 self._add_answer(fingerprint, now_ms - int(answer_age_ms))
 
-    def _add_crash(
-        self, fingerprint: str, endpoint: str, seen_ms: int
-    ) -> None:
+    def add_crash(self, fingerprint: str, endpoint: str, age_ms: int) -> None:
+        """Add a crash that was seen ``age_ms`` ago.
+
+        Of several reports of the same crash the earliest counts, so that all
+        entry VMs agree whether an answer came after it.
+        """
+        seen_ms = self._now_ms() - age_ms
         known = self.records.crashes.get(fingerprint, [])
-        if any(crash.endpoint == endpoint for crash in known):
-            return
+        for index, crash in enumerate(known):
+            if crash.endpoint == endpoint:
+                earliest_ms = min(seen_ms, crash.seen_ms)
+                known[index] = attrs.evolve(crash, seen_ms=earliest_ms)
+                return
         before = self._is_convicted(fingerprint)
         crash = suspicion.Crash(fingerprint, endpoint, seen_ms, "")
         suspicion.record_crash(self.records, crash)
@@ -179,20 +186,21 @@
         self.report_soon()
 
     def _add_answer(self, fingerprint: str, answered_ms: int) -> None:
-        suspect = bool(self._list_crashes(fingerprint))
+        suspect = bool(self.list_crashes(fingerprint))
         if not suspicion.record_answer(self.records, fingerprint, answered_ms):
             return
-        if suspect and not self._list_crashes(fingerprint):
+        if suspect and not self.list_crashes(fingerprint):
             events.log_event(events.Event.REQUEST_CLEARED, content=fingerprint)
             self.report_soon()
 
-    def _list_crashes(self, fingerprint: str) -> list[suspicion.Crash]:
+    def list_crashes(self, fingerprint: str) -> list[suspicion.Crash]:
+        """Return the crashes that count against a request, oldest first."""
         return suspicion.list_distinct_crashes(
             self.records, fingerprint, self._now_ms()
         )
 
     def _is_convicted(self, fingerprint: str) -> bool:
-        count = len(self._list_crashes(fingerprint))
+        count = len(self.list_crashes(fingerprint))
         return count >= suspicion.CRASHES_WITHOUT_TRIALS
 
     def _find_last_ms(self, fingerprint: str) -> int:
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -4,7 +4,9 @@
 import typing
 
 import cbor2
+from hypothesis import example
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies
 from nose2.tools import params
 import trio
@@ -160,6 +162,27 @@
     raise AssertionError("accepted")
 
 
+# An entry VM notices a crash after another one has had an answer.
+LATE_NOTICE = [
+    ("crash", 1, 0),
+    ("answer", 1, 0),
+    ("crash", 0, 0),
+    ("crash", 0, 1),
+    ("crash", 0, 2),
+]
+# The last crash is seen by another entry VM, and one before the answer.
+CRASH_BEFORE_ANSWER = [
+    ("crash", 0, 1),
+    ("answer", 0, 0),
+    ("crash", 0, 2),
+    ("crash", 0, 3),
+    ("crash", 1, 0),
+]
+
+
+@example(LATE_NOTICE)
+@example(CRASH_BEFORE_ANSWER)
+@settings(derandomize=True, max_examples=300, deadline=None)
 @given(STEPS)
 def test_entry_vms_that_exchange_reports_agree_in_any_order(steps):
     """Crashes, answers and reports reach entry VMs in different orders."""
