Keep refused requests in the store over a restart of all entry VMs

Nothing on a VM lasts; what must last lives in the platform's store.

Change: the entry VMs whose own runs complete the third crash write the request's digest and crashes to a topic of their own; each process reads it once at its start. Expired records are removed by the next process that starts. Cost: a read a start, an append a refused request. Ruled out: putting them into the members' topic, which is read at the start anyway (one call fewer, but each reader would have to know both kinds of record).

Found with it: decisions/suspicion took -1 for "never answered", so that crashes from before the machine's own start (negative on the boot clock) did not count.

Failed before, passes now: test_refused_request_stays_refused_after_a_restart_of_all_ entry_vms.

--- a/src/carawayward/decisions/suspicion.py
+++ b/src/carawayward/decisions/suspicion.py
@@ -120,7 +120,7 @@
     """Clear a suspect that was answered; return whether anything changed."""
     if fingerprint not in records.crashes:
         return False
-    if records.cleared.get(fingerprint, -1) >= wall_ms:
+    if records.cleared.get(fingerprint, wall_ms - 1) >= wall_ms:
         return False
     records.cleared[fingerprint] = wall_ms
     records.changes += 1
@@ -134,10 +134,11 @@
     known = records.crashes.get(fingerprint)
     if not known:
         return []
-    cleared_ms = records.cleared.get(fingerprint, -1)
+    expired_ms = wall_ms - RECORD_TTL_MS
+    ignored_ms = max(expired_ms, records.cleared.get(fingerprint, expired_ms))
     distinct: list[Crash] = []
     for crash in sorted(known, key=lambda c: (c.seen_ms, c)):
-        if crash.seen_ms <= max(cleared_ms, wall_ms - RECORD_TTL_MS):
+        if crash.seen_ms <= ignored_ms:
             continue
         same = any(
             other.endpoint == crash.endpoint
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -6,6 +6,7 @@
 from carawayward.decisions import retry_budget
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import conviction_log
 from carawayward.forwarding import exchange
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import freshness as freshness_module
@@ -30,6 +31,8 @@
     reporter: load_reports.LoadReporter
     freshness: freshness_module.FreshnessController
     rounds: rollout_rounds.RolloutRounds
+    suspects: suspects_module.SuspectRequests
+    convictions: conviction_log.ConvictionLog
 
 
 def make_placement(
@@ -86,7 +89,16 @@
     placer = placing.Placer(
         clock, fleet, rollouts, reporter, metrics, make_budget
     )
-    return PlacementParts(placer, reporter, freshness, rounds)
+    suspects = suspects_module.SuspectRequests(clock, reporter.report_soon)
+    reporter.add_topic(
+        "suspects", load_reports.Topic(suspects.describe, suspects.merge)
+    )
+    convictions = conviction_log.ConvictionLog(
+        ports.convictions, clock, suspects
+    )
+    return PlacementParts(
+        placer, reporter, freshness, rounds, suspects, convictions
+    )
 
 
 def make_app(
@@ -94,16 +106,11 @@
     clock: clock_module.Clock,
     ports: ports_module.Ports,
     placer: placing.Placer,
+    suspects: suspects_module.SuspectRequests,
 ) -> app_module.ForwardingApp:
     """Create the application behind the callers' listener."""
 
     readiness = readiness_module.Readiness(board, clock, placer.reporter)
-    suspects = suspects_module.SuspectRequests(
-        clock, placer.reporter.report_soon
-    )
-    placer.reporter.add_topic(
-        "suspects", load_reports.Topic(suspects.describe, suspects.merge)
-    )
 
     def may_send(work: work_items.Work) -> bool:
         # A request whose run broke off may be sent again although keys have
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -103,8 +103,11 @@
                 parts.rounds,
                 parts.reporter,
                 parts.freshness,
+                parts.convictions,
             ],
-            app=assembly.make_app(board, clock, ports, parts.placer),
+            app=assembly.make_app(
+                board, clock, ports, parts.placer, parts.suspects
+            ),
             read_bounds=read_bounds or (lambda: settings.bounds),
         )
 
--- a/src/carawayward/forwarding/ports.py
+++ b/src/carawayward/forwarding/ports.py
@@ -21,6 +21,7 @@
     endpoints: keyed_log.KeyedLog
     members: keyed_log.KeyedLog
     statuses: keyed_log.KeyedLog
+    convictions: keyed_log.KeyedLog
     decode_declaration: typing.Callable[
         [keyed_log.Record], declarations_module.Decoded
     ]
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -50,12 +50,15 @@
 
     A request is refused after ``suspicion.CRASHES_WITHOUT_TRIALS`` crashes
     since its last answer. ``report_soon`` is called when there is something
-    new to report. Times are in ms on the boot clock; reports have ages.
+    new to report, ``on_convicted`` with the fingerprint of a request that is
+    refused from now on after a run of this entry VM. Times are in ms on the
+    boot clock; reports have ages.
     """
 
     clock: clock_module.Clock
     report_soon: typing.Callable[[], None]
     probe: typing.Callable[[str], typing.Awaitable[bool]] = refuses_connections
+    on_convicted: typing.Callable[[str], None] = lambda fingerprint: None
     records: suspicion.SuspectRecords = attrs.field(
         factory=suspicion.SuspectRecords
     )
@@ -84,7 +87,10 @@
         if not await self._has_crashed(entry):
             return False
         number = load_report_messages.hash_name(f"{entry.name}/{entry.born}")
+        before = self._is_convicted(work.fingerprint)
         self.add_crash(work.fingerprint, str(number), 0)
+        if not before and self._is_convicted(work.fingerprint):
+            self.on_convicted(work.fingerprint)
         return True
 
     async def _has_crashed(self, entry: message_types.EndpointEntry) -> bool:
--- a/src/carawayward/platform/entry.py
+++ b/src/carawayward/platform/entry.py
@@ -28,6 +28,7 @@
         endpoints=store_module.KeyedTopic(store, "keyed.servers"),
         members=store_module.KeyedTopic(store, "keyed.members"),
         statuses=store_module.KeyedTopic(store, "keyed.status"),
+        convictions=store_module.KeyedTopic(store, "keyed.convictions"),
         decode_status=records.decode_status,
         encode_status=records.encode_status,
         decode_declaration=records.decode_declaration,
--- a/tests/failures/test_forwarding_suspects.py
+++ b/tests/failures/test_forwarding_suspects.py
@@ -119,3 +119,26 @@
                 assert answer.status == 200
 
     trio.run(main)
+
+
+def test_refused_request_stays_refused_after_a_restart_of_all_entry_vms():
+    """None of the new processes has seen it crash an endpoint."""
+
+    async def main():
+        desks = make_desks(9)
+        async with forwarding.open_forwarding(
+            *desks, daemons=2, grace_ms=700.0
+        ) as made:
+            await send_bad(made, 0, 2)
+            await trio.sleep(REPORT_S)
+            for stop in made.stops:
+                stop.set()
+            await trio.sleep(REPORT_S)
+            await made.start_daemon_unready()
+            await made.wait_for(
+                lambda: made.daemons[2].board.state.value == "ready"
+            )
+            assert (await send_bad(made, 2, 3)).status == 503
+            assert count_crashes(desks) == 3
+
+    trio.run(main)
