Apply reloaded bounds to retry budgets that are in use

Cause: a service's budget took ratio, slack and window when its first request came. A SIGHUP with other bounds changed everything but that, until the next start. Found by reading, while looking for the causes of the incident elsewhere.

test_bounds_that_are_reloaded_reach_the_retry_budget failed before and passes now.

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -3,7 +3,6 @@
 import attrs
 
 from carawayward import clock as clock_module
-from carawayward.decisions import retry_budget
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import conviction_log
@@ -76,18 +75,9 @@
     )
 
     started_ms = float("-inf") if settings.first_start else clock.now_ms()
-
-    def make_budget() -> retry_budget.RetryBudget:
-        return retry_budget.RetryBudget(
-            window_ms=board.bounds.retry_window_ms,
-            ratio=board.bounds.retry_ratio,
-            slack=board.bounds.retry_slack,
-            started_ms=started_ms,
-        )
-
     metrics = metrics_module.Metrics()
     placer = placing.Placer(
-        clock, fleet, rollouts, reporter, metrics, make_budget
+        clock, fleet, rollouts, reporter, metrics, started_ms
     )
     suspects = suspects_module.SuspectRequests(clock, reporter.report_soon)
     reporter.add_topic(
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -1,7 +1,5 @@
 """Chooses the endpoint and model for a forwarded request."""
 
-import typing
-
 import attrs
 
 from carawayward import clock as clock_module
@@ -26,21 +24,30 @@
 
 @attrs.define(eq=False)
 class Placer:
-    """Applies the placement decisions to one request at a time."""
+    """Applies the placement decisions to one request at a time.
+
+    ``started_ms`` is from when on only this process can have used the retry
+    budgets.
+    """
 
     clock: clock_module.Clock
     fleet: fleet_module.Fleet
     rollouts: rollouts_module.Rollouts
     reporter: load_reports.LoadReporter
     metrics: metrics_module.Metrics
-    make_budget: typing.Callable[[], retry_budget.RetryBudget]
+    started_ms: float
     budgets: dict[str, retry_budget.RetryBudget] = attrs.field(factory=dict)
 
     def find_budget(self, service: str) -> retry_budget.RetryBudget:
-        """Return the retry budget of a service."""
+        """Return the retry budget of a service, by the current bounds."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = self.make_budget()
+            budget = retry_budget.RetryBudget(started_ms=self.started_ms)
+            self.budgets[service] = budget
+        bounds = self.fleet.board.bounds
+        budget.window_ms = bounds.retry_window_ms
+        budget.ratio = bounds.retry_ratio
+        budget.slack = bounds.retry_slack
         members = self.reporter.list_joined_members()
         budget.vms = None if members is None else len(members)
         return budget
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -329,7 +329,7 @@
         confidence=None,
     )
     placing.Placer(
-        rollouts.clock, nothing, rollouts, nothing, nothing, nothing
+        rollouts.clock, nothing, rollouts, nothing, nothing, 0.0
     ).observe_ttft(work)
 
 
--- a/tests/failures/test_forwarding_retries.py
+++ b/tests/failures/test_forwarding_retries.py
@@ -1,5 +1,6 @@
 """Tests of retries of forwarded requests, and of what limits them."""
 
+import attrs
 import trio
 
 from tests.common import forwarding
@@ -62,3 +63,24 @@
             assert count_repeats(desks, 30) <= 10
 
     trio.run(main)
+
+
+def test_bounds_that_are_reloaded_reach_the_retry_budget():
+    """Operators tighten it while a service fails."""
+
+    async def main():
+        desks = [backend.Backend(f"desk-{n}") for n in range(3)]
+        for each in desks:
+            each.always = backend.fail
+        async with forwarding.open_forwarding(*desks) as made:
+            await made.call("GET", "/look/1")
+            assert count_repeats(desks, 1) == 1
+            bounds = attrs.evolve(
+                made.daemon.board.bounds, retry_slack=0.0, retry_ratio=0.0
+            )
+            made.daemon.read_bounds = lambda: bounds
+            made.daemon.reload()
+            await made.call("GET", "/look/1")
+            assert count_repeats(desks, 2) == 1
+
+    trio.run(main)
