Report all suspects in turn, and only what a report needs

Cause, in, found by reading: each report sorted all records of the last ten minutes (5,000 at most, some 30 times a second), and always named the same eight newest suspects. Where a crash leaves sixty in flight, the request that crashes endpoints could be none of the eight on any entry VM, and the others would not learn of it for 10 s.

Change: suspects that have changed are kept in the order in which they are due; what has been reported goes to the back. Refused ones stay, others leave after 10 s.

test_all_suspects_are_reported_in_turn failed before (8 of 60); one more for records that were dropped.

--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -4,6 +4,8 @@
 behind one entry VM is refused by the others too.
 """
 
+import collections
+import itertools
 import typing
 
 import attrs
@@ -51,8 +53,9 @@
     A request is refused after ``suspicion.CRASHES_WITHOUT_TRIALS`` crashes
     since its last answer. ``report_soon`` is called when there is something
     new to report, ``on_convicted`` with the fingerprint of a request that is
-    refused from now on after a run of this entry VM. Times are in ms on the
-    boot clock; reports have ages.
+    refused from now on after a run of this entry VM. ``reported_ms`` has the
+    suspects to report, the next one last, and when each has changed. Times are
+    in ms on the boot clock; reports have ages.
     """
 
     clock: clock_module.Clock
@@ -63,6 +66,10 @@
         factory=suspicion.SuspectRecords
     )
     crashed_ms: dict[message_types.Process, int] = attrs.field(factory=dict)
+    reported_ms: collections.OrderedDict[str, int] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    dropped_ms: int = 0
 
     def is_convicted(self, work: work_items.Work) -> bool:
         """Whether a request has crashed too many endpoints to be sent."""
@@ -115,32 +122,38 @@
             self._add_answer(work.fingerprint, self._now_ms())
 
     def describe(self) -> list:
-        """What this entry VM reports: the suspects, the newest first.
+        """What this entry VM reports: the newest suspects, the others in turn.
 
         Each has the ages of its crashes by endpoint, and of its last answer.
         """
         now_ms = self._now_ms()
-        suspicion.drop_expired(self.records, now_ms)
-        newest = sorted(
-            self.records.crashes, key=self._find_last_ms, reverse=True
+        self._forget(now_ms)
+        newest = itertools.islice(
+            reversed(self.reported_ms), MAX_SUSPECTS_PER_REPORT
         )
-        reported = [
-            fingerprint
-            for fingerprint in newest
-            if now_ms - self._find_last_ms(fingerprint)
-            < self._find_report_ms(fingerprint)
-        ]
-        return [
-            self._describe_suspect(fingerprint, now_ms)
-            for fingerprint in reported[:MAX_SUSPECTS_PER_REPORT]
-        ]
-
-    def _find_report_ms(self, fingerprint: str) -> float:
-        """For how long a suspect is reported after its last change."""
+        reported = list(newest)
+        for fingerprint in reported:
+            # The others come first in the next report.
+            self.reported_ms.move_to_end(fingerprint, last=False)
+        return [self._describe_suspect(each, now_ms) for each in reported]
+
+    def _forget(self, now_ms: int) -> None:
+        """Forget what need not be reported, and records that have expired."""
+        if now_ms - self.dropped_ms >= REPORTED_MS:
+            self.dropped_ms = now_ms
+            suspicion.drop_expired(self.records, now_ms)
+        for fingerprint, changed_ms in list(self.reported_ms.items()):
+            if not self._is_reported(fingerprint, now_ms - changed_ms):
+                del self.reported_ms[fingerprint]
+
+    def _is_reported(self, fingerprint: str, age_ms: int) -> bool:
+        """Whether a suspect that changed ``age_ms`` ago is reported."""
+        if fingerprint not in self.records.crashes:
+            return False
         crashes = self.list_crashes(fingerprint)
         if len(crashes) >= suspicion.CRASHES_WITHOUT_TRIALS:
-            return suspicion.RECORD_TTL_MS
-        return REPORTED_MS if crashes else ANSWER_REPORTED_MS
+            return True
+        return age_ms < (REPORTED_MS if crashes else ANSWER_REPORTED_MS)
 
     def _describe_suspect(self, fingerprint: str, now_ms: int) -> list:
         cleared_ms = self.records.cleared.get(fingerprint)
@@ -189,7 +202,7 @@
             events.log_event(
                 events.Event.REQUEST_CONVICTED, content=fingerprint
             )
-        self.report_soon()
+        self._mark_changed(fingerprint)
 
     def _add_answer(self, fingerprint: str, answered_ms: int) -> None:
         suspect = bool(self.list_crashes(fingerprint))
@@ -197,7 +210,7 @@
             return
         if suspect and not self.list_crashes(fingerprint):
             events.log_event(events.Event.REQUEST_CLEARED, content=fingerprint)
-            self.report_soon()
+            self._mark_changed(fingerprint)
 
     def list_crashes(self, fingerprint: str) -> list[suspicion.Crash]:
         """Return the crashes that count against a request, oldest first."""
@@ -209,11 +222,11 @@
         count = len(self.list_crashes(fingerprint))
         return count >= suspicion.CRASHES_WITHOUT_TRIALS
 
-    def _find_last_ms(self, fingerprint: str) -> int:
-        """When something was last recorded of a suspect."""
-        crashes = self.records.crashes[fingerprint]
-        cleared_ms = self.records.cleared.get(fingerprint, crashes[0].seen_ms)
-        return max(cleared_ms, *(crash.seen_ms for crash in crashes))
+    def _mark_changed(self, fingerprint: str) -> None:
+        """Report a suspect soon, before those that have changed earlier."""
+        self.reported_ms[fingerprint] = self._now_ms()
+        self.reported_ms.move_to_end(fingerprint)
+        self.report_soon()
 
     def _now_ms(self) -> int:
         return int(self.clock.boot_ms())
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -143,6 +143,25 @@
     assert reported[0] == bytes.fromhex(bad.fingerprint)
 
 
+def test_all_suspects_are_reported_in_turn():
+    """Many are in flight when an endpoint crashes, one of them crashed it."""
+    made, _ = make_suspects()
+    works = [make_work(b"%d" % number) for number in range(60)]
+    for work in works:
+        crash(made, "e-1", work=work)
+    reported = {row[0].hex() for _ in range(8) for row in made.describe()}
+    assert reported == {work.fingerprint for work in works}
+
+
+def test_suspects_that_were_dropped_are_not_reported():
+    """More requests are suspects than are remembered."""
+    made, _ = make_suspects()
+    for number in range(suspicion.MAX_SUSPECTS + 5):
+        made.add_crash(f"{number:016x}", "1", 0)
+    for _ in range(20):
+        assert len(made.describe()) == suspects.MAX_SUSPECTS_PER_REPORT
+
+
 @params(
     5,
     [5],
