--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -395,6 +395,8 @@
             status=status,
             cause=cause,
             endpoint=work.endpoint,
+            version=work.progress.version,
+            session=work.session_digest,
             model=work.model_name,
             confidence=work.confidence,
             runs=work.runs,
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -187,6 +187,12 @@
             )
         return self._fingerprint
 
+    @property
+    def session_digest(self) -> str:
+        """Identifies the session in logs; empty if there is none."""
+        session = self.metadata.session.encode()
+        return suspicion.digest_content(session)[:8] if session else ""
+
     @property
     def model_name(self) -> str:
         """The model that the router chose; empty if it was not to choose."""
