--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -36,6 +36,7 @@
     seed: int
     source: pathlib.Path
     folder: pathlib.Path
+    entry_vms: int = ENTRY_VMS
     bounds: records.Bounds = attrs.field(factory=records.Bounds)
     history: records.History = attrs.field(factory=records.History)
     store: store_module.Store = attrs.field(factory=store_module.Store)
@@ -105,7 +106,7 @@
                 bounds=self.bounds,
                 history=self.history,
             )
-            for number in range(ENTRY_VMS)
+            for number in range(self.entry_vms)
         ]
 
     async def _inject(self, nursery: trio.Nursery) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,6 +22,7 @@
 
 SOURCE = pathlib.Path("src")
 MAX_SECONDS = 600
+MAX_ENTRY_VMS = 120
 BUSY = "while True: pass"
 
 
@@ -71,10 +72,16 @@
     seconds: float,
     source: pathlib.Path = SOURCE,
     kinds: tuple[schedule.Fault, ...] = tuple(schedule.Fault),
+    entry_vms: int = deployment.ENTRY_VMS,
 ) -> tuple[deployment.Soak, Result]:
     """Play one seed; the logs are removed unless a rule was broken."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = deployment.Soak(seed=seed, source=source.resolve(), folder=folder)
+    soak = deployment.Soak(
+        seed=seed,
+        source=source.resolve(),
+        folder=folder,
+        entry_vms=min(entry_vms, MAX_ENTRY_VMS),
+    )
     trio.run(soak.play, min(seconds, MAX_SECONDS), kinds)
     result = summarize(soak)
     if result.broken:
@@ -115,6 +122,7 @@
     seconds: float = 30.0,
     source: str = str(SOURCE),
     faults: str = "",
+    vms: int = deployment.ENTRY_VMS,
     busy: int = 0,
 ) -> int:
     """Play seeds, print a line for each; the exit code is 0 if all hold.
@@ -125,6 +133,7 @@
         seconds: how long faults are injected in each.
         source: the folder with the sources of the entry VMs.
         faults: names of the faults to draw from, such as "VM_KILLED,ABUSE".
+        vms: how many entry VMs to run.
         busy: how many processes keep the machine busy meanwhile.
     """
     names = faults if isinstance(faults, tuple) else faults.split(",")
@@ -140,6 +149,7 @@
                 seconds,
                 pathlib.Path(source),
                 kinds or tuple(schedule.Fault),
+                vms,
             )
             broken += result.broken
             print(json.dumps(attrs.asdict(result)), flush=True)
