Keep an endpoint's rest in one place, and test the check before the first byte

Cause: the same fact was kept twice, in the notice and on the blackboard, and the check right before the first byte read the copy that placement does not.

test_request_whose_connection_waits_is_not_sent_to_a_resting_endpoint delays a real connection while another request is declined with Retry-After.

--- a/src/carawayward/forwarding/notices.py
+++ b/src/carawayward/forwarding/notices.py
@@ -23,15 +23,14 @@
 class Notice:
     """What one process of an endpoint has said of itself.
 
-    The endpoint wants no request before ``rests_until_ms``. ``replaced`` is
-    set if another process has answered at its address. The notice may be
-    forgotten ``KEPT_MS`` after ``read_ms`` once the endpoint is not listed.
+    ``replaced`` is set if another process has answered at its address. The
+    notice may be forgotten ``KEPT_MS`` after ``read_ms`` once the endpoint is
+    not listed.
     """
 
     read_ms: float
     leaving: bool = False
     replaced: bool = False
-    rests_until_ms: float = board_module.NEVER
 
 
 @attrs.define(eq=False)
@@ -54,14 +53,14 @@
 
         Returns whether the endpoint is no longer to be used from now on.
         """
+        if metadata.rest_ms > 0.0:
+            self._record_rest(entry, metadata)
         replaced = metadata.instance not in ("", entry.name)
-        if not metadata.leaving and not replaced and metadata.rest_ms <= 0.0:
+        if not metadata.leaving and not replaced:
             return False
         now_ms = self.clock.boot_ms()
         notice = self.notices.setdefault(entry.process, Notice(now_ms))
         notice.read_ms = now_ms
-        if metadata.rest_ms > 0.0:
-            self._record_rest(entry, notice, metadata)
         was_ending = notice.leaving or notice.replaced
         if replaced and not notice.replaced:
             notice.replaced = True
@@ -88,10 +87,7 @@
 
     def is_resting(self, entry: message_types.EndpointEntry) -> bool:
         """Whether this process of an endpoint wants no request now."""
-        notice = self.notices.get(entry.process)
-        return (
-            notice is not None and self.clock.boot_ms() < notice.rests_until_ms
-        )
+        return self.clock.boot_ms() < self._get_rest_end_ms(entry)
 
     def list_rests(self) -> dict[str, float]:
         """Return the resting endpoints, and how long each still rests."""
@@ -112,24 +108,24 @@
         for process, notice in list(self.notices.items()):
             if self.board.is_listed(process):
                 continue
-            last_ms = max(notice.read_ms, notice.rests_until_ms)
             if (
                 process[0] in self.board.endpoints
-                or now_ms - last_ms > KEPT_MS
+                or now_ms - notice.read_ms > KEPT_MS
             ):
                 del self.notices[process]
 
+    def _get_rest_end_ms(self, entry: message_types.EndpointEntry) -> float:
+        return self.board.resting_until.get(entry.process, board_module.NEVER)
+
     def _record_rest(
         self,
         entry: message_types.EndpointEntry,
-        notice: Notice,
         metadata: message_types.ResponseMetadata,
     ) -> None:
         """Extend an endpoint's rest; a shorter one does not cut it."""
         until_ms = self.clock.boot_ms() + metadata.rest_ms
-        if until_ms <= notice.rests_until_ms:
+        if until_ms <= self._get_rest_end_ms(entry):
             return
-        notice.rests_until_ms = until_ms
         self.board.resting_until[entry.process] = until_ms
         events.log_event(
             events.Event.ENDPOINT_RESTS,
--- a/tests/failures/test_forwarding_notices.py
+++ b/tests/failures/test_forwarding_notices.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from carawayward.gateway import connections
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -162,6 +163,36 @@
     trio.run(main)
 
 
+def test_request_whose_connection_waits_is_not_sent_to_a_resting_endpoint():
+    """Another request has been declined with Retry-After meanwhile."""
+    connect = connections.EndpointBackend.connect_tcp
+    delays_s = [0.0, 0.3]
+
+    async def connect_late(self, *args, **options):
+        stream = await connect(self, *args, **options)
+        await trio.sleep(delays_s.pop(0))
+        return stream
+
+    async def ask_for_rest(desk, exchange):
+        await exchange.answer(
+            503, {"carawayward-not-executed": "1", "retry-after": "3"}
+        )
+
+    async def main():
+        desk = backend.Backend("desk-0", always=ask_for_rest)
+        async with forwarding.open_forwarding(desk) as made:
+            with mock.patch.object(
+                connections.EndpointBackend, "connect_tcp", connect_late
+            ):
+                async with trio.open_nursery() as nursery:
+                    for _ in range(2):
+                        nursery.start_soon(made.call, "GET", "/look/1")
+            assert not delays_s
+            assert desk.arrivals == 1
+
+    trio.run(main)
+
+
 def test_caller_does_not_get_an_endpoints_notices_to_the_router():
     """A proxy behind the caller would take them for the router's own."""
 
