Show operators how much of the retry budget is used, and when it is spent

Event 1525, once a second and service at most, and two gauges by service say it, from the same computation that decides.

test_spent_budget_is_logged_once_a_second_and_measured, new.

--- a/src/carawayward/decisions/retry_budget.py
+++ b/src/carawayward/decisions/retry_budget.py
@@ -55,8 +55,16 @@
     _find_slice(runs, now_ms).requests += 1
 
 
-def may_spend(runs: RetryBudget, now_ms: float, reserve: float = 0.0) -> bool:
-    """Whether one more run fits; ``reserve`` is a part kept for other uses.
+@attrs.frozen
+class Usage:
+    """The extra runs that are counted, and how many may be."""
+
+    runs: int
+    allowed: float
+
+
+def compute_usage(runs: RetryBudget, now_ms: float) -> Usage:
+    """Compute how much of the budget is used.
 
     Runs count for longer than requests: a window that ends when the last run
     arrives no longer has those that were the oldest when it was counted.
@@ -66,10 +74,17 @@
     requests = sum(
         each.requests for each in runs.slices if each.start_ms >= oldest_ms
     )
-    extra = sum(each.extra_runs for each in runs.slices)
     slack = _compute_slack(runs, now_ms)
-    max_extra = HEADROOM * (runs.ratio * requests + slack)
-    return extra + 1 <= max_extra * (1.0 - reserve)
+    return Usage(
+        runs=sum(each.extra_runs for each in runs.slices),
+        allowed=HEADROOM * (runs.ratio * requests + slack),
+    )
+
+
+def may_spend(runs: RetryBudget, now_ms: float, reserve: float = 0.0) -> bool:
+    """Whether one more run fits; ``reserve`` is a part kept for other uses."""
+    usage = compute_usage(runs, now_ms)
+    return usage.runs + 1 <= usage.allowed * (1.0 - reserve)
 
 
 def _compute_slack(runs: RetryBudget, now_ms: float) -> float:
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -214,6 +214,13 @@
     ATTEMPT_ENDED = EventKind(
         1512, "An attempt of a forwarded request ended without its response."
     )
+    RETRY_BUDGET_SPENT = EventKind(
+        1525,
+        "So many requests of a service fail that further attempts are "
+        "refused; at most once a second.",
+        "check the endpoints of the service",
+        logging.WARNING,
+    )
     ROLLOUT_ORDERED = EventKind(
         1513, "An operator ordered a roll-out of a version of a service."
     )
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -224,6 +224,7 @@
         gauges = metrics_module.collect_gauges(
             self.board, self.clock.boot_ms()
         )
+        gauges |= self.app.forwarder.placer.collect_gauges()
         page = metrics_module.render_page(self.app.metrics, gauges)
         reply = app_module.AsgiReply(send, lambda: False)
         await replies.send_response(reply, 200, METRICS_HEADERS, page)
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -349,12 +349,9 @@
         self, work: work_items.Work, outcome: work_items.Undelivered
     ) -> str:
         """Claim another attempt; return why there is none, else ""."""
-
-        def spend_budget() -> bool:
-            budget = self.placer.find_budget(work.service)
-            return retry_budget.try_to_spend(budget, self.clock.now_ms())
-
-        return retries.claim_retry(work, outcome, spend_budget)
+        return retries.claim_retry(
+            work, outcome, lambda: self.placer.spend_budget(work.service)
+        )
 
     async def _send_final_failure(
         self,
--- a/src/carawayward/forwarding/metrics.py
+++ b/src/carawayward/forwarding/metrics.py
@@ -96,6 +96,11 @@
     return "\n".join(lines).encode() + b"\n"
 
 
+def format_series(name: str, **labels: str) -> str:
+    """Name one series of a gauge."""
+    return name + _format_labels(tuple(sorted(labels.items())))
+
+
 def _format_labels(labels: Labels) -> str:
     if not labels:
         return ""
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -20,6 +20,7 @@
 # first model is chosen in the expectation of an escalation to a larger one
 # only if more than this is unused.
 ESCALATION_RESERVE = 0.3
+BUDGET_LOG_INTERVAL_MS = 1_000.0
 
 
 @attrs.define(eq=False)
@@ -37,6 +38,7 @@
     metrics: metrics_module.Metrics
     started_ms: float
     budgets: dict[str, retry_budget.RetryBudget] = attrs.field(factory=dict)
+    budget_logged_ms: dict[str, float] = attrs.field(factory=dict)
 
     def find_budget(self, service: str) -> retry_budget.RetryBudget:
         """Return the retry budget of a service, by the current bounds."""
@@ -51,6 +53,42 @@
         budget.vms = self.reporter.count_possible_members()
         return budget
 
+    def spend_budget(self, service: str) -> bool:
+        """Count a run beyond a request's first, if the budget allows it.
+
+        If not, logs it once in a while.
+        """
+        budget, now_ms = self.find_budget(service), self.clock.now_ms()
+        if retry_budget.try_to_spend(budget, now_ms):
+            return True
+        last_ms = self.budget_logged_ms.get(service, float("-inf"))
+        if now_ms - last_ms >= BUDGET_LOG_INTERVAL_MS:
+            self.budget_logged_ms[service] = now_ms
+            usage = retry_budget.compute_usage(budget, now_ms)
+            events.log_event(
+                events.Event.RETRY_BUDGET_SPENT,
+                service=service,
+                runs=usage.runs,
+                allowed=round(usage.allowed, 1),
+                vms=budget.vms,
+            )
+        return False
+
+    def collect_gauges(self) -> dict[str, float]:
+        """The extra runs of each service, and how many are allowed."""
+        gauges = {}
+        for service in self.budgets:
+            usage = retry_budget.compute_usage(
+                self.find_budget(service), self.clock.now_ms()
+            )
+            for name, value in (
+                ("extra_runs", usage.runs),
+                ("extra_runs_allowed", usage.allowed),
+            ):
+                series = metrics_module.format_series(name, service=service)
+                gauges[series] = value
+        return gauges
+
     def choose_model(self, work: work_items.Work) -> None:
         """Choose the first model to ask, if the caller leaves it open."""
         if (
--- a/tests/failures/test_forwarding_retries.py
+++ b/tests/failures/test_forwarding_retries.py
@@ -1,8 +1,11 @@
 """Tests of retries of forwarded requests, and of what limits them."""
 
+from unittest import mock
+
 import attrs
 import trio
 
+from carawayward import events
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -84,3 +87,30 @@
             assert count_repeats(desks, 2) == 1
 
     trio.run(main)
+
+
+def test_spent_budget_is_logged_once_a_second_and_measured():
+    """Operators see how many entry VMs share it, and how much is used."""
+
+    async def main():
+        desks = [backend.Backend(f"desk-{n}") for n in range(3)]
+        for each in desks:
+            each.always = backend.fail
+        async with forwarding.open_forwarding(
+            *desks, retry_slack=3.0, retry_ratio=0.0
+        ) as made:
+            with mock.patch.object(events, "log_event") as log_event:
+                for _ in range(8):
+                    await made.call("GET", "/look/1")
+            (logged,) = [
+                call.kwargs
+                for call in log_event.call_args_list
+                if call.args == (events.Event.RETRY_BUDGET_SPENT,)
+            ]
+            assert logged["vms"] == 1
+            assert logged["runs"] == 2
+            gauges = made.daemon.app.forwarder.placer.collect_gauges()
+            assert gauges['extra_runs{service="desk"}'] == 2
+            assert 2 < gauges['extra_runs_allowed{service="desk"}'] < 3
+
+    trio.run(main)
