Give the endpoints of a test one address each, and keep the controllers' order

Four tests of delegates find the last controller of an entry VM, which was no longer the one of delegates since the log of refused requests came behind it; it comes before it now.

--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -102,8 +102,8 @@
                 *feeds,
                 parts.rounds,
                 parts.reporter,
-                parts.freshness,
                 parts.convictions,
+                parts.freshness,
             ],
             app=assembly.make_app(
                 board, clock, ports, parts.placer, parts.suspects
--- a/tests/cover/test_cold_starts.py
+++ b/tests/cover/test_cold_starts.py
@@ -37,7 +37,7 @@
     return message_types.EndpointEntry(
         name=name,
         service="engines",
-        address="10.0.0.1:80",
+        address=f"{name}:80",
         failure_domain=domain,
         born=born,
         cold_ms=cold_ms,
