--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -41,7 +41,7 @@
     """One endpoint address; each start is a new incarnation with a new id.
 
     A request whose path contains ``crash_mark`` ends each incarnation that
-    begins to run it. ``downs_ms`` is how long it then stays down.
+    begins to run it. ``down_ms`` is how long it then stays down.
     """
 
     name: str
