Disarm both endpoints of a pair before the next crash of the test

Cause, from a trace of a failing run: the test left the first endpoint of each pair armed when the second had crashed. That one then crashed in a later round, before the pair of that round, and the two attempts of that call ended without an answer; the next endpoint was the third crash since the last answer, and the request was refused, as designed. Ruled out: an answer that does not clear (each did, in order).

Change: both endpoints of a pair are disarmed once one has crashed, so that at most two crashes lie between answers, and each round waits for a crash of its own. As strict as before: all answers after crashes are 200, and four crashes are required now, more than convict.

--- a/tests/failures/test_forwarding_suspects.py
+++ b/tests/failures/test_forwarding_suspects.py
@@ -109,14 +109,20 @@
     async def main():
         desks = make_desks(9)
         async with forwarding.open_forwarding(*desks) as made:
-            for number in range(4):
-                desks[2 * number].always = backend.crash
-                desks[2 * number + 1].always = backend.crash
-                while count_crashes(desks) <= number:
-                    answer = await made.call("POST", PATH, b"popular")
-                desks[2 * number + 1].always = None
+            for first in range(0, 8, 2):
+                crashes = count_crashes(desks)
+                pair = desks[first : first + 2]
+                for each in pair:
+                    each.always = backend.crash
+                while count_crashes(desks) == crashes:
+                    await made.call("POST", PATH, b"popular")
+                # One that stays armed would add a third crash before the
+                # next answer.
+                for each in pair:
+                    each.always = None
                 answer = await made.call("POST", PATH, b"popular")
                 assert answer.status == 200
+            assert count_crashes(desks) >= 4
 
     trio.run(main)
 
