--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -31,12 +31,17 @@
 
 @attrs.define(eq=False, kw_only=True)
 class Soak:
-    """One deployment under the faults of a seed."""
+    """One deployment under the faults of a seed.
+
+    With ``proxied`` the addresses of endpoints that are down accept
+    connections.
+    """
 
     seed: int
     source: pathlib.Path
     folder: pathlib.Path
     entry_vms: int = ENTRY_VMS
+    proxied: bool = False
     bounds: records.Bounds = attrs.field(factory=records.Bounds)
     history: records.History = attrs.field(factory=records.History)
     store: store_module.Store = attrs.field(factory=store_module.Store)
@@ -91,6 +96,7 @@
                 store=self.store,
                 history=self.history,
                 draw=random.Random(draw.randrange(2**32)),
+                proxied=self.proxied,
             )
             endpoint.conduct.failing = 0.0 if engine else USUAL_FAILING
             self.fleet.append(endpoint)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -41,7 +41,8 @@
     """One endpoint address; each start is a new incarnation with a new id.
 
     A request whose path contains ``crash_mark`` ends each incarnation that
-    begins to run it. ``down_ms`` is how long it then stays down.
+    begins to run it. ``down_ms`` is how long it then stays down. With
+    ``proxied`` its address accepts connections meanwhile, and closes them.
     """
 
     name: str
@@ -56,6 +57,7 @@
     draw: random.Random
     crash_mark: str = "/crash-"
     down_ms: float = 1_500.0
+    proxied: bool = False
     conduct: Conduct = attrs.field(factory=Conduct)
     incarnation: int = 0
     running: int = 0
@@ -74,6 +76,8 @@
     async def run(self) -> None:
         """Serve, and start again after each crash."""
         async with trio.open_nursery() as nursery:
+            if self.proxied:
+                await nursery.start(serve_link, self.link, self.ports[0])
             while True:
                 self.incarnation += 1
                 self.running = 0
@@ -98,7 +102,8 @@
         link_port, port = self.ports
         async with trio.open_nursery() as nursery:
             await nursery.start(raw_http.serve, self.handle, port)
-            await nursery.start(serve_link, self.link, link_port)
+            if not self.proxied:
+                await nursery.start(serve_link, self.link, link_port)
             while True:
                 self._register()
                 await trio.sleep(HEARTBEAT_MS / 1000)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -73,6 +73,7 @@
     source: pathlib.Path = SOURCE,
     kinds: tuple[schedule.Fault, ...] = tuple(schedule.Fault),
     entry_vms: int = deployment.ENTRY_VMS,
+    proxied: bool = False,
 ) -> tuple[deployment.Soak, Result]:
     """Play one seed; the logs are removed unless a rule was broken."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -81,6 +82,7 @@
         source=source.resolve(),
         folder=folder,
         entry_vms=min(entry_vms, MAX_ENTRY_VMS),
+        proxied=proxied,
     )
     trio.run(soak.play, min(seconds, MAX_SECONDS), kinds)
     result = summarize(soak)
@@ -124,6 +126,7 @@
     faults: str = "",
     vms: int = deployment.ENTRY_VMS,
     busy: int = 0,
+    proxied: bool = False,
 ) -> int:
     """Play seeds, print a line for each; the exit code is 0 if all hold.
 
@@ -135,6 +138,8 @@
         faults: names of the faults to draw from, such as "VM_KILLED,ABUSE".
         vms: how many entry VMs to run.
         busy: how many processes keep the machine busy meanwhile.
+        proxied: whether addresses of endpoints that are down accept
+            connections.
     """
     names = faults if isinstance(faults, tuple) else faults.split(",")
     kinds = tuple(schedule.Fault[name] for name in names if name)
@@ -150,6 +155,7 @@
                 pathlib.Path(source),
                 kinds or tuple(schedule.Fault),
                 vms,
+                proxied,
             )
             broken += result.broken
             print(json.dumps(attrs.asdict(result)), flush=True)
