Count an endpoint's end soon after a broken run as a crash

What callers would see: a request that crashes endpoints goes on crashing them, one for each attempt of each repeat, wherever something else accepts connections at the address of an endpoint that is down (a proxy before it), or the endpoint is back before the probe.

The class is that of the incident: an entry VM later learns that the process has ended, by the registry or by a response of its successor, and nothing connects that with the run.

Change: runs that broke off are kept for 10 s. If the registry drops or replaces their process in that time, or another process answers at its address, the crash is recorded at the time of the run. Endpoints that are leaving end as planned and do not count. An answer drops the runs of its request. The run is recorded before the probe, so that a caller that leaves meanwhile no longer hides it.

Ruled out: taking a connection that is accepted and closed for a crash. Endpoints with many connections or a long queue reset further ones, so three attempts under overload would get a harmless request refused for 10 minutes.

Without the recording of ended processes five tests fail (three kinds of end, the caller that left, and test_request_that_crashes_endpoints_behind_proxies_is_refused).

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -243,8 +243,8 @@
     ENDPOINT_BACK = EventKind(1503, "An ejected endpoint is used again.")
     ENDPOINT_CRASHED = EventKind(
         1504,
-        "An endpoint aborted a run and refuses connections; the requests in "
-        "flight on it are suspect.",
+        "An endpoint aborted a run and refuses connections, or its process "
+        "ended soon after; the requests in flight on it are suspect.",
         "restart the endpoint",
         logging.ERROR,
     )
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -79,7 +79,9 @@
     placer = placing.Placer(
         clock, fleet, rollouts, reporter, metrics, started_ms
     )
-    suspects = suspects_module.SuspectRequests(clock, reporter.report_soon)
+    suspects = suspects_module.SuspectRequests(
+        clock, reporter.report_soon, fleet.notices.find_state
+    )
     reporter.add_topic(
         "suspects", load_reports.Topic(suspects.describe, suspects.merge)
     )
--- a/src/carawayward/forwarding/notices.py
+++ b/src/carawayward/forwarding/notices.py
@@ -6,6 +6,8 @@
 notice binds the entry VM that has read it, whatever the registry lists.
 """
 
+import enum
+
 import attrs
 
 from carawayward import clock as clock_module
@@ -19,6 +21,18 @@
 KEPT_MS = 60_000.0
 
 
+class ProcessState(enum.Enum):
+    """What is known of one process of an endpoint.
+
+    It has ended if it is no longer listed, or if another process has answered
+    at its address. One that is leaving ends as planned.
+    """
+
+    RUNNING = "running"
+    LEAVING = "leaving"
+    ENDED = "ended"
+
+
 @attrs.define
 class Notice:
     """What one process of an endpoint has said of itself.
@@ -85,6 +99,18 @@
         notice = self.notices.get(entry.process)
         return notice is not None and (notice.leaving or notice.replaced)
 
+    def find_state(self, entry: message_types.EndpointEntry) -> ProcessState:
+        """Find out whether this process of an endpoint still runs."""
+        notice = self.notices.get(entry.process)
+        listed = self.board.endpoints.get(entry.name)
+        if entry.leaving or (notice is not None and notice.leaving):
+            return ProcessState.LEAVING
+        if listed is None or listed.process != entry.process:
+            return ProcessState.ENDED
+        if notice is not None and notice.replaced:
+            return ProcessState.ENDED
+        return ProcessState.LEAVING if listed.leaving else ProcessState.RUNNING
+
     def is_resting(self, entry: message_types.EndpointEntry) -> bool:
         """Whether this process of an endpoint wants no request now."""
         return self.clock.boot_ms() < self._get_rest_end_ms(entry)
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -16,6 +16,7 @@
 from carawayward import events
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
+from carawayward.forwarding import notices
 from carawayward.forwarding import work_items
 from carawayward import settings as settings_module
 
@@ -24,6 +25,12 @@
 PROBE_TIMEOUT_MS = 250.0
 # All runs of a process that has crashed break off within this time.
 PROBE_VALID_MS = 1_000.0
+# A probe does not notice a crash if something else accepts connections at the
+# address, or if the endpoint is back sooner. Its next process is listed, or
+# its entry expires, within this time after the run broke off.
+ENDED_WITHIN_MS = 10_000.0
+MAX_BROKEN_RUNS = 500
+REVIEW_INTERVAL_MS = 100.0
 # How long a crash is reported, and an answer after it. A request that is
 # refused is always reported.
 REPORTED_MS = 10_000.0
@@ -46,6 +53,15 @@
     return False
 
 
+@attrs.frozen
+class BrokenRun:
+    """A run that broke off ``at_ms``, with its request and its endpoint."""
+
+    fingerprint: str
+    entry: message_types.EndpointEntry
+    at_ms: int
+
+
 @attrs.define(eq=False)
 class SuspectRequests:
     """Crashes by the content of the requests that were in flight.
@@ -53,13 +69,17 @@
     A request is refused after ``suspicion.CRASHES_WITHOUT_TRIALS`` crashes
     since its last answer. ``report_soon`` is called when there is something
     new to report, ``on_convicted`` with the fingerprint of a request that is
-    refused from now on after a run of this entry VM. ``reported_ms`` has the
-    suspects to report, the next one last, and when each has changed. Times are
-    in ms on the boot clock; reports have ages.
+    refused from now on after a run of this entry VM. ``find_state`` tells
+    whether an endpoint's process has ended since one of the ``broken_runs``.
+    ``reported_ms`` has the suspects to report, the next one last, and when
+    each has changed. Times are in ms on the boot clock; reports have ages.
     """
 
     clock: clock_module.Clock
     report_soon: typing.Callable[[], None]
+    find_state: typing.Callable[
+        [message_types.EndpointEntry], notices.ProcessState
+    ]
     probe: typing.Callable[[str], typing.Awaitable[bool]] = refuses_connections
     on_convicted: typing.Callable[[str], None] = lambda fingerprint: None
     records: suspicion.SuspectRecords = attrs.field(
@@ -69,10 +89,15 @@
     reported_ms: collections.OrderedDict[str, int] = attrs.field(
         factory=collections.OrderedDict
     )
+    broken_runs: collections.deque[BrokenRun] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_BROKEN_RUNS)
+    )
+    reviewed_ms: int = 0
     dropped_ms: int = 0
 
     def is_convicted(self, work: work_items.Work) -> bool:
         """Whether a request has crashed too many endpoints to be sent."""
+        self._review_broken_runs()
         if not self.records.crashes:
             return False
         return self._is_convicted(work.fingerprint)
@@ -90,34 +115,77 @@
     async def record_broken_run(
         self, work: work_items.Work, entry: message_types.EndpointEntry
     ) -> bool:
-        """Record a run that broke off; return whether its endpoint crashed."""
-        if not await self._has_crashed(entry):
+        """Record a run that broke off.
+
+        Returns whether its endpoint is known to have crashed. If it is not, it
+        may become known later.
+        """
+        run = BrokenRun(work.fingerprint, entry, self._now_ms())
+        # The caller may leave during the probe.
+        self.broken_runs.append(run)
+        if not await self._is_refused(entry):
             return False
-        number = load_report_messages.hash_name(f"{entry.name}/{entry.born}")
-        before = self._is_convicted(work.fingerprint)
-        self.add_crash(work.fingerprint, str(number), 0)
-        if not before and self._is_convicted(work.fingerprint):
-            self.on_convicted(work.fingerprint)
+        self._record_crash(run, "connection refused")
         return True
 
-    async def _has_crashed(self, entry: message_types.EndpointEntry) -> bool:
-        """Whether an endpoint's process has ended; probes it once."""
+    async def _is_refused(self, entry: message_types.EndpointEntry) -> bool:
+        """Whether an endpoint refuses connections; probes it once."""
         now_ms = self._now_ms()
         self.crashed_ms = {
             process: at_ms
             for process, at_ms in self.crashed_ms.items()
             if now_ms - at_ms < PROBE_VALID_MS
         }
-        if entry.process in self.crashed_ms:
-            return True
-        if not await self.probe(entry.address):
-            return False
-        self.crashed_ms[entry.process] = self._now_ms()
-        events.log_event(events.Event.ENDPOINT_CRASHED, endpoint=entry.name)
-        return True
+        return entry.process in self.crashed_ms or await self.probe(
+            entry.address
+        )
+
+    def _review_broken_runs(self) -> None:
+        """Record the crashes of endpoints that have ended since."""
+        now_ms = self._now_ms()
+        if now_ms - self.reviewed_ms < REVIEW_INTERVAL_MS:
+            return
+        self.reviewed_ms = now_ms
+        for _ in range(len(self.broken_runs)):
+            run = self.broken_runs.popleft()
+            match self.find_state(run.entry):
+                case notices.ProcessState.ENDED:
+                    self._record_crash(run, "process ended")
+                case notices.ProcessState.RUNNING:
+                    if now_ms - run.at_ms < ENDED_WITHIN_MS:
+                        self.broken_runs.append(run)
+
+    def _record_crash(self, run: BrokenRun, evidence: str) -> None:
+        if run.entry.process not in self.crashed_ms:
+            self.crashed_ms[run.entry.process] = self._now_ms()
+            events.log_event(
+                events.Event.ENDPOINT_CRASHED,
+                endpoint=run.entry.name,
+                evidence=evidence,
+            )
+        name = f"{run.entry.name}/{run.entry.born}"
+        number = load_report_messages.hash_name(name)
+        before = self._is_convicted(run.fingerprint)
+        age_ms = self._now_ms() - run.at_ms
+        self.add_crash(run.fingerprint, str(number), age_ms)
+        if not before and self._is_convicted(run.fingerprint):
+            self.on_convicted(run.fingerprint)
 
     def record_answer(self, work: work_items.Work) -> None:
-        """Record a complete answer, which clears a suspect."""
+        """Record a complete answer, which clears a suspect.
+
+        Its runs that broke off before no longer count, also if their endpoints
+        turn out to have crashed.
+        """
+        if self.broken_runs:
+            self.broken_runs = collections.deque(
+                (
+                    run
+                    for run in self.broken_runs
+                    if run.fingerprint != work.fingerprint
+                ),
+                MAX_BROKEN_RUNS,
+            )
         if self.records.crashes:
             self._add_answer(work.fingerprint, self._now_ms())
 
@@ -127,6 +195,7 @@
         Each has the ages of its crashes by endpoint, and of its last answer.
         """
         now_ms = self._now_ms()
+        self._review_broken_runs()
         self._forget(now_ms)
         newest = itertools.islice(
             reversed(self.reported_ms), MAX_SUSPECTS_PER_REPORT
--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -15,6 +15,7 @@
 from carawayward.platform import entry
 from tests.common import loopback
 from tests.standins import backend as backend_module
+from tests.standins import link as link_module
 from tests.standins import raw_http
 from tests.standins import store as store_module
 
@@ -266,12 +267,14 @@
     daemons: int = 1,
     heartbeat_ms: int = 1_200,
     era: int | None = None,
+    proxied: bool = False,
     **bounds: float | bool,
 ) -> typing.AsyncIterator[Forwarding]:
     """Run a store, servers and entry VMs until the test ends.
 
     The servers' entries are not renewed; ``heartbeat_ms`` is the renewal
-    interval that the entry VMs assume.
+    interval that the entry VMs assume. With ``proxied`` the addresses of
+    servers that have crashed accept connections, and close them.
     """
     store = store_module.Store(era=era)
     async with trio.open_nursery() as nursery:
@@ -287,6 +290,10 @@
         )
         for each in backends:
             each.port = await nursery.start(each.serve)
+            if proxied:
+                each.port = await nursery.start(
+                    link_module.serve_link, link_module.Link(each.port)
+                )
             deployment.register(each)
         store.put("keyed.op", "config", config or make_config())
         for _ in range(daemons):
--- a/tests/cover/test_forwarding_convictions.py
+++ b/tests/cover/test_forwarding_convictions.py
@@ -14,6 +14,7 @@
 from carawayward.forwarding import conviction_log
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import message_types
+from carawayward.forwarding import notices
 from carawayward.forwarding import suspects
 
 FINGERPRINT = suspicion.digest_content(b"ikeja", b"POST", b"/1", b"body")
@@ -69,12 +70,18 @@
     return True
 
 
+def find_state(entry):
+    return notices.ProcessState.RUNNING
+
+
 def run_process(topic, wall_ms, *crashes):
     """Run a process that sees crashes; return whether it then refuses."""
 
     async def main():
         clock = TrioClock(wall_ms)
-        made = suspects.SuspectRequests(clock, lambda: None, refuse)
+        made = suspects.SuspectRequests(
+            clock, lambda: None, find_state, refuse
+        )
         log = conviction_log.ConvictionLog(topic, clock, made)
         async with trio.open_nursery() as nursery:
             await log.start(nursery)
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -3,6 +3,7 @@
 import types
 import typing
 
+import attrs
 import cbor2
 from hypothesis import example
 from hypothesis import given
@@ -13,8 +14,10 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import suspicion
+from carawayward.forwarding import board as board_module
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
+from carawayward.forwarding import notices
 from carawayward.forwarding import suspects
 
 MAX_REPORT_BYTES = 700
@@ -46,17 +49,22 @@
     return work
 
 
-def make_entry(name):
+def make_entry(name, born=1, **changes):
     return message_types.EndpointEntry(
         name=name,
         service="desk",
-        address="10.0.0.1:80",
+        address=f"{name}:80",
         failure_domain="north",
-        born=1,
+        born=born,
+        **changes,
     )
 
 
-def make_suspects(clock: typing.Any = None, refuses=True):
+def make_suspects(
+    clock: typing.Any = None,
+    refuses=True,
+    find_state=lambda entry: notices.ProcessState.RUNNING,
+):
     probed = []
 
     async def probe(address):
@@ -66,7 +74,7 @@
     used = clock or typing.cast(
         typing.Any, clock_module.ManualClock(10_000_000.0)
     )
-    made = suspects.SuspectRequests(used, lambda: None, probe)
+    made = suspects.SuspectRequests(used, lambda: None, find_state, probe)
     return made, probed
 
 
@@ -101,6 +109,110 @@
     assert not made.describe()
 
 
+@attrs.define
+class Registry:
+    """Suspects whose endpoints are listed, and never refuse a connection."""
+
+    clock: clock_module.ManualClock
+    board: board_module.ForwardingBoard
+    notices: notices.EndpointNotices
+    suspects: suspects.SuspectRequests
+
+    @classmethod
+    def with_endpoints(cls, *names):
+        """List endpoints on which a run of the same request broke off."""
+        clock = clock_module.ManualClock(10_000_000.0)
+        board = board_module.ForwardingBoard(
+            name="edge-1", failure_domain="north"
+        )
+        found = notices.EndpointNotices(board, typing.cast(typing.Any, clock))
+        made, _ = make_suspects(clock, False, found.find_state)
+        for name in names:
+            board.endpoints[name] = make_entry(name)
+            crash(made, name)
+        return cls(clock, board, found, made)
+
+    def is_convicted(self):
+        """Whether the request is refused after the next review."""
+        self.clock.advance(suspects.REVIEW_INTERVAL_MS)
+        return self.suspects.is_convicted(make_work())
+
+
+def restart(registry, name):
+    registry.board.endpoints[name] = make_entry(name, born=2)
+
+
+def remove(registry, name):
+    del registry.board.endpoints[name]
+
+
+def answer_as_another(registry, name):
+    response = message_types.ResponseMetadata(instance="e-9")
+    registry.notices.record_response(make_entry(name), response)
+
+
+@params(restart, remove, answer_as_another)
+def test_endpoint_that_ends_soon_after_a_broken_run_has_crashed(end):
+    """Something else accepts connections at its address."""
+    registry = Registry.with_endpoints("e-1", "e-2", "e-3")
+    end(registry, "e-1")
+    end(registry, "e-2")
+    assert not registry.is_convicted()
+    end(registry, "e-3")
+    assert registry.is_convicted()
+
+
+def test_endpoint_that_ends_long_after_a_broken_run_has_not_crashed():
+    """Connections were reset, and later the endpoints are replaced."""
+    registry = Registry.with_endpoints("e-1", "e-2", "e-3")
+    registry.clock.advance(suspects.ENDED_WITHIN_MS)
+    assert not registry.is_convicted()
+    for name in ("e-1", "e-2", "e-3"):
+        restart(registry, name)
+    assert not registry.is_convicted()
+
+
+def test_endpoint_that_leaves_after_a_broken_run_has_not_crashed():
+    """Connections were reset while the endpoints were being drained."""
+    names = ("e-1", "e-2", "e-3")
+    registry = Registry.with_endpoints(*names)
+    for name in names:
+        entry = make_entry(name, leaving=True)
+        registry.board.endpoints[name] = entry
+    assert not registry.is_convicted()
+    for name in names:
+        remove(registry, name)
+    assert not registry.is_convicted()
+
+
+@params([], ["e-1"])
+def test_answer_clears_crashes_that_become_known_after_it(known):
+    """The endpoints' ends are noticed seconds after the answer."""
+    names = ("e-1", "e-2", "e-3")
+    registry = Registry.with_endpoints(*names)
+    for name in known:
+        restart(registry, name)
+    assert not registry.is_convicted()
+    registry.suspects.record_answer(make_work())
+    for name in names:
+        restart(registry, name)
+    assert not registry.is_convicted()
+
+
+def test_crash_counts_though_the_caller_left_during_the_probe():
+    """Callers give up while the entry VM waits for the probe."""
+
+    async def leave(made, name):
+        with trio.move_on_after(0.01):
+            await made.record_broken_run(make_work(), make_entry(name))
+
+    registry = Registry.with_endpoints()
+    registry.suspects.probe = lambda address: trio.sleep_forever()
+    for name in ("e-1", "e-2", "e-3"):
+        trio.run(leave, registry.suspects, name)
+    assert registry.is_convicted()
+
+
 def test_repeated_reports_of_a_crash_count_once():
     """Each report of a peer has the same crashes with other ages."""
     clock = clock_module.ManualClock(10_000_000.0)
--- a/tests/failures/test_forwarding_suspects.py
+++ b/tests/failures/test_forwarding_suspects.py
@@ -47,6 +47,29 @@
     trio.run(main)
 
 
+def test_request_that_crashes_endpoints_behind_proxies_is_refused():
+    """Their addresses accept connections while they are down."""
+
+    async def main():
+        desks = make_desks(9)
+        async with forwarding.open_forwarding(
+            *desks, daemons=3, proxied=True
+        ) as made:
+            assert (await send_bad(made, 0, 2)).status == 502
+            crashes = count_crashes(desks)
+            assert crashes == 4
+            for each in desks:
+                if each.runs:
+                    made.store.put("keyed.servers", each.name, None)
+            await trio.sleep(REPORT_S)
+            for daemon in (0, 1, 2):
+                assert (await send_bad(made, daemon, 2)).status == 503
+            assert count_crashes(desks) == crashes
+            assert (await made.call("POST", PATH, b"good")).status == 200
+
+    trio.run(main)
+
+
 def test_entry_vm_that_starts_later_refuses_a_request_that_crashes_endpoints():
     """It was restarted, and the request comes to it next."""
 
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -77,7 +77,9 @@
         """Serve, and start again after each crash."""
         async with trio.open_nursery() as nursery:
             if self.proxied:
-                await nursery.start(serve_link, self.link, self.ports[0])
+                await nursery.start(
+                    link_module.serve_link, self.link, self.ports[0]
+                )
             while True:
                 self.incarnation += 1
                 self.running = 0
@@ -103,7 +105,9 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(raw_http.serve, self.handle, port)
             if not self.proxied:
-                await nursery.start(serve_link, self.link, link_port)
+                await nursery.start(
+                    link_module.serve_link, self.link, link_port
+                )
             while True:
                 self._register()
                 await trio.sleep(HEARTBEAT_MS / 1000)
@@ -224,19 +228,3 @@
             await exchange.send_chunk(backend.make_event(number))
             await trio.sleep(EVENT_PAUSE_S * self.conduct.slowness)
         await exchange.send_chunk(b"")
-
-
-async def serve_link(
-    link: link_module.Link,
-    port: int,
-    *,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Relay the connections of a port until cancelled."""
-    listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
-    task_status.started()
-
-    async def relay(stream: trio.SocketStream) -> None:
-        await link_module.relay(link, stream)
-
-    await trio.serve_listeners(relay, listeners)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -10,7 +10,6 @@
 import trio
 
 from tests.common import loopback
-from tests.soak import endpoints
 from tests.soak import records
 from tests.standins import link as link_module
 
@@ -71,10 +70,10 @@
         """Run processes until cancelled."""
         async with trio.open_nursery() as nursery:
             await nursery.start(
-                endpoints.serve_link, self.caller_link, self.caller_port
+                link_module.serve_link, self.caller_link, self.caller_port
             )
             await nursery.start(
-                endpoints.serve_link, self.store_link, self.ports[5]
+                link_module.serve_link, self.store_link, self.ports[5]
             )
             try:
                 while True:
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -117,6 +117,19 @@
         connection.cancel_scope.cancel()
 
 
+async def serve_link(
+    link: Link,
+    port: int = 0,
+    *,
+    task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Relay the connections of a port until cancelled; 0 takes a free one."""
+    listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+    task_status.started(listeners[0].socket.getsockname()[1])
+    handler = functools.partial(relay, link)
+    await trio.serve_listeners(handler, listeners)
+
+
 async def control(links: dict[str, Link], stream: trio.SocketStream) -> None:
     """Execute one command line from the control port."""
     line = b""
