Serve a request that shares its crashes with the one to blame

What callers see: a harmless request, in flight beside one that crashes endpoints and retried onto the same ones, is refused for 10 minutes.

Change: a request is not convicted if another suspect was in flight at all of its crashes and at more, nor if both were at the same three; the fourth crash tells them apart, and at four shared ones both are refused. That is one endpoint more in such a case, within the three retries that the rule allows. Two requests that both crash endpoints are both convicted by the first crash that they do not share.

--- a/src/carawayward/decisions/suspicion.py
+++ b/src/carawayward/decisions/suspicion.py
@@ -11,7 +11,8 @@
 order that every entry VM computes alike from the merged records; otherwise a
 harmless one could be running when the harmful one crashes the endpoint again.
 An answer clears a suspect, a second crash convicts it. Forwarded requests have
-no trials, as harmless ones would wait for their turn; a third crash convicts.
+no trials, as harmless ones would wait for their turn; a third crash convicts,
+unless another request was in flight at the same ones.
 
 All records only grow (crashes seen, latest clearance) and merge by union and
 maximum, so entry VMs need not agree on an order. Records expire.
@@ -158,6 +159,36 @@
     return len(crashes) >= CONVICTING_CRASHES
 
 
+def is_convicted_without_trials(
+    records: SuspectRecords, fingerprint: str, wall_ms: int
+) -> bool:
+    """Whether a request that has no trials is refused without a run.
+
+    It may have shared all its crashes with the request that caused them. If
+    another suspect was in flight at these and at more, that one is to blame;
+    if both were at the same three, a fourth has to tell them apart.
+    """
+    crashed = _list_crashed_endpoints(records, fingerprint, wall_ms)
+    if len(crashed) < CRASHES_WITHOUT_TRIALS:
+        return False
+    for other, known in records.crashes.items():
+        if other == fingerprint or len(known) < len(crashed):
+            continue
+        by_other = _list_crashed_endpoints(records, other, wall_ms)
+        if by_other > crashed:
+            return False
+        if by_other == crashed and len(crashed) == CRASHES_WITHOUT_TRIALS:
+            return False
+    return True
+
+
+def _list_crashed_endpoints(
+    records: SuspectRecords, fingerprint: str, wall_ms: int
+) -> set[str]:
+    crashes = list_distinct_crashes(records, fingerprint, wall_ms)
+    return {crash.endpoint for crash in crashes}
+
+
 def is_suspect(
     records: SuspectRecords, fingerprint: str, wall_ms: int
 ) -> bool:
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -67,7 +67,7 @@
     """Crashes by the content of the requests that were in flight.
 
     A request is refused after ``suspicion.CRASHES_WITHOUT_TRIALS`` crashes
-    since its last answer. ``report_soon`` is called when there is something
+    since its last answer, one more if another one shares them. ``report_soon`` is called when there is something
     new to report, ``on_convicted`` with the fingerprint of a request that is
     refused from now on after a run of this entry VM. ``find_state`` tells
     whether an endpoint's process has ended since one of the ``broken_runs``.
@@ -219,10 +219,10 @@
         """Whether a suspect that changed ``age_ms`` ago is reported."""
         if fingerprint not in self.records.crashes:
             return False
-        crashes = self.list_crashes(fingerprint)
-        if len(crashes) >= suspicion.CRASHES_WITHOUT_TRIALS:
+        if self._is_convicted(fingerprint):
             return True
-        return age_ms < (REPORTED_MS if crashes else ANSWER_REPORTED_MS)
+        suspect = bool(self.list_crashes(fingerprint))
+        return age_ms < (REPORTED_MS if suspect else ANSWER_REPORTED_MS)
 
     def _describe_suspect(self, fingerprint: str, now_ms: int) -> list:
         cleared_ms = self.records.cleared.get(fingerprint)
@@ -288,8 +288,9 @@
         )
 
     def _is_convicted(self, fingerprint: str) -> bool:
-        count = len(self.list_crashes(fingerprint))
-        return count >= suspicion.CRASHES_WITHOUT_TRIALS
+        return suspicion.is_convicted_without_trials(
+            self.records, fingerprint, self._now_ms()
+        )
 
     def _mark_changed(self, fingerprint: str) -> None:
         """Report a suspect soon, before those that have changed earlier."""
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -93,6 +93,38 @@
     assert not made.is_convicted(make_work(b"other"))
 
 
+def test_request_that_shares_all_its_crashes_with_another_is_served():
+    """Both were retried on the same endpoints, and one of them crashes all."""
+    made, _ = make_suspects()
+    bad, harmless = make_work(b"bad"), make_work(b"harmless")
+    for work in (bad, harmless):
+        crash(made, "e-1", "e-2", "e-3", work=work)
+    assert not made.is_convicted(harmless)
+    crash(made, "e-4", work=bad)
+    assert made.is_convicted(bad)
+    assert not made.is_convicted(harmless)
+
+
+def test_two_requests_that_crash_endpoints_are_both_refused():
+    """Both were in flight at the first crashes, and go on."""
+    made, _ = make_suspects()
+    works = make_work(b"bad"), make_work(b"worse")
+    for work in works:
+        crash(made, "e-1", "e-2", "e-3", work=work)
+    crash(made, "e-4", work=works[0])
+    crash(made, "e-5", work=works[1])
+    assert all(made.is_convicted(work) for work in works)
+
+
+def test_requests_that_share_four_crashes_are_both_refused():
+    """Nothing tells them apart, and each further run may cost an endpoint."""
+    made, _ = make_suspects()
+    works = make_work(b"bad"), make_work(b"harmless")
+    for work in works:
+        crash(made, "e-1", "e-2", "e-3", "e-4", work=work)
+    assert all(made.is_convicted(work) for work in works)
+
+
 def test_several_runs_on_one_crashed_endpoint_count_once():
     """All of an entry VM's identical requests break off together."""
     made, probed = make_suspects()
