Store a refused request whose crashes several entry VMs have seen

What callers would see: after a restart of all entry VMs a request that had been refused crashes three more endpoints.

Cause: the conviction was written by the entry VM whose own run was the one that convicted. If several had each seen a part of the crashes, they convicted by each other's reports, and none wrote it. Crashes that become known late make that common: entry VMs learn from the registry at the same time.

Change: an entry VM that has seen one of the crashes itself writes the conviction, also if a report completes it. What is read from the store is not written again.

test_conviction_by_crashes_of_several_entry_vms_is_passed_on failed before: no entry VM passed it on.

--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -67,12 +67,14 @@
     """Crashes by the content of the requests that were in flight.
 
     A request is refused after ``suspicion.CRASHES_WITHOUT_TRIALS`` crashes
-    since its last answer, one more if another one shares them. ``report_soon`` is called when there is something
-    new to report, ``on_convicted`` with the fingerprint of a request that is
-    refused from now on after a run of this entry VM. ``find_state`` tells
-    whether an endpoint's process has ended since one of the ``broken_runs``.
-    ``reported_ms`` has the suspects to report, the next one last, and when
-    each has changed. Times are in ms on the boot clock; reports have ages.
+    since its last answer, one more if another request shares them.
+    ``report_soon`` is called when there is something new to report,
+    ``on_convicted`` with the fingerprint of a request that is refused from now
+    on, if this entry VM saw one of its crashes itself; those are
+    ``seen_here``. ``find_state`` tells whether an endpoint's process has ended
+    since one of the ``broken_runs``. ``reported_ms`` has the suspects to
+    report, the next one last, and when each has changed. Times are in ms on
+    the boot clock; reports have ages.
     """
 
     clock: clock_module.Clock
@@ -92,6 +94,7 @@
     broken_runs: collections.deque[BrokenRun] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_BROKEN_RUNS)
     )
+    seen_here: set[str] = attrs.field(factory=set)
     reviewed_ms: int = 0
     dropped_ms: int = 0
 
@@ -165,11 +168,10 @@
             )
         name = f"{run.entry.name}/{run.entry.born}"
         number = load_report_messages.hash_name(name)
-        before = self._is_convicted(run.fingerprint)
-        age_ms = self._now_ms() - run.at_ms
-        self.add_crash(run.fingerprint, str(number), age_ms)
-        if not before and self._is_convicted(run.fingerprint):
-            self.on_convicted(run.fingerprint)
+        self.seen_here.add(run.fingerprint)
+        self.add_crash(
+            run.fingerprint, str(number), self._now_ms() - run.at_ms
+        )
 
     def record_answer(self, work: work_items.Work) -> None:
         """Record a complete answer, which clears a suspect.
@@ -211,6 +213,7 @@
         if now_ms - self.dropped_ms >= REPORTED_MS:
             self.dropped_ms = now_ms
             suspicion.drop_expired(self.records, now_ms)
+            self.seen_here &= self.records.crashes.keys()
         for fingerprint, changed_ms in list(self.reported_ms.items()):
             if not self._is_reported(fingerprint, now_ms - changed_ms):
                 del self.reported_ms[fingerprint]
@@ -271,6 +274,8 @@
             events.log_event(
                 events.Event.REQUEST_CONVICTED, content=fingerprint
             )
+            if fingerprint in self.seen_here:
+                self.on_convicted(fingerprint)
         self._mark_changed(fingerprint)
 
     def _add_answer(self, fingerprint: str, answered_ms: int) -> None:
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -245,6 +245,21 @@
     assert registry.is_convicted()
 
 
+def test_conviction_by_crashes_of_several_entry_vms_is_passed_on():
+    """Each has seen a part of them, and all may be restarted next."""
+    made = [make_suspects()[0] for _ in range(3)]
+    convicted = []
+    for number, each in enumerate(made):
+        each.on_convicted = lambda _, number=number: convicted.append(number)
+    crash(made[0], "e-1", "e-2")
+    crash(made[1], "e-3")
+    for sender in made:
+        for receiver in made:
+            receiver.merge("edge/a", sender.describe(), 3_000.0)
+    assert all(each.is_convicted(make_work()) for each in made)
+    assert sorted(convicted) == [0, 1]
+
+
 def test_repeated_reports_of_a_crash_count_once():
     """Each report of a peer has the same crashes with other ages."""
     clock = clock_module.ManualClock(10_000_000.0)
