Give no process a part of the retry slack right after its start

What callers would see: repeats beyond the budget in rolling restarts beside failing endpoints, on a platform that starts a process again with the settings file of the very first start.

Cause: the setting first_start, which the template took from bootstrap, said whether a former process can have spent anything.

Change: the setting is removed; each process waits a window for its part of the slack. Deployments take traffic 12 to 16 s after their first start, so that it has passed by then; until then a process retries by the ratio of its own requests.

The soak warms up for 11 s, so that slack is used from the first fault on as before.

--- a/src/carawayward/decisions/retry_budget.py
+++ b/src/carawayward/decisions/retry_budget.py
@@ -38,8 +38,8 @@
     """Counts of one service in a sliding window; times in ms.
 
     ``vms`` is the number of entry VMs among which the slack is split, None
-    while it is unknown. ``started_ms`` is when this process started; if no
-    former one on the same VM can have spent anything, it lies in the past.
+    while it is unknown. ``started_ms`` is when this process started; a
+    former one on the same VM may have spent something until then.
     """
 
     window_ms: float = 10_000.0
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -74,10 +74,9 @@
         reporter.list_members,
     )
 
-    started_ms = float("-inf") if settings.first_start else clock.now_ms()
     metrics = metrics_module.Metrics()
     placer = placing.Placer(
-        clock, fleet, rollouts, reporter, metrics, started_ms
+        clock, fleet, rollouts, reporter, metrics, started_ms=clock.now_ms()
     )
     suspects = suspects_module.SuspectRequests(
         clock, reporter.report_soon, fleet.notices.find_state
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -27,8 +27,7 @@
 class Placer:
     """Applies the placement decisions to one request at a time.
 
-    ``started_ms`` is from when on only this process can have used the retry
-    budgets.
+    ``started_ms`` is when this process started.
     """
 
     clock: clock_module.Clock
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -66,11 +66,7 @@
 
 @attrs.frozen(kw_only=True)
 class ForwardingSettings:
-    """All settings of one entry VM that serves forwarded routes.
-
-    ``first_start`` is set when the whole deployment starts for the first time,
-    so that no former process of this entry VM can have done anything.
-    """
+    """All settings of one entry VM that serves forwarded routes."""
 
     name: str
     failure_domain: str
@@ -79,7 +75,6 @@
     bounds: Bounds = attrs.field(factory=Bounds)
     heartbeat_ms: float = 1_200.0
     log_level: str = "info"
-    first_start: bool = False
 
     @classmethod
     def from_config(cls, text: str) -> "ForwardingSettings":
--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -241,11 +241,12 @@
             ),
             bounds=settings_module.Bounds(**typing.cast(dict, bounds)),
             heartbeat_ms=self.heartbeat_ms,
-            first_start=True,
         )
         daemon = daemon_module.ForwardingDaemon.from_config(
             settings, entry.make_ports(settings)
         )
+        # As if it had run for long, so that tests need not wait for the slack.
+        daemon.app.forwarder.placer.started_ms = float("-inf")
         stop = trio.Event()
         self.daemons.append(daemon)
         self.stops.append(stop)
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -14,6 +14,7 @@
 import trio
 import yaml
 
+from carawayward.decisions import retry_budget
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import daemon
@@ -293,13 +294,17 @@
     assert found.bounds.apply_ms == 2000
     assert found.bounds.retry_ratio == 0.9
     assert found.bounds.cold_slack == 0.0
-    assert not found.first_start
 
 
-def test_first_start_of_the_deployment_reaches_the_settings():
-    """A later process must not take itself for the first one."""
+def test_process_started_with_the_settings_of_the_first_start_has_no_slack():
+    """A former process may have spent it, and the settings may be older."""
     text = fill_template(SECTIONS | {"bootstrap": "true"})
-    assert settings.ForwardingSettings.from_config(text).first_start
+    found = settings.ForwardingSettings.from_config(text)
+    made = daemon.ForwardingDaemon.from_config(found, entry.make_ports(found))
+    placer = made.app.forwarder.placer
+    budget = placer.find_budget("desk")
+    budget.vms = 1
+    assert not retry_budget.may_spend(budget, placer.clock.now_ms())
 
 
 def test_bounds_of_cold_endpoints_reach_the_settings():
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -20,7 +20,8 @@
 ZONES = ("ikeja", "yaba", "lekki", "surulere")
 ENTRY_VMS = 9
 MATCHERS, DESKS = 9, 4
-WARM_UP_S = 3.0
+# Entry VMs have their part of the retry slack from about 10 s after a start.
+WARM_UP_S = 11.0
 # After the last fault, so that what it leaves behind is seen.
 SETTLE_S = 8.0
 # The usual share of requests that a desk fails.
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -25,7 +25,6 @@
 store:
   address: 127.0.0.1:{store}
 heartbeat_ms: 1200
-first_start: {first_start}
 bounds:
   key_lease_ms: 5000
   drain_ms: 2000
@@ -117,7 +116,6 @@
                 metrics=metrics,
                 store=store,
                 ratio=f"{self.bounds.retry_ratio:g}",
-                first_start=str(self.starts == 1).lower(),
                 slack=f"{self.bounds.retry_slack:g}",
             ),
             encoding="utf-8",
