Let an answer during the probe clear the run that broke off

An answer drops the broken runs of its request. One whose crash was noticed by a probe that was under way counted all the same, since a request without crashes has no record that an answer could clear; a popular request could be refused for crashes before its last answer. Found by reading.

test_answer_during_the_probes_clears_the_runs_that_broke_off failed before (with the former suspects.py).

--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -128,7 +128,9 @@
         self.broken_runs.append(run)
         if not await self._is_refused(entry):
             return False
-        self._record_crash(run, "connection refused")
+        # The request may have had an answer during the probe.
+        if run in self.broken_runs:
+            self._record_crash(run, "connection refused")
         return True
 
     async def _is_refused(self, entry: message_types.EndpointEntry) -> bool:
@@ -159,6 +161,7 @@
                         self.broken_runs.append(run)
 
     def _record_crash(self, run: BrokenRun, evidence: str) -> None:
+        """Record a crash at the time when the run broke off."""
         if run.entry.process not in self.crashed_ms:
             self.crashed_ms[run.entry.process] = self._now_ms()
             events.log_event(
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies
 from nose2.tools import params
 import trio
+import trio.testing
 
 from carawayward import clock as clock_module
 from carawayward.decisions import suspicion
@@ -231,6 +232,29 @@
     assert not registry.is_convicted()
 
 
+def test_answer_during_the_probes_clears_the_runs_that_broke_off():
+    """The same request is answered for another caller meanwhile."""
+    made, _ = make_suspects()
+    answered = trio.Event()
+
+    async def wait_for_answer(address):
+        await answered.wait()
+        return True
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for name in ("e-1", "e-2", "e-3"):
+                entry = make_entry(name)
+                nursery.start_soon(made.record_broken_run, make_work(), entry)
+            await trio.testing.wait_all_tasks_blocked()
+            made.record_answer(make_work())
+            answered.set()
+
+    made.probe = wait_for_answer
+    trio.run(main)
+    assert not made.is_convicted(make_work())
+
+
 def test_crash_counts_though_the_caller_left_during_the_probe():
     """Callers give up while the entry VM waits for the probe."""
 
