Convict a request by its fourth crash, whoever shares them

What callers would see: several requests that crash endpoints in a small pool go on, one after the other, since each is taken for harmless as long as another one was in flight at all of its crashes and at more.

Change: three crashes that another suspect shares do not convict, four always do.

--- a/src/carawayward/decisions/suspicion.py
+++ b/src/carawayward/decisions/suspicion.py
@@ -164,22 +164,17 @@
 ) -> bool:
     """Whether a request that has no trials is refused without a run.
 
-    It may have shared all its crashes with the request that caused them. If
-    another suspect was in flight at these and at more, that one is to blame;
-    if both were at the same three, a fourth has to tell them apart.
+    A harmless request may share three crashes with the one that caused them,
+    so that a fourth has to tell them apart.
     """
     crashed = _list_crashed_endpoints(records, fingerprint, wall_ms)
-    if len(crashed) < CRASHES_WITHOUT_TRIALS:
-        return False
-    for other, known in records.crashes.items():
-        if other == fingerprint or len(known) < len(crashed):
-            continue
-        by_other = _list_crashed_endpoints(records, other, wall_ms)
-        if by_other > crashed:
-            return False
-        if by_other == crashed and len(crashed) == CRASHES_WITHOUT_TRIALS:
-            return False
-    return True
+    if len(crashed) != CRASHES_WITHOUT_TRIALS:
+        return len(crashed) > CRASHES_WITHOUT_TRIALS
+    return not any(
+        crashed <= _list_crashed_endpoints(records, other, wall_ms)
+        for other, known in records.crashes.items()
+        if other != fingerprint and len(known) >= CRASHES_WITHOUT_TRIALS
+    )
 
 
 def _list_crashed_endpoints(
