Suspect no request whose run began after its endpoint had crashed

What callers would see: behind proxies, a harmless request that is sent to three endpoints while they are down is refused for 10 minutes. The connection is accepted and closed, which looks like a run that broke off, and the end of the process follows.

Cause: a run that broke off was taken for one that was in flight at the crash, whenever it had begun.

Change: a process that has broken off a run may be down until it answers something; runs that began meanwhile make no suspects. A response that is no refusal ends that.

test_run_that_began_after_its_endpoint_crashed_is_no_suspect and test_endpoint_that_ answers_after_a_broken_run_can_crash_later each fail with their part taken out.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -199,7 +199,8 @@
     ) -> None:
         """Find out whether a run broke off since its endpoint crashed."""
         began_ms = self.clock.now_ms()
-        if await self.suspects.record_broken_run(work, endpoint.entry):
+        run_ms = began_ms - work.progress.began_ms
+        if await self.suspects.record_broken_run(work, endpoint.entry, run_ms):
             took_ms = self.clock.now_ms() - began_ms
             self.fleet.record_unreachable(endpoint, took_ms)
 
@@ -258,6 +259,7 @@
             self.fleet.record_response(endpoint, answer.head.metadata)
             if not answer.head.metadata.declined:
                 self.fleet.record_accepted(endpoint)
+                self.suspects.record_response(endpoint.entry)
             return await self.relay.relay_response(work, answer, reply)
 
     def _compute_attempt_timeout_ms(self, work: work_items.Work) -> float:
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -30,6 +30,9 @@
 # its entry expires, within this time after the run broke off.
 ENDED_WITHIN_MS = 10_000.0
 MAX_BROKEN_RUNS = 500
+# An endpoint that has crashed gets requests until its entry expires, which
+# takes longer during an outage of the store.
+SILENT_KEPT_MS = 60_000.0
 REVIEW_INTERVAL_MS = 100.0
 # How long a crash is reported, and an answer after it. A request that is
 # refused is always reported.
@@ -72,9 +75,10 @@
     ``on_convicted`` with the fingerprint of a request that is refused from now
     on, if this entry VM saw one of its crashes itself; those are
     ``seen_here``. ``find_state`` tells whether an endpoint's process has ended
-    since one of the ``broken_runs``. ``reported_ms`` has the suspects to
-    report, the next one last, and when each has changed. Times are in ms on
-    the boot clock; reports have ages.
+    since one of the ``broken_runs``. ``silent_since_ms`` is when a process
+    first broke off a run since its last response. ``reported_ms`` has the
+    suspects to report, the next one last, and when each has changed. Times are
+    in ms on the boot clock; reports have ages.
     """
 
     clock: clock_module.Clock
@@ -91,6 +95,9 @@
     reported_ms: collections.OrderedDict[str, int] = attrs.field(
         factory=collections.OrderedDict
     )
+    silent_since_ms: dict[message_types.Process, int] = attrs.field(
+        factory=dict
+    )
     broken_runs: collections.deque[BrokenRun] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_BROKEN_RUNS)
     )
@@ -115,17 +122,28 @@
             needed[0].seen_ms + suspicion.RECORD_TTL_MS - self._now_ms()
         )
 
+    def record_response(self, entry: message_types.EndpointEntry) -> None:
+        """Record that an endpoint's process has answered a request."""
+        self.silent_since_ms.pop(entry.process, None)
+
     async def record_broken_run(
-        self, work: work_items.Work, entry: message_types.EndpointEntry
+        self,
+        work: work_items.Work,
+        entry: message_types.EndpointEntry,
+        took_ms: float,
     ) -> bool:
-        """Record a run that broke off.
+        """Record a run that broke off after ``took_ms``.
 
         Returns whether its endpoint is known to have crashed. If it is not, it
-        may become known later.
+        may become known later. One that had broken off other runs before this
+        one began may have been down: the request is no suspect then.
         """
-        run = BrokenRun(work.fingerprint, entry, self._now_ms())
+        now_ms = self._now_ms()
+        run = BrokenRun(work.fingerprint, entry, now_ms)
+        silent_ms = self.silent_since_ms.setdefault(entry.process, now_ms)
         # The caller may leave during the probe.
-        self.broken_runs.append(run)
+        if now_ms - took_ms <= silent_ms:
+            self.broken_runs.append(run)
         if not await self._is_refused(entry):
             return False
         # The request may have had an answer during the probe.
@@ -215,6 +233,11 @@
         """Forget what need not be reported, and records that have expired."""
         if now_ms - self.dropped_ms >= REPORTED_MS:
             self.dropped_ms = now_ms
+            self.silent_since_ms = {
+                process: at_ms
+                for process, at_ms in self.silent_since_ms.items()
+                if now_ms - at_ms < SILENT_KEPT_MS
+            }
             suspicion.drop_expired(self.records, now_ms)
             self.seen_here &= self.records.crashes.keys()
         for fingerprint, changed_ms in list(self.reported_ms.items()):
--- a/tests/cover/test_forwarding_convictions.py
+++ b/tests/cover/test_forwarding_convictions.py
@@ -93,7 +93,7 @@
                     address="10.0.0.1:80",
                     failure_domain="north",
                 )
-                await made.record_broken_run(WORK, entry)
+                await made.record_broken_run(WORK, entry, 5.0)
             await trio.sleep(5.0)
             nursery.cancel_scope.cancel()
         return made.is_convicted(WORK), made.compute_retry_after_ms(WORK)
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -79,9 +79,14 @@
     return made, probed
 
 
-def crash(made, *names, work=None):
+def crash(made, *names, work=None, took_ms=5.0):
     for name in names:
-        trio.run(made.record_broken_run, work or make_work(), make_entry(name))
+        trio.run(
+            made.record_broken_run,
+            work or make_work(),
+            make_entry(name),
+            took_ms,
+        )
 
 
 def test_third_crash_convicts_a_request():
@@ -106,6 +111,30 @@
     assert not made.is_convicted(harmless)
 
 
+def test_run_that_began_after_its_endpoint_crashed_is_no_suspect():
+    """Something else accepts connections while the endpoint is down."""
+    clock = clock_module.ManualClock(10_000_000.0)
+    made, _ = make_suspects(clock)
+    names = ("e-1", "e-2", "e-3")
+    crash(made, *names, work=make_work(b"bad"))
+    clock.advance(10.0)
+    crash(made, *names)
+    assert not made.is_convicted(make_work())
+    assert made.is_convicted(make_work(b"bad"))
+
+
+def test_endpoint_that_answers_after_a_broken_run_can_crash_later():
+    """A connection was reset before the request came that crashes it."""
+    clock = clock_module.ManualClock(10_000_000.0)
+    made, _ = make_suspects(clock)
+    for name in ("e-1", "e-2", "e-3"):
+        crash(made, name, work=make_work(name.encode()))
+        clock.advance(10.0)
+        made.record_response(make_entry(name))
+        crash(made, name)
+    assert made.is_convicted(make_work())
+
+
 def test_two_requests_that_crash_endpoints_are_both_refused():
     """Both were in flight at the first crashes, and go on."""
     made, _ = make_suspects()
@@ -245,7 +274,9 @@
         async with trio.open_nursery() as nursery:
             for name in ("e-1", "e-2", "e-3"):
                 entry = make_entry(name)
-                nursery.start_soon(made.record_broken_run, make_work(), entry)
+                nursery.start_soon(
+                    made.record_broken_run, make_work(), entry, 5.0
+                )
             await trio.testing.wait_all_tasks_blocked()
             made.record_answer(make_work())
             answered.set()
@@ -260,7 +291,7 @@
 
     async def leave(made, name):
         with trio.move_on_after(0.01):
-            await made.record_broken_run(make_work(), make_entry(name))
+            await made.record_broken_run(make_work(), make_entry(name), 5.0)
 
     registry = Registry.with_endpoints()
     registry.suspects.probe = lambda address: trio.sleep_forever()
