Count an endpoint's end soon after a run was given up as a crash

What callers would see: a request whose work crashes endpoints only after its attempt was given up, or whose endpoints fall silent with their hosts, goes on taking one endpoint for each attempt.

In the logs each of its attempts ended with 'no response before the attempt timeout', 300 ms, before the connection broke off.

Change: a run that was given up without a response is kept like one that broke off; if its endpoint's process ends within 10 s, it counts as a crash. No probe is made, as silence alone says nothing.

Without it the new tests fail: test_endpoint_that_ends_soon_after_an_abandoned_run_has_ crashed, test_request_that_crashes_endpoints_after_its_attempts_is_refused.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -116,8 +116,8 @@
                     self.suspects.record_answer(work)
                 self._log_end(work, outcome.status, "delivered")
                 return
-            if isinstance(outcome, work_items.Failed) and outcome.broke_off:
-                await self._record_broken_run(work, endpoint)
+            if isinstance(outcome, work_items.Failed):
+                await self._record_unanswered_run(work, endpoint, outcome)
             self._record_outcome(work, endpoint, outcome)
             refusal = self._claim_retry(work, outcome)
             self._log_attempt(work, endpoint, outcome, refusal)
@@ -194,14 +194,24 @@
             self.fleet.record_success(endpoint, took_ms)
         return outcome
 
-    async def _record_broken_run(
-        self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
+    async def _record_unanswered_run(
+        self,
+        work: work_items.Work,
+        endpoint: fleet_module.TrackedEndpoint,
+        outcome: work_items.Failed,
     ) -> None:
-        """Find out whether a run broke off since its endpoint crashed."""
-        began_ms = self.clock.now_ms()
-        run_ms = began_ms - work.progress.began_ms
-        if await self.suspects.record_broken_run(work, endpoint.entry, run_ms):
-            took_ms = self.clock.now_ms() - began_ms
+        """Record a run without a response: it may have crashed its endpoint.
+
+        If it broke off, finds out whether the endpoint is down.
+        """
+        entry, ended_ms = endpoint.entry, self.clock.now_ms()
+        run_ms = ended_ms - work.progress.began_ms
+        if outcome.timed_out:
+            self.suspects.record_abandoned_run(work, entry, run_ms)
+        elif outcome.broke_off and await self.suspects.record_broken_run(
+            work, entry, run_ms
+        ):
+            took_ms = self.clock.now_ms() - ended_ms
             self.fleet.record_unreachable(endpoint, took_ms)
 
     def _make_sent_mark(
@@ -254,7 +264,7 @@
                 if not mark.sent:
                     return work_items.Unreached("connect attempt timed out")
                 return work_items.Failed(
-                    "no response before the attempt timeout"
+                    "no response before the attempt timeout", timed_out=True
                 )
             self.fleet.record_response(endpoint, answer.head.metadata)
             if not answer.head.metadata.declined:
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -99,7 +99,9 @@
                 with trio.move_on_after(gap_timeout_s) as gap_scope:
                     chunk = await anext(chunks, b"")
                 if gap_scope.cancelled_caught:
-                    return work_items.Failed("stream idle timeout")
+                    return work_items.Failed(
+                        "stream idle timeout", timed_out=True
+                    )
                 if not chunk:
                     break
                 try:
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -26,10 +26,10 @@
 # All runs of a process that has crashed break off within this time.
 PROBE_VALID_MS = 1_000.0
 # A probe does not notice a crash if something else accepts connections at the
-# address, or if the endpoint is back sooner. Its next process is listed, or
-# its entry expires, within this time after the run broke off.
+# address, if the endpoint is back sooner, or if it crashes after the run was
+# given up. Its next process is listed, or its entry expires, within this time.
 ENDED_WITHIN_MS = 10_000.0
-MAX_BROKEN_RUNS = 500
+MAX_UNANSWERED_RUNS = 500
 # An endpoint that has crashed gets requests until its entry expires, which
 # takes longer during an outage of the store.
 SILENT_KEPT_MS = 60_000.0
@@ -57,8 +57,8 @@
 
 
 @attrs.frozen
-class BrokenRun:
-    """A run that broke off ``at_ms``, with its request and its endpoint."""
+class UnansweredRun:
+    """A run that ended without a response ``at_ms``, on which endpoint."""
 
     fingerprint: str
     entry: message_types.EndpointEntry
@@ -75,7 +75,7 @@
     ``on_convicted`` with the fingerprint of a request that is refused from now
     on, if this entry VM saw one of its crashes itself; those are
     ``seen_here``. ``find_state`` tells whether an endpoint's process has ended
-    since one of the ``broken_runs``. ``silent_since_ms`` is when a process
+    since one of the ``unanswered_runs``. ``silent_since_ms`` is when a process
     first broke off a run since its last response. ``reported_ms`` has the
     suspects to report, the next one last, and when each has changed. Times are
     in ms on the boot clock; reports have ages.
@@ -98,8 +98,8 @@
     silent_since_ms: dict[message_types.Process, int] = attrs.field(
         factory=dict
     )
-    broken_runs: collections.deque[BrokenRun] = attrs.field(
-        factory=lambda: collections.deque(maxlen=MAX_BROKEN_RUNS)
+    unanswered_runs: collections.deque[UnansweredRun] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_UNANSWERED_RUNS)
     )
     seen_here: set[str] = attrs.field(factory=set)
     reviewed_ms: int = 0
@@ -107,7 +107,7 @@
 
     def is_convicted(self, work: work_items.Work) -> bool:
         """Whether a request has crashed too many endpoints to be sent."""
-        self._review_broken_runs()
+        self._review_unanswered_runs()
         if not self.records.crashes:
             return False
         return self._is_convicted(work.fingerprint)
@@ -138,19 +138,42 @@
         may become known later. One that had broken off other runs before this
         one began may have been down: the request is no suspect then.
         """
-        now_ms = self._now_ms()
-        run = BrokenRun(work.fingerprint, entry, now_ms)
-        silent_ms = self.silent_since_ms.setdefault(entry.process, now_ms)
+        self.silent_since_ms.setdefault(entry.process, self._now_ms())
         # The caller may leave during the probe.
-        if now_ms - took_ms <= silent_ms:
-            self.broken_runs.append(run)
+        run = self._add_run(work, entry, took_ms)
         if not await self._is_refused(entry):
             return False
         # The request may have had an answer during the probe.
-        if run in self.broken_runs:
+        if run in self.unanswered_runs:
             self._record_crash(run, "connection refused")
         return True
 
+    def record_abandoned_run(
+        self,
+        work: work_items.Work,
+        entry: message_types.EndpointEntry,
+        took_ms: float,
+    ) -> None:
+        """Record a run that was given up after ``took_ms``.
+
+        Its endpoint may crash later, or may have fallen silent with its host.
+        """
+        self._add_run(work, entry, took_ms)
+
+    def _add_run(
+        self,
+        work: work_items.Work,
+        entry: message_types.EndpointEntry,
+        took_ms: float,
+    ) -> UnansweredRun:
+        """Keep a run unless its endpoint may have been down at its start."""
+        now_ms = self._now_ms()
+        run = UnansweredRun(work.fingerprint, entry, now_ms)
+        silent_ms = self.silent_since_ms.get(entry.process, now_ms)
+        if now_ms - took_ms <= silent_ms:
+            self.unanswered_runs.append(run)
+        return run
+
     async def _is_refused(self, entry: message_types.EndpointEntry) -> bool:
         """Whether an endpoint refuses connections; probes it once."""
         now_ms = self._now_ms()
@@ -163,23 +186,23 @@
             entry.address
         )
 
-    def _review_broken_runs(self) -> None:
+    def _review_unanswered_runs(self) -> None:
         """Record the crashes of endpoints that have ended since."""
         now_ms = self._now_ms()
         if now_ms - self.reviewed_ms < REVIEW_INTERVAL_MS:
             return
         self.reviewed_ms = now_ms
-        for _ in range(len(self.broken_runs)):
-            run = self.broken_runs.popleft()
+        for _ in range(len(self.unanswered_runs)):
+            run = self.unanswered_runs.popleft()
             match self.find_state(run.entry):
                 case notices.ProcessState.ENDED:
                     self._record_crash(run, "process ended")
                 case notices.ProcessState.RUNNING:
                     if now_ms - run.at_ms < ENDED_WITHIN_MS:
-                        self.broken_runs.append(run)
+                        self.unanswered_runs.append(run)
 
-    def _record_crash(self, run: BrokenRun, evidence: str) -> None:
-        """Record a crash at the time when the run broke off."""
+    def _record_crash(self, run: UnansweredRun, evidence: str) -> None:
+        """Record a crash at the time when the run ended."""
         if run.entry.process not in self.crashed_ms:
             self.crashed_ms[run.entry.process] = self._now_ms()
             events.log_event(
@@ -197,17 +220,17 @@
     def record_answer(self, work: work_items.Work) -> None:
         """Record a complete answer, which clears a suspect.
 
-        Its runs that broke off before no longer count, also if their endpoints
-        turn out to have crashed.
+        Its runs without a response before no longer count, also if their
+        endpoints turn out to have crashed.
         """
-        if self.broken_runs:
-            self.broken_runs = collections.deque(
+        if self.unanswered_runs:
+            self.unanswered_runs = collections.deque(
                 (
                     run
-                    for run in self.broken_runs
+                    for run in self.unanswered_runs
                     if run.fingerprint != work.fingerprint
                 ),
-                MAX_BROKEN_RUNS,
+                MAX_UNANSWERED_RUNS,
             )
         if self.records.crashes:
             self._add_answer(work.fingerprint, self._now_ms())
@@ -218,7 +241,7 @@
         Each has the ages of its crashes by endpoint, and of its last answer.
         """
         now_ms = self._now_ms()
-        self._review_broken_runs()
+        self._review_unanswered_runs()
         self._forget(now_ms)
         newest = itertools.islice(
             reversed(self.reported_ms), MAX_SUSPECTS_PER_REPORT
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -66,13 +66,15 @@
     """The request may have run; ``head`` and ``body`` are its response.
 
     ``head`` is None if there was no response that may be relayed.
-    ``broke_off`` is set if the connection ended before the response.
+    ``broke_off`` is set if the connection ended before the response,
+    ``timed_out`` if it was given up.
     """
 
     cause: str
     head: attempt_module.ResponseHead | None = None
     body: bytes = b""
     broke_off: bool = False
+    timed_out: bool = False
 
 
 Undelivered = Unreached | Withheld | Diverted | Declined | Unsure | Failed
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -224,6 +224,19 @@
     assert registry.is_convicted()
 
 
+def test_endpoint_that_ends_soon_after_an_abandoned_run_has_crashed():
+    """It crashed later, or its host fell silent."""
+    registry = Registry.with_endpoints()
+    for name in ("e-1", "e-2", "e-3"):
+        entry = make_entry(name)
+        registry.board.endpoints[name] = entry
+        registry.suspects.record_abandoned_run(make_work(), entry, 600.0)
+    assert not registry.is_convicted()
+    for name in ("e-1", "e-2", "e-3"):
+        remove(registry, name)
+    assert registry.is_convicted()
+
+
 def test_endpoint_that_ends_long_after_a_broken_run_has_not_crashed():
     """Connections were reset, and later the endpoints are replaced."""
     registry = Registry.with_endpoints("e-1", "e-2", "e-3")
--- a/tests/failures/test_forwarding_suspects.py
+++ b/tests/failures/test_forwarding_suspects.py
@@ -70,6 +70,26 @@
     trio.run(main)
 
 
+def test_request_that_crashes_endpoints_after_its_attempts_is_refused():
+    """Each attempt is given up before its endpoint crashes."""
+
+    async def main():
+        desks = make_desks(9, backend.crash_late(1.0))
+        async with forwarding.open_forwarding(*desks, daemons=2) as made:
+            await send_bad(made, 0, 2)
+            crashed = [each for each in desks if each.runs]
+            assert len(crashed) == 4
+            await trio.sleep(1.0)
+            for each in crashed:
+                made.store.put("keyed.servers", each.name, None)
+            await trio.sleep(REPORT_S)
+            for daemon in (0, 1):
+                assert (await send_bad(made, daemon, 2)).status == 503
+            assert count_crashes(desks) == 4
+
+    trio.run(main)
+
+
 def test_entry_vm_that_starts_later_refuses_a_request_that_crashes_endpoints():
     """It was restarted, and the request comes to it next."""
 
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -208,6 +208,17 @@
     await trio.sleep_forever()
 
 
+def crash_late(delay_s: float) -> Behaviour:
+    """End the server some time after it began to execute a request."""
+
+    async def behave(backend: Backend, exchange: raw_http.Exchange) -> None:
+        backend.begin(exchange).ended = "crashed"
+        await trio.sleep(delay_s)
+        backend.scope.cancel()
+
+    return behave
+
+
 def crash_on(mark: bytes) -> Behaviour:
     """Crash on requests whose body has the mark, answer all others."""
 
