Report requests with several crashes before the others

What callers would see: a request that crashes endpoints is refused by some entry VMs and still sent by others for more than a second.

By its logs four entry VMs refused the request 2.9 s after that crash, three 0.3 s later and the last two 1.4 s later.

Cause: a report has room for eight suspects, the newest first and then the others in turn, and each crash makes suspects of all that was in flight. Change: half of the room goes to those with several crashes. All are still reported in turn.

test_suspects_with_several_crashes_are_reported_first failed with the reserved part taken out.

--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -243,15 +243,32 @@
         now_ms = self._now_ms()
         self._review_unanswered_runs()
         self._forget(now_ms)
-        newest = itertools.islice(
-            reversed(self.reported_ms), MAX_SUSPECTS_PER_REPORT
-        )
-        reported = list(newest)
+        reported = self._select_reported()
         for fingerprint in reported:
             # The others come first in the next report.
             self.reported_ms.move_to_end(fingerprint, last=False)
         return [self._describe_suspect(each, now_ms) for each in reported]
 
+    def _select_reported(self) -> list[str]:
+        """Select the suspects of one report.
+
+        A part is reserved for those with several crashes: hundreds with one
+        each may have been in flight beside the one to blame.
+        """
+        several = (
+            fingerprint
+            for fingerprint in reversed(self.reported_ms)
+            if len(self.list_crashes(fingerprint)) > 1
+        )
+        first = list(itertools.islice(several, MAX_SUSPECTS_PER_REPORT // 2))
+        others = (
+            fingerprint
+            for fingerprint in reversed(self.reported_ms)
+            if fingerprint not in first
+        )
+        left = MAX_SUSPECTS_PER_REPORT - len(first)
+        return first + list(itertools.islice(others, left))
+
     def _forget(self, now_ms: int) -> None:
         """Forget what need not be reported, and records that have expired."""
         if now_ms - self.dropped_ms >= REPORTED_MS:
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -370,6 +370,18 @@
     assert reported[0] == bytes.fromhex(bad.fingerprint)
 
 
+def test_suspects_with_several_crashes_are_reported_first():
+    """The others must learn of them before they crash more endpoints."""
+    made, _ = make_suspects()
+    bad = make_work(b"bad")
+    crash(made, "e-1", "e-2", work=bad)
+    for number in range(60):
+        crash(made, "e-1", work=make_work(b"%d" % number))
+    for _ in range(8):
+        reported = {row[0].hex() for row in made.describe()}
+        assert bad.fingerprint in reported
+
+
 def test_all_suspects_are_reported_in_turn():
     """Many are in flight when an endpoint crashes, one of them crashed it."""
     made, _ = make_suspects()
@@ -378,6 +390,9 @@
         crash(made, "e-1", work=work)
     reported = {row[0].hex() for _ in range(8) for row in made.describe()}
     assert reported == {work.fingerprint for work in works}
+    crash(made, "e-2", "e-3", work=make_work(b"bad"))
+    reported = {row[0].hex() for _ in range(9) for row in made.describe()}
+    assert reported > {work.fingerprint for work in works}
 
 
 def test_suspects_that_were_dropped_are_not_reported():
