--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -146,6 +146,15 @@
     assert all(made.is_convicted(work) for work in works)
 
 
+def test_fourth_crash_convicts_though_another_request_shares_them_all():
+    """Several requests that crash endpoints excused each other by turns."""
+    made, _ = make_suspects()
+    names = ("e-1", "e-2", "e-3", "e-4")
+    crash(made, *names)
+    crash(made, *names, "e-5", work=make_work(b"worse"))
+    assert made.is_convicted(make_work())
+
+
 def test_requests_that_share_four_crashes_are_both_refused():
     """Nothing tells them apart, and each further run may cost an endpoint."""
     made, _ = make_suspects()
