--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -71,11 +71,13 @@
         times = 1
         if self.draw.random() < self.abusive:
             times = self.abuse
-        for _ in range(1 + times):
+        for number in range(1 + times):
             left_ms = began_ms + kind.deadline_ms - trio.current_time() * 1000
             if left_ms <= 1.0:
                 return
-            status, wait_ms = await self._send(kind, content, left_ms)
+            status, wait_ms = await self._send(
+                kind, content, left_ms, number == 0
+            )
             if status in FINAL or 200 <= status < 300:
                 return
             if kind.route_kind == "unsafe" and status not in PROMISES:
@@ -84,7 +86,11 @@
                 await trio.sleep(wait_ms / 1000)
 
     async def _send(
-        self, kind: traffic.Kind, content: str | int, left_ms: float
+        self,
+        kind: traffic.Kind,
+        content: str | int,
+        left_ms: float,
+        first_try: bool,
     ) -> tuple[int, float]:
         """Return the status, 0 without one, and the Retry-After in ms."""
         vm = self.draw.choice(self.vms)
@@ -111,6 +117,7 @@
             at_ms=trio.current_time() * 1000,
             deadline_ms=left_ms,
             max_attempts=kind.max_attempts,
+            first_try=first_try,
         )
         status, wait_ms = 0, 0.0
         with trio.move_on_after(left_ms / 1000):
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -1,7 +1,8 @@
-"""Checks of the retry rules, one function a clause.
+"""Checks of the rules on retries and partitions, one function a clause.
 
 Each returns its violations as text. They use only what endpoints got, what
-callers sent and which faults were injected; see the users' rules, BUDGET.
+callers sent and got, and which faults were injected; see the users' rules,
+BUDGET and RECOVER.
 """
 
 import bisect
@@ -20,6 +21,9 @@
 MAX_RETRIES_AFTER_CRASHES = 3
 REST_BEGINS_MS = 500.0
 MAX_REQUESTS_IN_REST = 2
+MIN_SERVED_RATIO = 2.0 / 3.0
+MAX_FAILED_FIRST_TRIES = 10
+MAX_FAILED_FIRST_TRY_SHARE = 1.0 / 50.0
 
 Checker = typing.Callable[[records.History, records.Bounds], list[str]]
 
@@ -258,12 +262,85 @@
     return found
 
 
+@attrs.frozen(kw_only=True)
+class FirstTries:
+    """First tries during a partition: all, and those that were served."""
+
+    sent: int
+    served: int
+
+    @property
+    def share(self) -> float:
+        """The share that was served."""
+        return self.served / self.sent if self.sent else 1.0
+
+
+def count_first_tries(
+    history: records.History,
+    bounds: records.Bounds,
+    partition: records.Partition,
+) -> tuple[FirstTries, FirstTries]:
+    """Count first tries at partitioned entry VMs and at the others.
+
+    Counted are those sent from ``contact_ms`` after the partition began, at
+    entry VMs in touch, with a known outcome.
+    """
+    outcomes: dict[bool, list[bool]] = {True: [], False: []}
+    for sent in history.sent.values():
+        from_ms = partition.from_ms + bounds.contact_ms
+        if not sent.first_try or not from_ms <= sent.at_ms:
+            continue
+        if sent.at_ms > partition.until_ms:
+            continue
+        status = history.statuses.get(sent.request_id)
+        if status is None or not _is_in_touch(
+            history, bounds, sent.vm, sent.at_ms
+        ):
+            continue
+        inside = sent.vm in partition.vms
+        if not inside and history.is_vm_partitioned(sent.vm, sent.at_ms):
+            continue
+        outcomes[inside].append(200 <= status < 300)
+    inside_tries, outside_tries = (
+        FirstTries(sent=len(served), served=sum(served))
+        for served in (outcomes[True], outcomes[False])
+    )
+    return inside_tries, outside_tries
+
+
+def check_partitions(
+    history: records.History, bounds: records.Bounds
+) -> list[str]:
+    """Find partitions from all endpoints that callers notice.
+
+    First tries at the partitioned entry VMs are served less than two thirds as
+    often as those at the others, and too many fail there.
+    """
+    found = []
+    for partition in history.partitions:
+        inside, outside = count_first_tries(history, bounds, partition)
+        allowed = MAX_FAILED_FIRST_TRIES + MAX_FAILED_FIRST_TRY_SHARE * (
+            inside.sent + outside.sent
+        )
+        if not outside.sent or inside.sent - inside.served <= allowed:
+            continue
+        if inside.share >= MIN_SERVED_RATIO * outside.share:
+            continue
+        found.append(
+            f"{len(partition.vms)} entry VMs without endpoints served "
+            f"{inside.served} of {inside.sent} first tries, the others "
+            f"{outside.served} of {outside.sent}"
+        )
+    return found
+
+
 CHECKERS: dict[str, Checker] = {
     "attempts": check_endpoints_per_request,
     "deadlines": check_deadlines,
     "crashes": check_crashing_requests,
     "repeats": check_repeats,
     "rests": check_rests,
+    "partitions": check_partitions,
 }
 
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -1,5 +1,6 @@
 """A deployment of entry VM processes, and the faults that hit it."""
 
+import math
 import pathlib
 import random
 import typing
@@ -28,6 +29,8 @@
 USUAL_FAILING = 0.05
 CRASHING_REPEATS = 12
 CRASHING_PAUSE_S = 0.8
+# The rule judges what is sent later than contact_ms after the cut.
+MIN_PARTITION_MS = 7_000.0
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -107,6 +110,7 @@
             processes.EntryVm(
                 name=f"edge-{ZONES[number % len(ZONES)]}-{number}",
                 zone=ZONES[number % len(ZONES)],
+                ip=f"127.0.1.{number + 1}",
                 source=self.source,
                 folder=self.folder,
                 store_port=store_port,
@@ -185,6 +189,8 @@
                 self.callers.abusive = fault.strength
                 await trio.sleep(fault.for_ms / 1000)
                 self.callers.abusive = 0.0
+            case kind.PARTITION:
+                await self._partition(fault)
             case kind.CRASHING_REQUEST:
                 index = fault.target % len(traffic.KINDS)
                 await self.callers.send_repeatedly(
@@ -194,6 +200,45 @@
                     pause_s=CRASHING_PAUSE_S,
                 )
 
+    async def _partition(self, fault: schedule.ScheduledFault) -> None:
+        """Cut entry VMs off from all endpoints.
+
+        They are one, most, those of a failure domain, or all. During one
+        partition no other begins, so that some are left to compare with.
+        """
+        if any(each.until_ms == math.inf for each in self.history.partitions):
+            return
+        kinds = list(schedule.PartitionKind)
+        kind = kinds[int(fault.strength * len(kinds)) % len(kinds)]
+        first = fault.target % len(self.vms)
+        groups = (
+            [self.vms[first]],
+            (self.vms + self.vms)[first : first + 1 + len(self.vms) // 2],
+            [vm for vm in self.vms if vm.zone == self.vms[first].zone],
+            self.vms,
+        )
+        vms = groups[fault.target // len(self.vms) % len(groups)]
+        partition = records.Partition(
+            vms=frozenset(vm.name for vm in vms),
+            kind=kind.value,
+            from_ms=trio.current_time() * 1000,
+        )
+        self.history.partitions.append(partition)
+        addresses = [f"127.0.0.1:{each.ports[0]}" for each in self.fleet]
+        for vm in vms:
+            vm.partition(kind.new, addresses)
+            for endpoint in self.fleet:
+                if kind.open == "reset":
+                    endpoint.link.reset(vm.ip)
+                elif kind.open == "held":
+                    endpoint.link.hold(vm.ip)
+        await trio.sleep((MIN_PARTITION_MS + fault.for_ms) / 1000)
+        partition.until_ms = trio.current_time() * 1000
+        for vm in vms:
+            vm.end_partition()
+            for endpoint in self.fleet:
+                endpoint.link.release(vm.ip)
+
     async def _disturb_store(self, fault: schedule.ScheduledFault) -> None:
         disruptions = [vm.disrupt(fault.fault.value) for vm in self.vms]
         match fault.fault:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -1,5 +1,6 @@
 """Entry VM processes, and the faults that hit them from outside."""
 
+import json
 import os
 import pathlib
 import signal
@@ -10,17 +11,19 @@
 import trio
 
 from tests.common import loopback
+from tests.soak import partitioned
 from tests.soak import records
 from tests.standins import link as link_module
 
 START_S = 30.0
+PARTITIONED = pathlib.Path(partitioned.__file__)
 SETTINGS = """\
 name: {name}
 failure_domain: {zone}
 listen:
   callers: 127.0.0.1:{callers}
   readiness: 127.0.0.1:{readiness}
-  peers: 127.0.0.1:{peers}
+  peers: {ip}:{peers}
   metrics: 127.0.0.1:{metrics}
 store:
   address: 127.0.0.1:{store}
@@ -38,7 +41,7 @@
     """One entry VM; a new process starts soon after the last one has ended.
 
     Callers reach it through ``caller_link``, it reaches the store through
-    ``store_link``.
+    ``store_link``. Its connections come from ``ip``, its own address.
     """
 
     name: str
@@ -48,6 +51,7 @@
     store_port: int
     bounds: records.Bounds
     history: records.History
+    ip: str
     restart_ms: float = 600.0
     ports: list[int] = attrs.field(factory=lambda: loopback.find_free_ports(6))
     caller_link: link_module.Link = attrs.field(init=False)
@@ -89,7 +93,12 @@
         log = self.folder / f"{self.name}.{self.starts}.log"
         with log.open("wb") as output:
             self.process = await trio.lowlevel.open_process(
-                [sys.executable, "-B", str(self.source / "entry_vm.py")],
+                [
+                    sys.executable,
+                    "-B",
+                    str(PARTITIONED),
+                    str(self.source / "entry_vm.py"),
+                ],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
@@ -97,6 +106,8 @@
                     **os.environ,
                     "PYTHONPATH": str(self.source),
                     "CARAWAYWARD_CONFIG": str(path),
+                    partitioned.IP_VARIABLE: self.ip,
+                    partitioned.FILE_VARIABLE: str(self._partition_path),
                 },
             )
         disruption.until_ms = trio.current_time() * 1000
@@ -110,6 +121,7 @@
             SETTINGS.format(
                 name=self.name,
                 zone=self.zone,
+                ip=self.ip,
                 callers=callers,
                 readiness=readiness,
                 peers=peers,
@@ -155,6 +167,21 @@
             disruption.until_ms = disruption.from_ms
             self.process.kill()
 
+    @property
+    def _partition_path(self) -> pathlib.Path:
+        return self.folder / f"{self.name}.partition"
+
+    def partition(self, mode: str, addresses: list[str]) -> None:
+        """Refuse new connections to addresses, or have them hang."""
+        text = json.dumps({"mode": mode, "addresses": addresses})
+        fresh = self._partition_path.with_suffix(".new")
+        fresh.write_text(text, encoding="utf-8")
+        fresh.replace(self._partition_path)
+
+    def end_partition(self) -> None:
+        """Let new connections through again."""
+        self._partition_path.unlink(missing_ok=True)
+
     async def pause(self, for_ms: float) -> None:
         """Freeze the process for a time."""
         process = self.process
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -24,6 +24,7 @@
     """One request as a caller sent it, with an id of its own.
 
     Requests with the same ``content`` have the same path, caller and body.
+    ``first_try`` is false if it repeats a request that was refused or failed.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     at_ms: float
     deadline_ms: float
     max_attempts: int
+    first_try: bool = True
 
     @property
     def ends_ms(self) -> float:
@@ -74,6 +76,16 @@
         return self.from_ms <= until_ms and self.until_ms >= from_ms
 
 
+@attrs.define(kw_only=True, eq=False)
+class Partition:
+    """A time in which entry VMs were cut off from all endpoints."""
+
+    vms: frozenset[str]
+    kind: str
+    from_ms: float
+    until_ms: float = math.inf
+
+
 @attrs.define(eq=False)
 class History:
     """The records of one run, in the order of their times."""
@@ -82,6 +94,7 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     vm_disruptions: list[Disruption] = attrs.field(factory=list)
     endpoint_disruptions: list[Disruption] = attrs.field(factory=list)
+    partitions: list[Partition] = attrs.field(factory=list)
     statuses: dict[str, int] = attrs.field(factory=dict)
 
     def find_vm(self, arrival: Arrival) -> str:
@@ -97,6 +110,13 @@
             for each in self.vm_disruptions
         )
 
+    def is_vm_partitioned(self, vm: str, at_ms: float) -> bool:
+        """Whether an entry VM was cut off from all endpoints at a time."""
+        return any(
+            vm in each.vms and each.from_ms <= at_ms <= each.until_ms
+            for each in self.partitions
+        )
+
     def is_endpoint_disrupted(
         self, endpoint: str, from_ms: float, until_ms: float
     ) -> bool:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,6 +18,7 @@
 
 from tests.soak import checkers
 from tests.soak import deployment
+from tests.soak import records
 from tests.soak import schedule
 
 SOURCE = pathlib.Path("src")
@@ -40,6 +41,7 @@
     crashes: int
     rests: int
     ends_unasked: int
+    partitions: list[str]
 
     @property
     def broken(self) -> bool:
@@ -64,6 +66,22 @@
         crashes=sum(each.crashed for each in history.arrivals),
         rests=sum(each.rest_ms > 0.0 for each in history.arrivals),
         ends_unasked=sum(vm.ends_unasked for vm in soak.vms),
+        partitions=[
+            describe_partition(soak, each) for each in history.partitions
+        ],
+    )
+
+
+def describe_partition(
+    soak: deployment.Soak, partition: records.Partition
+) -> str:
+    """How many first tries were served during a partition."""
+    inside, outside = checkers.count_first_tries(
+        soak.history, soak.bounds, partition
+    )
+    return (
+        f"{len(partition.vms)} {partition.kind}: {inside.served} of "
+        f"{inside.sent}, others {outside.served} of {outside.sent}"
     )
 
 
@@ -71,7 +89,7 @@
     seed: int,
     seconds: float,
     source: pathlib.Path = SOURCE,
-    kinds: tuple[schedule.Fault, ...] = tuple(schedule.Fault),
+    kinds: tuple[schedule.Fault, ...] = schedule.USUAL_FAULTS,
     entry_vms: int = deployment.ENTRY_VMS,
     proxied: bool = False,
 ) -> tuple[deployment.Soak, Result]:
@@ -153,7 +171,7 @@
                 each,
                 seconds,
                 pathlib.Path(source),
-                kinds or tuple(schedule.Fault),
+                kinds or schedule.USUAL_FAULTS,
                 vms,
                 proxied,
             )
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -39,6 +39,32 @@
     BURST = "more requests"
     ABUSE = "callers repeat at once"
     CRASHING_REQUEST = "request that crashes endpoints"
+    PARTITION = "vms cut off from all endpoints"
+
+
+# Drawn unless others are named; the seeds in use rest on this choice.
+USUAL_FAULTS = tuple(each for each in Fault if each is not Fault.PARTITION)
+
+
+class PartitionKind(enum.Enum):
+    """What becomes of new connections to endpoints, and of open ones."""
+
+    REFUSED_AND_RESET = "refused, reset"
+    REFUSED_AND_OPEN = "refused, open"
+    REFUSED_AND_HELD = "refused, held"
+    HANGING_AND_RESET = "hanging, reset"
+    HANGING_AND_OPEN = "hanging, open"
+    HANGING_AND_HELD = "hanging, held"
+
+    @property
+    def new(self) -> str:
+        """What becomes of new connections."""
+        return self.value.partition(", ")[0]
+
+    @property
+    def open(self) -> str:
+        """What becomes of open connections."""
+        return self.value.partition(", ")[2]
 
 
 @attrs.frozen(kw_only=True)
@@ -56,7 +82,7 @@
 
 
 def draw_faults(
-    seed: int, duration_ms: float, kinds: tuple[Fault, ...] = tuple(Fault)
+    seed: int, duration_ms: float, kinds: tuple[Fault, ...] = USUAL_FAULTS
 ) -> list[ScheduledFault]:
     """Draw the faults of a seed in the order of their times."""
     draw = random.Random(seed)
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -208,6 +208,7 @@
         "crashes": [],
         "repeats": [],
         "rests": [],
+        "partitions": [],
     }
 
 
@@ -223,3 +224,78 @@
         )
     )
     assert not check(checkers.check_deadlines, history)
+
+
+def send_first_tries(history, vm, served, failed, at_ms=FAR_MS, **changes):
+    for number in range(served + failed):
+        request_id = add_request(
+            history, len(history.sent), at_ms, vm, **changes
+        )
+        history.statuses[request_id] = 200 if number < served else 503
+
+
+def cut_off(history, *vms, from_ms=FAR_MS - BOUNDS.contact_ms):
+    history.partitions.append(
+        records.Partition(
+            vms=frozenset(vms),
+            kind="refused, reset",
+            from_ms=from_ms,
+            until_ms=FAR_MS + 5_000.0,
+        )
+    )
+
+
+def test_partitioned_entry_vms_that_serve_far_less_are_found():
+    """Twelve fail there; 10 + 1 in 50 of 50 may."""
+    history = records.History()
+    cut_off(history, "edge-0")
+    send_first_tries(history, "edge-0", served=8, failed=12)
+    send_first_tries(history, "edge-1", served=30, failed=0)
+    assert check(checkers.check_partitions, history) == [
+        "1 entry VMs without endpoints served 8 of 20 first tries, "
+        "the others 30 of 30"
+    ]
+
+
+def test_few_failures_of_partitioned_entry_vms_are_allowed():
+    """Eleven failures are 10 + 1 in 50 of 50 first tries."""
+    history = records.History()
+    cut_off(history, "edge-0")
+    send_first_tries(history, "edge-0", served=0, failed=11)
+    send_first_tries(history, "edge-1", served=39, failed=0)
+    assert not check(checkers.check_partitions, history)
+
+
+def test_partitioned_entry_vms_that_serve_as_often_are_allowed():
+    """The others fail as often, so that the partition is not the cause."""
+    history = records.History()
+    cut_off(history, "edge-0")
+    send_first_tries(history, "edge-0", served=20, failed=40)
+    send_first_tries(history, "edge-1", served=15, failed=15)
+    assert not check(checkers.check_partitions, history)
+
+
+def test_only_first_tries_in_touch_after_contact_ms_count_in_a_partition():
+    """Earlier ones, repeats and those at disrupted entry VMs do not count."""
+    history = records.History()
+    cut_off(history, "edge-0", "edge-2")
+    send_first_tries(history, "edge-1", served=50, failed=0)
+    send_first_tries(history, "edge-0", 0, 50, at_ms=FAR_MS - 1.0)
+    send_first_tries(history, "edge-0", 0, 50, first_try=False)
+    send_first_tries(history, "edge-0", 0, 50, at_ms=FAR_MS + 5_001.0)
+    send_first_tries(history, "edge-2", served=0, failed=50)
+    disrupt(history, "edge-2")
+    assert not check(checkers.check_partitions, history)
+
+
+def test_entry_vms_in_another_partition_are_no_yardstick():
+    """Two partitions overlap; neither's entry VMs stand for the others."""
+    history = records.History()
+    cut_off(history, "edge-0")
+    cut_off(history, "edge-1")
+    send_first_tries(history, "edge-0", served=0, failed=30)
+    send_first_tries(history, "edge-1", served=0, failed=30)
+    send_first_tries(history, "edge-2", served=30, failed=0)
+    found = check(checkers.check_partitions, history)
+    assert len(found) == 2
+    assert all(each.endswith("the others 30 of 30") for each in found)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,4 +1,4 @@
-"""A short run of the soak keeps the retry rules."""
+"""Short runs of the soak keep the rules on retries and partitions."""
 
 from tests.soak import run
 from tests.soak import schedule
@@ -6,6 +6,8 @@
 SEED = 10
 SECONDS = 20.0
 MIN_ANSWERED = 200
+PARTITION_SEED = 2
+PARTITION_SECONDS = 24.0
 
 
 def test_the_seed_kills_and_cuts_entry_vms_and_crashes_endpoints():
@@ -23,3 +25,13 @@
     assert not result.broken, (result.violations, str(soak.folder))
     assert result.ends_unasked == 0, "an entry VM ended by itself"
     assert result.answered > MIN_ANSWERED, "too few answers for a valid check"
+
+
+def test_callers_of_entry_vms_without_endpoints_are_served():
+    """The others reach the endpoints, and callers reach all entry VMs."""
+    soak, result = run.run_seed(
+        PARTITION_SEED, PARTITION_SECONDS, kinds=(schedule.Fault.PARTITION,)
+    )
+    assert len(result.partitions) > 1, "no partitions for a valid check"
+    assert not result.broken, (result.violations, str(soak.folder))
+    assert result.ends_unasked == 0, "an entry VM ended by itself"
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -27,8 +27,12 @@
 
 @attrs.define(eq=False)
 class Connection:
-    """A relayed connection; a stale one never forwards a byte again."""
+    """A relayed connection; a stale one never forwards a byte again.
 
+    ``source`` is the IP address that it comes from.
+    """
+
+    source: str = ""
     cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     stale: bool = False
 
@@ -42,6 +46,23 @@
     delay_ms: float = 0.0
     changed: trio.Event = attrs.field(factory=trio.Event)
     connections: set[Connection] = attrs.field(factory=set)
+    held_sources: set[str] = attrs.field(factory=set)
+
+    def hold(self, source: str) -> None:
+        """Forward nothing more of the connections from an address."""
+        self.held_sources.add(source)
+
+    def release(self, source: str) -> None:
+        """Deliver what was held of the connections from an address."""
+        self.held_sources.discard(source)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def reset(self, source: str) -> None:
+        """Close the connections from an address."""
+        for connection in self.connections:
+            if connection.source == source:
+                connection.cancel_scope.cancel()
 
     def set_mode(self, mode: str, delay_ms: float) -> None:
         """Set the mode and wake all tasks that wait for a change."""
@@ -57,7 +78,11 @@
 
     async def wait_until_passing(self, connection: Connection) -> None:
         """Wait until the connection may forward bytes."""
-        while connection.stale or self.mode == "held":
+        while (
+            connection.stale
+            or self.mode == "held"
+            or connection.source in self.held_sources
+        ):
             await self.changed.wait()
 
 
@@ -81,7 +106,7 @@
 
 async def relay(link: Link, inbound: trio.SocketStream) -> None:
     """Relay one connection until both directions have ended."""
-    connection = Connection()
+    connection = Connection(source=inbound.socket.getpeername()[0])
     link.connections.add(connection)
     outbound = None
     try:
