--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -9,7 +9,10 @@
 import trio
 
 from carawayward.forwarding import daemon as daemon_module
+from carawayward.forwarding import keyed_log
 from carawayward.forwarding import load_reports
+from carawayward.forwarding import message_types
+from carawayward.forwarding import ports as ports_module
 from carawayward.forwarding import settings as settings_module
 from carawayward.forwarding import table
 from carawayward.platform import entry
@@ -114,9 +117,35 @@
     body: bytes
 
 
+@attrs.define(eq=False)
+class Path:
+    """One entry VM's own way to one server, which can be cut."""
+
+    link: link_module.Link
+    port: int
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    restored: trio.Event = attrs.field(factory=trio.Event)
+
+    @property
+    def address(self) -> str:
+        """Where the entry VM finds the server."""
+        return f"127.0.0.1:{self.port}"
+
+    async def serve(self) -> None:
+        """Relay connections, except while it is cut."""
+        while True:
+            with self.scope:
+                await link_module.serve_link(self.link, self.port)
+            await self.restored.wait()
+            self.scope, self.restored = trio.CancelScope(), trio.Event()
+
+
 @attrs.define(eq=False)
 class Forwarding:
-    """A running deployment: store, servers and entry VMs."""
+    """A running deployment: store, servers and entry VMs.
+
+    With ``separate`` each entry VM has its own paths to the servers.
+    """
 
     store: store_module.Store
     backends: dict[str, backend_module.Backend]
@@ -126,6 +155,8 @@
     store_port: int
     heartbeat_ms: int = 1_200
     ids: int = 0
+    separate: bool = False
+    paths: dict[tuple[int, str], Path] = attrs.field(factory=dict)
 
     @property
     def daemon(self) -> daemon_module.ForwardingDaemon:
@@ -146,6 +177,40 @@
         assert found is not None
         return found
 
+    def cut_off(self, daemon: int, names: typing.Iterable[str] = ()) -> None:
+        """Reset an entry VM's connections to servers and refuse new ones.
+
+        All servers unless ``names`` are given.
+        """
+        for name in names or self.backends:
+            self.paths[daemon, name].scope.cancel()
+
+    def restore(self, daemon: int) -> None:
+        """Let an entry VM reach the servers again."""
+        for name in self.backends:
+            self.paths[daemon, name].restored.set()
+
+    def _separate_paths(
+        self, number: int, ports: ports_module.Ports
+    ) -> ports_module.Ports:
+        """Replace the servers' addresses by those of an entry VM's paths."""
+        for name, backend in self.backends.items():
+            (port,) = loopback.find_free_ports(1)
+            path = Path(link_module.Link(backend.port), port)
+            self.paths[number, name] = path
+            self.nursery.start_soon(path.serve)
+
+        def decode(
+            record: keyed_log.Record,
+        ) -> message_types.EndpointEntry | None:
+            found = ports.decode_endpoint(record)
+            path = self.paths.get((number, record.key))
+            if found is None or path is None:
+                return found
+            return attrs.evolve(found, address=path.address)
+
+        return attrs.evolve(ports, decode_endpoint=decode)
+
     def register(
         self, backend: backend_module.Backend, **changes: object
     ) -> None:
@@ -242,8 +307,11 @@
             bounds=settings_module.Bounds(**typing.cast(dict, bounds)),
             heartbeat_ms=self.heartbeat_ms,
         )
+        platform_ports = entry.make_ports(settings)
+        if self.separate:
+            platform_ports = self._separate_paths(number, platform_ports)
         daemon = daemon_module.ForwardingDaemon.from_config(
-            settings, entry.make_ports(settings)
+            settings, platform_ports
         )
         # As if it had run for long, so that tests need not wait for the slack.
         daemon.app.forwarder.placer.started_ms = float("-inf")
@@ -269,13 +337,15 @@
     heartbeat_ms: int = 1_200,
     era: int | None = None,
     proxied: bool = False,
+    separate: bool = False,
     **bounds: float | bool,
 ) -> typing.AsyncIterator[Forwarding]:
     """Run a store, servers and entry VMs until the test ends.
 
     The servers' entries are not renewed; ``heartbeat_ms`` is the renewal
     interval that the entry VMs assume. With ``proxied`` the addresses of
-    servers that have crashed accept connections, and close them.
+    servers that have crashed accept connections, and close them. With
+    ``separate`` the way of each entry VM to each server can be cut.
     """
     store = store_module.Store(era=era)
     async with trio.open_nursery() as nursery:
@@ -288,6 +358,7 @@
             nursery,
             port,
             heartbeat_ms,
+            separate=separate,
         )
         for each in backends:
             each.port = await nursery.start(each.serve)
