Say when this entry VM reaches no endpoint of a service

What the logs lacked in the incident: "no endpoint" reads the same whether all endpoints are down or one entry VM has lost its links to them. A path is lost once connections to two endpoints have failed, or to the only one, and none was established since the first of them began. No request is treated differently yet.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -221,6 +221,17 @@
         "check the endpoints of the service",
         logging.WARNING,
     )
+    SERVICE_UNREACHABLE = EventKind(
+        1526,
+        "This entry VM could not connect to several endpoints of a service, "
+        "and to none of them since.",
+        "if other entry VMs reach the service, check this one's network; if "
+        "none does, check the endpoints",
+        logging.WARNING,
+    )
+    SERVICE_REACHABLE = EventKind(
+        1527, "This entry VM reaches an endpoint of a service again."
+    )
     ROLLOUT_ORDERED = EventKind(
         1513, "An operator ordered a roll-out of a version of a service."
     )
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -17,6 +17,7 @@
 from carawayward.forwarding import relaying
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
+from carawayward.forwarding import service_paths
 from carawayward.forwarding import settings as settings_module
 from carawayward.forwarding import suspects as suspects_module
 from carawayward.forwarding import work_items
@@ -31,6 +32,7 @@
     freshness: freshness_module.FreshnessController
     rounds: rollout_rounds.RolloutRounds
     suspects: suspects_module.SuspectRequests
+    paths: service_paths.ServicePaths
     convictions: conviction_log.ConvictionLog
 
 
@@ -84,11 +86,15 @@
     reporter.add_topic(
         "suspects", load_reports.Topic(suspects.describe, suspects.merge)
     )
+    paths = service_paths.ServicePaths(board, clock, reporter.report_soon)
+    reporter.add_topic(
+        "paths", load_reports.Topic(paths.describe, paths.merge)
+    )
     convictions = conviction_log.ConvictionLog(
         ports.convictions, clock, suspects
     )
     return PlacementParts(
-        placer, reporter, freshness, rounds, suspects, convictions
+        placer, reporter, freshness, rounds, suspects, paths, convictions
     )
 
 
@@ -98,6 +104,7 @@
     ports: ports_module.Ports,
     placer: placing.Placer,
     suspects: suspects_module.SuspectRequests,
+    paths: service_paths.ServicePaths,
 ) -> app_module.ForwardingApp:
     """Create the application behind the callers' listener."""
 
@@ -124,6 +131,7 @@
         readiness.compute_retry_after_ms,
         placer.metrics,
         suspects,
+        paths,
     )
     return app_module.ForwardingApp(
         board, clock, ports.dialect, forwarder, readiness, placer.metrics
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -104,9 +104,15 @@
                 parts.reporter,
                 parts.convictions,
                 parts.freshness,
+                parts.paths,
             ],
             app=assembly.make_app(
-                board, clock, ports, parts.placer, parts.suspects
+                board,
+                clock,
+                ports,
+                parts.placer,
+                parts.suspects,
+                parts.paths,
             ),
             read_bounds=read_bounds or (lambda: settings.bounds),
         )
@@ -225,6 +231,9 @@
             self.board, self.clock.boot_ms()
         )
         gauges |= self.app.forwarder.placer.collect_gauges()
+        gauges["services_unreachable"] = len(
+            self.app.forwarder.paths.list_lost()
+        )
         page = metrics_module.render_page(self.app.metrics, gauges)
         reply = app_module.AsgiReply(send, lambda: False)
         await replies.send_response(reply, 200, METRICS_HEADERS, page)
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -23,6 +23,7 @@
 from carawayward.forwarding import retries
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
+from carawayward.forwarding import service_paths
 from carawayward.forwarding import suspects as suspects_module
 from carawayward.forwarding import work_items
 from carawayward import http_client as http
@@ -60,6 +61,7 @@
     compute_retry_after_ms: typing.Callable[[], float]
     metrics: metrics_module.Metrics
     suspects: suspects_module.SuspectRequests
+    paths: service_paths.ServicePaths
 
     @property
     def fleet(self) -> fleet_module.Fleet:
@@ -236,6 +238,7 @@
             if work.withheld is not None:
                 return False
             self.fleet.cold_starts.record_sent(permit)
+            self.paths.record_connected(work.service)
             return True
 
         return http.SentMark(may_send=may_send)
@@ -313,6 +316,9 @@
                 work.model = outcome.model
             case work_items.Unreached():
                 work.unusable |= {name}
+                self.paths.record_unreached(
+                    endpoint.entry, work.progress.began_ms
+                )
                 took_ms = self.clock.now_ms() - work.progress.began_ms
                 self.fleet.record_unreachable(endpoint, took_ms)
                 work.unreached_ms += took_ms
