Have a peer send requests to endpoints that this entry VM does not reach

An entry VM had one way to endpoints, and took what it could not reach for what is not there. Ruled out: what the cut leaves behind (served again within a second), and being not ready (too slow, open connections stay, and no use for a domain cut off whole).

Change: while the path to a service is lost, an attempt goes through a peer: over HTTP on the address for peers, one connection an attempt, opened on need. The entry VM that has the caller decides and counts as before; the peer refuses what it would not send for its own callers (endpoint leaving, resting or evacuated, key or lease not valid, itself cut off, leaving or full) and never passes a request on. A process that is frozen does not get the request: it has to answer before. The peer says whether the request has not run, may have, or was answered. Failed connections count against endpoints only if no peer can be asked.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -232,6 +232,14 @@
     SERVICE_REACHABLE = EventKind(
         1527, "This entry VM reaches an endpoint of a service again."
     )
+    REQUEST_HANDED_OVER = EventKind(
+        1528,
+        "A peer was asked to send a request to an endpoint that this entry VM "
+        "does not reach; if it declined, the event has the cause.",
+    )
+    REQUEST_RELAYED = EventKind(
+        1529, "This entry VM was asked to send a request of a peer."
+    )
     ROLLOUT_ORDERED = EventKind(
         1513, "An operator ordered a roll-out of a version of a service."
     )
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -14,6 +14,8 @@
 from carawayward.forwarding import placing
 from carawayward.forwarding import ports as ports_module
 from carawayward.forwarding import readiness as readiness_module
+from carawayward.forwarding import relay_client
+from carawayward.forwarding import relay_server
 from carawayward.forwarding import relaying
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
@@ -33,6 +35,7 @@
     rounds: rollout_rounds.RolloutRounds
     suspects: suspects_module.SuspectRequests
     paths: service_paths.ServicePaths
+    relays: relay_client.RelayClient
     convictions: conviction_log.ConvictionLog
 
 
@@ -94,7 +97,14 @@
         ports.convictions, clock, suspects
     )
     return PlacementParts(
-        placer, reporter, freshness, rounds, suspects, paths, convictions
+        placer,
+        reporter,
+        freshness,
+        rounds,
+        suspects,
+        paths,
+        relay_client.RelayClient(board, clock, reporter, paths, metrics),
+        convictions,
     )
 
 
@@ -102,13 +112,12 @@
     board: board_module.ForwardingBoard,
     clock: clock_module.Clock,
     ports: ports_module.Ports,
-    placer: placing.Placer,
-    suspects: suspects_module.SuspectRequests,
-    paths: service_paths.ServicePaths,
+    parts: PlacementParts,
 ) -> app_module.ForwardingApp:
     """Create the application behind the callers' listener."""
 
-    readiness = readiness_module.Readiness(board, clock, placer.reporter)
+    placer = parts.placer
+    readiness = readiness_module.Readiness(board, clock, parts.reporter)
 
     def may_send(work: work_items.Work) -> bool:
         # A request whose run broke off may be sent again although keys have
@@ -130,9 +139,32 @@
         may_send,
         readiness.compute_retry_after_ms,
         placer.metrics,
-        suspects,
-        paths,
+        parts.suspects,
+        parts.paths,
+        parts.relays,
     )
     return app_module.ForwardingApp(
         board, clock, ports.dialect, forwarder, readiness, placer.metrics
     )
+
+
+def make_relay_server(
+    board: board_module.ForwardingBoard,
+    clock: clock_module.Clock,
+    ports: ports_module.Ports,
+    parts: PlacementParts,
+) -> relay_server.RelayServer:
+    """Create the application behind the listener for peers."""
+
+    def list_peer_hosts() -> set[str]:
+        return {peer.address[0] for peer in parts.reporter.peers.values()}
+
+    return relay_server.RelayServer(
+        board,
+        clock,
+        ports.dialect,
+        parts.placer.fleet,
+        parts.paths,
+        parts.placer.metrics,
+        list_peer_hosts,
+    )
--- a/src/carawayward/forwarding/attempt.py
+++ b/src/carawayward/forwarding/attempt.py
@@ -45,6 +45,11 @@
         return 200 <= self.status < 300
 
 
+ReadResponse = typing.Callable[
+    [int, message_types.Headers], message_types.ResponseMetadata
+]
+
+
 class AttemptFailed(Exception):
     """An attempt ended without a usable response.
 
@@ -96,18 +101,21 @@
     address: str,
     forwarded: ForwardedRequest,
     request_id: str,
-    read_response: typing.Callable[
-        [int, message_types.Headers], message_types.ResponseMetadata
-    ],
+    read_response: ReadResponse,
     mark: http.SentMark,
     silence_timeout_ms: int | None = None,
+    prepare: typing.Callable[
+        [httpcore.AsyncHTTPConnection], typing.Awaitable[None]
+    ]
+    | None = None,
 ) -> typing.AsyncIterator[ResponseReader]:
     """Send a request and wait for the status and headers of its response.
 
     Leaving the context, also by cancellation, closes the connection, which
     makes the endpoint drop the request. With ``silence_timeout_ms`` the kernel
     ends the connection after that time without any packet from the other
-    side. Raises AttemptFailed, or AttemptWithheld if ``mark.may_send`` does
+    side. ``prepare`` is called with the connection before the request is sent
+    on it. Raises AttemptFailed, or AttemptWithheld if ``mark.may_send`` does
     not allow the request to be sent.
     """
     host, _, port = address.rpartition(":")
@@ -132,6 +140,8 @@
         },
     )
     try:
+        if prepare is not None:
+            await prepare(connection)
         try:
             response = await connection.handle_async_request(request)
         except http.TooLate as cause:
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -50,6 +50,7 @@
     want no request from this entry VM. ``evacuated`` holds the failure domains
     whose endpoints get no requests. ``refusing`` is set during a shutdown,
     once the load balancer has had time to stop sending new connections.
+    ``open_relays`` are requests that this entry VM sends for its peers.
     """
 
     name: str
@@ -74,6 +75,7 @@
     )
     evacuated: set[str] = attrs.field(factory=set)
     open_requests: int = 0
+    open_relays: int = 0
 
     def is_listed(self, process: message_types.Process) -> bool:
         """Whether this process of an endpoint is the one that is listed."""
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -16,6 +16,7 @@
 from carawayward.forwarding import feeds as feeds_module
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import ports as ports_module
+from carawayward.forwarding import relay_server as relay_server_module
 from carawayward.forwarding import replies
 from carawayward.forwarding import settings as settings_module
 from carawayward import http_server
@@ -62,6 +63,7 @@
     ports: ports_module.Ports
     controllers: list[Controller]
     app: app_module.ForwardingApp
+    relay_server: relay_server_module.RelayServer
     read_bounds: typing.Callable[[], settings_module.Bounds]
     flush_logs: typing.Callable[[], None] = lambda: None
 
@@ -106,13 +108,9 @@
                 parts.freshness,
                 parts.paths,
             ],
-            app=assembly.make_app(
-                board,
-                clock,
-                ports,
-                parts.placer,
-                parts.suspects,
-                parts.paths,
+            app=assembly.make_app(board, clock, ports, parts),
+            relay_server=assembly.make_relay_server(
+                board, clock, ports, parts
             ),
             read_bounds=read_bounds or (lambda: settings.bounds),
         )
@@ -188,6 +186,7 @@
             (self.app, listen.callers),
             (self._answer_readiness, listen.readiness),
             (self._answer_metrics, listen.metrics),
+            (self.relay_server, listen.peers),
         ):
             if not address:
                 continue
@@ -251,5 +250,5 @@
         with trio.move_on_after(max(0.0, drain_ms) / 1000):
             await self.clock.sleep(BALANCER_REMOVAL_MS)
             self.board.refusing = True
-            while self.board.open_requests:
+            while self.board.open_requests or self.board.open_relays:
                 await self.clock.sleep(POLL_MS)
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -18,6 +18,7 @@
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import placing
 from carawayward.forwarding import refusals
+from carawayward.forwarding import relay_client
 from carawayward.forwarding import relaying
 from carawayward.forwarding import replies
 from carawayward.forwarding import retries
@@ -62,6 +63,7 @@
     metrics: metrics_module.Metrics
     suspects: suspects_module.SuspectRequests
     paths: service_paths.ServicePaths
+    relays: relay_client.RelayClient
 
     @property
     def fleet(self) -> fleet_module.Fleet:
@@ -169,7 +171,9 @@
         work.endpoint = endpoint.entry.name
         began_ms = self.clock.now_ms()
         work.progress = work_items.Progress(
-            began_ms, version=endpoint.entry.version
+            began_ms,
+            relayed=self.relays.is_needed(work.service),
+            version=endpoint.entry.version,
         )
         run = self.rollouts.begin(choice, work, endpoint.entry.version)
         self.fleet.begin_request(endpoint)
@@ -179,11 +183,14 @@
         except attempt_module.AttemptWithheld:
             assert work.withheld is not None
             outcome = work.withheld
+        except relay_client.EndpointUnusable as fault:
+            outcome = work_items.Diverted(str(fault))
         except attempt_module.AttemptFailed as fault:
             if fault.sent:
                 outcome = work_items.Failed(fault.detail, broke_off=True)
             else:
-                outcome = work_items.Unreached(fault.detail)
+                no_peer = isinstance(fault, relay_client.NoPeer)
+                outcome = work_items.Unreached(fault.detail, no_peer)
         finally:
             self.fleet.cold_starts.release(permit)
             self.fleet.end_request(endpoint)
@@ -238,7 +245,8 @@
             if work.withheld is not None:
                 return False
             self.fleet.cold_starts.record_sent(permit)
-            self.paths.record_connected(work.service)
+            if not work.progress.relayed:
+                self.paths.record_connected(work.service)
             return True
 
         return http.SentMark(may_send=may_send)
@@ -254,14 +262,7 @@
             wait_ms = self._compute_attempt_timeout_ms(work)
             with trio.move_on_after(wait_ms / 1000) as waiting:
                 answer = await stack.enter_async_context(
-                    attempt_module.open_attempt(
-                        endpoint.entry.address,
-                        self._make_forwarded_request(work, endpoint),
-                        work.metadata.request_id,
-                        self.dialect.read_response,
-                        mark,
-                        attempt_timeouts.get_silence_timeout_ms(work.route),
-                    )
+                    self._open_attempt(work, endpoint, mark)
                 )
             if waiting.cancelled_caught:
                 if not mark.sent:
@@ -275,6 +276,31 @@
                 self.suspects.record_response(endpoint.entry)
             return await self.relay.relay_response(work, answer, reply)
 
+    def _open_attempt(
+        self,
+        work: work_items.Work,
+        endpoint: fleet_module.TrackedEndpoint,
+        mark: http.SentMark,
+    ) -> typing.AsyncContextManager[attempt_module.ResponseReader]:
+        """Send the request to an endpoint, by a peer if that is needed."""
+        forwarded = self._make_forwarded_request(work, endpoint)
+        if work.progress.relayed:
+            return self.relays.open_attempt(
+                work,
+                endpoint.entry,
+                forwarded,
+                self.dialect.read_response,
+                mark,
+            )
+        return attempt_module.open_attempt(
+            endpoint.entry.address,
+            forwarded,
+            work.metadata.request_id,
+            self.dialect.read_response,
+            mark,
+            attempt_timeouts.get_silence_timeout_ms(work.route),
+        )
+
     def _compute_attempt_timeout_ms(self, work: work_items.Work) -> float:
         left_ms = work.deadline_ms - self.clock.now_ms()
         predicted_ms = self.placer.predict_ttft(work)
@@ -286,6 +312,8 @@
         self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
     ) -> attempt_module.ForwardedRequest:
         left_ms = work.deadline_ms - self.clock.now_ms() - RELAY_MARGIN_MS
+        if work.progress.relayed:
+            left_ms -= RELAY_MARGIN_MS
         dispatch = message_types.DispatchMetadata(
             instance=endpoint.entry.name,
             remaining_ms=max(1.0, left_ms),
@@ -315,14 +343,7 @@
                 work.earlier_may_have_run = True
                 work.model = outcome.model
             case work_items.Unreached():
-                work.unusable |= {name}
-                self.paths.record_unreached(
-                    endpoint.entry, work.progress.began_ms
-                )
-                took_ms = self.clock.now_ms() - work.progress.began_ms
-                self.fleet.record_unreachable(endpoint, took_ms)
-                work.unreached_ms += took_ms
-                self.fleet.record_failure(endpoint, outcome.cause)
+                self._record_unreached(work, endpoint, outcome)
             case work_items.Diverted():
                 work.unusable |= {name}
             case work_items.Declined():
@@ -337,6 +358,32 @@
                 self.fleet.record_failure(endpoint, outcome.cause)
         self.metrics.count("attempts", outcome=type(outcome).__name__.lower())
 
+    def _record_unreached(
+        self,
+        work: work_items.Work,
+        endpoint: fleet_module.TrackedEndpoint,
+        outcome: work_items.Unreached,
+    ) -> None:
+        """Record that no connection to an endpoint was established.
+
+        If this entry VM has lost its path to the service and a peer may reach
+        it, that says nothing of the endpoints.
+        """
+        name, began_ms = endpoint.entry.name, work.progress.began_ms
+        took_ms = self.clock.now_ms() - began_ms
+        work.unreached_ms += took_ms
+        if outcome.no_peer:
+            return
+        work.unusable |= {name}
+        if not work.progress.relayed:
+            self.paths.record_unreached(endpoint.entry, began_ms)
+            work.unconnected |= {name}
+            if self.relays.is_needed(work.service):
+                work.unusable -= work.unconnected
+                return
+        self.fleet.record_unreachable(endpoint, took_ms)
+        self.fleet.record_failure(endpoint, outcome.cause)
+
     def _log_attempt(
         self,
         work: work_items.Work,
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -94,6 +94,23 @@
             return 0
         return service.engine.cache_tokens
 
+    def find_endpoint(self, name: str) -> TrackedEndpoint | None:
+        """Return an endpoint in the registry; None if it is not listed."""
+        self._sync()
+        return self.tracked.get(name)
+
+    def may_use(self, endpoint: TrackedEndpoint) -> bool:
+        """Whether an endpoint may get new requests of this entry VM now."""
+        entry = endpoint.entry
+        return self._is_in_use(entry) and not self.notices.is_resting(entry)
+
+    def _is_in_use(self, entry: message_types.EndpointEntry) -> bool:
+        return not (
+            entry.leaving
+            or self.notices.is_ending(entry)
+            or entry.failure_domain in self.board.evacuated
+        )
+
     def choose_engine(
         self,
         pool: placement.Candidates,
@@ -164,9 +181,7 @@
             endpoint.view
             for endpoint in self.tracked.values()
             if endpoint.entry.service == endpoint_filter.service
-            and not endpoint.entry.leaving
-            and not self.notices.is_ending(endpoint.entry)
-            and endpoint.entry.failure_domain not in self.board.evacuated
+            and self._is_in_use(endpoint.entry)
             and (
                 not endpoint_filter.version
                 or (endpoint.entry.version == endpoint_filter.version)
--- a/src/carawayward/forwarding/hops.py
+++ b/src/carawayward/forwarding/hops.py
@@ -2,6 +2,9 @@
 
 from carawayward.forwarding import message_types
 
+# What a peer says of a request that it was asked to relay.
+RELAY_OUTCOME_HEADER = b"x-relay-outcome"
+RELAY_CAUSE_HEADER = b"x-relay-cause"
 # Hop-by-hop headers: they apply to a single connection (RFC 9110, 7.6.1).
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -13,6 +16,8 @@
         b"transfer-encoding",
         b"upgrade",
         b"expect",
+        RELAY_OUTCOME_HEADER,
+        RELAY_CAUSE_HEADER,
     )
 )
 
--- /dev/null
+++ b/src/carawayward/forwarding/relay_server.py
@@ -0,0 +1,220 @@
+"""Sends requests to endpoints on behalf of peers that cannot reach them.
+
+The peer has chosen the endpoint and counts the attempt. This entry VM refuses
+what it would not send for a caller of its own, and never passes a request on
+to another entry VM.
+"""
+
+import typing
+
+import attrs
+import trio
+
+from carawayward import clock as clock_module
+from carawayward import events
+from carawayward.forwarding import app as app_module
+from carawayward.forwarding import attempt as attempt_module
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import fleet as fleet_module
+from carawayward.forwarding import hops
+from carawayward.forwarding import message_types
+from carawayward.forwarding import metrics as metrics_module
+from carawayward.forwarding import relay_messages
+from carawayward.forwarding import replies
+from carawayward.forwarding import service_paths
+from carawayward import http_client as http
+
+# Each takes two descriptors, and processor time from this entry VM's callers.
+MAX_OPEN_RELAYS = 200
+# What a relayed request has besides its body: headers and a few fields.
+MAX_ENVELOPE_BYTES = 131_072
+
+Outcome = relay_messages.RelayOutcome
+
+
+class Refusal(Exception):
+    """A relayed request that is not sent; it has not run."""
+
+    def __init__(self, outcome: Outcome, cause: str) -> None:
+        super().__init__(cause)
+        self.outcome = outcome
+        self.cause = cause
+
+
+@attrs.define(eq=False)
+class RelayServer:
+    """The ASGI application behind the listener for peers.
+
+    ``list_peer_hosts`` returns the IP addresses of the known entry VMs, from
+    which alone requests are accepted.
+    """
+
+    board: board_module.ForwardingBoard
+    clock: clock_module.Clock
+    dialect: message_types.Dialect
+    fleet: fleet_module.Fleet
+    paths: service_paths.ServicePaths
+    metrics: metrics_module.Metrics
+    list_peer_hosts: typing.Callable[[], typing.Collection[str]]
+
+    async def __call__(
+        self,
+        scope: dict,
+        receive: app_module.Receive,
+        send: app_module.Send,
+    ) -> None:
+        """Serve one request of a peer."""
+        if scope["type"] != "http":
+            return
+        reply = app_module.AsgiReply(send, lambda: False)
+        if scope["client"][0] not in self.list_peer_hosts():
+            await replies.refuse(reply, 403, None)
+        elif scope["method"] == "GET":
+            # Answered by a process that runs: a connection alone is accepted
+            # by the kernel for one that is frozen too.
+            await replies.send_response(reply, 204, [], b"")
+        else:
+            self.board.open_relays += 1
+            try:
+                await self._serve(receive, reply)
+            except app_module.CallerLeft:
+                pass
+            finally:
+                self.board.open_relays -= 1
+
+    async def _serve(
+        self, receive: app_module.Receive, reply: app_module.AsgiReply
+    ) -> None:
+        try:
+            relayed = await self._read(receive)
+        except app_module.Refused as fault:
+            await self._send_outcome(reply, Outcome.DECLINED, fault.cause)
+            return
+        outcome = Outcome.BROKEN
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                app_module.cancel_on_disconnect, receive, reply, nursery
+            )
+            with trio.move_on_after(relayed.remaining_ms / 1000):
+                outcome = await self._relay(relayed, reply)
+            nursery.cancel_scope.cancel()
+        self.metrics.count("relays", outcome=outcome.name.lower())
+        events.log_event(
+            events.Event.REQUEST_RELAYED,
+            request=relayed.request_id,
+            endpoint=relayed.endpoint,
+            outcome=outcome.name.lower(),
+        )
+
+    async def _read(
+        self, receive: app_module.Receive
+    ) -> relay_messages.RelayedRequest:
+        """Read a relayed request; raise Refused if it is malformed."""
+        table = self.board.table
+        if table is None:
+            raise app_module.Refused(503, "no routing table yet")
+        body = await app_module.read_body(
+            receive, table.limits.body_bytes + MAX_ENVELOPE_BYTES
+        )
+        try:
+            return relay_messages.RelayedRequest.from_bytes(body)
+        except relay_messages.DECODE_ERRORS as fault:
+            raise app_module.Refused(400, type(fault).__name__) from fault
+
+    async def _relay(
+        self,
+        relayed: relay_messages.RelayedRequest,
+        reply: app_module.AsgiReply,
+    ) -> Outcome:
+        """Send a request to its endpoint and relay the response."""
+        mark = http.SentMark()
+        try:
+            endpoint = self._find_endpoint(relayed)
+            mark.may_send = self._make_check(relayed, endpoint)
+            async with attempt_module.open_attempt(
+                endpoint.entry.address,
+                relayed.forwarded,
+                relayed.request_id,
+                self.dialect.read_response,
+                mark,
+                relayed.silence_ms,
+            ) as answer:
+                self.fleet.record_response(endpoint, answer.head.metadata)
+                await _relay_response(answer, reply)
+            return Outcome.RELAYED
+        except Refusal as refusal:
+            outcome, cause = refusal.outcome, refusal.cause
+        except attempt_module.AttemptWithheld:
+            outcome, cause = Outcome.DECLINED, "may no longer be sent"
+        except attempt_module.AttemptFailed as fault:
+            outcome = Outcome.BROKEN if fault.sent else Outcome.UNREACHED
+            cause = fault.detail
+        if not reply.started:
+            await self._send_outcome(reply, outcome, cause)
+        return outcome
+
+    def _find_endpoint(
+        self, relayed: relay_messages.RelayedRequest
+    ) -> fleet_module.TrackedEndpoint:
+        """Find the endpoint; raise Refusal if it may not get the request."""
+        if self.board.state is not board_module.State.READY:
+            raise Refusal(Outcome.DECLINED, "not ready")
+        if self.board.open_relays > MAX_OPEN_RELAYS:
+            raise Refusal(Outcome.DECLINED, "no room")
+        if self.paths.is_lost(relayed.service):
+            raise Refusal(Outcome.DECLINED, "endpoints unreachable")
+        if not self._accepts_key(relayed):
+            raise Refusal(Outcome.DECLINED, "key cannot be verified")
+        endpoint = self.fleet.find_endpoint(relayed.endpoint)
+        if endpoint is None or endpoint.entry.born != relayed.born:
+            raise Refusal(Outcome.DECLINED, "endpoint unknown")
+        if not self.fleet.may_use(endpoint):
+            raise Refusal(Outcome.UNUSABLE, "endpoint leaves or rests")
+        return endpoint
+
+    def _accepts_key(self, relayed: relay_messages.RelayedRequest) -> bool:
+        """Whether a request's key is valid by this entry VM's own table."""
+        table = self.board.table
+        if not relayed.customer:
+            return True
+        if table is None or not self._is_lease_valid():
+            return False
+        customer = table.customers_by_key.get(relayed.key)
+        return customer is not None and customer.name == relayed.customer
+
+    def _is_lease_valid(self) -> bool:
+        return self.board.is_key_lease_valid(self.clock.boot_ms())
+
+    def _make_check(
+        self,
+        relayed: relay_messages.RelayedRequest,
+        endpoint: fleet_module.TrackedEndpoint,
+    ) -> typing.Callable[[], bool]:
+        """Make the check that is called right before the first byte."""
+
+        def may_send() -> bool:
+            self.paths.record_connected(relayed.service)
+            return self._accepts_key(relayed) and self.fleet.may_use(endpoint)
+
+        return may_send
+
+    async def _send_outcome(
+        self, reply: app_module.AsgiReply, outcome: Outcome, cause: str
+    ) -> None:
+        headers = [
+            (hops.RELAY_OUTCOME_HEADER, outcome.value),
+            (hops.RELAY_CAUSE_HEADER, cause.encode()),
+        ]
+        await replies.send_response(reply, 503, headers, b"")
+
+
+async def _relay_response(
+    answer: attempt_module.ResponseReader, reply: app_module.AsgiReply
+) -> None:
+    """Relay an endpoint's response; an unfinished reply shows a break."""
+    headers = hops.select_response_headers(answer.head.headers, frozenset())
+    headers.append((hops.RELAY_OUTCOME_HEADER, Outcome.RELAYED.value))
+    await reply.start(answer.head.status, headers)
+    async for chunk in answer.read_chunks():
+        await reply.send(chunk)
+    await reply.finish()
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -24,9 +24,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unreached:
-    """No byte of the request has been sent."""
+    """No byte of the request has been sent.
+
+    ``no_peer`` is set if no peer was found to send it either, which says
+    nothing of the endpoint.
+    """
 
     cause: str
+    no_peer: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,7 +123,8 @@
     ``ttft_ms`` is the time to the first token of a stream, ``predicted_ms``
     the prediction of it from the engine's backlog. ``status`` is set once the
     endpoint's response can be judged, which may be before the caller has it.
-    ``version`` is that of the endpoint.
+    ``version`` is that of the endpoint, ``relayed`` says whether a peer sends
+    the request.
     """
 
     began_ms: float
@@ -126,6 +132,7 @@
     predicted_ms: float | None = None
     status: int | None = None
     version: str = ""
+    relayed: bool = False
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -137,7 +144,8 @@
     certain not to have run; ``withheld`` says why it was not sent.
     ``earlier_may_have_run`` says whether an earlier attempt may have run.
     Endpoints in ``failed_endpoints`` are tried again only if there is no
-    other, those in ``unusable`` never.
+    other, those in ``unusable`` never; those that this entry VM could not
+    connect to are also in ``unconnected``.
     ``backlog`` is what the chosen engine reads until the first token, in
     weighted tokens, and ``is_queued`` whether that includes other prompts.
     ``backlog_ms`` is the mean backlog of the engines, for the log.
@@ -161,6 +169,7 @@
     withheld: Withheld | Diverted | None = None
     failed_endpoints: frozenset[str] = frozenset()
     unusable: frozenset[str] = frozenset()
+    unconnected: frozenset[str] = frozenset()
     last_event: int | None = None
     failure: Failed | None = None
     endpoint: str = ""
