Ask a peer before taking a refused connection for a crash

Cause: after a broken run a refused connection was proof that the process had ended. Under a partition of the entry VM all connections are refused.

Change: a refused connection counts as a crash only if no peer can connect to the endpoint. If one can, it counts as a failed connection of this entry VM's path. If no peer knows, the refusal stands, as it does for one entry VM alone.

test_runs_that_a_partition_breaks_off_are_no_crashes failed before (six runs, each request a suspect on both entry VMs) and passes; the tests of requests that crash endpoints pass as before.

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -83,16 +83,20 @@
     placer = placing.Placer(
         clock, fleet, rollouts, reporter, metrics, started_ms=clock.now_ms()
     )
+    paths = service_paths.ServicePaths(board, clock, reporter.report_soon)
+    reporter.add_topic(
+        "paths", load_reports.Topic(paths.describe, paths.merge)
+    )
+    relays = relay_client.RelayClient(board, clock, reporter, paths, metrics)
     suspects = suspects_module.SuspectRequests(
-        clock, reporter.report_soon, fleet.notices.find_state
+        clock,
+        reporter.report_soon,
+        fleet.notices.find_state,
+        confirm=relays.confirm_refusal,
     )
     reporter.add_topic(
         "suspects", load_reports.Topic(suspects.describe, suspects.merge)
     )
-    paths = service_paths.ServicePaths(board, clock, reporter.report_soon)
-    reporter.add_topic(
-        "paths", load_reports.Topic(paths.describe, paths.merge)
-    )
     convictions = conviction_log.ConvictionLog(
         ports.convictions, clock, suspects
     )
@@ -103,7 +107,7 @@
         rounds,
         suspects,
         paths,
-        relay_client.RelayClient(board, clock, reporter, paths, metrics),
+        relays,
         convictions,
     )
 
--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -32,6 +32,9 @@
 # A process that runs answers within a round trip and what its event loop is
 # late by.
 PREFLIGHT_TIMEOUT_MS = 300.0
+# A peer's probe takes at most as long as a connection attempt.
+PROBE_TIMEOUT_MS = 700.0
+MAX_PROBING_PEERS = 2
 
 Outcome = relay_messages.RelayOutcome
 
@@ -188,6 +191,23 @@
         finally:
             self.open_relays[peer.name] -= 1
 
+    async def confirm_refusal(
+        self, entry: message_types.EndpointEntry
+    ) -> bool:
+        """Whether peers cannot connect to an endpoint that refuses this one.
+
+        If one can, the refusal shows a lost path. If none knows, it stands.
+        """
+        began_ms = self.clock.now_ms()
+        for peer in self._list_peers(entry.service)[:MAX_PROBING_PEERS]:
+            address = self.reporter.peers[peer.name].address
+            connects = await _ask_probe(address, entry)
+            if connects:
+                self.paths.record_unreached(entry, began_ms)
+            if connects is not None:
+                return not connects
+        return True
+
     def _record(
         self,
         relayed: relay_messages.RelayedRequest,
@@ -265,3 +285,24 @@
             f"status {response.status}", sent=False
         )
     raise attempt_module.AttemptFailed("no answer", sent=False)
+
+
+async def _ask_probe(
+    address: report_channels.Address, entry: message_types.EndpointEntry
+) -> bool | None:
+    """Ask a peer whether it can connect to an endpoint.
+
+    None if it cannot tell or does not answer in time.
+    """
+    host, port = address
+    asked = relay_messages.ProbeRequest(endpoint=entry.name, born=entry.born)
+    url = f"http://{host}:{port}{relay_messages.PROBE_PATH.decode()}"
+    async with httpcore.AsyncConnectionPool() as pool:
+        try:
+            with trio.fail_after(PROBE_TIMEOUT_MS / 1000):
+                response = await pool.request(
+                    "POST", url, content=asked.to_bytes()
+                )
+            return relay_messages.decode_probe_reply(response.content)
+        except (*http.CALL_FAILURES, *relay_messages.DECODE_ERRORS):
+            return None
--- a/src/carawayward/forwarding/relay_messages.py
+++ b/src/carawayward/forwarding/relay_messages.py
@@ -17,6 +17,7 @@
 from carawayward.forwarding import message_types
 
 PATH = b"/relay"
+PROBE_PATH = b"/probe"
 DECODE_ERRORS = load_report_messages.DECODE_ERRORS
 
 
@@ -122,3 +123,34 @@
                 body=bytes(body),
             ),
         )
+
+
+@attrs.frozen(kw_only=True)
+class ProbeRequest:
+    """Asks a peer whether it can connect to an endpoint's process."""
+
+    endpoint: str
+    born: int | None
+
+    def to_bytes(self) -> bytes:
+        """Encode it."""
+        return cbor2.dumps([self.endpoint, self.born])
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "ProbeRequest":
+        """Decode it; raises one of DECODE_ERRORS."""
+        endpoint, born = load_report_messages.decode(data)
+        return cls(
+            endpoint=str(endpoint), born=None if born is None else int(born)
+        )
+
+
+def encode_probe_reply(connects: bool | None) -> bytes:
+    """Encode whether a peer can connect; None if it cannot tell."""
+    return cbor2.dumps([connects])
+
+
+def decode_probe_reply(data: bytes) -> bool | None:
+    """Decode whether a peer can connect; raises one of DECODE_ERRORS."""
+    (connects,) = load_report_messages.decode(data)
+    return connects if isinstance(connects, bool) else None
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -74,14 +74,41 @@
             # by the kernel for one that is frozen too.
             await replies.send_response(reply, 204, [], b"")
         else:
+            serve = self._serve
+            if scope["raw_path"] == relay_messages.PROBE_PATH:
+                serve = self._serve_probe
             self.board.open_relays += 1
             try:
-                await self._serve(receive, reply)
+                await serve(receive, reply)
             except app_module.CallerLeft:
                 pass
             finally:
                 self.board.open_relays -= 1
 
+    async def _serve_probe(
+        self, receive: app_module.Receive, reply: app_module.AsgiReply
+    ) -> None:
+        """Tell a peer whether this entry VM can connect to an endpoint."""
+        try:
+            body = await app_module.read_body(receive, MAX_ENVELOPE_BYTES)
+            asked = relay_messages.ProbeRequest.from_bytes(body)
+        except app_module.Refused as fault:
+            await replies.refuse(reply, fault.status, None)
+            return
+        except relay_messages.DECODE_ERRORS:
+            await replies.refuse(reply, 400, None)
+            return
+        connects = None
+        endpoint = self.fleet.find_endpoint(asked.endpoint)
+        if (
+            endpoint is not None
+            and endpoint.entry.born == asked.born
+            and not self.paths.is_lost(endpoint.entry.service)
+        ):
+            connects = await self.paths.probe(endpoint.entry.address)
+        answer = relay_messages.encode_probe_reply(connects)
+        await replies.send_response(reply, 200, [], answer)
+
     async def _serve(
         self, receive: app_module.Receive, reply: app_module.AsgiReply
     ) -> None:
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -57,6 +57,11 @@
     return False
 
 
+async def trust_own_probe(entry: message_types.EndpointEntry) -> bool:
+    """Confirm a refused connection, as if there were no other entry VM."""
+    return True
+
+
 @attrs.frozen
 class UnansweredRun:
     """A run that ended without a response ``at_ms``, on which endpoint."""
@@ -75,7 +80,9 @@
     ``report_soon`` is called when there is something new to report,
     ``on_convicted`` with the fingerprint of a request that is refused from now
     on, if this entry VM saw one of its crashes itself; those are
-    ``seen_here``. ``find_state`` tells whether an endpoint's process has ended
+    ``seen_here``. An endpoint that refuses connections has crashed only if
+    ``confirm`` agrees, since under a partition of this entry VM all do.
+    ``find_state`` tells whether an endpoint's process has ended
     since one of the ``unanswered_runs``. ``silent_since_ms`` is when a process
     first broke off a run since its last response. ``reported_ms`` has the
     suspects to report, the next one last, and when each has changed. Times are
@@ -88,6 +95,9 @@
         [message_types.EndpointEntry], notices.ProcessState
     ]
     probe: typing.Callable[[str], typing.Awaitable[bool]] = refuses_connections
+    confirm: typing.Callable[
+        [message_types.EndpointEntry], typing.Awaitable[bool]
+    ] = trust_own_probe
     on_convicted: typing.Callable[[str], None] = lambda fingerprint: None
     records: suspicion.SuspectRecords = attrs.field(
         factory=suspicion.SuspectRecords
@@ -183,9 +193,9 @@
             for process, at_ms in self.crashed_ms.items()
             if now_ms - at_ms < PROBE_VALID_MS
         }
-        return entry.process in self.crashed_ms or await self.probe(
-            entry.address
-        )
+        if entry.process in self.crashed_ms:
+            return True
+        return await self.probe(entry.address) and await self.confirm(entry)
 
     def _review_unanswered_runs(self) -> None:
         """Record the crashes of endpoints that have ended since."""
