Have a peer that is cut off as well decline what it is asked to relay

Callers: a request at an entry VM without endpoints got 503 although a third entry VM reached them, if the peer that was asked first had lost its path, too, and had had no request of its own since.

Cause: the peer did not count its failed connections for others, and said "unreached", which the entry VM took for the endpoint's fault.

Change: it counts them, and declines once its own path is lost; the request then goes to the next peer. test_peer_that_is_cut_off_too_is_passed_over failed before (first call of daemon 0). The other new tests of this commit passed before and after: at most once, frozen and leaving peers, callers that leave, streams, keys, rests, no relay while endpoints are reached.

--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -155,6 +155,7 @@
     ) -> Outcome:
         """Send a request to its endpoint and relay the response."""
         mark = http.SentMark()
+        began_ms = self.clock.now_ms()
         try:
             endpoint = self._find_endpoint(relayed)
             mark.may_send = self._make_check(relayed, endpoint)
@@ -174,12 +175,22 @@
         except attempt_module.AttemptWithheld:
             outcome, cause = Outcome.DECLINED, "may no longer be sent"
         except attempt_module.AttemptFailed as fault:
-            outcome = Outcome.BROKEN if fault.sent else Outcome.UNREACHED
-            cause = fault.detail
+            outcome, cause = Outcome.BROKEN, fault.detail
+            if not fault.sent:
+                outcome = self._record_unreached(endpoint, began_ms)
         if not reply.started:
             await self._send_outcome(reply, outcome, cause)
         return outcome
 
+    def _record_unreached(
+        self, endpoint: fleet_module.TrackedEndpoint, began_ms: float
+    ) -> Outcome:
+        """Record a failed connection attempt, and say what it shows."""
+        self.paths.record_unreached(endpoint.entry, began_ms)
+        if self.paths.is_lost(endpoint.entry.service):
+            return Outcome.DECLINED
+        return Outcome.UNREACHED
+
     def _find_endpoint(
         self, relayed: relay_messages.RelayedRequest
     ) -> fleet_module.TrackedEndpoint:
--- a/tests/failures/test_forwarding_unreachable.py
+++ b/tests/failures/test_forwarding_unreachable.py
@@ -1,9 +1,12 @@
 """Tests of entry VMs that reach no endpoint while their peers do."""
 
+import attrs
 import trio
 
+from carawayward import settings as settings_module
 from tests.common import forwarding
 from tests.standins import backend
+from tests.standins import link as link_module
 
 DESKS = 3
 CALLS = 20
@@ -85,3 +88,309 @@
                 assert not suspects.crashed_ms
 
     trio.run(main)
+
+
+def find_client(made, daemon=0):
+    return made.daemons[daemon].app.forwarder.relays
+
+
+def count_relays(made):
+    """Relays that were asked for, by the entry VM that sent them."""
+    return [
+        sum(
+            count
+            for (name, _), count in daemon.app.metrics.counters.items()
+            if name == "relays"
+        )
+        for daemon in made.daemons
+    ]
+
+
+def test_no_request_is_relayed_while_endpoints_are_reached():
+    """One endpoint fails, the others serve; peers get nothing to do."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, daemons=2, separate=True
+        ) as made:
+            made.cut_off(0, ["desk-0"])
+            for _ in range(CALLS):
+                assert (await made.call("GET", "/look/1")).status == 200
+            assert not find_client(made).paths.list_lost()
+            assert count_relays(made) == [0, 0]
+
+    trio.run(main)
+
+
+def test_entry_vm_sends_requests_itself_once_its_path_is_back():
+    """Its probes find the endpoints without a request."""
+
+    async def main():
+        async with forwarding.open_forwarding(
+            *make_desks(), daemons=2, separate=True
+        ) as made:
+            made.cut_off(0)
+            assert (await made.call("GET", "/look/1")).status == 200
+            paths = find_client(made).paths
+            assert paths.is_lost("desk")
+            made.restore(0)
+            await made.wait_for(lambda: not paths.is_lost("desk"))
+            before = count_relays(made)
+            assert (await made.call("GET", "/look/1")).status == 200
+            assert count_relays(made) == before
+
+    trio.run(main)
+
+
+def test_request_is_refused_at_once_if_no_entry_vm_reaches_endpoints():
+    """It is passed on at most once, and the refusal is true."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, daemons=3, separate=True
+        ) as made:
+            for daemon in range(3):
+                made.cut_off(daemon)
+            for daemon in (0, 1, 2, 0, 1, 2):
+                began_s = trio.current_time()
+                answer = await made.call("POST", "/log/1", daemon=daemon)
+                assert answer.status == 503
+                assert float(answer.headers["retry-after"]) > 0.0
+                assert trio.current_time() - began_s < 0.5
+            assert count_runs(desks) == 0
+
+    trio.run(main)
+
+
+def test_peer_that_is_cut_off_too_is_passed_over():
+    """Two of three are cut off; the third one serves for both."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, daemons=3, separate=True
+        ) as made:
+            made.cut_off(0)
+            made.cut_off(1)
+            for daemon in (0, 1) * CALLS:
+                answer = await made.call("POST", "/log/1", daemon=daemon)
+                assert answer.status == 200
+            assert count_runs(desks) == 2 * CALLS
+
+    trio.run(main)
+
+
+def test_relayed_request_that_breaks_off_is_not_run_again():
+    """The endpoint resets the connection after it has run the request."""
+
+    async def main():
+        desks = make_desks()
+        for desk in desks:
+            desk.always = backend.reset_after_run
+        async with forwarding.open_forwarding(
+            *desks, daemons=3, separate=True
+        ) as made:
+            made.cut_off(0)
+            assert (await made.call("POST", "/log/1")).status == 502
+            assert count_runs(desks) == 1
+            assert (await made.call("GET", "/look/1")).status == 502
+            assert count_runs(desks) == 3
+
+    trio.run(main)
+
+
+async def put_link_before_peer(made, daemon=0, peer=1):
+    """Let an entry VM reach a peer only through a link that can be cut."""
+    name = f"edge-{peer}"
+    _, port = settings_module.split_address(
+        made.daemons[peer].settings.listen.peers
+    )
+    link = link_module.Link(port)
+    port = await made.nursery.start(link_module.serve_link, link)
+    peers = find_client(made, daemon).reporter.peers
+    await made.wait_for(lambda: name in peers)
+    peers[name].address = ("127.0.0.1", port)
+    return link
+
+
+def test_request_is_not_run_again_if_its_peer_ends():
+    """The connection to the peer is reset after the request has run."""
+
+    async def main():
+        desks = make_desks()
+        for desk in desks:
+            desk.always = backend.stay_silent
+        async with forwarding.open_forwarding(
+            *desks, daemons=2, separate=True
+        ) as made:
+            link = await put_link_before_peer(made)
+            made.cut_off(0)
+            answers = []
+
+            async def call():
+                answers.append(await made.call("POST", "/log/1"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await made.wait_for(lambda: count_runs(desks) == 1)
+                link.set_mode("reset", 0.0)
+            assert [answer.status for answer in answers] == [502]
+            assert count_runs(desks) == 1
+
+    trio.run(main)
+
+
+def test_frozen_peer_does_not_get_a_request():
+    """It accepts connections; the other peer serves instead."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, daemons=3, separate=True
+        ) as made:
+            link = await put_link_before_peer(made)
+            made.cut_off(0)
+            link.set_mode("held", 0.0)
+            for _ in range(CALLS):
+                assert (await made.call("POST", "/log/1")).status == 200
+            link.set_mode("open", 0.0)
+            await trio.sleep(0.2)
+            assert count_runs(desks) == CALLS
+
+    trio.run(main)
+
+
+def test_endpoint_notices_that_the_caller_of_a_relayed_request_left():
+    """It would work in vain for a caller behind another entry VM."""
+
+    async def main():
+        desks = make_desks()
+        for desk in desks:
+            desk.always = backend.stay_silent
+        async with forwarding.open_forwarding(
+            *desks, daemons=2, separate=True
+        ) as made:
+            made.cut_off(0)
+            with trio.move_on_after(1.0):
+                await made.call("POST", "/log/1")
+            (run,) = [run for desk in desks for run in desk.runs]
+            with trio.fail_after(0.5):
+                while run.ended != "left":
+                    await trio.sleep(0.01)
+
+    trio.run(main)
+
+
+def test_stream_goes_on_through_a_peer_after_a_partition():
+    """Its connection is reset midway; the caller gets each event once."""
+
+    async def main():
+        engines = [
+            attrs.evolve(each, events=30, pause_ms=20.0)
+            for each in make_engines()
+        ]
+        async with forwarding.open_forwarding(
+            *engines, daemons=2, separate=True
+        ) as made:
+            answers = []
+
+            async def request():
+                answers.append(await made.request_stream())
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(request)
+                await made.wait_for(lambda: count_runs(engines) == 1)
+                await trio.sleep(0.2)
+                made.cut_off(0)
+            (answer,) = answers
+            assert forwarding.read_numbers(answer.body) == list(range(1, 31))
+            assert count_runs(engines) == 2
+
+    trio.run(main)
+
+
+def test_relayed_stream_that_breaks_off_is_resumed():
+    """Its engine resets the connection to the peer midway."""
+
+    async def main():
+        engines = make_engines()
+        once = [backend.break_after(2)]
+        for engine in engines:
+            engine.behaviours = once
+        async with forwarding.open_forwarding(
+            *engines, daemons=2, separate=True
+        ) as made:
+            made.cut_off(0)
+            answer = await made.request_stream()
+            assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+
+    trio.run(main)
+
+
+def test_peer_checks_keys_by_its_own_table_and_lease():
+    """A key that was taken away must hold on every entry VM."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, daemons=2, separate=True
+        ) as made:
+            made.cut_off(0)
+            assert (await made.call("POST", "/log/1")).status == 200
+            board = made.daemons[1].board
+            table = made.find_table()
+            board.table = attrs.evolve(table, customers_by_key={})
+            assert (await made.call("POST", "/log/1")).status == 503
+            assert (await made.call("GET", "/open/1")).status == 503
+            assert count_runs(desks) == 1
+
+    trio.run(main)
+
+
+def test_peer_keeps_requests_from_endpoints_that_rest():
+    """It knows of the rest, the entry VM that asks it does not."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, daemons=2, separate=True
+        ) as made:
+            made.cut_off(0)
+            board = made.daemons[1].board
+            for name in ("desk-0", "desk-1"):
+                process = board.endpoints[name].process
+                board.resting_until[process] = float("inf")
+            for _ in range(CALLS):
+                assert (await made.call("POST", "/log/1")).status == 200
+            assert [len(desk.runs) for desk in desks] == [0, 0, CALLS]
+
+    trio.run(main)
+
+
+def test_leaving_peer_finishes_what_it_relays():
+    """A planned stop cuts off no request of another entry VM either."""
+
+    async def main():
+        desks = make_desks()
+        for desk in desks:
+            desk.always = answer_after(1.0)
+        async with forwarding.open_forwarding(
+            *desks, daemons=2, separate=True
+        ) as made:
+            made.cut_off(0)
+            answers = []
+
+            async def call():
+                answers.append(await made.call("POST", "/log/1"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await made.wait_for(lambda: count_runs(desks) == 1)
+                made.stops[1].set()
+            assert [answer.status for answer in answers] == [200]
+            assert (await made.call("POST", "/log/1")).status == 503
+            assert count_runs(desks) == 1
+
+    trio.run(main)
