--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -105,8 +105,8 @@
                 parts.rounds,
                 parts.reporter,
                 parts.convictions,
-                parts.freshness,
                 parts.paths,
+                parts.freshness,
             ],
             app=assembly.make_app(board, clock, ports, parts),
             relay_server=assembly.make_relay_server(
