Do not pause a peer for a request that it declines

Callers: one request whose key or endpoint a peer did not know kept all others from that peer for a second; with two peers, from any. A refusal of the last peer was followed by direct attempts that could not succeed.

Cause: one outcome for what concerns the request and what concerns the peer.

Change: a peer says which it is. Peers that do not answer, or relay nothing now, are skipped while there are others, as endpoints in quarantine are; a request asks each peer once and is refused at once if none relays it.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -373,6 +373,7 @@
         took_ms = self.clock.now_ms() - began_ms
         work.unreached_ms += took_ms
         if outcome.no_peer:
+            # The request is refused; it says nothing of the endpoint.
             return
         work.unusable |= {name}
         if not work.progress.relayed:
--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -12,6 +12,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import placement
+from carawayward.decisions import quarantine as quarantine_module
 from carawayward.decisions import relay_choice
 from carawayward import events
 from carawayward.forwarding import attempt as attempt_module
@@ -27,8 +28,6 @@
 from carawayward.forwarding import work_items
 from carawayward import http_client as http
 
-# A peer that has declined is asked again after this time.
-DECLINED_PAUSE_MS = 1_000.0
 # A process that runs answers within a round trip and what its event loop is
 # late by.
 PREFLIGHT_TIMEOUT_MS = 300.0
@@ -50,6 +49,10 @@
     """A peer did not relay a request, which has not run."""
 
 
+class PeerUnavailable(PeerDeclined):
+    """A peer did not relay it, nor would it relay others now."""
+
+
 class EndpointUnusable(Exception):
     """A peer knows that the endpoint must not get the request."""
 
@@ -58,8 +61,8 @@
 class RelayClient:
     """Chooses the peers that relay this entry VM's requests.
 
-    ``open_relays`` are those of this entry VM by peer; ``paused_ms`` is until
-    when peers that have declined are not asked.
+    ``open_relays`` are those of this entry VM by peer. Peers that recently
+    did not answer or relayed nothing are in ``quarantine``.
     """
 
     board: board_module.ForwardingBoard
@@ -71,7 +74,9 @@
     open_relays: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
-    paused_ms: dict[str, float] = attrs.field(factory=dict)
+    quarantine: quarantine_module.Quarantine = attrs.field(
+        factory=quarantine_module.Quarantine
+    )
 
     def is_needed(self, service: str) -> bool:
         """Whether a peer has to send the requests to a service, and can."""
@@ -87,7 +92,6 @@
             for peer in self.reporter.peers.values()
             if now_ms - peer.last_seen_ms
             < peer.compute_ttl_ms(load_reports.PEER_TIMEOUT_MS)
-            and now_ms >= self.paused_ms.get(peer.name, board_module.NEVER)
             and not self.paths.is_lost_by(peer.name, service)
         ]
 
@@ -106,10 +110,12 @@
         """
         relayed = self._make_relayed(work, entry, forwarded)
         async with contextlib.AsyncExitStack() as stack:
+            asked: set[str] = set()
             while True:
-                peer = self._choose_peer(entry)
+                peer = self._choose_peer(entry, asked)
                 if peer is None:
                     raise NoPeer()
+                asked.add(peer.name)
                 try:
                     answer = await stack.enter_async_context(
                         self._ask(peer, relayed, read_response, mark)
@@ -117,9 +123,6 @@
                     break
                 except PeerDeclined as fault:
                     mark.sent = False
-                    self.paused_ms[peer.name] = (
-                        self.clock.now_ms() + DECLINED_PAUSE_MS
-                    )
                     self._record(relayed, peer, str(fault))
             self._record(relayed, peer, "")
             yield answer
@@ -143,12 +146,24 @@
         )
 
     def _choose_peer(
-        self, entry: message_types.EndpointEntry
+        self, entry: message_types.EndpointEntry, asked: typing.Collection[str]
     ) -> report_channels.Peer | None:
+        """Choose a peer that was not asked yet.
+
+        One in quarantine is chosen only if there is no other.
+        """
+        quarantined = quarantine_module.list_quarantined(
+            self.quarantine, self.clock.now_ms()
+        )
+        peers = [
+            peer
+            for peer in self._list_peers(entry.service)
+            if peer.name not in asked
+        ]
         chosen = relay_choice.choose_peer(
             self.board.name,
             (self.board.failure_domain, entry.failure_domain),
-            self._list_peers(entry.service),
+            [peer for peer in peers if peer.name not in quarantined] or peers,
             self.draw,
         )
         return self.reporter.peers.get(chosen.name) if chosen else None
@@ -165,6 +180,9 @@
         address = f"{peer.address[0]}:{peer.address[1]}"
         body = relayed.to_bytes()
         self.open_relays[peer.name] += 1
+        quarantine_module.begin_try(
+            self.quarantine, peer.name, self.clock.now_ms()
+        )
         try:
             async with attempt_module.open_attempt(
                 address,
@@ -183,11 +201,20 @@
                 relayed.silence_ms,
                 prepare=functools.partial(_check_alive, address),
             ) as answer:
+                quarantine_module.record_accepted(self.quarantine, peer.name)
                 yield answer
+        except PeerUnavailable:
+            quarantine_module.record_declined(
+                self.quarantine, peer.name, self.clock.now_ms()
+            )
+            raise
         except attempt_module.AttemptFailed as fault:
             if fault.sent or isinstance(fault, EndpointUnreached):
                 raise
-            raise PeerDeclined(fault.detail) from fault
+            quarantine_module.record_unreachable(
+                self.quarantine, peer.name, self.clock.now_ms()
+            )
+            raise PeerUnavailable(fault.detail) from fault
         finally:
             self.open_relays[peer.name] -= 1
 
@@ -244,6 +271,8 @@
         match relay_messages.read_outcome(headers):
             case Outcome.RELAYED:
                 return read_response(status, headers)
+            case Outcome.UNAVAILABLE:
+                raise PeerUnavailable(cause)
             case Outcome.DECLINED:
                 raise PeerDeclined(cause)
             case Outcome.UNUSABLE:
--- a/src/carawayward/forwarding/relay_messages.py
+++ b/src/carawayward/forwarding/relay_messages.py
@@ -24,12 +24,14 @@
 class RelayOutcome(enum.Enum):
     """What became of a relayed request.
 
-    The request has not run and will not in the case of ``DECLINED`` (by the
-    peer, another one may relay it), ``UNUSABLE`` (the endpoint must not get
-    it) and ``UNREACHED`` (the peer cannot connect to the endpoint). It may
-    have run in the case of ``BROKEN``. ``RELAYED`` marks the endpoint's reply.
+    The request has not run and will not in the case of ``UNAVAILABLE`` (the
+    peer relays nothing to this service now), ``DECLINED`` (it does not relay
+    this request), ``UNUSABLE`` (the endpoint must not get it) and
+    ``UNREACHED`` (the peer cannot connect to the endpoint). It may have run in
+    the case of ``BROKEN``. ``RELAYED`` marks the endpoint's reply.
     """
 
+    UNAVAILABLE = b"unavailable"
     DECLINED = b"declined"
     UNUSABLE = b"unusable"
     UNREACHED = b"unreached"
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -188,7 +188,7 @@
         """Record a failed connection attempt, and say what it shows."""
         self.paths.record_unreached(endpoint.entry, began_ms)
         if self.paths.is_lost(endpoint.entry.service):
-            return Outcome.DECLINED
+            return Outcome.UNAVAILABLE
         return Outcome.UNREACHED
 
     def _find_endpoint(
@@ -196,11 +196,11 @@
     ) -> fleet_module.TrackedEndpoint:
         """Find the endpoint; raise Refusal if it may not get the request."""
         if self.board.state is not board_module.State.READY:
-            raise Refusal(Outcome.DECLINED, "not ready")
+            raise Refusal(Outcome.UNAVAILABLE, "not ready")
         if self.board.open_relays > MAX_OPEN_RELAYS:
-            raise Refusal(Outcome.DECLINED, "no room")
+            raise Refusal(Outcome.UNAVAILABLE, "no room")
         if self.paths.is_lost(relayed.service):
-            raise Refusal(Outcome.DECLINED, "endpoints unreachable")
+            raise Refusal(Outcome.UNAVAILABLE, "endpoints unreachable")
         if not self._accepts_key(relayed):
             raise Refusal(Outcome.DECLINED, "key cannot be verified")
         endpoint = self.fleet.find_endpoint(relayed.endpoint)
