--- a/src/carawayward/decisions/relay_choice.py
+++ b/src/carawayward/decisions/relay_choice.py
@@ -48,6 +48,5 @@
     first = draw(len(ranked))
     second = (first + 1 + draw(len(ranked) - 1)) % len(ranked)
     return min(
-        (ranked[index] for index in sorted((first, second))),
-        key=lambda peer: peer.open_relays,
+        (ranked[first], ranked[second]), key=lambda peer: peer.open_relays
     )
--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -30,7 +30,7 @@
 
 # A process that runs answers within a round trip and what its event loop is
 # late by.
-PREFLIGHT_TIMEOUT_MS = 300.0
+PREFLIGHT_TIMEOUT_MS = 200.0
 # A peer's probe takes at most as long as a connection attempt.
 PROBE_TIMEOUT_MS = 700.0
 MAX_PROBING_PEERS = 2
