--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -19,6 +19,7 @@
 from carawayward.forwarding import relaying
 from carawayward.forwarding import rollout_rounds
 from carawayward.forwarding import rollouts as rollouts_module
+from carawayward.forwarding import sending
 from carawayward.forwarding import service_paths
 from carawayward.forwarding import settings as settings_module
 from carawayward.forwarding import suspects as suspects_module
@@ -135,18 +136,25 @@
             or readiness.is_fresh()
         )
 
-    forwarder = exchange.Forwarder(
+    sender = sending.Sender(
         clock,
         ports.dialect,
         placer,
         relaying.Relay(placer, ports.dialect.internal_headers),
         may_send,
-        readiness.compute_retry_after_ms,
-        placer.metrics,
         parts.suspects,
         parts.paths,
         parts.relays,
     )
+    forwarder = exchange.Forwarder(
+        clock,
+        ports.dialect,
+        placer,
+        sender,
+        readiness.compute_retry_after_ms,
+        placer.metrics,
+        parts.suspects,
+    )
     return app_module.ForwardingApp(
         board, clock, ports.dialect, forwarder, readiness, placer.metrics
     )
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -231,7 +231,7 @@
         )
         gauges |= self.app.forwarder.placer.collect_gauges()
         gauges["services_unreachable"] = len(
-            self.app.forwarder.paths.list_lost()
+            self.app.forwarder.sender.paths.list_lost()
         )
         page = metrics_module.render_page(self.app.metrics, gauges)
         reply = app_module.AsgiReply(send, lambda: False)
--- /dev/null
+++ b/src/carawayward/forwarding/sending.py
@@ -0,0 +1,151 @@
+"""Sends one attempt to an endpoint, directly or through a peer."""
+
+import contextlib
+import typing
+
+import attrs
+import trio
+
+from carawayward import clock as clock_module
+from carawayward.decisions import cold_starts
+from carawayward.forwarding import attempt as attempt_module
+from carawayward.forwarding import attempt_timeouts
+from carawayward.forwarding import fleet as fleet_module
+from carawayward.forwarding import hops
+from carawayward.forwarding import message_types
+from carawayward.forwarding import placing
+from carawayward.forwarding import relay_client
+from carawayward.forwarding import relaying
+from carawayward.forwarding import replies
+from carawayward.forwarding import service_paths
+from carawayward.forwarding import suspects as suspects_module
+from carawayward.forwarding import work_items
+from carawayward import http_client as http
+
+# An endpoint's deadline is this much earlier than the caller's, so that a
+# response just within it can still be relayed in time; for each hop.
+RELAY_MARGIN_MS = 30.0
+
+
+@attrs.define(eq=False)
+class Sender:
+    """Sends attempts and relays their responses.
+
+    ``may_send`` is called right before the first byte of a request is sent. If
+    it returns false, the request is withheld.
+    """
+
+    clock: clock_module.Clock
+    dialect: message_types.Dialect
+    placer: placing.Placer
+    relay: relaying.Relay
+    may_send: typing.Callable[[work_items.Work], bool]
+    suspects: suspects_module.SuspectRequests
+    paths: service_paths.ServicePaths
+    relays: relay_client.RelayClient
+
+    def make_sent_mark(
+        self,
+        work: work_items.Work,
+        endpoint: fleet_module.TrackedEndpoint,
+        permit: cold_starts.Permit | None,
+    ) -> http.SentMark:
+        """Make a mark that is asked right before the first byte is sent.
+
+        It checks ``may_send`` and whether the endpoint has asked for rest
+        while the connection was established, and records the permit as used.
+        If the request is withheld, ``work.withheld`` says why.
+        """
+
+        def may_send() -> bool:
+            work.withheld = None
+            if not self.may_send(work):
+                work.withheld = work_items.Withheld("keys may be old")
+            elif self.placer.fleet.notices.is_resting(endpoint.entry):
+                work.withheld = work_items.Diverted("endpoint rests")
+            if work.withheld is not None:
+                return False
+            self.placer.fleet.cold_starts.record_sent(permit)
+            if not work.progress.relayed:
+                self.paths.record_connected(work.service)
+            return True
+
+        return http.SentMark(may_send=may_send)
+
+    async def send(
+        self,
+        work: work_items.Work,
+        endpoint: fleet_module.TrackedEndpoint,
+        mark: http.SentMark,
+        reply: replies.Reply,
+    ) -> work_items.Outcome:
+        async with contextlib.AsyncExitStack() as stack:
+            wait_ms = self._compute_attempt_timeout_ms(work)
+            with trio.move_on_after(wait_ms / 1000) as waiting:
+                answer = await stack.enter_async_context(
+                    self._open_attempt(work, endpoint, mark)
+                )
+            if waiting.cancelled_caught:
+                if not mark.sent:
+                    return work_items.Unreached("connect attempt timed out")
+                return work_items.Failed(
+                    "no response before the attempt timeout", timed_out=True
+                )
+            self.placer.fleet.record_response(endpoint, answer.head.metadata)
+            if not answer.head.metadata.declined:
+                self.placer.fleet.record_accepted(endpoint)
+                self.suspects.record_response(endpoint.entry)
+            return await self.relay.relay_response(work, answer, reply)
+
+    def _open_attempt(
+        self,
+        work: work_items.Work,
+        endpoint: fleet_module.TrackedEndpoint,
+        mark: http.SentMark,
+    ) -> typing.AsyncContextManager[attempt_module.ResponseReader]:
+        """Send the request to an endpoint, by a peer if that is needed."""
+        forwarded = self._make_forwarded_request(work, endpoint)
+        if work.progress.relayed:
+            return self.relays.open_attempt(
+                work,
+                endpoint.entry,
+                forwarded,
+                self.dialect.read_response,
+                mark,
+            )
+        return attempt_module.open_attempt(
+            endpoint.entry.address,
+            forwarded,
+            work.metadata.request_id,
+            self.dialect.read_response,
+            mark,
+            attempt_timeouts.get_silence_timeout_ms(work.route),
+        )
+
+    def _compute_attempt_timeout_ms(self, work: work_items.Work) -> float:
+        left_ms = work.deadline_ms - self.clock.now_ms()
+        predicted_ms = self.placer.predict_ttft(work)
+        return attempt_timeouts.compute_attempt_timeout_ms(
+            work.route, left_ms, predicted_ms
+        )
+
+    def _make_forwarded_request(
+        self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
+    ) -> attempt_module.ForwardedRequest:
+        left_ms = work.deadline_ms - self.clock.now_ms() - RELAY_MARGIN_MS
+        if work.progress.relayed:
+            left_ms -= RELAY_MARGIN_MS
+        dispatch = message_types.DispatchMetadata(
+            instance=endpoint.entry.name,
+            remaining_ms=max(1.0, left_ms),
+            customer=work.customer,
+            model=work.model_name,
+            last_event=work.last_event,
+        )
+        headers = self.dialect.write_request(work.request.headers, dispatch)
+        return attempt_module.ForwardedRequest(
+            method=work.request.method,
+            target=work.request.target,
+            headers=hops.drop_hop_by_hop_headers(headers),
+            body=work.request.body,
+        )
--- a/tests/failures/test_forwarding_notices.py
+++ b/tests/failures/test_forwarding_notices.py
@@ -221,7 +221,7 @@
         async with forwarding.open_forwarding(*desks) as made:
             answers = iter((False,))
             forwarder = made.daemon.app.forwarder
-            forwarder.may_send = lambda work: next(answers, True)
+            forwarder.sender.may_send = lambda work: next(answers, True)
             assert (await made.call("POST", "/log/")).status == 503
             assert not any(desk.runs for desk in desks)
             assert (await made.call("POST", "/log/")).status == 200
--- a/tests/failures/test_forwarding_relay_faults.py
+++ b/tests/failures/test_forwarding_relay_faults.py
@@ -60,7 +60,7 @@
         name = f"edge-{number}"
         for other in made.daemons:
             if other is not daemon:
-                peers = other.app.forwarder.relays.reporter.peers
+                peers = other.app.forwarder.sender.relays.reporter.peers
                 await made.wait_for(lambda: name in peers)  # noqa: B023
                 peers[name].address = ("127.0.0.1", port)
         links.append(link)
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -179,7 +179,7 @@
         desks = make_desks(3)
         async with forwarding.open_forwarding(*desks) as deployment:
             forwarder = deployment.daemon.app.forwarder
-            forwarder.may_send = lambda work: False
+            forwarder.sender.may_send = lambda work: False
             answer = await deployment.call("POST", "/log/")
             assert answer.status == 503
             assert float(answer.headers["retry-after"]) >= 1.0
--- a/tests/failures/test_forwarding_unreachable.py
+++ b/tests/failures/test_forwarding_unreachable.py
@@ -91,7 +91,7 @@
 
 
 def find_client(made, daemon=0):
-    return made.daemons[daemon].app.forwarder.relays
+    return made.daemons[daemon].app.forwarder.sender.relays
 
 
 def count_relays(made):
