--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -64,10 +64,10 @@
         async with trio.open_nursery() as nursery:
             port = await nursery.start(raw_http.serve, self.store.handle)
             self.store.put("keyed.op", "config", traffic.make_config())
-            self._make_endpoints(draw)
+            self.make_endpoints(draw)
             for endpoint in self.fleet:
                 nursery.start_soon(endpoint.run)
-            self._make_vms(port)
+            self.make_vms(port)
             for vm in self.vms:
                 nursery.start_soon(vm.run)
             for vm in self.vms:
@@ -85,7 +85,8 @@
             await trio.sleep(SETTLE_S)
             nursery.cancel_scope.cancel()
 
-    def _make_endpoints(self, draw: random.Random) -> None:
+    def make_endpoints(self, draw: random.Random) -> None:
+        """Make the endpoints of both services."""
         for number in range(MATCHERS + DESKS):
             engine = number < MATCHERS
             listening, inner = loopback.find_free_ports(2)
@@ -105,7 +106,8 @@
             endpoint.conduct.failing = 0.0 if engine else USUAL_FAILING
             self.fleet.append(endpoint)
 
-    def _make_vms(self, store_port: int) -> None:
+    def make_vms(self, store_port: int) -> None:
+        """Make the entry VMs, which find the store at ``store_port``."""
         self.vms = [
             processes.EntryVm(
                 name=f"edge-{ZONES[number % len(ZONES)]}-{number}",
