--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -29,6 +29,10 @@
 # What a relayed request has besides its body: headers and a few fields.
 MAX_ENVELOPE_BYTES = 131_072
 
+# The outcome in logs if the peer has closed its connection, as it does when it
+# wants a larger model's answer or its caller has left.
+ABANDONED = "abandoned"
+
 Outcome = relay_messages.RelayOutcome
 
 
@@ -117,7 +121,7 @@
         except app_module.Refused as fault:
             await self._send_outcome(reply, Outcome.DECLINED, fault.cause)
             return
-        outcome = Outcome.BROKEN
+        outcome = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 app_module.cancel_on_disconnect, receive, reply, nursery
@@ -125,12 +129,13 @@
             with trio.move_on_after(relayed.remaining_ms / 1000):
                 outcome = await self._relay(relayed, reply)
             nursery.cancel_scope.cancel()
-        self.metrics.count("relays", outcome=outcome.name.lower())
+        name = outcome.name.lower() if outcome else ABANDONED
+        self.metrics.count("relays", outcome=name)
         events.log_event(
             events.Event.REQUEST_RELAYED,
             request=relayed.request_id,
             endpoint=relayed.endpoint,
-            outcome=outcome.name.lower(),
+            outcome=name,
         )
 
     async def _read(
