--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -31,8 +31,8 @@
 # A process that runs answers within a round trip and what its event loop is
 # late by.
 PREFLIGHT_TIMEOUT_MS = 200.0
-# A peer's probe takes at most as long as a connection attempt.
-PROBE_TIMEOUT_MS = 700.0
+# A connection is accepted or refused within a round trip.
+PROBE_TIMEOUT_MS = 250.0
 MAX_PROBING_PEERS = 2
 
 Outcome = relay_messages.RelayOutcome
@@ -82,6 +82,11 @@
         """Whether a peer has to send the requests to a service, and can."""
         return self.paths.is_lost(service) and bool(self._list_peers(service))
 
+    def _list_quarantined(self) -> frozenset[str]:
+        return quarantine_module.list_quarantined(
+            self.quarantine, self.clock.now_ms()
+        )
+
     def _list_peers(self, service: str) -> list[relay_choice.RelayPeer]:
         """The peers that are up and may reach a service."""
         now_ms = self.clock.now_ms()
@@ -152,9 +157,7 @@
 
         One in quarantine is chosen only if there is no other.
         """
-        quarantined = quarantine_module.list_quarantined(
-            self.quarantine, self.clock.now_ms()
-        )
+        quarantined = self._list_quarantined()
         peers = [
             peer
             for peer in self._list_peers(entry.service)
@@ -226,7 +229,13 @@
         If one can, the refusal shows a lost path. If none knows, it stands.
         """
         began_ms = self.clock.now_ms()
-        for peer in self._list_peers(entry.service)[:MAX_PROBING_PEERS]:
+        quarantined = self._list_quarantined()
+        peers = [
+            peer
+            for peer in self._list_peers(entry.service)
+            if peer.name not in quarantined
+        ]
+        for peer in peers[:MAX_PROBING_PEERS]:
             address = self.reporter.peers[peer.name].address
             connects = await _ask_probe(address, entry)
             if connects:
@@ -297,7 +306,8 @@
 ) -> None:
     """Raise AttemptFailed unless the peer's process answers.
 
-    A request that were sent to a frozen process might still run much later.
+    The kernel accepts connections for a frozen process, which would run the
+    request when it wakes.
     """
     with trio.move_on_after(PREFLIGHT_TIMEOUT_MS / 1000):
         try:
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -71,7 +71,8 @@
         if scope["type"] != "http":
             return
         reply = app_module.AsgiReply(send, lambda: False)
-        if scope["client"][0] not in self.list_peer_hosts():
+        host, _ = scope["client"] or ("", 0)
+        if host not in self.list_peer_hosts():
             await replies.refuse(reply, 403, None)
         elif scope["method"] == "GET":
             # Answered by a process that runs: a connection alone is accepted
--- a/src/carawayward/forwarding/sending.py
+++ b/src/carawayward/forwarding/sending.py
@@ -79,6 +79,11 @@
         mark: http.SentMark,
         reply: replies.Reply,
     ) -> work_items.Outcome:
+        """Send the request to one endpoint and relay its response.
+
+        Raises AttemptFailed, AttemptWithheld or EndpointUnusable if there is
+        no response.
+        """
         async with contextlib.AsyncExitStack() as stack:
             wait_ms = self._compute_attempt_timeout_ms(work)
             with trio.move_on_after(wait_ms / 1000) as waiting:
