Notice crashes of endpoints that run relayed requests

Callers: none yet; a request that crashes endpoints, sent through an entry VM whose connections hang, was convicted only once the registry had dropped the endpoints, about four seconds after the third crash, and crashed more until then.

Cause: a crash is a refused connection, and this entry VM's connections were not refused. Same class: its own path stood for the endpoint's state.

Change: while the path is lost, peers say whether the endpoint refuses connections; they tell refused from silent. test_relayed_request_that_crashes_endpoints_is_convicted failed before (six crashes or more, three now).

--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -93,7 +93,7 @@
         clock,
         reporter.report_soon,
         fleet.notices.find_state,
-        confirm=relays.confirm_refusal,
+        judge_probe=relays.judge_probe,
     )
     reporter.add_topic(
         "suspects", load_reports.Topic(suspects.describe, suspects.merge)
--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -221,13 +221,17 @@
         finally:
             self.open_relays[peer.name] -= 1
 
-    async def confirm_refusal(
-        self, entry: message_types.EndpointEntry
+    async def judge_probe(
+        self, entry: message_types.EndpointEntry, refused: bool
     ) -> bool:
-        """Whether peers cannot connect to an endpoint that refuses this one.
+        """Whether an endpoint refuses connections, by peers if one can tell.
 
-        If one can, the refusal shows a lost path. If none knows, it stands.
+        This entry VM's own probe was ``refused`` or not. If a peer can
+        connect, a refusal shows a lost path. While the path is lost, no
+        refusal shows nothing.
         """
+        if not refused and not self.paths.is_lost(entry.service):
+            return False
         began_ms = self.clock.now_ms()
         quarantined = self._list_quarantined()
         peers = [
@@ -238,11 +242,11 @@
         for peer in peers[:MAX_PROBING_PEERS]:
             address = self.reporter.peers[peer.name].address
             connects = await _ask_probe(address, entry)
-            if connects:
+            if connects and refused:
                 self.paths.record_unreached(entry, began_ms)
             if connects is not None:
                 return not connects
-        return True
+        return refused
 
     def _record(
         self,
@@ -329,9 +333,9 @@
 async def _ask_probe(
     address: report_channels.Address, entry: message_types.EndpointEntry
 ) -> bool | None:
-    """Ask a peer whether it can connect to an endpoint.
+    """Ask a peer whether an endpoint accepts or refuses its connections.
 
-    None if it cannot tell or does not answer in time.
+    None if it is neither, or if the peer does not answer in time.
     """
     host, port = address
     asked = relay_messages.ProbeRequest(endpoint=entry.name, born=entry.born)
--- a/src/carawayward/forwarding/relay_messages.py
+++ b/src/carawayward/forwarding/relay_messages.py
@@ -129,7 +129,7 @@
 
 @attrs.frozen(kw_only=True)
 class ProbeRequest:
-    """Asks a peer whether it can connect to an endpoint's process."""
+    """Asks a peer whether an endpoint's process accepts connections."""
 
     endpoint: str
     born: int | None
@@ -148,11 +148,11 @@
 
 
 def encode_probe_reply(connects: bool | None) -> bytes:
-    """Encode whether a peer can connect; None if it cannot tell."""
+    """Encode whether connections are accepted; None if unknown."""
     return cbor2.dumps([connects])
 
 
 def decode_probe_reply(data: bytes) -> bool | None:
-    """Decode whether a peer can connect; raises one of DECODE_ERRORS."""
+    """Decode a reply; None if unknown. Raises one of DECODE_ERRORS."""
     (connects,) = load_report_messages.decode(data)
     return connects if isinstance(connects, bool) else None
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -93,7 +93,7 @@
     async def _serve_probe(
         self, receive: app_module.Receive, reply: app_module.AsgiReply
     ) -> None:
-        """Tell a peer whether this entry VM can connect to an endpoint."""
+        """Tell a peer whether an endpoint accepts connections from here."""
         try:
             body = await app_module.read_body(receive, MAX_ENVELOPE_BYTES)
             asked = relay_messages.ProbeRequest.from_bytes(body)
--- a/src/carawayward/forwarding/service_paths.py
+++ b/src/carawayward/forwarding/service_paths.py
@@ -25,17 +25,28 @@
 ENDPOINTS_PER_PROBE = 2
 
 
-async def accepts_connections(address: str) -> bool:
-    """Whether a connection to an address can be established."""
+async def try_to_connect(address: str) -> bool | None:
+    """Whether a connection is accepted or refused; None for neither."""
     host, port = settings_module.split_address(address)
     with trio.move_on_after(PROBE_TIMEOUT_MS / 1000):
         try:
             stream = await trio.open_tcp_stream(host, port)
-        except OSError:
-            return False
+        except OSError as fault:
+            return False if _is_refusal(fault) else None
         await trio.aclose_forcefully(stream)
         return True
-    return False
+    return None
+
+
+def _is_refusal(fault: OSError) -> bool:
+    """Whether a connection was refused by a host that is up.
+
+    trio raises an OSError from what each address of the host has raised.
+    """
+    causes: list[BaseException | None] = [fault, fault.__cause__]
+    if isinstance(fault.__cause__, BaseExceptionGroup):
+        causes += fault.__cause__.exceptions
+    return any(isinstance(each, ConnectionRefusedError) for each in causes)
 
 
 @attrs.define(eq=False)
@@ -50,7 +61,9 @@
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
     report_soon: typing.Callable[[], None]
-    probe: typing.Callable[[str], typing.Awaitable[bool]] = accepts_connections
+    probe: typing.Callable[[str], typing.Awaitable[bool | None]] = (
+        try_to_connect
+    )
     states: dict[str, reachability.Reachability] = attrs.field(factory=dict)
     lost_by_peer: dict[str, tuple[frozenset[int], float]] = attrs.field(
         factory=dict
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -57,9 +57,11 @@
     return False
 
 
-async def trust_own_probe(entry: message_types.EndpointEntry) -> bool:
-    """Confirm a refused connection, as if there were no other entry VM."""
-    return True
+async def trust_own_probe(
+    entry: message_types.EndpointEntry, refused: bool
+) -> bool:
+    """Judge by this entry VM's probe, as if there were no other entry VM."""
+    return refused
 
 
 @attrs.frozen
@@ -80,8 +82,9 @@
     ``report_soon`` is called when there is something new to report,
     ``on_convicted`` with the fingerprint of a request that is refused from now
     on, if this entry VM saw one of its crashes itself; those are
-    ``seen_here``. An endpoint that refuses connections has crashed only if
-    ``confirm`` agrees, since under a partition of this entry VM all do.
+    ``seen_here``. ``judge_probe`` tells from this entry VM's probe, and by
+    asking others, whether an endpoint refuses connections: under a partition
+    of this entry VM all do, or none.
     ``find_state`` tells whether an endpoint's process has ended
     since one of the ``unanswered_runs``. ``silent_since_ms`` is when a process
     first broke off a run since its last response. ``reported_ms`` has the
@@ -95,8 +98,8 @@
         [message_types.EndpointEntry], notices.ProcessState
     ]
     probe: typing.Callable[[str], typing.Awaitable[bool]] = refuses_connections
-    confirm: typing.Callable[
-        [message_types.EndpointEntry], typing.Awaitable[bool]
+    judge_probe: typing.Callable[
+        [message_types.EndpointEntry, bool], typing.Awaitable[bool]
     ] = trust_own_probe
     on_convicted: typing.Callable[[str], None] = lambda fingerprint: None
     records: suspicion.SuspectRecords = attrs.field(
@@ -195,7 +198,8 @@
         }
         if entry.process in self.crashed_ms:
             return True
-        return await self.probe(entry.address) and await self.confirm(entry)
+        refused = await self.probe(entry.address)
+        return await self.judge_probe(entry, refused)
 
     def _review_unanswered_runs(self) -> None:
         """Record the crashes of endpoints that have ended since."""
--- a/tests/cover/test_forwarding_relay.py
+++ b/tests/cover/test_forwarding_relay.py
@@ -19,6 +19,7 @@
 from carawayward.forwarding import service_paths
 from carawayward.forwarding import table
 from carawayward.platform import headers
+from tests.soak import partitioned
 
 PEER = "10.0.0.2"
 RELAYED = relay_messages.RelayedRequest(
@@ -258,3 +259,23 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_probe_tells_refused_connections_from_silent_ones():
+    """Silence is no crash: a partition looks the same."""
+    refusing, kept_refusing = partitioned.make_refusing_address()
+    hanging, kept_hanging = partitioned.make_hanging_address()
+
+    async def probe(address):
+        return await service_paths.try_to_connect(f"{address[0]}:{address[1]}")
+
+    async def probe_accepting():
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        async with listener:
+            return await probe(listener.socket.getsockname())
+
+    assert trio.run(probe_accepting) is True
+    assert trio.run(probe, refusing) is False
+    assert trio.run(probe, hanging) is None
+    for each in (*kept_refusing, *kept_hanging):
+        each.close()
--- a/tests/failures/test_forwarding_unreachable.py
+++ b/tests/failures/test_forwarding_unreachable.py
@@ -397,3 +397,39 @@
             assert count_runs(desks) == 1
 
     trio.run(main)
+
+
+def test_relayed_request_that_crashes_endpoints_is_convicted():
+    """The entry VM's own probes are not refused: its connections hang."""
+
+    async def stay_unknown(address):
+        return False
+
+    async def main():
+        bad = b"crashes what runs it"
+        desks = [backend.Backend(f"desk-{number}") for number in range(9)]
+        for desk in desks:
+            desk.always = backend.crash_on(bad)
+        async with forwarding.open_forwarding(
+            *desks, daemons=2, separate=True
+        ) as made:
+            made.cut_off(0)
+            assert (await made.call("GET", "/look/1")).status == 200
+            suspects = made.daemon.app.forwarder.suspects
+            suspects.probe = stay_unknown
+            by_address = {
+                made.paths[1, desk.name].address: desk for desk in desks
+            }
+
+            async def probe(address):
+                # Links accept connections of endpoints that are down.
+                return not by_address[address].scope.cancel_called
+
+            made.daemons[1].relay_server.paths.probe = probe
+            for _ in range(6):
+                await made.call("POST", "/look/1", bad)
+            crashes = [run for d in desks for run in d.runs]
+            assert sum(run.ended == "crashed" for run in crashes) == 3
+            assert (await made.call("GET", "/look/1")).status == 200
+
+    trio.run(main)
