--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -128,8 +128,8 @@
                     break
                 except PeerDeclined as fault:
                     mark.sent = False
-                    self._record(relayed, peer, str(fault))
-            self._record(relayed, peer, "")
+                    self._record_answer(relayed, peer, str(fault))
+            self._record_answer(relayed, peer, "")
             yield answer
 
     def _make_relayed(
@@ -248,12 +248,13 @@
                 return not connects
         return refused
 
-    def _record(
+    def _record_answer(
         self,
         relayed: relay_messages.RelayedRequest,
         peer: report_channels.Peer,
         declined: str,
     ) -> None:
+        """Record whether a peer took a request; ``declined`` is why not."""
         outcome = "declined" if declined else "accepted"
         self.metrics.count("handovers", outcome=outcome)
         events.log_event(
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -17,6 +17,7 @@
 class Listen:
     """Addresses that this entry VM listens on, as ``ip:port``.
 
+    ``peers`` takes the datagrams (UDP) and relays (TCP) of other entry VMs.
     Metrics are served if their address is set.
     """
 
