Forget a lost path once its service has no endpoints

Operators would have seen services_unreachable for good, and reports would have named the service, since nothing was left to probe. The new test failed before (TooSlowError after 2.5 s).

--- a/src/carawayward/forwarding/service_paths.py
+++ b/src/carawayward/forwarding/service_paths.py
@@ -147,7 +147,11 @@
             await self.clock.sleep(PROBE_INTERVAL_MS)
             async with trio.open_nursery() as nursery:
                 for service in self.list_lost():
-                    for entry in self._choose_probed(service):
+                    entries = self._choose_probed(service)
+                    if not entries:
+                        # All endpoints have left: there is no path to lose.
+                        del self.states[service]
+                    for entry in entries:
                         nursery.start_soon(self._probe, entry)
 
     def _choose_probed(
--- a/tests/cover/test_forwarding_relay.py
+++ b/tests/cover/test_forwarding_relay.py
@@ -279,3 +279,22 @@
     assert trio.run(probe, hanging) is None
     for each in (*kept_refusing, *kept_hanging):
         each.close()
+
+
+def test_service_whose_endpoints_have_left_is_no_longer_lost():
+    """Nothing is left to probe, and the gauge would stay up for good."""
+
+    async def main():
+        board = make_board(make_entry())
+        paths = make_paths(board)
+        paths.record_unreached(make_entry(), 1.0)
+        assert paths.list_lost() == ["desk"]
+        board.endpoints = {}
+        async with trio.open_nursery() as nursery:
+            await paths.start(nursery)
+            with trio.fail_after(2.5):
+                while paths.list_lost():
+                    await trio.sleep(0.02)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
