--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -199,7 +199,7 @@
                     body=body,
                 ),
                 relayed.request_id,
-                _make_reader(read_response),
+                make_reader(read_response),
                 mark,
                 relayed.silence_ms,
                 prepare=functools.partial(_check_alive, address),
@@ -270,7 +270,7 @@
     """The peer could not connect to the endpoint."""
 
 
-def _make_reader(
+def make_reader(
     read_response: attempt_module.ReadResponse,
 ) -> attempt_module.ReadResponse:
     """Make a function that reads an endpoint's response from a peer's reply.
