Reproduce repeats beyond the bound when traffic falls, known red

The retry budget spends by the requests of the last 10 s of each entry VM; when traffic falls, none of the three windows of the rule may hold as many.

--- a/tests/model/test_retry_budget.py
+++ b/tests/model/test_retry_budget.py
@@ -173,3 +173,31 @@
     for number in range(300):
         model.send(number % 9, number * 33.0, 3)
     assert len(model.retries_ms) > 0.7 * (RATIO * 300 + SLACK)
+
+
+def play_burst(seed, usual_per_s, burst_per_s, from_ms, fail_from_ms):
+    """Traffic bursts for 5 s and falls back; all requests fail from then on."""
+    draw = random.Random(seed)
+    model = Model(8, draw)
+    for vm in range(8):
+        model.start(vm, -2 * WINDOW_MS)
+    now_ms = 0.0
+    while now_ms < 4 * WINDOW_MS:
+        bursts = from_ms <= now_ms < from_ms + 5_000.0
+        rate = burst_per_s if bursts else usual_per_s
+        now_ms += draw.expovariate(rate) * 1000.0
+        retries = 3 if now_ms > fail_from_ms else 0
+        model.send(draw.randrange(8), now_ms, retries)
+    return model.find_excess()
+
+
+def test_retries_keep_to_the_bound_when_traffic_falls_after_a_burst():
+    """The rule's windows see fewer requests than the one of the last spend."""
+    excess = {
+        (seed, offset_ms): play_burst(
+            seed, 10.0, 200.0, 10_000.0 + offset_ms, 10_000.0 + offset_ms
+        )
+        for seed in range(5)
+        for offset_ms in (0.0, 1_250.0, 2_500.0, 3_750.0)
+    }
+    assert max(excess.values()) <= 0.0, excess
