--- a/tests/model/test_retry_budget.py
+++ b/tests/model/test_retry_budget.py
@@ -176,7 +176,7 @@
 
 
 def play_burst(seed, usual_per_s, burst_per_s, from_ms, fail_from_ms):
-    """Traffic bursts for 5 s and falls back; all requests fail from then on."""
+    """Traffic bursts for 5 s; requests fail from ``fail_from_ms`` on."""
     draw = random.Random(seed)
     model = Model(8, draw)
     for vm in range(8):
