Try the endpoints directly if no peer relays a request

Cause: two endpoints of three that are down lose the path, at peers as well; a request that no peer relayed was refused without trying the third.

Change: such a request goes on directly, as before there were relays.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -158,7 +158,7 @@
         began_ms = self.clock.now_ms()
         work.progress = work_items.Progress(
             began_ms,
-            relayed=self.sender.relays.is_needed(work.service),
+            relayed=self._needs_relay(work),
             version=endpoint.entry.version,
         )
         run = self.rollouts.begin(choice, work, endpoint.entry.version)
@@ -238,6 +238,10 @@
                 self.fleet.record_failure(endpoint, outcome.cause)
         self.metrics.count("attempts", outcome=type(outcome).__name__.lower())
 
+    def _needs_relay(self, work: work_items.Work) -> bool:
+        """Whether a peer has to send the request, and may do so."""
+        return not work.no_peer and self.sender.relays.is_needed(work.service)
+
     def _record_unreached(
         self,
         work: work_items.Work,
@@ -253,13 +257,15 @@
         took_ms = self.clock.now_ms() - began_ms
         work.unreached_ms += took_ms
         if outcome.no_peer:
-            # The request is refused; it says nothing of the endpoint.
+            # It says nothing of the endpoint, which may be the one of several
+            # that this entry VM reaches.
+            work.no_peer = True
             return
         work.unusable |= {name}
         if not work.progress.relayed:
             self.sender.paths.record_unreached(endpoint.entry, began_ms)
             work.unconnected |= {name}
-            if self.sender.relays.is_needed(work.service):
+            if self._needs_relay(work):
                 work.unusable -= work.unconnected
                 return
         self.fleet.record_unreachable(endpoint, took_ms)
--- a/src/carawayward/forwarding/retries.py
+++ b/src/carawayward/forwarding/retries.py
@@ -26,8 +26,6 @@
             return "withheld"
         case work_items.Diverted():
             return ""
-        case work_items.Unreached(no_peer=True):
-            return "no peer relays"
         case work_items.Unreached():
             in_time = work.unreached_ms <= MAX_UNREACHED_MS
             return "" if in_time else "unreached for long"
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -145,7 +145,8 @@
     ``earlier_may_have_run`` says whether an earlier attempt may have run.
     Endpoints in ``failed_endpoints`` are tried again only if there is no
     other, those in ``unusable`` never; those that this entry VM could not
-    connect to are also in ``unconnected``.
+    connect to are also in ``unconnected``. ``no_peer`` is set once no peer was
+    found to send the request.
     ``backlog`` is what the chosen engine reads until the first token, in
     weighted tokens, and ``is_queued`` whether that includes other prompts.
     ``backlog_ms`` is the mean backlog of the engines, for the log.
@@ -170,6 +171,7 @@
     failed_endpoints: frozenset[str] = frozenset()
     unusable: frozenset[str] = frozenset()
     unconnected: frozenset[str] = frozenset()
+    no_peer: bool = False
     last_event: int | None = None
     failure: Failed | None = None
     endpoint: str = ""
--- a/tests/failures/test_forwarding_unreachable.py
+++ b/tests/failures/test_forwarding_unreachable.py
@@ -433,3 +433,26 @@
             assert (await made.call("GET", "/look/1")).status == 200
 
     trio.run(main)
+
+
+def test_endpoint_that_is_left_is_tried_if_no_peer_relays():
+    """Two of three are down everywhere, so that all paths count as lost."""
+
+    async def main():
+        desks = make_desks()
+        async with forwarding.open_forwarding(
+            *desks, daemons=2, separate=True
+        ) as made:
+            for daemon in (0, 1):
+                made.cut_off(daemon, ["desk-0", "desk-1"])
+                paths = find_client(made, daemon).paths
+                entries = made.daemons[daemon].board.endpoints
+                for name in ("desk-0", "desk-1"):
+                    paths.record_unreached(entries[name], float("inf"))
+                assert paths.is_lost("desk")
+            for daemon in (0, 1):
+                answer = await made.call("POST", "/log/1", daemon=daemon)
+                assert answer.status == 200
+            assert len(desks[2].runs) == 2
+
+    trio.run(main)
