Log the parts of prompts in flight at each crash, and whether their answer had begun

What callers saw: streams fail while endpoints end one after the other. What the logs lacked: 1512 and 1504 name a digest of the whole request, which no two requests share. That the crashes have a part in common could not be told from crashes of unrelated requests, nor by which entry VM's runs. Change: 1530 run_crashed for each run in flight at a crash, with digests of the shared parts of its prompt. No logic changes.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -276,6 +276,11 @@
     REQUEST_CLEARED = EventKind(
         1506, "A suspect request was answered and is no longer suspect."
     )
+    RUN_CRASHED = EventKind(
+        1530,
+        "A run was in flight on an endpoint that crashed. It names the shared "
+        "parts of the prompt, and whether the answer had begun.",
+    )
     REQUEST_HEDGED = EventKind(
         1507, "A run without output was started again on another endpoint."
     )
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -66,9 +66,14 @@
 
 @attrs.frozen
 class UnansweredRun:
-    """A run that ended without a response ``at_ms``, on which endpoint."""
+    """A run that ended without a whole response ``at_ms``, and where.
+
+    ``parts`` are the shared parts of its prompt.
+    """
 
     fingerprint: str
+    parts: tuple[str, ...]
+    answer_begun: bool
     entry: message_types.EndpointEntry
     at_ms: int
 
@@ -182,7 +187,13 @@
     ) -> UnansweredRun:
         """Keep a run unless its endpoint may have been down at its start."""
         now_ms = self._now_ms()
-        run = UnansweredRun(work.fingerprint, entry, now_ms)
+        run = UnansweredRun(
+            work.fingerprint,
+            work.shared_parts,
+            work.progress.answer_begun,
+            entry,
+            now_ms,
+        )
         silent_ms = self.silent_since_ms.get(entry.process, now_ms)
         if now_ms - took_ms <= silent_ms:
             self.unanswered_runs.append(run)
@@ -225,6 +236,13 @@
                 endpoint=run.entry.name,
                 evidence=evidence,
             )
+        events.log_event(
+            events.Event.RUN_CRASHED,
+            endpoint=run.entry.name,
+            content=run.fingerprint,
+            parts=run.parts,
+            answer_begun=run.answer_begun,
+        )
         name = f"{run.entry.name}/{run.entry.born}"
         number = load_report_messages.hash_name(name)
         self.seen_here.add(run.fingerprint)
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -124,7 +124,7 @@
     the prediction of it from the engine's backlog. ``status`` is set once the
     endpoint's response can be judged, which may be before the caller has it.
     ``version`` is that of the endpoint, ``relayed`` says whether a peer sends
-    the request.
+    the request, ``answer_begun`` whether the endpoint has begun a response.
     """
 
     began_ms: float
@@ -133,6 +133,7 @@
     status: int | None = None
     version: str = ""
     relayed: bool = False
+    answer_begun: bool = False
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -180,6 +181,9 @@
     is_queued: bool = False
     backlog_ms: float = 0.0
     _fingerprint: str = attrs.field(default="", init=False)
+    _shared_parts: tuple[str, ...] | None = attrs.field(
+        default=None, init=False
+    )
 
     @property
     def may_have_run(self) -> bool:
@@ -200,6 +204,22 @@
             )
         return self._fingerprint
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Digests of the parts of its prompt that others may share.
+
+        All but the last, which is the request's own. The same part has another
+        digest at another service.
+        """
+        if self._shared_parts is None:
+            self._shared_parts = tuple(
+                suspicion.digest_content(
+                    self.service.encode(), part.name.encode()
+                )
+                for part in self.metadata.prompt[:-1]
+            )
+        return self._shared_parts
+
     @property
     def session_digest(self) -> str:
         """Identifies the session in logs; empty if there is none."""
--- a/tests/cover/test_forwarding_convictions.py
+++ b/tests/cover/test_forwarding_convictions.py
@@ -16,9 +16,14 @@
 from carawayward.forwarding import message_types
 from carawayward.forwarding import notices
 from carawayward.forwarding import suspects
+from carawayward.forwarding import work_items
 
 FINGERPRINT = suspicion.digest_content(b"ikeja", b"POST", b"/1", b"body")
-WORK: typing.Any = types.SimpleNamespace(fingerprint=FINGERPRINT)
+WORK: typing.Any = types.SimpleNamespace(
+    fingerprint=FINGERPRINT,
+    shared_parts=("first",),
+    progress=work_items.Progress(0.0),
+)
 AGE_MS = 200_000
 
 
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -20,6 +20,7 @@
 from carawayward.forwarding import message_types
 from carawayward.forwarding import notices
 from carawayward.forwarding import suspects
+from carawayward.forwarding import work_items
 
 MAX_REPORT_BYTES = 700
 STEPS = strategies.lists(
@@ -46,7 +47,11 @@
 
 def make_work(body=b"body"):
     fingerprint = suspicion.digest_content(b"ikeja", b"POST", b"/1", body)
-    work: typing.Any = types.SimpleNamespace(fingerprint=fingerprint)
+    work: typing.Any = types.SimpleNamespace(
+        fingerprint=fingerprint,
+        shared_parts=("first",),
+        progress=work_items.Progress(0.0),
+    )
     return work
 
 
