--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -65,8 +65,26 @@
                 nursery.start_soon(self.call, kind, content)
                 await trio.sleep(pause_s)
 
-    async def call(self, kind: traffic.Kind, content: str | int) -> None:
-        """Send a request, and once more if it may be repeated."""
+    async def send_prompts(
+        self, kind: traffic.Kind, parts: tuple[str, ...], rate: float
+    ) -> None:
+        """Send requests that share the parts of a prompt until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self.draw.expovariate(rate))
+                content = self.draw.randrange(10**9)
+                nursery.start_soon(self.call, kind, content, parts)
+
+    async def call(
+        self,
+        kind: traffic.Kind,
+        content: str | int,
+        parts: tuple[str, ...] = (),
+    ) -> None:
+        """Send a request, and once more if it may be repeated.
+
+        Without ``parts`` its prompt begins with one of many.
+        """
         began_ms = trio.current_time() * 1000
         times = 1
         if self.draw.random() < self.abusive:
@@ -76,7 +94,7 @@
             if left_ms <= 1.0:
                 return
             status, wait_ms = await self._send(
-                kind, content, left_ms, number == 0
+                kind, content, left_ms, number == 0, parts
             )
             if status in FINAL or 200 <= status < 300:
                 return
@@ -91,6 +109,7 @@
         content: str | int,
         left_ms: float,
         first_try: bool,
+        parts: tuple[str, ...],
     ) -> tuple[int, float]:
         """Return the status, 0 without one, and the Retry-After in ms."""
         vm = self.draw.choice(self.vms)
@@ -103,12 +122,12 @@
         }
         if kind.stream:
             prefix, prompt = kind.prompt.split(",")
-            number = self.draw.randrange(200)
+            parts = parts or (f"{self.draw.randrange(200):x}",)
+            prompt_parts = [f"{each}:{prefix}" for each in parts]
+            prompt_parts.append(f"{self.draw.randrange(16**8):x}:{prompt}")
             headers["carawayward-model"] = "*"
             headers["carawayward-token-count"] = f"{prompt},120"
-            headers["carawayward-prefix-hash"] = (
-                f"{number:x}:{prefix},{self.draw.randrange(16**8):x}:{prompt}"
-            )
+            headers["carawayward-prefix-hash"] = ",".join(prompt_parts)
         self.history.sent[request_id] = records.Sent(
             request_id=request_id,
             vm=vm.name,
@@ -118,17 +137,22 @@
             deadline_ms=left_ms,
             max_attempts=kind.max_attempts,
             first_try=first_try,
+            route=kind.name,
+            parts=parts,
         )
         status, wait_ms = 0, 0.0
         with trio.move_on_after(left_ms / 1000):
             try:
-                response = await self._get_pool(vm).request(
+                async with self._get_pool(vm).stream(
                     "GET" if kind.route_kind == "safe" else "POST",
                     f"http://127.0.0.1:{vm.caller_port}/{kind.name}/{content}",
                     headers=list(headers.items()),
                     content=b"" if kind.route_kind == "safe" else b"body",
                     extensions={"timeout": {"connect": CONNECT_S}},
-                )
+                ) as response:
+                    async for _ in response.aiter_stream():
+                        if 200 <= response.status < 300:
+                            self.history.begun.add(request_id)
             except CALL_FAILURES:
                 self.history.statuses[request_id] = 0
                 return 0, 0.0
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -2,11 +2,12 @@
 
 Each returns its violations as text. They use only what endpoints got, what
 callers sent and got, and which faults were injected; see the users' rules,
-BUDGET and RECOVER.
+BUDGET, LOST and RECOVER.
 """
 
 import bisect
 import collections
+import math
 import typing
 
 import attrs
@@ -19,6 +20,10 @@
 MAX_LATE_DEADLINE_SHARE = 0.2
 CRASHES_THAT_CONVICT = 3
 MAX_RETRIES_AFTER_CRASHES = 3
+CRASHES_THAT_CONVICT_PART = 5
+MAX_REQUESTS_AFTER_CRASHES = 3
+MIN_BEGUN_RATIO = 0.5
+MIN_REQUESTS_COMPARED = 20
 REST_BEGINS_MS = 500.0
 MAX_REQUESTS_IN_REST = 2
 MIN_SERVED_RATIO = 2.0 / 3.0
@@ -139,6 +144,160 @@
     ]
 
 
+def _list_part_crashes(
+    history: records.History, part: records.CrashingPart
+) -> list[float]:
+    """When a part crashed endpoints, at most the crashes that convict it."""
+    times = sorted(
+        arrival.crashed_ms
+        for arrival in history.arrivals
+        if arrival.crashed
+        and part.part in history.sent[arrival.request_id].parts
+    )
+    return times[:CRASHES_THAT_CONVICT_PART]
+
+
+def check_crashing_parts(
+    history: records.History, bounds: records.Bounds
+) -> list[str]:
+    """Find parts of prompts with which requests go on to crash endpoints.
+
+    Counted are requests that reach endpoints, sent by entry VMs in touch later
+    than ``contact_ms`` after the part's fifth crash.
+    """
+    found = []
+    for part in history.crashing_parts:
+        crashes = _list_part_crashes(history, part)
+        if len(crashes) < CRASHES_THAT_CONVICT_PART:
+            continue
+        known_ms = crashes[-1] + bounds.contact_ms
+        reached = [
+            arrival
+            for arrival in history.arrivals
+            if arrival.at_ms > known_ms
+            and part.part in history.sent[arrival.request_id].parts
+            and _is_in_touch(
+                history, bounds, history.find_vm(arrival), arrival.at_ms
+            )
+        ]
+        if len(reached) > MAX_REQUESTS_AFTER_CRASHES:
+            found.append(
+                f"{len(reached)} requests with the part {part.part} reached "
+                f"endpoints after its fifth crash was known"
+            )
+    return found
+
+
+@attrs.frozen(kw_only=True)
+class Begun:
+    """Sound requests, and those of which the first attempt began."""
+
+    sent: int
+    begun: int
+
+    @property
+    def share(self) -> float:
+        """The share that began."""
+        return self.begun / self.sent if self.sent else 1.0
+
+
+Selection = typing.Callable[[records.CrashingPart, records.Sent], bool]
+
+
+def shares_first_part(part: records.CrashingPart, sent: records.Sent) -> bool:
+    """Whether a request has the first part of those that crash endpoints."""
+    return sent.parts[0] == part.first_part
+
+
+def shares_key(part: records.CrashingPart, sent: records.Sent) -> bool:
+    """Whether a request has their key; all have, there is one caller."""
+    return True
+
+
+def shares_all_other_parts(
+    part: records.CrashingPart, sent: records.Sent
+) -> bool:
+    """Whether only the part that crashes endpoints tells a request apart."""
+    return sent.parts == part.companions
+
+
+SELECTIONS: tuple[Selection, ...] = (
+    shares_key,
+    shares_first_part,
+    shares_all_other_parts,
+)
+
+
+def count_begun(
+    history: records.History,
+    bounds: records.Bounds,
+    part: records.CrashingPart,
+    shares: Selection,
+) -> tuple[Begun, Begun]:
+    """Count sound first tries that began, after crashes and in calm times.
+
+    The former are sent from 2 * ``contact_ms`` after the fifth crash, or the
+    last, while requests with the part still come. All are of the part's
+    route, at entry VMs in touch, with a known outcome.
+    """
+    crashes = _list_part_crashes(history, part)
+    bad = {each.part for each in history.crashing_parts}
+    last_ms = max(
+        (
+            sent.at_ms
+            for sent in history.sent.values()
+            if part.part in sent.parts
+        ),
+        default=-math.inf,
+    )
+    outcomes: dict[bool, list[bool]] = {True: [], False: []}
+    for sent in history.sent.values():
+        begun = sent.request_id in history.begun
+        if (
+            not sent.first_try
+            or sent.route != part.route
+            or not bad.isdisjoint(sent.parts)
+            or not shares(part, sent)
+            or not (begun or sent.request_id in history.statuses)
+            or not _is_in_touch(history, bounds, sent.vm, sent.at_ms)
+        ):
+            continue
+        from_ms = crashes[-1] + 2 * bounds.contact_ms if crashes else math.inf
+        if from_ms <= sent.at_ms <= last_ms:
+            outcomes[True].append(begun)
+        elif history.is_calm(sent.at_ms - bounds.contact_ms, sent.at_ms):
+            outcomes[False].append(begun)
+    after, calm = (
+        Begun(sent=len(begun), begun=sum(begun))
+        for begun in (outcomes[True], outcomes[False])
+    )
+    return after, calm
+
+
+def check_sound_requests(
+    history: records.History, bounds: records.Bounds
+) -> list[str]:
+    """Find sound requests that are held for those that crash endpoints.
+
+    They share the key, the first part, or all parts but the one that crashes
+    endpoints, and begin less than half as often as in calm times.
+    """
+    found = []
+    for part in history.crashing_parts:
+        for shares in SELECTIONS:
+            after, calm = count_begun(history, bounds, part, shares)
+            if min(after.sent, calm.sent) < MIN_REQUESTS_COMPARED:
+                continue
+            if after.share >= MIN_BEGUN_RATIO * calm.share:
+                continue
+            found.append(
+                f"{after.begun} of {after.sent} sound requests beside the "
+                f"part {part.part} began ({shares.__name__}), in calm times "
+                f"{calm.begun} of {calm.sent}"
+            )
+    return found
+
+
 @attrs.frozen(kw_only=True)
 class Window:
     """What a service got in one window, and what the rule allows.
@@ -338,6 +497,8 @@
     "attempts": check_endpoints_per_request,
     "deadlines": check_deadlines,
     "crashes": check_crashing_requests,
+    "crashing parts": check_crashing_parts,
+    "sound requests": check_sound_requests,
     "repeats": check_repeats,
     "rests": check_rests,
     "partitions": check_partitions,
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -31,6 +31,12 @@
 CRASHING_PAUSE_S = 0.8
 # The rule judges what is sent later than contact_ms after the cut.
 MIN_PARTITION_MS = 7_000.0
+# Sound requests are compared with those before the first crash, and counted
+# from 2 * contact_ms after the fifth.
+CALM_BEFORE_CRASHING_PART_MS = 8_000.0
+MIN_CRASHING_PART_MS = 14_000.0
+CRASHING_PROMPTS_PER_S = 2.0
+COMPANIONS_PER_S = 5.0
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -193,6 +199,8 @@
                 self.callers.abusive = 0.0
             case kind.PARTITION:
                 await self._partition(fault)
+            case kind.CRASHING_PART:
+                await self._crash_by_part(fault)
             case kind.CRASHING_REQUEST:
                 index = fault.target % len(traffic.KINDS)
                 await self.callers.send_repeatedly(
@@ -241,6 +249,59 @@
             for endpoint in self.fleet:
                 endpoint.link.release(vm.ip)
 
+    async def _crash_by_part(self, fault: schedule.ScheduledFault) -> None:
+        """Send prompts with parts that crash endpoints, and sound ones.
+
+        One part or two, first or in the middle of the prompt. While they are
+        sent, no others begin. The sound requests have all other parts, and
+        are sent before the first crash as well.
+        """
+        if any(
+            each.until_ms == math.inf for each in self.history.crashing_parts
+        ):
+            return
+        kinds = [each for each in traffic.KINDS if each.stream]
+        kind = kinds[fault.target % len(kinds)]
+        first_in_prompt, number = divmod(int(fault.strength * 4) % 4, 2)
+        name = f"{fault.target:x}{len(self.history.crashing_parts):x}"
+        companions = (f"c0{name}", f"c1{name}")
+        bad = [f"bad{each}{name}" for each in range(1 + number)]
+        prompts = [
+            (each, *companions)
+            if first_in_prompt
+            else (companions[0], each, companions[1])
+            for each in bad
+        ]
+        found = [
+            records.CrashingPart(
+                part=each,
+                route=kind.name,
+                first_part=prompt[0],
+                companions=companions,
+                from_ms=trio.current_time() * 1000,
+            )
+            for each, prompt in zip(bad, prompts, strict=True)
+        ]
+        self.history.crashing_parts += found
+        for endpoint in self.fleet:
+            endpoint.crash_parts |= set(bad)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self.callers.send_prompts, kind, companions, COMPANIONS_PER_S
+            )
+            await trio.sleep(CALM_BEFORE_CRASHING_PART_MS / 1000)
+            for prompt in prompts:
+                nursery.start_soon(
+                    self.callers.send_prompts,
+                    kind,
+                    prompt,
+                    CRASHING_PROMPTS_PER_S / len(prompts),
+                )
+            await trio.sleep((MIN_CRASHING_PART_MS + fault.for_ms) / 1000)
+            for each in found:
+                each.until_ms = trio.current_time() * 1000
+            nursery.cancel_scope.cancel()
+
     async def _disturb_store(self, fault: schedule.ScheduledFault) -> None:
         disruptions = [vm.disrupt(fault.fault.value) for vm in self.vms]
         match fault.fault:
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -19,6 +19,8 @@
 MAX_QUEUE_PER_SLOT = 0.5
 STREAM_EVENTS = 10
 EVENT_PAUSE_S = 0.03
+# From the beginning of an answer to the crash that it causes.
+CRASH_DELAY_S = 0.05
 
 
 @attrs.define
@@ -41,7 +43,8 @@
     """One endpoint address; each start is a new incarnation with a new id.
 
     A request whose path contains ``crash_mark`` ends each incarnation that
-    begins to run it. ``down_ms`` is how long it then stays down. With
+    begins to run it, one with one of the ``crash_parts`` in its prompt each
+    that begins an answer. ``down_ms`` is how long it then stays down. With
     ``proxied`` its address accepts connections meanwhile, and closes them.
     """
 
@@ -56,6 +59,7 @@
     history: records.History
     draw: random.Random
     crash_mark: str = "/crash-"
+    crash_parts: frozenset[str] = frozenset()
     down_ms: float = 1_500.0
     proxied: bool = False
     conduct: Conduct = attrs.field(factory=Conduct)
@@ -206,13 +210,22 @@
         if self.draw.random() < self.conduct.failing:
             await exchange.answer(500, headers, b"failed")
         elif self.engine:
-            await self._stream(exchange, headers)
+            await self._stream(exchange, headers, arrival)
         else:
             await exchange.answer(200, headers, b"done")
         arrival.answered_ms = trio.current_time() * 1000
 
+    def _crashes(self, request: raw_http.Request) -> bool:
+        """Whether a part of the prompt, other than its last, crashes it."""
+        prompt = request.headers.get("carawayward-prefix-hash", "")
+        parts = [each.partition(":")[0] for each in prompt.split(",")]
+        return not self.crash_parts.isdisjoint(parts[:-1])
+
     async def _stream(
-        self, exchange: raw_http.Exchange, headers: dict[str, str]
+        self,
+        exchange: raw_http.Exchange,
+        headers: dict[str, str],
+        arrival: records.Arrival,
     ) -> None:
         small = exchange.request.headers.get("carawayward-model") == "small"
         confidence = self.draw.randrange(30, 100) if small else 95
@@ -223,6 +236,14 @@
                 "carawayward-confidence": str(confidence),
             }
         )
+        if self._crashes(exchange.request):
+            # The head has been sent, so that a caller may have left.
+            with trio.CancelScope(shield=True):
+                await trio.sleep(CRASH_DELAY_S)
+            arrival.crashed = True
+            arrival.crashed_ms = trio.current_time() * 1000
+            self.crash()
+            await trio.sleep_forever()
         start = int(exchange.request.headers.get("last-event-id", 0)) + 1
         for number in range(start, STREAM_EVENTS + 1):
             await exchange.send_chunk(backend.make_event(number))
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -25,6 +25,7 @@
 
     Requests with the same ``content`` have the same path, caller and body.
     ``first_try`` is false if it repeats a request that was refused or failed.
+    ``parts`` are those of its prompt that others may share, in order.
     """
 
     request_id: str
@@ -35,6 +36,8 @@
     deadline_ms: float
     max_attempts: int
     first_try: bool = True
+    route: str = ""
+    parts: tuple[str, ...] = ()
 
     @property
     def ends_ms(self) -> float:
@@ -48,8 +51,8 @@
 
     ``remaining_ms`` is the forwarded deadline, None without one. ``ran`` is
     set once the endpoint has begun to work on it, ``crashed`` if that ended
-    the endpoint. ``rest_ms`` is the Retry-After of a 503, sent at
-    ``answered_ms``.
+    the endpoint, at ``crashed_ms``. ``rest_ms`` is the Retry-After of a 503,
+    sent at ``answered_ms``.
     """
 
     request_id: str
@@ -58,6 +61,7 @@
     remaining_ms: float | None
     ran: bool = False
     crashed: bool = False
+    crashed_ms: float = math.inf
     answered_ms: float | None = None
     rest_ms: float = 0.0
 
@@ -86,9 +90,28 @@
     until_ms: float = math.inf
 
 
+@attrs.define(kw_only=True, eq=False)
+class CrashingPart:
+    """A prompt part that crashes endpoints, and what is sent beside it.
+
+    ``first_part`` is that of the requests with the part; ``companions`` are
+    the other parts of these requests, in order.
+    """
+
+    part: str
+    route: str
+    first_part: str
+    companions: tuple[str, ...]
+    from_ms: float
+    until_ms: float = math.inf
+
+
 @attrs.define(eq=False)
 class History:
-    """The records of one run, in the order of their times."""
+    """The records of one run, in the order of their times.
+
+    ``begun`` are the requests of which the caller got a first event.
+    """
 
     sent: dict[str, Sent] = attrs.field(factory=dict)
     arrivals: list[Arrival] = attrs.field(factory=list)
@@ -96,6 +119,8 @@
     endpoint_disruptions: list[Disruption] = attrs.field(factory=list)
     partitions: list[Partition] = attrs.field(factory=list)
     statuses: dict[str, int] = attrs.field(factory=dict)
+    crashing_parts: list[CrashingPart] = attrs.field(factory=list)
+    begun: set[str] = attrs.field(factory=set)
 
     def find_vm(self, arrival: Arrival) -> str:
         """The entry VM that a request came from."""
@@ -117,6 +142,13 @@
             for each in self.partitions
         )
 
+    def is_calm(self, from_ms: float, until_ms: float) -> bool:
+        """Whether nothing at all was disrupted in the given time."""
+        return not any(
+            each.overlaps(from_ms, until_ms)
+            for each in (*self.vm_disruptions, *self.endpoint_disruptions)
+        )
+
     def is_endpoint_disrupted(
         self, endpoint: str, from_ms: float, until_ms: float
     ) -> bool:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -42,6 +42,7 @@
     rests: int
     ends_unasked: int
     partitions: list[str]
+    crashing_parts: list[str]
 
     @property
     def broken(self) -> bool:
@@ -69,7 +70,31 @@
         partitions=[
             describe_partition(soak, each) for each in history.partitions
         ],
+        crashing_parts=[
+            describe_crashing_part(soak, each)
+            for each in history.crashing_parts
+        ],
+    )
+
+
+def describe_crashing_part(
+    soak: deployment.Soak, part: records.CrashingPart
+) -> str:
+    """How many endpoints a part crashed, and how sound requests fared."""
+    crashes = sum(
+        each.crashed and part.part in soak.history.sent[each.request_id].parts
+        for each in soak.history.arrivals
     )
+    counts = []
+    for shares in checkers.SELECTIONS:
+        after, calm = checkers.count_begun(
+            soak.history, soak.bounds, part, shares
+        )
+        counts.append(
+            f"{shares.__name__} {after.begun} of {after.sent} after, "
+            f"{calm.begun} of {calm.sent} calm"
+        )
+    return f"{part.part}: {crashes} crashes; {'; '.join(counts)}"
 
 
 def describe_partition(
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -40,10 +40,15 @@
     ABUSE = "callers repeat at once"
     CRASHING_REQUEST = "request that crashes endpoints"
     PARTITION = "vms cut off from all endpoints"
+    CRASHING_PART = "prompt part that crashes endpoints"
 
 
 # Drawn unless others are named; the seeds in use rest on this choice.
-USUAL_FAULTS = tuple(each for each in Fault if each is not Fault.PARTITION)
+USUAL_FAULTS = tuple(
+    each
+    for each in Fault
+    if each not in (Fault.PARTITION, Fault.CRASHING_PART)
+)
 
 
 class PartitionKind(enum.Enum):
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -206,6 +206,8 @@
         "attempts": [],
         "deadlines": [],
         "crashes": [],
+        "crashing parts": [],
+        "sound requests": [],
         "repeats": [],
         "rests": [],
         "partitions": [],
@@ -299,3 +301,120 @@
     found = check(checkers.check_partitions, history)
     assert len(found) == 2
     assert all(each.endswith("the others 30 of 30") for each in found)
+
+
+BAD_PARTS = ("first", "bad", "other")
+SOUND_PARTS = ("first", "other")
+
+
+def make_part_history():
+    """Five endpoints crash under a part, the last one at ``FAR_MS``."""
+    history = records.History()
+    history.crashing_parts.append(
+        records.CrashingPart(
+            part="bad",
+            route="review",
+            first_part="first",
+            companions=SOUND_PARTS,
+            from_ms=FAR_MS - 5_000.0,
+        )
+    )
+    for number in range(5):
+        at_ms = FAR_MS - 100.0 * number
+        request_id = add_prompt(history, number, at_ms, BAD_PARTS)
+        endpoint = f"matcher-{number}"
+        add_arrival(
+            history,
+            request_id,
+            after_ms=0.0,
+            endpoint=endpoint,
+            ran=True,
+            crashed=True,
+            crashed_ms=at_ms,
+        )
+        history.endpoint_disruptions.append(
+            records.Disruption(
+                name=endpoint, kind="crash", from_ms=at_ms, until_ms=at_ms
+            )
+        )
+    return history
+
+
+def add_prompt(history, number, at_ms, parts):
+    return add_request(
+        history, number, at_ms=at_ms, route="review", parts=parts
+    )
+
+
+def reach_with_part(count, after_ms, vm_disrupted=False):
+    history = make_part_history()
+    for number in range(count):
+        request_id = add_prompt(
+            history, 100 + number, FAR_MS + after_ms + number, BAD_PARTS
+        )
+        add_arrival(history, request_id, endpoint=f"matcher-{number % 9}")
+    if vm_disrupted:
+        disrupt(history, at_ms=FAR_MS + after_ms - 1.0)
+    return history
+
+
+def test_requests_with_a_part_that_crashes_endpoints_are_found():
+    """Four of them, no two alike, come 3 s after the fifth crash or later."""
+    checker = checkers.check_crashing_parts
+    assert check(checker, reach_with_part(4, 3_100.0))
+    assert not check(checker, reach_with_part(3, 3_100.0))
+    assert not check(checker, reach_with_part(9, 2_900.0))
+    assert not check(checker, reach_with_part(9, 3_100.0, vm_disrupted=True))
+
+
+def test_requests_with_a_part_under_which_four_endpoints_ended_are_allowed():
+    """The fifth crash has not come."""
+    history = reach_with_part(9, 3_100.0)
+    del history.arrivals[0]
+    assert not check(checkers.check_crashing_parts, history)
+
+
+def send_sound(begun, sent, parts=SOUND_PARTS, after_ms=6_100.0, calm=20):
+    history = make_part_history()
+    add_prompt(history, 50, FAR_MS + 20_000.0, BAD_PARTS)
+    for number in range(calm):
+        request_id = add_prompt(
+            history, 200 + number, FAR_MS - 60_000.0 + number, parts
+        )
+        history.begun.add(request_id)
+    for number in range(sent):
+        request_id = add_prompt(
+            history, 300 + number, FAR_MS + after_ms + number, parts
+        )
+        history.statuses[request_id] = 503
+        if number < begun:
+            history.begun.add(request_id)
+    return history
+
+
+def test_sound_requests_beside_a_part_that_crashes_endpoints_are_found():
+    """Less than half of them begin from 6 s after the fifth crash on."""
+    checker = checkers.check_sound_requests
+    assert check(checker, send_sound(9, 20))
+    assert not check(checker, send_sound(10, 20))
+    assert not check(checker, send_sound(0, 19))
+    assert not check(checker, send_sound(0, 20, calm=19))
+    assert not check(checker, send_sound(0, 20, after_ms=5_000.0))
+    assert not check(checker, send_sound(0, 20, after_ms=20_100.0))
+    assert check(checker, send_sound(0, 20, parts=("first", "else")))
+
+
+def test_sound_requests_with_all_other_parts_are_judged_apart():
+    """Other sound requests of the route and key begin."""
+    history = send_sound(0, 20)
+    for number in range(100):
+        request_id = add_prompt(
+            history, 400 + number, FAR_MS + 6_100.0, ("else",)
+        )
+        history.begun.add(request_id)
+    (violation,) = [
+        each
+        for each in check(checkers.check_sound_requests, history)
+        if "shares_all_other_parts" in each
+    ]
+    assert "0 of 20" in violation
