Soak: crash endpoints before, at and after the head of an answer

Parts of prompts crashed endpoints at the head of the answer only, twice a second, and endpoints were back after 1.5 s; sound requests hardly noticed. Now four such prompts come a second, the crash comes before the head, after it or after one event, and endpoints stay down for 1.5 or 6 s, by the fault's draw. Two requests that crash one process together count as one crash.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -35,8 +35,10 @@
 # from 2 * contact_ms after the fifth.
 CALM_BEFORE_CRASHING_PART_MS = 8_000.0
 MIN_CRASHING_PART_MS = 14_000.0
-CRASHING_PROMPTS_PER_S = 2.0
+CRASHING_PROMPTS_PER_S = 4.0
 COMPANIONS_PER_S = 5.0
+# How long endpoints stay down after such a crash.
+CRASHED_FOR_MS = (1_500.0, 6_000.0)
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -252,9 +254,10 @@
     async def _crash_by_part(self, fault: schedule.ScheduledFault) -> None:
         """Send prompts with parts that crash endpoints, and sound ones.
 
-        One part or two, first or in the middle of the prompt. While they are
-        sent, no others begin. The sound requests have all other parts, and
-        are sent before the first crash as well.
+        One part or two, first or in the middle of the prompt; endpoints crash
+        before the head of the answer, after it, or after an event. While they
+        are sent, no others begin. The sound requests have all other parts,
+        and are sent before the first crash as well.
         """
         if any(
             each.until_ms == math.inf for each in self.history.crashing_parts
@@ -283,8 +286,11 @@
             for each, prompt in zip(bad, prompts, strict=True)
         ]
         self.history.crashing_parts += found
+        stages = list(endpoints.CrashStage)
         for endpoint in self.fleet:
             endpoint.crash_parts |= set(bad)
+            endpoint.crash_stage = stages[fault.target // 3 % len(stages)]
+            endpoint.down_ms = CRASHED_FOR_MS[fault.target // 9 % 2]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self.callers.send_prompts, kind, companions, COMPANIONS_PER_S
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -1,5 +1,6 @@
 """Endpoints that fail, decline, crash or ask for rest as they are told."""
 
+import enum
 import random
 
 import attrs
@@ -38,13 +39,22 @@
     slowness: float = 1.0
 
 
+class CrashStage(enum.Enum):
+    """What of an answer has been sent when it crashes the endpoint."""
+
+    NOTHING = "nothing"
+    HEAD = "its head"
+    EVENT = "one event"
+
+
 @attrs.define(eq=False, kw_only=True)
 class SoakEndpoint:
     """One endpoint address; each start is a new incarnation with a new id.
 
     A request whose path contains ``crash_mark`` ends each incarnation that
     begins to run it, one with one of the ``crash_parts`` in its prompt each
-    that begins an answer. ``down_ms`` is how long it then stays down. With
+    that begins an answer, at the ``crash_stage`` of that. ``down_ms`` is how
+    long it then stays down. With
     ``proxied`` its address accepts connections meanwhile, and closes them.
     """
 
@@ -60,6 +70,7 @@
     draw: random.Random
     crash_mark: str = "/crash-"
     crash_parts: frozenset[str] = frozenset()
+    crash_stage: CrashStage = CrashStage.HEAD
     down_ms: float = 1_500.0
     proxied: bool = False
     conduct: Conduct = attrs.field(factory=Conduct)
@@ -221,12 +232,26 @@
         parts = [each.partition(":")[0] for each in prompt.split(",")]
         return not self.crash_parts.isdisjoint(parts[:-1])
 
+    async def _crash_by(self, arrival: records.Arrival) -> None:
+        """Crash soon, also if the caller has left."""
+        with trio.CancelScope(shield=True):
+            await trio.sleep(CRASH_DELAY_S)
+        # Ends here if another request has crashed it meanwhile.
+        await trio.lowlevel.checkpoint()
+        arrival.crashed = True
+        arrival.crashed_ms = trio.current_time() * 1000
+        self.crash()
+        await trio.sleep_forever()
+
     async def _stream(
         self,
         exchange: raw_http.Exchange,
         headers: dict[str, str],
         arrival: records.Arrival,
     ) -> None:
+        crashes = self._crashes(exchange.request)
+        if crashes and self.crash_stage is CrashStage.NOTHING:
+            await self._crash_by(arrival)
         small = exchange.request.headers.get("carawayward-model") == "small"
         confidence = self.draw.randrange(30, 100) if small else 95
         await exchange.begin_stream(
@@ -236,15 +261,13 @@
                 "carawayward-confidence": str(confidence),
             }
         )
-        if self._crashes(exchange.request):
-            # The head has been sent, so that a caller may have left.
-            with trio.CancelScope(shield=True):
-                await trio.sleep(CRASH_DELAY_S)
-            arrival.crashed = True
-            arrival.crashed_ms = trio.current_time() * 1000
-            self.crash()
-            await trio.sleep_forever()
         start = int(exchange.request.headers.get("last-event-id", 0)) + 1
+        if crashes:
+            try:
+                if self.crash_stage is CrashStage.EVENT:
+                    await exchange.send_chunk(backend.make_event(start))
+            finally:
+                await self._crash_by(arrival)
         for number in range(start, STREAM_EVENTS + 1):
             await exchange.send_chunk(backend.make_event(number))
             await trio.sleep(EVENT_PAUSE_S * self.conduct.slowness)
