Refuse requests with a part of their prompts that crashes endpoints

What callers saw: while requests with one part in their prompts came, no two alike, endpoints ended one after the other, and streams of all kinds failed. Cause: a request that crashes endpoints is known by a digest of its whole content. What is to blame here is a part that many requests share, so that no digest came twice, and each new request cost up to as many endpoints as its route has attempts. Class: an identity that is not that of what is to blame. Change: decisions/crashing_parts judges parts by the sets of crashes at which their requests were in flight: one is to blame unless something that the request at hand lacks explains its crashes. Answers that have gone on for a second clear parts. Load reports carry prompts, verdicts and answers; the store keeps the verdicts over a restart of all. Requests are refused at once and before each attempt.

--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -9,7 +9,8 @@
 ``lapses`` (whether missing registry entries have expired), ``delegates``
 (which entry VM reads the store for which others), ``turns`` (which entry VM
 writes first), ``reachability`` (whether this entry VM has lost its own path to
-a service), ``relay_choice`` (which peer sends a request then) and
+a service), ``relay_choice`` (which peer sends a request then),
+``crashing_parts`` (which part of prompts crashes endpoints) and
 ``store_polls`` (how long polls of the store may wait).
 
 For the callers' API: ``admission``, ``queueing``, ``retry``,
--- /dev/null
+++ b/src/carawayward/decisions/crashing_parts.py
@@ -0,0 +1,417 @@
+"""Which part of their prompts makes requests crash endpoints.
+
+Load: requests that have one part of their prompts in common crash each
+endpoint that begins an answer on it. No two are alike, they come to any entry
+VM, and each is retried on other endpoints, while sound requests with all other
+parts of these prompts are in flight there. Without protection the pool stays
+down for as long as such requests come; refusing every part that was in flight
+would refuse the sound requests as well.
+
+Each request in flight at a crash may have caused it. A part is to blame for
+the crashes of all requests that have it, unless something else explains them:
+a single request that was repeated, parts that only some of these requests
+have, or parts that were there at more crashes. Beside a part that was never
+answered, one that was answered before explains nothing. A request that lacks
+what explains its crashes runs: its answer clears its parts, or its crash tells
+them apart. So a part that always comes with the one to blame is not refused
+without it.
+
+Records only grow (crashes, latest answers) and merge by union and maximum, so
+entry VMs need not agree on an order. Records expire.
+"""
+
+import collections
+import typing
+
+import attrs
+
+from carawayward.decisions import suspicion
+
+# A request has this many attempts on most routes, all of which may crash
+# their endpoints by chance.
+MIN_CRASHES = 3
+# One crash may be unexplained because the report of it is still on its way.
+MAX_UNEXPLAINED = 1
+# A crash is seen by different entry VMs within this time.
+SAME_TIME_MS = 1_000
+# A failure of many endpoints hits all that is in flight there. Parts that are
+# in flight on several are answered elsewhere within this time.
+SOUND_MS = 3_000
+RECORD_TTL_MS = 600_000
+MAX_PROMPTS = 2_000
+MAX_ANSWERED_PARTS = 4_000
+# Bounds the time of a verdict: what these crashes cannot tell apart is told
+# apart by the next ones.
+MAX_CRASHES_JUDGED = 8
+MAX_PROMPTS_PER_CRASH = 64
+
+# Within this time only new records change a verdict.
+EXPLANATION_MS = 500
+
+Endpoints = frozenset[str]
+
+
+@attrs.frozen
+class Explanation:
+    """What else explains the crashes of a part.
+
+    Each of ``alone`` does. ``together`` has parts that only some of its
+    requests have, and which of the ``judged`` crashes each explains. It holds
+    at ``as_of_ms``, after so many ``changes`` of the records.
+    """
+
+    judged: Endpoints
+    alone: frozenset[str]
+    together: tuple[tuple[str, Endpoints], ...]
+    as_of_ms: int
+    changes: int
+
+
+@attrs.define
+class CrashedPrompt:
+    """The shared parts of a request, and when endpoints crashed under it."""
+
+    parts: set[str] = attrs.field(factory=set)
+    crashes: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.define
+class PartRecords:
+    """What one entry VM knows of prompts: its own and its peers' records.
+
+    ``prompts`` are by the request's content, ``by_part`` and ``by_endpoint``
+    index them. ``answered_ms`` is when the latest answer to a request with the
+    part began. ``explanations`` are cached.
+    """
+
+    prompts: dict[str, CrashedPrompt] = attrs.field(factory=dict)
+    by_part: dict[str, set[str]] = attrs.field(factory=dict)
+    by_endpoint: dict[str, set[str]] = attrs.field(factory=dict)
+    answered_ms: collections.OrderedDict[str, int] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    changes: int = 0
+    explanations: dict[str, Explanation] = attrs.field(factory=dict)
+
+
+def record_crash(
+    records: PartRecords,
+    content: str,
+    parts: typing.Iterable[str],
+    endpoint: str,
+    seen_ms: int,
+) -> bool:
+    """Add a crash under a request; return whether it is new.
+
+    Of several reports of the same crash the earliest counts, so that all entry
+    VMs agree whether an answer began after it.
+    """
+    prompt = records.prompts.get(content)
+    if prompt is None:
+        if len(records.prompts) >= MAX_PROMPTS:
+            _drop_prompt(records, _choose_dropped(records))
+        prompt = records.prompts[content] = CrashedPrompt()
+    prompt.parts.update(parts)
+    for part in prompt.parts:
+        records.by_part.setdefault(part, set()).add(content)
+    known_ms = prompt.crashes.get(endpoint, seen_ms + 1)
+    if known_ms <= seen_ms:
+        return False
+    prompt.crashes[endpoint] = seen_ms
+    records.changes += 1
+    there = records.by_endpoint.setdefault(endpoint, set())
+    if len(there) < MAX_PROMPTS_PER_CRASH:
+        there.add(content)
+    return True
+
+
+def record_answer(records: PartRecords, part: str, began_ms: int) -> bool:
+    """Record that an answer to a request with the part began and went on.
+
+    Returns whether the part was a suspect until then.
+    """
+    if records.answered_ms.get(part, began_ms - 1) >= began_ms:
+        return False
+    suspect = part in records.by_part and bool(
+        list_crashes(records, part, began_ms)
+    )
+    records.changes += suspect
+    records.answered_ms[part] = began_ms
+    records.answered_ms.move_to_end(part)
+    if len(records.answered_ms) > MAX_ANSWERED_PARTS:
+        records.answered_ms.popitem(last=False)
+    return suspect
+
+
+def add_conviction(
+    records: PartRecords,
+    parts: typing.Collection[str],
+    crashes: typing.Mapping[str, int],
+) -> bool:
+    """Add crashes for which requests with all these parts are refused.
+
+    The requests are not known, but that no single one explains the crashes.
+    Returns whether any crash was new.
+    """
+    known: set[str] = set()
+    for part in parts:
+        for content in records.by_part.get(part, ()):
+            known.update(records.prompts[content].crashes)
+    added = [each for each in crashes if each not in known]
+    name = "".join(sorted(parts)).encode()
+    for endpoint in added:
+        content = suspicion.digest_content(name, endpoint.encode())
+        record_crash(records, content, parts, endpoint, crashes[endpoint])
+    return bool(added)
+
+
+def find_crash_times(
+    records: PartRecords, part: str, now_ms: int
+) -> dict[str, int]:
+    """Find the crashes that count against a part, by endpoint.
+
+    A crash counts until an answer to a request with the part has begun later.
+    """
+    since_ms = max(now_ms - RECORD_TTL_MS, records.answered_ms.get(part, -1))
+    seen_ms: dict[str, int] = {}
+    for content in records.by_part.get(part, ()):
+        for endpoint, each_ms in records.prompts[content].crashes.items():
+            if each_ms > since_ms:
+                seen_ms[endpoint] = max(each_ms, seen_ms.get(endpoint, 0))
+    return seen_ms
+
+
+def list_crashes(records: PartRecords, part: str, now_ms: int) -> list[str]:
+    """List the crashes that count against a part, the newest first."""
+    seen_ms = find_crash_times(records, part, now_ms)
+    return sorted(seen_ms, key=lambda each: -seen_ms[each])
+
+
+def is_refused(
+    records: PartRecords,
+    parts: typing.Collection[str],
+    content: str,
+    now_ms: int,
+) -> bool:
+    """Whether a request with these parts is refused without a run."""
+    return any(
+        part in records.by_part
+        and _is_to_blame(records, part, parts, content, now_ms)
+        for part in parts
+    )
+
+
+def find_verdict(
+    records: PartRecords,
+    part: str,
+    parts: typing.Collection[str],
+    now_ms: int,
+) -> frozenset[str]:
+    """Find the parts with all of which any request is refused.
+
+    Empty if ``part`` is not to blame beside ``parts``, which hold it. Else it
+    is in the result, with those of ``parts`` that explain its crashes as well.
+    """
+    if part not in records.by_part or not _is_to_blame(
+        records, part, parts, "", now_ms
+    ):
+        return frozenset()
+    return _get_explanation(records, part, now_ms).alone | {part}
+
+
+def compute_retry_after_ms(
+    records: PartRecords, parts: typing.Iterable[str], now_ms: int
+) -> float:
+    """Return for how long a request with these parts is refused."""
+    left_ms = 0
+    for part in parts:
+        crashes = find_crash_times(records, part, now_ms)
+        newest = sorted(crashes.values(), reverse=True)[:MIN_CRASHES]
+        if len(newest) == MIN_CRASHES:
+            left_ms = max(left_ms, newest[-1] + RECORD_TTL_MS - now_ms)
+    return float(left_ms)
+
+
+def _is_to_blame(
+    records: PartRecords,
+    part: str,
+    parts: typing.Collection[str],
+    content: str,
+    now_ms: int,
+) -> bool:
+    """Whether a part of the request is to blame for its crashes.
+
+    It is not if they are explained by something that the request lacks.
+    """
+    answered_ms = records.answered_ms.get(part)
+    if answered_ms is not None and now_ms - answered_ms < SOUND_MS:
+        return False
+    found = _get_explanation(records, part, now_ms)
+    if len(found.judged) < MIN_CRASHES:
+        return False
+    if not found.alone <= {*parts, content}:
+        return False
+    explained = (
+        there for other, there in found.together if other not in parts
+    )
+    unexplained = found.judged.difference(*explained)
+    return len(unexplained) > MAX_UNEXPLAINED
+
+
+def _get_explanation(
+    records: PartRecords, part: str, now_ms: int
+) -> Explanation:
+    """Return what else explains a part's crashes, computed once a change."""
+    found = records.explanations.get(part)
+    if (
+        found is None
+        or found.changes != records.changes
+        or now_ms - found.as_of_ms >= EXPLANATION_MS
+    ):
+        found = _explain(records, part, now_ms)
+        records.explanations[part] = found
+    return found
+
+
+def _explain(records: PartRecords, part: str, now_ms: int) -> Explanation:
+    """Find the requests and parts that explain the crashes of a part."""
+    seen_ms = find_crash_times(records, part, now_ms)
+    crashes = sorted(seen_ms, key=lambda each: -seen_ms[each])
+    judged = frozenset(crashes[:MAX_CRASHES_JUDGED])
+    alone, together = set(), []
+    if len(judged) >= MIN_CRASHES:
+        was_answered = part in records.answered_ms
+        for other in _list_others(records, judged) - {part}:
+            if not was_answered and other in records.answered_ms:
+                # Of the two, the part that was never answered is to blame.
+                continue
+            preferred = _get_contents(records, other) <= records.by_part[
+                part
+            ] or (was_answered and other not in records.answered_ms)
+            found = _find_crash_times_of(records, other, now_ms)
+            if not preferred and len(found) < len(crashes):
+                continue
+            several = _has_several_requests(records, other, now_ms)
+            there = judged.intersection(found)
+            if several and preferred:
+                there = _list_crashes_during(seen_ms, judged, found)
+            if len(judged - there) <= MAX_UNEXPLAINED and (
+                preferred or len(found) > len(crashes)
+            ):
+                alone.add(other)
+            elif several:
+                together.append((other, there))
+    return Explanation(
+        judged, frozenset(alone), tuple(together), now_ms, records.changes
+    )
+
+
+def _list_crashes_during(
+    seen_ms: typing.Mapping[str, int],
+    judged: Endpoints,
+    found: typing.Mapping[str, int],
+) -> Endpoints:
+    """List the judged crashes that were seen while others went on.
+
+    Reports of some of the others may be lost.
+    """
+    first_ms, last_ms = min(found.values()), max(found.values())
+    return frozenset(
+        endpoint
+        for endpoint in judged
+        if first_ms - SAME_TIME_MS
+        <= seen_ms[endpoint]
+        <= last_ms + SAME_TIME_MS
+    )
+
+
+def _list_others(records: PartRecords, judged: Endpoints) -> set[str]:
+    """List the requests at these crashes, by content, and their parts."""
+    contents = {
+        content
+        for endpoint in judged
+        for content in records.by_endpoint.get(endpoint, ())
+    }
+    parts = (records.prompts[content].parts for content in contents)
+    return contents.union(*parts)
+
+
+def _get_contents(records: PartRecords, feature: str) -> set[str]:
+    """The requests with a part, or the one request of a content."""
+    return records.by_part.get(feature, {feature})
+
+
+def _find_crash_times_of(
+    records: PartRecords, feature: str, now_ms: int
+) -> dict[str, int]:
+    """Find the crashes that count against a part or a single request."""
+    if feature in records.by_part:
+        return find_crash_times(records, feature, now_ms)
+    return _find_request_crash_times(records, feature, now_ms)
+
+
+def _find_request_crash_times(
+    records: PartRecords, content: str, now_ms: int
+) -> dict[str, int]:
+    """Find the crashes that count against a single request, by endpoint.
+
+    They no longer count once all of its parts have been answered.
+    """
+    prompt = records.prompts[content]
+    answered_ms = min(
+        records.answered_ms.get(part, -1) for part in prompt.parts
+    )
+    since_ms = max(now_ms - RECORD_TTL_MS, answered_ms)
+    return {
+        endpoint: seen_ms
+        for endpoint, seen_ms in prompt.crashes.items()
+        if seen_ms > since_ms
+    }
+
+
+def _has_several_requests(
+    records: PartRecords, feature: str, now_ms: int
+) -> bool:
+    """Whether a part was at crashes that no single request explains."""
+    contents = records.by_part.get(feature)
+    if contents is None:
+        return False
+    crashes = set(list_crashes(records, feature, now_ms))
+    return len(crashes) >= MIN_CRASHES and all(
+        len(crashes - records.prompts[content].crashes.keys())
+        > MAX_UNEXPLAINED
+        for content in contents
+    )
+
+
+def _choose_dropped(records: PartRecords) -> str:
+    """Choose the prompt to forget: the oldest one with a single crash."""
+    for content, prompt in records.prompts.items():
+        if len(prompt.crashes) < 2:
+            return content
+    return next(iter(records.prompts))
+
+
+def _drop_prompt(records: PartRecords, content: str) -> None:
+    prompt = records.prompts.pop(content)
+    for index, keys in (
+        (records.by_part, prompt.parts),
+        (records.by_endpoint, prompt.crashes),
+    ):
+        for key in keys:
+            there = index.get(key, set())
+            there.discard(content)
+            if not there:
+                index.pop(key, None)
+
+
+def drop_expired(records: PartRecords, now_ms: int) -> None:
+    """Drop prompts whose crashes have expired or all parts are answered."""
+    records.changes += 1
+    records.explanations.clear()
+    for content in list(records.prompts):
+        if not _find_request_crash_times(records, content, now_ms):
+            _drop_prompt(records, content)
+    for part, answered_ms in list(records.answered_ms.items()):
+        if now_ms - answered_ms >= RECORD_TTL_MS:
+            del records.answered_ms[part]
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -279,7 +279,18 @@
     RUN_CRASHED = EventKind(
         1530,
         "A run was in flight on an endpoint that crashed. It names the shared "
-        "parts of the prompt, and whether the answer had begun.",
+        "parts of the prompt, and how long the answer had gone on.",
+    )
+    PART_CONVICTED = EventKind(
+        1531,
+        "A part of prompts crashes endpoints; requests with it are refused "
+        "from now on.",
+        'see "A part of prompts crashes endpoints" in '
+        "docs/operations/forwarding.md",
+        logging.ERROR,
+    )
+    PART_CLEARED = EventKind(
+        1532, "A request with a refused part of prompts was answered."
     )
     REQUEST_HEDGED = EventKind(
         1507, "A run without output was started again on another endpoint."
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -6,6 +6,7 @@
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import conviction_log
+from carawayward.forwarding import crashing_parts
 from carawayward.forwarding import exchange
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import freshness as freshness_module
@@ -89,8 +90,14 @@
         "paths", load_reports.Topic(paths.describe, paths.merge)
     )
     relays = relay_client.RelayClient(board, clock, reporter, paths, metrics)
+    prompt_parts = crashing_parts.CrashingParts(clock, reporter.report_soon)
+    reporter.add_topic(
+        "prompts",
+        load_reports.Topic(prompt_parts.describe, prompt_parts.merge),
+    )
     suspects = suspects_module.SuspectRequests(
         clock,
+        prompt_parts,
         reporter.report_soon,
         fleet.notices.find_state,
         judge_probe=relays.judge_probe,
@@ -140,7 +147,9 @@
         clock,
         ports.dialect,
         placer,
-        relaying.Relay(placer, ports.dialect.internal_headers),
+        relaying.Relay(
+            placer, parts.suspects.parts, ports.dialect.internal_headers
+        ),
         may_send,
         parts.suspects,
         parts.paths,
--- a/src/carawayward/forwarding/conviction_log.py
+++ b/src/carawayward/forwarding/conviction_log.py
@@ -1,7 +1,8 @@
-"""Keeps the requests that are refused in the platform's store.
+"""Keeps what is refused for crashing endpoints in the platform's store.
 
-Entry VMs tell each other, but what all of them know is lost when all are
-restarted; the request would crash as many endpoints again.
+That is requests, by content, and parts of prompts. Entry VMs tell each other,
+but what all of them know is lost when all are restarted; the same requests
+would crash as many endpoints again.
 """
 
 import typing
@@ -20,57 +21,89 @@
 from carawayward import supervision
 
 RETRY_MS = 500.0
+# Tells keys of parts from those of requests.
+PART_PREFIX = "part-"
 
 
 @attrs.frozen
 class Conviction:
-    """The crashes of a refused request; ``wall_ms`` is that of the newest."""
+    """The crashes of what is refused; ``wall_ms`` is that of the newest.
+
+    That is a request, by its content, or any with all of the ``parts``.
+    """
 
-    fingerprint: str
     wall_ms: int
     endpoints: tuple[str, ...]
+    content: str = ""
+    parts: frozenset[str] = frozenset()
+
+    @property
+    def key(self) -> str:
+        """Its key in the topic."""
+        return make_key(self.parts) if self.parts else self.content
 
     def to_record(self) -> keyed_log.Record:
         """Encode it as a record of the topic."""
         numbers = [int(each) for each in self.endpoints]
-        value = cbor2.dumps([self.wall_ms, numbers])
-        return keyed_log.Record(self.fingerprint, value)
+        fields: list = [self.wall_ms, numbers]
+        if self.parts:
+            fields.append([bytes.fromhex(each) for each in sorted(self.parts)])
+        return keyed_log.Record(self.key, cbor2.dumps(fields))
 
     @classmethod
     def from_record(cls, record: keyed_log.Record) -> "Conviction":
         """Decode a record; raises one of DECODE_ERRORS."""
-        wall_ms, numbers = cbor2.loads(record.value or b"")
+        wall_ms, numbers, *rest = cbor2.loads(record.value or b"")
+        endpoints = tuple(str(int(each)) for each in numbers)
+        if not record.key.startswith(PART_PREFIX):
+            content = bytes.fromhex(record.key).hex()
+            return cls(int(wall_ms), endpoints, content=content)
+        (parts,) = rest
         return cls(
-            bytes.fromhex(record.key).hex(),
             int(wall_ms),
-            tuple(str(int(each)) for each in numbers),
+            endpoints,
+            parts=frozenset(bytes(each).hex() for each in parts),
         )
 
 
+def make_key(parts: frozenset[str]) -> str:
+    """The key of a record for requests with all these parts."""
+    names = (part.encode() for part in sorted(parts))
+    return PART_PREFIX + suspicion.digest_content(*names)
+
+
 @attrs.define(eq=False)
 class ConvictionLog:
-    """Reads the refused requests once at the start, and adds new ones.
+    """Reads what is refused once at the start, and adds to it.
 
     Ages are taken from the time of day, as nothing else outlasts a restart.
+    ``stored`` are the sets of parts that have a record, which is removed when
+    it no longer holds. ``unwritten`` are contents and sets of parts.
     """
 
     topic: keyed_log.KeyedLog
     clock: clock_module.Clock
     suspects: suspects_module.SuspectRequests
-    unwritten: list[str] = attrs.field(factory=list)
+    unwritten: list[str | frozenset[str]] = attrs.field(factory=list)
+    stored: set[frozenset[str]] = attrs.field(factory=set)
     _added: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start reading the topic and writing to it."""
         self.suspects.on_convicted = self.add
+        self.suspects.parts.on_convicted = self.add
+        self.suspects.parts.on_cleared = self.add
         nursery.start_soon(supervision.run_with_restarts, self._run, ())
 
     async def close(self) -> None:
         """Nothing to release; the nursery ends the task."""
 
-    def add(self, fingerprint: str) -> None:
-        """Write a refused request soon."""
-        self.unwritten.append(fingerprint)
+    def add(self, subject: str | frozenset[str]) -> None:
+        """Write soon what is refused, or no longer.
+
+        That is a request, by its content, or any with all of these parts.
+        """
+        self.unwritten.append(subject)
         self._added.set()
 
     async def _run(self) -> None:
@@ -78,9 +111,25 @@
         while True:
             await self._added.wait()
             self._added = trio.Event()
-            fingerprints, self.unwritten = self.unwritten, []
-            found = [self._describe(each) for each in fingerprints]
-            await self._append([each.to_record() for each in found if each])
+            subjects, self.unwritten = self.unwritten, []
+            records = [self._make_record(each) for each in subjects]
+            await self._append([each for each in records if each])
+
+    def _make_record(
+        self, subject: str | frozenset[str]
+    ) -> keyed_log.Record | None:
+        """Describe what is refused; remove the record of what no longer is."""
+        if isinstance(subject, str):
+            conviction = self._describe_request(subject)
+            return conviction.to_record() if conviction else None
+        conviction = self._describe_parts(subject)
+        if conviction is not None:
+            self.stored.add(subject)
+            return conviction.to_record()
+        if subject not in self.stored:
+            return None
+        self.stored.discard(subject)
+        return keyed_log.Record(make_key(subject), None)
 
     async def _read(self) -> None:
         batch = await self._call(self.topic.read_newest)
@@ -99,22 +148,43 @@
             age_ms = max(0, self.clock.wall_ms() - conviction.wall_ms)
             if age_ms > suspicion.RECORD_TTL_MS:
                 expired.append(keyed_log.Record(record.key, None))
-            for endpoint in conviction.endpoints:
-                self.suspects.add_crash(
-                    conviction.fingerprint, endpoint, age_ms
-                )
+            else:
+                self._apply(conviction, age_ms)
         await self._append(expired)
 
-    def _describe(self, fingerprint: str) -> Conviction | None:
+    def _apply(self, conviction: Conviction, age_ms: int) -> None:
+        """Refuse what a record says."""
+        if conviction.parts:
+            self.stored.add(conviction.parts)
+            ages_ms = dict.fromkeys(conviction.endpoints, age_ms)
+            self.suspects.parts.add_conviction(conviction.parts, ages_ms)
+            return
+        for endpoint in conviction.endpoints:
+            self.suspects.add_crash(conviction.content, endpoint, age_ms)
+
+    def _describe_request(self, content: str) -> Conviction | None:
         """Describe a refused request; None if it no longer is."""
-        crashes = self.suspects.list_crashes(fingerprint)
+        crashes = self.suspects.list_crashes(content)
         if not crashes:
             return None
         age_ms = int(self.clock.boot_ms()) - crashes[-1].seen_ms
         return Conviction(
-            fingerprint,
             self.clock.wall_ms() - age_ms,
             tuple(crash.endpoint for crash in crashes),
+            content=content,
+        )
+
+    def _describe_parts(self, parts: frozenset[str]) -> Conviction | None:
+        """Describe refused parts; None if they no longer are."""
+        convicted = self.suspects.parts.convicted
+        part = next((p for p in parts if convicted.get(p) == parts), None)
+        if part is None:
+            return None
+        ages_ms = self.suspects.parts.find_crash_ages(part)
+        return Conviction(
+            self.clock.wall_ms() - min(ages_ms.values()),
+            tuple(ages_ms),
+            parts=parts,
         )
 
     async def _append(self, records: list[keyed_log.Record]) -> None:
--- /dev/null
+++ b/src/carawayward/forwarding/crashing_parts.py
@@ -0,0 +1,345 @@
+"""Refuses requests whose prompts have a part that crashes endpoints.
+
+Load reports carry the crashes and the answers that count, so that all entry
+VMs judge by the same records.
+"""
+
+import collections
+import itertools
+import typing
+
+import attrs
+
+from carawayward import clock as clock_module
+from carawayward.decisions import crashing_parts as decisions
+from carawayward import events
+from carawayward.forwarding import work_items
+
+# An answer that has gone on for this long does not crash its endpoint.
+ANSWER_SOUND_MS = 1_000.0
+# How long a crash is reported, and an answer. A part that is refused is always
+# reported.
+REPORTED_MS = 10_000
+ANSWER_REPORTED_MS = 3_000
+FORGET_INTERVAL_MS = 5_000
+MAX_PROMPTS_PER_REPORT = 10
+MAX_PARTS_PER_PROMPT = 4
+MAX_CRASHES_PER_PROMPT = 6
+MAX_CONVICTIONS_PER_REPORT = 4
+MAX_ANSWERS_PER_REPORT = 10
+
+
+@attrs.define(eq=False)
+class CrashingParts:
+    """What this entry VM knows of parts of prompts that crash endpoints.
+
+    ``convicted`` has, for each part that is to blame, the set of parts with
+    all of which a request is refused: itself, and those that no answer has
+    told apart from it yet. ``report_soon`` is called when there is something
+    new to report, ``on_convicted`` with such a set if it is new and this entry
+    VM saw a crash of its parts itself (``seen_here``), ``on_cleared`` with one
+    that no longer holds. ``changed_ms`` has the prompts to report, by content,
+    ``answers_ms`` the parts whose answers are, and when each has changed; the
+    next ones come last. ``own`` are the prompts of this entry VM's requests.
+    Times are in ms on the boot clock; reports have ages.
+    """
+
+    clock: clock_module.Clock
+    report_soon: typing.Callable[[], None]
+    on_convicted: typing.Callable[[frozenset[str]], None] = lambda parts: None
+    on_cleared: typing.Callable[[frozenset[str]], None] = lambda parts: None
+    records: decisions.PartRecords = attrs.field(factory=decisions.PartRecords)
+    convicted: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    seen_here: set[str] = attrs.field(factory=set)
+    own: set[str] = attrs.field(factory=set)
+    changed_ms: collections.OrderedDict[str, int] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    answers_ms: collections.OrderedDict[str, int] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    forgot_ms: int = 0
+
+    def is_refused(self, work: work_items.Work) -> bool:
+        """Whether a part of the request's prompt crashes endpoints."""
+        if not self.records.prompts:
+            return False
+        return decisions.is_refused(
+            self.records, work.shared_parts, work.fingerprint, self._now_ms()
+        )
+
+    def compute_retry_after_ms(self, work: work_items.Work) -> float:
+        """Return for how long a request is refused."""
+        return decisions.compute_retry_after_ms(
+            self.records, work.shared_parts, self._now_ms()
+        )
+
+    def record_crash(
+        self,
+        content: str,
+        parts: typing.Sequence[str],
+        endpoint: str,
+        age_ms: int,
+    ) -> None:
+        """Record a crash ``age_ms`` ago under a request of this entry VM."""
+        self.seen_here.update(parts)
+        self.own.add(content)
+        self._add_crash(content, parts, endpoint, age_ms)
+
+    def _add_crash(
+        self,
+        content: str,
+        parts: typing.Sequence[str],
+        endpoint: str,
+        age_ms: int,
+    ) -> None:
+        seen_ms = self._now_ms() - age_ms
+        if not parts or not decisions.record_crash(
+            self.records, content, parts, endpoint, seen_ms
+        ):
+            return
+        self._mark_changed(self.changed_ms, content)
+        for part in parts:
+            if part in self.records.answered_ms:
+                # Who reported the crash may not know of the answer.
+                self._mark_changed(self.answers_ms, part)
+        self._review(parts)
+
+    def add_conviction(
+        self,
+        parts: typing.Collection[str],
+        ages_ms: typing.Mapping[str, int],
+    ) -> None:
+        """Add the crashes, by endpoint, that convict parts elsewhere."""
+        now_ms = self._now_ms()
+        seen_ms = {
+            endpoint: now_ms - age_ms for endpoint, age_ms in ages_ms.items()
+        }
+        if not decisions.add_conviction(self.records, parts, seen_ms):
+            return
+        for part in parts:
+            if part in self.records.answered_ms:
+                self._mark_changed(self.answers_ms, part)
+        self._review(parts)
+
+    def _review(self, parts: typing.Collection[str]) -> None:
+        """Review which of the parts of a prompt are to blame."""
+        for part in parts:
+            found = decisions.find_verdict(
+                self.records, part, parts, self._now_ms()
+            )
+            known = self.convicted.get(part)
+            if found and (known is None or found < known):
+                self._convict(part, found)
+
+    def _convict(self, part: str, parts: frozenset[str]) -> None:
+        """Refuse requests with all these parts, one of which is to blame."""
+        known = self.convicted.get(part)
+        is_new = parts not in self.convicted.values()
+        self.convicted[part] = parts
+        if known is not None and known not in self.convicted.values():
+            self.on_cleared(known)
+        if not is_new:
+            return
+        events.log_event(
+            events.Event.PART_CONVICTED,
+            parts=sorted(parts),
+            crashes=len(self.find_crash_ages(part)),
+            requests=len(self.records.by_part[part]),
+        )
+        if not parts.isdisjoint(self.seen_here):
+            self.on_convicted(parts)
+        self.report_soon()
+
+    def record_answer(self, work: work_items.Work) -> None:
+        """Record that the current answer to a request has gone on."""
+        progress = work.progress
+        if progress.answer_began_ms is None or progress.answer_recorded:
+            return
+        progress.answer_recorded = True
+        age_ms = int(self.clock.now_ms() - progress.answer_began_ms)
+        for part in work.shared_parts:
+            self._add_answer(part, age_ms)
+
+    def _add_answer(self, part: str, age_ms: int) -> None:
+        began_ms = self._now_ms() - age_ms
+        if decisions.record_answer(self.records, part, began_ms):
+            self._mark_changed(self.answers_ms, part)
+            self._review_convicted(part)
+
+    def _review_convicted(self, answered: str) -> None:
+        """Review what is refused because of a part that was answered."""
+        for part, parts in list(self.convicted.items()):
+            if part == answered:
+                self._clear(part)
+            elif answered in parts:
+                self._review(parts - {answered})
+
+    def _clear(self, part: str) -> None:
+        """Note that a part is no longer to blame."""
+        parts = self.convicted.pop(part)
+        if parts in self.convicted.values():
+            return
+        events.log_event(events.Event.PART_CLEARED, parts=sorted(parts))
+        self.on_cleared(parts)
+
+    def describe(self) -> list:
+        """What this entry VM reports: refused parts always, others in turn.
+
+        Prompts have their parts, and the ages of their crashes by endpoint;
+        refused parts the ages of theirs, and answers their ages.
+        """
+        now_ms = self._now_ms()
+        self._forget(now_ms)
+        prompts = {
+            content: self._choose_parts(content)
+            for content in self._choose_prompts()
+        }
+        convicted = {
+            parts: part for part, parts in reversed(self.convicted.items())
+        }
+        answered = _take_in_turn(self.answers_ms, MAX_ANSWERS_PER_REPORT)
+        for parts in prompts.values():
+            answered += [
+                part
+                for part in parts
+                if part in self.records.answered_ms and part not in answered
+            ]
+        if not (prompts or answered or convicted):
+            return []
+        return [
+            [
+                self._describe_prompt(content, parts, now_ms)
+                for content, parts in prompts.items()
+            ],
+            [
+                [
+                    [bytes.fromhex(each) for each in sorted(parts)],
+                    _encode(self.find_crash_ages(part)),
+                ]
+                for parts, part in itertools.islice(
+                    convicted.items(), MAX_CONVICTIONS_PER_REPORT
+                )
+            ],
+            [
+                [
+                    bytes.fromhex(part),
+                    now_ms - self.records.answered_ms[part],
+                ]
+                for part in answered
+            ],
+        ]
+
+    def _choose_prompts(self) -> list[str]:
+        """Choose the prompts to report: own ones first, others in turn.
+
+        What a peer has seen is reported to most others by itself.
+        """
+        own = [each for each in reversed(self.changed_ms) if each in self.own]
+        chosen = own[: MAX_PROMPTS_PER_REPORT // 2]
+        others = _take_in_turn(self.changed_ms, MAX_PROMPTS_PER_REPORT)
+        chosen += [each for each in others if each not in chosen]
+        return chosen[:MAX_PROMPTS_PER_REPORT]
+
+    def _choose_parts(self, content: str) -> list[str]:
+        """Choose the parts of a prompt to report.
+
+        Those that were answered are no suspects beside one that never was.
+        """
+        parts = sorted(self.records.prompts[content].parts)
+        never = [p for p in parts if p not in self.records.answered_ms]
+        return (never or parts)[:MAX_PARTS_PER_PROMPT]
+
+    def _describe_prompt(
+        self, content: str, parts: list[str], now_ms: int
+    ) -> list:
+        ages_ms = {
+            endpoint: now_ms - seen_ms
+            for endpoint, seen_ms in self.records.prompts[
+                content
+            ].crashes.items()
+        }
+        return [
+            bytes.fromhex(content),
+            [bytes.fromhex(each) for each in parts],
+            _encode(ages_ms),
+        ]
+
+    def find_crash_ages(self, part: str) -> dict[str, int]:
+        """The ages of the crashes that count against a part, by endpoint."""
+        now_ms = self._now_ms()
+        times = decisions.find_crash_times(self.records, part, now_ms)
+        return {each: now_ms - seen_ms for each, seen_ms in times.items()}
+
+    def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
+        """Merge what a peer reports.
+
+        Raises ValueError or TypeError if it is malformed.
+        """
+        prompts, convicted, answers = value
+        for part, age_ms in answers:
+            self._add_answer(bytes(part).hex(), int(age_ms))
+        for content, parts, crashes in prompts:
+            names = [bytes(each).hex() for each in parts]
+            for endpoint, age_ms in _decode(crashes).items():
+                self._add_crash(bytes(content).hex(), names, endpoint, age_ms)
+        for parts, crashes in convicted:
+            self.add_conviction(
+                [bytes(each).hex() for each in parts], _decode(crashes)
+            )
+
+    def _forget(self, now_ms: int) -> None:
+        """Forget what need not be reported, and records that have expired."""
+        if now_ms - self.forgot_ms >= FORGET_INTERVAL_MS:
+            self.forgot_ms = now_ms
+            decisions.drop_expired(self.records, now_ms)
+            self.seen_here &= self.records.by_part.keys()
+            self.own &= self.records.prompts.keys()
+            for part in list(self.convicted):
+                if not self.find_crash_ages(part):
+                    self._clear(part)
+        for content, changed_ms in list(self.changed_ms.items()):
+            if (
+                now_ms - changed_ms >= REPORTED_MS
+                or content not in self.records.prompts
+            ):
+                del self.changed_ms[content]
+        for part, changed_ms in list(self.answers_ms.items()):
+            if (
+                now_ms - changed_ms >= ANSWER_REPORTED_MS
+                or part not in self.records.answered_ms
+            ):
+                del self.answers_ms[part]
+
+    def _mark_changed(
+        self, changed_ms: collections.OrderedDict[str, int], key: str
+    ) -> None:
+        """Report it soon, before what has changed earlier."""
+        changed_ms[key] = self._now_ms()
+        changed_ms.move_to_end(key)
+        self.report_soon()
+
+    def _now_ms(self) -> int:
+        return int(self.clock.boot_ms())
+
+
+def _take_in_turn(
+    changed_ms: collections.OrderedDict[str, int], count: int
+) -> list[str]:
+    """Take the next keys; the others come first in the next report."""
+    taken = list(itertools.islice(reversed(changed_ms), count))
+    for key in taken:
+        changed_ms.move_to_end(key, last=False)
+    return taken
+
+
+def _encode(ages_ms: typing.Mapping[str, int]) -> list:
+    newest = sorted(ages_ms.items(), key=lambda item: item[1])
+    return [
+        [int(endpoint), age_ms]
+        for endpoint, age_ms in newest[:MAX_CRASHES_PER_PROMPT]
+    ]
+
+
+def _decode(crashes: typing.Any) -> dict[str, int]:
+    return {str(int(endpoint)): int(age_ms) for endpoint, age_ms in crashes}
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -233,6 +233,9 @@
         gauges["services_unreachable"] = len(
             self.app.forwarder.sender.paths.list_lost()
         )
+        gauges["refused_parts"] = len(
+            set(self.app.forwarder.suspects.parts.convicted.values())
+        )
         page = metrics_module.render_page(self.app.metrics, gauges)
         reply = app_module.AsgiReply(send, lambda: False)
         await replies.send_response(reply, 200, METRICS_HEADERS, page)
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -6,6 +6,7 @@
 import trio
 
 from carawayward.forwarding import attempt as attempt_module
+from carawayward.forwarding import crashing_parts
 from carawayward.forwarding import event_stream
 from carawayward.forwarding import hops
 from carawayward.forwarding import placing
@@ -31,6 +32,7 @@
     """
 
     placer: placing.Placer
+    parts: crashing_parts.CrashingParts
     internal_headers: frozenset[bytes]
 
     async def relay_response(
@@ -141,4 +143,15 @@
                 ),
             )
         await reply.send(event.raw)
+        if self._has_gone_on(work):
+            self.parts.record_answer(work)
         return None
+
+    def _has_gone_on(self, work: work_items.Work) -> bool:
+        """Whether an answer has gone on too long to crash its endpoint."""
+        began_ms = work.progress.answer_began_ms
+        return (
+            began_ms is not None
+            and self.placer.clock.now_ms() - began_ms
+            >= crashing_parts.ANSWER_SOUND_MS
+        )
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -15,6 +15,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import suspicion
 from carawayward import events
+from carawayward.forwarding import crashing_parts
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
 from carawayward.forwarding import notices
@@ -68,12 +69,13 @@
 class UnansweredRun:
     """A run that ended without a whole response ``at_ms``, and where.
 
-    ``parts`` are the shared parts of its prompt.
+    ``parts`` are the shared parts of its prompt. ``answer_ms`` is how long the
+    response had gone on, None if it had not begun.
     """
 
     fingerprint: str
     parts: tuple[str, ...]
-    answer_begun: bool
+    answer_ms: float | None
     entry: message_types.EndpointEntry
     at_ms: int
 
@@ -98,6 +100,7 @@
     """
 
     clock: clock_module.Clock
+    parts: crashing_parts.CrashingParts
     report_soon: typing.Callable[[], None]
     find_state: typing.Callable[
         [message_types.EndpointEntry], notices.ProcessState
@@ -127,19 +130,19 @@
     def is_convicted(self, work: work_items.Work) -> bool:
         """Whether a request has crashed too many endpoints to be sent."""
         self._review_unanswered_runs()
-        if not self.records.crashes:
-            return False
-        return self._is_convicted(work.fingerprint)
+        if self.records.crashes and self._is_convicted(work.fingerprint):
+            return True
+        return self.parts.is_refused(work)
 
     def compute_retry_after_ms(self, work: work_items.Work) -> float:
         """Return for how long a request is refused."""
         crashes = self.list_crashes(work.fingerprint)
         needed = crashes[-suspicion.CRASHES_WITHOUT_TRIALS :]
-        if not needed:
-            return 0.0
-        return float(
-            needed[0].seen_ms + suspicion.RECORD_TTL_MS - self._now_ms()
-        )
+        left_ms = 0.0
+        if len(needed) == suspicion.CRASHES_WITHOUT_TRIALS:
+            expires_ms = needed[0].seen_ms + suspicion.RECORD_TTL_MS
+            left_ms = float(expires_ms - self._now_ms())
+        return max(left_ms, self.parts.compute_retry_after_ms(work))
 
     def record_response(self, entry: message_types.EndpointEntry) -> None:
         """Record that an endpoint's process has answered a request."""
@@ -187,10 +190,11 @@
     ) -> UnansweredRun:
         """Keep a run unless its endpoint may have been down at its start."""
         now_ms = self._now_ms()
+        began_ms = work.progress.answer_began_ms
         run = UnansweredRun(
             work.fingerprint,
             work.shared_parts,
-            work.progress.answer_begun,
+            None if began_ms is None else self.clock.now_ms() - began_ms,
             entry,
             now_ms,
         )
@@ -241,14 +245,15 @@
             endpoint=run.entry.name,
             content=run.fingerprint,
             parts=run.parts,
-            answer_begun=run.answer_begun,
+            answer_ms=None if run.answer_ms is None else round(run.answer_ms),
         )
         name = f"{run.entry.name}/{run.entry.born}"
-        number = load_report_messages.hash_name(name)
+        number = str(load_report_messages.hash_name(name))
+        age_ms = self._now_ms() - run.at_ms
         self.seen_here.add(run.fingerprint)
-        self.add_crash(
-            run.fingerprint, str(number), self._now_ms() - run.at_ms
-        )
+        self.add_crash(run.fingerprint, number, age_ms)
+        if (run.answer_ms or 0.0) < crashing_parts.ANSWER_SOUND_MS:
+            self.parts.record_crash(run.fingerprint, run.parts, number, age_ms)
 
     def record_answer(self, work: work_items.Work) -> None:
         """Record a complete answer, which clears a suspect.
@@ -267,6 +272,7 @@
             )
         if self.records.crashes:
             self._add_answer(work.fingerprint, self._now_ms())
+        self.parts.record_answer(work)
 
     def describe(self) -> list:
         """What this entry VM reports: some suspects always, others in turn.
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -1,6 +1,7 @@
 """The state of one forwarded request, and the outcomes of its attempts."""
 
 import dataclasses
+import itertools
 
 import attrs
 
@@ -14,6 +15,8 @@
 from carawayward.forwarding import table
 from carawayward import http_client as http
 
+MAX_SHARED_PARTS = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delivered:
@@ -124,7 +127,8 @@
     the prediction of it from the engine's backlog. ``status`` is set once the
     endpoint's response can be judged, which may be before the caller has it.
     ``version`` is that of the endpoint, ``relayed`` says whether a peer sends
-    the request, ``answer_begun`` whether the endpoint has begun a response.
+    the request. ``answer_began_ms`` is when the endpoint began a response,
+    ``answer_recorded`` is set once that is known to have gone on.
     """
 
     began_ms: float
@@ -133,7 +137,8 @@
     status: int | None = None
     version: str = ""
     relayed: bool = False
-    answer_begun: bool = False
+    answer_began_ms: float | None = None
+    answer_recorded: bool = False
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -208,15 +213,14 @@
     def shared_parts(self) -> tuple[str, ...]:
         """Digests of the parts of its prompt that others may share.
 
-        All but the last, which is the request's own. The same part has another
-        digest at another service.
+        All but the last, which is the request's own, up to a limit. The same
+        part has another digest at another service.
         """
         if self._shared_parts is None:
+            names = {part.name: None for part in self.metadata.prompt[:-1]}
             self._shared_parts = tuple(
-                suspicion.digest_content(
-                    self.service.encode(), part.name.encode()
-                )
-                for part in self.metadata.prompt[:-1]
+                suspicion.digest_content(self.service.encode(), name.encode())
+                for name in itertools.islice(names, MAX_SHARED_PARTS)
             )
         return self._shared_parts
 
--- a/tests/cover/test_forwarding_convictions.py
+++ b/tests/cover/test_forwarding_convictions.py
@@ -12,6 +12,7 @@
 from carawayward.decisions import suspicion
 from carawayward import errors
 from carawayward.forwarding import conviction_log
+from carawayward.forwarding import crashing_parts
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import message_types
 from carawayward.forwarding import notices
@@ -21,7 +22,7 @@
 FINGERPRINT = suspicion.digest_content(b"ikeja", b"POST", b"/1", b"body")
 WORK: typing.Any = types.SimpleNamespace(
     fingerprint=FINGERPRINT,
-    shared_parts=("first",),
+    shared_parts=(),
     progress=work_items.Progress(0.0),
 )
 AGE_MS = 200_000
@@ -85,7 +86,11 @@
     async def main():
         clock = TrioClock(wall_ms)
         made = suspects.SuspectRequests(
-            clock, lambda: None, find_state, refuse
+            clock,
+            crashing_parts.CrashingParts(clock, lambda: None),
+            lambda: None,
+            find_state,
+            refuse,
         )
         log = conviction_log.ConvictionLog(topic, clock, made)
         async with trio.open_nursery() as nursery:
--- a/tests/cover/test_forwarding_suspects.py
+++ b/tests/cover/test_forwarding_suspects.py
@@ -16,6 +16,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import suspicion
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import crashing_parts
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
 from carawayward.forwarding import notices
@@ -49,7 +50,7 @@
     fingerprint = suspicion.digest_content(b"ikeja", b"POST", b"/1", body)
     work: typing.Any = types.SimpleNamespace(
         fingerprint=fingerprint,
-        shared_parts=("first",),
+        shared_parts=(),
         progress=work_items.Progress(0.0),
     )
     return work
@@ -80,7 +81,10 @@
     used = clock or typing.cast(
         typing.Any, clock_module.ManualClock(10_000_000.0)
     )
-    made = suspects.SuspectRequests(used, lambda: None, find_state, probe)
+    parts = crashing_parts.CrashingParts(used, lambda: None)
+    made = suspects.SuspectRequests(
+        used, parts, lambda: None, find_state, probe
+    )
     return made, probed
 
 
