Bound the time of a verdict on parts of prompts

What callers would see: with a full table each request with a hot part took tens of ms of its entry VM, as its crashes were collected from all prompts and compared with every suspect. Change: parts keep their crashes and the largest number under one request; endpoints keep their suspects, 256 at most; of these the 64 that were at most of the crashes are compared. Records are bounded by parts as well as by prompts.

--- a/src/carawayward/decisions/crashing_parts.py
+++ b/src/carawayward/decisions/crashing_parts.py
@@ -21,6 +21,7 @@
 """
 
 import collections
+import heapq
 import typing
 
 import attrs
@@ -38,12 +39,14 @@
 # in flight on several are answered elsewhere within this time.
 SOUND_MS = 3_000
 RECORD_TTL_MS = 600_000
-MAX_PROMPTS = 2_000
+MAX_PROMPTS = 1_000
+MAX_PARTS = 8_000
 MAX_ANSWERED_PARTS = 4_000
 # Bounds the time of a verdict: what these crashes cannot tell apart is told
 # apart by the next ones.
 MAX_CRASHES_JUDGED = 8
-MAX_PROMPTS_PER_CRASH = 64
+MAX_SUSPECTS_PER_CRASH = 256
+MAX_OTHERS_JUDGED = 64
 
 # Within this time only new records change a verdict.
 EXPLANATION_MS = 500
@@ -75,17 +78,29 @@
     crashes: dict[str, int] = attrs.field(factory=dict)
 
 
+@attrs.define
+class CrashedPart:
+    """The requests with a part, by content, and when endpoints crashed.
+
+    ``most_by_request`` is the largest number of crashes under one of them.
+    """
+
+    contents: set[str] = attrs.field(factory=set)
+    crashes: dict[str, int] = attrs.field(factory=dict)
+    most_by_request: int = 0
+
+
 @attrs.define
 class PartRecords:
     """What one entry VM knows of prompts: its own and its peers' records.
 
-    ``prompts`` are by the request's content, ``by_part`` and ``by_endpoint``
-    index them. ``answered_ms`` is when the latest answer to a request with the
-    part began. ``explanations`` are cached.
+    ``prompts`` are by the request's content. ``by_endpoint`` has the suspects
+    of each crash: contents and parts. ``answered_ms`` is when the latest
+    answer to a request with the part began. ``explanations`` are cached.
     """
 
     prompts: dict[str, CrashedPrompt] = attrs.field(factory=dict)
-    by_part: dict[str, set[str]] = attrs.field(factory=dict)
+    by_part: dict[str, CrashedPart] = attrs.field(factory=dict)
     by_endpoint: dict[str, set[str]] = attrs.field(factory=dict)
     answered_ms: collections.OrderedDict[str, int] = attrs.field(
         factory=collections.OrderedDict
@@ -106,22 +121,26 @@
     Of several reports of the same crash the earliest counts, so that all entry
     VMs agree whether an answer began after it.
     """
-    prompt = records.prompts.get(content)
-    if prompt is None:
-        if len(records.prompts) >= MAX_PROMPTS:
-            _drop_prompt(records, _choose_dropped(records))
-        prompt = records.prompts[content] = CrashedPrompt()
+    prompt = records.prompts.setdefault(content, CrashedPrompt())
     prompt.parts.update(parts)
-    for part in prompt.parts:
-        records.by_part.setdefault(part, set()).add(content)
     known_ms = prompt.crashes.get(endpoint, seen_ms + 1)
+    prompt.crashes[endpoint] = min(seen_ms, known_ms)
+    for name in prompt.parts:
+        part = records.by_part.setdefault(name, CrashedPart())
+        part.contents.add(content)
+        for each, at_ms in prompt.crashes.items():
+            part.crashes[each] = min(at_ms, part.crashes.get(each, at_ms))
+        part.most_by_request = max(part.most_by_request, len(prompt.crashes))
+    suspects = records.by_endpoint.setdefault(endpoint, set())
+    if len(suspects) < MAX_SUSPECTS_PER_CRASH:
+        suspects.update(prompt.parts, (content,))
     if known_ms <= seen_ms:
         return False
-    prompt.crashes[endpoint] = seen_ms
     records.changes += 1
-    there = records.by_endpoint.setdefault(endpoint, set())
-    if len(there) < MAX_PROMPTS_PER_CRASH:
-        there.add(content)
+    while (
+        len(records.prompts) > MAX_PROMPTS or len(records.by_part) > MAX_PARTS
+    ):
+        _drop_prompt(records, _choose_dropped(records))
     return True
 
 
@@ -132,9 +151,7 @@
     """
     if records.answered_ms.get(part, began_ms - 1) >= began_ms:
         return False
-    suspect = part in records.by_part and bool(
-        list_crashes(records, part, began_ms)
-    )
+    suspect = bool(find_crash_times(records, part, began_ms))
     records.changes += suspect
     records.answered_ms[part] = began_ms
     records.answered_ms.move_to_end(part)
@@ -155,8 +172,8 @@
     """
     known: set[str] = set()
     for part in parts:
-        for content in records.by_part.get(part, ()):
-            known.update(records.prompts[content].crashes)
+        if part in records.by_part:
+            known.update(records.by_part[part].crashes)
     added = [each for each in crashes if each not in known]
     name = "".join(sorted(parts)).encode()
     for endpoint in added:
@@ -172,13 +189,15 @@
 
     A crash counts until an answer to a request with the part has begun later.
     """
+    known = records.by_part.get(part)
+    if known is None:
+        return {}
     since_ms = max(now_ms - RECORD_TTL_MS, records.answered_ms.get(part, -1))
-    seen_ms: dict[str, int] = {}
-    for content in records.by_part.get(part, ()):
-        for endpoint, each_ms in records.prompts[content].crashes.items():
-            if each_ms > since_ms:
-                seen_ms[endpoint] = max(each_ms, seen_ms.get(endpoint, 0))
-    return seen_ms
+    return {
+        endpoint: seen_ms
+        for endpoint, seen_ms in known.crashes.items()
+        if seen_ms > since_ms
+    }
 
 
 def list_crashes(records: PartRecords, part: str, now_ms: int) -> list[str]:
@@ -280,18 +299,21 @@
     judged = frozenset(crashes[:MAX_CRASHES_JUDGED])
     alone, together = set(), []
     if len(judged) >= MIN_CRASHES:
+        own = records.by_part[part].contents
         was_answered = part in records.answered_ms
-        for other in _list_others(records, judged) - {part}:
+        for other in _list_others(records, judged):
+            if other == part:
+                continue
             if not was_answered and other in records.answered_ms:
                 # Of the two, the part that was never answered is to blame.
                 continue
-            preferred = _get_contents(records, other) <= records.by_part[
-                part
-            ] or (was_answered and other not in records.answered_ms)
+            preferred = _get_contents(records, other) <= own or (
+                was_answered and other not in records.answered_ms
+            )
             found = _find_crash_times_of(records, other, now_ms)
             if not preferred and len(found) < len(crashes):
                 continue
-            several = _has_several_requests(records, other, now_ms)
+            several = _has_several_requests(records, other, len(found))
             there = judged.intersection(found)
             if several and preferred:
                 there = _list_crashes_during(seen_ms, judged, found)
@@ -325,20 +347,26 @@
     )
 
 
-def _list_others(records: PartRecords, judged: Endpoints) -> set[str]:
-    """List the requests at these crashes, by content, and their parts."""
-    contents = {
-        content
-        for endpoint in judged
-        for content in records.by_endpoint.get(endpoint, ())
-    }
-    parts = (records.prompts[content].parts for content in contents)
-    return contents.union(*parts)
+def _list_others(records: PartRecords, judged: Endpoints) -> list[str]:
+    """List the requests, by content, and parts at most of the crashes."""
+    counts: collections.Counter[str] = collections.Counter()
+    for endpoint in judged:
+        counts.update(records.by_endpoint.get(endpoint, ()))
+    several = (
+        item
+        for item in counts.items()
+        if item[1] >= MIN_CRASHES - MAX_UNEXPLAINED
+    )
+    most = heapq.nsmallest(
+        MAX_OTHERS_JUDGED, several, key=lambda item: (-item[1], item[0])
+    )
+    return [other for other, _ in most]
 
 
-def _get_contents(records: PartRecords, feature: str) -> set[str]:
+def _get_contents(records: PartRecords, suspect: str) -> set[str]:
     """The requests with a part, or the one request of a content."""
-    return records.by_part.get(feature, {feature})
+    part = records.by_part.get(suspect)
+    return {suspect} if part is None else part.contents
 
 
 def _find_crash_times_of(
@@ -357,9 +385,10 @@
 
     They no longer count once all of its parts have been answered.
     """
-    prompt = records.prompts[content]
+    prompt = records.prompts.get(content, CrashedPrompt())
     answered_ms = min(
-        records.answered_ms.get(part, -1) for part in prompt.parts
+        (records.answered_ms.get(part, -1) for part in prompt.parts),
+        default=-1,
     )
     since_ms = max(now_ms - RECORD_TTL_MS, answered_ms)
     return {
@@ -370,17 +399,14 @@
 
 
 def _has_several_requests(
-    records: PartRecords, feature: str, now_ms: int
+    records: PartRecords, suspect: str, crashes: int
 ) -> bool:
     """Whether a part was at crashes that no single request explains."""
-    contents = records.by_part.get(feature)
-    if contents is None:
-        return False
-    crashes = set(list_crashes(records, feature, now_ms))
-    return len(crashes) >= MIN_CRASHES and all(
-        len(crashes - records.prompts[content].crashes.keys())
-        > MAX_UNEXPLAINED
-        for content in contents
+    part = records.by_part.get(suspect)
+    return (
+        part is not None
+        and crashes >= MIN_CRASHES
+        and crashes - part.most_by_request > MAX_UNEXPLAINED
     )
 
 
@@ -394,15 +420,23 @@
 
 def _drop_prompt(records: PartRecords, content: str) -> None:
     prompt = records.prompts.pop(content)
-    for index, keys in (
-        (records.by_part, prompt.parts),
-        (records.by_endpoint, prompt.crashes),
-    ):
-        for key in keys:
-            there = index.get(key, set())
-            there.discard(content)
-            if not there:
-                index.pop(key, None)
+    _remove_suspect(records, content, prompt.crashes)
+    for name in prompt.parts:
+        part = records.by_part[name]
+        part.contents.discard(content)
+        if not part.contents:
+            del records.by_part[name]
+            _remove_suspect(records, name, part.crashes)
+
+
+def _remove_suspect(
+    records: PartRecords, suspect: str, endpoints: typing.Iterable[str]
+) -> None:
+    for endpoint in endpoints:
+        suspects = records.by_endpoint.get(endpoint, set())
+        suspects.discard(suspect)
+        if not suspects:
+            records.by_endpoint.pop(endpoint, None)
 
 
 def drop_expired(records: PartRecords, now_ms: int) -> None:
--- a/src/carawayward/forwarding/crashing_parts.py
+++ b/src/carawayward/forwarding/crashing_parts.py
@@ -145,7 +145,7 @@
             events.Event.PART_CONVICTED,
             parts=sorted(parts),
             crashes=len(self.find_crash_ages(part)),
-            requests=len(self.records.by_part[part]),
+            requests=len(self.records.by_part[part].contents),
         )
         if not parts.isdisjoint(self.seen_here):
             self.on_convicted(parts)
