Fit each repeat into all windows to come, as traffic may fall

Cause: an entry VM spent by the requests of the 10 s before a repeat. The repeat also counts in windows that end up to 10 s later, and once traffic falls after a burst, none of the three windows whose requests count may hold as many. Class: a count that is not what the bound counts. Change: each repeat has to fit into all windows that end within 10 s, by the requests that are known to count there, as if no more came. The three windows of the bound count as they are, which allows more where traffic falls slowly.

--- a/src/carawayward/decisions/retry_budget.py
+++ b/src/carawayward/decisions/retry_budget.py
@@ -8,9 +8,18 @@
 the ratio of its own requests and to its part of the slack. A process does not
 know what the one before it on the same VM has spent, so it has no part of the
 slack until that has left the window.
+
+A run counts in every window of which it is a part, and these end up to a window
+after it. The requests of a window are those that came in it, in the one before
+or in the one half a window before, whichever are most. If traffic falls after
+a burst, later windows have fewer requests than the one that ends now, so each
+run has to fit into all of them, as if no request came any more.
 """
 
+import bisect
 import collections
+import itertools
+import typing
 
 import attrs
 
@@ -19,6 +28,10 @@
 # Margin for requests that arrive at an entry VM after the window in which
 # their callers sent them.
 HEADROOM = 0.97
+# The windows whose requests may count, by how many windows earlier they end.
+REQUEST_WINDOWS = (0.0, 0.5, 1.0)
+# Windows that end within this share of the window are checked together.
+STEP = 1.0 / 20.0
 # A run reaches its endpoint up to this long after it was counted: establishing
 # the connection takes time.
 MAX_ARRIVAL_LAG_MS = 500.0
@@ -57,28 +70,43 @@
 
 @attrs.frozen
 class Usage:
-    """The extra runs that are counted, and how many may be."""
+    """The extra runs of a window, and how many it may have."""
 
     runs: int
     allowed: float
 
 
 def compute_usage(runs: RetryBudget, now_ms: float) -> Usage:
-    """Compute how much of the budget is used.
-
-    Runs count for longer than requests: a window that ends when the last run
-    arrives no longer has those that were the oldest when it was counted.
-    """
+    """Compute how much of the budget is used in the fullest window to come."""
     _find_slice(runs, now_ms)
-    oldest_ms = now_ms - runs.window_ms + MAX_ARRIVAL_LAG_MS
-    requests = sum(
-        each.requests for each in runs.slices if each.start_ms >= oldest_ms
-    )
+    starts = [each.start_ms for each in runs.slices]
+    requests = _accumulate(each.requests for each in runs.slices)
+    extra_runs = _accumulate(each.extra_runs for each in runs.slices)
     slack = _compute_slack(runs, now_ms)
-    return Usage(
-        runs=sum(each.extra_runs for each in runs.slices),
-        allowed=HEADROOM * (runs.ratio * requests + slack),
-    )
+    step_ms = STEP * runs.window_ms
+    length_ms = runs.window_ms / SLICES
+    usages = []
+    for step in range(round(1.0 / STEP) + 1):
+        end_ms = now_ms + step * step_ms
+        begin_ms = end_ms - runs.window_ms - MAX_ARRIVAL_LAG_MS - length_ms
+        spent = extra_runs[-1] - extra_runs[bisect.bisect(starts, begin_ms)]
+        most = 0
+        for back in REQUEST_WINDOWS:
+            until_ms = end_ms - back * runs.window_ms
+            from_ms = until_ms - runs.window_ms + step_ms
+            first = bisect.bisect_left(starts, from_ms)
+            last = bisect.bisect_right(starts, until_ms - length_ms)
+            if until_ms >= now_ms:
+                last = len(starts)
+            most = max(most, requests[max(first, last)] - requests[first])
+        allowed = HEADROOM * (runs.ratio * most + slack)
+        usages.append(Usage(runs=spent, allowed=allowed))
+    return min(usages, key=lambda each: each.allowed - each.runs)
+
+
+def _accumulate(counts: typing.Iterable[int]) -> list[int]:
+    """The sums of the first 0, 1, 2 ... counts."""
+    return list(itertools.accumulate(counts, initial=0))
 
 
 def may_spend(runs: RetryBudget, now_ms: float, reserve: float = 0.0) -> bool:
@@ -109,9 +137,9 @@
 
 
 def _find_slice(runs: RetryBudget, now_ms: float) -> Slice:
-    """Return the current slice; drop those none of whose runs can count."""
+    """Return the current slice; drop those that can no longer count."""
     length_ms = runs.window_ms / SLICES
-    oldest_ms = now_ms - runs.window_ms - MAX_ARRIVAL_LAG_MS
+    oldest_ms = now_ms - (1.0 + REQUEST_WINDOWS[-1]) * runs.window_ms
     while runs.slices and runs.slices[0].start_ms + length_ms < oldest_ms:
         runs.slices.popleft()
     if not runs.slices or now_ms - runs.slices[-1].start_ms >= length_ms:
