--- a/src/carawayward/decisions/retry_budget.py
+++ b/src/carawayward/decisions/retry_budget.py
@@ -9,10 +9,10 @@
 know what the one before it on the same VM has spent, so it has no part of the
 slack until that has left the window.
 
-A run counts in every window of which it is a part, and these end up to a window
-after it. The requests of a window are those that came in it, in the one before
-or in the one half a window before, whichever are most. If traffic falls after
-a burst, later windows have fewer requests than the one that ends now, so each
+A run counts in every window that it is in, and these end up to a window after
+it. The requests of a window are those that came in it, in the one before or in
+the one half a window before, whichever are most. If traffic falls after a
+burst, later windows have fewer requests than the one that ends now, so each
 run has to fit into all of them, as if no request came any more.
 """
 
