Test streams that end with their connection

What callers should see: a stream with neither a length nor chunks that ends with its connection is whole; one that is reset, or ends inside an event, is resumed. No fault was found; nothing tested it.

--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -2,6 +2,7 @@
 
 import attrs
 import httpcore
+from nose2.tools import params
 import trio
 
 from carawayward.decisions import engine_load
@@ -350,3 +351,35 @@
             assert not made.daemon.app.forwarder.fleet.list_quarantined()
 
     trio.run(main)
+
+
+def test_stream_that_ends_with_its_connection_is_whole():
+    """The engine sends neither a length nor chunks."""
+
+    async def main():
+        engines = make_engines()
+        for engine in engines:
+            engine.always = backend.stream_unframed(4)
+        async with forwarding.open_forwarding(*engines) as made:
+            answer = await made.request_stream()
+        assert answer.status == 200
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+        assert sum(len(engine.runs) for engine in engines) == 1
+
+    trio.run(main)
+
+
+@params("reset", "within event")
+def test_unframed_stream_that_breaks_off_is_resumed(ending):
+    """Its connection is reset, or ends in the middle of an event."""
+
+    async def main():
+        engines = make_engines()
+        for engine in engines:
+            engine.behaviours = [backend.stream_unframed(2, ending)]
+        async with forwarding.open_forwarding(*engines) as made:
+            answer = await made.request_stream()
+        assert answer.status == 200
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+
+    trio.run(main)
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -303,3 +303,30 @@
         await exchange.reset()
 
     return behave
+
+
+def stream_unframed(count: int, ending: str = "close") -> Behaviour:
+    """Stream ``count`` events with neither a length nor chunks.
+
+    The connection ends by ``close``, ``reset``, or with ``within event`` in
+    the middle of one more event.
+    """
+
+    async def behave(backend: Backend, exchange: raw_http.Exchange) -> None:
+        backend.begin(exchange).ended = ending
+        headers = {
+            **backend.seal(exchange),
+            "content-type": "text/event-stream",
+        }
+        await exchange.stream.send_all(raw_http.make_head(200, headers))
+        start = int(exchange.request.headers.get("last-event-id", 0)) + 1
+        for number in range(start, start + count):
+            await exchange.stream.send_all(make_event(number))
+        if ending == "within event":
+            await exchange.stream.send_all(b"id: 99\ndata: ha")
+        if ending == "reset":
+            await exchange.reset()
+        else:
+            await exchange.stream.aclose()
+
+    return behave
