Count crashes from before the start of this VM against parts

What callers would see: after a restart of all VMs requests with a part that is recorded as refused crash endpoints again. Cause: a part without an answer had its crashes counted from time -1 on; crashes that the store tells of lie before the start of the VM's clock. Evidence: two new tests of the store's records and one of the decision failed before. Change: a part that was never answered has no such time.

--- a/src/carawayward/decisions/crashing_parts.py
+++ b/src/carawayward/decisions/crashing_parts.py
@@ -51,6 +51,9 @@
 # Within this time only new records change a verdict.
 EXPLANATION_MS = 500
 
+# Times before this VM was started are negative.
+NEVER = float("-inf")
+
 Endpoints = frozenset[str]
 
 
@@ -182,6 +185,10 @@
     return bool(added)
 
 
+def _get_answered_ms(records: PartRecords, part: str) -> float:
+    return records.answered_ms.get(part, NEVER)
+
+
 def find_crash_times(
     records: PartRecords, part: str, now_ms: int
 ) -> dict[str, int]:
@@ -192,7 +199,7 @@
     known = records.by_part.get(part)
     if known is None:
         return {}
-    since_ms = max(now_ms - RECORD_TTL_MS, records.answered_ms.get(part, -1))
+    since_ms = max(now_ms - RECORD_TTL_MS, _get_answered_ms(records, part))
     return {
         endpoint: seen_ms
         for endpoint, seen_ms in known.crashes.items()
@@ -387,8 +394,8 @@
     """
     prompt = records.prompts.get(content, CrashedPrompt())
     answered_ms = min(
-        (records.answered_ms.get(part, -1) for part in prompt.parts),
-        default=-1,
+        (_get_answered_ms(records, part) for part in prompt.parts),
+        default=NEVER,
     )
     since_ms = max(now_ms - RECORD_TTL_MS, answered_ms)
     return {
--- a/tests/cover/test_decisions_crashing_parts.py
+++ b/tests/cover/test_decisions_crashing_parts.py
@@ -167,6 +167,14 @@
     assert is_refused(records, "bad")
 
 
+def test_crashes_before_this_vm_was_started_count():
+    """Its clock begins at its start; the store has what happened before."""
+    records = crashing_parts.PartRecords()
+    times = {f"e-{number}": -100_000 for number in range(3)}
+    crashing_parts.add_conviction(records, {"bad"}, times)
+    assert is_refused(records, "bad", now_ms=5)
+
+
 def test_prompts_with_several_crashes_are_kept_when_there_are_too_many():
     """A flood of other requests was in flight at crashes."""
     records = make_crashed("bad")
--- a/tests/cover/test_forwarding_convictions.py
+++ b/tests/cover/test_forwarding_convictions.py
@@ -167,3 +167,63 @@
     refused, wait_ms = run_process(topic, 900_000)
     assert refused
     assert wait_ms <= suspicion.RECORD_TTL_MS
+
+
+PARTS = frozenset(("0a" * 8, "0b" * 8))
+
+
+def run_process_with_parts(topic, wall_ms, crashes=0, answered=()):
+    """Run a process that sees crashes of prompts with both parts.
+
+    Then parts are answered; returns what the process refuses in the end.
+    """
+
+    async def main():
+        clock = TrioClock(wall_ms)
+        parts = crashing_parts.CrashingParts(clock, lambda: None)
+        made = suspects.SuspectRequests(
+            clock, parts, lambda: None, find_state, refuse
+        )
+        log = conviction_log.ConvictionLog(topic, clock, made)
+        async with trio.open_nursery() as nursery:
+            await log.start(nursery)
+            await trio.sleep(1.0)
+            for number in range(crashes):
+                parts.record_crash(
+                    f"{number:016x}", sorted(PARTS), str(number), 0
+                )
+            await trio.sleep(5.0)
+            work: typing.Any = types.SimpleNamespace(
+                shared_parts=answered,
+                progress=work_items.Progress(
+                    0.0, answer_began_ms=clock.now_ms()
+                ),
+            )
+            parts.record_answer(work)
+            await trio.sleep(5.0)
+            nursery.cancel_scope.cancel()
+        return set(parts.convicted.values())
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock)
+
+
+def test_later_process_refuses_parts_that_crashed_endpoints():
+    """All entry VMs were restarted after the crashes."""
+    topic = FakeTopic()
+    assert run_process_with_parts(topic, 1_000_000, crashes=5) == {PARTS}
+    assert len(topic.values) == 1
+    assert run_process_with_parts(topic, 1_000_000 + AGE_MS) == {PARTS}
+
+
+def test_record_of_parts_follows_what_answers_tell_apart():
+    """One of the parts is answered, later the other."""
+    first, second = sorted(PARTS)
+    topic = FakeTopic()
+    left = run_process_with_parts(topic, 1_000_000, 5, answered=(first,))
+    assert left == {frozenset((second,))}
+    (key,) = topic.values
+    assert key == conviction_log.make_key(frozenset((second,)))
+    later_ms = 1_000_000 + AGE_MS
+    assert not run_process_with_parts(topic, later_ms, answered=(second,))
+    assert not topic.values
