Do not take an answer for sound that a suspended entry VM reads late

What callers would see: a part that crashes endpoints counts as answered, and its requests go on crashing them. Cause: an answer had gone on if an event came a second after its head. An entry VM that is suspended in between reads what the endpoint had sent before its crash; the run that breaks off then was no suspect either. Evidence: reasoning and a test of the rule; not seen in a run. Change: after a pause of a second an answer counts as if it had begun anew, and how long it had gone on ends with its last event.

--- a/src/carawayward/forwarding/crashing_parts.py
+++ b/src/carawayward/forwarding/crashing_parts.py
@@ -153,11 +153,11 @@
 
     def record_answer(self, work: work_items.Work) -> None:
         """Record that the current answer to a request has gone on."""
-        progress = work.progress
-        if progress.answer_began_ms is None or progress.answer_recorded:
+        answer = work.progress.answer
+        if answer is None or answer.recorded:
             return
-        progress.answer_recorded = True
-        age_ms = int(self.clock.now_ms() - progress.answer_began_ms)
+        answer.recorded = True
+        age_ms = int(self.clock.now_ms() - answer.began_ms)
         for part in work.shared_parts:
             self._add_answer(part, age_ms)
 
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -125,7 +125,7 @@
     async def _relay_event(
         self,
         work: work_items.Work,
-        answer: attempt_module.ResponseReader,
+        response: attempt_module.ResponseReader,
         event: event_stream.ServerEvent,
         reply: replies.Reply,
     ) -> work_items.Failed | None:
@@ -137,21 +137,15 @@
             work.last_event = event.number
         if not reply.started:
             await reply.start(
-                answer.head.status,
+                response.head.status,
                 hops.select_response_headers(
-                    answer.head.headers, self.internal_headers
+                    response.head.headers, self.internal_headers
                 ),
             )
         await reply.send(event.raw)
-        if self._has_gone_on(work):
+        answer = work.progress.answer
+        assert answer is not None
+        answer.record_event(self.placer.clock.now_ms())
+        if answer.duration_ms >= crashing_parts.ANSWER_SOUND_MS:
             self.parts.record_answer(work)
         return None
-
-    def _has_gone_on(self, work: work_items.Work) -> bool:
-        """Whether an answer has gone on too long to crash its endpoint."""
-        began_ms = work.progress.answer_began_ms
-        return (
-            began_ms is not None
-            and self.placer.clock.now_ms() - began_ms
-            >= crashing_parts.ANSWER_SOUND_MS
-        )
--- a/src/carawayward/forwarding/sending.py
+++ b/src/carawayward/forwarding/sending.py
@@ -98,7 +98,10 @@
                 )
             self.placer.fleet.record_response(endpoint, answer.head.metadata)
             if not answer.head.metadata.declined:
-                work.progress.answer_began_ms = self.clock.now_ms()
+                now_ms = self.clock.now_ms()
+                work.progress.answer = work_items.AnswerProgress(
+                    now_ms, now_ms
+                )
                 self.placer.fleet.record_accepted(endpoint)
                 self.suspects.record_response(endpoint.entry)
             return await self.relay.relay_response(work, answer, reply)
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -190,11 +190,11 @@
     ) -> UnansweredRun:
         """Keep a run unless its endpoint may have been down at its start."""
         now_ms = self._now_ms()
-        began_ms = work.progress.answer_began_ms
+        answer = work.progress.answer
         run = UnansweredRun(
             work.fingerprint,
             work.shared_parts,
-            None if began_ms is None else self.clock.now_ms() - began_ms,
+            None if answer is None else answer.duration_ms,
             entry,
             now_ms,
         )
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -16,6 +16,7 @@
 from carawayward import http_client as http
 
 MAX_SHARED_PARTS = 64
+MAX_ANSWER_PAUSE_MS = 1_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,6 +120,31 @@
         self.weight = 0.0
 
 
+@attrs.define(eq=False)
+class AnswerProgress:
+    """How long a response has gone on; times in ms.
+
+    After a long pause it counts as if it had begun anew: a suspended entry VM
+    may read what an endpoint sent before it crashed. ``recorded`` is set once
+    the response is known to be sound.
+    """
+
+    began_ms: float
+    last_ms: float
+    recorded: bool = False
+
+    @property
+    def duration_ms(self) -> float:
+        """How long it has gone on without such a pause."""
+        return self.last_ms - self.began_ms
+
+    def record_event(self, now_ms: float) -> None:
+        """Record that a part of it has arrived."""
+        if now_ms - self.last_ms >= MAX_ANSWER_PAUSE_MS:
+            self.began_ms = now_ms
+        self.last_ms = now_ms
+
+
 @attrs.define(eq=False)
 class Progress:
     """The progress of one attempt; times in ms.
@@ -127,8 +153,7 @@
     the prediction of it from the engine's backlog. ``status`` is set once the
     endpoint's response can be judged, which may be before the caller has it.
     ``version`` is that of the endpoint, ``relayed`` says whether a peer sends
-    the request. ``answer_began_ms`` is when the endpoint began a response,
-    ``answer_recorded`` is set once that is known to have gone on.
+    the request. ``answer`` is set once the endpoint has begun a response.
     """
 
     began_ms: float
@@ -137,8 +162,7 @@
     status: int | None = None
     version: str = ""
     relayed: bool = False
-    answer_began_ms: float | None = None
-    answer_recorded: bool = False
+    answer: AnswerProgress | None = None
 
 
 @attrs.define(eq=False, kw_only=True)
--- a/tests/cover/test_forwarding_convictions.py
+++ b/tests/cover/test_forwarding_convictions.py
@@ -196,7 +196,10 @@
             work: typing.Any = types.SimpleNamespace(
                 shared_parts=answered,
                 progress=work_items.Progress(
-                    0.0, answer_began_ms=clock.now_ms()
+                    0.0,
+                    answer=work_items.AnswerProgress(
+                        clock.now_ms(), clock.now_ms()
+                    ),
                 ),
             )
             parts.record_answer(work)
--- a/tests/cover/test_forwarding_crashing_parts.py
+++ b/tests/cover/test_forwarding_crashing_parts.py
@@ -28,10 +28,11 @@
 
 
 def make_work(number, *parts, began_ms=None):
+    answer = began_ms and work_items.AnswerProgress(began_ms, began_ms)
     work: typing.Any = types.SimpleNamespace(
         fingerprint=make_content(number),
         shared_parts=parts,
-        progress=work_items.Progress(0.0, answer_began_ms=began_ms),
+        progress=work_items.Progress(0.0, answer=answer),
     )
     return work
 
@@ -84,6 +85,18 @@
     assert made.is_refused(make_work(100, BAD))
 
 
+def test_answer_that_a_suspended_entry_vm_reads_late_is_no_proof():
+    """Its endpoint has crashed meanwhile; what it had sent is in the kernel."""
+    answer = work_items.AnswerProgress(0.0, 0.0)
+    answer.record_event(20.0)
+    for now_ms in (5_000.0, 5_000.1, 5_000.2):
+        answer.record_event(now_ms)
+    assert answer.duration_ms < crashing_parts.ANSWER_SOUND_MS
+    for step in range(20):
+        answer.record_event(5_001.0 + 100.0 * step)
+    assert answer.duration_ms > crashing_parts.ANSWER_SOUND_MS
+
+
 def test_conviction_is_passed_on_by_those_that_saw_a_crash():
     """All write it to the store otherwise."""
     made = [make_parts() for _ in range(3)]
--- a/tests/model/test_crashing_parts.py
+++ b/tests/model/test_crashing_parts.py
@@ -228,7 +228,9 @@
     def begin(self, request: Request, endpoint: Endpoint, number: int) -> None:
         if endpoint.number != number or request not in endpoint.running:
             return
-        request.work.progress.answer_began_ms = self.clock.now_ms()
+        now_ms = self.clock.now_ms()
+        answer = work_items.AnswerProgress(now_ms, now_ms)
+        request.work.progress.answer = answer
         request.began_ms = self.now_ms
         if request.bad:
             self.after(CRASH_DELAY_MS, self.crash, endpoint, number, request)
