--- a/tests/cover/test_forwarding_crashing_parts.py
+++ b/tests/cover/test_forwarding_crashing_parts.py
@@ -85,7 +85,7 @@
     assert made.is_refused(make_work(100, BAD))
 
 
-def test_answer_that_a_suspended_entry_vm_reads_late_is_no_proof():
+def test_answer_read_late_by_a_suspended_entry_vm_is_no_proof():
     """Its endpoint has crashed meanwhile; what it had sent is in the kernel."""
     answer = work_items.AnswerProgress(0.0, 0.0)
     answer.record_event(20.0)
