Clear a verdict on parts that no longer holds

What operators would see: a part counts as refused, in the gauge and in the store, for ten minutes although something else explains its crashes by now; requests with it are served.

--- a/src/carawayward/forwarding/crashing_parts.py
+++ b/src/carawayward/forwarding/crashing_parts.py
@@ -295,8 +295,10 @@
             decisions.drop_expired(self.records, now_ms)
             self.seen_here &= self.records.by_part.keys()
             self.own &= self.records.prompts.keys()
-            for part in list(self.convicted):
-                if not self.find_crash_ages(part):
+            for part, parts in list(self.convicted.items()):
+                if not decisions.find_verdict(
+                    self.records, part, parts, now_ms
+                ):
                     self._clear(part)
         for content, changed_ms in list(self.changed_ms.items()):
             if (
--- a/tests/cover/test_forwarding_crashing_parts.py
+++ b/tests/cover/test_forwarding_crashing_parts.py
@@ -86,7 +86,7 @@
 
 
 def test_answer_read_late_by_a_suspended_entry_vm_is_no_proof():
-    """Its endpoint has crashed meanwhile; what it had sent is in the kernel."""
+    """Its endpoint has crashed; what it had sent waits in the kernel."""
     answer = work_items.AnswerProgress(0.0, 0.0)
     answer.record_event(20.0)
     for now_ms in (5_000.0, 5_000.1, 5_000.2):
