Blame no part for missing answers while nothing is answered

What callers saw: 503 for requests with hot parts, for some 0.1 s at a time, while requests of the old kind (each its own content) had taken all endpoints down. Cause: a part that was answered within 3 s is not to blame, so that the loss of many endpoints convicts no hot part; with no endpoint left nothing is answered for longer. A verdict was also dropped at each answer that began before the crashes, and came again with the next report. Change: the 3 s count until the latest answer of the service, not until now. All digests of a service's parts begin with the same digits. Clearing asks for the verdict.

--- a/src/carawayward/decisions/crashing_parts.py
+++ b/src/carawayward/decisions/crashing_parts.py
@@ -36,8 +36,11 @@
 # A crash is seen by different entry VMs within this time.
 SAME_TIME_MS = 1_000
 # A failure of many endpoints hits all that is in flight there. Parts that are
-# in flight on several are answered elsewhere within this time.
+# in flight on several are answered elsewhere within this time, as long as the
+# service answers anything.
 SOUND_MS = 3_000
+# The digests of a service's parts begin with the same digits.
+SERVICE_DIGITS = 4
 RECORD_TTL_MS = 600_000
 MAX_PROMPTS = 1_000
 MAX_PARTS = 8_000
@@ -99,7 +102,8 @@
 
     ``prompts`` are by the request's content. ``by_endpoint`` has the suspects
     of each crash: contents and parts. ``answered_ms`` is when the latest
-    answer to a request with the part began. ``explanations`` are cached.
+    answer to a request with the part began, ``served_ms`` by service that of
+    any. ``explanations`` are cached.
     """
 
     prompts: dict[str, CrashedPrompt] = attrs.field(factory=dict)
@@ -108,6 +112,7 @@
     answered_ms: collections.OrderedDict[str, int] = attrs.field(
         factory=collections.OrderedDict
     )
+    served_ms: dict[str, int] = attrs.field(factory=dict)
     changes: int = 0
     explanations: dict[str, Explanation] = attrs.field(factory=dict)
 
@@ -154,6 +159,9 @@
     """
     if records.answered_ms.get(part, began_ms - 1) >= began_ms:
         return False
+    service = part[:SERVICE_DIGITS]
+    served_ms = records.served_ms.get(service, began_ms)
+    records.served_ms[service] = max(served_ms, began_ms)
     suspect = bool(find_crash_times(records, part, began_ms))
     records.changes += suspect
     records.answered_ms[part] = began_ms
@@ -270,8 +278,10 @@
     It is not if they are explained by something that the request lacks.
     """
     answered_ms = records.answered_ms.get(part)
-    if answered_ms is not None and now_ms - answered_ms < SOUND_MS:
-        return False
+    if answered_ms is not None:
+        served_ms = records.served_ms[part[:SERVICE_DIGITS]]
+        if served_ms - answered_ms < SOUND_MS:
+            return False
     found = _get_explanation(records, part, now_ms)
     if len(found.judged) < MIN_CRASHES:
         return False
--- a/src/carawayward/forwarding/crashing_parts.py
+++ b/src/carawayward/forwarding/crashing_parts.py
@@ -171,10 +171,17 @@
         """Review what is refused because of a part that was answered."""
         for part, parts in list(self.convicted.items()):
             if part == answered:
-                self._clear(part)
+                self._clear_unless_to_blame(part)
             elif answered in parts:
                 self._review(parts - {answered})
 
+    def _clear_unless_to_blame(self, part: str) -> None:
+        parts = self.convicted[part]
+        if not decisions.find_verdict(
+            self.records, part, parts, self._now_ms()
+        ):
+            self._clear(part)
+
     def _clear(self, part: str) -> None:
         """Note that a part is no longer to blame."""
         parts = self.convicted.pop(part)
@@ -295,11 +302,8 @@
             decisions.drop_expired(self.records, now_ms)
             self.seen_here &= self.records.by_part.keys()
             self.own &= self.records.prompts.keys()
-            for part, parts in list(self.convicted.items()):
-                if not decisions.find_verdict(
-                    self.records, part, parts, now_ms
-                ):
-                    self._clear(part)
+            for part in list(self.convicted):
+                self._clear_unless_to_blame(part)
         for content, changed_ms in list(self.changed_ms.items()):
             if (
                 now_ms - changed_ms >= REPORTED_MS
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from carawayward.decisions import crashing_parts
 from carawayward.decisions import engine_load
 from carawayward.decisions import suspicion
 from carawayward.forwarding import attempt as attempt_module
@@ -238,12 +239,17 @@
         """Digests of the parts of its prompt that others may share.
 
         All but the last, which is the request's own, up to a limit. The same
-        part has another digest at another service.
+        part has another digest at another service; all of one service begin
+        with the same digits.
         """
         if self._shared_parts is None:
             names = {part.name: None for part in self.metadata.prompt[:-1]}
+            service = self.service.encode()
+            digits = crashing_parts.SERVICE_DIGITS
+            prefix = suspicion.digest_content(service)[:digits]
             self._shared_parts = tuple(
-                suspicion.digest_content(self.service.encode(), name.encode())
+                prefix
+                + suspicion.digest_content(service, name.encode())[digits:]
                 for name in itertools.islice(names, MAX_SHARED_PARTS)
             )
         return self._shared_parts
