--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -10,7 +10,8 @@
 (which entry VM reads the store for which others), ``turns`` (which entry VM
 writes first), ``reachability`` (whether this entry VM has lost its own path to
 a service), ``relay_choice`` (which peer sends a request then),
-``crashing_parts`` (which part of prompts crashes endpoints) and
+``prompt_crashes`` (which prompts were in flight at crashes),
+``crashing_parts`` (which part of them is to blame) and
 ``store_polls`` (how long polls of the store may wait).
 
 For the callers' API: ``admission``, ``queueing``, ``retry``,
--- a/src/carawayward/forwarding/crashing_parts.py
+++ b/src/carawayward/forwarding/crashing_parts.py
@@ -11,7 +11,8 @@
 import attrs
 
 from carawayward import clock as clock_module
-from carawayward.decisions import crashing_parts as decisions
+from carawayward.decisions import crashing_parts as verdicts
+from carawayward.decisions import prompt_crashes
 from carawayward import events
 from carawayward.forwarding import work_items
 
@@ -48,7 +49,9 @@
     report_soon: typing.Callable[[], None]
     on_convicted: typing.Callable[[frozenset[str]], None] = lambda parts: None
     on_cleared: typing.Callable[[frozenset[str]], None] = lambda parts: None
-    records: decisions.PartRecords = attrs.field(factory=decisions.PartRecords)
+    records: prompt_crashes.PartRecords = attrs.field(
+        factory=prompt_crashes.PartRecords
+    )
     convicted: dict[str, frozenset[str]] = attrs.field(factory=dict)
     seen_here: set[str] = attrs.field(factory=set)
     own: set[str] = attrs.field(factory=set)
@@ -64,13 +67,13 @@
         """Whether a part of the request's prompt crashes endpoints."""
         if not self.records.prompts:
             return False
-        return decisions.is_refused(
+        return verdicts.is_refused(
             self.records, work.shared_parts, work.fingerprint, self._now_ms()
         )
 
     def compute_retry_after_ms(self, work: work_items.Work) -> float:
         """Return for how long a request is refused."""
-        return decisions.compute_retry_after_ms(
+        return verdicts.compute_retry_after_ms(
             self.records, work.shared_parts, self._now_ms()
         )
 
@@ -94,7 +97,7 @@
         age_ms: int,
     ) -> None:
         seen_ms = self._now_ms() - age_ms
-        if not parts or not decisions.record_crash(
+        if not parts or not prompt_crashes.record_crash(
             self.records, content, parts, endpoint, seen_ms
         ):
             return
@@ -115,7 +118,7 @@
         seen_ms = {
             endpoint: now_ms - age_ms for endpoint, age_ms in ages_ms.items()
         }
-        if not decisions.add_conviction(self.records, parts, seen_ms):
+        if not prompt_crashes.add_conviction(self.records, parts, seen_ms):
             return
         for part in parts:
             if part in self.records.answered_ms:
@@ -125,7 +128,7 @@
     def _review(self, parts: typing.Collection[str]) -> None:
         """Review which of the parts of a prompt are to blame."""
         for part in parts:
-            found = decisions.find_verdict(
+            found = verdicts.find_verdict(
                 self.records, part, parts, self._now_ms()
             )
             known = self.convicted.get(part)
@@ -163,7 +166,7 @@
 
     def _add_answer(self, part: str, age_ms: int) -> None:
         began_ms = self._now_ms() - age_ms
-        if decisions.record_answer(self.records, part, began_ms):
+        if prompt_crashes.record_answer(self.records, part, began_ms):
             self._mark_changed(self.answers_ms, part)
             self._review_convicted(part)
 
@@ -177,7 +180,7 @@
 
     def _clear_unless_to_blame(self, part: str) -> None:
         parts = self.convicted[part]
-        if not decisions.find_verdict(
+        if not verdicts.find_verdict(
             self.records, part, parts, self._now_ms()
         ):
             self._clear(part)
@@ -275,7 +278,7 @@
     def find_crash_ages(self, part: str) -> dict[str, int]:
         """The ages of the crashes that count against a part, by endpoint."""
         now_ms = self._now_ms()
-        times = decisions.find_crash_times(self.records, part, now_ms)
+        times = prompt_crashes.find_crash_times(self.records, part, now_ms)
         return {each: now_ms - seen_ms for each, seen_ms in times.items()}
 
     def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
@@ -299,7 +302,7 @@
         """Forget what need not be reported, and records that have expired."""
         if now_ms - self.forgot_ms >= FORGET_INTERVAL_MS:
             self.forgot_ms = now_ms
-            decisions.drop_expired(self.records, now_ms)
+            prompt_crashes.drop_expired(self.records, now_ms)
             self.seen_here &= self.records.by_part.keys()
             self.own &= self.records.prompts.keys()
             for part in list(self.convicted):
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from carawayward.decisions import crashing_parts
 from carawayward.decisions import engine_load
+from carawayward.decisions import prompt_crashes
 from carawayward.decisions import suspicion
 from carawayward.forwarding import attempt as attempt_module
 from carawayward.forwarding import load_report_messages
@@ -245,7 +245,7 @@
         if self._shared_parts is None:
             names = {part.name: None for part in self.metadata.prompt[:-1]}
             service = self.service.encode()
-            digits = crashing_parts.SERVICE_DIGITS
+            digits = prompt_crashes.SERVICE_DIGITS
             prefix = suspicion.digest_content(service)[:digits]
             self._shared_parts = tuple(
                 prefix
--- a/tests/cover/test_decisions_crashing_parts.py
+++ b/tests/cover/test_decisions_crashing_parts.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies
 
 from carawayward.decisions import crashing_parts
+from carawayward.decisions import prompt_crashes
 
 NOW_MS = 10_000_000
 
@@ -17,12 +18,12 @@
 def crash(records, content, parts, *endpoints, at_ms=NOW_MS):
     names = [name(part) for part in parts]
     for endpoint in endpoints:
-        crashing_parts.record_crash(records, content, names, endpoint, at_ms)
+        prompt_crashes.record_crash(records, content, names, endpoint, at_ms)
 
 
 def answer(records, *parts, at_ms=NOW_MS):
     for part in parts:
-        crashing_parts.record_answer(records, name(part), at_ms)
+        prompt_crashes.record_answer(records, name(part), at_ms)
 
 
 def is_refused(records, *parts, content="new", now_ms=NOW_MS):
@@ -32,7 +33,7 @@
 
 def make_crashed(*parts):
     """Two requests with these parts crash five endpoints."""
-    records = crashing_parts.PartRecords()
+    records = prompt_crashes.PartRecords()
     crash(records, "r-1", parts, "e-1", "e-2", "e-3")
     crash(records, "r-2", parts, "e-4", "e-5")
     return records
@@ -49,7 +50,7 @@
 
 def test_part_of_one_request_that_is_repeated_is_not_refused():
     """The request itself crashes endpoints, whatever its parts are."""
-    records = crashing_parts.PartRecords()
+    records = prompt_crashes.PartRecords()
     crash(records, "r-1", ("first",), *[f"e-{n}" for n in range(9)])
     assert not is_refused(records, "first")
     crash(records, "r-2", ("first",), "e-9")
@@ -68,7 +69,7 @@
 
 def test_part_that_crashes_endpoints_alone_is_refused_alone():
     """It was in the prompts of all crashes, with others in some of them."""
-    records = crashing_parts.PartRecords()
+    records = prompt_crashes.PartRecords()
     for number in range(5):
         parts = ("bad", f"other-{number}")
         crash(records, f"r-{number}", parts, f"e-{number}")
@@ -98,7 +99,7 @@
 
 def test_two_parts_that_crash_endpoints_at_the_same_time_are_refused():
     """Sound requests have the parts that both come with."""
-    records = crashing_parts.PartRecords()
+    records = prompt_crashes.PartRecords()
     for number in range(10):
         parts = ("first", f"bad-{number % 2}")
         crash(records, f"r-{number}", parts, f"e-{number}")
@@ -136,7 +137,7 @@
 
 def test_part_that_turns_bad_is_refused():
     """It was answered until the endpoints got other software."""
-    records = crashing_parts.PartRecords()
+    records = prompt_crashes.PartRecords()
     answer(records, "bad", "other", at_ms=NOW_MS - 10)
     crash(records, "r-1", ("bad", "other"), "e-1", "e-2", "e-3")
     crash(records, "r-2", ("bad", "more"), "e-4", "e-5")
@@ -148,12 +149,12 @@
 
 def test_part_without_answers_is_not_blamed_while_nothing_is_answered():
     """All endpoints are down for long, for whatever reason."""
-    records = crashing_parts.PartRecords()
+    records = prompt_crashes.PartRecords()
     answer(records, "hot", "other", at_ms=NOW_MS - 2_000)
     for number in range(9):
         crash(records, f"r-{number}", ("hot",), f"e-{number}")
     assert not is_refused(records, "hot", now_ms=NOW_MS + 60_000)
-    crashing_parts.record_answer(records, "elsewhere", NOW_MS + 30_000)
+    prompt_crashes.record_answer(records, "elsewhere", NOW_MS + 30_000)
     assert not is_refused(records, "hot", now_ms=NOW_MS + 60_000)
     answer(records, "other", at_ms=NOW_MS + 30_000)
     assert is_refused(records, "hot", now_ms=NOW_MS + 60_000)
@@ -161,7 +162,7 @@
 
 def test_loss_of_many_endpoints_at_once_convicts_no_part():
     """A failure domain loses power with hot parts in flight everywhere."""
-    records = crashing_parts.PartRecords()
+    records = prompt_crashes.PartRecords()
     answer(records, "hot", at_ms=NOW_MS - 2_000)
     for number in range(20):
         crash(records, f"r-{number}", ("hot",), f"e-{number}")
@@ -179,33 +180,33 @@
     assert is_refused(records, "bad", now_ms=NOW_MS + int(left_ms) - 1)
     ended_ms = NOW_MS + int(left_ms) + crashing_parts.EXPLANATION_MS
     assert not is_refused(records, "bad", now_ms=ended_ms)
-    crashing_parts.drop_expired(records, ended_ms)
+    prompt_crashes.drop_expired(records, ended_ms)
     assert not (records.prompts or records.by_part or records.by_endpoint)
 
 
 def test_crashes_that_convict_a_part_elsewhere_convict_it_here():
     """The requests are not known to this entry VM."""
-    records = crashing_parts.PartRecords()
+    records = prompt_crashes.PartRecords()
     times = {f"e-{number}": NOW_MS for number in range(3)}
-    assert crashing_parts.add_conviction(records, {name("bad")}, times)
-    assert not crashing_parts.add_conviction(records, {name("bad")}, times)
+    assert prompt_crashes.add_conviction(records, {name("bad")}, times)
+    assert not prompt_crashes.add_conviction(records, {name("bad")}, times)
     assert is_refused(records, "bad")
 
 
 def test_crashes_before_this_vm_was_started_count():
     """Its clock begins at its start; the store has what happened before."""
-    records = crashing_parts.PartRecords()
+    records = prompt_crashes.PartRecords()
     times = {f"e-{number}": -100_000 for number in range(3)}
-    crashing_parts.add_conviction(records, {name("bad")}, times)
+    prompt_crashes.add_conviction(records, {name("bad")}, times)
     assert is_refused(records, "bad", now_ms=5)
 
 
 def test_prompts_with_several_crashes_are_kept_when_there_are_too_many():
     """A flood of other requests was in flight at crashes."""
     records = make_crashed("bad")
-    for number in range(crashing_parts.MAX_PROMPTS + 50):
+    for number in range(prompt_crashes.MAX_PROMPTS + 50):
         crash(records, f"s-{number}", (f"p-{number}",), "e-9")
-    assert len(records.prompts) == crashing_parts.MAX_PROMPTS
+    assert len(records.prompts) == prompt_crashes.MAX_PROMPTS
     assert is_refused(records, "bad")
 
 
@@ -233,7 +234,7 @@
     """Entry VMs learn of the same crashes and answers in any order."""
     verdicts = set()
     for _ in range(3):
-        records = crashing_parts.PartRecords()
+        records = prompt_crashes.PartRecords()
         steps = [(crash, fact) for fact in facts]
         steps += [(answer, each) for each in answers]
         draw.shuffle(steps)
--- a/tests/cover/test_forwarding_crashing_parts.py
+++ b/tests/cover/test_forwarding_crashing_parts.py
@@ -7,7 +7,7 @@
 from nose2.tools import params
 
 from carawayward import clock as clock_module
-from carawayward.decisions import crashing_parts as decisions
+from carawayward.decisions import prompt_crashes
 from carawayward.forwarding import crashing_parts
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import work_items
@@ -114,7 +114,7 @@
     clock = clock_module.ManualClock(10_000_000.0)
     made, late = make_parts(clock), make_parts(clock)
     crash(made, BAD)
-    clock.advance(decisions.RECORD_TTL_MS - 2_000.0)
+    clock.advance(prompt_crashes.RECORD_TTL_MS - 2_000.0)
     exchange_reports(made, late)
     assert late.is_refused(make_work(99, BAD))
     clock.advance(2_000.0 + crashing_parts.FORGET_INTERVAL_MS)
--- a/tests/failures/test_forwarding_crashing_parts.py
+++ b/tests/failures/test_forwarding_crashing_parts.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from carawayward.decisions import crashing_parts
+from carawayward.decisions import prompt_crashes
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -144,7 +144,7 @@
             crashes = count_crashes(engines)
             await made.start_daemon()
             parts = made.daemons[2].app.forwarder.suspects.parts
-            parts.records = crashing_parts.PartRecords()
+            parts.records = prompt_crashes.PartRecords()
             parts.convicted.clear()
             await trio.sleep(2 * REPORT_S)
             assert (await send(made, 9_000, BAD, 2)).status == 503
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -265,49 +265,57 @@
             return
         kinds = [each for each in traffic.KINDS if each.stream]
         kind = kinds[fault.target % len(kinds)]
-        first_in_prompt, number = divmod(int(fault.strength * 4) % 4, 2)
-        name = f"{fault.target:x}{len(self.history.crashing_parts):x}"
-        companions = (f"c0{name}", f"c1{name}")
-        bad = [f"bad{each}{name}" for each in range(1 + number)]
-        prompts = [
-            (each, *companions)
-            if first_in_prompt
-            else (companions[0], each, companions[1])
-            for each in bad
-        ]
+        companions, prompts = self._make_crashing_prompts(fault)
         found = [
             records.CrashingPart(
-                part=each,
+                part=part,
                 route=kind.name,
                 first_part=prompt[0],
                 companions=companions,
                 from_ms=trio.current_time() * 1000,
             )
-            for each, prompt in zip(bad, prompts, strict=True)
+            for part, prompt in prompts.items()
         ]
         self.history.crashing_parts += found
-        stages = list(endpoints.CrashStage)
-        for endpoint in self.fleet:
-            endpoint.crash_parts |= set(bad)
-            endpoint.crash_stage = stages[fault.target // 3 % len(stages)]
-            endpoint.down_ms = CRASHED_FOR_MS[fault.target // 9 % 2]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self.callers.send_prompts, kind, companions, COMPANIONS_PER_S
             )
             await trio.sleep(CALM_BEFORE_CRASHING_PART_MS / 1000)
-            for prompt in prompts:
+            rate = CRASHING_PROMPTS_PER_S / len(prompts)
+            for prompt in prompts.values():
                 nursery.start_soon(
-                    self.callers.send_prompts,
-                    kind,
-                    prompt,
-                    CRASHING_PROMPTS_PER_S / len(prompts),
+                    self.callers.send_prompts, kind, prompt, rate
                 )
             await trio.sleep((MIN_CRASHING_PART_MS + fault.for_ms) / 1000)
             for each in found:
                 each.until_ms = trio.current_time() * 1000
             nursery.cancel_scope.cancel()
 
+    def _make_crashing_prompts(
+        self, fault: schedule.ScheduledFault
+    ) -> tuple[tuple[str, ...], dict[str, tuple[str, ...]]]:
+        """Make parts that crash endpoints, and have these do so.
+
+        Returns the parts of sound prompts beside them, and for each of the
+        former the parts of its prompts.
+        """
+        first_in_prompt, more = divmod(int(fault.strength * 4) % 4, 2)
+        name = f"{fault.target:x}{len(self.history.crashing_parts):x}"
+        companions = (f"c0{name}", f"c1{name}")
+        bad = [f"bad{each}{name}" for each in range(1 + more)]
+        stages = list(endpoints.CrashStage)
+        for endpoint in self.fleet:
+            endpoint.crash_parts |= set(bad)
+            endpoint.crash_stage = stages[fault.target // 3 % len(stages)]
+            endpoint.down_ms = CRASHED_FOR_MS[fault.target // 9 % 2]
+        return companions, {
+            each: (each, *companions)
+            if first_in_prompt
+            else (companions[0], each, companions[1])
+            for each in bad
+        }
+
     async def _disturb_store(self, fault: schedule.ScheduledFault) -> None:
         disruptions = [vm.disrupt(fault.fault.value) for vm in self.vms]
         match fault.fault:
