Let two parts that crash endpoints no longer excuse each other

What callers would see: endpoints go on ending under the second of two parts that crash them, three requests at a time, once they are back. Cause: with few endpoints left, requests with either part are in flight at the same crashes; the part that was at one crash more explained those of the other. Change: a part with four requests or more at its crashes is explained only by one that was in more requests as well.

--- a/src/carawayward/decisions/crashing_parts.py
+++ b/src/carawayward/decisions/crashing_parts.py
@@ -37,6 +37,8 @@
 # Bounds the time of a verdict: what these crashes cannot tell apart is told
 # apart by the next ones.
 MAX_CRASHES_JUDGED = 8
+# So many requests with a part are at the crashes of another by no chance.
+MANY_REQUESTS = 4
 MAX_OTHERS_JUDGED = 64
 
 # Within this time only new records change a verdict.
@@ -152,13 +154,17 @@
             if not was_answered and other in records.answered_ms:
                 # Of the two, the part that was never answered is to blame.
                 continue
-            preferred = _get_contents(records, other) <= own or (
+            requests = _get_contents(records, other)
+            preferred = requests <= own or (
                 was_answered and other not in records.answered_ms
             )
             found = prompt_crashes.find_suspect_crash_times(
                 records, other, now_ms
             )
-            if not preferred and len(found) < len(crashes):
+            if not preferred and (
+                len(found) < len(crashes)
+                or len(requests) <= len(own) >= MANY_REQUESTS
+            ):
                 continue
             several = _has_several_requests(records, other, len(found))
             there = judged.intersection(found)
