Excuse a rare part in four requests at the crashes of two others

What callers would see: 503 for ten minutes for requests with a rare part, at two entry VMs of nine. Cause: two parts crashed endpoints; a sound request with the rare part was retried onto them, and the reports of some others were lost, so that the rare part had as many requests there as each of the two. Change: five requests, not four, are too many for chance.

--- a/src/carawayward/decisions/crashing_parts.py
+++ b/src/carawayward/decisions/crashing_parts.py
@@ -38,7 +38,7 @@
 # apart by the next ones.
 MAX_CRASHES_JUDGED = 8
 # So many requests with a part are at the crashes of another by no chance.
-MANY_REQUESTS = 4
+MANY_REQUESTS = 5
 MAX_OTHERS_JUDGED = 64
 
 # Within this time only new records change a verdict.
