Make the environment once when two tasks start at the same time

What a new user saw: two commands of build.sh on a fresh machine, one of which ended with a traceback of pip. Cause: both installed into the same folder. Evidence: read in the issue; two at once in an empty cache both run now. Change: one holds a lock while it makes the environment; what an interrupted one left is removed.

--- a/build.sh
+++ b/build.sh
@@ -22,9 +22,16 @@
 venv="$cache/venv-$lock_id"
 if [ ! -e "$venv/.complete" ]; then
     mkdir -p "$cache"
-    python3 -m venv "$venv"
-    "$venv/bin/pip" install -qqq -r requirements.lock
-    touch "$venv/.complete"
+    (
+        # Two tasks that start at once would install into the same folder.
+        flock 9
+        if [ ! -e "$venv/.complete" ]; then
+            rm -rf "$venv"
+            python3 -m venv "$venv"
+            "$venv/bin/pip" install -qqq -r requirements.lock
+            touch "$venv/.complete"
+        fi
+    ) 9>"$venv.lock"
 fi
 export PATH="$venv/bin:$PATH" PYTHONPATH="src:."
 
