Count what completion moves towards a version's exposure

Cause: on completion the old version's endpoints stop at once, and what runs there is sent again, to the new version. The reserve for the last second counted the requests still to come and not these runs. A play with the counts logged: 136 of 1,425 sent to the new version at completion, 285 of 1,605 at the end 0.95 s later, at some 80 requests a second before.

Ruled out: the retry budget; reports delayed by the records of prompts (they shift the moment of completion only).

Change: runs on the old version are part of the exposure. Further sessions stay on the old version, and completion waits, while all of it does not fit.

--- a/bench/rollout_evidence.py
+++ b/bench/rollout_evidence.py
@@ -68,9 +68,7 @@
         exposure = self.make_exposure()
         if self.full_traffic_s is None or self.verdict is canary.Verdict.BAD:
             return canary.compute_share(part, self.verdict, exposure)
-        room = canary.may_start_session(
-            part, self.duration_s * 1000.0, exposure
-        )
+        room = canary.fits_exposure(part, self.duration_s * 1000.0, exposure)
         return float(room)
 
     def send(self, now_s: float) -> None:
--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -194,13 +194,15 @@
 
     The limit is ``share`` of all requests during the roll-out plus ``slack``.
     ``sent`` counts requests to either version so far, ``sent_new`` those to
-    the new one.
+    the new one. ``old_in_flight`` are running on the old version and are sent
+    to the new one if it is completed before they end.
     """
 
     share: float
     slack: float
     sent: int = 0
     sent_new: int = 0
+    old_in_flight: int = 0
 
 
 def compute_share(part: float, verdict: Verdict, exposure: Exposure) -> float:
@@ -224,25 +226,24 @@
     return min(MAX_SHARE, max(MIN_SHARE, wanted / total))
 
 
-def may_start_session(
-    part: float, duration_ms: float, exposure: Exposure
-) -> bool:
-    """Whether another session may start on the version that takes all traffic.
+def fits_exposure(part: float, duration_ms: float, exposure: Exposure) -> bool:
+    """Whether all traffic may go to the new version during its last stretch.
 
-    Arrivals vary: more requests than expected may come between the switch and
-    the end of the roll-out, and all of them would meet a version that turns
-    out bad. Running sessions stay on their version, and there is no way back
-    during the last ``FORCED_COMPLETION_MS``, so the requests of that time are
-    reserved.
+    That is the time for which completion is forced, or what is left of it.
+    On completion the old version's endpoints stop at once, and what ran there
+    is sent to the new version as well. The version may turn out bad, and there
+    is no way back by then. Arrivals vary, so more requests than expected may
+    come.
     """
-    left_ms = duration_ms * (1.0 - part)
-    if part <= 0.0 or left_ms <= FORCED_COMPLETION_MS:
+    if part <= 0.0:
         return True
+    left_ms = max(0.0, duration_ms * (1.0 - part))
     total = exposure.sent / part
     allowed = exposure.share * total + exposure.slack
-    last = total * FORCED_COMPLETION_MS / duration_ms
+    last = total * min(left_ms, FORCED_COMPLETION_MS) / duration_ms
     surge = SURGE_DEVIATIONS * math.sqrt(last)
-    return exposure.sent_new + last + surge <= allowed
+    met = exposure.sent_new + exposure.old_in_flight
+    return met + last + surge <= allowed
 
 
 def may_complete(
@@ -251,14 +252,16 @@
     share: float,
     answers: int,
     old_in_flight: int,
+    fits: bool = True,
 ) -> bool:
     """Whether the roll-out may be reported as completed.
 
-    ``answers`` counts the new version's answers since all traffic goes to it.
-    On completion the old version's endpoints stop at once, which cuts off
-    whatever still runs there; streams resume elsewhere where they can.
+    ``answers`` counts the new version's answers since all traffic goes to it,
+    ``fits`` is the result of ``fits_exposure``. On completion the old
+    version's endpoints stop at once, which cuts off whatever still runs there;
+    streams resume elsewhere where they can.
     """
-    if verdict is not Verdict.GOOD or share < 1.0:
+    if verdict is not Verdict.GOOD or share < 1.0 or not fits:
         return False
     if answers < MIN_COMPLETION_ANSWERS:
         return False
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -221,6 +221,7 @@
             self.rollouts.compute_share(rollout, now_ms),
             since_full_traffic.new,
             rollout.count_old_in_flight(now_ms),
+            self.rollouts.fits_exposure(rollout, now_ms),
         )
         if may_complete and canary.is_proven(
             rollout.sum_tallies(), since_full_traffic
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -129,7 +129,9 @@
             if now_ms < each.expires_ms
         )
 
-    def sum_exposure(self, bounds: settings.Bounds) -> canary.Exposure:
+    def sum_exposure(
+        self, bounds: settings.Bounds, now_ms: float
+    ) -> canary.Exposure:
         """The requests sent so far, and how many may meet a bad version."""
         peer_counts = self.peer_counts.values()
         return canary.Exposure(
@@ -138,6 +140,7 @@
             sent=self.sent + sum(each.sent for each in peer_counts),
             sent_new=self.sent_new
             + sum(each.sent_new for each in peer_counts),
+            old_in_flight=self.count_old_in_flight(now_ms),
         )
 
     def sum_all_routes(self) -> canary.Tally:
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -81,15 +81,21 @@
             early = rollout.compute_elapsed_part(now_ms) < canary.TRIAL_PART
             if new or early:
                 return new
-        if rollout.at_full_traffic and not canary.may_start_session(
-            rollout.compute_elapsed_part(now_ms),
-            rollout.order.duration_ms,
-            rollout.sum_exposure(self.board.bounds),
-        ):
+        if rollout.at_full_traffic and not self.fits_exposure(rollout, now_ms):
             return False
         draw = placement.hash_key(f"{version}/{session or request_id}")
         return draw < share * 2.0**64
 
+    def fits_exposure(
+        self, rollout: rollout_state.Rollout, now_ms: float
+    ) -> bool:
+        """Whether the new version may meet all requests until the end."""
+        return canary.fits_exposure(
+            rollout.compute_elapsed_part(now_ms),
+            rollout.order.duration_ms,
+            rollout.sum_exposure(self.board.bounds, now_ms),
+        )
+
     def compute_share(
         self, rollout: rollout_state.Rollout, now_ms: float
     ) -> float:
@@ -102,7 +108,7 @@
         ):
             return 0.0
         part = rollout.compute_elapsed_part(now_ms)
-        exposure = rollout.sum_exposure(self.board.bounds)
+        exposure = rollout.sum_exposure(self.board.bounds, now_ms)
         share = canary.compute_share(part, rollout.verdict, exposure)
         # After the switch to full traffic only a halt moves traffic back:
         # otherwise sessions would change their version a second time.
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -4,6 +4,8 @@
 import types
 import typing
 
+import attrs
+
 from carawayward import clock as clock_module
 from carawayward.decisions import canary
 from carawayward.decisions import engine_load
@@ -229,7 +231,7 @@
         if full_traffic_s is None:
             sent_new += draw.random() < share
             continue
-        room = canary.may_start_session(part, duration_s * 1000.0, exposure)
+        room = canary.fits_exposure(part, duration_s * 1000.0, exposure)
         after += 1
         held_back += not room
         sent_new += room
@@ -238,6 +240,28 @@
     return over, duration_s - full_traffic_s, held_back / after
 
 
+def test_runs_that_completion_moves_count_towards_the_exposure():
+    """149 requests met a bad version in its last second, 80 were expected.
+
+    The old version's endpoints stopped, and what ran there was sent again.
+    """
+    exposure = canary.Exposure(
+        share=0.15, slack=30.0, sent=1_425, sent_new=136, old_in_flight=69
+    )
+    duration_ms = 18_440.0
+    assert not canary.fits_exposure(0.946, duration_ms, exposure)
+    alone = attrs.evolve(exposure, old_in_flight=0)
+    assert canary.fits_exposure(0.946, duration_ms, alone)
+    good = canary.Verdict.GOOD
+    assert not canary.may_complete(900.0, good, 1.0, 100, 69, fits=False)
+    assert canary.may_complete(900.0, good, 1.0, 100, 69, fits=True)
+    rollouts, rollout = make_rollouts(duration_ms)
+    now_ms = rollouts.clock.now_ms()
+    rollout.began_ms = now_ms - 0.946 * duration_ms
+    rollout.sent, rollout.sent_new, rollout.old_in_flight = 1_425, 136, 69
+    assert not rollouts.fits_exposure(rollout, now_ms)
+
+
 def test_version_that_turns_bad_late_is_met_by_no_more_than_may():
     """A random surge: 98 requests met a bad version where 93 of 419 may."""
     for requests, duration_s in ((120, 16.0), (420, 18.5), (1_500, 16.0)):
