Read the rank of a request from its customer or route

Callers with an urgent route or customer are served like all others where room is short: the declared priorities were decoded and used nowhere. They are now read into the rank of each request (the customer's goes first), and values that are missing, huge or no numbers neither stop a table nor count as most urgent. Nothing decides by it yet.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -168,7 +168,8 @@
             route=route,
             service=choose_service(route, metadata),
             table=table,
-            customer=customer,
+            customer=customer.name if customer else "",
+            rank=table.find_rank(route, customer),
             began_ms=began_ms,
             deadline_ms=began_ms + wait_ms,
             last_event=metadata.last_event,
@@ -179,15 +180,15 @@
         table: table_module.RoutingTable,
         route: table_module.Route,
         metadata: message_types.RequestMetadata,
-    ) -> str:
+    ) -> table_module.Customer | None:
         if not table.needs_key(route):
-            return ""
+            return None
         if not self.readiness.is_fresh():
             raise self._make_stale_refusal("keys may be old")
         customer = table.customers_by_key.get(metadata.key)
         if customer is None:
             raise Refused(401, "unknown key")
-        return customer.name
+        return customer
 
     def _make_stale_refusal(self, cause: str) -> Refused:
         """Make the refusal of a request that needs a current table."""
--- a/src/carawayward/forwarding/table.py
+++ b/src/carawayward/forwarding/table.py
@@ -9,6 +9,11 @@
 
 import attrs
 
+# Ranks of requests: what is more urgent goes first where room is short.
+MOST_URGENT = 0
+LEAST_URGENT = 9
+DEFAULT_RANK = 5
+
 
 class RouteKind(enum.Enum):
     """Whether the requests of a route may be retried.
@@ -38,7 +43,8 @@
     Times are in ms; ``target_ms`` is the latency target and
     ``gap_target_ms`` that for the time between events. ``models`` are the
     names between which the system may choose, smallest first; empty if the
-    caller names the model. ``priority`` 0 is the most urgent.
+    caller names the model. ``priority`` is the rank of its requests, 0 the
+    most urgent; None if none is declared.
     """
 
     name: str
@@ -49,7 +55,7 @@
     timeout_ms: float
     target_ms: float
     max_attempts: int = 1
-    priority: int = 0
+    priority: int | None = None
     anonymous: bool = False
     affinity: bool = False
     resumable: bool = False
@@ -177,6 +183,12 @@
         """
         return self._shortest_targets.get(service, float("inf"))
 
+    def find_rank(self, route: Route, customer: Customer | None) -> int:
+        """Return the rank of a request: its customer's, else its route's."""
+        if customer is not None and customer.priority is not None:
+            return customer.priority
+        return DEFAULT_RANK if route.priority is None else route.priority
+
     def needs_key(self, route: Route) -> bool:
         """Whether a request on this route has to carry a customer's key."""
         return self.keyed and not route.anonymous
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -13,7 +13,7 @@
 from carawayward.forwarding import load_reports
 from carawayward.forwarding import message_types
 from carawayward.forwarding import replies
-from carawayward.forwarding import table
+from carawayward.forwarding import table as table_module
 from carawayward import http_client as http
 
 MAX_SHARED_PARTS = 64
@@ -172,7 +172,8 @@
 
     ``model`` is an index into the route's ``models``, None if the router does
     not choose. ``mark`` is that of the current attempt, None if that is
-    certain not to have run; ``withheld`` says why it was not sent.
+    certain not to have run; ``withheld`` says why it was not sent. ``rank`` is
+    that of the customer or the route, 0 the most urgent.
     ``earlier_may_have_run`` says whether an earlier attempt may have run.
     Endpoints in ``failed_endpoints`` are tried again only if there is no
     other, those in ``unusable`` never; those that this entry VM could not
@@ -185,12 +186,13 @@
 
     request: replies.CallerRequest
     metadata: message_types.RequestMetadata
-    route: table.Route
+    route: table_module.Route
     service: str
-    table: table.RoutingTable
+    table: table_module.RoutingTable
     customer: str
     began_ms: float
     deadline_ms: float
+    rank: int = table_module.DEFAULT_RANK
     model: int | None = None
     confidence: float | None = None
     runs: int = 0
--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -93,7 +93,9 @@
     customers = {}
     tenants = body.get("tenants", [])
     for tenant in tenants:
-        customer = table.Customer(tenant["name"], tenant.get("priority"))
+        customer = table.Customer(
+            tenant["name"], _parse_rank(tenant.get("priority"))
+        )
         for key in tenant["apiKeys"]:
             customers[key] = customer
     limits = body.get("limits", {})
@@ -129,7 +131,7 @@
         timeout_ms=float(body["timeoutMs"]),
         target_ms=float(body.get("targetLatencyMs") or body["timeoutMs"]),
         max_attempts=body.get("maxAttempts", 1),
-        priority=body.get("priority", 0),
+        priority=_parse_rank(body.get("priority")),
         anonymous=body.get("anonymous", False),
         affinity=body.get("affinity", False),
         resumable=body.get("resumable", False),
@@ -203,6 +205,13 @@
     return float(value)
 
 
+def _parse_rank(value: typing.Any) -> int | None:
+    """The rank of a route or customer; None for anything but a number."""
+    if type(value) not in (int, float) or not math.isfinite(value):
+        return None
+    return max(table.MOST_URGENT, min(table.LEAST_URGENT, int(value)))
+
+
 def _require_type(value: typing.Any, kind: type) -> typing.Any:
     if type(value) is not kind:
         raise TypeError(f"{kind.__name__} expected")
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -29,6 +29,7 @@
 from carawayward.platform import records
 from carawayward.platform import store
 from tests.common import forwarding
+from tests.soak import traffic
 from tests.standins import backend
 
 ENTRY = {
@@ -108,6 +109,27 @@
     assert chosen.count("desk") == 90
 
 
+def test_rank_is_the_customers_before_the_routes():
+    """Ranks that are missing, huge or no numbers must not stop a table."""
+    for customer, route, rank in (
+        (None, 3, 3),
+        (1, 3, 1),
+        (None, None, table.DEFAULT_RANK),
+        (-7, 3, table.MOST_URGENT),
+        (10**30, 3, table.LEAST_URGENT),
+        ("2", True, table.DEFAULT_RANK),
+        (float("nan"), [1], table.DEFAULT_RANK),
+    ):
+        body = traffic.make_config()
+        body["tenants"][0]["priority"] = customer
+        body["routes"][0]["priority"] = route
+        found = records.read_table(body)
+        assert rank == found.find_rank(
+            found.routes[0], found.customers_by_key[traffic.KEY]
+        )
+        assert found.find_rank(found.routes[1], None) == 1
+
+
 def test_target_without_weight_gets_nothing():
     """A service with weight 0 gets none of a route's requests."""
     config = forwarding.make_config()
