--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -190,9 +190,23 @@
     ttl_ms: float = PEER_REPORT_TTL_MS,
 ) -> None:
     """Replace the last report of outstanding work from ``peer``."""
-    _drop_report(loads, peer)
+    dropped = loads.peers.get(peer)
+    before = dropped.loads if dropped is not None else {}
     loads.peers[peer] = PeerLoads(now_ms + ttl_ms, report)
-    for engine, load in report.items():
+    changed = {
+        engine: load
+        for engine, load in report.items()
+        if before.get(engine) != load
+    }
+    _subtract_loads(
+        loads,
+        {
+            engine: load
+            for engine, load in before.items()
+            if engine in changed or engine not in report
+        },
+    )
+    for engine, load in changed.items():
         known = loads.peer_totals.get(engine, Load())
         loads.peer_totals[engine] = Load(
             known.weight + load.weight, known.streams + load.streams
@@ -201,9 +215,14 @@
 
 def _drop_report(loads: EngineLoads, peer: str) -> None:
     dropped = loads.peers.pop(peer, None)
-    if dropped is None:
-        return
-    for engine, load in dropped.loads.items():
+    if dropped is not None:
+        _subtract_loads(loads, dropped.loads)
+
+
+def _subtract_loads(
+    loads: EngineLoads, dropped: typing.Mapping[str, Load]
+) -> None:
+    for engine, load in dropped.items():
         known = loads.peer_totals[engine]
         left = Load(known.weight - load.weight, known.streams - load.streams)
         if left.streams > 0 or left.weight >= 1.0:
--- a/src/carawayward/decisions/prompt_crashes.py
+++ b/src/carawayward/decisions/prompt_crashes.py
@@ -18,6 +18,10 @@
 MAX_SUSPECTS_PER_CRASH = 256
 # The digests of a service's parts begin with the same digits.
 SERVICE_DIGITS = 4
+# Reports of one crash differ by the rounding of their ages, to either side.
+AGE_ROUNDING_MS = 2
+# Reports of one answer differ by the time they take.
+SAME_ANSWER_MS = 200
 # Times before this VM was started are negative.
 NEVER = float("-inf")
 
@@ -116,6 +120,55 @@
     return True
 
 
+def is_known(
+    records: PartRecords,
+    content: str,
+    parts: typing.Collection[str],
+    crashes: typing.Mapping[str, int],
+) -> bool:
+    """Whether a report of crashes under a request changes nothing.
+
+    A crash that seems earlier by no more than the rounding of ages is the same
+    one: taken for new, entry VMs would go on reporting it to each other.
+    """
+    prompt = records.prompts.get(content)
+    if prompt is None or not prompt.parts.issuperset(parts):
+        return False
+    known_ms = prompt.crashes
+    return all(
+        endpoint in known_ms
+        and known_ms[endpoint] - seen_ms <= AGE_ROUNDING_MS
+        for endpoint, seen_ms in crashes.items()
+    )
+
+
+def is_answer_known(records: PartRecords, part: str, began_ms: int) -> bool:
+    """Whether a report of an answer to a part changes nothing.
+
+    Each report makes the answer seem later by the time that it takes. Taken
+    for new, it would go round among the entry VMs for ever, and at last seem
+    to have begun after crashes that it began before.
+    """
+    known_ms = records.answered_ms.get(part)
+    if known_ms is None or part not in records.by_part:
+        crashes: typing.Iterable[int] = ()
+    else:
+        crashes = records.by_part[part].crashes.values()
+    return is_same_answer(known_ms, began_ms, crashes)
+
+
+def is_same_answer(
+    known_ms: int | None, began_ms: int, crashes: typing.Iterable[int]
+) -> bool:
+    """Whether a report of an answer adds nothing to the known one.
+
+    It does if one of the ``crashes`` was seen between the two.
+    """
+    if known_ms is None or began_ms - known_ms > SAME_ANSWER_MS:
+        return False
+    return not any(known_ms < seen_ms <= began_ms for seen_ms in crashes)
+
+
 def record_answer(records: PartRecords, part: str, began_ms: int) -> bool:
     """Record that an answer to a request with the part began and went on.
 
@@ -145,16 +198,23 @@
     The requests are not known, but that no single one explains the crashes.
     Returns whether any crash was new.
     """
-    known: set[str] = set()
-    for part in parts:
-        if part in records.by_part:
-            known.update(records.by_part[part].crashes)
-    added = [each for each in crashes if each not in known]
+    known = [
+        records.by_part[part].crashes
+        for part in parts
+        if part in records.by_part
+    ]
+    added = [
+        endpoint
+        for endpoint in crashes
+        if not any(endpoint in each for each in known)
+    ]
+    if not added:
+        return False
     name = "".join(sorted(parts)).encode()
     for endpoint in added:
         content = suspicion.digest_content(name, endpoint.encode())
         record_crash(records, content, parts, endpoint, crashes[endpoint])
-    return bool(added)
+    return True
 
 
 def _get_answered_ms(records: PartRecords, part: str) -> float:
--- a/src/carawayward/forwarding/crashing_parts.py
+++ b/src/carawayward/forwarding/crashing_parts.py
@@ -18,9 +18,10 @@
 
 # An answer that has gone on for this long does not crash its endpoint.
 ANSWER_SOUND_MS = 1_000.0
-# How long a crash is reported, and an answer. A part that is refused is always
-# reported.
+# How long a crash is reported by who saw it and by others, and an answer. A
+# part that is refused is always reported.
 REPORTED_MS = 10_000
+RELAYED_MS = 3_000
 ANSWER_REPORTED_MS = 3_000
 FORGET_INTERVAL_MS = 5_000
 MAX_PROMPTS_PER_REPORT = 10
@@ -87,26 +88,45 @@
         """Record a crash ``age_ms`` ago under a request of this entry VM."""
         self.seen_here.update(parts)
         self.own.add(content)
-        self._add_crash(content, parts, endpoint, age_ms)
+        crashes = {endpoint: self._now_ms() - age_ms}
+        if self._add_crashes(content, parts, crashes):
+            self.report_soon()
+            self._review(parts)
 
-    def _add_crash(
+    def _add_crashes(
         self,
         content: str,
         parts: typing.Sequence[str],
-        endpoint: str,
-        age_ms: int,
-    ) -> None:
-        seen_ms = self._now_ms() - age_ms
-        if not parts or not prompt_crashes.record_crash(
-            self.records, content, parts, endpoint, seen_ms
+        crashes: typing.Mapping[str, int],
+    ) -> bool:
+        """Add crashes, by endpoint; return whether any is new."""
+        if not parts or prompt_crashes.is_known(
+            self.records, content, parts, crashes
         ):
-            return
+            return False
+        # All are recorded, also after one that is new.
+        new = [
+            prompt_crashes.record_crash(
+                self.records, content, parts, endpoint, seen_ms
+            )
+            for endpoint, seen_ms in crashes.items()
+        ]
+        if not any(new):
+            return False
         self._mark_changed(self.changed_ms, content)
+        self._report_answers(parts)
+        return True
+
+    def _report_answers(self, parts: typing.Iterable[str]) -> None:
+        """Report the answers to parts for which a peer reports crashes.
+
+        It may not know of them, and would blame these parts.
+        """
         for part in parts:
             if part in self.records.answered_ms:
-                # Who reported the crash may not know of the answer.
+                if part not in self.answers_ms:
+                    self.report_soon()
                 self._mark_changed(self.answers_ms, part)
-        self._review(parts)
 
     def add_conviction(
         self,
@@ -120,9 +140,7 @@
         }
         if not prompt_crashes.add_conviction(self.records, parts, seen_ms):
             return
-        for part in parts:
-            if part in self.records.answered_ms:
-                self._mark_changed(self.answers_ms, part)
+        self._report_answers(parts)
         self._review(parts)
 
     def _review(self, parts: typing.Collection[str]) -> None:
@@ -161,14 +179,18 @@
             return
         answer.recorded = True
         age_ms = int(self.clock.now_ms() - answer.began_ms)
+        began_ms = self._now_ms() - age_ms
         for part in work.shared_parts:
-            self._add_answer(part, age_ms)
+            if self._add_answer(part, began_ms):
+                self.report_soon()
 
-    def _add_answer(self, part: str, age_ms: int) -> None:
-        began_ms = self._now_ms() - age_ms
-        if prompt_crashes.record_answer(self.records, part, began_ms):
-            self._mark_changed(self.answers_ms, part)
-            self._review_convicted(part)
+    def _add_answer(self, part: str, began_ms: int) -> bool:
+        """Add an answer; return whether the part was a suspect until then."""
+        if not prompt_crashes.record_answer(self.records, part, began_ms):
+            return False
+        self._mark_changed(self.answers_ms, part)
+        self._review_convicted(part)
+        return True
 
     def _review_convicted(self, answered: str) -> None:
         """Review what is refused because of a part that was answered."""
@@ -284,15 +306,29 @@
     def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
         """Merge what a peer reports.
 
-        Raises ValueError or TypeError if it is malformed.
+        Only a new verdict is reported soon: what leads to it is reported soon
+        by who saw it. Raises ValueError or TypeError if it is malformed.
         """
+        now_ms = self._now_ms()
         prompts, convicted, answers = value
-        for part, age_ms in answers:
-            self._add_answer(bytes(part).hex(), int(age_ms))
-        for content, parts, crashes in prompts:
-            names = [bytes(each).hex() for each in parts]
-            for endpoint, age_ms in _decode(crashes).items():
-                self._add_crash(bytes(content).hex(), names, endpoint, age_ms)
+        for digest, age_ms in answers:
+            part, began_ms = bytes(digest).hex(), now_ms - int(age_ms)
+            if not prompt_crashes.is_answer_known(
+                self.records, part, began_ms
+            ):
+                self._add_answer(part, began_ms)
+        changed = []
+        for digest, parts, crashes in prompts:
+            content, names = _decode_prompt(digest, parts)
+            seen_ms = {
+                endpoint: now_ms - age_ms
+                for endpoint, age_ms in _decode(crashes).items()
+            }
+            if self._add_crashes(content, names, seen_ms):
+                changed.append(names)
+        # After all of them, since each changes the verdicts on the others.
+        for names in changed:
+            self._review(names)
         for parts, crashes in convicted:
             self.add_conviction(
                 [bytes(each).hex() for each in parts], _decode(crashes)
@@ -308,8 +344,9 @@
             for part in list(self.convicted):
                 self._clear_unless_to_blame(part)
         for content, changed_ms in list(self.changed_ms.items()):
+            reported_ms = REPORTED_MS if content in self.own else RELAYED_MS
             if (
-                now_ms - changed_ms >= REPORTED_MS
+                now_ms - changed_ms >= reported_ms
                 or content not in self.records.prompts
             ):
                 del self.changed_ms[content]
@@ -323,10 +360,9 @@
     def _mark_changed(
         self, changed_ms: collections.OrderedDict[str, int], key: str
     ) -> None:
-        """Report it soon, before what has changed earlier."""
+        """Report it before what has changed earlier."""
         changed_ms[key] = self._now_ms()
         changed_ms.move_to_end(key)
-        self.report_soon()
 
     def _now_ms(self) -> int:
         return int(self.clock.boot_ms())
@@ -350,5 +386,11 @@
     ]
 
 
+def _decode_prompt(
+    digest: typing.Any, parts: typing.Any
+) -> tuple[str, list[str]]:
+    return bytes(digest).hex(), [bytes(each).hex() for each in parts]
+
+
 def _decode(crashes: typing.Any) -> dict[str, int]:
     return {str(int(endpoint)): int(age_ms) for endpoint, age_ms in crashes}
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import heapq
 import itertools
 import typing
 
@@ -13,6 +12,7 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import prompt_crashes
 from carawayward.decisions import suspicion
 from carawayward import events
 from carawayward.forwarding import crashing_parts
@@ -36,10 +36,10 @@
 # takes longer during an outage of the store.
 SILENT_KEPT_MS = 60_000.0
 REVIEW_INTERVAL_MS = 100.0
-# How long a crash is reported, and an answer after it. A request that is
-# refused is always reported.
+# How long a crash is reported by who saw it, and by others; an answer after it
+# as long as by others. A request that is refused is always reported.
 REPORTED_MS = 10_000.0
-ANSWER_REPORTED_MS = 3_000.0
+RELAYED_MS = 3_000.0
 MAX_SUSPECTS_PER_REPORT = 8
 # Those before the last answer too: a peer may have noticed one after it.
 MAX_CRASHES_PER_SUSPECT = 6
@@ -252,6 +252,7 @@
         age_ms = self._now_ms() - run.at_ms
         self.seen_here.add(run.fingerprint)
         self.add_crash(run.fingerprint, number, age_ms)
+        self.report_soon()
         if (run.answer_ms or 0.0) < crashing_parts.ANSWER_SOUND_MS:
             self.parts.record_crash(run.fingerprint, run.parts, number, age_ms)
 
@@ -302,16 +303,21 @@
         one crash may have been in flight beside it, and other failure domains
         get few of the reports.
         """
+        newest = sorted(
+            (
+                fingerprint
+                for fingerprint in self.reported_ms
+                if len(self.records.crashes.get(fingerprint, ())) > 1
+            ),
+            key=self.reported_ms.__getitem__,
+            reverse=True,
+        )
         repeated = (
             fingerprint
-            for fingerprint in self.reported_ms
+            for fingerprint in newest
             if len(self.list_crashes(fingerprint)) > 1
         )
-        return heapq.nlargest(
-            MAX_SUSPECTS_PER_REPORT // 2,
-            repeated,
-            self.reported_ms.__getitem__,
-        )
+        return list(itertools.islice(repeated, MAX_SUSPECTS_PER_REPORT // 2))
 
     def _forget(self, now_ms: int) -> None:
         """Forget what need not be reported, and records that have expired."""
@@ -332,10 +338,13 @@
         """Whether a suspect that changed ``age_ms`` ago is reported."""
         if fingerprint not in self.records.crashes:
             return False
-        if self._is_convicted(fingerprint):
+        if age_ms < RELAYED_MS or self._is_convicted(fingerprint):
             return True
-        suspect = bool(self.list_crashes(fingerprint))
-        return age_ms < (REPORTED_MS if suspect else ANSWER_REPORTED_MS)
+        return (
+            age_ms < REPORTED_MS
+            and fingerprint in self.seen_here
+            and bool(self.list_crashes(fingerprint))
+        )
 
     def _describe_suspect(self, fingerprint: str, now_ms: int) -> list:
         cleared_ms = self.records.cleared.get(fingerprint)
@@ -361,8 +370,17 @@
             fingerprint = bytes(digest).hex()
             for endpoint, age_ms in crashes:
                 self.add_crash(fingerprint, str(int(endpoint)), int(age_ms))
-            if answer_age_ms is not None:
-                self._add_answer(fingerprint, now_ms - int(answer_age_ms))
+            if answer_age_ms is None:
+                continue
+            answered_ms = now_ms - int(answer_age_ms)
+            # Each report makes the answer seem later by the time it takes.
+            known = self.records.crashes.get(fingerprint, ())
+            if not prompt_crashes.is_same_answer(
+                self.records.cleared.get(fingerprint),
+                answered_ms,
+                (crash.seen_ms for crash in known),
+            ):
+                self._add_answer(fingerprint, answered_ms)
 
     def add_crash(self, fingerprint: str, endpoint: str, age_ms: int) -> None:
         """Add a crash that was seen ``age_ms`` ago.
@@ -374,8 +392,8 @@
         known = self.records.crashes.get(fingerprint, [])
         for index, crash in enumerate(known):
             if crash.endpoint == endpoint:
-                earliest_ms = min(seen_ms, crash.seen_ms)
-                known[index] = attrs.evolve(crash, seen_ms=earliest_ms)
+                if seen_ms < crash.seen_ms:
+                    known[index] = attrs.evolve(crash, seen_ms=seen_ms)
                 return
         before = self._is_convicted(fingerprint)
         crash = suspicion.Crash(fingerprint, endpoint, seen_ms, "")
@@ -386,15 +404,19 @@
             )
             if fingerprint in self.seen_here:
                 self.on_convicted(fingerprint)
+            self.report_soon()
         self._mark_changed(fingerprint)
 
     def _add_answer(self, fingerprint: str, answered_ms: int) -> None:
+        if fingerprint not in self.records.crashes:
+            return
         suspect = bool(self.list_crashes(fingerprint))
         if not suspicion.record_answer(self.records, fingerprint, answered_ms):
             return
         if suspect and not self.list_crashes(fingerprint):
             events.log_event(events.Event.REQUEST_CLEARED, content=fingerprint)
             self._mark_changed(fingerprint)
+            self.report_soon()
 
     def list_crashes(self, fingerprint: str) -> list[suspicion.Crash]:
         """Return the crashes that count against a request, oldest first."""
@@ -408,10 +430,9 @@
         )
 
     def _mark_changed(self, fingerprint: str) -> None:
-        """Report a suspect soon, before those that have changed earlier."""
+        """Report a suspect before those that have changed earlier."""
         self.reported_ms[fingerprint] = self._now_ms()
         self.reported_ms.move_to_end(fingerprint)
-        self.report_soon()
 
     def _now_ms(self) -> int:
         return int(self.clock.boot_ms())
