--- a/src/carawayward/forwarding/report_channels.py
+++ b/src/carawayward/forwarding/report_channels.py
@@ -11,6 +11,9 @@
 # The least time between two datagrams. At about ten dispatches a second on one
 # entry VM, most are reported at once and bursts are batched.
 MIN_PAUSE_MS = 30.0
+# Rate of datagrams to entry VMs of this failure domain; each is sent by its
+# peers as many as it sends. What changes within a pause is sent together.
+LOCAL_DATAGRAMS_PER_SECOND = 100.0
 # Byte rate allowed to entry VMs of other failure domains: traffic between
 # domains is billed.
 REMOTE_BYTES_PER_SECOND = 6_000.0
@@ -69,7 +72,8 @@
     """Pending reports to the peers of this failure domain, or to all others.
 
     ``local`` selects the former. ``rotation``, modulo the number of peers, is
-    the index of the first peer that the last datagram went to. On the local
+    the index of the first peer that the last datagram went to, and
+    ``receivers`` the number of peers that it went to. On the local
     channel each prompt part is reported twice, so that a single lost datagram
     loses none.
     """
@@ -84,6 +88,7 @@
     )
     introduced_at_ms: float = board_module.NEVER
     rotation: int = 0
+    receivers: int = 0
 
     def add_parts(self, parts: list[load_report_messages.CachedPart]) -> None:
         """Queue prompt parts to report; only the newest if too many."""
@@ -110,6 +115,7 @@
     def choose_peers(self, known: typing.Iterable[Peer]) -> list[Peer]:
         """Choose the peers that the next datagram is sent to."""
         peers = [peer for peer in known if peer.local == self.local]
+        self.receivers = min(len(peers), MAX_PEERS_PER_DATAGRAM)
         if len(peers) <= MAX_PEERS_PER_DATAGRAM:
             return peers
         self.rotation += MAX_PEERS_PER_DATAGRAM
@@ -119,8 +125,10 @@
     def compute_pause_ms(self, sent_bytes: int) -> float:
         """The pause after having sent ``sent_bytes``, in ms."""
         if self.local:
-            return MIN_PAUSE_MS
-        return max(MIN_PAUSE_MS, 1000.0 * sent_bytes / REMOTE_BYTES_PER_SECOND)
+            seconds = self.receivers / LOCAL_DATAGRAMS_PER_SECOND
+        else:
+            seconds = sent_bytes / REMOTE_BYTES_PER_SECOND
+        return max(MIN_PAUSE_MS, 1000.0 * seconds)
 
 
 def make_channels() -> list[Channel]:
--- a/tests/cover/test_report_cost.py
+++ b/tests/cover/test_report_cost.py
@@ -4,9 +4,11 @@
 import typing
 
 import cbor2
+from nose2.tools import params
 
 from carawayward import clock as clock_module
 from carawayward.forwarding import crashing_parts
+from carawayward.forwarding import report_channels
 from carawayward.forwarding import suspects
 from carawayward.forwarding import work_items
 
@@ -62,7 +64,7 @@
         for turn in range(rounds):
             values = [
                 cbor2.dumps([each.describe(), other.describe()])
-                for each, other in zip(self.parts, self.suspects)
+                for each, other in zip(self.parts, self.suspects, strict=True)
             ]
             self.clock.advance(REPORT_TAKES_MS)
             count = min(PEERS_PER_REPORT, len(values) - 1)
@@ -118,3 +120,27 @@
         if network.parts[vm].describe() or network.suspects[vm].describe()
     ]
     assert telling == list(range(RUNS_PER_ENGINE))
+
+
+@params((25, 400.0), (136, 2_500.0))
+def test_peers_are_sent_a_bounded_number_of_reports(local, oldest_ms):
+    """At 76 and 410 entry VMs, more changes a second than reports are sent.
+
+    Each change went to sixteen peers at once, 530 datagrams a second.
+    """
+    channel = report_channels.Channel(local=True)
+    peers = [
+        report_channels.Peer(f"vm-{each}", ("", each), "a", 0.0)
+        for each in range(local - 1)
+    ]
+    now_ms, sent_ms = 0.0, dict.fromkeys(range(local - 1), 0.0)
+    count = 0
+    while now_ms < 10_000.0:
+        for peer in channel.choose_peers(peers):
+            count += 1
+            number = peer.address[1]
+            assert now_ms - sent_ms[number] <= oldest_ms
+            sent_ms[number] = now_ms
+        now_ms += channel.compute_pause_ms(500)
+    assert count <= 10.2 * report_channels.LOCAL_DATAGRAMS_PER_SECOND
+    assert all(now_ms - each <= oldest_ms for each in sent_ms.values())
--- a/tests/model/test_crashing_parts.py
+++ b/tests/model/test_crashing_parts.py
@@ -27,6 +27,8 @@
 CRASH_DELAY_MS = 60.0
 REPORT_INTERVAL_MS = 400.0
 MIN_PAUSE_MS = 30.0
+# At 100 datagrams a second.
+LOCAL_PAUSE_PER_PEER_MS = 10.0
 # At 700 bytes a report and 6,000 bytes a second.
 REMOTE_PAUSE_PER_PEER_MS = 117.0
 MAX_PEERS_PER_DATAGRAM = 16
@@ -124,6 +126,13 @@
             for _ in range(self.scenario.endpoints)
         ]
 
+    @property
+    def local_pause_ms(self) -> float:
+        """The pause between reports within the failure domain."""
+        local = -(-self.scenario.vms // ZONES) - 1
+        receivers = min(local, MAX_PEERS_PER_DATAGRAM)
+        return max(MIN_PAUSE_MS, LOCAL_PAUSE_PER_PEER_MS * receivers)
+
     @property
     def remote_pause_ms(self) -> float:
         """The pause between reports to other failure domains."""
@@ -137,7 +146,9 @@
             for local in (True, False):
                 if not self.due.get((number, local)):
                     self.due[number, local] = True
-                    pause_ms = MIN_PAUSE_MS if local else self.remote_pause_ms
+                    pause_ms = (
+                        self.local_pause_ms if local else self.remote_pause_ms
+                    )
                     self.after(pause_ms, self.report, number, local)
 
         used = typing.cast(typing.Any, self.clock)
