--- a/src/carawayward/decisions/delegates.py
+++ b/src/carawayward/decisions/delegates.py
@@ -20,8 +20,9 @@
 
 from carawayward.decisions import placement
 
-# A delegate sends each client about three reports a second.
-MAX_CLIENTS_PER_DELEGATE = 16
+# A delegate sends each client three to ten datagrams a second. At the limit it
+# reads the store for most failure domains of a hundred entry VMs alone.
+MAX_CLIENTS_PER_DELEGATE = 32
 # Consecutive unanswered queries after which a delegate is skipped. A process
 # that was itself paused has sent fewer by the time it resumes.
 MAX_UNANSWERED = 3
--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -22,6 +22,12 @@
 DRAIN_PART = 0.55
 # Minimum poll on the endpoints, however often they renew their entries.
 MIN_REGISTRY_POLL_MS = 500.0
+# Interval between the start of a call that returned records and the next call.
+# Each record of a burst would otherwise cost a separate call.
+MIN_CALL_GAP_MS = 200.0
+# The same for the endpoints while they renew their entries, as a part of their
+# heartbeat: so many calls read each renewal.
+HEARTBEAT_PART = 0.5
 # Longest poll on the routing table, as a part of the time within which a
 # configuration has to be in force. A client whose delegate lost the store just
 # before a change finds the report too old one poll and half a second after the
@@ -78,6 +84,29 @@
     return max(MIN_POLL_MS, wanted_ms)
 
 
+def compute_registry_gap_ms(poll_ms: float, heartbeat_ms: float) -> float:
+    """Interval between calls on the endpoints that return records.
+
+    Many endpoints renew their entries one after the other, and each renewal
+    would end a poll. ``poll_ms`` is how long a poll may wait. No longer than
+    half of the time until the next call ends, so that clients do not take a
+    delegate that waits for one that lost the store.
+    """
+    wanted_ms = min(
+        HEARTBEAT_PART * heartbeat_ms, (MIN_CALL_GAP_MS + poll_ms) / 2.0
+    )
+    return max(MIN_CALL_GAP_MS, wanted_ms)
+
+
+def compute_wait_after_gap_ms(poll_ms: float, gap_ms: float) -> float:
+    """How long a poll may wait that begins after a gap.
+
+    It ends as it would after the least gap, so that a store that is lost in
+    the gap is noticed as soon.
+    """
+    return max(0.0, poll_ms - max(0.0, gap_ms - MIN_CALL_GAP_MS))
+
+
 def compute_max_report_age(poll_ms: float) -> float:
     """Maximum age of the report of a delegate that reaches the store.
 
--- a/src/carawayward/forwarding/change_log.py
+++ b/src/carawayward/forwarding/change_log.py
@@ -1,5 +1,6 @@
 """The recent changes of a topic, as an entry VM passes them on to others."""
 
+import itertools
 import typing
 
 import attrs
@@ -26,12 +27,15 @@
 
     Superseded records are dropped, so that a burst of changes to one key
     costs no more than a single change. ``list_since`` covers positions from
-    ``floor`` on; removals before that are not known.
+    ``floor`` on; removals before that are not known. Both dicts are in the
+    order of offsets. ``_listed`` caches lists since the last change: most
+    clients of a delegate are at the same position.
     """
 
     floor: int = 0
     newest: dict[str, Change] = attrs.field(factory=dict)
     removed: dict[str, Change] = attrs.field(factory=dict)
+    _listed: dict[int, list[Change]] = attrs.field(factory=dict)
 
     def replace(
         self,
@@ -45,10 +49,11 @@
         now have been removed since then. If ``start`` is None or belongs to
         another era, removals cannot be derived and are forgotten.
         """
+        self._listed.clear()
         known = self.newest
         self.newest = {
             each.key: Change(each.offset, each.key, each.value)
-            for each in records
+            for each in sorted(records, key=lambda each: each.offset)
         }
         if start is None or not positions.is_same_era(start, end):
             self.floor = end
@@ -59,6 +64,7 @@
 
     def apply(self, record: keyed_log.Record) -> None:
         """Add one record."""
+        self._listed.clear()
         self.newest.pop(record.key, None)
         if record.value is None:
             self._record_removal(record.key, record.offset)
@@ -72,13 +78,19 @@
         """List changes from ``start`` on by offset; None if some are lost."""
         if start < self.floor:
             return None
-        found = [
-            each
-            for kept in (self.newest, self.removed)
-            for each in kept.values()
-            if each.offset >= start
-        ]
-        return sorted(found, key=lambda each: each.offset)
+        found = self._listed.get(start)
+        if found is None:
+            found = [
+                each
+                for kept in (self.newest, self.removed)
+                for each in itertools.takewhile(
+                    lambda each: each.offset >= start,
+                    reversed(kept.values()),
+                )
+            ]
+            found.sort(key=lambda each: each.offset)
+            self._listed[start] = found
+        return found
 
     def _record_removal(self, key: str, offset: int) -> None:
         self.removed.pop(key, None)
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -22,9 +22,6 @@
 DELEGATE_CHECK_MS = 200.0
 # How often an idle feed checks whether its topic is needed again.
 NEEDED_CHECK_MS = 200.0
-# Minimum interval between the start of a poll that returned records and the
-# next poll. Each record of a burst would otherwise cost a separate call.
-MIN_CALL_GAP_MS = 200.0
 # A feed that is behind its delegate and receives no changes for longer than
 # this reads the store: both the datagram with the change and the answer to the
 # next query were lost.
@@ -56,7 +53,8 @@
     showed it was sent. ``outages`` is shared by all feeds. ``record_failing``
     is called with True after the first failed call, and with False after the
     first one that succeeds again. ``get_poll_wait`` returns how long the next
-    poll may wait, in ms.
+    poll may wait, in ms, and ``get_call_gap`` how long after the start of a
+    call that returned records the next one begins.
     Nothing is read unless ``is_needed`` returns true.
 
     While ``has_delegate`` returns true, another entry VM reads the store on
@@ -85,6 +83,9 @@
     apply: typing.Callable[[keyed_log.Record], None]
     mark_current: typing.Callable[[float], None] = lambda as_of_ms: None
     get_poll_wait: typing.Callable[[], float] = lambda: store_polls.MAX_POLL_MS
+    get_call_gap: typing.Callable[[], float] = lambda: (
+        store_polls.MIN_CALL_GAP_MS
+    )
     record_failing: typing.Callable[[bool], None] = lambda failing: None
     has_delegate: typing.Callable[[], bool] = lambda: False
     is_needed: typing.Callable[[], bool] = lambda: True
@@ -100,6 +101,7 @@
     failing: bool = False
     log: change_log.ChangeLog = attrs.field(factory=change_log.ChangeLog)
     _delegating: bool = False
+    _gap_ms: float = 0.0
     _relist_cause: Cause | None = None
     _wakeup: trio.Event = attrs.field(factory=trio.Event)
 
@@ -199,10 +201,7 @@
                 await self.clock.sleep(NEEDED_CHECK_MS)
             cause = await self._wait_for_cause()
             self.count_call(cause)
-            # Only a poll waits for records. In all other cases the last
-            # confirmation is almost too old, and is renewed only when the
-            # call ends.
-            wait_ms = self.get_poll_wait() if cause is Cause.POLL else 0.0
+            wait_ms = self._take_wait(cause)
             sent_ms = self.outages.record_call()
             self.due_ms = sent_ms + wait_ms
             try:
@@ -236,11 +235,31 @@
                 self.push_updates()
                 await self._wait_between_calls(sent_ms)
 
+    def _take_wait(self, cause: Cause) -> float:
+        """How long the next call may wait, after the last gap.
+
+        Only a poll waits for records. In all other cases the last confirmation
+        is almost too old, and is renewed only when the call ends.
+        """
+        gap_ms, self._gap_ms = self._gap_ms, 0.0
+        if cause is not Cause.POLL:
+            return 0.0
+        return store_polls.compute_wait_after_gap_ms(
+            self.get_poll_wait(), gap_ms
+        )
+
     async def _wait_between_calls(self, sent_ms: float) -> None:
-        """Wait for further records of a burst before the next call."""
-        remaining_ms = sent_ms + MIN_CALL_GAP_MS - self.clock.boot_ms()
-        if remaining_ms > 0.0 and not self._is_behind():
-            await self.clock.sleep(remaining_ms)
+        """Wait for further records of a burst before the next call.
+
+        Ends early once records are known that no delegate sends.
+        """
+        self._gap_ms = self.get_call_gap()
+        remaining_ms = sent_ms + self._gap_ms - self.clock.boot_ms()
+        if remaining_ms <= 0.0 or self._is_behind():
+            return
+        self._wakeup = trio.Event()
+        with trio.move_on_after(remaining_ms / 1000):
+            await self._wakeup.wait()
 
     async def _wait_for_cause(self) -> Cause:
         """Wait while a delegate reads; return why this feed has to call.
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -153,6 +153,14 @@
             compute_poll_wait(), max(MIN_MISSING_POLL_MS, renewal_wait_ms)
         )
 
+    def get_call_gap() -> float:
+        if endpoint_reader.compute_renewal_wait_ms() > 0.0:
+            # Entries that expired in an outage are about to be back.
+            return store_polls.MIN_CALL_GAP_MS
+        return store_polls.compute_registry_gap_ms(
+            compute_poll_wait(), settings.heartbeat_ms
+        )
+
     def get_max_age() -> float:
         return store_polls.compute_max_report_age(compute_poll_wait())
 
@@ -170,6 +178,7 @@
         endpoint_reader.apply,
         endpoint_reader.mark_current,
         get_poll_wait=get_poll_wait,
+        get_call_gap=get_call_gap,
         has_delegate=has_delegate,
         get_max_age=get_max_age,
         push_updates=functools.partial(freshness.push_updates, ENDPOINTS),
--- a/src/carawayward/forwarding/freshness_messages.py
+++ b/src/carawayward/forwarding/freshness_messages.py
@@ -53,7 +53,7 @@
             math.floor(self.due_in_ms),
             self.start,
             self.end,
-            [list(attrs.astuple(each)) for each in self.changes],
+            [[each.offset, each.key, each.value] for each in self.changes],
             self.served,
         ]
 
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -254,7 +254,9 @@
             await trio.sleep(162 * 0.05)
             nursery.cancel_scope.cancel()
         assert reader.position is not None and reader.position >= 155
-        assert topic.calls <= 162 * 0.05 * 1000 / feed.MIN_CALL_GAP_MS + 1
+        assert (
+            topic.calls <= 162 * 0.05 * 1000 / store_polls.MIN_CALL_GAP_MS + 1
+        )
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -40,7 +40,9 @@
     for bound_ms in range(2_000, 10_000, 500):
         for part in (store_polls.APPLY_PART, store_polls.DRAIN_PART):
             known_ms = (
-                feed.MIN_CALL_GAP_MS + part * bound_ms + store_polls.OVERDUE_MS
+                store_polls.MIN_CALL_GAP_MS
+                + part * bound_ms
+                + store_polls.OVERDUE_MS
             )
             assert known_ms <= 0.9 * bound_ms
     for heartbeat_ms in (1_000.0, 1_200.0, 2_000.0, 5_000.0):
