--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -86,3 +86,29 @@
             assert registry_ms >= store_polls.MIN_POLL_MS
         table_ms = store_polls.compute_table_poll_ms(bound_ms, bound_ms)
         assert table_ms >= store_polls.MIN_POLL_MS
+
+
+def test_endpoints_that_renew_are_read_twice_a_heartbeat():
+    """74 endpoints renewed one after the other: five calls a second.
+
+    What the bounds rest on stays: when the next call ends, that it does not
+    look like an outage, and that clients keep their delegate in the gap.
+    """
+    for heartbeat_ms in (1_000.0, 1_200.0, 2_000.0, 5_000.0):
+        safe_ms = lapses.SAFE_HEARTBEATS * heartbeat_ms
+        for drain_ms in range(100, 6_000, 100):
+            poll_ms = store_polls.compute_registry_poll_ms(drain_ms, safe_ms)
+            gap_ms = store_polls.compute_registry_gap_ms(poll_ms, heartbeat_ms)
+            wait_ms = store_polls.compute_wait_after_gap_ms(poll_ms, gap_ms)
+            end_ms = store_polls.MIN_CALL_GAP_MS + poll_ms
+            assert gap_ms >= store_polls.MIN_CALL_GAP_MS
+            assert gap_ms + wait_ms <= end_ms + 1e-6
+            assert lapses.is_too_short(gap_ms + wait_ms, heartbeat_ms)
+            if gap_ms > store_polls.MIN_CALL_GAP_MS:
+                assert gap_ms <= wait_ms + 1e-6
+                assert gap_ms <= heartbeat_ms / 2.0
+                oldest_ms = store_polls.compute_max_report_age(poll_ms)
+                assert end_ms + store_polls.OVERDUE_MS <= oldest_ms
+    for drain_ms in (2_000, 3_000):
+        poll_ms = store_polls.compute_registry_poll_ms(drain_ms, 2_100.0)
+        assert store_polls.compute_registry_gap_ms(poll_ms, 1_200.0) == 600.0
