--- a/src/carawayward/forwarding/report_channels.py
+++ b/src/carawayward/forwarding/report_channels.py
@@ -13,7 +13,7 @@
 MIN_PAUSE_MS = 30.0
 # Rate of datagrams to entry VMs of this failure domain; each is sent by its
 # peers as many as it sends. What changes within a pause is sent together.
-LOCAL_DATAGRAMS_PER_SECOND = 100.0
+LOCAL_DATAGRAMS_PER_SECOND = 250.0
 # Byte rate allowed to entry VMs of other failure domains: traffic between
 # domains is billed.
 REMOTE_BYTES_PER_SECOND = 6_000.0
