Take what has arrived before a busy entry VM calls the store

Caller of the store saw clients call it after a pause of the process, though the report of their delegate waited in the socket. Datagrams are handled up to sixteen in a turn, and a late report is confirmed after other tasks' turns.

--- /dev/null
+++ b/src/carawayward/forwarding/call_causes.py
@@ -0,0 +1,18 @@
+"""The causes of calls to the store, as the metrics count them."""
+
+import enum
+
+
+class Cause(enum.StrEnum):
+    """Why a feed calls the store."""
+
+    START = "start"
+    POLL = "poll"
+    RETRY = "retry"
+    HISTORY_LOST = "history lost"
+    ERA_CHANGED = "era changed"
+    DELEGATE_LOST = "delegate lost"
+    REPORT_OLD = "report old"
+    REPORT_OVERDUE = "report overdue"
+    BEHIND = "behind"
+    NOT_SERVED = "not served"
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -1,6 +1,5 @@
 """Follows one topic of the store, with its own calls or through a delegate."""
 
-import enum
 import typing
 
 import attrs
@@ -12,6 +11,7 @@
 from carawayward import events
 from carawayward.forwarding import attestation
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import call_causes
 from carawayward.forwarding import change_log
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import positions
@@ -20,6 +20,9 @@
 
 # How often a feed that relies on a delegate checks that it still has one.
 DELEGATE_CHECK_MS = 200.0
+# Turns of other tasks before a feed calls the store because of a late report.
+# After a process was suspended or busy, the report may have arrived already.
+TURNS_BEFORE_CALL = 3
 # How often an idle feed checks whether its topic is needed again.
 NEEDED_CHECK_MS = 200.0
 # A feed that is behind its delegate and receives no changes for longer than
@@ -28,21 +31,6 @@
 MAX_BEHIND_MS = 600.0
 
 
-class Cause(enum.StrEnum):
-    """Why a feed calls the store."""
-
-    START = "start"
-    POLL = "poll"
-    RETRY = "retry"
-    HISTORY_LOST = "history lost"
-    ERA_CHANGED = "era changed"
-    DELEGATE_LOST = "delegate lost"
-    REPORT_OLD = "report old"
-    REPORT_OVERDUE = "report overdue"
-    BEHIND = "behind"
-    NOT_SERVED = "not served"
-
-
 @attrs.define(eq=False)
 class TopicFeed:
     """Keeps a reader up to date with one topic.
@@ -91,7 +79,7 @@
     is_needed: typing.Callable[[], bool] = lambda: True
     get_max_age: typing.Callable[[], float] = lambda: store_polls.MAX_POLL_MS
     push_updates: typing.Callable[[], None] = lambda: None
-    count_call: typing.Callable[[Cause], None] = lambda cause: None
+    count_call: typing.Callable[[call_causes.Cause], None] = lambda cause: None
     begin_era: typing.Callable[[], None] = lambda: None
     position: int | None = None
     current_as_of_ms: float = board_module.NEVER
@@ -102,7 +90,7 @@
     log: change_log.ChangeLog = attrs.field(factory=change_log.ChangeLog)
     _delegating: bool = False
     _gap_ms: float = 0.0
-    _relist_cause: Cause | None = None
+    _relist_cause: call_causes.Cause | None = None
     _wakeup: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -208,11 +196,11 @@
                 batch = await self._read(wait_ms)
             except keyed_log.EraChanged:
                 self.outages.record_answer()
-                self._relist_cause = Cause.ERA_CHANGED
+                self._relist_cause = call_causes.Cause.ERA_CHANGED
                 continue
             except keyed_log.HistoryLost:
                 self.outages.record_answer()
-                self._relist_cause = Cause.HISTORY_LOST
+                self._relist_cause = call_causes.Cause.HISTORY_LOST
                 continue
             except errors.PlatformUnavailable as fault:
                 self._record_failure(sent_ms, fault)
@@ -227,7 +215,7 @@
             self._record_success()
             if batch.complete:
                 self._mark_current(max(sent_ms, self.current_as_of_ms))
-            if cause is not Cause.POLL:
+            if cause is not call_causes.Cause.POLL:
                 # The result counts as confirmed for the length of a poll:
                 # within that time a working delegate has read as much.
                 self.due_ms = sent_ms + self.get_poll_wait()
@@ -235,14 +223,14 @@
                 self.push_updates()
                 await self._wait_between_calls(sent_ms)
 
-    def _take_wait(self, cause: Cause) -> float:
+    def _take_wait(self, cause: call_causes.Cause) -> float:
         """How long the next call may wait, after the last gap.
 
         Only a poll waits for records. In all other cases the last confirmation
         is almost too old, and is renewed only when the call ends.
         """
         gap_ms, self._gap_ms = self._gap_ms, 0.0
-        if cause is not Cause.POLL:
+        if cause is not call_causes.Cause.POLL:
             return 0.0
         return store_polls.compute_wait_after_gap_ms(
             self.get_poll_wait(), gap_ms
@@ -261,20 +249,20 @@
         with trio.move_on_after(remaining_ms / 1000):
             await self._wakeup.wait()
 
-    async def _wait_for_cause(self) -> Cause:
+    async def _wait_for_cause(self) -> call_causes.Cause:
         """Wait while a delegate reads; return why this feed has to call.
 
         Returns ``POLL`` without waiting if the feed goes on reading by itself.
         """
         if self.position is None:
-            return Cause.START
+            return call_causes.Cause.START
         if self._relist_cause is not None:
             return self._relist_cause
         if self.failing:
-            return Cause.RETRY
+            return call_causes.Cause.RETRY
         if not self._is_behind():
             self._wakeup = trio.Event()
-        while (cause := self._find_cause()) is None:
+        while (cause := await self._confirm_cause()) is None:
             self._delegating = True
             remaining_ms = min(
                 self.get_max_age() - self._compute_age_ms(),
@@ -285,26 +273,39 @@
             ):
                 await self._wakeup.wait()
             if self._wakeup.is_set():
-                cause = Cause.NOT_SERVED
+                cause = call_causes.Cause.NOT_SERVED
                 break
         if not self._delegating:
-            return Cause.POLL
+            return call_causes.Cause.POLL
         self._delegating = False
         return cause
 
-    def _find_cause(self) -> Cause | None:
+    async def _confirm_cause(self) -> call_causes.Cause | None:
+        """Return why the delegate is insufficient, also after other tasks.
+
+        Without this, all clients that were busy for a second call the store.
+        """
+        cause = self._find_cause()
+        turns = TURNS_BEFORE_CALL if self._delegating else 0
+        while cause is not None and turns:
+            await trio.lowlevel.checkpoint()
+            cause = self._find_cause()
+            turns -= 1
+        return cause
+
+    def _find_cause(self) -> call_causes.Cause | None:
         """Return why the delegate is insufficient; None if it suffices."""
         if not self.has_delegate():
-            return Cause.DELEGATE_LOST
+            return call_causes.Cause.DELEGATE_LOST
         if self.behind_since_ms is not None:
             behind_ms = self.clock.boot_ms() - self.behind_since_ms
             if behind_ms >= MAX_BEHIND_MS:
-                return Cause.BEHIND
+                return call_causes.Cause.BEHIND
         if self._compute_age_ms() >= self.get_max_age():
-            return Cause.REPORT_OLD
+            return call_causes.Cause.REPORT_OLD
         if self._compute_overdue_ms() >= store_polls.OVERDUE_MS:
             # The delegate still attests what it read before it lost the store.
-            return Cause.REPORT_OVERDUE
+            return call_causes.Cause.REPORT_OVERDUE
         return None
 
     def _is_behind(self) -> bool:
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -11,6 +11,7 @@
 from carawayward.decisions import lapses
 from carawayward.decisions import store_polls
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import call_causes
 from carawayward.forwarding import declarations
 from carawayward.forwarding import feed
 from carawayward.forwarding import freshness as freshness_module
@@ -57,7 +58,7 @@
 
 
 def count_call(
-    metrics: metrics_module.Metrics, topic: str, cause: feed.Cause
+    metrics: metrics_module.Metrics, topic: str, cause: call_causes.Cause
 ) -> None:
     """Count a call to the store by topic and cause."""
     metrics.count("store_calls", topic=topic, cause=cause.value)
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -38,6 +38,10 @@
 # This many engines fit into an Ethernet frame together with the prompt parts.
 MAX_ENGINES_PER_REPORT = 30
 MAX_DATAGRAM_BYTES = 8_192
+# Datagrams that are handled before other tasks have their turn. A busy process
+# would otherwise handle one in each turn, and take what its delegate has sent
+# for late.
+MAX_DATAGRAMS_PER_TURN = 16
 
 
 @attrs.frozen
@@ -344,6 +348,20 @@
             except ConnectionError:
                 continue
             self._handle_datagram(data, address)
+            self._handle_waiting()
+
+    def _handle_waiting(self) -> None:
+        """Handle further datagrams that have arrived already."""
+        assert self._send_socket is not None
+        for _ in range(MAX_DATAGRAMS_PER_TURN - 1):
+            try:
+                data, address = self._send_socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except ConnectionError:
+                # A peer to which a datagram was sent is gone.
+                continue
+            self._handle_datagram(data, address)
 
     def _handle_datagram(
         self, data: bytes, address: report_channels.Address | None = None
--- a/tests/cover/test_forwarding_delegates.py
+++ b/tests/cover/test_forwarding_delegates.py
@@ -11,7 +11,7 @@
 from carawayward.decisions import delegates
 from carawayward import errors
 from carawayward.forwarding import board as board_module
-from carawayward.forwarding import feed
+from carawayward.forwarding import call_causes
 from carawayward.forwarding import feeds as feeds_module
 from carawayward.forwarding import freshness
 from carawayward.forwarding import keyed_log
@@ -259,7 +259,7 @@
 async def collect_call_causes(duration_s):
     """Return the causes of the client's store calls while nothing changes."""
     reporters: dict[str, FakeReporter] = {}
-    causes: list[feed.Cause] = []
+    causes: list[call_causes.Cause] = []
     async with trio.open_nursery() as nursery:
         for name in NAMES:
             reporters[name] = FakeReporter(name, reporters, nursery)
@@ -278,4 +278,4 @@
     """Guards against clients that poll the store although a delegate does."""
     clock = trio.testing.MockClock(autojump_threshold=0)
     causes = trio.run(collect_call_causes, 30.0, clock=clock)
-    assert causes == [feed.Cause.START]
+    assert causes == [call_causes.Cause.START]
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -11,6 +11,7 @@
 from carawayward.decisions import store_polls
 from carawayward import errors
 from carawayward.forwarding import attestation
+from carawayward.forwarding import call_causes
 from carawayward.forwarding import change_log
 from carawayward.forwarding import feed
 from carawayward.forwarding import keyed_log
@@ -310,6 +311,39 @@
     run_with_gap(2_000.0, check)
 
 
+def test_client_that_was_busy_takes_what_has_arrived_before_it_calls():
+    """All clients that had no processor for some seconds called the store."""
+
+    async def main():
+        topic: typing.Any = FakeTopic()
+        reader = make_feed("keys", topic, make_outages(clocks.TrioClock()))
+        reader.has_delegate = lambda: True
+        calls: list[call_causes.Cause] = []
+        reader.count_call = calls.append
+
+        async def confirm():
+            while True:
+                await trio.sleep(0.4)
+                now_ms = reader.clock.boot_ms()
+                reader.confirm(
+                    attestation.Attestation(
+                        reader.position, now_ms, now_ms + 1_000.0
+                    )
+                )
+
+        async with trio.open_nursery() as nursery:
+            await reader.start(nursery)
+            nursery.start_soon(confirm)
+            for _ in range(20):
+                await trio.sleep(1.0)
+                clock.jump(8.0)
+            nursery.cancel_scope.cancel()
+        assert calls == [call_causes.Cause.START]
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
+
+
 def test_last_record_is_passed_on_when_the_topic_is_no_longer_needed():
     """Guards against clients that learn seconds late of a roll-out's end.
 
--- a/tests/cover/test_forwarding_load_reports.py
+++ b/tests/cover/test_forwarding_load_reports.py
@@ -1,5 +1,6 @@
 """Discovery of entry VMs, and the load reports that they exchange."""
 
+import socket
 import typing
 
 import attrs
@@ -307,3 +308,32 @@
     reporter.record_load("engine", engine_load.Load(0.0, -1))
     assert not any(channel.changed.is_set() for channel in reporter.channels)
     assert not reporter.loads.own
+
+
+def test_datagrams_that_wait_are_handled_in_few_turns():
+    """A busy entry VM took the reports of its delegate for late."""
+
+    async def main():
+        reporter = make_reporter("vm-0", InMemoryTopic())
+        handled = []
+        reporter.add_handler(99, lambda peer, fields: handled.append(fields))
+        sent = [[99, number] for number in range(48)]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.bind(("127.0.0.1", 0))
+            address = "{}:{}".format(*sender.getsockname())
+            reporter._add_peer(
+                load_report_messages.Sender("vm-1", "x", address, "north")
+            )
+            async with trio.open_nursery() as nursery:
+                await reporter.start(nursery)
+                for fields in sent:
+                    sender.sendto(
+                        cbor2.dumps(fields), reporter._socket.getsockname()
+                    )
+                for _ in range(6):
+                    await trio.lowlevel.checkpoint()
+                assert handled == sent
+                nursery.cancel_scope.cancel()
+        await reporter.close()
+
+    trio.run(main)
