Try the store less often in an outage; count all calls to it

In a total outage each entry VM called it every 300 ms: 250 calls a second at 76, priced like others. Those that a delegate would read for call every 900 ms now; who is answered reports so at once. Longer pauses of the convictions were tried: a refused request is then written too late for the test of it, reverted.

--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -9,6 +9,10 @@
 sent. All times are in ms.
 """
 
+import typing
+
+from carawayward.decisions import delegates
+
 # A poll ends after this time at the latest, even if nothing has changed.
 MAX_POLL_MS = 1_500.0
 # Polls that fit into a lease: the result of a poll is as old as the poll
@@ -28,6 +32,13 @@
 # The same for the endpoints while they renew their entries, as a part of their
 # heartbeat: so many calls read each renewal.
 HEARTBEAT_PART = 0.5
+# Interval between two calls of an entry VM in an outage, whichever feeds make
+# them. Short compared to the leases, so that the end of an outage is
+# noticed promptly; long enough that a store that rejects calls gets few.
+RETRY_MS = 300.0
+# The same for those that a delegate reads for: they learn from it as well that
+# the store is back.
+CLIENT_RETRY_MS = 900.0
 # Longest poll on the routing table, as a part of the time within which a
 # configuration has to be in force. A client whose delegate lost the store just
 # before a change finds the report too old one poll and half a second after the
@@ -84,6 +95,17 @@
     return max(MIN_POLL_MS, wanted_ms)
 
 
+def compute_retry_ms(own: str, domain: typing.Collection[str]) -> float:
+    """Interval between calls of ``own`` during an outage of the store.
+
+    ``domain`` are the entry VMs of its failure domain, whether or not they
+    reach the store. When it is down all of them call it, which grows with
+    their number.
+    """
+    reads = own in delegates.list_delegates({own, *domain})
+    return RETRY_MS if reads else CLIENT_RETRY_MS
+
+
 def compute_registry_gap_ms(poll_ms: float, heartbeat_ms: float) -> float:
     """Interval between calls on the endpoints that return records.
 
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -1,5 +1,7 @@
 """Assembles the components of one entry VM without starting them."""
 
+import functools
+
 import attrs
 
 from carawayward import clock as clock_module
@@ -8,6 +10,7 @@
 from carawayward.forwarding import conviction_log
 from carawayward.forwarding import crashing_parts
 from carawayward.forwarding import exchange
+from carawayward.forwarding import feeds
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import freshness as freshness_module
 from carawayward.forwarding import load_reports
@@ -106,7 +109,10 @@
         "suspects", load_reports.Topic(suspects.describe, suspects.merge)
     )
     convictions = conviction_log.ConvictionLog(
-        ports.convictions, clock, suspects
+        ports.convictions,
+        clock,
+        suspects,
+        functools.partial(feeds.count_call, metrics, feeds.CONVICTIONS),
     )
     return PlacementParts(
         placer,
--- a/src/carawayward/forwarding/call_causes.py
+++ b/src/carawayward/forwarding/call_causes.py
@@ -4,9 +4,10 @@
 
 
 class Cause(enum.StrEnum):
-    """Why a feed calls the store."""
+    """Why an entry VM calls the store."""
 
     START = "start"
+    WRITE = "write"
     POLL = "poll"
     RETRY = "retry"
     HISTORY_LOST = "history lost"
--- a/src/carawayward/forwarding/conviction_log.py
+++ b/src/carawayward/forwarding/conviction_log.py
@@ -15,6 +15,7 @@
 from carawayward.decisions import suspicion
 from carawayward import errors
 from carawayward import events
+from carawayward.forwarding import call_causes
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import suspects as suspects_module
@@ -79,11 +80,13 @@
     Ages are taken from the time of day, as nothing else outlasts a restart.
     ``stored`` are the sets of parts that have a record, which is removed when
     it no longer holds. ``unwritten`` are contents and sets of parts.
+    ``count_call`` is called before each call to the store.
     """
 
     topic: keyed_log.KeyedLog
     clock: clock_module.Clock
     suspects: suspects_module.SuspectRequests
+    count_call: typing.Callable[[call_causes.Cause], None] = lambda cause: None
     unwritten: list[str | frozenset[str]] = attrs.field(factory=list)
     stored: set[frozenset[str]] = attrs.field(factory=set)
     _added: trio.Event = attrs.field(factory=trio.Event)
@@ -132,7 +135,9 @@
         return keyed_log.Record(make_key(subject), None)
 
     async def _read(self) -> None:
-        batch = await self._call(self.topic.read_newest)
+        batch = await self._call(
+            call_causes.Cause.START, self.topic.read_newest
+        )
         expired = []
         for record in batch.records:
             try:
@@ -189,13 +194,18 @@
 
     async def _append(self, records: list[keyed_log.Record]) -> None:
         if records:
-            await self._call(lambda: self.topic.append(records))
+            await self._call(
+                call_causes.Cause.WRITE, lambda: self.topic.append(records)
+            )
 
     async def _call(
-        self, call: typing.Callable[[], typing.Awaitable[typing.Any]]
+        self,
+        cause: call_causes.Cause,
+        call: typing.Callable[[], typing.Awaitable[typing.Any]],
     ) -> typing.Any:
         """Call the store until it answers."""
         while True:
+            self.count_call(cause)
             try:
                 return await call()
             except errors.PlatformUnavailable:
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -26,6 +26,8 @@
 DECLARATIONS = "declarations"
 ENDPOINTS = "endpoints"
 STATUSES = "statuses"
+MEMBERS = "members"
+CONVICTIONS = "convictions"
 # Maximum age of a delegate's attestation of the statuses. Less than the time
 # after which no session tries a new version
 # (``rollout_state.MAX_STATUS_AGE_MS``).
@@ -46,7 +48,14 @@
     metrics: metrics_module.Metrics,
 ) -> list[feed.TopicFeed]:
     """Make the feeds of the routing table, endpoints and roll-out statuses."""
-    outages = store_outages.OutageTracker(clock)
+
+    def get_retry_ms() -> float:
+        directory = freshness.reporter.directory
+        return store_polls.compute_retry_ms(
+            board.name, directory.list_domain(board.failure_domain)
+        )
+
+    outages = store_outages.OutageTracker(clock, get_retry_ms)
     topic_feeds = [
         make_table_feed(board, outages, ports, freshness, rounds),
         make_endpoints_feed(settings, board, outages, ports, freshness),
@@ -54,6 +63,9 @@
     ]
     for each in topic_feeds:
         each.count_call = functools.partial(count_call, metrics, each.name)
+    freshness.reporter.registration.count_call = functools.partial(
+        count_call, metrics, MEMBERS
+    )
     return topic_feeds
 
 
@@ -101,6 +113,9 @@
 
     def record_store_failing(failing: bool) -> None:
         board.store_failing = failing
+        if not failing:
+            # Others choose their delegates among those that reach the store.
+            freshness.reporter.report_soon()
 
     topic_feed = feed.TopicFeed(
         DECLARATIONS,
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -21,6 +21,7 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import call_causes
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import peer_directory
@@ -239,6 +240,7 @@
         """
         await self.registration.add()
         while True:
+            self.registration.count_call(call_causes.Cause.START)
             try:
                 batch = await self.members.read_newest()
                 break
--- a/src/carawayward/forwarding/registration.py
+++ b/src/carawayward/forwarding/registration.py
@@ -5,6 +5,8 @@
 again after a restore.
 """
 
+import typing
+
 import attrs
 import trio
 
@@ -12,6 +14,7 @@
 from carawayward.decisions import placement
 from carawayward import errors
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import call_causes
 from carawayward.forwarding import keyed_log
 from carawayward import supervision
 
@@ -29,12 +32,14 @@
     """The registration record of one entry VM.
 
     ``added_ms`` is when it was last written, in ms on the boot clock.
+    ``count_call`` is called before each call to the store.
     """
 
     topic: keyed_log.KeyedLog
     clock: clock_module.Clock
     record: keyed_log.Record
     added_ms: float = board_module.NEVER
+    count_call: typing.Callable[[call_causes.Cause], None] = lambda cause: None
     _era_begun: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -49,6 +54,7 @@
     async def add(self) -> None:
         """Write the record, retrying until it succeeds."""
         while True:
+            self.count_call(call_causes.Cause.WRITE)
             try:
                 await self.topic.append([self.record])
                 break
--- a/src/carawayward/forwarding/store_outages.py
+++ b/src/carawayward/forwarding/store_outages.py
@@ -7,13 +7,9 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import store_polls
 from carawayward.forwarding import board as board_module
 
-# Interval between two calls during an outage, whichever feeds make them. Short
-# compared to the leases, so that the end of an outage is noticed promptly;
-# long enough that a store that rejects this entry VM's calls gets only three
-# of them a second.
-RETRY_MS = 300.0
 # If no call was sent for longer than this after a failure, the store may have
 # recovered in between, and the next failure counts as a new outage.
 MAX_UNOBSERVED_MS = 2_000.0
@@ -25,10 +21,12 @@
 
     An outage lasts from the first failed call to the first answer that any
     feed receives; ``in_outage`` is set meanwhile, and ``recovered_ms`` is
-    when the last one ended. Times are in ms on the boot clock.
+    when the last one ended. ``get_retry_ms`` returns the interval between two
+    calls during an outage. Times are in ms on the boot clock.
     """
 
     clock: clock_module.Clock
+    get_retry_ms: typing.Callable[[], float] = lambda: store_polls.RETRY_MS
     in_outage: bool = False
     recovered_ms: float = board_module.NEVER
     last_call_ms: float = board_module.NEVER
@@ -89,7 +87,8 @@
         these were lost, recovery would be noticed only after they time out.
         """
         while True:
-            remaining_ms = self.last_call_ms + RETRY_MS - self.clock.boot_ms()
+            next_call_ms = self.last_call_ms + self.get_retry_ms()
+            remaining_ms = next_call_ms - self.clock.boot_ms()
             if remaining_ms <= 0.0 or not self.in_outage:
                 return
             with self.cancel_on_recovery():
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -98,11 +98,11 @@
             topic.down = False
             recovered_s = trio.current_time()
             confirmed_s.clear()
-            await trio.sleep(2 * store_outages.RETRY_MS / 1000)
+            await trio.sleep(2 * store_polls.RETRY_MS / 1000)
             assert (
                 confirmed_s
                 and confirmed_s[0]
-                <= recovered_s + 1.1 * store_outages.RETRY_MS / 1000
+                <= recovered_s + 1.1 * store_polls.RETRY_MS / 1000
             )
             assert topic.waits[-1] == store_polls.MAX_POLL_MS
             nursery.cancel_scope.cancel()
@@ -118,7 +118,7 @@
     every 0.7 s, and its answer makes the others call at once.
     """
     longest_gap_s = (
-        0.001 + (store.CALL_TIMEOUT_MS - store_outages.RETRY_MS) / 1000
+        0.001 + (store.CALL_TIMEOUT_MS - store_polls.RETRY_MS) / 1000
     )
 
     async def main():
--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -1,5 +1,8 @@
 """Durations of polls and maximum ages of proofs, against every bound."""
 
+from nose2.tools import params
+
+from carawayward.decisions import delegates
 from carawayward.decisions import lapses
 from carawayward.decisions import store_polls
 from carawayward.forwarding import board as board_module
@@ -112,3 +115,19 @@
     for drain_ms in (2_000, 3_000):
         poll_ms = store_polls.compute_registry_poll_ms(drain_ms, 2_100.0)
         assert store_polls.compute_registry_gap_ms(poll_ms, 1_200.0) == 600.0
+
+
+@params((25, 3), (137, 3), (8, 3))
+def test_calls_in_an_outage_do_not_grow_with_all_entry_vms(size, domains):
+    """76 and 410 entry VMs made 250 and 1,370 calls a second.
+
+    In each failure domain some call as often as before, also while none of
+    them reaches the store, and an entry VM that knows no other does.
+    """
+    names = [f"vm-{number}" for number in range(size)]
+    retries = [store_polls.compute_retry_ms(name, names) for name in names]
+    calls = domains * sum(1000.0 / each for each in retries)
+    readers = retries.count(store_polls.RETRY_MS)
+    assert readers == -(-size // delegates.MAX_CLIENTS_PER_DELEGATE)
+    assert calls <= 0.5 * domains * size * 1000.0 / store_polls.RETRY_MS
+    assert store_polls.compute_retry_ms("vm-0", []) == store_polls.RETRY_MS
