--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -85,6 +85,9 @@
     )
 
     metrics = metrics_module.Metrics()
+    reporter.registration.count_call = functools.partial(
+        feeds.count_call, metrics, feeds.MEMBERS
+    )
     placer = placing.Placer(
         clock, fleet, rollouts, reporter, metrics, started_ms=clock.now_ms()
     )
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -50,10 +50,8 @@
     """Make the feeds of the routing table, endpoints and roll-out statuses."""
 
     def get_retry_ms() -> float:
-        directory = freshness.reporter.directory
-        return store_polls.compute_retry_ms(
-            board.name, directory.list_domain(board.failure_domain)
-        )
+        domain = freshness.reporter.list_domain_members(board.failure_domain)
+        return store_polls.compute_retry_ms(board.name, domain or ())
 
     outages = store_outages.OutageTracker(clock, get_retry_ms)
     topic_feeds = [
@@ -63,9 +61,6 @@
     ]
     for each in topic_feeds:
         each.count_call = functools.partial(count_call, metrics, each.name)
-    freshness.reporter.registration.count_call = functools.partial(
-        count_call, metrics, MEMBERS
-    )
     return topic_feeds
 
 
--- a/tests/cover/test_forwarding_delegates.py
+++ b/tests/cover/test_forwarding_delegates.py
@@ -95,6 +95,12 @@
     def list_delegate_candidates(self):
         return [name for name in NAMES if name != self.name]
 
+    def list_domain_members(self, failure_domain):
+        return NAMES
+
+    def report_soon(self):
+        """Load reports are not played."""
+
     def add_handler(self, kind, handler):
         self.handlers[kind] = handler
 
