--- a/src/carawayward/decisions/delegates.py
+++ b/src/carawayward/decisions/delegates.py
@@ -20,8 +20,9 @@
 
 from carawayward.decisions import placement
 
-# A delegate sends each client about three reports a second.
-MAX_CLIENTS_PER_DELEGATE = 16
+# A delegate sends each client all changes of the endpoints, in a few datagrams
+# a second, and queries of all of its clients are answered by one process.
+MAX_CLIENTS_PER_DELEGATE = 32
 # Consecutive unanswered queries after which a delegate is skipped. A process
 # that was itself paused has sent fewer by the time it resumes.
 MAX_UNANSWERED = 3
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -11,6 +11,7 @@
 from carawayward.decisions import lapses
 from carawayward.decisions import store_polls
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import call_causes
 from carawayward.forwarding import declarations
 from carawayward.forwarding import feed
 from carawayward.forwarding import freshness as freshness_module
@@ -25,6 +26,8 @@
 DECLARATIONS = "declarations"
 ENDPOINTS = "endpoints"
 STATUSES = "statuses"
+MEMBERS = "members"
+CONVICTIONS = "convictions"
 # Maximum age of a delegate's attestation of the statuses. Less than the time
 # after which no session tries a new version
 # (``rollout_state.MAX_STATUS_AGE_MS``).
@@ -45,7 +48,12 @@
     metrics: metrics_module.Metrics,
 ) -> list[feed.TopicFeed]:
     """Make the feeds of the routing table, endpoints and roll-out statuses."""
-    outages = store_outages.OutageTracker(clock)
+
+    def get_retry_ms() -> float:
+        domain = freshness.reporter.list_domain_members(board.failure_domain)
+        return store_polls.compute_retry_ms(board.name, domain or ())
+
+    outages = store_outages.OutageTracker(clock, get_retry_ms)
     topic_feeds = [
         make_table_feed(board, outages, ports, freshness, rounds),
         make_endpoints_feed(settings, board, outages, ports, freshness),
@@ -57,7 +65,7 @@
 
 
 def count_call(
-    metrics: metrics_module.Metrics, topic: str, cause: feed.Cause
+    metrics: metrics_module.Metrics, topic: str, cause: call_causes.Cause
 ) -> None:
     """Count a call to the store by topic and cause."""
     metrics.count("store_calls", topic=topic, cause=cause.value)
@@ -100,6 +108,9 @@
 
     def record_store_failing(failing: bool) -> None:
         board.store_failing = failing
+        if not failing:
+            # Others choose their delegates among those that reach the store.
+            freshness.reporter.report_soon()
 
     topic_feed = feed.TopicFeed(
         DECLARATIONS,
@@ -153,6 +164,14 @@
             compute_poll_wait(), max(MIN_MISSING_POLL_MS, renewal_wait_ms)
         )
 
+    def get_call_gap() -> float:
+        if endpoint_reader.compute_renewal_wait_ms() > 0.0:
+            # Entries that expired in an outage are about to be back.
+            return store_polls.MIN_CALL_GAP_MS
+        return store_polls.compute_registry_gap_ms(
+            compute_poll_wait(), settings.heartbeat_ms
+        )
+
     def get_max_age() -> float:
         return store_polls.compute_max_report_age(compute_poll_wait())
 
@@ -170,6 +189,7 @@
         endpoint_reader.apply,
         endpoint_reader.mark_current,
         get_poll_wait=get_poll_wait,
+        get_call_gap=get_call_gap,
         has_delegate=has_delegate,
         get_max_age=get_max_age,
         push_updates=functools.partial(freshness.push_updates, ENDPOINTS),
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -11,6 +11,7 @@
 from carawayward.decisions import store_polls
 from carawayward import errors
 from carawayward.forwarding import attestation
+from carawayward.forwarding import call_causes
 from carawayward.forwarding import change_log
 from carawayward.forwarding import feed
 from carawayward.forwarding import keyed_log
@@ -58,7 +59,9 @@
     return store_outages.OutageTracker(clock)
 
 
-def make_feed(name, topic, outages, mark_current=lambda as_of_ms: None):
+def make_feed(
+    name, topic, outages, mark_current=lambda as_of_ms: None, **changes
+):
     return feed.TopicFeed(
         name,
         topic,
@@ -67,6 +70,7 @@
         lambda records: None,
         lambda record: None,
         mark_current,
+        **changes,
     )
 
 
@@ -94,11 +98,11 @@
             topic.down = False
             recovered_s = trio.current_time()
             confirmed_s.clear()
-            await trio.sleep(2 * store_outages.RETRY_MS / 1000)
+            await trio.sleep(2 * store_polls.RETRY_MS / 1000)
             assert (
                 confirmed_s
                 and confirmed_s[0]
-                <= recovered_s + 1.1 * store_outages.RETRY_MS / 1000
+                <= recovered_s + 1.1 * store_polls.RETRY_MS / 1000
             )
             assert topic.waits[-1] == store_polls.MAX_POLL_MS
             nursery.cancel_scope.cancel()
@@ -114,7 +118,7 @@
     every 0.7 s, and its answer makes the others call at once.
     """
     longest_gap_s = (
-        0.001 + (store.CALL_TIMEOUT_MS - store_outages.RETRY_MS) / 1000
+        0.001 + (store.CALL_TIMEOUT_MS - store_polls.RETRY_MS) / 1000
     )
 
     async def main():
@@ -218,6 +222,7 @@
 
     gap_s: float
     calls: int = 0
+    waits_ms: list[float] = attrs.field(factory=list)
 
     def _count(self) -> int:
         return int(trio.current_time() / self.gap_s)
@@ -229,6 +234,7 @@
     async def read(self, start: int, wait_ms: float) -> keyed_log.Batch:
         """Return the records from ``start`` on, or wait for the next."""
         self.calls += 1
+        self.waits_ms.append(wait_ms)
         if self._count() <= start:
             await trio.sleep_until((start + 1) * self.gap_s + 1e-6)
         end = self._count()
@@ -254,11 +260,90 @@
             await trio.sleep(162 * 0.05)
             nursery.cancel_scope.cancel()
         assert reader.position is not None and reader.position >= 155
-        assert topic.calls <= 162 * 0.05 * 1000 / feed.MIN_CALL_GAP_MS + 1
+        assert (
+            topic.calls <= 162 * 0.05 * 1000 / store_polls.MIN_CALL_GAP_MS + 1
+        )
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+def run_with_gap(gap_ms, check):
+    """Follow a topic with a new record each 16 ms, for 3 s."""
+
+    async def main():
+        topic = BurstTopic(0.016)
+        reader = make_feed(
+            "endpoints",
+            typing.cast(typing.Any, topic),
+            make_outages(clocks.TrioClock()),
+            get_poll_wait=lambda: 1_100.0,
+            get_call_gap=lambda: gap_ms,
+        )
+        async with trio.open_nursery() as nursery:
+            await reader.start(nursery)
+            await trio.sleep(3.0)
+            await check(reader, topic)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_poll_after_a_long_gap_ends_as_after_a_short_one():
+    """A store that is lost in the gap would be noticed later."""
+
+    async def check(reader, topic):
+        assert topic.calls <= 6
+        assert topic.waits_ms[1:] == [700.0] * (topic.calls - 1)
+
+    run_with_gap(600.0, check)
+
+
+def test_gap_ends_when_others_know_of_unread_records():
+    """Its clients would read the store, as it can attest nothing."""
+
+    async def check(reader, topic):
+        calls = topic.calls
+        reader.notify_position(reader.position + 1, served=False)
+        await trio.sleep(0.02)
+        assert topic.calls == calls + 1
+        assert reader.get_attestation() is not None
+
+    run_with_gap(2_000.0, check)
+
+
+def test_client_that_was_busy_takes_what_has_arrived_before_it_calls():
+    """All clients that had no processor for some seconds called the store."""
+
+    async def main():
+        topic: typing.Any = FakeTopic()
+        reader = make_feed("keys", topic, make_outages(clocks.TrioClock()))
+        reader.has_delegate = lambda: True
+        calls: list[call_causes.Cause] = []
+        reader.count_call = calls.append
+
+        async def confirm():
+            while True:
+                await trio.sleep(0.4)
+                now_ms = reader.clock.boot_ms()
+                reader.confirm(
+                    attestation.Attestation(
+                        reader.position, now_ms, now_ms + 1_000.0
+                    )
+                )
+
+        async with trio.open_nursery() as nursery:
+            await reader.start(nursery)
+            nursery.start_soon(confirm)
+            for _ in range(20):
+                await trio.sleep(1.0)
+                clock.jump(8.0)
+            nursery.cancel_scope.cancel()
+        assert calls == [call_causes.Cause.START]
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=clock)
+
+
 def test_last_record_is_passed_on_when_the_topic_is_no_longer_needed():
     """Guards against clients that learn seconds late of a roll-out's end.
 
--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -1,5 +1,8 @@
 """Durations of polls and maximum ages of proofs, against every bound."""
 
+from nose2.tools import params
+
+from carawayward.decisions import delegates
 from carawayward.decisions import lapses
 from carawayward.decisions import store_polls
 from carawayward.forwarding import board as board_module
@@ -40,7 +43,9 @@
     for bound_ms in range(2_000, 10_000, 500):
         for part in (store_polls.APPLY_PART, store_polls.DRAIN_PART):
             known_ms = (
-                feed.MIN_CALL_GAP_MS + part * bound_ms + store_polls.OVERDUE_MS
+                store_polls.MIN_CALL_GAP_MS
+                + part * bound_ms
+                + store_polls.OVERDUE_MS
             )
             assert known_ms <= 0.9 * bound_ms
     for heartbeat_ms in (1_000.0, 1_200.0, 2_000.0, 5_000.0):
@@ -84,3 +89,45 @@
             assert registry_ms >= store_polls.MIN_POLL_MS
         table_ms = store_polls.compute_table_poll_ms(bound_ms, bound_ms)
         assert table_ms >= store_polls.MIN_POLL_MS
+
+
+def test_endpoints_that_renew_are_read_twice_a_heartbeat():
+    """74 endpoints renewed one after the other: five calls a second.
+
+    What the bounds rest on stays: when the next call ends, that it does not
+    look like an outage, and that clients keep their delegate in the gap.
+    """
+    for heartbeat_ms in (1_000.0, 1_200.0, 2_000.0, 5_000.0):
+        safe_ms = lapses.SAFE_HEARTBEATS * heartbeat_ms
+        for drain_ms in range(100, 6_000, 100):
+            poll_ms = store_polls.compute_registry_poll_ms(drain_ms, safe_ms)
+            gap_ms = store_polls.compute_registry_gap_ms(poll_ms, heartbeat_ms)
+            wait_ms = store_polls.compute_wait_after_gap_ms(poll_ms, gap_ms)
+            end_ms = store_polls.MIN_CALL_GAP_MS + poll_ms
+            assert gap_ms >= store_polls.MIN_CALL_GAP_MS
+            assert gap_ms + wait_ms <= end_ms + 1e-6
+            assert lapses.is_too_short(gap_ms + wait_ms, heartbeat_ms)
+            if gap_ms > store_polls.MIN_CALL_GAP_MS:
+                assert gap_ms <= wait_ms + 1e-6
+                assert gap_ms <= heartbeat_ms / 2.0
+                oldest_ms = store_polls.compute_max_report_age(poll_ms)
+                assert end_ms + store_polls.OVERDUE_MS <= oldest_ms
+    for drain_ms in (2_000, 3_000):
+        poll_ms = store_polls.compute_registry_poll_ms(drain_ms, 2_100.0)
+        assert store_polls.compute_registry_gap_ms(poll_ms, 1_200.0) == 600.0
+
+
+@params((25, 3), (137, 3), (8, 3))
+def test_calls_in_an_outage_do_not_grow_with_all_entry_vms(size, domains):
+    """76 and 410 entry VMs made 250 and 1,370 calls a second.
+
+    In each failure domain some call as often as before, also while none of
+    them reaches the store, and an entry VM that knows no other does.
+    """
+    names = [f"vm-{number}" for number in range(size)]
+    retries = [store_polls.compute_retry_ms(name, names) for name in names]
+    calls = domains * sum(1000.0 / each for each in retries)
+    readers = retries.count(store_polls.RETRY_MS)
+    assert readers == -(-size // delegates.MAX_CLIENTS_PER_DELEGATE)
+    assert calls <= 0.5 * domains * size * 1000.0 / store_polls.RETRY_MS
+    assert store_polls.compute_retry_ms("vm-0", []) == store_polls.RETRY_MS
