--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -1,7 +1,6 @@
 """Parses and writes the platform's headers."""
 
 import contextlib
-import email.utils
 import math
 import time
 import typing
@@ -173,6 +172,9 @@
     try:
         delay_s = float(text)
     except ValueError:
+        # Few endpoints send a date, and this module is slow to import.
+        import email.utils
+
         try:
             date = email.utils.parsedate_to_datetime(text)
         except ValueError:
