Wait for events in place of polling while an entry VM is idle

An idle entry VM woke up for timers: lines for a slow log reader, idle connections and limits of each listener, delegates of three feeds, roll-out rounds. These tasks now wait for what they looked for; time-outs are slept until they are due. Nothing is noticed later than before: a lost delegate at its time-out, a delegate's client, a new order and a new limit at once.

The fake of tests/cover/test_forwarding_delegates has the new function of the rounds, which its idle feed waits for.

--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -7,6 +7,7 @@
 import secrets
 
 import attrs
+import trio
 
 from carawayward.forwarding import message_types
 from carawayward.forwarding import settings
@@ -51,6 +52,8 @@
     whose endpoints get no requests. ``refusing`` is set during a shutdown,
     once the load balancer has had time to stop sending new connections.
     ``open_relays`` are requests that this entry VM sends for its peers.
+    ``declared`` is set, and replaced, by each change to ``table`` or
+    ``orders``.
     """
 
     name: str
@@ -76,6 +79,12 @@
     evacuated: set[str] = attrs.field(factory=set)
     open_requests: int = 0
     open_relays: int = 0
+    declared: trio.Event = attrs.field(factory=trio.Event, eq=False)
+
+    def notify_declared(self) -> None:
+        """Wake the tasks that wait for another table or roll-out order."""
+        declared, self.declared = self.declared, trio.Event()
+        declared.set()
 
     def is_listed(self, process: message_types.Process) -> bool:
         """Whether this process of an endpoint is the one that is listed."""
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -31,13 +31,10 @@
 STREAM_CUTOFF_MS = 600.0
 # Time-out for closing the listeners, when only idle connections are left.
 LISTENERS_CLOSE_S = 0.3
-LOG_FLUSH_MS = 100.0
 METRICS_HEADERS = [(b"content-type", b"text/plain; version=0.0.4")]
 POLL_MS = 20.0
-# The idle time-out of callers' connections before a routing table sets one,
-# and how often the table's limit is applied to the listeners.
+# The idle time-out of callers' connections before a routing table sets one.
 DEFAULT_IDLE_MS = 60_000
-LIMITS_CHECK_MS = 500.0
 # An entry VM without endpoints would refuse every request. It waits this long
 # for the first endpoints before it reports ready regardless.
 ENDPOINTS_WAIT_MS = 3_000.0
@@ -65,7 +62,9 @@
     app: app_module.ForwardingApp
     relay_server: relay_server_module.RelayServer
     read_bounds: typing.Callable[[], settings_module.Bounds]
-    flush_logs: typing.Callable[[], None] = lambda: None
+    write_logs: typing.Callable[[], typing.Awaitable[None]] = (
+        trio.sleep_forever
+    )
 
     @classmethod
     def from_config(
@@ -133,7 +132,7 @@
         async with trio.open_nursery() as nursery:
             for each in self.controllers:
                 await each.start(nursery)
-            nursery.start_soon(self._flush_logs)
+            nursery.start_soon(self.write_logs)
             ended = trio.Event()
             async with trio.open_nursery() as serving:
                 self._start_serving(serving, ended)
@@ -173,15 +172,10 @@
             return
         events.log_event(events.Event.SETTINGS_READ, node=self.board.name)
 
-    async def _flush_logs(self) -> None:
-        """Periodically write log lines buffered for a slow reader."""
-        while True:
-            await self.clock.sleep(LOG_FLUSH_MS)
-            self.flush_logs()
-
     def _start_serving(self, nursery: trio.Nursery, stop: trio.Event) -> None:
         listen = self.settings.listen
         limits = node_settings.Limits(idle_connection_ms=DEFAULT_IDLE_MS)
+        configs: list[listening.ListenerConfig] = []
         for app, address in (
             (self.app, listen.callers),
             (self._answer_readiness, listen.readiness),
@@ -192,15 +186,19 @@
                 continue
             config = listening.make_config(address, limits, None, 300)
             nursery.start_soon(http_server.serve, app, config, stop)
-            nursery.start_soon(self._follow_limits, config)
+            configs.append(config)
+        nursery.start_soon(self._follow_limits, configs)
 
-    async def _follow_limits(self, config: listening.ListenerConfig) -> None:
-        """Keep a listener's idle time-out at the routing table's limit."""
+    async def _follow_limits(
+        self, configs: list[listening.ListenerConfig]
+    ) -> None:
+        """Keep the listeners' idle time-out at the routing table's limit."""
         while True:
-            table = self.board.table
-            if table is not None:
-                config.keep_alive_timeout = table.limits.idle_ms / 1000
-            await self.clock.sleep(LIMITS_CHECK_MS)
+            declared = self.board.declared
+            if self.board.table is not None:
+                for config in configs:
+                    config.set_idle_timeout(self.board.table.limits.idle_ms)
+            await declared.wait()
 
     async def _become_ready(self) -> None:
         with trio.move_on_after(ENDPOINTS_WAIT_MS / 1000):
--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -112,6 +112,7 @@
             if decoded in self.superseded:
                 self.superseded.remove(decoded)
             self.board.orders[decoded.service] = decoded
+            self.board.notify_declared()
             events.log_event(
                 events.Event.ROLLOUT_ORDERED,
                 service=decoded.service,
@@ -133,6 +134,7 @@
         if known is not None and decoded.revision <= known.revision:
             return
         self.board.table = decoded
+        self.board.notify_declared()
         events.log_event(
             events.Event.CONFIG_IN_FORCE,
             revision=decoded.revision,
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -18,10 +18,9 @@
 from carawayward.forwarding import store_outages
 from carawayward import supervision
 
-# How often a feed that relies on a delegate checks that it still has one.
+# How often a feed that relies on a delegate checks that it still has one, if
+# it is not known how long the delegate's last answer holds.
 DELEGATE_CHECK_MS = 200.0
-# How often an idle feed checks whether its topic is needed again.
-NEEDED_CHECK_MS = 200.0
 # Minimum interval between the start of a poll that returned records and the
 # next poll. Each record of a burst would otherwise cost a separate call.
 MIN_CALL_GAP_MS = 200.0
@@ -57,7 +56,8 @@
     is called with True after the first failed call, and with False after the
     first one that succeeds again. ``get_poll_wait`` returns how long the next
     poll may wait, in ms.
-    Nothing is read unless ``is_needed`` returns true.
+    Nothing is read unless ``is_needed`` returns true; ``wait_until_needed``
+    returns when it may do so again.
 
     While ``has_delegate`` returns true, another entry VM reads the store on
     behalf of this one; ``confirm`` receives its attestations and
@@ -65,7 +65,9 @@
     only if the delegate cannot bring it up to date, if ``current_as_of_ms``,
     the time up to which the topic is known, is more than ``get_max_age`` ms
     ago, or if no newer confirmation has arrived ``store_polls.OVERDUE_MS``
-    after ``due_ms``.
+    after ``due_ms``. ``compute_delegate_left_ms`` returns how long the
+    delegate's last answer holds; what ends it sooner calls
+    ``check_delegate``.
 
     ``push_updates`` is called when records have arrived. ``log`` keeps the
     changes that can be passed on to others. ``latest_known_position`` is the
@@ -87,7 +89,13 @@
     get_poll_wait: typing.Callable[[], float] = lambda: store_polls.MAX_POLL_MS
     record_failing: typing.Callable[[bool], None] = lambda failing: None
     has_delegate: typing.Callable[[], bool] = lambda: False
+    compute_delegate_left_ms: typing.Callable[[], float] = lambda: (
+        DELEGATE_CHECK_MS
+    )
     is_needed: typing.Callable[[], bool] = lambda: True
+    wait_until_needed: typing.Callable[[], typing.Awaitable[None]] = (
+        trio.sleep_forever
+    )
     get_max_age: typing.Callable[[], float] = lambda: store_polls.MAX_POLL_MS
     push_updates: typing.Callable[[], None] = lambda: None
     count_call: typing.Callable[[Cause], None] = lambda cause: None
@@ -102,6 +110,7 @@
     _delegating: bool = False
     _relist_cause: Cause | None = None
     _wakeup: trio.Event = attrs.field(factory=trio.Event)
+    _delegate_wait: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start to follow the topic."""
@@ -166,6 +175,10 @@
         if not served:
             self._wakeup.set()
 
+    def check_delegate(self) -> None:
+        """Check soon whether there is still a delegate."""
+        self._delegate_wait.cancel()
+
     def list_since(self, start: int) -> list[change_log.Change] | None:
         """List changes from ``start`` on; None if some are not known."""
         return self.log.list_since(start)
@@ -191,12 +204,14 @@
                 )
         self._set_position(end)
         self.push_updates()
+        # The changes may be of a kind that only a read of the store settles.
+        self.check_delegate()
         return True
 
     async def _follow(self) -> None:
         while True:
             while not self.is_needed():
-                await self.clock.sleep(NEEDED_CHECK_MS)
+                await self.wait_until_needed()
             cause = await self._wait_for_cause()
             self.count_call(cause)
             # Only a poll waits for records. In all other cases the last
@@ -260,10 +275,11 @@
             remaining_ms = min(
                 self.get_max_age() - self._compute_age_ms(),
                 store_polls.OVERDUE_MS - self._compute_overdue_ms(),
+                self.compute_delegate_left_ms(),
+                self._compute_behind_left_ms(),
             )
-            with trio.move_on_after(
-                min(remaining_ms, DELEGATE_CHECK_MS) / 1000
-            ):
+            with trio.move_on_after(max(0.0, remaining_ms) / 1000) as wait:
+                self._delegate_wait = wait
                 await self._wakeup.wait()
             if self._wakeup.is_set():
                 cause = Cause.NOT_SERVED
@@ -277,10 +293,8 @@
         """Return why the delegate is insufficient; None if it suffices."""
         if not self.has_delegate():
             return Cause.DELEGATE_LOST
-        if self.behind_since_ms is not None:
-            behind_ms = self.clock.boot_ms() - self.behind_since_ms
-            if behind_ms >= MAX_BEHIND_MS:
-                return Cause.BEHIND
+        if self._compute_behind_left_ms() <= 0.0:
+            return Cause.BEHIND
         if self._compute_age_ms() >= self.get_max_age():
             return Cause.REPORT_OLD
         if self._compute_overdue_ms() >= store_polls.OVERDUE_MS:
@@ -294,6 +308,14 @@
             and self.latest_known_position > self.position
         )
 
+    def _compute_behind_left_ms(self) -> float:
+        """How long this feed may still be behind its delegate."""
+        if self.behind_since_ms is None:
+            # It may get behind meanwhile.
+            return MAX_BEHIND_MS
+        behind_ms = self.clock.boot_ms() - self.behind_since_ms
+        return MAX_BEHIND_MS - behind_ms
+
     def _compute_age_ms(self) -> float:
         return self.clock.boot_ms() - self.current_as_of_ms
 
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -53,6 +53,10 @@
     ]
     for each in topic_feeds:
         each.count_call = functools.partial(count_call, metrics, each.name)
+        each.compute_delegate_left_ms = functools.partial(
+            freshness.compute_delegate_left_ms, each.name
+        )
+        freshness.on_new_client.append(each.check_delegate)
     return topic_feeds
 
 
@@ -196,6 +200,7 @@
         rounds.mark_current,
         get_poll_wait=lambda: STATUSES_POLL_MS,
         is_needed=rounds.is_needed,
+        wait_until_needed=rounds.wait_until_needed,
         has_delegate=functools.partial(freshness.has_delegate, STATUSES),
         get_max_age=lambda: STATUSES_MAX_AGE_MS,
         push_updates=functools.partial(freshness.push_updates, STATUSES),
--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -119,7 +119,8 @@
     """Queries a delegate and answers the queries of its own clients.
 
     ``answered_ms`` is, by topic, when the last query was sent whose answer
-    contained a report on the topic.
+    contained a report on the topic. ``on_new_client`` is called when an
+    entry VM becomes a client.
     """
 
     board: board_module.ForwardingBoard
@@ -137,6 +138,7 @@
     assemblies: collections.OrderedDict[
         tuple[str, int, int], dict[int, bytes]
     ] = attrs.field(factory=collections.OrderedDict)
+    on_new_client: list[typing.Callable[[], None]] = attrs.field(factory=list)
     _last_number: int = attrs.field(factory=lambda: secrets.randbits(32))
 
     def __attrs_post_init__(self) -> None:
@@ -169,14 +171,17 @@
         VM that has clients reads for itself: two that query each other would
         both wait for records that neither of them reads.
         """
+        left_ms = self.compute_delegate_left_ms(name)
+        return left_ms > 0.0 and not self.list_clients()
+
+    def compute_delegate_left_ms(self, name: str) -> float:
+        """How long the last answer on a topic still holds, in ms."""
         answered_ms = self.answered_ms.get(name, board_module.NEVER)
         if self.choice.delegate != self.board.name:
             # At startup an entry VM has just listed all topics, and its
             # delegate is about to answer.
             answered_ms = max(answered_ms, self.started_ms)
-        if self.clock.boot_ms() - answered_ms >= DELEGATE_TIMEOUT_MS:
-            return False
-        return not self.list_clients()
+        return answered_ms + DELEGATE_TIMEOUT_MS - self.clock.boot_ms()
 
     def list_clients(self) -> dict[str, Client]:
         """Return the entry VMs that currently read through this one."""
@@ -232,7 +237,11 @@
         client = Client(
             query.number, self.clock.boot_ms(), dict(query.positions)
         )
+        new = peer not in self.list_clients()
         self.clients[peer] = client
+        if new:
+            for notify in self.on_new_client:
+                notify()
         self._send_report(peer, client, tuple(self.topics))
 
     def _send_report(
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -24,7 +24,7 @@
 # After the store was restored from a backup, entry VMs that know no decision
 # write none for this long: those that know a lost one write it again first.
 RESTORE_DELAY_MS = 2_000.0
-# How often new orders are looked for and the running roll-outs are processed.
+# How often the running roll-outs are processed.
 ROUND_INTERVAL_MS = 200.0
 # The same while a roll-out is at full traffic: little time is left then, and
 # it has to be completed before its duration ends.
@@ -52,7 +52,7 @@
     the names of all entry VMs. ``latest`` holds the latest status of each
     service, known to be current at ``as_of_ms`` on the boot clock.
     ``restoring`` is set while the store, restored from a backup at
-    ``era_began_ms``, may lack decisions.
+    ``era_began_ms``, may lack decisions. ``needed`` is set by each round.
     """
 
     board: board_module.ForwardingBoard
@@ -73,6 +73,7 @@
     as_of_ms: float = board_module.NEVER
     restoring: bool = False
     era_began_ms: float = board_module.NEVER
+    needed: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the rounds."""
@@ -91,6 +92,7 @@
         """Handle a restore from a backup, which may lack statuses."""
         self.restoring = bool(self.rollouts.rollouts)
         self.era_began_ms = self.clock.boot_ms()
+        self.board.notify_declared()
 
     def begin_listing(self) -> None:
         """Prepare for the statuses of another era, which follow."""
@@ -119,9 +121,20 @@
         for rollout in self.rollouts.rollouts.values():
             self._update_freshness(rollout)
 
+    async def wait_until_needed(self) -> None:
+        """Wait until statuses have to be read; for a single caller."""
+        if not self.is_needed():
+            self.needed = trio.Event()
+            await self.needed.wait()
+
     async def _run_rounds(self) -> None:
         while True:
+            declared = self.board.declared
             self.rollouts.apply_orders()
+            if not self.is_needed():
+                await declared.wait()
+                continue
+            self.needed.set()
             for rollout in list(self.rollouts.rollouts.values()):
                 if rollout.running or self.restoring:
                     await self._step(rollout)
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -34,6 +34,7 @@
 from carawayward import listening
 from carawayward import supervision
 
+# Idle connections are closed at most this much too late.
 IDLE_CHECK_INTERVAL_S = 0.25
 CLOSE_CHECK_INTERVAL_S = 0.02
 # How long connections without a request stay open after the listener has
@@ -349,10 +350,8 @@
                     handler_nursery=connections,
                 )
             )
-            while not stop.is_set():
-                close_idle(open_connections, config.keep_alive_timeout)
-                with trio.move_on_after(IDLE_CHECK_INTERVAL_S):
-                    await stop.wait()
+            accepting.start_soon(keep_closing_idle, open_connections, config)
+            await stop.wait()
             accepting.cancel_scope.cancel()
         for port in ports:
             for stream in port.close():
@@ -366,20 +365,42 @@
         connections.cancel_scope.cancel()
 
 
-def close_idle(connections: set[Connection], timeout_s: float) -> None:
+async def keep_closing_idle(
+    connections: set[Connection], config: listening.ListenerConfig
+) -> None:
+    """Close idle connections when their time-out is over, for ever."""
+    while True:
+        wait_s = close_idle(connections, config.keep_alive_timeout)
+        changed = config.changed
+        with trio.move_on_after(max(IDLE_CHECK_INTERVAL_S, wait_s)):
+            await changed.wait()
+
+
+def close_idle(connections: set[Connection], timeout_s: float) -> float:
     """Close connections that have carried no request for a while.
 
+    Returns how long it takes at least until another one has to be closed.
+
     A request counts only once its head is complete, so this also limits how
     long a caller may take to send a head. Connections with unread bytes stay
     open, since those may be a complete request; the bytes are about to be
     read, so this delays a stop only briefly.
     """
-    oldest = trio.current_time() - timeout_s
+    now = trio.current_time()
+    # A connection that becomes idle later has to be closed later than this.
+    next_due = now + timeout_s
     for connection in connections:
         since = connection.idle.since
-        if since is None or since > oldest or connection.has_unread():
+        if since is None:
             continue
-        connection.abort()
+        due = since + timeout_s
+        if due > now:
+            next_due = min(next_due, due)
+        elif connection.has_unread():
+            next_due = now
+        else:
+            connection.abort()
+    return next_due - now
 
 
 class DrainableListener(trio.abc.Listener[trio.SocketStream]):
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -4,6 +4,7 @@
 import ssl
 
 from hypercorn import config as hypercorn_config
+import trio
 
 from carawayward import errors
 from carawayward import settings as settings_module
@@ -34,10 +35,23 @@
     """A hypercorn configuration that sets options on listening sockets.
 
     Accepted connections inherit the options of the listening socket.
+    ``changed`` is set, and replaced, by each change to the idle time-out.
     """
 
     silence_ms: int
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.changed = trio.Event()
+
+    def set_idle_timeout(self, timeout_ms: float) -> None:
+        """Change the idle time-out, also of open connections."""
+        if self.keep_alive_timeout == timeout_ms / 1000:
+            return
+        self.keep_alive_timeout = timeout_ms / 1000
+        changed, self.changed = self.changed, trio.Event()
+        changed.set()
+
     def create_sockets(self) -> hypercorn_config.Sockets:
         """Create the listening sockets."""
         sockets = super().create_sockets()
--- a/src/carawayward/log_output.py
+++ b/src/carawayward/log_output.py
@@ -16,6 +16,7 @@
 
 from absl import logging as absl_logging
 import attrs
+import trio
 
 # A pipe that is ready accepts at least this much without blocking (PIPE_BUF on
 # Linux), so a descriptor shared with other processes need not be made
@@ -29,6 +30,8 @@
 # of one kind never hides the other.
 LINES_PER_S = 200.0
 BURST_LINES = 1_000.0
+# How often lines are offered again to a reader that is slow.
+RETRY_S = 0.1
 
 
 @attrs.define
@@ -68,6 +71,7 @@
         self.dropped = 0
         self.normal = TokenBucket()
         self.urgent = TokenBucket()
+        self.waiting = trio.Event()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue one record; drop it if the queue or its rate limit is full."""
@@ -85,6 +89,17 @@
             line = json.dumps({"at_ms": at_ms, "text": message})
         self.lines.append(line.encode() + b"\n")
         self.flush()
+        if self.partial or self.lines:
+            self.waiting.set()
+
+    async def write_waiting(self) -> None:
+        """Write the lines for which the reader was not ready, for ever."""
+        while True:
+            await self.waiting.wait()
+            self.waiting = trio.Event()
+            while self.partial or self.lines:
+                await trio.sleep(RETRY_S)
+                self.flush()
 
     def flush(self) -> None:
         """Write as much as the reader accepts without blocking."""
--- a/src/carawayward/platform/entry.py
+++ b/src/carawayward/platform/entry.py
@@ -55,6 +55,6 @@
     process = daemon.ForwardingDaemon.from_config(
         settings, ports, lambda: read_settings().bounds
     )
-    process.flush_logs = handler.flush
+    process.write_logs = handler.write_waiting
     trio.run(process.run)
     handler.flush()
--- a/tests/cover/test_forwarding_delegates.py
+++ b/tests/cover/test_forwarding_delegates.py
@@ -152,6 +152,7 @@
     )
     rounds: typing.Any = types.SimpleNamespace(
         is_needed=lambda: False,
+        wait_until_needed=trio.sleep_forever,
         replace=None,
         apply=None,
         mark_current=None,
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -282,6 +282,32 @@
     assert reader.list_since(4) == [change]
 
 
+def test_lost_delegate_is_replaced_when_the_feed_is_told():
+    """A feed asked to read for others would wait for its own delegate."""
+
+    async def main():
+        topic = FakeTopic()
+        reader = make_feed(
+            "keys",
+            typing.cast(typing.Any, topic),
+            make_outages(clocks.TrioClock()),
+        )
+        delegated = True
+        reader.has_delegate = lambda: delegated
+        reader.compute_delegate_left_ms = lambda: float("inf")
+        async with trio.open_nursery() as nursery:
+            await reader.start(nursery)
+            await trio.sleep(0.05)
+            delegated = False
+            reader.check_delegate()
+            await trio.sleep(0.01)
+            assert reader.due_ms > reader.clock.boot_ms()
+            assert not reader._delegating
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 @attrs.define
 class SlowTopic:
     """A topic whose calls return ``records`` as of ``latency_s`` before."""
