Spare the request path cancel scopes, tasks and searches of the stack

A request with a stream of about eight chunks took 37 cancel scopes, 17 calls of httpcore's trace hook and 2.5 log lines whose caller absl searched for. Attempts now connect by themselves and send over httpcore's HTTP/1.1 connection: no task per connection, no scope per chunk, no trace. Log lines are built only if they are written, and name no caller.

EventCapture in test_gateway_input replaced absl's log function, which is no longer called; it now replaces the logger's handle and records all levels as before.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -5,6 +5,7 @@
 import typing
 
 from absl import logging
+from absl.logging import converter
 import attrs
 
 
@@ -374,8 +375,21 @@
     )
 
 
+_encode = json.JSONEncoder(default=str).encode
+
+
 def log_event(event: Event, **fields: typing.Any) -> None:
     """Log an event as JSON; ``fields`` must not contain callers' text."""
     kind = event.value
+    logger = logging.get_absl_logger()
+    level = converter.absl_to_standard(kind.level)
+    if not logger.isEnabledFor(level):
+        return
     line = {"event": kind.code, "name": event.name.lower(), **fields}
-    logging.log(kind.level, "%s", json.dumps(line, default=str))
+    # The logger's own methods search the stack for the caller, which costs
+    # more than all the rest.
+    logger.handle(
+        logger.makeRecord(
+            logger.name, level, __file__, 0, _encode(line), (), None
+        )
+    )
--- a/src/carawayward/forwarding/attempt.py
+++ b/src/carawayward/forwarding/attempt.py
@@ -10,7 +10,6 @@
 
 import attrs
 import httpcore
-import trio
 
 from carawayward.forwarding import message_types
 from carawayward.gateway import connections
@@ -96,6 +95,29 @@
         return bytes(body)
 
 
+async def open_connection(
+    address: str, silence_timeout_ms: int | None
+) -> httpcore.AsyncHTTP11Connection:
+    """Connect to an address; raise AttemptFailed if that fails.
+
+    With ``silence_timeout_ms`` the kernel ends the connection after that time
+    without any packet from the other side.
+    """
+    host, _, port = address.rpartition(":")
+    backend = connections.EndpointBackend(silence_timeout_ms)
+    try:
+        stream = await backend.connect_tcp(host, int(port), CONNECT_TIMEOUT_S)
+    except http.CALL_FAILURES as cause:
+        raise AttemptFailed(type(cause).__name__, sent=False) from cause
+    origin = httpcore.Origin(b"http", host.encode(), int(port))
+    return httpcore.AsyncHTTP11Connection(origin, stream)
+
+
+Connect = typing.Callable[
+    [str, int | None], typing.Awaitable[httpcore.AsyncHTTP11Connection]
+]
+
+
 @contextlib.asynccontextmanager
 async def open_attempt(
     address: str,
@@ -104,19 +126,13 @@
     read_response: ReadResponse,
     mark: http.SentMark,
     silence_timeout_ms: int | None = None,
-    prepare: typing.Callable[
-        [httpcore.AsyncHTTPConnection], typing.Awaitable[None]
-    ]
-    | None = None,
+    connect: Connect = open_connection,
 ) -> typing.AsyncIterator[ResponseReader]:
     """Send a request and wait for the status and headers of its response.
 
     Leaving the context, also by cancellation, closes the connection, which
-    makes the endpoint drop the request. With ``silence_timeout_ms`` the kernel
-    ends the connection after that time without any packet from the other
-    side. ``prepare`` is called with the connection before the request is sent
-    on it. Raises AttemptFailed, or AttemptWithheld if ``mark.may_send`` does
-    not allow the request to be sent.
+    makes the endpoint drop the request. Raises AttemptFailed, or
+    AttemptWithheld if ``mark.may_send`` does not allow the request to be sent.
     """
     host, _, port = address.rpartition(":")
     url = httpcore.URL(
@@ -125,24 +141,16 @@
         port=int(port),
         target=forwarded.target,
     )
-    connection = httpcore.AsyncHTTPConnection(
-        origin=url.origin,
-        network_backend=connections.EndpointBackend(silence_timeout_ms),
-    )
     request = httpcore.Request(
         forwarded.method,
         url,
         headers=forwarded.headers,
         content=forwarded.body,
-        extensions={
-            "trace": mark.trace,
-            "timeout": {"connect": CONNECT_TIMEOUT_S},
-        },
     )
+    connection = await connect(address, silence_timeout_ms)
     try:
-        if prepare is not None:
-            await prepare(connection)
         try:
+            mark.begin_sending()
             response = await connection.handle_async_request(request)
         except http.TooLate as cause:
             raise AttemptWithheld() from cause
@@ -159,5 +167,5 @@
         )
         yield ResponseReader(head, response)
     finally:
-        with trio.CancelScope(shield=True):
-            await connection.aclose()
+        # Closing waits for nothing, so a cancelled task may do it.
+        await connection.aclose()
--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -2,7 +2,6 @@
 
 import collections
 import contextlib
-import functools
 import random
 import typing
 
@@ -202,7 +201,7 @@
                 make_reader(read_response),
                 mark,
                 relayed.silence_ms,
-                prepare=functools.partial(_check_alive, address),
+                connect=_connect_to_live_peer,
             ) as answer:
                 quarantine_module.record_accepted(self.quarantine, peer.name)
                 yield answer
@@ -306,29 +305,43 @@
     return "peer's reply is none of an endpoint"
 
 
-async def _check_alive(
-    address: str, connection: httpcore.AsyncHTTPConnection
-) -> None:
-    """Raise AttemptFailed unless the peer's process answers.
+async def _connect_to_live_peer(
+    address: str, silence_timeout_ms: int | None
+) -> httpcore.AsyncHTTP11Connection:
+    """Connect to a peer; raise AttemptFailed unless its process answers.
 
     The kernel accepts connections for a frozen process, which would run the
     request when it wakes.
     """
     with trio.move_on_after(PREFLIGHT_TIMEOUT_MS / 1000):
+        connection = await attempt_module.open_connection(
+            address, silence_timeout_ms
+        )
         try:
-            response = await connection.request(
-                "GET", f"http://{address}{relay_messages.PATH.decode()}"
-            )
-        except http.CALL_FAILURES as cause:
-            raise attempt_module.AttemptFailed(
-                type(cause).__name__, sent=False
-            ) from cause
-        if response.status == 204:
-            return
+            await _check_alive(address, connection)
+        except BaseException:
+            await connection.aclose()
+            raise
+        return connection
+    raise attempt_module.AttemptFailed("no answer", sent=False)
+
+
+async def _check_alive(
+    address: str, connection: httpcore.AsyncHTTP11Connection
+) -> None:
+    """Raise AttemptFailed unless the peer's process answers."""
+    try:
+        response = await connection.request(
+            "GET", f"http://{address}{relay_messages.PATH.decode()}"
+        )
+    except http.CALL_FAILURES as cause:
+        raise attempt_module.AttemptFailed(
+            type(cause).__name__, sent=False
+        ) from cause
+    if response.status != 204:
         raise attempt_module.AttemptFailed(
             f"status {response.status}", sent=False
         )
-    raise attempt_module.AttemptFailed("no answer", sent=False)
 
 
 async def _ask_probe(
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -96,32 +96,52 @@
             GAP_TIMEOUT_TARGETS * gap_ms / 1000 if gap_ms else float("inf")
         )
         async with contextlib.aclosing(answer.read_chunks()) as chunks:
-            while True:
-                chunk = b""
-                with trio.move_on_after(gap_timeout_s) as gap_scope:
+            # One scope for all waits: a new one for each would cost as much
+            # as the wait.
+            with trio.CancelScope() as gap_scope:
+                while True:
+                    gap_scope.deadline = trio.current_time() + gap_timeout_s
                     chunk = await anext(chunks, b"")
-                if gap_scope.cancelled_caught:
-                    return work_items.Failed(
-                        "stream idle timeout", timed_out=True
-                    )
-                if not chunk:
-                    break
-                try:
-                    events = splitter.feed(chunk)
-                except event_stream.MalformedStream as fault:
-                    return work_items.Failed(str(fault))
-                for event in events:
-                    failure = await self._relay_event(
-                        work, answer, event, reply
+                    gap_scope.deadline = float("inf")
+                    if not chunk:
+                        break
+                    if gap_scope.cancel_called:
+                        # It was not in time, though it arrived after all.
+                        return work_items.Failed(
+                            "stream idle timeout", timed_out=True
+                        )
+                    failure = await self._relay_chunk(
+                        work, answer, splitter, chunk, reply
                     )
                     if failure is not None:
                         return failure
+            if gap_scope.cancelled_caught:
+                return work_items.Failed("stream idle timeout", timed_out=True)
         if splitter.pending or not reply.started:
             return work_items.Failed("stream truncated")
         work.progress.status = answer.head.status
         await reply.finish()
         return work_items.Delivered(answer.head.status)
 
+    async def _relay_chunk(
+        self,
+        work: work_items.Work,
+        answer: attempt_module.ResponseReader,
+        splitter: event_stream.EventSplitter,
+        chunk: bytes,
+        reply: replies.Reply,
+    ) -> work_items.Failed | None:
+        """Relay the events that a chunk completes; return why it cannot."""
+        try:
+            events = splitter.feed(chunk)
+        except event_stream.MalformedStream as fault:
+            return work_items.Failed(str(fault))
+        for event in events:
+            failure = await self._relay_event(work, answer, event, reply)
+            if failure is not None:
+                return failure
+        return None
+
     async def _relay_event(
         self,
         work: work_items.Work,
--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -5,8 +5,10 @@
 pool for each endpoint it covers only that endpoint's connections.
 """
 
+import ipaddress
 import os
 import select
+import socket
 import ssl
 import typing
 
@@ -65,8 +67,10 @@
         if self.unwritten:
             await self._send_unwritten(timeout)
         if self.reading is None:
-            with trio.move_on_after(timeout or float("inf")):
-                return await self.stream.receive_some(max_bytes)
+            if timeout is None:
+                return await self._receive(max_bytes)
+            with trio.move_on_after(timeout):
+                return await self._receive(max_bytes)
             raise httpcore.ReadTimeout()
         if self.drained:
             return await self._wait(self.reading, max_bytes)
@@ -74,11 +78,29 @@
             data = os.read(self.stream.socket.fileno(), max_bytes)
         except BlockingIOError:
             return await self._wait(self.reading, max_bytes)
+        await self._record_read(data, max_bytes)
+        return data
+
+    async def _record_read(self, data: bytes, max_bytes: int) -> None:
+        """Record a read without a wait, and now and then let others run."""
         self.drained = len(data) < max_bytes
         self.immediate_reads += 1
         if self.immediate_reads % READS_PER_CHECKPOINT == 0:
             await trio.lowlevel.checkpoint()
-        return data
+
+    async def _receive(self, max_bytes: int) -> bytes:
+        """Read what has arrived, or wait for it."""
+        while True:
+            descriptor = self.stream.socket.fileno()
+            if self.drained:
+                await trio.lowlevel.wait_readable(descriptor)
+            try:
+                data = os.read(descriptor, max_bytes)
+            except BlockingIOError:
+                self.drained = True
+                continue
+            await self._record_read(data, max_bytes)
+            return data
 
     async def _wait(self, reading: Reading, max_bytes: int) -> bytes:
         await reading.flush()
@@ -114,7 +136,7 @@
 
     async def aclose(self) -> None:
         """Close at once, without a graceful shutdown."""
-        await trio.aclose_forcefully(self.stream)
+        self.stream.socket.close()
 
     async def start_tls(
         self,
@@ -140,6 +162,22 @@
         return bool(poll.poll(0))
 
 
+async def open_stream(host: str, port: int) -> trio.SocketStream:
+    """Connect; for an IP address without the tasks that resolve a name."""
+    try:
+        version = ipaddress.ip_address(host).version
+    except ValueError:
+        return await trio.open_tcp_stream(host, port)
+    family = socket.AF_INET if version == 4 else socket.AF_INET6
+    connecting = trio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        await connecting.connect((host, port))
+    except BaseException:
+        connecting.close()
+        raise
+    return trio.SocketStream(connecting)
+
+
 class EndpointBackend(httpcore.AsyncNetworkBackend):
     """Opens connections to endpoints.
 
@@ -161,7 +199,7 @@
         """Connect within ``timeout`` seconds."""
         with trio.move_on_after(timeout or float("inf")):
             try:
-                stream = await trio.open_tcp_stream(host, port)
+                stream = await open_stream(host, port)
             except OSError as cause:
                 raise httpcore.ConnectError(type(cause).__name__) from cause
             if self.silence_ms is not None:
--- a/src/carawayward/http_client.py
+++ b/src/carawayward/http_client.py
@@ -39,12 +39,16 @@
     on_connect: typing.Callable[[], None] | None = None
     may_send: typing.Callable[[], bool] = lambda: True
 
+    def begin_sending(self) -> None:
+        """Record that the request is about to be sent, if it may be."""
+        if not self.may_send():
+            raise TooLate()
+        self.sent = True
+
     async def trace(self, name: str, info: dict) -> None:
         """Handle a trace event of httpcore."""
         if name.endswith("send_request_headers.started"):
-            if not self.may_send():
-                raise TooLate()
-            self.sent = True
+            self.begin_sending()
         elif self.on_connect and name.endswith("connect_tcp.started"):
             self.on_connect()
 
--- a/tests/cover/test_gateway_input.py
+++ b/tests/cover/test_gateway_input.py
@@ -1,6 +1,7 @@
 """Invalid requests get a problem reply and are logged."""
 
 import json
+import logging as standard_logging
 import string
 import typing
 from unittest import mock
@@ -55,16 +56,20 @@
         self.lines: list[str] = []
 
     def __enter__(self) -> "EventCapture":
-        self.patch = mock.patch.object(logging, "log", self.record)
+        logger = logging.get_absl_logger()
+        self.level = logger.level
+        logger.setLevel("DEBUG")
+        self.patch = mock.patch.object(logger, "handle", self.record)
         self.patch.start()
         return self
 
     def __exit__(self, *_: object) -> None:
         self.patch.stop()
+        logging.get_absl_logger().setLevel(self.level)
 
-    def record(self, level: int, text: str, *arguments: object) -> None:
-        """Store one log line; replaces ``logging.log``."""
-        self.lines.append(text % arguments)
+    def record(self, record: standard_logging.LogRecord) -> None:
+        """Store one log line; replaces the logger's ``handle``."""
+        self.lines.append(record.getMessage())
 
     def list_names(self) -> list[str]:
         """Return the names of the captured events."""
