--- a/src/carawayward/decisions/retry_budget.py
+++ b/src/carawayward/decisions/retry_budget.py
@@ -32,6 +32,9 @@
 REQUEST_WINDOWS = (0.0, 0.5, 1.0)
 # Windows that end within this share of the window are checked together.
 STEP = 1.0 / 20.0
+STEPS = round(1.0 / STEP)
+# The same windows, by how many steps earlier they end.
+REQUEST_STEPS = [round(part / STEP) for part in REQUEST_WINDOWS]
 # A run reaches its endpoint up to this long after it was counted: establishing
 # the connection takes time.
 MAX_ARRIVAL_LAG_MS = 500.0
@@ -80,28 +83,40 @@
     """Compute how much of the budget is used in the fullest window to come."""
     _find_slice(runs, now_ms)
     starts = [each.start_ms for each in runs.slices]
-    requests = _accumulate(each.requests for each in runs.slices)
     extra_runs = _accumulate(each.extra_runs for each in runs.slices)
     slack = _compute_slack(runs, now_ms)
     step_ms = STEP * runs.window_ms
     length_ms = runs.window_ms / SLICES
+    requests = _count_requests(runs, now_ms, starts)
     usages = []
-    for step in range(round(1.0 / STEP) + 1):
+    for step in range(STEPS + 1):
         end_ms = now_ms + step * step_ms
         begin_ms = end_ms - runs.window_ms - MAX_ARRIVAL_LAG_MS - length_ms
         spent = extra_runs[-1] - extra_runs[bisect.bisect(starts, begin_ms)]
-        most = 0
-        for back in REQUEST_WINDOWS:
-            until_ms = end_ms - back * runs.window_ms
-            from_ms = until_ms - runs.window_ms + step_ms
-            first = bisect.bisect_left(starts, from_ms)
-            last = bisect.bisect_right(starts, until_ms - length_ms)
-            if until_ms >= now_ms:
-                last = len(starts)
-            most = max(most, requests[max(first, last)] - requests[first])
+        most = max([requests[step - back] for back in REQUEST_STEPS])
         allowed = HEADROOM * (runs.ratio * most + slack)
-        usages.append(Usage(runs=spent, allowed=allowed))
-    return min(usages, key=lambda each: each.allowed - each.runs)
+        usages.append((allowed - spent, spent, allowed))
+    _, spent, allowed = min(usages)
+    return Usage(runs=spent, allowed=allowed)
+
+
+def _count_requests(
+    runs: RetryBudget, now_ms: float, starts: list[float]
+) -> dict[int, int]:
+    """The requests of the windows, by how many steps from now they end."""
+    sums = _accumulate(each.requests for each in runs.slices)
+    step_ms = STEP * runs.window_ms
+    length_ms = runs.window_ms / SLICES
+    counts = {}
+    for step in range(-max(REQUEST_STEPS), STEPS + 1):
+        until_ms = now_ms + step * step_ms
+        from_ms = until_ms - runs.window_ms + step_ms
+        first = bisect.bisect_left(starts, from_ms)
+        last = len(starts)
+        if step < 0:
+            last = bisect.bisect_right(starts, until_ms - length_ms)
+        counts[step] = sums[max(first, last)] - sums[first]
+    return counts
 
 
 def _accumulate(counts: typing.Iterable[int]) -> list[int]:
