--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -18,13 +18,12 @@
 from carawayward.forwarding import store_outages
 from carawayward import supervision
 
-# How often a feed that relies on a delegate checks that it still has one.
+# How often a feed that relies on a delegate checks that it still has one, if
+# it is not known how long the delegate's last answer holds.
 DELEGATE_CHECK_MS = 200.0
 # Turns of other tasks before a feed calls the store because of a late report.
 # After a process was suspended or busy, the report may have arrived already.
 TURNS_BEFORE_CALL = 3
-# How often an idle feed checks whether its topic is needed again.
-NEEDED_CHECK_MS = 200.0
 # A feed that is behind its delegate and receives no changes for longer than
 # this reads the store: both the datagram with the change and the answer to the
 # next query were lost.
@@ -43,7 +42,8 @@
     first one that succeeds again. ``get_poll_wait`` returns how long the next
     poll may wait, in ms, and ``get_call_gap`` how long after the start of a
     call that returned records the next one begins.
-    Nothing is read unless ``is_needed`` returns true.
+    Nothing is read unless ``is_needed`` returns true; ``wait_until_needed``
+    returns when it may do so again.
 
     While ``has_delegate`` returns true, another entry VM reads the store on
     behalf of this one; ``confirm`` receives its attestations and
@@ -51,7 +51,9 @@
     only if the delegate cannot bring it up to date, if ``current_as_of_ms``,
     the time up to which the topic is known, is more than ``get_max_age`` ms
     ago, or if no newer confirmation has arrived ``store_polls.OVERDUE_MS``
-    after ``due_ms``.
+    after ``due_ms``. ``compute_delegate_left_ms`` returns how long the
+    delegate's last answer holds; what ends it sooner calls
+    ``check_delegate``.
 
     ``push_updates`` is called when records have arrived. ``log`` keeps the
     changes that can be passed on to others. ``latest_known_position`` is the
@@ -76,7 +78,13 @@
     )
     record_failing: typing.Callable[[bool], None] = lambda failing: None
     has_delegate: typing.Callable[[], bool] = lambda: False
+    compute_delegate_left_ms: typing.Callable[[], float] = lambda: (
+        DELEGATE_CHECK_MS
+    )
     is_needed: typing.Callable[[], bool] = lambda: True
+    wait_until_needed: typing.Callable[[], typing.Awaitable[None]] = (
+        trio.sleep_forever
+    )
     get_max_age: typing.Callable[[], float] = lambda: store_polls.MAX_POLL_MS
     push_updates: typing.Callable[[], None] = lambda: None
     count_call: typing.Callable[[call_causes.Cause], None] = lambda cause: None
@@ -92,6 +100,7 @@
     _gap_ms: float = 0.0
     _relist_cause: call_causes.Cause | None = None
     _wakeup: trio.Event = attrs.field(factory=trio.Event)
+    _delegate_wait: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start to follow the topic."""
@@ -156,6 +165,10 @@
         if not served:
             self._wakeup.set()
 
+    def check_delegate(self) -> None:
+        """Check soon whether there is still a delegate."""
+        self._delegate_wait.cancel()
+
     def list_since(self, start: int) -> list[change_log.Change] | None:
         """List changes from ``start`` on; None if some are not known."""
         return self.log.list_since(start)
@@ -181,12 +194,14 @@
                 )
         self._set_position(end)
         self.push_updates()
+        # The changes may be of a kind that only a read of the store settles.
+        self.check_delegate()
         return True
 
     async def _follow(self) -> None:
         while True:
             while not self.is_needed():
-                await self.clock.sleep(NEEDED_CHECK_MS)
+                await self.wait_until_needed()
             cause = await self._wait_for_cause()
             self.count_call(cause)
             wait_ms = self._take_wait(cause)
@@ -267,10 +282,11 @@
             remaining_ms = min(
                 self.get_max_age() - self._compute_age_ms(),
                 store_polls.OVERDUE_MS - self._compute_overdue_ms(),
+                self.compute_delegate_left_ms(),
+                self._compute_behind_left_ms(),
             )
-            with trio.move_on_after(
-                min(remaining_ms, DELEGATE_CHECK_MS) / 1000
-            ):
+            with trio.move_on_after(max(0.0, remaining_ms) / 1000) as wait:
+                self._delegate_wait = wait
                 await self._wakeup.wait()
             if self._wakeup.is_set():
                 cause = call_causes.Cause.NOT_SERVED
@@ -297,10 +313,8 @@
         """Return why the delegate is insufficient; None if it suffices."""
         if not self.has_delegate():
             return call_causes.Cause.DELEGATE_LOST
-        if self.behind_since_ms is not None:
-            behind_ms = self.clock.boot_ms() - self.behind_since_ms
-            if behind_ms >= MAX_BEHIND_MS:
-                return call_causes.Cause.BEHIND
+        if self._compute_behind_left_ms() <= 0.0:
+            return call_causes.Cause.BEHIND
         if self._compute_age_ms() >= self.get_max_age():
             return call_causes.Cause.REPORT_OLD
         if self._compute_overdue_ms() >= store_polls.OVERDUE_MS:
@@ -314,6 +328,14 @@
             and self.latest_known_position > self.position
         )
 
+    def _compute_behind_left_ms(self) -> float:
+        """How long this feed may still be behind its delegate."""
+        if self.behind_since_ms is None:
+            # It may get behind meanwhile.
+            return MAX_BEHIND_MS
+        behind_ms = self.clock.boot_ms() - self.behind_since_ms
+        return MAX_BEHIND_MS - behind_ms
+
     def _compute_age_ms(self) -> float:
         return self.clock.boot_ms() - self.current_as_of_ms
 
