Place prompts by each engine's pace and places, among a few drawn engines

Seen by callers: in a deployment with a third of the engines 2.4 times as slow, slow engines got as much work as the others and their answers came late; engines of 12 places got prompts that waited for one.

Cause: one latency model a service; places not counted.

Change: paces learned from times to first token and shared by the topic 'paces'; a wait for a place; with more than 16 peers a few engines drawn at random, and a few of those that have cached the prompt, are compared.

--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -1,6 +1,8 @@
 """Load-dependent decisions: pure functions without sockets or clocks.
 
 For forwarded routes: ``engine_load`` (which engine gets a prompt),
+``engine_pace`` (how fast each engine is), ``engine_sampling`` (which engines
+are compared),
 ``escalation`` (which model answers), ``retry_budget`` (how many extra runs a
 service may get), ``quarantine`` (endpoints to skip for now), ``canary`` (how
 much traffic a new version gets), ``cold_starts`` (how many requests a cold
--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -30,6 +30,7 @@
 # Part of an engine's memory assumed to hold cached prompts; the rest holds
 # running requests.
 CACHED_PART = 0.6
+NO_PACES: typing.Mapping[str, float] = {}
 
 
 @attrs.frozen
@@ -112,20 +113,41 @@
 # second the tokens do.
 SHORT_BACKLOG = 2_000.0
 LONG_BACKLOG = 3_000.0
+# The mean time for which requests hold their places follows each by this part
+# of the difference. A longer one counts as this multiple of the mean.
+MIN_HELD_GAIN = 0.05
+MAX_HELD_RATIO = 4.0
 
 
 @attrs.define
 class LatencyModel:
-    """Estimated time to first token of a service's engines."""
+    """Estimated time to first token of a service's engines.
+
+    ``held_ms`` is the mean time for which a request holds its place in a
+    batch; 0 until it is known.
+    """
 
     base_ms: float = INITIAL_BASE_MS
     token_ms: float = INITIAL_TOKEN_MS
     short_seen: int = 0
+    held_ms: float = 0.0
+    held_seen: int = 0
 
 
-def predict_ttft(model: LatencyModel, weight: float) -> float:
+def predict_ttft(
+    model: LatencyModel, weight: float, pace: float = 1.0
+) -> float:
     """Predicted time to first token, in ms, with ``weight`` tokens to read."""
-    return model.base_ms + weight * model.token_ms
+    return (model.base_ms + weight * model.token_ms) * pace
+
+
+def observe_held(model: LatencyModel, held_ms: float) -> None:
+    """Update the mean time for which a request holds its engine's place."""
+    model.held_seen += 1
+    if model.held_seen > 1:
+        held_ms = min(held_ms, MAX_HELD_RATIO * model.held_ms)
+    gain = max(MIN_HELD_GAIN, 1.0 / model.held_seen)
+    model.held_ms += gain * (held_ms - model.held_ms)
 
 
 def compute_remote_penalty(model: LatencyModel, target_ms: float) -> float:
@@ -153,20 +175,50 @@
 class Choice:
     """An engine, and the weighted tokens it reads until the prompt is read.
 
-    ``ahead`` is the part of them that precedes the prompt itself.
+    ``ahead`` is the part of them that precedes the prompt itself. ``pace`` is
+    that of the engine, ``is_full`` whether its places are taken.
     """
 
     name: str
     weight: float
     ahead: float = 0.0
+    pace: float = 1.0
+    is_full: bool = False
 
 
 @attrs.frozen
 class Candidate:
-    """An engine that may take the prompt."""
+    """An engine that may take the prompt, and its pace."""
 
     name: str
     local: bool
+    pace: float = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Room:
+    """The places of an engine, and times at pace 1 in weighted tokens.
+
+    ``slots`` is how many requests it holds at once, 0 for no limit.
+    ``base_weight`` is what an idle engine takes to the first token,
+    ``held_weight`` how long a request holds its place.
+    """
+
+    slots: int = 0
+    base_weight: float = 0.0
+    held_weight: float = 0.0
+
+
+NO_ROOM = Room()
+
+
+def make_room(model: LatencyModel, slots: int) -> Room:
+    """The places of engines that hold ``slots`` requests at once."""
+    return Room(
+        slots=slots,
+        base_weight=model.base_ms / model.token_ms,
+        held_weight=model.held_ms / model.token_ms,
+    )
 
 
 def add_own_load(loads: EngineLoads, engine: str, change: Load) -> None:
@@ -231,11 +283,19 @@
 
 
 def compute_mean_weight(
-    loads: EngineLoads, engines: typing.Collection[str], now_ms: float
+    loads: EngineLoads,
+    engines: typing.Collection[str],
+    now_ms: float,
+    paces: typing.Mapping[str, float] = NO_PACES,
 ) -> float:
-    """Mean weighted tokens that each of ``engines`` still has to read."""
+    """Mean weighted tokens that each of ``engines`` still has to read.
+
+    Those of an engine count by its pace.
+    """
     expire_reports(loads, now_ms)
-    known = sum(get_load(loads, name).weight for name in engines)
+    known = sum(
+        get_load(loads, name).weight * paces.get(name, 1.0) for name in engines
+    )
     return known / max(1, len(engines))
 
 
@@ -279,9 +339,12 @@
     now_ms: float,
     draw: typing.Callable[[int], int],
     remote_penalty: float = 0.0,
+    room: Room = NO_ROOM,
 ) -> Choice | None:
     """The engine that would finish reading the prompt first.
 
+    An engine of pace 2 needs twice the time for the same tokens. If its places
+    are taken, the prompt waits for one, while those ahead of it are read.
     Engines in other failure domains count as having ``remote_penalty`` more
     tokens to read.
     """
@@ -289,21 +352,33 @@
     best: list[Choice] = []
     least = float("inf")
     for candidate in candidates:
-        load = get_load(loads, candidate.name)
-        unread = count_unread(loads, candidate.name, prompt)
-        weight = load.weight + unread * prompt.model_weight
-        cost = (
-            weight
-            + load.streams * STREAM_WEIGHT
-            + (0.0 if candidate.local else remote_penalty)
+        name, pace = candidate.name, candidate.pace
+        load = get_load(loads, name)
+        ahead, is_full = _count_ahead(load, room)
+        weight = (
+            ahead + count_unread(loads, name, prompt) * prompt.model_weight
         )
+        cost = (
+            room.base_weight + weight + load.streams * STREAM_WEIGHT
+        ) * pace + (0.0 if candidate.local else remote_penalty)
         if cost < least:
             best, least = [], cost
         if cost == least:
-            best.append(Choice(candidate.name, weight, load.weight))
+            best.append(Choice(name, weight, ahead, pace, is_full))
     return best[draw(len(best))] if best else None
 
 
+def _count_ahead(load: Load, room: Room) -> tuple[float, bool]:
+    """Weighted tokens until an engine reads the next prompt, and why.
+
+    The second value says whether it has to wait for a place.
+    """
+    if not room.slots or load.streams < room.slots:
+        return load.weight, False
+    leaving = load.streams - room.slots + 1
+    return max(load.weight, leaving * room.held_weight / room.slots), True
+
+
 def forget_engines(loads: EngineLoads, known: typing.Container[str]) -> None:
     """Drop cached prompt parts of engines that no longer exist."""
     for name in [each for each in loads.cached if each not in known]:
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -85,6 +85,10 @@
     placer = placing.Placer(
         clock, fleet, rollouts, reporter, metrics, started_ms=clock.now_ms()
     )
+    reporter.add_topic(
+        "paces",
+        load_reports.Topic(placer.paces.describe, placer.paces.merge),
+    )
     paths = service_paths.ServicePaths(board, clock, reporter.report_soon)
     reporter.add_topic(
         "paths", load_reports.Topic(paths.describe, paths.merge)
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -6,6 +6,8 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import engine_load
+from carawayward.decisions import engine_pace
+from carawayward.decisions import engine_sampling
 from carawayward.decisions import health as health_module
 from carawayward.decisions import limits
 from carawayward.decisions import placement
@@ -66,6 +68,7 @@
     latency_models: dict[str, engine_load.LatencyModel] = attrs.field(
         factory=dict
     )
+    paces: engine_pace.Paces = attrs.field(factory=engine_pace.Paces)
     quarantine: quarantine_module.Quarantine = attrs.field(
         factory=quarantine_module.Quarantine
     )
@@ -117,23 +120,38 @@
         prompt: engine_load.Prompt,
         excluded: frozenset[str],
         remote_weight: float = 0.0,
+        room: engine_load.Room = engine_load.NO_ROOM,
     ) -> engine_load.Choice | None:
         """Choose the engine that would finish reading a prompt first."""
         now_ms = self.clock.now_ms()
+        engine_load.expire_reports(self.loads, now_ms)
+        engine_pace.expire(self.paces, now_ms)
+        domain, paces = self.board.failure_domain, self.paces.known
+        views = engine_sampling.choose_candidates(
+            self.loads,
+            (
+                pool.by_domain.get(domain, []),
+                pool.outside_domain.get(domain, pool.views),
+            ),
+            prompt,
+            lambda view: placement.is_available(view, now_ms, excluded),
+            self.draw,
+        )
         return engine_load.choose(
             self.loads,
             [
                 engine_load.Candidate(
                     view.name,
-                    view.failure_domain == self.board.failure_domain,
+                    view.failure_domain == domain,
+                    paces.get(view.name, 1.0),
                 )
-                for view in pool.views
-                if placement.is_available(view, now_ms, excluded)
+                for view in views
             ],
             prompt,
             now_ms,
             self.draw,
             remote_weight,
+            room,
         )
 
     def get_latency_model(self, service: str) -> engine_load.LatencyModel:
@@ -159,7 +177,9 @@
                 view.health, now_ms, view.in_flight
             )
         ]
-        weight = engine_load.compute_mean_weight(self.loads, names, now_ms)
+        weight = engine_load.compute_mean_weight(
+            self.loads, names, now_ms, self.paces.known
+        )
         return weight * self.get_latency_model(service).token_ms
 
     def find_pool(
@@ -337,11 +357,13 @@
             if endpoint is None or endpoint.entry.process != entry.process:
                 endpoint = TrackedEndpoint(entry=entry, view=_make_view(entry))
                 self.loads.cached.pop(name, None)
+                engine_pace.forget(self.paces, name)
                 quarantine_module.record_accepted(self.quarantine, name)
             endpoint.entry = entry
             kept[name] = endpoint
         self.tracked = kept
         engine_load.forget_engines(self.loads, kept)
+        engine_pace.forget_engines(self.paces, kept)
         for name in self.quarantine.endpoints.keys() - kept.keys():
             quarantine_module.record_accepted(self.quarantine, name)
 
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -8,6 +8,7 @@
 from carawayward.decisions import placement
 from carawayward.decisions import retry_budget
 from carawayward import events
+from carawayward.forwarding import engine_paces
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import load_reports
 from carawayward.forwarding import message_types
@@ -36,9 +37,15 @@
     reporter: load_reports.LoadReporter
     metrics: metrics_module.Metrics
     started_ms: float
+    paces: engine_paces.EnginePaces = attrs.field(init=False)
     budgets: dict[str, retry_budget.RetryBudget] = attrs.field(factory=dict)
     budget_logged_ms: dict[str, float] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.paces = engine_paces.EnginePaces(
+            self.clock, self.fleet.paces, self.reporter.get_engine_names
+        )
+
     def find_budget(self, service: str) -> retry_budget.RetryBudget:
         """Return the retry budget of a service, by the current bounds."""
         budget = self.budgets.get(service)
@@ -74,8 +81,11 @@
         return False
 
     def collect_gauges(self) -> dict[str, float]:
-        """The extra runs of each service, and how many are allowed."""
-        gauges = {}
+        """The extra runs of each service, and the unusual engines' paces."""
+        gauges = {
+            metrics_module.format_series("engine_pace", endpoint=name): pace
+            for name, pace in self.fleet.paces.known.items()
+        }
         for service in self.budgets:
             usage = retry_budget.compute_usage(
                 self.find_budget(service), self.clock.now_ms()
@@ -131,7 +141,9 @@
             if engine is None:
                 continue
             ttft_ms = engine_load.predict_ttft(
-                self.fleet.get_latency_model(work.service), engine.weight
+                self.fleet.get_latency_model(work.service),
+                engine.weight,
+                engine.pace,
             )
             work.backlog_ms = self.fleet.find_backlog_ms(work.service, pool)
             shortest_ms = work.table.find_shortest_target(work.service)
@@ -174,6 +186,8 @@
             return None
         work.backlog = engine.weight
         work.is_queued = engine.ahead > 0.0
+        work.pace = engine.pace
+        work.is_engine_full = engine.is_full
         return self.fleet.tracked.get(engine.name)
 
     def _choose_engine(
@@ -183,10 +197,16 @@
         prompt: engine_load.Prompt,
         excluded: frozenset[str],
     ) -> engine_load.Choice | None:
+        model = self.fleet.get_latency_model(work.service)
         remote_weight = engine_load.compute_remote_penalty(
-            self.fleet.get_latency_model(work.service), work.route.target_ms
+            model, work.route.target_ms
+        )
+        service = work.table.services[work.service]
+        slots = service.engine.slots if service.engine is not None else 0
+        room = engine_load.make_room(model, slots)
+        return self.fleet.choose_engine(
+            pool, prompt, excluded, remote_weight, room
         )
-        return self.fleet.choose_engine(pool, prompt, excluded, remote_weight)
 
     def _list_filters(
         self, work: work_items.Work, choice: rollout_state.VersionChoice | None
@@ -213,6 +233,9 @@
                 self.reporter.loads, endpoint.entry.name, prompt
             )
             reading.weight = unread * prompt.model_weight
+            model = self.fleet.get_latency_model(work.service)
+            reading.model, reading.pace = model, work.pace
+            reading.read_ms = reading.weight * model.token_ms
             self.reporter.record_cached(endpoint.entry.name, prompt.parts[:-1])
         work.reading = reading if prompt is not None else None
         reading.begin()
@@ -226,7 +249,7 @@
         if not work.backlog:
             return 0.0
         model = self.fleet.get_latency_model(work.service)
-        return engine_load.predict_ttft(model, work.backlog)
+        return engine_load.predict_ttft(model, work.backlog, work.pace)
 
     def observe_ttft(self, work: work_items.Work) -> None:
         """Record the time to the first token and update the latency model."""
@@ -236,7 +259,9 @@
             return
         work.reading.observe_ttft()
         predicted_ms = self.predict_ttft(work)
-        progress.predicted_ms = predicted_ms
+        # Versions are judged at the pace of the service: by its own, the
+        # engine of a slow version would seem to be in time.
+        progress.predicted_ms = predicted_ms / work.pace
         events.log_event(
             events.Event.HEAD_READ,
             request=work.metadata.request_id,
@@ -249,12 +274,23 @@
             confidence=work.confidence,
         )
         if not self.rollouts.is_on_trial(work.service, progress.version):
-            # A version on trial is judged by the predictions. If they followed
-            # its latency, it would pass however slow it is.
-            model = self.fleet.get_latency_model(work.service)
-            engine_load.observe_ttft(model, work.backlog, took_ms)
+            self._learn_latency(work, took_ms)
         self.metrics.observe("head", took_ms, model=work.model_name)
 
+    def _learn_latency(self, work: work_items.Work, took_ms: float) -> None:
+        """Teach the latency model and the engine's pace.
+
+        A version on trial is judged by the predictions. If they followed its
+        latency, it would pass however slow it is. How long a prompt has waited
+        for a place says little about the engine.
+        """
+        if work.is_engine_full:
+            return
+        model = self.fleet.get_latency_model(work.service)
+        usual_ms = engine_load.predict_ttft(model, work.backlog)
+        self.paces.observe(work.service, work.endpoint, took_ms, usual_ms)
+        engine_load.observe_ttft(model, work.backlog, took_ms / work.pace)
+
     def find_larger_model(self, work: work_items.Work) -> int | None:
         """Return the larger model to ask instead; None to keep the answer."""
         if work.model is None:
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -95,12 +95,18 @@
 class Reading:
     """A prompt at an engine, outstanding until its first token.
 
-    ``weight`` is what remains to be read, in weighted tokens.
+    ``weight`` is what remains to be read, in weighted tokens. ``model`` learns
+    for how long the request holds its place: from when the engine began to
+    read it, by the prediction of ``read_ms``, to its end.
     """
 
     reporter: load_reports.LoadReporter
     engine: str
     weight: float
+    model: engine_load.LatencyModel | None = None
+    pace: float = 1.0
+    read_ms: float = 0.0
+    ttft_at_ms: float | None = None
 
     def begin(self) -> None:
         """Add the prompt to the engine's outstanding load."""
@@ -109,6 +115,7 @@
 
     def observe_ttft(self) -> None:
         """Remove the prompt's tokens: the engine has read them."""
+        self.ttft_at_ms = self.reporter.clock.now_ms()
         if self.weight:
             load = engine_load.Load(-self.weight, 0)
             self.reporter.record_load(self.engine, load)
@@ -116,6 +123,10 @@
 
     def end(self) -> None:
         """Remove the stream, and the prompt's tokens if still outstanding."""
+        if self.model is not None and self.ttft_at_ms is not None:
+            wrote_ms = self.reporter.clock.now_ms() - self.ttft_at_ms
+            held_ms = wrote_ms / self.pace + self.read_ms
+            engine_load.observe_held(self.model, held_ms)
         load = engine_load.Load(-self.weight, -1)
         self.reporter.record_load(self.engine, load)
         self.weight = 0.0
@@ -180,8 +191,9 @@
     connect to are also in ``unconnected``. ``no_peer`` is set once no peer was
     found to send the request.
     ``backlog`` is what the chosen engine reads until the first token, in
-    weighted tokens, and ``is_queued`` whether that includes other prompts.
-    ``backlog_ms`` is the mean backlog of the engines, for the log.
+    weighted tokens, and ``is_queued`` whether that includes other prompts;
+    ``pace`` is that of the engine, ``is_engine_full`` whether its places are
+    taken. ``backlog_ms`` is the mean backlog of the engines, for the log.
     """
 
     request: replies.CallerRequest
@@ -211,6 +223,8 @@
     reading: "Reading | None" = None
     backlog: float = 0.0
     is_queued: bool = False
+    pace: float = 1.0
+    is_engine_full: bool = False
     backlog_ms: float = 0.0
     _fingerprint: str = attrs.field(default="", init=False)
     _shared_parts: tuple[str, ...] | None = attrs.field(
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -9,6 +9,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import canary
 from carawayward.decisions import engine_load
+from carawayward.decisions import engine_pace
 from carawayward.decisions import quarantine
 from carawayward.decisions import turns
 from carawayward.forwarding import board as board_module
@@ -339,6 +340,8 @@
         observe=lambda *args, **labels: None,
         observe_ttft=lambda: None,
         request_id="one",
+        paces=engine_pace.Paces(),
+        get_engine_names=dict,
     )
     began_ms = rollouts.clock.now_ms() - 1_500.0
     work: typing.Any = types.SimpleNamespace(
@@ -349,6 +352,8 @@
         endpoint="engine",
         model_name="large",
         backlog=100.0,
+        pace=1.0,
+        is_engine_full=False,
         backlog_ms=0.0,
         confidence=None,
     )
