Send requests' urgency to engines, and predict by what is ahead of a rank

Seen by callers: urgent requests waited in full engines behind less urgent ones, since no priority was sent, and predictions counted all work as ahead.

Change: an urgency by rank, where a service has more than one; interrupted requests and those past their target come before new ones of their rank. Load reports carry outstanding work by at most four levels of rank (version 5); at an engine whose places are taken, less urgent work is not ahead. Latency models learn from prompts that waited for a place as well, by a prediction that includes the wait: without, an entry VM that starts under overload would keep its initial values.

--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -2,7 +2,8 @@
 
 For forwarded routes: ``engine_load`` (which engine gets a prompt),
 ``engine_pace`` (how fast each engine is), ``engine_sampling`` (which engines
-are compared),
+are compared), ``engine_room`` (how long a prompt waits for a place),
+``engine_order`` (which requests an engine admits first),
 ``escalation`` (which model answers), ``retry_budget`` (how many extra runs a
 service may get), ``quarantine`` (endpoints to skip for now), ``canary`` (how
 much traffic a new version gets), ``cold_starts`` (how many requests a cold
--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -12,10 +12,13 @@
 """
 
 import collections
+import itertools
 import typing
 
 import attrs
 
+from carawayward.decisions import engine_room
+
 # Cost of a running stream, in weighted tokens. It is small compared with
 # prompts: each stream lengthens a batch step by a fortieth.
 STREAM_WEIGHT = 150.0
@@ -35,10 +38,41 @@
 
 @attrs.frozen
 class Load:
-    """Outstanding work of one engine, in weighted tokens, and its streams."""
+    """Outstanding work of one engine, in weighted tokens, and its streams.
+
+    ``levels`` is the work by the level of its rank, the most urgent first;
+    empty where the service has only one rank.
+    """
 
     weight: float = 0.0
     streams: int = 0
+    levels: tuple[float, ...] = ()
+
+    @classmethod
+    def at_level(
+        cls, weight: float, streams: int, level: int | None
+    ) -> "Load":
+        """The load of one request."""
+        if level is None:
+            return cls(weight, streams)
+        return cls(weight, streams, (0.0,) * level + (weight,))
+
+    def __add__(self, other: "Load") -> "Load":
+        levels = self.levels or other.levels
+        if self.levels and other.levels:
+            levels = tuple(
+                one + two
+                for one, two in itertools.zip_longest(
+                    self.levels, other.levels, fillvalue=0.0
+                )
+            )
+        return Load(
+            self.weight + other.weight, self.streams + other.streams, levels
+        )
+
+    def __neg__(self) -> "Load":
+        levels = tuple(-weight for weight in self.levels)
+        return Load(-self.weight, -self.streams, levels)
 
 
 @attrs.define
@@ -80,11 +114,13 @@
     """A prompt to place: its parts as (key, tokens), and its model's weight.
 
     A part's key covers both the part and the model, since one model cannot use
-    what another has read.
+    what another has read. ``level`` is that of the request's rank, None where
+    the service has only one.
     """
 
     parts: tuple[tuple[int, int], ...]
     model_weight: float = 1.0
+    level: int | None = None
 
     @property
     def tokens(self) -> int:
@@ -195,26 +231,9 @@
     pace: float = 1.0
 
 
-@attrs.frozen(kw_only=True)
-class Room:
-    """The places of an engine, and times at pace 1 in weighted tokens.
-
-    ``slots`` is how many requests it holds at once, 0 for no limit.
-    ``base_weight`` is what an idle engine takes to the first token,
-    ``held_weight`` how long a request holds its place.
-    """
-
-    slots: int = 0
-    base_weight: float = 0.0
-    held_weight: float = 0.0
-
-
-NO_ROOM = Room()
-
-
-def make_room(model: LatencyModel, slots: int) -> Room:
+def make_room(model: LatencyModel, slots: int) -> engine_room.Room:
     """The places of engines that hold ``slots`` requests at once."""
-    return Room(
+    return engine_room.Room(
         slots=slots,
         base_weight=model.base_ms / model.token_ms,
         held_weight=model.held_ms / model.token_ms,
@@ -223,10 +242,11 @@
 
 def add_own_load(loads: EngineLoads, engine: str, change: Load) -> None:
     """Add ``change``, which may be negative, to the own outstanding work."""
-    known = loads.own.get(engine, Load())
+    total = loads.own.get(engine, Load()) + change
     now = Load(
-        max(0.0, known.weight + change.weight),
-        max(0, known.streams + change.streams),
+        max(0.0, total.weight),
+        max(0, total.streams),
+        tuple(max(0.0, weight) for weight in total.levels),
     )
     if now.streams:
         loads.own[engine] = now
@@ -246,9 +266,7 @@
     loads.peers[peer] = PeerLoads(now_ms + ttl_ms, report)
     for engine, load in report.items():
         known = loads.peer_totals.get(engine, Load())
-        loads.peer_totals[engine] = Load(
-            known.weight + load.weight, known.streams + load.streams
-        )
+        loads.peer_totals[engine] = known + load
 
 
 def _drop_report(loads: EngineLoads, peer: str) -> None:
@@ -256,8 +274,7 @@
     if dropped is None:
         return
     for engine, load in dropped.loads.items():
-        known = loads.peer_totals[engine]
-        left = Load(known.weight - load.weight, known.streams - load.streams)
+        left = loads.peer_totals[engine] + -load
         if left.streams > 0 or left.weight >= 1.0:
             loads.peer_totals[engine] = left
         else:
@@ -279,7 +296,7 @@
     own, peers = loads.own.get(engine), loads.peer_totals.get(engine)
     if own is None or peers is None:
         return own or peers or Load()
-    return Load(own.weight + peers.weight, own.streams + peers.streams)
+    return own + peers
 
 
 def compute_mean_weight(
@@ -339,12 +356,12 @@
     now_ms: float,
     draw: typing.Callable[[int], int],
     remote_penalty: float = 0.0,
-    room: Room = NO_ROOM,
+    room: engine_room.Room = engine_room.NO_ROOM,
 ) -> Choice | None:
     """The engine that would finish reading the prompt first.
 
     An engine of pace 2 needs twice the time for the same tokens. If its places
-    are taken, the prompt waits for one, while those ahead of it are read.
+    are taken, the prompt waits for one.
     Engines in other failure domains count as having ``remote_penalty`` more
     tokens to read.
     """
@@ -354,7 +371,9 @@
     for candidate in candidates:
         name, pace = candidate.name, candidate.pace
         load = get_load(loads, name)
-        ahead, is_full = _count_ahead(load, room)
+        ahead = engine_room.count_ahead(
+            room, load.weight, load.streams, load.levels, prompt.level
+        )
         weight = (
             ahead + count_unread(loads, name, prompt) * prompt.model_weight
         )
@@ -364,21 +383,11 @@
         if cost < least:
             best, least = [], cost
         if cost == least:
+            is_full = engine_room.is_full(room, load.streams)
             best.append(Choice(name, weight, ahead, pace, is_full))
     return best[draw(len(best))] if best else None
 
 
-def _count_ahead(load: Load, room: Room) -> tuple[float, bool]:
-    """Weighted tokens until an engine reads the next prompt, and why.
-
-    The second value says whether it has to wait for a place.
-    """
-    if not room.slots or load.streams < room.slots:
-        return load.weight, False
-    leaving = load.streams - room.slots + 1
-    return max(load.weight, leaving * room.held_weight / room.slots), True
-
-
 def forget_engines(loads: EngineLoads, known: typing.Container[str]) -> None:
     """Drop cached prompt parts of engines that no longer exist."""
     for name in [each for each in loads.cached if each not in known]:
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -7,6 +7,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import engine_load
 from carawayward.decisions import engine_pace
+from carawayward.decisions import engine_room
 from carawayward.decisions import engine_sampling
 from carawayward.decisions import health as health_module
 from carawayward.decisions import limits
@@ -120,7 +121,7 @@
         prompt: engine_load.Prompt,
         excluded: frozenset[str],
         remote_weight: float = 0.0,
-        room: engine_load.Room = engine_load.NO_ROOM,
+        room: engine_room.Room = engine_room.NO_ROOM,
     ) -> engine_load.Choice | None:
         """Choose the engine that would finish reading a prompt first."""
         now_ms = self.clock.now_ms()
--- a/src/carawayward/forwarding/load_report_messages.py
+++ b/src/carawayward/forwarding/load_report_messages.py
@@ -11,9 +11,10 @@
 import cbor2
 
 from carawayward.decisions import engine_load
+from carawayward.decisions import engine_order
 from carawayward.decisions import placement
 
-VERSION = 4
+VERSION = 5
 # Errors raised while decoding a malformed datagram.
 DECODE_ERRORS = (
     AttributeError,
@@ -102,6 +103,7 @@
             sender = self.sender
         loads = {
             engine: [round(load.weight), load.streams]
+            + [round(weight) for weight in load.levels]
             for engine, load in self.loads.items()
         }
         parts = [list(attrs.astuple(part)) for part in self.parts]
@@ -141,8 +143,8 @@
             sequence=int(sequence),
             stale=bool(stale),
             loads={
-                int(engine): engine_load.Load(float(weight), int(streams))
-                for engine, (weight, streams) in loads.items()
+                int(engine): _read_load(*load)
+                for engine, load in loads.items()
             },
             parts=[
                 CachedPart(int(engine), int(key), int(tokens))
@@ -150,3 +152,13 @@
             ],
             topics=dict(topics),
         )
+
+
+def _read_load(
+    weight: float, streams: int, *levels: float
+) -> engine_load.Load:
+    if len(levels) > engine_order.MAX_LEVELS:
+        raise ValueError("too many levels")
+    return engine_load.Load(
+        float(weight), int(streams), tuple(float(each) for each in levels)
+    )
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -233,6 +233,7 @@
                 self.reporter.loads, endpoint.entry.name, prompt
             )
             reading.weight = unread * prompt.model_weight
+            reading.level = prompt.level
             model = self.fleet.get_latency_model(work.service)
             reading.model, reading.pace = model, work.pace
             reading.read_ms = reading.weight * model.token_ms
@@ -282,13 +283,12 @@
 
         A version on trial is judged by the predictions. If they followed its
         latency, it would pass however slow it is. How long a prompt has waited
-        for a place says little about the engine.
+        for a place says little about the engine's pace.
         """
-        if work.is_engine_full:
-            return
         model = self.fleet.get_latency_model(work.service)
         usual_ms = engine_load.predict_ttft(model, work.backlog)
-        self.paces.observe(work.service, work.endpoint, took_ms, usual_ms)
+        if not work.is_engine_full:
+            self.paces.observe(work.service, work.endpoint, took_ms, usual_ms)
         engine_load.observe_ttft(model, work.backlog, took_ms / work.pace)
 
     def find_larger_model(self, work: work_items.Work) -> int | None:
--- a/src/carawayward/forwarding/sending.py
+++ b/src/carawayward/forwarding/sending.py
@@ -8,6 +8,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import cold_starts
+from carawayward.decisions import engine_order
 from carawayward.forwarding import attempt as attempt_module
 from carawayward.forwarding import attempt_timeouts
 from carawayward.forwarding import fleet as fleet_module
@@ -150,6 +151,7 @@
             customer=work.customer,
             model=work.model_name,
             last_event=work.last_event,
+            urgency=self._choose_urgency(work),
         )
         headers = self.dialect.write_request(work.request.headers, dispatch)
         return attempt_module.ForwardedRequest(
@@ -158,3 +160,14 @@
             headers=hops.drop_hop_by_hop_headers(headers),
             body=work.request.body,
         )
+
+    def _choose_urgency(self, work: work_items.Work) -> int | None:
+        """The urgency that an engine is told; None to leave it open."""
+        level = None if work.reading is None else work.reading.level
+        if level is None:
+            return None
+        run_before = work.runs > 0 or work.last_event is not None
+        waited_ms = self.clock.now_ms() - work.began_ms
+        return engine_order.choose_urgency(
+            level, run_before, waited_ms / work.route.target_ms
+        )
--- a/src/carawayward/forwarding/table.py
+++ b/src/carawayward/forwarding/table.py
@@ -146,6 +146,7 @@
     limits: CallerLimits
     keyed: bool
     _shortest_targets: dict[str, float] = attrs.field(init=False, eq=False)
+    _ranks: dict[str, tuple[int, ...]] = attrs.field(init=False, eq=False)
     _routes_by_host: dict[str, list[Route]] = attrs.field(init=False, eq=False)
 
     @_shortest_targets.default
@@ -160,6 +161,21 @@
                 found[target.service] = min(known, route.target_ms)
         return found
 
+    @_ranks.default
+    def _list_ranks(self) -> dict[str, tuple[int, ...]]:
+        """Return the ranks that requests to each service may have."""
+        customers = {
+            customer.priority
+            for customer in self.customers_by_key.values()
+            if customer.priority is not None
+        }
+        found: dict[str, set[int]] = {}
+        for route in self.routes:
+            for target in route.targets:
+                ranks = found.setdefault(target.service, set(customers))
+                ranks.add(self.find_rank(route, None))
+        return {name: tuple(sorted(ranks)) for name, ranks in found.items()}
+
     @_routes_by_host.default
     def _index_routes(self) -> dict[str, list[Route]]:
         found: dict[str, list[Route]] = {}
@@ -189,6 +205,10 @@
             return customer.priority
         return DEFAULT_RANK if route.priority is None else route.priority
 
+    def list_ranks(self, service: str) -> tuple[int, ...]:
+        """Return the ranks of requests to a service, the most urgent first."""
+        return self._ranks.get(service, ())
+
     def needs_key(self, route: Route) -> bool:
         """Whether a request on this route has to carry a customer's key."""
         return self.keyed and not route.anonymous
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -6,6 +6,7 @@
 import attrs
 
 from carawayward.decisions import engine_load
+from carawayward.decisions import engine_order
 from carawayward.decisions import prompt_crashes
 from carawayward.decisions import suspicion
 from carawayward.forwarding import attempt as attempt_module
@@ -103,6 +104,7 @@
     reporter: load_reports.LoadReporter
     engine: str
     weight: float
+    level: int | None = None
     model: engine_load.LatencyModel | None = None
     pace: float = 1.0
     read_ms: float = 0.0
@@ -110,14 +112,14 @@
 
     def begin(self) -> None:
         """Add the prompt to the engine's outstanding load."""
-        load = engine_load.Load(self.weight, 1)
+        load = engine_load.Load.at_level(self.weight, 1, self.level)
         self.reporter.record_load(self.engine, load)
 
     def observe_ttft(self) -> None:
         """Remove the prompt's tokens: the engine has read them."""
         self.ttft_at_ms = self.reporter.clock.now_ms()
         if self.weight:
-            load = engine_load.Load(-self.weight, 0)
+            load = engine_load.Load.at_level(-self.weight, 0, self.level)
             self.reporter.record_load(self.engine, load)
             self.weight = 0.0
 
@@ -127,7 +129,7 @@
             wrote_ms = self.reporter.clock.now_ms() - self.ttft_at_ms
             held_ms = wrote_ms / self.pace + self.read_ms
             engine_load.observe_held(self.model, held_ms)
-        load = engine_load.Load(-self.weight, -1)
+        load = engine_load.Load.at_level(-self.weight, -1, self.level)
         self.reporter.record_load(self.engine, load)
         self.weight = 0.0
 
@@ -302,4 +304,11 @@
             for part in work.metadata.prompt
         ),
         model_weight=weight,
+        level=find_level(work),
     )
+
+
+def find_level(work: Work) -> int | None:
+    """The level of its rank; None if its service has only one rank."""
+    ranks = work.table.list_ranks(work.service)
+    return engine_order.find_level(ranks, work.rank)
--- a/tests/common/engine_replay.py
+++ b/tests/common/engine_replay.py
@@ -15,6 +15,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import engine_load
 from carawayward.decisions import engine_pace
+from carawayward.decisions import engine_room
 from carawayward.decisions import engine_sampling
 from carawayward.forwarding import engine_paces
 from carawayward.forwarding import load_report_messages
@@ -177,7 +178,7 @@
         tokens = int(min(30_000, max(200, self.draw.lognormvariate(8.3, 1))))
         prompt = self.make_prompt(tokens)
         room = (
-            engine_load.NO_ROOM
+            engine_room.NO_ROOM
             if self.knowledge == "none"
             else engine_load.make_room(vm.model, self.scenario.slots)
         )
@@ -225,10 +226,8 @@
                 vm.model,
                 (end_ms - ttft_at_ms) / choice.pace + tokens * TOKEN_MS,
             )
-            if choice.is_full:
-                return
             usual_ms = engine_load.predict_ttft(vm.model, choice.weight)
-            if self.knowledge == "learned":
+            if self.knowledge == "learned" and not choice.is_full:
                 vm.paces.observe("service", choice.name, took_ms, usual_ms)
             engine_load.observe_ttft(
                 vm.model, choice.weight, took_ms / choice.pace
--- a/tests/cover/test_engine_pace.py
+++ b/tests/cover/test_engine_pace.py
@@ -6,6 +6,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import engine_load
 from carawayward.decisions import engine_pace
+from carawayward.decisions import engine_room
 from carawayward.decisions import engine_sampling
 from carawayward.forwarding import engine_paces
 from carawayward.forwarding import load_report_messages
@@ -83,7 +84,7 @@
             engine_load.Prompt(parts=((1, 500),)),
             0.0,
             lambda n: 0,
-            room=engine_load.Room(slots=slots, held_weight=90_000.0),
+            room=engine_room.Room(slots=slots, held_weight=90_000.0),
         )
         for slots in (0, 12, 13)
     ]
