--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -12,10 +12,13 @@
 """
 
 import collections
+import itertools
 import typing
 
 import attrs
 
+from carawayward.decisions import engine_room
+
 # Cost of a running stream, in weighted tokens. It is small compared with
 # prompts: each stream lengthens a batch step by a fortieth.
 STREAM_WEIGHT = 150.0
@@ -30,14 +33,46 @@
 # Part of an engine's memory assumed to hold cached prompts; the rest holds
 # running requests.
 CACHED_PART = 0.6
+NO_PACES: typing.Mapping[str, float] = {}
 
 
 @attrs.frozen
 class Load:
-    """Outstanding work of one engine, in weighted tokens, and its streams."""
+    """Outstanding work of one engine, in weighted tokens, and its streams.
+
+    ``levels`` is the work by the level of its rank, the most urgent first;
+    empty where the service has only one rank.
+    """
 
     weight: float = 0.0
     streams: int = 0
+    levels: tuple[float, ...] = ()
+
+    @classmethod
+    def at_level(
+        cls, weight: float, streams: int, level: int | None
+    ) -> "Load":
+        """The load of one request."""
+        if level is None:
+            return cls(weight, streams)
+        return cls(weight, streams, (0.0,) * level + (weight,))
+
+    def __add__(self, other: "Load") -> "Load":
+        levels = self.levels or other.levels
+        if self.levels and other.levels:
+            levels = tuple(
+                one + two
+                for one, two in itertools.zip_longest(
+                    self.levels, other.levels, fillvalue=0.0
+                )
+            )
+        return Load(
+            self.weight + other.weight, self.streams + other.streams, levels
+        )
+
+    def __neg__(self) -> "Load":
+        levels = tuple(-weight for weight in self.levels)
+        return Load(-self.weight, -self.streams, levels)
 
 
 @attrs.define
@@ -79,11 +114,13 @@
     """A prompt to place: its parts as (key, tokens), and its model's weight.
 
     A part's key covers both the part and the model, since one model cannot use
-    what another has read.
+    what another has read. ``level`` is that of the request's rank, None where
+    the service has only one.
     """
 
     parts: tuple[tuple[int, int], ...]
     model_weight: float = 1.0
+    level: int | None = None
 
     @property
     def tokens(self) -> int:
@@ -112,20 +149,41 @@
 # second the tokens do.
 SHORT_BACKLOG = 2_000.0
 LONG_BACKLOG = 3_000.0
+# The mean time for which requests hold their places follows each by this part
+# of the difference. A longer one counts as this multiple of the mean.
+MIN_HELD_GAIN = 0.05
+MAX_HELD_RATIO = 4.0
 
 
 @attrs.define
 class LatencyModel:
-    """Estimated time to first token of a service's engines."""
+    """Estimated time to first token of a service's engines.
+
+    ``held_ms`` is the mean time for which a request holds its place in a
+    batch; 0 until it is known.
+    """
 
     base_ms: float = INITIAL_BASE_MS
     token_ms: float = INITIAL_TOKEN_MS
     short_seen: int = 0
+    held_ms: float = 0.0
+    held_seen: int = 0
 
 
-def predict_ttft(model: LatencyModel, weight: float) -> float:
+def predict_ttft(
+    model: LatencyModel, weight: float, pace: float = 1.0
+) -> float:
     """Predicted time to first token, in ms, with ``weight`` tokens to read."""
-    return model.base_ms + weight * model.token_ms
+    return (model.base_ms + weight * model.token_ms) * pace
+
+
+def observe_held(model: LatencyModel, held_ms: float) -> None:
+    """Update the mean time for which a request holds its engine's place."""
+    model.held_seen += 1
+    if model.held_seen > 1:
+        held_ms = min(held_ms, MAX_HELD_RATIO * model.held_ms)
+    gain = max(MIN_HELD_GAIN, 1.0 / model.held_seen)
+    model.held_ms += gain * (held_ms - model.held_ms)
 
 
 def compute_remote_penalty(model: LatencyModel, target_ms: float) -> float:
@@ -153,28 +211,42 @@
 class Choice:
     """An engine, and the weighted tokens it reads until the prompt is read.
 
-    ``ahead`` is the part of them that precedes the prompt itself.
+    ``ahead`` is the part of them that precedes the prompt itself. ``pace`` is
+    that of the engine, ``is_full`` whether its places are taken.
     """
 
     name: str
     weight: float
     ahead: float = 0.0
+    pace: float = 1.0
+    is_full: bool = False
 
 
 @attrs.frozen
 class Candidate:
-    """An engine that may take the prompt."""
+    """An engine that may take the prompt, and its pace."""
 
     name: str
     local: bool
+    pace: float = 1.0
+
+
+def make_room(model: LatencyModel, slots: int) -> engine_room.Room:
+    """The places of engines that hold ``slots`` requests at once."""
+    return engine_room.Room(
+        slots=slots,
+        base_weight=model.base_ms / model.token_ms,
+        held_weight=model.held_ms / model.token_ms,
+    )
 
 
 def add_own_load(loads: EngineLoads, engine: str, change: Load) -> None:
     """Add ``change``, which may be negative, to the own outstanding work."""
-    known = loads.own.get(engine, Load())
+    total = loads.own.get(engine, Load()) + change
     now = Load(
-        max(0.0, known.weight + change.weight),
-        max(0, known.streams + change.streams),
+        max(0.0, total.weight),
+        max(0, total.streams),
+        tuple(max(0.0, weight) for weight in total.levels),
     )
     if now.streams:
         loads.own[engine] = now
@@ -208,9 +280,7 @@
     )
     for engine, load in changed.items():
         known = loads.peer_totals.get(engine, Load())
-        loads.peer_totals[engine] = Load(
-            known.weight + load.weight, known.streams + load.streams
-        )
+        loads.peer_totals[engine] = known + load
 
 
 def _drop_report(loads: EngineLoads, peer: str) -> None:
@@ -223,8 +293,7 @@
     loads: EngineLoads, dropped: typing.Mapping[str, Load]
 ) -> None:
     for engine, load in dropped.items():
-        known = loads.peer_totals[engine]
-        left = Load(known.weight - load.weight, known.streams - load.streams)
+        left = loads.peer_totals[engine] + -load
         if left.streams > 0 or left.weight >= 1.0:
             loads.peer_totals[engine] = left
         else:
@@ -246,15 +315,23 @@
     own, peers = loads.own.get(engine), loads.peer_totals.get(engine)
     if own is None or peers is None:
         return own or peers or Load()
-    return Load(own.weight + peers.weight, own.streams + peers.streams)
+    return own + peers
 
 
 def compute_mean_weight(
-    loads: EngineLoads, engines: typing.Collection[str], now_ms: float
+    loads: EngineLoads,
+    engines: typing.Collection[str],
+    now_ms: float,
+    paces: typing.Mapping[str, float] = NO_PACES,
 ) -> float:
-    """Mean weighted tokens that each of ``engines`` still has to read."""
+    """Mean weighted tokens that each of ``engines`` still has to read.
+
+    Those of an engine count by its pace.
+    """
     expire_reports(loads, now_ms)
-    known = sum(get_load(loads, name).weight for name in engines)
+    known = sum(
+        get_load(loads, name).weight * paces.get(name, 1.0) for name in engines
+    )
     return known / max(1, len(engines))
 
 
@@ -298,9 +375,12 @@
     now_ms: float,
     draw: typing.Callable[[int], int],
     remote_penalty: float = 0.0,
+    room: engine_room.Room = engine_room.NO_ROOM,
 ) -> Choice | None:
     """The engine that would finish reading the prompt first.
 
+    An engine of pace 2 needs twice the time for the same tokens. If its places
+    are taken, the prompt waits for one.
     Engines in other failure domains count as having ``remote_penalty`` more
     tokens to read.
     """
@@ -308,18 +388,22 @@
     best: list[Choice] = []
     least = float("inf")
     for candidate in candidates:
-        load = get_load(loads, candidate.name)
-        unread = count_unread(loads, candidate.name, prompt)
-        weight = load.weight + unread * prompt.model_weight
-        cost = (
-            weight
-            + load.streams * STREAM_WEIGHT
-            + (0.0 if candidate.local else remote_penalty)
+        name, pace = candidate.name, candidate.pace
+        load = get_load(loads, name)
+        ahead = engine_room.count_ahead(
+            room, load.weight, load.streams, load.levels, prompt.level
         )
+        weight = (
+            ahead + count_unread(loads, name, prompt) * prompt.model_weight
+        )
+        cost = (
+            room.base_weight + weight + load.streams * STREAM_WEIGHT
+        ) * pace + (0.0 if candidate.local else remote_penalty)
         if cost < least:
             best, least = [], cost
         if cost == least:
-            best.append(Choice(candidate.name, weight, load.weight))
+            is_full = engine_room.is_full(room, load.streams)
+            best.append(Choice(name, weight, ahead, pace, is_full))
     return best[draw(len(best))] if best else None
 
 
