Read the endpoints once in three quarters of a heartbeat

Reports name the end of the call after the gap, so that the gap may be longer than the poll after it.

--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -30,8 +30,8 @@
 # Each record of a burst would otherwise cost a separate call.
 MIN_CALL_GAP_MS = 200.0
 # The same for the endpoints while they renew their entries, as a part of their
-# heartbeat: so many calls read each renewal.
-HEARTBEAT_PART = 0.5
+# heartbeat: each call reads most renewals.
+HEARTBEAT_PART = 0.75
 # Interval between two calls of an entry VM in an outage, whichever feeds make
 # them. Short compared to the leases, so that the end of an outage is
 # noticed promptly; long enough that a store that rejects calls gets few.
@@ -110,12 +110,12 @@
     """Interval between calls on the endpoints that return records.
 
     Many endpoints renew their entries one after the other, and each renewal
-    would end a poll. ``poll_ms`` is how long a poll may wait. No longer than
-    half of the time until the next call ends, so that clients do not take a
-    delegate that waits for one that lost the store.
+    would end a poll. ``poll_ms`` is how long a poll may wait; the one after
+    the gap still waits for the minimum.
     """
     wanted_ms = min(
-        HEARTBEAT_PART * heartbeat_ms, (MIN_CALL_GAP_MS + poll_ms) / 2.0
+        HEARTBEAT_PART * heartbeat_ms,
+        MIN_CALL_GAP_MS + poll_ms - MIN_REGISTRY_POLL_MS,
     )
     return max(MIN_CALL_GAP_MS, wanted_ms)
 
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -242,6 +242,12 @@
         Ends early once records are known that no delegate sends.
         """
         self._gap_ms = self.get_call_gap()
+        # Clients take a delegate whose call is overdue for one that lost the
+        # store.
+        next_wait_ms = store_polls.compute_wait_after_gap_ms(
+            self.get_poll_wait(), self._gap_ms
+        )
+        self.due_ms = max(self.due_ms, sent_ms + self._gap_ms + next_wait_ms)
         remaining_ms = sent_ms + self._gap_ms - self.clock.boot_ms()
         if remaining_ms <= 0.0 or self._is_behind():
             return
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -294,6 +294,10 @@
     async def check(reader, topic):
         assert topic.calls <= 6
         assert topic.waits_ms[1:] == [700.0] * (topic.calls - 1)
+        # The report of a delegate is overdue when its next call is.
+        now_ms = reader.clock.boot_ms()
+        assert reader.due_ms - now_ms >= 700.0 - 1e-6
+        assert reader.due_ms - now_ms <= 1_300.0
 
     run_with_gap(600.0, check)
 
