--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -20,8 +20,7 @@
 
 # How often a feed that relies on a delegate checks that it still has one.
 DELEGATE_CHECK_MS = 200.0
-# Turns of other tasks before a feed calls the store because of a late report.
-# After a process was suspended or busy, the report may have arrived already.
+# Turns of other tasks before a feed takes a report for late.
 TURNS_BEFORE_CALL = 3
 # How often an idle feed checks whether its topic is needed again.
 NEEDED_CHECK_MS = 200.0
@@ -90,6 +89,7 @@
     log: change_log.ChangeLog = attrs.field(factory=change_log.ChangeLog)
     _delegating: bool = False
     _gap_ms: float = 0.0
+    _in_gap: bool = False
     _relist_cause: call_causes.Cause | None = None
     _wakeup: trio.Event = attrs.field(factory=trio.Event)
 
@@ -156,6 +156,11 @@
         if not served:
             self._wakeup.set()
 
+    def end_gap(self) -> None:
+        """Call the store now if this feed waits between two of its calls."""
+        if self._in_gap:
+            self._wakeup.set()
+
     def list_since(self, start: int) -> list[change_log.Change] | None:
         """List changes from ``start`` on; None if some are not known."""
         return self.log.list_since(start)
@@ -226,7 +231,7 @@
     def _take_wait(self, cause: call_causes.Cause) -> float:
         """How long the next call may wait, after the last gap.
 
-        Only a poll waits for records. In all other cases the last confirmation
+        Only a poll waits for records: in all other cases the last confirmation
         is almost too old, and is renewed only when the call ends.
         """
         gap_ms, self._gap_ms = self._gap_ms, 0.0
@@ -237,23 +242,21 @@
         )
 
     async def _wait_between_calls(self, sent_ms: float) -> None:
-        """Wait for further records of a burst before the next call.
-
-        Ends early once records are known that no delegate sends.
-        """
+        """Wait for further records of a burst, unless others are known."""
         self._gap_ms = self.get_call_gap()
-        # Clients take a delegate whose call is overdue for one that lost the
-        # store.
-        next_wait_ms = store_polls.compute_wait_after_gap_ms(
+        # A delegate whose call is overdue seems to have lost the store.
+        wait_ms = store_polls.compute_wait_after_gap_ms(
             self.get_poll_wait(), self._gap_ms
         )
-        self.due_ms = max(self.due_ms, sent_ms + self._gap_ms + next_wait_ms)
+        self.due_ms = max(self.due_ms, sent_ms + self._gap_ms + wait_ms)
         remaining_ms = sent_ms + self._gap_ms - self.clock.boot_ms()
         if remaining_ms <= 0.0 or self._is_behind():
             return
         self._wakeup = trio.Event()
+        self._in_gap = True
         with trio.move_on_after(remaining_ms / 1000):
             await self._wakeup.wait()
+        self._in_gap = False
 
     async def _wait_for_cause(self) -> call_causes.Cause:
         """Wait while a delegate reads; return why this feed has to call.
@@ -289,15 +292,13 @@
     async def _confirm_cause(self) -> call_causes.Cause | None:
         """Return why the delegate is insufficient, also after other tasks.
 
-        Without this, all clients that were busy for a second call the store.
+        Clients that were busy would call the store for reports that wait.
         """
-        cause = self._find_cause()
-        turns = TURNS_BEFORE_CALL if self._delegating else 0
-        while cause is not None and turns:
+        for _ in range(TURNS_BEFORE_CALL if self._delegating else 0):
+            if self._find_cause() is None:
+                return None
             await trio.lowlevel.checkpoint()
-            cause = self._find_cause()
-            turns -= 1
-        return cause
+        return self._find_cause()
 
     def _find_cause(self) -> call_causes.Cause | None:
         """Return why the delegate is insufficient; None if it suffices."""
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -54,11 +54,18 @@
         return store_polls.compute_retry_ms(board.name, domain or ())
 
     outages = store_outages.OutageTracker(clock, get_retry_ms)
-    topic_feeds = [
-        make_table_feed(board, outages, ports, freshness, rounds),
-        make_endpoints_feed(settings, board, outages, ports, freshness),
-        make_statuses_feed(outages, ports, freshness, rounds),
-    ]
+    table = make_table_feed(board, outages, ports, freshness, rounds)
+    endpoints = make_endpoints_feed(settings, board, outages, ports, freshness)
+    begin_table_era = table.begin_era
+
+    def begin_era() -> None:
+        begin_table_era()
+        # The endpoints of a restored store are looked at without delay.
+        endpoints.end_gap()
+
+    table.begin_era = begin_era
+    statuses = make_statuses_feed(outages, ports, freshness, rounds)
+    topic_feeds = [table, endpoints, statuses]
     for each in topic_feeds:
         each.count_call = functools.partial(count_call, metrics, each.name)
     return topic_feeds
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -315,6 +315,18 @@
     run_with_gap(2_000.0, check)
 
 
+def test_gap_ends_when_another_feed_finds_a_restored_store():
+    """Endpoints that the backup lacks were kept for longer."""
+
+    async def check(reader, topic):
+        calls = topic.calls
+        reader.end_gap()
+        await trio.sleep(0.02)
+        assert topic.calls == calls + 1
+
+    run_with_gap(2_000.0, check)
+
+
 def test_client_that_was_busy_takes_what_has_arrived_before_it_calls():
     """All clients that had no processor for some seconds called the store."""
 
