--- a/tests/cover/test_store_polls.py
+++ b/tests/cover/test_store_polls.py
@@ -112,7 +112,7 @@
                 assert gap_ms < heartbeat_ms
                 oldest_ms = store_polls.compute_max_report_age(poll_ms)
                 assert end_ms + store_polls.OVERDUE_MS <= oldest_ms
-    for drain_ms, wanted_ms in ((2_000, 800.0), (3_000, 900.0)):
+    for drain_ms, wanted_ms in ((2_000, 600.0), (3_000, 600.0)):
         poll_ms = store_polls.compute_registry_poll_ms(drain_ms, 2_100.0)
         gap_ms = store_polls.compute_registry_gap_ms(poll_ms, 1_200.0)
         assert abs(gap_ms - wanted_ms) < 1e-6
