--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -30,8 +30,7 @@
 # Each record of a burst would otherwise cost a separate call.
 MIN_CALL_GAP_MS = 200.0
 # The same for the endpoints while they renew their entries, as a part of their
-# heartbeat: a crash that only the next process of an endpoint shows is known by
-# its entry.
+# heartbeat: some crashes are known only by the entry of the next process.
 HEARTBEAT_PART = 0.5
 # Interval between two calls of an entry VM in an outage, whichever feeds make
 # them. Short compared to the leases, so that the end of an outage is
