Let requests that would be late give way, instead of strict order of rank

Now those that can be in time are read in the order of arrival; others give way by their rank, and late ones of the most urgent rank go first.

--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -33,6 +33,9 @@
 # Part of an engine's memory assumed to hold cached prompts; the rest holds
 # running requests.
 CACHED_PART = 0.6
+# What is left on average, in weighted tokens, of a long prompt that an engine
+# is reading when a more urgent one arrives.
+LEFT_OF_PROMPT = 5_000.0
 NO_PACES: typing.Mapping[str, float] = {}
 
 
@@ -40,39 +43,39 @@
 class Load:
     """Outstanding work of one engine, in weighted tokens, and its streams.
 
-    ``levels`` is the work by the level of its rank, the most urgent first;
+    ``classes`` is the work by its class of urgency, the most urgent first;
     empty where the service has only one rank.
     """
 
     weight: float = 0.0
     streams: int = 0
-    levels: tuple[float, ...] = ()
+    classes: tuple[float, ...] = ()
 
     @classmethod
-    def at_level(
-        cls, weight: float, streams: int, level: int | None
+    def of_class(
+        cls, weight: float, streams: int, urgency_class: int | None
     ) -> "Load":
-        """The load of one request."""
-        if level is None:
+        """The load of one request; without a class if it has none."""
+        if urgency_class is None:
             return cls(weight, streams)
-        return cls(weight, streams, (0.0,) * level + (weight,))
+        return cls(weight, streams, (0.0,) * urgency_class + (weight,))
 
     def __add__(self, other: "Load") -> "Load":
-        levels = self.levels or other.levels
-        if self.levels and other.levels:
-            levels = tuple(
+        classes = self.classes or other.classes
+        if self.classes and other.classes:
+            classes = tuple(
                 one + two
                 for one, two in itertools.zip_longest(
-                    self.levels, other.levels, fillvalue=0.0
+                    self.classes, other.classes, fillvalue=0.0
                 )
             )
         return Load(
-            self.weight + other.weight, self.streams + other.streams, levels
+            self.weight + other.weight, self.streams + other.streams, classes
         )
 
     def __neg__(self) -> "Load":
-        levels = tuple(-weight for weight in self.levels)
-        return Load(-self.weight, -self.streams, levels)
+        classes = tuple(-weight for weight in self.classes)
+        return Load(-self.weight, -self.streams, classes)
 
 
 @attrs.define
@@ -114,13 +117,13 @@
     """A prompt to place: its parts as (key, tokens), and its model's weight.
 
     A part's key covers both the part and the model, since one model cannot use
-    what another has read. ``level`` is that of the request's rank, None where
-    the service has only one.
+    what another has read. ``urgency_class`` is the one that it is expected to
+    have, None where the service has only one rank.
     """
 
     parts: tuple[tuple[int, int], ...]
     model_weight: float = 1.0
-    level: int | None = None
+    urgency_class: int | None = None
 
     @property
     def tokens(self) -> int:
@@ -212,7 +215,8 @@
     """An engine, and the weighted tokens it reads until the prompt is read.
 
     ``ahead`` is the part of them that precedes the prompt itself. ``pace`` is
-    that of the engine, ``is_full`` whether its places are taken.
+    that of the engine, ``is_full`` whether its places are taken, and ``load``
+    what is known to be outstanding at it.
     """
 
     name: str
@@ -220,6 +224,7 @@
     ahead: float = 0.0
     pace: float = 1.0
     is_full: bool = False
+    load: Load = Load()
 
 
 @attrs.frozen
@@ -231,13 +236,15 @@
     pace: float = 1.0
 
 
-def make_room(model: LatencyModel, slots: int) -> engine_room.Room:
-    """The places of engines that hold ``slots`` requests at once."""
-    return engine_room.Room(
-        slots=slots,
-        base_weight=model.base_ms / model.token_ms,
-        held_weight=model.held_ms / model.token_ms,
-    )
+def count_before(load: Load, urgency_class: int | None) -> float:
+    """The weighted tokens that an engine reads before a prompt of a class.
+
+    Of less urgent prompts, only the one that it is reading is among them.
+    """
+    if urgency_class is None:
+        return load.weight
+    urgent = sum(load.classes[: urgency_class + 1])
+    return min(load.weight, urgent + LEFT_OF_PROMPT)
 
 
 def add_own_load(loads: EngineLoads, engine: str, change: Load) -> None:
@@ -246,7 +253,7 @@
     now = Load(
         max(0.0, total.weight),
         max(0, total.streams),
-        tuple(max(0.0, weight) for weight in total.levels),
+        tuple(max(0.0, weight) for weight in total.classes),
     )
     if now.streams:
         loads.own[engine] = now
@@ -371,9 +378,8 @@
     for candidate in candidates:
         name, pace = candidate.name, candidate.pace
         load = get_load(loads, name)
-        ahead = engine_room.count_ahead(
-            room, load.weight, load.streams, load.levels, prompt.level
-        )
+        before = count_before(load, prompt.urgency_class)
+        ahead = engine_room.count_ahead(room, before, load.streams)
         weight = (
             ahead + count_unread(loads, name, prompt) * prompt.model_weight
         )
@@ -384,7 +390,7 @@
             best, least = [], cost
         if cost == least:
             is_full = engine_room.is_full(room, load.streams)
-            best.append(Choice(name, weight, ahead, pace, is_full))
+            best.append(Choice(name, weight, ahead, pace, is_full, load))
     return best[draw(len(best))] if best else None
 
 
--- a/src/carawayward/decisions/engine_order.py
+++ b/src/carawayward/decisions/engine_order.py
@@ -1,19 +1,32 @@
-"""The order in which an engine admits the requests that wait for a place.
+"""The order in which an engine reads the prompts that wait for it.
 
-When callers compete for too few places, urgent requests would wait in full
-engines behind less urgent ones. So each request carries an urgency. Within a
-rank, those come first that an engine has already worked on for nothing, and
-those that have waited for long: an interrupted stream, or one whose first
-answer was dropped, has cost a prompt, and its caller has waited.
+When callers ask for more than engines can read, all would be late in the order
+of arrival; in strict order of rank, the least urgent would starve although
+most could be in time. So requests that can be in time are read in the order of
+arrival. One that would be late gives way to them, further the less urgent its
+rank is; only those of the most urgent rank are put before them instead.
+
+Requests that an engine has already worked on for nothing come before new ones
+of their class: an interrupted stream, or one whose first answer was dropped,
+has cost an engine a prompt.
 """
 
 import bisect
+import math
 import typing
 
+from carawayward.decisions import engine_load
+from carawayward.decisions import engine_room
+
 # Ranks beyond this many levels share the last one.
 MAX_LEVELS = 4
-# Urgencies that a level has, so that requests within it can be ordered.
-LEVEL_SPAN = 2
+# Classes of urgency: the most urgent rank when it would be late, all that can
+# be in time, and one for each other level.
+FIRST_CLASS = 0
+IN_TIME_CLASS = 1
+MAX_CLASSES = MAX_LEVELS + 1
+# Urgencies that a class has, so that requests within it can be ordered.
+CLASS_SPAN = 2
 
 
 def find_level(ranks: typing.Sequence[int], rank: int) -> int | None:
@@ -26,16 +39,34 @@
     return min(bisect.bisect_left(ranks, rank), MAX_LEVELS - 1)
 
 
-def choose_urgency(level: int, run_before: bool, waited_part: float) -> int:
-    """The urgency that an engine is told, 0 the most urgent.
+def choose_class(level: int, in_time: bool) -> int:
+    """The class of urgency of a request.
+
+    ``in_time`` says whether it is predicted to meet its latency target among
+    the requests that can be in time.
+    """
+    if in_time:
+        return IN_TIME_CLASS
+    return level + 1 if level else FIRST_CLASS
+
+
+def choose_urgency(urgency_class: int, run_before: bool) -> int:
+    """The urgency that an engine is told, 0 the most urgent."""
+    return CLASS_SPAN * urgency_class + (0 if run_before else CLASS_SPAN - 1)
+
+
+def count_weight(
+    choice: engine_load.Choice, room: engine_room.Room, urgency_class: int
+) -> float:
+    """The weighted tokens that an engine reads until a prompt of a class is.
 
-    ``waited_part`` is the time that the caller has waited, as a part of its
-    latency target. Aging makes a request equal to new ones of the next level
-    at most: those above it have targets that they can still meet.
+    Those of ``choice`` are for a prompt that can be in time.
     """
-    urgency = LEVEL_SPAN * level + LEVEL_SPAN - 1
-    if run_before or waited_part >= 1.0:
-        urgency -= 1
-    if waited_part >= 2.0:
-        urgency -= 1
-    return max(0, urgency)
+    load = choice.load
+    before = engine_load.count_before(load, urgency_class)
+    streams = load.streams
+    if engine_room.is_full(room, streams) and load.weight > 0.0:
+        waiting = (streams - room.slots) * before / load.weight
+        streams = room.slots + math.floor(waiting)
+    ahead = engine_room.count_ahead(room, before, streams)
+    return choice.weight - choice.ahead + ahead
--- a/src/carawayward/decisions/engine_room.py
+++ b/src/carawayward/decisions/engine_room.py
@@ -21,6 +21,17 @@
     base_weight: float = 0.0
     held_weight: float = 0.0
 
+    @classmethod
+    def from_times(
+        cls, slots: int, base_ms: float, held_ms: float, token_ms: float
+    ) -> "Room":
+        """From times in ms, by the time for a weighted token."""
+        return cls(
+            slots=slots,
+            base_weight=base_ms / token_ms,
+            held_weight=held_ms / token_ms,
+        )
+
 
 NO_ROOM = Room()
 
@@ -30,23 +41,13 @@
     return 0 < room.slots <= streams
 
 
-def count_ahead(
-    room: Room,
-    weight: float,
-    streams: int,
-    levels: tuple[float, ...],
-    level: int | None,
-) -> float:
-    """Weighted tokens until an engine reads the next prompt of ``level``.
+def count_ahead(room: Room, weight: float, streams: int) -> float:
+    """Weighted tokens until an engine reads the next prompt.
 
-    ``weight``, ``streams`` and ``levels`` are the engine's load. It reads what
-    it has admitted in order; of what waits for a place, less urgent requests
-    are not ahead.
+    Of ``weight`` tokens to read and ``streams`` requests; while a prompt waits
+    for a place, the engine reads those ahead of it.
     """
     if not is_full(room, streams):
         return weight
-    ahead, waiting = weight, float(streams - room.slots)
-    if level is not None and weight > 0.0:
-        ahead = min(weight, sum(levels[: level + 1]))
-        waiting *= ahead / weight
-    return max(ahead, (waiting + 1.0) * room.held_weight / room.slots)
+    leaving = streams - room.slots + 1
+    return max(weight, leaving * room.held_weight / room.slots)
--- a/src/carawayward/forwarding/load_report_messages.py
+++ b/src/carawayward/forwarding/load_report_messages.py
@@ -103,7 +103,7 @@
             sender = self.sender
         loads = {
             engine: [round(load.weight), load.streams]
-            + [round(weight) for weight in load.levels]
+            + [round(weight) for weight in load.classes]
             for engine, load in self.loads.items()
         }
         parts = [list(attrs.astuple(part)) for part in self.parts]
@@ -155,10 +155,10 @@
 
 
 def _read_load(
-    weight: float, streams: int, *levels: float
+    weight: float, streams: int, *classes: float
 ) -> engine_load.Load:
-    if len(levels) > engine_order.MAX_LEVELS:
-        raise ValueError("too many levels")
+    if len(classes) > engine_order.MAX_CLASSES:
+        raise ValueError("too many classes")
     return engine_load.Load(
-        float(weight), int(streams), tuple(float(each) for each in levels)
+        float(weight), int(streams), tuple(float(each) for each in classes)
     )
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -4,6 +4,8 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import engine_load
+from carawayward.decisions import engine_order
+from carawayward.decisions import engine_room
 from carawayward.decisions import escalation
 from carawayward.decisions import placement
 from carawayward.decisions import retry_budget
@@ -142,7 +144,7 @@
                 continue
             ttft_ms = engine_load.predict_ttft(
                 self.fleet.get_latency_model(work.service),
-                engine.weight,
+                self._order(work, engine)[1],
                 engine.pace,
             )
             work.backlog_ms = self.fleet.find_backlog_ms(work.service, pool)
@@ -184,7 +186,7 @@
         engine = self._choose_engine(work, pool, prompt, excluded)
         if engine is None:
             return None
-        work.backlog = engine.weight
+        work.urgency_class, work.backlog = self._order(work, engine)
         work.is_queued = engine.ahead > 0.0
         work.pace = engine.pace
         work.is_engine_full = engine.is_full
@@ -201,12 +203,37 @@
         remote_weight = engine_load.compute_remote_penalty(
             model, work.route.target_ms
         )
+        return self.fleet.choose_engine(
+            pool, prompt, excluded, remote_weight, self._make_room(work)
+        )
+
+    def _make_room(self, work: work_items.Work) -> engine_room.Room:
         service = work.table.services[work.service]
         slots = service.engine.slots if service.engine is not None else 0
-        room = engine_load.make_room(model, slots)
-        return self.fleet.choose_engine(
-            pool, prompt, excluded, remote_weight, room
+        model = self.fleet.get_latency_model(work.service)
+        return engine_room.Room.from_times(
+            slots, model.base_ms, model.held_ms, model.token_ms
+        )
+
+    def _order(
+        self, work: work_items.Work, engine: engine_load.Choice
+    ) -> tuple[int | None, float]:
+        """The class of urgency at an engine, and what that reads first.
+
+        The latter is in weighted tokens, up to the request's first token.
+        """
+        level = work_items.find_level(work)
+        if level is None:
+            return None, engine.weight
+        model = self.fleet.get_latency_model(work.service)
+        ttft_ms = engine_load.predict_ttft(model, engine.weight, engine.pace)
+        target_ms = work.began_ms + work.route.target_ms
+        in_time = ttft_ms <= target_ms - self.clock.now_ms()
+        urgency_class = engine_order.choose_class(level, in_time)
+        weight = engine_order.count_weight(
+            engine, self._make_room(work), urgency_class
         )
+        return urgency_class, weight
 
     def _list_filters(
         self, work: work_items.Work, choice: rollout_state.VersionChoice | None
@@ -233,7 +260,7 @@
                 self.reporter.loads, endpoint.entry.name, prompt
             )
             reading.weight = unread * prompt.model_weight
-            reading.level = prompt.level
+            reading.urgency_class = work.urgency_class
             model = self.fleet.get_latency_model(work.service)
             reading.model, reading.pace = model, work.pace
             reading.read_ms = reading.weight * model.token_ms
--- a/src/carawayward/forwarding/sending.py
+++ b/src/carawayward/forwarding/sending.py
@@ -163,11 +163,9 @@
 
     def _choose_urgency(self, work: work_items.Work) -> int | None:
         """The urgency that an engine is told; None to leave it open."""
-        level = None if work.reading is None else work.reading.level
-        if level is None:
+        if work.reading is None or work.reading.urgency_class is None:
             return None
-        run_before = work.runs > 0 or work.last_event is not None
-        waited_ms = self.clock.now_ms() - work.began_ms
         return engine_order.choose_urgency(
-            level, run_before, waited_ms / work.route.target_ms
+            work.reading.urgency_class,
+            run_before=work.runs > 0 or work.last_event is not None,
         )
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -104,7 +104,7 @@
     reporter: load_reports.LoadReporter
     engine: str
     weight: float
-    level: int | None = None
+    urgency_class: int | None = None
     model: engine_load.LatencyModel | None = None
     pace: float = 1.0
     read_ms: float = 0.0
@@ -112,14 +112,16 @@
 
     def begin(self) -> None:
         """Add the prompt to the engine's outstanding load."""
-        load = engine_load.Load.at_level(self.weight, 1, self.level)
+        load = engine_load.Load.of_class(self.weight, 1, self.urgency_class)
         self.reporter.record_load(self.engine, load)
 
     def observe_ttft(self) -> None:
         """Remove the prompt's tokens: the engine has read them."""
         self.ttft_at_ms = self.reporter.clock.now_ms()
         if self.weight:
-            load = engine_load.Load.at_level(-self.weight, 0, self.level)
+            load = engine_load.Load.of_class(
+                -self.weight, 0, self.urgency_class
+            )
             self.reporter.record_load(self.engine, load)
             self.weight = 0.0
 
@@ -129,7 +131,7 @@
             wrote_ms = self.reporter.clock.now_ms() - self.ttft_at_ms
             held_ms = wrote_ms / self.pace + self.read_ms
             engine_load.observe_held(self.model, held_ms)
-        load = engine_load.Load.at_level(-self.weight, -1, self.level)
+        load = engine_load.Load.of_class(-self.weight, -1, self.urgency_class)
         self.reporter.record_load(self.engine, load)
         self.weight = 0.0
 
@@ -195,7 +197,8 @@
     ``backlog`` is what the chosen engine reads until the first token, in
     weighted tokens, and ``is_queued`` whether that includes other prompts;
     ``pace`` is that of the engine, ``is_engine_full`` whether its places are
-    taken. ``backlog_ms`` is the mean backlog of the engines, for the log.
+    taken. ``urgency_class`` is None where the service has only one rank.
+    ``backlog_ms`` is the mean backlog of the engines, for the log.
     """
 
     request: replies.CallerRequest
@@ -227,6 +230,7 @@
     is_queued: bool = False
     pace: float = 1.0
     is_engine_full: bool = False
+    urgency_class: int | None = None
     backlog_ms: float = 0.0
     _fingerprint: str = attrs.field(default="", init=False)
     _shared_parts: tuple[str, ...] | None = attrs.field(
@@ -304,7 +308,9 @@
             for part in work.metadata.prompt
         ),
         model_weight=weight,
-        level=find_level(work),
+        urgency_class=None
+        if find_level(work) is None
+        else engine_order.IN_TIME_CLASS,
     )
 
 
--- a/tests/common/engine_replay.py
+++ b/tests/common/engine_replay.py
@@ -180,7 +180,12 @@
         room = (
             engine_room.NO_ROOM
             if self.knowledge == "none"
-            else engine_load.make_room(vm.model, self.scenario.slots)
+            else engine_room.Room.from_times(
+                self.scenario.slots,
+                vm.model.base_ms,
+                vm.model.held_ms,
+                vm.model.token_ms,
+            )
         )
         known = vm.paces.paces.known
         engine_pace.expire(vm.paces.paces, now_ms)
