--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -333,14 +333,14 @@
     )
 
 
-def observe_first_token(rollouts, model, version):
+def observe_first_token(rollouts, model, version, paces):
     """Observe the first token of a stream that no roll-out counts."""
     nothing: typing.Any = types.SimpleNamespace(
         get_latency_model=lambda service: model,
         observe=lambda *args, **labels: None,
         observe_ttft=lambda: None,
         request_id="one",
-        paces=engine_pace.Paces(),
+        paces=paces,
         get_engine_names=dict,
     )
     began_ms = rollouts.clock.now_ms() - 1_500.0
@@ -368,10 +368,12 @@
     for version, learns in (("v2", False), ("v1", True)):
         model = engine_load.LatencyModel()
         before_ms = model.base_ms
+        paces = engine_pace.Paces()
         for _ in range(20):
-            observe_first_token(rollouts, model, version)
+            observe_first_token(rollouts, model, version, paces)
         assert (model.base_ms > before_ms) is learns
+        assert bool(paces.usuals) is learns
     rollout.state = message_types.RolloutState.COMPLETED
     model = engine_load.LatencyModel()
-    observe_first_token(rollouts, model, "v2")
+    observe_first_token(rollouts, model, "v2", engine_pace.Paces())
     assert model.base_ms > engine_load.INITIAL_BASE_MS
--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -307,6 +307,43 @@
     trio.run(main)
 
 
+def list_urgencies(engines):
+    return sorted(
+        run.request.headers.get("carawayward-request-priority", "")
+        for engine in engines
+        for run in engine.runs
+    )
+
+
+def test_engines_are_told_the_urgency_where_ranks_are_declared():
+    """Urgent requests wait in engines behind less urgent ones.
+
+    The second run follows a dropped answer and goes before new requests. With
+    a backlog past its target, one of the most urgent rank goes first.
+    """
+    ranked = forwarding.make_config()
+    ranked["tenants"][1]["priority"] = 7
+
+    async def main(config, load):
+        engines = make_engines(confidence={"small": 20.0, "large": 95.0})
+        async with forwarding.open_forwarding(*engines, config=config) as made:
+            add_load(made, engines, 0.0).token_ms = 0.001
+            placer = made.daemon.app.forwarder.placer
+            for engine in engines:
+                engine_load.add_own_load(
+                    placer.reporter.loads,
+                    engine.name,
+                    engine_load.Load.of_class(load, 1, 1),
+                )
+            assert (await made.request_stream()).status == 200
+        return list_urgencies(engines)
+
+    assert trio.run(main, forwarding.make_config(), 0.0) == ["", ""]
+    assert trio.run(main, ranked, 0.0) == ["2", "3"]
+    # Nothing escalates while engines are behind.
+    assert trio.run(main, ranked, 1e6) == ["1"]
+
+
 def test_idle_engine_is_tried_whatever_latency_is_predicted():
     """An entry VM was suspended for seconds, and all responses seemed late.
 
