--- a/src/carawayward/forwarding/engine_paces.py
+++ b/src/carawayward/forwarding/engine_paces.py
@@ -4,6 +4,7 @@
 So each reports a few of its newest samples, at most one in a while.
 """
 
+import math
 import typing
 
 import attrs
@@ -89,7 +90,7 @@
         if type(number) is not int or len(shared) > MAX_SHARED:
             raise ValueError("not a list of numbered samples")
         samples = [
-            (_read_int(engine), _read_int(units)) for engine, units in shared
+            (_read_int(engine), _read_units(units)) for engine, units in shared
         ]
         name, _, incarnation = peer.rpartition("/")
         known, last = self.seen.get(name, ("", 0))
@@ -109,3 +110,8 @@
     if type(value) is not int:
         raise TypeError("integer expected")
     return value
+
+
+def _read_units(value: typing.Any) -> int:
+    limit = math.ceil(engine_pace.MAX_LOG_RATIO / LOG_UNIT)
+    return max(-limit, min(limit, _read_int(value)))
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -262,8 +262,11 @@
             reading.weight = unread * prompt.model_weight
             reading.urgency_class = work.urgency_class
             model = self.fleet.get_latency_model(work.service)
-            reading.model, reading.pace = model, work.pace
             reading.read_ms = reading.weight * model.token_ms
+            reading.pace = work.pace
+            version = endpoint.entry.version
+            if not self.rollouts.is_on_trial(work.service, version):
+                reading.model = model
             self.reporter.record_cached(endpoint.entry.name, prompt.parts[:-1])
         work.reading = reading if prompt is not None else None
         reading.begin()
--- a/tests/cover/test_engine_pace.py
+++ b/tests/cover/test_engine_pace.py
@@ -176,6 +176,9 @@
             continue
         raise AssertionError(value)
     assert not node.seen
+    node.merge("peer/1", [1, [[next(iter(node.get_names())), 10**400]]], 0.0)
+    (moment,) = node.paces.moments["engine"]
+    assert moment.samples == [engine_pace.MAX_LOG_RATIO]
 
 
 def test_choice_looks_at_few_engines_and_those_that_have_the_prompt():
