--- a/bench/shedding_replay.py
+++ b/bench/shedding_replay.py
@@ -228,11 +228,13 @@
             known = (1 + heard) / self.load.vms
             lag_ms = self.load.lag_ms
         ticks = 1 + int(lag_ms / TICK_MS)
-        backlog_ms = self.history_ms[max(-len(self.history_ms), -ticks)]
-        wait_ms = load_shedding.find_wait_ms(vm.waits, now_ms)
+        seen_ms = self.history_ms[max(-len(self.history_ms), -ticks)]
+        backlog_ms = load_shedding.estimate_backlog_ms(
+            vm.waits, seen_ms * known / self.load.rate_error, now_ms
+        )
         engines = load_shedding.Engines(
             self.rate * self.load.rate_error,
-            max(backlog_ms * known / self.load.rate_error, wait_ms),
+            backlog_ms,
             min(kind.target_ms for kind in KINDS),
             known,
         )
--- a/src/carawayward/decisions/demand.py
+++ b/src/carawayward/decisions/demand.py
@@ -129,3 +129,12 @@
     for key, rate in demand.peer_totals.items():
         totals[key] = totals.get(key, 0.0) + rate
     return totals
+
+
+def find_largest(totals: typing.Mapping[Key, float]) -> int:
+    """The customer that asks for the most work; ``OTHERS`` if none does."""
+    by_customer: dict[int, float] = {}
+    for (_, customer), rate in totals.items():
+        if customer != OTHERS:
+            by_customer[customer] = by_customer.get(customer, 0.0) + rate
+    return max(by_customer, key=by_customer.__getitem__, default=OTHERS)
--- a/src/carawayward/decisions/load_shedding.py
+++ b/src/carawayward/decisions/load_shedding.py
@@ -43,9 +43,14 @@
 MAX_WAITS = 5
 MIN_WAITS = 3
 WAIT_TTL_MS = 2_000.0
+# The backlog may be up to this many times the reported one.
+MAX_UNDERSTATED = 4.0
 # How long refused callers are told to stay away, in ms.
 MIN_RETRY_AFTER_MS = 1_000.0
 MAX_RETRY_AFTER_MS = 5_000.0
+# A caller comes back as told from this part of the time on, since the time is
+# spread at random when it is sent.
+EARLIEST_RETURN = 0.75
 
 
 @attrs.frozen
@@ -82,7 +87,19 @@
     waits.recent.append((now_ms, max(0.0, wait_ms)))
 
 
-def find_wait_ms(waits: Waits, now_ms: float) -> float:
+def estimate_backlog_ms(
+    waits: Waits, reported_ms: float, now_ms: float
+) -> float:
+    """The engines' mean backlog, from the reports and from own waits.
+
+    Where reports are late, own requests already wait longer than these say.
+    Waits alone say nothing: a slow machine or link makes them long as well.
+    """
+    wait_ms = _find_wait_ms(waits, now_ms)
+    return max(reported_ms, min(wait_ms, MAX_UNDERSTATED * reported_ms))
+
+
+def _find_wait_ms(waits: Waits, now_ms: float) -> float:
     """The median of the recent waits; 0 if there are too few of them."""
     recent = [
         wait_ms
@@ -251,3 +268,19 @@
     rounds = min(3.0, 1.0 / max(share, 0.1) - 1.0)
     wait_ms = base_ms * (1.0 + place + rounds * draw)
     return min(MAX_RETRY_AFTER_MS, wait_ms)
+
+
+def find_place(shares: Shares, rank: int) -> float:
+    """A rank's place among those that ask, 0 the most urgent, 1 the least."""
+    ranks = sorted(shares.by_rank)
+    if rank not in ranks or len(ranks) == 1:
+        return 0.0
+    return ranks.index(rank) / (len(ranks) - 1)
+
+
+def explain_ahead(shares: Shares, key: demand_module.Key) -> str:
+    """Say to whom the room went that a request did not get."""
+    full_rank = shares.full_rank
+    if full_rank is not None and key[0] > full_rank:
+        return f"ranks up to {full_rank}"
+    return "the same rank, by the customers' shares"
--- a/src/carawayward/decisions/returning.py
+++ b/src/carawayward/decisions/returning.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-# Callers come back up to this much after the earliest time told: Retry-After is
-# spread at random, and a new connection takes time.
+# Callers come back up to this much after the earliest time that they were
+# told: Retry-After is spread at random, and a new connection takes time.
 GRACE_MS = 4_000.0
 # How long a refusal is in the reports; and how many of them, the newest first.
 REPORTED_MS = 2_000.0
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -292,6 +292,12 @@
     PART_CLEARED = EventKind(
         1532, "A request with a refused part of prompts was answered."
     )
+    REQUEST_SHED = EventKind(
+        1533,
+        "The engines are behind, and their room went to more urgent requests "
+        "or to customers that ask for less. The request has not run.",
+        'see "Room goes to others" in docs/operations/load.md',
+    )
     REQUEST_HEDGED = EventKind(
         1507, "A run without output was started again on another endpoint."
     )
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -3,6 +3,7 @@
 import attrs
 
 from carawayward import clock as clock_module
+from carawayward.forwarding import admission as admission_module
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import conviction_log
@@ -39,6 +40,7 @@
     paths: service_paths.ServicePaths
     relays: relay_client.RelayClient
     convictions: conviction_log.ConvictionLog
+    admission: admission_module.Admission
 
 
 def make_placement(
@@ -108,6 +110,12 @@
     convictions = conviction_log.ConvictionLog(
         ports.convictions, clock, suspects
     )
+    admission = admission_module.Admission(
+        board, clock, fleet, reporter, metrics
+    )
+    reporter.add_topic(
+        "demand", load_reports.Topic(admission.describe, admission.merge)
+    )
     return PlacementParts(
         placer,
         reporter,
@@ -117,6 +125,7 @@
         paths,
         relays,
         convictions,
+        admission,
     )
 
 
@@ -163,6 +172,7 @@
         readiness.compute_retry_after_ms,
         placer.metrics,
         parts.suspects,
+        parts.admission,
     )
     return app_module.ForwardingApp(
         board, clock, ports.dialect, forwarder, readiness, placer.metrics
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -1,5 +1,6 @@
 """Serves one forwarded request: attempts, retries and the final reply."""
 
+import functools
 import typing
 
 import attrs
@@ -8,6 +9,7 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import retry_budget
 from carawayward import events
+from carawayward.forwarding import admission as admission_module
 from carawayward.forwarding import attempt as attempt_module
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import message_types
@@ -50,6 +52,7 @@
     compute_retry_after_ms: typing.Callable[[], float]
     metrics: metrics_module.Metrics
     suspects: suspects_module.SuspectRequests
+    admission: admission_module.Admission
 
     @property
     def fleet(self) -> fleet_module.Fleet:
@@ -64,6 +67,12 @@
     async def serve(self, work: work_items.Work, reply: replies.Reply) -> None:
         """Serve one request; cancelled when the caller disconnects."""
         now_ms = self.clock.now_ms()
+        refusal = self.admission.check(work)
+        if refusal is not None and not self.suspects.is_convicted(work):
+            await self._send_final_failure(
+                work, reply, refusal.cause, refusal.retry_after_ms
+            )
+            return
         retry_budget.record_request(
             self.placer.find_budget(work.service), now_ms
         )
@@ -164,6 +173,10 @@
         run = self.rollouts.begin(choice, work, endpoint.entry.version)
         self.fleet.begin_request(endpoint)
         reading = self.placer.begin_reading(work, endpoint)
+        self.admission.record_reading(work, reading.weight)
+        reading.on_first_token = functools.partial(
+            self.admission.record_first_token, work
+        )
         try:
             outcome = await self.sender.send(work, endpoint, mark, reply)
         except attempt_module.AttemptWithheld:
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import typing
 
 import attrs
 
@@ -96,11 +97,13 @@
     """A prompt at an engine, outstanding until its first token.
 
     ``weight`` is what remains to be read, in weighted tokens.
+    ``on_first_token`` is called with it before it is removed.
     """
 
     reporter: load_reports.LoadReporter
     engine: str
     weight: float
+    on_first_token: typing.Callable[[float], None] | None = None
 
     def begin(self) -> None:
         """Add the prompt to the engine's outstanding load."""
@@ -109,6 +112,9 @@
 
     def observe_ttft(self) -> None:
         """Remove the prompt's tokens: the engine has read them."""
+        if self.on_first_token is not None:
+            self.on_first_token(self.weight)
+            self.on_first_token = None
         if self.weight:
             load = engine_load.Load(-self.weight, 0)
             self.reporter.record_load(self.engine, load)
