--- a/bench/shedding_replay.py
+++ b/bench/shedding_replay.py
@@ -95,12 +95,16 @@
 
 @attrs.define
 class Result:
-    """Callers by kind or customer class: offered, in time, late, refused."""
+    """Callers by kind or customer, and whether they were in time or refused.
+
+    ``backlogs_ms`` is by tick, ``refused_ms`` when requests were refused.
+    """
 
     counts: dict[str, collections.Counter] = attrs.field(
         factory=lambda: collections.defaultdict(collections.Counter)
     )
     backlogs_ms: list[float] = attrs.field(factory=list)
+    refused_ms: list[float] = attrs.field(factory=list)
 
     def count(self, kind: Kind, customer: int, outcome: str) -> None:
         """Count a caller's last attempt."""
@@ -199,6 +203,8 @@
                 retry_after_ms = load_shedding.compute_retry_after_ms(
                     gate.engines, share, place, vm.draw()
                 )
+        if not let_in:
+            self.result.refused_ms.append(now_ms)
         if let_in:
             self.backlog += kind.weight
             self.order += 1
--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -11,8 +11,11 @@
 writes first), ``reachability`` (whether this entry VM has lost its own path to
 a service), ``relay_choice`` (which peer sends a request then),
 ``prompt_crashes`` (which prompts were in flight at crashes),
-``crashing_parts`` (which part of them is to blame) and
-``store_polls`` (how long polls of the store may wait).
+``crashing_parts`` (which part of them is to blame),
+``store_polls`` (how long polls of the store may wait),
+``demand`` (who asks for how much of the engines), ``load_shedding`` (who gets
+their room when there is too little) and ``returning`` (which callers come back
+as told).
 
 For the callers' API: ``admission``, ``queueing``, ``retry``,
 ``cascade``, ``evidence``, ``exposure``, ``rollout``, ``session`` and
--- a/src/carawayward/decisions/demand.py
+++ b/src/carawayward/decisions/demand.py
@@ -43,13 +43,15 @@
     """The demand for one service, in weighted tokens a second.
 
     ``own`` holds this entry VM's rates as of ``decayed_ms``. ``peer_totals``
-    is the sum of the reports in ``peers``, updated with each report.
+    is the sum of the reports in ``peers``, updated with each report. None of
+    these expires before ``next_expiry_ms``.
     """
 
     own: dict[Key, float] = attrs.field(factory=dict)
     decayed_ms: float = 0.0
     peers: dict[str, PeerDemand] = attrs.field(factory=dict)
     peer_totals: dict[Key, float] = attrs.field(factory=dict)
+    next_expiry_ms: float = math.inf
 
 
 def record_request(
@@ -102,6 +104,7 @@
     scale = min(1.0, max_rate / total) if total > 0.0 else 1.0
     kept = {key: rate * scale for key, rate in rates.items()}
     demand.peers[peer] = PeerDemand(expires_ms, kept)
+    demand.next_expiry_ms = min(demand.next_expiry_ms, expires_ms)
     for key, rate in kept.items():
         demand.peer_totals[key] = demand.peer_totals.get(key, 0.0) + rate
 
@@ -119,11 +122,21 @@
             demand.peer_totals.pop(key, None)
 
 
-def compute_totals(demand: Demand, now_ms: float) -> dict[Key, float]:
-    """The demand of all entry VMs whose reports are valid."""
+def _expire_reports(demand: Demand, now_ms: float) -> None:
+    if now_ms <= demand.next_expiry_ms:
+        return
     for peer, report in list(demand.peers.items()):
         if now_ms > report.expires_ms:
             drop_report(demand, peer)
+    demand.next_expiry_ms = min(
+        (report.expires_ms for report in demand.peers.values()),
+        default=math.inf,
+    )
+
+
+def compute_totals(demand: Demand, now_ms: float) -> dict[Key, float]:
+    """The demand of all entry VMs whose reports are valid."""
+    _expire_reports(demand, now_ms)
     _decay(demand, now_ms)
     totals = dict(demand.own)
     for key, rate in demand.peer_totals.items():
--- a/src/carawayward/decisions/load_shedding.py
+++ b/src/carawayward/decisions/load_shedding.py
@@ -170,7 +170,11 @@
 def compute_shares(
     totals: typing.Mapping[demand_module.Key, float], engines: Engines
 ) -> Shares:
-    """Divide the room between the ranks and customers that ask for it."""
+    """Divide the room between the ranks and customers that ask for it.
+
+    Fewer requests are refused while only few entry VMs are known.
+    """
+    certainty = min(1.0, engines.known / FULL_KNOWLEDGE)
     by_rank: dict[int, dict[int, float]] = {}
     for (rank, customer), rate in totals.items():
         if rate > 0.0:
@@ -188,20 +192,14 @@
         given = min(wanted[rank], floors[rank] + max(0.0, left))
         left -= given - floors[rank]
         parts, rank_level = _divide(by_rank[rank], given)
-        means[rank] = _soften(given / wanted[rank], engines)
+        means[rank] = 1.0 - (1.0 - given / wanted[rank]) * certainty
         for customer, part in parts.items():
-            by_key[(rank, customer)] = _soften(part, engines)
+            by_key[(rank, customer)] = 1.0 - (1.0 - part) * certainty
         if full_rank is None and given < wanted[rank]:
             full_rank, level = rank, rank_level
     return Shares(by_key, means, full_rank, level)
 
 
-def _soften(part: float, engines: Engines) -> float:
-    """Refuse fewer requests while only few entry VMs are known."""
-    certainty = min(1.0, engines.known / FULL_KNOWLEDGE)
-    return 1.0 - (1.0 - part) * certainty
-
-
 def _divide(
     rates: typing.Mapping[int, float], room: float
 ) -> tuple[dict[int, float], float]:
@@ -209,8 +207,11 @@
 
     Customers that no report names get the rank's mean.
     """
-    mean = min(1.0, room / sum(rates.values()))
-    parts = {customer: mean for customer in rates}
+    wanted = sum(rates.values())
+    if room >= wanted:
+        return dict.fromkeys(rates, 1.0), float("inf")
+    mean = room / wanted
+    parts = dict.fromkeys(rates, mean)
     named = sorted(
         (rate, customer)
         for customer, rate in rates.items()
--- a/src/carawayward/forwarding/admission.py
+++ b/src/carawayward/forwarding/admission.py
@@ -13,13 +13,14 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import demand as demand_module
+from carawayward.decisions import engine_load
 from carawayward.decisions import load_shedding
+from carawayward.decisions import placement
 from carawayward.decisions import returning
 from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import demand_items
 from carawayward.forwarding import fleet as fleet_module
-from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import load_reports
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import table as table_module
@@ -28,6 +29,8 @@
 CAUSE = "room went to others"
 # How often the backlog is looked at and the shares are computed anew.
 UPDATE_INTERVAL_MS = 250.0
+# How often the peers whose reports are current are counted.
+KNOWN_INTERVAL_MS = 1_000.0
 # Demand is reported from this mean backlog on, as a part of the shortest
 # latency target, so that it is known when room gets short.
 REPORTED_BACKLOG = 0.1
@@ -54,7 +57,8 @@
 
     ``unread_part`` is the part of the shared prompt tokens that engines have
     to read, since they have not cached it. ``pace_factor`` is the time that
-    prompts wait over the time that the latency model expects.
+    prompts wait over the time that the latency model expects. ``engines`` are
+    those of ``pool`` that have places.
     """
 
     credits: load_shedding.Credits
@@ -68,6 +72,8 @@
     updated_ms: float = board_module.NEVER
     backlog_part: float = 0.0
     largest: int = demand_module.OTHERS
+    pool: placement.Candidates | None = None
+    engines: frozenset[str] = frozenset()
 
 
 @attrs.define(eq=False)
@@ -87,6 +93,8 @@
     refusals: returning.Refusals = attrs.field(factory=returning.Refusals)
     table: table_module.RoutingTable | None = None
     contended: frozenset[str] = frozenset()
+    known: float = 0.0
+    known_ms: float = board_module.NEVER
 
     def check(self, work: work_items.Work) -> Refusal | None:
         """Return why a request is not let in; None if it is."""
@@ -203,7 +211,7 @@
         for name, room in self.rooms.items():
             self._update(name, room, now_ms)
             if room.backlog_part >= REPORTED_BACKLOG:
-                number = load_report_messages.hash_name(name)
+                number = demand_items.hash_service(name)
                 rates[number] = demand_module.describe(room.demand, now_ms)
         refusals = returning.describe(self.refusals, now_ms)
         return demand_items.DemandReport(rates, refusals).to_value()
@@ -216,7 +224,7 @@
         report = demand_items.DemandReport.from_value(value)
         now_ms = self.clock.now_ms()
         for name in self._find_contended(self.board.table):
-            rates = report.rates.get(load_report_messages.hash_name(name))
+            rates = report.rates.get(demand_items.hash_service(name))
             if rates is None:
                 continue
             room = self._get_room(name)
@@ -261,7 +269,7 @@
         room.backlog_part = engines.backlog_ms / engines.target_ms
         totals: dict[demand_module.Key, float] = {}
         if room.backlog_part > load_shedding.END_BACKLOG:
-            engines = attrs.evolve(engines, known=self._compute_known(now_ms))
+            engines = attrs.evolve(engines, known=self._find_known(now_ms))
             totals = demand_module.compute_totals(room.demand, now_ms)
             room.largest = demand_module.find_largest(totals)
         load_shedding.update(room.gate, totals, engines)
@@ -276,21 +284,24 @@
         """
         assert self.table is not None
         pool = self.fleet.find_pool(fleet_module.EndpointFilter(service))
-        excluded = (
+        if pool is not room.pool:
+            room.pool = pool
+            room.engines = frozenset(
+                view.name
+                for view in pool.views
+                if self.fleet.tracked[view.name].entry.slots > 0
+            )
+        unusable = (
             self.fleet.list_unavailable() | self.fleet.list_quarantined()
         )
-        usable = sum(
-            view.name not in excluded
-            and self.fleet.tracked[view.name].entry.slots > 0
-            for view in pool.views
-        )
+        usable = len(room.engines) - len(unusable & room.engines)
         factor = min(1.0, max(MIN_PACE_FACTOR, room.pace_factor))
         token_ms = self.fleet.get_latency_model(service).token_ms * factor
         backlog_ms = 0.0
         if usable and room.waits_seen >= load_shedding.MIN_WAITS:
             backlog_ms = load_shedding.estimate_backlog_ms(
                 room.waits,
-                self.fleet.find_backlog_ms(service, pool) * factor,
+                self._sum_weight(room.engines, unusable) * token_ms / usable,
                 now_ms,
             )
         return load_shedding.Engines(
@@ -299,8 +310,27 @@
             self.table.find_shortest_target(service),
         )
 
-    def _compute_known(self, now_ms: float) -> float:
+    def _sum_weight(
+        self, engines: frozenset[str], unusable: frozenset[str]
+    ) -> float:
+        """The work outstanding at a service's engines, in weighted tokens."""
+        loads = self.fleet.loads
+        engine_load.expire_reports(loads, self.clock.now_ms())
+        return sum(
+            load.weight
+            for known in (loads.own, loads.peer_totals)
+            for name, load in known.items()
+            if name in engines and name not in unusable
+        )
+
+    def _find_known(self, now_ms: float) -> float:
         """The part of the entry VMs whose reports are current."""
+        if now_ms - self.known_ms >= KNOWN_INTERVAL_MS:
+            self.known_ms = now_ms
+            self.known = self._compute_known(now_ms)
+        return self.known
+
+    def _compute_known(self, now_ms: float) -> float:
         members = self.reporter.count_possible_members()
         if members is None:
             return 0.0
--- a/src/carawayward/forwarding/demand_items.py
+++ b/src/carawayward/forwarding/demand_items.py
@@ -66,6 +66,11 @@
         )
 
 
+def hash_service(name: str) -> int:
+    """The number that a report carries in place of a service's name."""
+    return load_report_messages.hash_name(name)
+
+
 def list_contended(table: table_module.RoutingTable) -> frozenset[str]:
     """The services with engines whose callers differ in rank or customer."""
     found = set()
