--- a/src/carawayward/decisions/load_shedding.py
+++ b/src/carawayward/decisions/load_shedding.py
@@ -26,11 +26,13 @@
 BEGIN_BACKLOG = 0.4
 END_BACKLOG = 0.15
 GOAL_BACKLOG = 0.3
+# How late reports show the backlog that a demand leads to.
+REPORT_LAG_MS = 500.0
 # A backlog beyond the goal is to be read within this many targets. Reports of
 # it are up to a second old: a shorter time would make it oscillate.
 DRAIN_TARGETS = 1.0
 # Bounds of the room, as parts of what the engines read.
-MIN_ROOM = 0.2
+MIN_ROOM = 0.1
 MAX_ROOM = 1.5
 # Part of the room that a rank gets before more urgent ones get the rest.
 RANK_FLOOR = 0.03
@@ -150,12 +152,28 @@
     engines: Engines,
 ) -> None:
     """Decide anew from the demand and the engines' backlog."""
-    part = END_BACKLOG if gate.short else BEGIN_BACKLOG
     gate.engines = engines
-    gate.short = engines.backlog_ms > part * engines.target_ms
+    if gate.short:
+        gate.short = engines.backlog_ms > END_BACKLOG * engines.target_ms
+    else:
+        gate.short = (
+            _predict_backlog_ms(totals, engines)
+            > BEGIN_BACKLOG * engines.target_ms
+        )
     gate.shares = compute_shares(totals, engines) if gate.short else EVERYTHING
 
 
+def _predict_backlog_ms(
+    totals: typing.Mapping[demand_module.Key, float], engines: Engines
+) -> float:
+    """The backlog once reports show what the demand has come to."""
+    readable = engines.rate * engines.known
+    if engines.backlog_ms <= END_BACKLOG * engines.target_ms or not readable:
+        return engines.backlog_ms
+    excess = max(0.0, sum(totals.values()) / readable - 1.0)
+    return engines.backlog_ms + excess * REPORT_LAG_MS
+
+
 def compute_room(engines: Engines) -> float:
     """The work to let in, in weighted tokens a second.
 
--- a/src/carawayward/forwarding/admission.py
+++ b/src/carawayward/forwarding/admission.py
@@ -173,14 +173,19 @@
         )
 
     def record_reading(self, work: work_items.Work, weight: float) -> None:
-        """Learn how much of a prompt its engine has to read."""
+        """Record what an engine has to read for an attempt."""
         room = self.rooms.get(work.service)
-        own, shared = demand_items.count_tokens(work)
-        if room is None or not shared or not weight:
+        if room is None or not weight:
             return
-        unread = weight / demand_items.find_model_weight(work) - own
-        part = min(1.0, max(0.0, unread / shared))
-        room.unread_part += LEARNING_GAIN * (part - room.unread_part)
+        extra = demand_items.compute_extra_weight(work, weight)
+        if extra:
+            key, now_ms = demand_items.make_key(work), self.clock.now_ms()
+            demand_module.record_request(room.demand, key, extra, now_ms)
+        own, shared = demand_items.count_tokens(work)
+        if shared:
+            unread = weight / demand_items.find_model_weight(work) - own
+            part = min(1.0, max(0.0, unread / shared))
+            room.unread_part += LEARNING_GAIN * (part - room.unread_part)
 
     def record_first_token(
         self, work: work_items.Work, own_weight: float
--- a/src/carawayward/forwarding/demand_items.py
+++ b/src/carawayward/forwarding/demand_items.py
@@ -125,15 +125,36 @@
 
 
 def find_model_weight(work: work_items.Work) -> float:
-    """The weight of the model that begins, relative to the largest."""
-    engine = work.table.services[work.service].engine
-    assert engine is not None
-    model = work.model_name or work.metadata.model
+    """The weight of the model that is asked, relative to the largest."""
+    if not work.model_name:
+        return _weigh_first_model(work)
+    return _weigh_model(work, work.model_name)
+
+
+def compute_extra_weight(work: work_items.Work, weight: float) -> float:
+    """The part of an attempt's work that was not asked for on arrival.
+
+    An escalation or a repeat is all of that; the first attempt is part of it
+    if a larger model than the first was chosen.
+    """
+    if work.runs:
+        return weight
+    expected = _weigh_first_model(work) / find_model_weight(work)
+    return weight * max(0.0, 1.0 - expected)
+
+
+def _weigh_first_model(work: work_items.Work) -> float:
+    model = work.metadata.model
     if model == message_types.ANY_MODEL and work.route.models:
         model = work.route.models[0]
-    return engine.costs.get(model, 1.0) / max(
-        engine.costs.values(), default=1.0
-    )
+    return _weigh_model(work, model)
+
+
+def _weigh_model(work: work_items.Work, model: str) -> float:
+    engine = work.table.services[work.service].engine
+    assert engine is not None
+    largest = max(engine.costs.values(), default=1.0)
+    return engine.costs.get(model, 1.0) / largest
 
 
 def _read_rates(value: typing.Any) -> dict[demand_module.Key, float]:
--- a/tests/cover/test_forwarding_admission.py
+++ b/tests/cover/test_forwarding_admission.py
@@ -238,6 +238,25 @@
     assert abs(part - 0.25) < 0.01
 
 
+def test_escalations_count_as_demand():
+    """Else engines fill with work that the shares know nothing of."""
+    admission = make_behind()
+    demand = admission.rooms[bench.SERVICE].demand
+    demand.own.clear()
+    work = bench.make_work(admission.board.table, model=0)
+    admission.record_reading(work, 100.0)
+    assert not demand.own
+    cases: list[tuple[dict[str, typing.Any], float]] = [
+        ({"model": 1}, 50.0),
+        ({"runs": 1}, 100.0),
+    ]
+    for changes, weight in cases:
+        demand.own.clear()
+        work = bench.make_work(admission.board.table, **changes)
+        admission.record_reading(work, 100.0)
+        assert demand.own == {demand_items.make_key(work): weight}
+
+
 def test_refusals_are_explained_and_counted():
     """The event says who was ahead; counters have rank and customer class."""
     admission = make_behind(vms=2)
