--- a/src/carawayward/forwarding/demand_items.py
+++ b/src/carawayward/forwarding/demand_items.py
@@ -153,7 +153,7 @@
 def _weigh_model(work: work_items.Work, model: str) -> float:
     engine = work.table.services[work.service].engine
     assert engine is not None
-    largest = max(engine.costs.values(), default=1.0)
+    largest = max(engine.costs.values(), default=1.0) or 1.0
     return engine.costs.get(model, 1.0) / largest
 
 
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -125,6 +125,7 @@
         load = engine_load.Load(-self.weight, -1)
         self.reporter.record_load(self.engine, load)
         self.weight = 0.0
+        self.on_first_token = None
 
 
 @attrs.define(eq=False)
