--- a/src/carawayward/decisions/load_shedding.py
+++ b/src/carawayward/decisions/load_shedding.py
@@ -211,8 +211,10 @@
         left -= given - floors[rank]
         parts, rank_level = _divide(by_rank[rank], given)
         means[rank] = 1.0 - (1.0 - given / wanted[rank]) * certainty
-        for customer, part in parts.items():
-            by_key[(rank, customer)] = 1.0 - (1.0 - part) * certainty
+        by_key |= {
+            (rank, customer): 1.0 - (1.0 - part) * certainty
+            for customer, part in parts.items()
+        }
         if full_rank is None and given < wanted[rank]:
             full_rank, level = rank, rank_level
     return Shares(by_key, means, full_rank, level)
@@ -237,10 +239,13 @@
     )
     left = room - mean * rates.get(demand_module.OTHERS, 0.0)
     level = float("inf")
-    for index, (rate, customer) in enumerate(named):
+    for index, (rate, _) in enumerate(named):
         level = max(0.0, left) / (len(named) - index)
-        parts[customer] = min(1.0, level / rate)
-        left -= min(rate, level)
+        if rate > level:
+            break
+        left -= rate
+    for rate, customer in named:
+        parts[customer] = 1.0 if rate <= level else level / rate
     return parts, level
 
 
--- a/src/carawayward/forwarding/admission.py
+++ b/src/carawayward/forwarding/admission.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import operator
 import random
 import typing
 
@@ -30,7 +31,7 @@
 # How often the backlog is looked at and the shares are computed anew.
 UPDATE_INTERVAL_MS = 250.0
 # How often the peers whose reports are current are counted.
-KNOWN_INTERVAL_MS = 1_000.0
+KNOWN_INTERVAL_MS = 2_000.0
 # Demand is reported from this mean backlog on, as a part of the shortest
 # latency target, so that it is known when room gets short.
 REPORTED_BACKLOG = 0.1
@@ -42,6 +43,8 @@
 MIN_PREDICTED_WAIT = 0.1
 MIN_PACE_FACTOR = 0.05
 
+_get_weight = operator.attrgetter("weight")
+
 
 @attrs.frozen
 class Refusal:
@@ -299,14 +302,16 @@
         unusable = (
             self.fleet.list_unavailable() | self.fleet.list_quarantined()
         )
-        usable = len(room.engines) - len(unusable & room.engines)
+        unusable &= room.engines
+        engines = room.engines - unusable if unusable else room.engines
+        usable = len(engines)
         factor = min(1.0, max(MIN_PACE_FACTOR, room.pace_factor))
         token_ms = self.fleet.get_latency_model(service).token_ms * factor
         backlog_ms = 0.0
         if usable and room.waits_seen >= load_shedding.MIN_WAITS:
             backlog_ms = load_shedding.estimate_backlog_ms(
                 room.waits,
-                self._sum_weight(room.engines, unusable) * token_ms / usable,
+                self._sum_weight(engines) * token_ms / usable,
                 now_ms,
             )
         return load_shedding.Engines(
@@ -315,18 +320,17 @@
             self.table.find_shortest_target(service),
         )
 
-    def _sum_weight(
-        self, engines: frozenset[str], unusable: frozenset[str]
-    ) -> float:
-        """The work outstanding at a service's engines, in weighted tokens."""
+    def _sum_weight(self, engines: frozenset[str]) -> float:
+        """The work outstanding at engines, in weighted tokens."""
         loads = self.fleet.loads
         engine_load.expire_reports(loads, self.clock.now_ms())
-        return sum(
-            load.weight
-            for known in (loads.own, loads.peer_totals)
-            for name, load in known.items()
-            if name in engines and name not in unusable
-        )
+        weight = 0.0
+        for known in (loads.own, loads.peer_totals):
+            weight += sum(map(_get_weight, known.values()))
+            weight -= sum(
+                known[name].weight for name in known.keys() - engines
+            )
+        return weight
 
     def _find_known(self, now_ms: float) -> float:
         """The part of the entry VMs whose reports are current."""
