--- a/tests/cover/test_decisions_load_shedding.py
+++ b/tests/cover/test_decisions_load_shedding.py
@@ -28,12 +28,18 @@
     return shedding_replay.play(**load)
 
 
-def play_all(**load):
-    for name in ("kinds", "customers"):
-        load[name] = tuple(load.get(name, {}).items())
-    return [
-        play(policy=policy, **load) for policy in ("shares", "none", "bound")
-    ]
+def play_all(seed=1, kinds=None, customers=None, **failure):
+    """Play with shares and a failure, and without either and at best."""
+    load = {
+        "seed": seed,
+        "kinds": tuple((kinds or {}).items()),
+        "customers": tuple((customers or {}).items()),
+    }
+    return (
+        play(policy="shares", **load, **failure),
+        play(policy="none", **load),
+        play(policy="bound", **load),
+    )
 
 
 def make_engines(backlog_ms=500.0, known=1.0, rate=1_000.0):
