Admission: learn the engines' pace from own prompts, not only from waits

Suspected cause, not traced in the run's logs: the pace of a process that has just started is ten times too slow, and waits corrected it only where an engine had other prompts. A test shows the fault and fails without the change.

--- a/src/carawayward/forwarding/admission.py
+++ b/src/carawayward/forwarding/admission.py
@@ -37,10 +37,10 @@
 REPORTED_BACKLOG = 0.1
 # Weight of a new observation in what is learned from own requests.
 LEARNING_GAIN = 0.1
-# Waits from this part of the shortest latency target on tell whether the
-# latency model's pace is right; the model may take an engine for slower than
-# it is by at most the second factor.
-MIN_PREDICTED_WAIT = 0.1
+# Prompts that take this part of the shortest latency target to read tell
+# whether the latency model's pace is right; it may take an engine for slower
+# than it is by at most the second factor.
+MIN_PREDICTED_READING = 0.1
 MIN_PACE_FACTOR = 0.05
 
 _get_weight = operator.attrgetter("weight")
@@ -60,7 +60,7 @@
 
     ``unread_part`` is the part of the shared prompt tokens that engines have
     to read, since they have not cached it. ``pace_factor`` is the time that
-    prompts wait over the time that the latency model expects. ``engines`` are
+    prompts take over the time that the latency model expects. ``engines`` are
     those of ``pool`` that have places.
     """
 
@@ -203,13 +203,16 @@
         now_ms = self.clock.now_ms()
         load_shedding.record_wait(room.waits, wait_ms, now_ms)
         room.waits_seen += 1
-        predicted_ms = (work.backlog - own_weight) * model.token_ms
+        # The own prompt counts here: the engine chosen may have no other, and
+        # the pace of a process that has just started may be wrong by much.
+        predicted_ms = work.backlog * model.token_ms
         target_ms = work.table.find_shortest_target(work.service)
-        if predicted_ms < MIN_PREDICTED_WAIT * target_ms:
+        if predicted_ms < MIN_PREDICTED_READING * target_ms:
             return
         room.paces_seen += 1
         gain = max(LEARNING_GAIN, 1.0 / room.paces_seen)
-        factor = min(2.0, max(MIN_PACE_FACTOR, wait_ms / predicted_ms))
+        factor = (ttft_ms - model.base_ms) / predicted_ms
+        factor = min(2.0, max(MIN_PACE_FACTOR, factor))
         room.pace_factor += gain * (factor - room.pace_factor)
 
     def describe(self) -> list | None:
--- a/tests/cover/test_forwarding_admission.py
+++ b/tests/cover/test_forwarding_admission.py
@@ -213,15 +213,21 @@
     assert admission.check(work) is None
 
 
-def test_wrong_pace_of_engines_is_corrected_by_own_waits():
-    """The model takes them for ten times as slow as they are."""
+@params(0.0, 15_000.0)
+def test_wrong_pace_of_engines_is_corrected_by_own_prompts(ahead):
+    """The model takes them for ten times as slow as they are.
+
+    So it does when a process has just started. The engines that its prompts
+    go to may have nothing else to read.
+    """
     admission = make_behind(backlog_ms=1_000.0)
     model = admission.fleet.get_latency_model(bench.SERVICE)
     work = bench.make_work(admission.board.table)
     for _ in range(20):
-        work.backlog = 1_000.0 / model.token_ms
-        work.progress.ttft_ms = model.base_ms + 100.0
-        admission.record_first_token(work, 0.0)
+        work.backlog = ahead + 3_000.0
+        took_ms = 0.1 * work.backlog * model.token_ms
+        work.progress.ttft_ms = model.base_ms + took_ms
+        admission.record_first_token(work, 3_000.0)
     admission.clock.advance(1_000.0)
     assert not offer(admission, count=100, route=1)
 
