--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -5,6 +5,7 @@
 import attrs
 
 from carawayward import clock as clock_module
+from carawayward.forwarding import admission as admission_module
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import conviction_log
@@ -42,6 +43,7 @@
     paths: service_paths.ServicePaths
     relays: relay_client.RelayClient
     convictions: conviction_log.ConvictionLog
+    admission: admission_module.Admission
 
 
 def make_placement(
@@ -121,6 +123,12 @@
         suspects,
         functools.partial(feeds.count_call, metrics, feeds.CONVICTIONS),
     )
+    admission = admission_module.Admission(
+        board, clock, fleet, reporter, metrics
+    )
+    reporter.add_topic(
+        "demand", load_reports.Topic(admission.describe, admission.merge)
+    )
     return PlacementParts(
         placer,
         reporter,
@@ -130,6 +138,7 @@
         paths,
         relays,
         convictions,
+        admission,
     )
 
 
@@ -176,6 +185,7 @@
         readiness.compute_retry_after_ms,
         placer.metrics,
         parts.suspects,
+        parts.admission,
     )
     return app_module.ForwardingApp(
         board, clock, ports.dialect, forwarder, readiness, placer.metrics
--- a/src/carawayward/forwarding/table.py
+++ b/src/carawayward/forwarding/table.py
@@ -176,6 +176,29 @@
                 ranks.add(self.find_rank(route, None))
         return {name: tuple(sorted(ranks)) for name, ranks in found.items()}
 
+    def find_patient_target(self, service: str) -> float:
+        """Return the shortest latency target of the least urgent routes.
+
+        In ms, of the routes to a service; infinite if none has a target.
+        """
+        routes = [
+            route
+            for route in self.routes
+            if route.target_ms
+            and any(target.service == service for target in route.targets)
+        ]
+        least_urgent = max(
+            (self.find_rank(route, None) for route in routes), default=0
+        )
+        return min(
+            (
+                route.target_ms
+                for route in routes
+                if self.find_rank(route, None) == least_urgent
+            ),
+            default=float("inf"),
+        )
+
     @_routes_by_host.default
     def _index_routes(self) -> dict[str, list[Route]]:
         found: dict[str, list[Route]] = {}
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import typing
 
 import attrs
 
@@ -98,7 +99,8 @@
 
     ``weight`` is what remains to be read, in weighted tokens. ``model`` learns
     for how long the request holds its place: from when the engine began to
-    read it, by the prediction of ``read_ms``, to its end.
+    read it, by the prediction of ``read_ms``, to its end. ``on_first_token``
+    is called with the weight before it is removed.
     """
 
     reporter: load_reports.LoadReporter
@@ -109,6 +111,7 @@
     pace: float = 1.0
     read_ms: float = 0.0
     ttft_at_ms: float | None = None
+    on_first_token: typing.Callable[[float], None] | None = None
 
     def begin(self) -> None:
         """Add the prompt to the engine's outstanding load."""
@@ -118,6 +121,9 @@
     def observe_ttft(self) -> None:
         """Remove the prompt's tokens: the engine has read them."""
         self.ttft_at_ms = self.reporter.clock.now_ms()
+        if self.on_first_token is not None:
+            self.on_first_token(self.weight)
+            self.on_first_token = None
         if self.weight:
             load = engine_load.Load.of_class(
                 -self.weight, 0, self.urgency_class
@@ -134,6 +140,7 @@
         load = engine_load.Load.of_class(-self.weight, -1, self.urgency_class)
         self.reporter.record_load(self.engine, load)
         self.weight = 0.0
+        self.on_first_token = None
 
 
 @attrs.define(eq=False)
