--- a/src/carawayward/forwarding/admission.py
+++ b/src/carawayward/forwarding/admission.py
@@ -83,7 +83,7 @@
 class Admission:
     """Lets requests in by rank and customer while room is short.
 
-    ``table`` is the routing table that ``contended`` was computed from.
+    Unless ``enabled``, all get in. ``table`` is the routing table that ``contended`` was computed from.
     """
 
     board: board_module.ForwardingBoard
@@ -91,6 +91,7 @@
     fleet: fleet_module.Fleet
     reporter: load_reports.LoadReporter
     metrics: metrics_module.Metrics
+    enabled: bool = True
     draw: typing.Callable[[], float] = random.random
     rooms: dict[str, ServiceRoom] = attrs.field(factory=dict)
     refusals: returning.Refusals = attrs.field(factory=returning.Refusals)
@@ -101,9 +102,9 @@
 
     def check(self, work: work_items.Work) -> Refusal | None:
         """Return why a request is not let in; None if it is."""
-        if work.service not in self._find_contended(work.table):
+        if not self.enabled or not work.metadata.prompt:
             return None
-        if not work.metadata.prompt:
+        if work.service not in self._find_contended(work.table):
             return None
         now_ms = self.clock.now_ms()
         room = self._get_room(work.service)
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -124,7 +124,7 @@
         functools.partial(feeds.count_call, metrics, feeds.CONVICTIONS),
     )
     admission = admission_module.Admission(
-        board, clock, fleet, reporter, metrics
+        board, clock, fleet, reporter, metrics, settings.load_shedding
     )
     reporter.add_topic(
         "demand", load_reports.Topic(admission.describe, admission.merge)
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -67,7 +67,11 @@
 
 @attrs.frozen(kw_only=True)
 class ForwardingSettings:
-    """All settings of one entry VM that serves forwarded routes."""
+    """All settings of one entry VM that serves forwarded routes.
+
+    With ``load_shedding``, requests are let in by rank and customer while
+    engines are behind.
+    """
 
     name: str
     failure_domain: str
@@ -75,6 +79,7 @@
     store: Store
     bounds: Bounds = attrs.field(factory=Bounds)
     heartbeat_ms: float = 1_200.0
+    load_shedding: bool = False
     log_level: str = "info"
 
     @classmethod
