--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -66,6 +66,10 @@
             fleet.rate_limits.describe, fleet.rate_limits.merge
         ),
     )
+    reporter.add_topic(
+        "in_flight",
+        load_reports.Topic(fleet.room.describe, fleet.room.merge),
+    )
     freshness = freshness_module.FreshnessController(board, clock, reporter)
     rollouts = rollouts_module.Rollouts(board, clock)
     reporter.add_topic(
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -100,6 +100,12 @@
                     self._estimate_retry_after_ms(work),
                 )
                 return
+            wait_ms = self._find_room_wait_ms(work, endpoint)
+            if wait_ms is not None:
+                await self._send_final_failure(
+                    work, reply, "endpoints full", wait_ms
+                )
+                return
             outcome = await self._try_endpoint(work, endpoint, choice, reply)
             if isinstance(outcome, work_items.Delivered):
                 if outcome.status < 300:
@@ -142,6 +148,24 @@
         behind_ms = self.placer.predict_ttft(work) - work.route.target_ms
         return max(refusals.DEFAULT_RETRY_AFTER_MS, behind_ms)
 
+    def _find_room_wait_ms(
+        self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
+    ) -> float | None:
+        """Return when to come back if all plain endpoints are too full.
+
+        None for a request that may have run: it is sent, since its caller
+        could not be told that it has not.
+        """
+        if work.may_have_run:
+            return None
+        left_ms = work.deadline_ms - self.clock.now_ms() - REPLY_MARGIN_MS
+        wait_ms = self.placer.find_room_wait_ms(work, endpoint, left_ms)
+        if wait_ms is not None:
+            self.metrics.count(
+                "room_refusals", service=work.service, rank=str(work.rank)
+            )
+        return wait_ms
+
     async def _try_endpoint(
         self,
         work: work_items.Work,
@@ -162,7 +186,7 @@
             version=endpoint.entry.version,
         )
         run = self.rollouts.begin(choice, work, endpoint.entry.version)
-        self.fleet.begin_request(endpoint)
+        self.fleet.begin_request(endpoint, work.customer)
         reading = self.placer.begin_reading(work, endpoint)
         try:
             outcome = await self.sender.send(work, endpoint, mark, reply)
@@ -179,7 +203,7 @@
                 outcome = work_items.Unreached(fault.detail, no_peer)
         finally:
             self.fleet.cold_starts.release(permit)
-            self.fleet.end_request(endpoint)
+            self.fleet.end_request(endpoint, work.customer)
             reading.end()
             self.rollouts.end(run, work)
         if isinstance(outcome, NOT_RUN_OUTCOMES):
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -9,12 +9,14 @@
 from carawayward.decisions import health as health_module
 from carawayward.decisions import limits
 from carawayward.decisions import placement
+from carawayward.decisions import plain_room
 from carawayward.decisions import quarantine as quarantine_module
 from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import cold_starts as cold_starts_module
 from carawayward.forwarding import message_types
 from carawayward.forwarding import notices as notices_module
+from carawayward.forwarding import plain_room as plain_room_module
 from carawayward.forwarding import rate_limits as rate_limits_module
 
 # A connection attempt that fails sooner was refused by a machine that is up.
@@ -73,6 +75,7 @@
     cold_starts: cold_starts_module.ColdStartLimiter = attrs.field(init=False)
     rate_limits: rate_limits_module.RequestLimiter = attrs.field(init=False)
     notices: notices_module.EndpointNotices = attrs.field(init=False)
+    room: plain_room_module.PlainRoom = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.cold_starts = cold_starts_module.ColdStartLimiter(
@@ -82,6 +85,7 @@
             self.board, self.clock
         )
         self.notices = notices_module.EndpointNotices(self.board, self.clock)
+        self.room = plain_room_module.PlainRoom(self.board, self.clock)
 
     def find_cache_tokens(self, name: str) -> int:
         """Return an engine's cache size in tokens; 0 if it is unknown."""
@@ -199,29 +203,68 @@
         pool: placement.Candidates,
         key: int | None,
         excluded: frozenset[str],
+        left_ms: float = float("inf"),
     ) -> TrackedEndpoint | None:
-        """Choose an endpoint with room for a request; None if all are full."""
-        view = placement.choose(
-            pool,
-            key,
-            self.board.failure_domain,
-            self.clock.now_ms(),
-            self.draw,
-            excluded,
+        """Choose an endpoint with room for a request; None if all are full.
+
+        If other entry VMs have taken the places of the first choice, it is one
+        that is predicted to answer within ``left_ms``.
+        """
+        now_ms = self.clock.now_ms()
+        domain = self.board.failure_domain
+        view = placement.choose(pool, key, domain, now_ms, self.draw, excluded)
+        if view is None or view.name not in self.tracked:
+            return None
+        endpoint = self.tracked[view.name]
+        if not self.is_full(endpoint):
+            return endpoint
+        rooms = self.find_rooms(pool, excluded)
+        if not rooms:
+            return endpoint
+        room = plain_room.choose(rooms, left_ms, self.draw)
+        return self.tracked[room.name]
+
+    def is_full(self, endpoint: TrackedEndpoint) -> bool:
+        """Whether a request at a plain service's endpoint would wait."""
+        # Probes are sent under load too.
+        return (
+            endpoint.view.health.state is health_module.State.ACTIVE
+            and self.room.covers(endpoint.entry.service)
+            and self.room.is_full(endpoint.entry)
+        )
+
+    def find_rooms(
+        self, pool: placement.Candidates, excluded: frozenset[str]
+    ) -> list[plain_room.Room]:
+        """The room at a plain service's endpoints; empty while unknown."""
+        now_ms = self.clock.now_ms()
+        views = plain_room.draw_some(pool.views, self.draw)
+        return self.room.find_rooms(
+            [
+                self.tracked[view.name].entry
+                for view in views
+                if view.health.state is health_module.State.ACTIVE
+                and placement.is_available(view, now_ms, excluded)
+            ]
         )
-        return self.tracked.get(view.name) if view is not None else None
 
-    def begin_request(self, endpoint: TrackedEndpoint) -> None:
+    def begin_request(
+        self, endpoint: TrackedEndpoint, customer: str = ""
+    ) -> None:
         """Record that a request is about to be sent to an endpoint."""
         endpoint.view.in_flight += 1
+        self.room.count(endpoint.entry, customer, 1)
         health_module.begin_probe(endpoint.view.health)
         quarantine_module.begin_try(
             self.quarantine, endpoint.entry.name, self.clock.now_ms()
         )
 
-    def end_request(self, endpoint: TrackedEndpoint) -> None:
+    def end_request(
+        self, endpoint: TrackedEndpoint, customer: str = ""
+    ) -> None:
         """Record that a request at an endpoint has ended."""
         endpoint.view.in_flight -= 1
+        self.room.count(endpoint.entry, customer, -1)
 
     def list_quarantined(self) -> frozenset[str]:
         """Return endpoints that recently declined or could not be reached."""
@@ -305,6 +348,7 @@
         self, endpoint: TrackedEndpoint, unit_ms: float
     ) -> None:
         """Record a complete response, which took ``unit_ms``."""
+        self.room.record_answer(endpoint.entry, unit_ms)
         if health_module.record_success(endpoint.view.health, unit_ms):
             events.log_event(
                 events.Event.ENDPOINT_BACK, endpoint=endpoint.entry.name
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -6,6 +6,7 @@
 from carawayward.decisions import engine_load
 from carawayward.decisions import escalation
 from carawayward.decisions import placement
+from carawayward.decisions import plain_room
 from carawayward.decisions import retry_budget
 from carawayward import events
 from carawayward.forwarding import fleet as fleet_module
@@ -168,7 +169,8 @@
         pool = self.fleet.find_pool(endpoint_filter)
         prompt = work_items.make_prompt(work)
         if prompt is None:
-            return self.fleet.choose(pool, None, excluded)
+            left_ms = work.deadline_ms - self.clock.now_ms()
+            return self.fleet.choose(pool, None, excluded, left_ms)
         engine = self._choose_engine(work, pool, prompt, excluded)
         if engine is None:
             return None
@@ -202,6 +204,26 @@
         max_endpoints = self.rollouts.limit_endpoints(choice, count)
         return [attrs.evolve(new, max_endpoints=max_endpoints), old]
 
+    def find_room_wait_ms(
+        self,
+        work: work_items.Work,
+        endpoint: fleet_module.TrackedEndpoint,
+        left_ms: float,
+    ) -> float | None:
+        """Return when to come back if no plain endpoint answers in time.
+
+        None if the request is to be sent.
+        """
+        if not self.fleet.is_full(endpoint):
+            return None
+        pool = self.fleet.find_pool(fleet_module.EndpointFilter(work.service))
+        unusable = work.unusable | self.fleet.list_unavailable()
+        rooms = self.fleet.find_rooms(pool, unusable)
+        claim = self.fleet.room.make_claim(
+            work.service, work.customer, work.rank, left_ms
+        )
+        return plain_room.compute_refusal_ms(rooms, claim)
+
     def begin_reading(
         self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
     ) -> work_items.Reading:
--- /dev/null
+++ b/src/carawayward/forwarding/plain_room.py
@@ -0,0 +1,288 @@
+"""Tracks the requests of all entry VMs at the endpoints of plain services.
+
+This entry VM counts its own requests in flight; the others report the means of
+theirs with their load reports.
+"""
+
+import heapq
+import math
+import statistics
+import typing
+
+import attrs
+
+from carawayward import clock as clock_module
+from carawayward.decisions import plain_room
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import load_report_messages
+from carawayward.forwarding import message_types
+from carawayward.forwarding import table as table_module
+
+# Bounds of one report, and the largest number that it may claim.
+MAX_ENDPOINTS_PER_REPORT = 8
+MAX_CUSTOMERS_PER_REPORT = 8
+MAX_REPORTED = 65_535
+# Means are reported in hundredths of a request.
+UNITS = 100
+# How long a report that nothing is in flight any more is repeated: with many
+# peers, each is sent a report only once in 10 s.
+CLOSING_MS = 10_000.0
+EXPIRY_CHECK_MS = 250.0
+
+Reported = dict[int, float]
+
+
+@attrs.define
+class PeerInFlight:
+    """What a peer has in flight, by the hashes of endpoints and customers."""
+
+    endpoints: Reported
+    customers: Reported
+    valid_until_ms: float
+
+
+@attrs.define(eq=False)
+class PlainRoom:
+    """The requests in flight at the endpoints of plain services.
+
+    Covers services without ``engine`` that declare ``max_connections``.
+    ``totals`` and ``customer_totals`` are the sums of the reports in
+    ``peers``. ``customers`` are counted over all such services. ``work_ms`` is
+    by the endpoint's process, so that a new one starts from its kind.
+    """
+
+    board: board_module.ForwardingBoard
+    clock: clock_module.Clock
+    own: dict[str, plain_room.InFlight] = attrs.field(factory=dict)
+    customers: dict[int, plain_room.InFlight] = attrs.field(factory=dict)
+    peers: dict[str, PeerInFlight] = attrs.field(factory=dict)
+    totals: Reported = attrs.field(factory=dict)
+    customer_totals: Reported = attrs.field(factory=dict)
+    work_ms: dict[message_types.Process, float] = attrs.field(factory=dict)
+    short_until_ms: float = board_module.NEVER
+    told_until_ms: float = board_module.NEVER
+    checked_ms: float = board_module.NEVER
+    ranks: dict[str, tuple[int, ...]] = attrs.field(factory=dict)
+    ranks_of: table_module.RoutingTable | None = None
+
+    def covers(self, service: str) -> bool:
+        """Whether the places of a service are tracked."""
+        table = self.board.table
+        known = table.services.get(service) if table is not None else None
+        return (
+            known is not None
+            and known.engine is None
+            and known.max_connections is not None
+        )
+
+    def count(
+        self, entry: message_types.EndpointEntry, customer: str, change: int
+    ) -> None:
+        """Add ``change`` to this entry VM's requests at an endpoint."""
+        if not self.covers(entry.service):
+            return
+        now_ms = self.clock.now_ms()
+        own = self.own.setdefault(entry.name, plain_room.InFlight())
+        plain_room.update_mean(own, now_ms, change)
+        number = load_report_messages.hash_name(customer)
+        own = self.customers.setdefault(number, plain_room.InFlight())
+        plain_room.update_mean(own, now_ms, change)
+        self.told_until_ms = now_ms + CLOSING_MS
+
+    def record_answer(
+        self, entry: message_types.EndpointEntry, took_ms: float
+    ) -> None:
+        """Learn the work time from a request that has just ended."""
+        if not self.covers(entry.service):
+            return
+        known_ms = self.work_ms.get(entry.process)
+        self.work_ms[entry.process] = plain_room.learn_work_ms(
+            known_ms, self._make_room(entry, known_ms or took_ms), took_ms
+        )
+
+    def is_full(self, entry: message_types.EndpointEntry) -> bool:
+        """Whether all places of an endpoint are known to be taken."""
+        self._expire()
+        return bool(self.totals) and self._make_room(entry, 0.0).queued > 0.0
+
+    def find_rooms(
+        self, entries: typing.Sequence[message_types.EndpointEntry]
+    ) -> list[plain_room.Room]:
+        """Return the room at each endpoint; empty while it is unknown.
+
+        It is unknown before any of them has answered, and while no peer has
+        reported requests in flight.
+        """
+        self._expire()
+        known = [
+            self.work_ms[entry.process]
+            for entry in entries
+            if entry.process in self.work_ms
+        ]
+        if not known or not self.totals:
+            return []
+        usual_ms = statistics.median(known)
+        rooms = [
+            self._make_room(entry, self.work_ms.get(entry.process, usual_ms))
+            for entry in entries
+        ]
+        if any(room.queued for room in rooms):
+            self.short_until_ms = self.clock.now_ms() + CLOSING_MS
+        return rooms
+
+    def _make_room(
+        self, entry: message_types.EndpointEntry, work_ms: float
+    ) -> plain_room.Room:
+        table = self.board.table
+        service = table.services.get(entry.service) if table else None
+        most = (service and service.max_connections) or math.inf
+        own = self.own.get(entry.name)
+        others = self.totals.get(load_report_messages.hash_name(entry.name))
+        return plain_room.Room(
+            name=entry.name,
+            slots=max(1, entry.slots),
+            in_flight=min(most, (own.count if own else 0) + (others or 0.0)),
+            work_ms=work_ms,
+        )
+
+    def make_claim(
+        self, service: str, customer: str, rank: int, left_ms: float
+    ) -> plain_room.Claim:
+        """Return what a request's wait for a place is weighed by."""
+        return plain_room.Claim(
+            left_ms=left_ms,
+            rank=rank,
+            ranks=self._list_ranks(service),
+            above_share=self._is_above_share(customer),
+        )
+
+    def _is_above_share(self, customer: str) -> bool:
+        now_ms = self.clock.now_ms()
+        totals = dict(self.customer_totals)
+        for number, own in self.customers.items():
+            mean = plain_room.update_mean(own, now_ms)
+            totals[number] = totals.get(number, 0.0) + mean
+        number = load_report_messages.hash_name(customer)
+        return plain_room.is_above_share(totals, number)
+
+    def _list_ranks(self, service: str) -> tuple[int, ...]:
+        """The declared ranks of a service's routes, and of customers."""
+        table = self.board.table
+        if table is None:
+            return ()
+        if self.ranks_of is not table:
+            self.ranks_of = table
+            self.ranks.clear()
+        ranks = self.ranks.get(service)
+        if ranks is None:
+            found = {
+                table.find_rank(route, customer)
+                for route in table.routes
+                if any(each.service == service for each in route.targets)
+                for customer in (
+                    table.customers_by_key.values()
+                    if table.needs_key(route)
+                    else (None,)
+                )
+            }
+            ranks = self.ranks[service] = tuple(sorted(found))
+        return ranks
+
+    def describe(self) -> list | None:
+        """Return what load reports say of this entry VM.
+
+        Customers are reported only while endpoints are short of room. Once
+        nothing is in flight, that is reported for as long as peers may have
+        an earlier report.
+        """
+        now_ms = self.clock.now_ms()
+        if now_ms >= self.told_until_ms:
+            self.own = _keep_busy(self.own)
+            self.customers = _keep_busy(self.customers)
+            return None
+        endpoints = {
+            load_report_messages.hash_name(name): own
+            for name, own in self.own.items()
+        }
+        customers = self.customers if now_ms < self.short_until_ms else {}
+        return [
+            _encode(endpoints, now_ms, MAX_ENDPOINTS_PER_REPORT),
+            _encode(customers, now_ms, MAX_CUSTOMERS_PER_REPORT),
+        ]
+
+    def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
+        """Replace what a peer has in flight.
+
+        Raises ValueError or TypeError if it is malformed.
+        """
+        endpoints, customers = value
+        report = PeerInFlight(
+            _decode(endpoints, MAX_ENDPOINTS_PER_REPORT),
+            _decode(customers, MAX_CUSTOMERS_PER_REPORT),
+            self.clock.now_ms() + ttl_ms,
+        )
+        name = peer.rpartition("/")[0]
+        self._drop(name)
+        self.peers[name] = report
+        _add(self.totals, report.endpoints, 1.0)
+        _add(self.customer_totals, report.customers, 1.0)
+
+    def _drop(self, name: str) -> None:
+        report = self.peers.pop(name, None)
+        if report is not None:
+            _add(self.totals, report.endpoints, -1.0)
+            _add(self.customer_totals, report.customers, -1.0)
+
+    def _expire(self) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms - self.checked_ms < EXPIRY_CHECK_MS:
+            return
+        self.checked_ms = now_ms
+        for name, report in list(self.peers.items()):
+            if report.valid_until_ms <= now_ms:
+                self._drop(name)
+        for process in list(self.work_ms):
+            if not self.board.is_listed(process):
+                del self.work_ms[process]
+
+
+def _keep_busy(
+    known: dict[typing.Any, plain_room.InFlight],
+) -> dict[typing.Any, plain_room.InFlight]:
+    return {key: own for key, own in known.items() if own.count}
+
+
+def _encode(
+    known: typing.Mapping[int, plain_room.InFlight], now_ms: float, most: int
+) -> dict[int, int]:
+    means = {
+        number: round(UNITS * plain_room.update_mean(own, now_ms))
+        for number, own in known.items()
+    }
+    largest = heapq.nlargest(most, means.items(), key=lambda item: item[1])
+    return {
+        number: min(MAX_REPORTED, mean) for number, mean in largest if mean
+    }
+
+
+def _decode(value: typing.Any, most: int) -> Reported:
+    if not isinstance(value, dict) or len(value) > most:
+        raise ValueError("requests in flight are not a short map")
+    found = {}
+    for number, mean in value.items():
+        if not isinstance(number, int) or not isinstance(mean, int):
+            raise TypeError("requests in flight are not whole numbers")
+        if not 0 <= mean <= MAX_REPORTED:
+            raise ValueError("requests in flight are out of range")
+        found[number] = mean / UNITS
+    return found
+
+
+def _add(totals: Reported, values: Reported, sign: float) -> None:
+    """Add values to totals; drops sums that are nearly zero."""
+    for number, value in values.items():
+        total = totals.get(number, 0.0) + sign * value
+        if total * UNITS < 0.5:
+            totals.pop(number, None)
+        else:
+            totals[number] = total
--- /dev/null
+++ b/tests/cover/test_plain_room_load.py
@@ -0,0 +1,266 @@
+"""Placement at plain services under a burst, replayed without sockets.
+
+Entry VMs with their real state choose among four endpoints, of 6 places and a
+queue of 24 each, which an urgent and a less urgent route share.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+import typing
+
+import attrs
+
+from carawayward import clock as clock_module
+from carawayward.decisions import plain_room
+from carawayward.decisions import quarantine
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import fleet as fleet_module
+from carawayward.forwarding import message_types
+from carawayward.forwarding import table as table_module
+
+DOMAINS = ("north", "east", "south")
+SERVICE = "desk"
+SLOTS, QUEUE = 6, 24
+WORK_MS, TARGET_MS, TIMEOUT_MS = 60.0, 350.0, 800.0
+USUAL_PER_S, BURST = 125.0, 2.2
+RANKS = (1, 5)
+REPORT_MS = {2: 400.0, 76: 1_000.0, 410: 4_000.0}
+
+
+@attrs.define
+class Desk:
+    """An endpoint; ``left`` are the work times of what is in its queue."""
+
+    slow: float = 1.0
+    running: int = 0
+    queue: collections.deque = attrs.field(factory=collections.deque)
+
+
+@attrs.frozen(kw_only=True)
+class Load:
+    """A burst, what is wrong meanwhile, and how VMs know of each other.
+
+    ``reports`` is their delay in ms and the share that is lost.
+    """
+
+    vms: int = 76
+    slow: float = 1.0
+    gone: int = 0
+    burst: float = BURST
+    reports: tuple[float, float] = (50.0, 0.0)
+    restarted_ms: float | None = None
+    seconds: float = 8.0
+    seed: int = 1
+
+
+@attrs.define
+class Outcome:
+    """What callers got: in time, late, or nothing; by rank."""
+
+    in_time: collections.Counter = attrs.field(factory=collections.Counter)
+    late: collections.Counter = attrs.field(factory=collections.Counter)
+    refused: collections.Counter = attrs.field(factory=collections.Counter)
+    unserved: collections.Counter = attrs.field(factory=collections.Counter)
+
+    def get_share(self, rank: int | None = None) -> float:
+        """The share answered in time, of one rank or of all."""
+        ranks = RANKS if rank is None else (rank,)
+        good = sum(self.in_time[each] for each in ranks)
+        rest = sum(
+            self.late[each] + self.unserved[each] for each in ranks
+        )
+        return good / (good + rest)
+
+
+def make_table():
+    routes = tuple(
+        table_module.Route(
+            name=f"rank-{rank}",
+            host="h",
+            path_prefix=f"/{rank}/",
+            kind=table_module.RouteKind.ONCE,
+            targets=(table_module.Target(SERVICE),),
+            timeout_ms=TIMEOUT_MS,
+            target_ms=TARGET_MS,
+            priority=rank,
+        )
+        for rank in RANKS
+    )
+    service = table_module.Service(name=SERVICE, max_connections=500)
+    return table_module.RoutingTable(
+        revision=1,
+        routes=routes,
+        services={SERVICE: service},
+        customers_by_key={},
+        limits=table_module.CallerLimits(),
+        keyed=False,
+    )
+
+
+def make_fleet(number, load, clock):
+    board = board_module.ForwardingBoard(
+        name=f"vm-{number}", failure_domain=DOMAINS[number % 3]
+    )
+    board.table = make_table()
+    for each in range(4 - load.gone):
+        name = f"desk-{each}"
+        board.endpoints[name] = message_types.EndpointEntry(
+            name=name,
+            service=SERVICE,
+            address="10.0.0.1:80",
+            failure_domain=DOMAINS[each % 3],
+            slots=SLOTS,
+        )
+    board.generation += 1
+    draw = random.Random(number).randrange
+    return fleet_module.Fleet(board, clock, draw)
+
+
+def place_as_before(replay, fleet, rank, left_ms):
+    """Own requests in flight alone; nothing is refused."""
+    pool = fleet.find_pool(fleet_module.EndpointFilter(SERVICE))
+    return fleet.choose(pool, None, fleet.list_quarantined()), None
+
+
+def place_by_reports(replay, fleet, rank, left_ms):
+    """The choice under test."""
+    pool = fleet.find_pool(fleet_module.EndpointFilter(SERVICE))
+    excluded = fleet.list_quarantined()
+    endpoint = fleet.choose(pool, None, excluded, left_ms) or fleet.choose(
+        pool, None, frozenset(), left_ms
+    )
+    if endpoint is None or not fleet.is_full(endpoint):
+        return endpoint, None
+    rooms = fleet.find_rooms(pool, frozenset())
+    claim = fleet.room.make_claim(SERVICE, "", rank, left_ms)
+    return endpoint, plain_room.compute_refusal_ms(rooms, claim)
+
+
+def place_with_perfect_knowledge(replay, fleet, rank, left_ms):
+    """Every endpoint's true state, of this moment."""
+    rooms = [
+        plain_room.Room(
+            name=name,
+            slots=SLOTS,
+            in_flight=desk.running + len(desk.queue),
+            work_ms=WORK_MS * desk.slow,
+        )
+        for name, desk in replay.desks.items()
+    ]
+    fleet.find_pool(fleet_module.EndpointFilter(SERVICE))
+    best = min(rooms, key=lambda room: room.answer_ms)
+    claim = plain_room.Claim(left_ms=left_ms, rank=rank, ranks=RANKS)
+    wait_ms = plain_room.compute_refusal_ms(rooms, claim)
+    return fleet.tracked[best.name], wait_ms
+
+
+@attrs.define
+class Replay:
+    """Plays a load; ``place`` returns an endpoint and when to come back."""
+
+    load: Load
+    place: typing.Callable
+    clock: typing.Any = attrs.field(factory=clock_module.ManualClock)
+    fleets: list = attrs.field(factory=list)
+    desks: dict = attrs.field(factory=dict)
+    events: list = attrs.field(factory=list)
+    outcome: Outcome = attrs.field(factory=Outcome)
+    ids: itertools.count = attrs.field(factory=itertools.count)
+    draw: random.Random = attrs.field(factory=lambda: random.Random(1))
+
+    def play(self) -> Outcome:
+        """Play the load to its end."""
+        load = self.load
+        draw = self.draw = random.Random(load.seed)
+        self.desks = {f"desk-{each}": Desk() for each in range(4 - load.gone)}
+        self.desks["desk-0"].slow = load.slow
+        self.fleets = [
+            make_fleet(each, load, self.clock) for each in range(load.vms)
+        ]
+        now_ms, end_ms = 0.0, load.seconds * 1000
+        while now_ms < end_ms:
+            burst = load.burst if now_ms > end_ms / 4 else 1.0
+            now_ms += draw.expovariate(USUAL_PER_S * burst) * 1000
+            vm, rank = draw.randrange(load.vms), draw.choice(RANKS)
+            self.add(now_ms, self.arrive, vm, rank, now_ms, True)
+        for each in range(load.vms):
+            self.add(draw.uniform(0, REPORT_MS[load.vms]), self.report, each)
+        if load.restarted_ms is not None:
+            self.add(load.restarted_ms, self.restart)
+        while self.events:
+            at_ms, _, act, args = heapq.heappop(self.events)
+            self.clock.now = at_ms
+            act(*args)
+        return self.outcome
+
+    def add(self, at_ms, act, *args):
+        heapq.heappush(self.events, (at_ms, next(self.ids), act, args))
+
+    def report(self, vm):
+        now_ms = self.clock.now
+        if now_ms > self.load.seconds * 1000:
+            return
+        self.add(now_ms + REPORT_MS[self.load.vms], self.report, vm)
+        value = self.fleets[vm].room.describe()
+        delay_ms, lost = self.load.reports
+        if value and self.place is place_by_reports:
+            self.add(now_ms + delay_ms, self.merge, vm, value, lost)
+
+    def merge(self, sender, value, lost):
+        ttl_ms = max(3_000.0, 2.5 * REPORT_MS[self.load.vms])
+        for each, fleet in enumerate(self.fleets):
+            if each != sender and self.draw.random() >= lost:
+                fleet.room.merge(f"vm-{sender}/1", value, ttl_ms)
+
+    def restart(self):
+        self.fleets = [
+            make_fleet(each, self.load, self.clock)
+            for each in range(self.load.vms)
+        ]
+
+    def arrive(self, vm, rank, began_ms, may_return):
+        fleet, now_ms = self.fleets[vm], self.clock.now
+        left_ms = TIMEOUT_MS
+        endpoint, wait_ms = self.place(self, fleet, rank, left_ms)
+        desk = self.desks[endpoint.entry.name] if endpoint else None
+        if desk and wait_ms is None and len(desk.queue) >= QUEUE:
+            fleet.record_declined(endpoint)
+            desk = None
+        if desk is None or wait_ms is not None:
+            self.outcome.refused[rank] += 1
+            back_ms = now_ms + (wait_ms or 1_000.0)
+            if may_return and back_ms < began_ms + 2 * TIMEOUT_MS:
+                self.add(back_ms, self.arrive, vm, rank, began_ms, False)
+            else:
+                self.outcome.unserved[rank] += 1
+            return
+        fleet.begin_request(endpoint)
+        quarantine.record_accepted(fleet.quarantine, endpoint.entry.name)
+        self.run((fleet, endpoint, desk, rank, now_ms))
+
+    def run(self, job):
+        desk = job[2]
+        if desk.running >= SLOTS:
+            desk.queue.append(job)
+            return
+        desk.running += 1
+        work_ms = self.draw.lognormvariate(0.0, 0.5) * WORK_MS * desk.slow
+        self.add(self.clock.now + work_ms, self.end, job)
+
+    def end(self, job):
+        fleet, endpoint, desk, rank, sent_ms = job
+        desk.running -= 1
+        fleet.end_request(endpoint)
+        took_ms = self.clock.now - sent_ms
+        if took_ms <= TARGET_MS:
+            self.outcome.in_time[rank] += 1
+        elif took_ms <= TIMEOUT_MS:
+            self.outcome.late[rank] += 1
+        else:
+            self.outcome.unserved[rank] += 1
+        if took_ms <= TIMEOUT_MS:
+            fleet.record_success(endpoint, took_ms)
+        while desk.queue and desk.running < SLOTS:
+            self.run(desk.queue.popleft())
