--- a/src/carawayward/decisions/plain_room.py
+++ b/src/carawayward/decisions/plain_room.py
@@ -1,11 +1,13 @@
-"""Room at the endpoints of a plain service that many entry VMs share.
+"""Placement and admission at the endpoints of a plain service.
 
-Answers a burst on a few endpoints with short queues, at which each entry VM
-has a request in flight only now and then. Prevents requests that wait in one
-endpoint's queue beside free places of another, and requests that wait for a
-place until their caller has given up.
+Answers a burst, uneven over failure domains, on a few endpoints with short
+queues that many entry VMs share, where each has a request in flight only now
+and then. Prevents queues in one failure domain beside free places in another,
+and requests that wait for a place until their caller has given up.
 """
 
+import bisect
+import itertools
 import math
 import typing
 
@@ -17,16 +19,23 @@
 # A plain request takes a fraction of a report interval, so that momentary
 # numbers of many entry VMs are mostly noise.
 MEAN_MS = 500.0
-# The least urgent requests are refused when the wait would take this much less
-# of their time than that of the most urgent, which so find room.
+# Share of the latency target within which the least urgent requests are not
+# accepted any more, so that more urgent ones find room.
 RESERVED_SHARE = 0.5
+# Requests leave a failure domain whose endpoints would be used more than this.
+UTILISATION = 0.8
+# Time constant of the rates that peers are told.
+RATE_MS = 2_000.0
 # A customer is above its share with this many times the mean of the customers
 # that have requests in flight.
 SHARE_FACTOR = 1.5
-# Gain of the observed work time.
-WORK_GAIN = 0.2
-# Number of endpoints compared in one decision, which bounds its cost.
+# The work time tracks the median of what is observed, in relative steps of
+# this size: a mean would follow the few requests that have waited unnoticed.
+WORK_STEP = 0.15
+# Number of endpoints looked at before a request is refused, which bounds the
+# cost of a decision.
 MAX_ROOMS = 32
+DRAWS = 1 << 24
 
 T = typing.TypeVar("T")
 
@@ -50,6 +59,23 @@
     return in_flight.mean
 
 
+@attrs.define
+class Rate:
+    """Requests per second of one entry VM, as a mean over time."""
+
+    per_s: float = 0.0
+    as_of_ms: float = 0.0
+
+
+def update_rate(rate: Rate, now_ms: float, requests: int = 0) -> float:
+    """Add requests to the rate and return it."""
+    elapsed_ms = max(0.0, now_ms - rate.as_of_ms)
+    rate.per_s *= math.exp(-elapsed_ms / RATE_MS)
+    rate.per_s += requests * 1000.0 / RATE_MS
+    rate.as_of_ms = now_ms
+    return rate.per_s
+
+
 @attrs.frozen(kw_only=True)
 class Room:
     """What is known of an endpoint's places.
@@ -59,6 +85,7 @@
     """
 
     name: str
+    failure_domain: str
     slots: int
     in_flight: float
     work_ms: float
@@ -73,13 +100,26 @@
         """The predicted time until one more request is answered."""
         return self.work_ms * (1.0 + self.queued / self.slots)
 
+    @property
+    def per_s(self) -> float:
+        """The number of requests that it answers in a second."""
+        return 1000.0 * self.slots / self.work_ms
+
 
 def learn_work_ms(known_ms: float | None, room: Room, took_ms: float) -> float:
-    """Return the work time after a request that took ``took_ms`` in all."""
+    """Return the work time after a request that took ``took_ms`` in all.
+
+    One that has waited only teaches that the work is shorter: how long it
+    waited is known too roughly.
+    """
     work_ms = took_ms / (1.0 + room.queued / room.slots)
     if known_ms is None:
         return work_ms
-    return known_ms + WORK_GAIN * (work_ms - known_ms)
+    if work_ms < known_ms:
+        return max(work_ms, known_ms * (1.0 - WORK_STEP))
+    if room.queued:
+        return known_ms
+    return min(work_ms, known_ms * (1.0 + WORK_STEP))
 
 
 def draw_some(
@@ -92,47 +132,97 @@
     return [*endpoints[first:], *endpoints[:first]][:MAX_ROOMS]
 
 
-def choose(
-    rooms: typing.Sequence[Room], left_ms: float, draw: placement.Draw
-) -> Room:
-    """Choose the better of two endpoints, drawn among those in time.
+@attrs.frozen(kw_only=True)
+class Spill:
+    """The share of requests that go to other failure domains, and where to.
+
+    ``sums`` are the cumulative weights of the endpoints in ``names``.
+    """
+
+    share: float = 0.0
+    names: typing.Sequence[str] = ()
+    sums: typing.Sequence[float] = ()
+
+
+def compute_spill(
+    rooms: typing.Sequence[Room],
+    demand: typing.Mapping[str, float],
+    failure_domain: str,
+) -> Spill:
+    """Compute which requests of a failure domain go to others.
 
-    All are drawn from if none would answer in ``left_ms``. Two choices rather
-    than the best: entry VMs decide on nearly the same reports, and would all
-    move to the same endpoint.
+    ``demand`` is in requests per second, by failure domain. It changes slowly,
+    so that all entry VMs come to nearly the same shares and draw by them. If
+    they chose by the queues in late reports, all would leave an endpoint at
+    once and come back at once.
     """
-    in_time = [room for room in rooms if room.answer_ms <= left_ms] or rooms
-    first = in_time[draw(len(in_time))]
-    second = in_time[draw(len(in_time))]
-    return second if second.answer_ms < first.answer_ms else first
+    capacity: dict[str, float] = dict.fromkeys(demand, 0.0)
+    for room in rooms:
+        known = capacity.get(room.failure_domain, 0.0)
+        capacity[room.failure_domain] = known + room.per_s
+    own = demand.get(failure_domain, 0.0)
+    total = sum(capacity.values())
+    if not own or not total:
+        return Spill()
+    level = max(UTILISATION, sum(demand.values()) / total)
+    share = 1.0 - level * capacity[failure_domain] / own
+    if share <= 0.0:
+        return Spill()
+    weights = {
+        room.name: room.per_s
+        * max(
+            0.0,
+            level
+            - demand.get(room.failure_domain, 0.0)
+            / capacity[room.failure_domain],
+        )
+        for room in rooms
+        if room.failure_domain != failure_domain
+    }
+    sums = list(itertools.accumulate(weights.values()))
+    return Spill(share=share, names=list(weights), sums=sums)
+
+
+def choose_remote(spill: Spill, draw: placement.Draw) -> str | None:
+    """Return an endpoint of another failure domain, or None to stay."""
+    if not spill.sums or not spill.sums[-1]:
+        return None
+    if draw(DRAWS) >= spill.share * DRAWS:
+        return None
+    point = spill.sums[-1] * draw(DRAWS) / DRAWS
+    return spill.names[bisect.bisect_right(spill.sums, point)]
 
 
 @attrs.frozen(kw_only=True)
 class Claim:
     """What a request's wait is weighed by.
 
-    ``left_ms`` is how long its caller still waits, ``ranks`` are those of the
-    requests that compete for the service's endpoints.
+    ``left_ms`` is how long its caller still waits, ``target_ms`` its latency
+    target. ``ranks`` are those of the requests that compete for the service's
+    endpoints. ``age_ms`` is how old the reports of what is in flight are.
     """
 
     left_ms: float
+    target_ms: float
     rank: int
     ranks: typing.Sequence[int]
     above_share: bool = False
+    age_ms: float = 0.0
 
 
 def compute_allowed_ms(claim: Claim) -> float:
     """Return the longest predicted time to the answer that is accepted.
 
-    All of the caller's time for the most urgent requests, less for others: by
-    rank first, then for customers above their share.
+    All of the caller's time for the most urgent requests. Others must not be
+    late, and leave room to the more urgent ones: by rank first, then customers
+    above their share.
     """
-    less_urgent = len(set(claim.ranks) | {claim.rank}) - 1
-    below = len({rank for rank in claim.ranks if rank < claim.rank})
-    step = 2 * below + claim.above_share
-    return claim.left_ms * (
-        1.0 - RESERVED_SHARE * step / (2 * less_urgent + 1)
-    )
+    ranks = sorted({*claim.ranks, claim.rank})
+    step = 2 * ranks.index(claim.rank) + claim.above_share
+    if not step:
+        return claim.left_ms
+    reserved = RESERVED_SHARE * step / (2 * len(ranks) - 1)
+    return min(claim.left_ms, claim.target_ms * (1.0 - reserved))
 
 
 def compute_refusal_ms(
@@ -140,11 +230,14 @@
 ) -> float | None:
     """Return when to come back if no endpoint would answer in time.
 
-    None if the request is to be sent, which it always is while any place is
-    free.
+    None if the request is to be sent. It always is while any place is free,
+    and while the reports are older than the caller waits: what was in flight
+    then has ended.
     """
     if not rooms or any(not room.queued for room in rooms):
         return None
+    if claim.age_ms >= claim.left_ms:
+        return None
     best = min(rooms, key=lambda room: room.answer_ms)
     late_ms = best.answer_ms - compute_allowed_ms(claim)
     if late_ms <= 0.0:
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -1,6 +1,7 @@
 """Tracks the load and health of all endpoints, for placement."""
 
 import random
+import typing
 
 import attrs
 
@@ -21,6 +22,7 @@
 
 # A connection attempt that fails sooner was refused by a machine that is up.
 MIN_SILENT_CONNECT_MS = 400.0
+SPILL_REFRESH_MS = 250.0
 
 
 @attrs.frozen
@@ -45,6 +47,15 @@
     view: placement.EndpointView
 
 
+@attrs.frozen(eq=False)
+class KnownSpill:
+    """What leaves the failure domain, of a pool at a time in ms."""
+
+    pool: placement.Candidates
+    as_of_ms: float
+    spill: plain_room.Spill
+
+
 @attrs.define(eq=False)
 class Fleet:
     """The load and health of all endpoints in the registry.
@@ -72,6 +83,7 @@
         factory=quarantine_module.Quarantine
     )
     last_reached_ms: dict[str, float] = attrs.field(factory=dict)
+    spills: dict[str, KnownSpill] = attrs.field(factory=dict)
     cold_starts: cold_starts_module.ColdStartLimiter = attrs.field(init=False)
     rate_limits: rate_limits_module.RequestLimiter = attrs.field(init=False)
     notices: notices_module.EndpointNotices = attrs.field(init=False)
@@ -203,26 +215,45 @@
         pool: placement.Candidates,
         key: int | None,
         excluded: frozenset[str],
-        left_ms: float = float("inf"),
     ) -> TrackedEndpoint | None:
-        """Choose an endpoint with room for a request; None if all are full.
-
-        If other entry VMs have taken the places of the first choice, it is one
-        that is predicted to answer within ``left_ms``.
-        """
+        """Choose an endpoint with room for a request; None if all are full."""
         now_ms = self.clock.now_ms()
         domain = self.board.failure_domain
         view = placement.choose(pool, key, domain, now_ms, self.draw, excluded)
         if view is None or view.name not in self.tracked:
             return None
         endpoint = self.tracked[view.name]
-        if not self.is_full(endpoint):
+        remote = self._choose_remote(pool)
+        if remote is None or remote.entry.name in excluded:
             return endpoint
-        rooms = self.find_rooms(pool, excluded)
-        if not rooms:
-            return endpoint
-        room = plain_room.choose(rooms, left_ms, self.draw)
-        return self.tracked[room.name]
+        is_available = placement.is_available(remote.view, now_ms, excluded)
+        return remote if is_available else endpoint
+
+    def _choose_remote(
+        self, pool: placement.Candidates
+    ) -> TrackedEndpoint | None:
+        """Choose an endpoint elsewhere if plain endpoints here are short."""
+        service = self.tracked[pool.views[0].name].entry.service
+        if not self.room.covers(service):
+            return None
+        now_ms = self.clock.now_ms()
+        spill = self.spills.get(service)
+        if (
+            spill is None
+            or spill.pool is not pool
+            or now_ms - spill.as_of_ms >= SPILL_REFRESH_MS
+        ):
+            rooms = self._list_rooms(pool.views, self.list_quarantined())
+            demand = self.room.find_demand(service)
+            domain = self.board.failure_domain
+            spill = KnownSpill(
+                pool,
+                now_ms,
+                plain_room.compute_spill(rooms, demand, domain),
+            )
+            self.spills[service] = spill
+        name = plain_room.choose_remote(spill.spill, self.draw)
+        return self.tracked[name] if name is not None else None
 
     def is_full(self, endpoint: TrackedEndpoint) -> bool:
         """Whether a request at a plain service's endpoint would wait."""
@@ -236,9 +267,17 @@
     def find_rooms(
         self, pool: placement.Candidates, excluded: frozenset[str]
     ) -> list[plain_room.Room]:
-        """The room at a plain service's endpoints; empty while unknown."""
-        now_ms = self.clock.now_ms()
+        """The room at plain endpoints, of a part if there are many."""
         views = plain_room.draw_some(pool.views, self.draw)
+        return self._list_rooms(views, excluded)
+
+    def _list_rooms(
+        self,
+        views: typing.Sequence[placement.EndpointView],
+        excluded: frozenset[str],
+    ) -> list[plain_room.Room]:
+        """The room at plain endpoints; empty while unknown."""
+        now_ms = self.clock.now_ms()
         return self.room.find_rooms(
             [
                 self.tracked[view.name].entry
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -169,8 +169,7 @@
         pool = self.fleet.find_pool(endpoint_filter)
         prompt = work_items.make_prompt(work)
         if prompt is None:
-            left_ms = work.deadline_ms - self.clock.now_ms()
-            return self.fleet.choose(pool, None, excluded, left_ms)
+            return self.fleet.choose(pool, None, excluded)
         engine = self._choose_engine(work, pool, prompt, excluded)
         if engine is None:
             return None
@@ -219,8 +218,13 @@
         pool = self.fleet.find_pool(fleet_module.EndpointFilter(work.service))
         unusable = work.unusable | self.fleet.list_unavailable()
         rooms = self.fleet.find_rooms(pool, unusable)
-        claim = self.fleet.room.make_claim(
-            work.service, work.customer, work.rank, left_ms
+        claim = plain_room.Claim(
+            left_ms=left_ms,
+            target_ms=work.route.target_ms,
+            rank=work.rank,
+            ranks=self.fleet.room.list_ranks(work.service),
+            above_share=self.fleet.room.is_above_share(work.customer),
+            age_ms=self.fleet.room.compute_age_ms(),
         )
         return plain_room.compute_refusal_ms(rooms, claim)
 
--- a/src/carawayward/forwarding/plain_room.py
+++ b/src/carawayward/forwarding/plain_room.py
@@ -21,6 +21,7 @@
 # Bounds of one report, and the largest number that it may claim.
 MAX_ENDPOINTS_PER_REPORT = 8
 MAX_CUSTOMERS_PER_REPORT = 8
+MAX_SERVICES_PER_REPORT = 8
 MAX_REPORTED = 65_535
 # Means are reported in hundredths of a request.
 UNITS = 100
@@ -34,11 +35,21 @@
 
 @attrs.define
 class PeerInFlight:
-    """What a peer has in flight, by the hashes of endpoints and customers."""
+    """What a peer has in flight, by the hashes of endpoints and customers.
+
+    ``rates`` are its requests per second, by the hash of the service.
+    """
 
     endpoints: Reported
     customers: Reported
+    rates: Reported
     valid_until_ms: float
+    received_ms: float
+
+
+def find_no_domain(peer: str) -> str:
+    """Return "": the failure domains of peers are unknown."""
+    return ""
 
 
 @attrs.define(eq=False)
@@ -53,8 +64,10 @@
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
+    find_domain: typing.Callable[[str], str] = find_no_domain
     own: dict[str, plain_room.InFlight] = attrs.field(factory=dict)
     customers: dict[int, plain_room.InFlight] = attrs.field(factory=dict)
+    rates: dict[str, plain_room.Rate] = attrs.field(factory=dict)
     peers: dict[str, PeerInFlight] = attrs.field(factory=dict)
     totals: Reported = attrs.field(factory=dict)
     customer_totals: Reported = attrs.field(factory=dict)
@@ -85,15 +98,18 @@
         own = self.own.setdefault(entry.name, plain_room.InFlight())
         plain_room.update_mean(own, now_ms, change)
         number = load_report_messages.hash_name(customer)
-        own = self.customers.setdefault(number, plain_room.InFlight())
-        plain_room.update_mean(own, now_ms, change)
+        customer_own = self.customers.setdefault(number, plain_room.InFlight())
+        plain_room.update_mean(customer_own, now_ms, change)
+        rate = self.rates.setdefault(entry.service, plain_room.Rate())
+        plain_room.update_rate(rate, now_ms, max(0, change))
         self.told_until_ms = now_ms + CLOSING_MS
 
     def record_answer(
         self, entry: message_types.EndpointEntry, took_ms: float
     ) -> None:
         """Learn the work time from a request that has just ended."""
-        if not self.covers(entry.service):
+        if not self.covers(entry.service) or not self.totals:
+            # How many requests were ahead of it is unknown.
             return
         known_ms = self.work_ms.get(entry.process)
         self.work_ms[entry.process] = plain_room.learn_work_ms(
@@ -140,23 +156,37 @@
         others = self.totals.get(load_report_messages.hash_name(entry.name))
         return plain_room.Room(
             name=entry.name,
+            failure_domain=entry.failure_domain,
             slots=max(1, entry.slots),
             in_flight=min(most, (own.count if own else 0) + (others or 0.0)),
             work_ms=work_ms,
         )
 
-    def make_claim(
-        self, service: str, customer: str, rank: int, left_ms: float
-    ) -> plain_room.Claim:
-        """Return what a request's wait for a place is weighed by."""
-        return plain_room.Claim(
-            left_ms=left_ms,
-            rank=rank,
-            ranks=self._list_ranks(service),
-            above_share=self._is_above_share(customer),
-        )
-
-    def _is_above_share(self, customer: str) -> bool:
+    def compute_age_ms(self) -> float:
+        """The mean age of the peers' reports; infinite without any."""
+        if not self.peers:
+            return math.inf
+        now_ms = self.clock.now_ms()
+        received_ms = [each.received_ms for each in self.peers.values()]
+        return now_ms - statistics.fmean(received_ms)
+
+    def find_demand(self, service: str) -> dict[str, float]:
+        """Return the requests sent per second, by failure domain."""
+        number = load_report_messages.hash_name(service)
+        demand: dict[str, float] = {}
+        for name, report in self.peers.items():
+            domain = self.find_domain(name)
+            per_s = report.rates.get(number, 0.0)
+            demand[domain] = demand.get(domain, 0.0) + per_s
+        own = self.rates.get(service)
+        if own is not None:
+            domain = self.board.failure_domain
+            per_s = plain_room.update_rate(own, self.clock.now_ms())
+            demand[domain] = demand.get(domain, 0.0) + per_s
+        return demand
+
+    def is_above_share(self, customer: str) -> bool:
+        """Whether a customer has clearly more in flight than the mean."""
         now_ms = self.clock.now_ms()
         totals = dict(self.customer_totals)
         for number, own in self.customers.items():
@@ -165,7 +195,7 @@
         number = load_report_messages.hash_name(customer)
         return plain_room.is_above_share(totals, number)
 
-    def _list_ranks(self, service: str) -> tuple[int, ...]:
+    def list_ranks(self, service: str) -> tuple[int, ...]:
         """The declared ranks of a service's routes, and of customers."""
         table = self.board.table
         if table is None:
@@ -199,15 +229,23 @@
         if now_ms >= self.told_until_ms:
             self.own = _keep_busy(self.own)
             self.customers = _keep_busy(self.customers)
+            self.rates.clear()
             return None
+        rates = {
+            load_report_messages.hash_name(service): plain_room.update_rate(
+                rate, now_ms
+            )
+            for service, rate in self.rates.items()
+        }
         endpoints = {
             load_report_messages.hash_name(name): own
             for name, own in self.own.items()
         }
         customers = self.customers if now_ms < self.short_until_ms else {}
         return [
-            _encode(endpoints, now_ms, MAX_ENDPOINTS_PER_REPORT),
-            _encode(customers, now_ms, MAX_CUSTOMERS_PER_REPORT),
+            _encode(_get_means(endpoints, now_ms), MAX_ENDPOINTS_PER_REPORT),
+            _encode(_get_means(customers, now_ms), MAX_CUSTOMERS_PER_REPORT),
+            _encode(rates, MAX_SERVICES_PER_REPORT),
         ]
 
     def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
@@ -215,11 +253,13 @@
 
         Raises ValueError or TypeError if it is malformed.
         """
-        endpoints, customers = value
+        endpoints, customers, rates = value
         report = PeerInFlight(
             _decode(endpoints, MAX_ENDPOINTS_PER_REPORT),
             _decode(customers, MAX_CUSTOMERS_PER_REPORT),
+            _decode(rates, MAX_SERVICES_PER_REPORT),
             self.clock.now_ms() + ttl_ms,
+            self.clock.now_ms(),
         )
         name = peer.rpartition("/")[0]
         self._drop(name)
@@ -252,16 +292,20 @@
     return {key: own for key, own in known.items() if own.count}
 
 
-def _encode(
-    known: typing.Mapping[int, plain_room.InFlight], now_ms: float, most: int
-) -> dict[int, int]:
-    means = {
-        number: round(UNITS * plain_room.update_mean(own, now_ms))
+def _get_means(
+    known: typing.Mapping[int, plain_room.InFlight], now_ms: float
+) -> Reported:
+    return {
+        number: plain_room.update_mean(own, now_ms)
         for number, own in known.items()
     }
-    largest = heapq.nlargest(most, means.items(), key=lambda item: item[1])
+
+
+def _encode(values: Reported, most: int) -> dict[int, int]:
+    units = {number: round(UNITS * each) for number, each in values.items()}
+    largest = heapq.nlargest(most, units.items(), key=lambda item: item[1])
     return {
-        number: min(MAX_REPORTED, mean) for number, mean in largest if mean
+        number: min(MAX_REPORTED, each) for number, each in largest if each
     }
 
 
--- a/tests/cover/test_plain_room_load.py
+++ b/tests/cover/test_plain_room_load.py
@@ -46,6 +46,7 @@
     """
 
     vms: int = 76
+    uneven: bool = False
     slow: float = 1.0
     gone: int = 0
     burst: float = BURST
@@ -68,9 +69,7 @@
         """The share answered in time, of one rank or of all."""
         ranks = RANKS if rank is None else (rank,)
         good = sum(self.in_time[each] for each in ranks)
-        rest = sum(
-            self.late[each] + self.unserved[each] for each in ranks
-        )
+        rest = sum(self.late[each] + self.unserved[each] for each in ranks)
         return good / (good + rest)
 
 
@@ -115,7 +114,15 @@
         )
     board.generation += 1
     draw = random.Random(number).randrange
-    return fleet_module.Fleet(board, clock, draw)
+    fleet = fleet_module.Fleet(board, clock, draw)
+    fleet.room.find_domain = lambda vm: DOMAINS[int(vm[3:]) % 3]
+    return fleet
+
+
+def make_claim(rank, left_ms, ranks):
+    return plain_room.Claim(
+        left_ms=left_ms, target_ms=TARGET_MS, rank=rank, ranks=ranks
+    )
 
 
 def place_as_before(replay, fleet, rank, left_ms):
@@ -128,13 +135,14 @@
     """The choice under test."""
     pool = fleet.find_pool(fleet_module.EndpointFilter(SERVICE))
     excluded = fleet.list_quarantined()
-    endpoint = fleet.choose(pool, None, excluded, left_ms) or fleet.choose(
-        pool, None, frozenset(), left_ms
+    endpoint = fleet.choose(pool, None, excluded) or fleet.choose(
+        pool, None, frozenset()
     )
     if endpoint is None or not fleet.is_full(endpoint):
         return endpoint, None
     rooms = fleet.find_rooms(pool, frozenset())
-    claim = fleet.room.make_claim(SERVICE, "", rank, left_ms)
+    claim = make_claim(rank, left_ms, fleet.room.list_ranks(SERVICE))
+    claim = attrs.evolve(claim, age_ms=fleet.room.compute_age_ms())
     return endpoint, plain_room.compute_refusal_ms(rooms, claim)
 
 
@@ -143,6 +151,7 @@
     rooms = [
         plain_room.Room(
             name=name,
+            failure_domain="",
             slots=SLOTS,
             in_flight=desk.running + len(desk.queue),
             work_ms=WORK_MS * desk.slow,
@@ -151,7 +160,7 @@
     ]
     fleet.find_pool(fleet_module.EndpointFilter(SERVICE))
     best = min(rooms, key=lambda room: room.answer_ms)
-    claim = plain_room.Claim(left_ms=left_ms, rank=rank, ranks=RANKS)
+    claim = make_claim(rank, left_ms, RANKS)
     wait_ms = plain_room.compute_refusal_ms(rooms, claim)
     return fleet.tracked[best.name], wait_ms
 
@@ -183,7 +192,7 @@
         while now_ms < end_ms:
             burst = load.burst if now_ms > end_ms / 4 else 1.0
             now_ms += draw.expovariate(USUAL_PER_S * burst) * 1000
-            vm, rank = draw.randrange(load.vms), draw.choice(RANKS)
+            vm, rank = self.draw_vm(), draw.choice(RANKS)
             self.add(now_ms, self.arrive, vm, rank, now_ms, True)
         for each in range(load.vms):
             self.add(draw.uniform(0, REPORT_MS[load.vms]), self.report, each)
@@ -195,6 +204,13 @@
             act(*args)
         return self.outcome
 
+    def draw_vm(self):
+        """Half of the uneven demand comes from one failure domain."""
+        vm = self.draw.randrange(self.load.vms)
+        if self.load.uneven and self.draw.random() < 0.25:
+            vm = vm - vm % 3 + 1
+        return min(vm, self.load.vms - 1)
+
     def add(self, at_ms, act, *args):
         heapq.heappush(self.events, (at_ms, next(self.ids), act, args))
 
