--- a/src/carawayward/decisions/plain_room.py
+++ b/src/carawayward/decisions/plain_room.py
@@ -9,6 +9,7 @@
 import bisect
 import itertools
 import math
+import statistics
 import typing
 
 import attrs
@@ -22,8 +23,10 @@
 # Share of the latency target within which the least urgent requests are not
 # accepted any more, so that more urgent ones find room.
 RESERVED_SHARE = 0.5
+# An endpoint whose work takes this many times the median is slow.
+SLOW_RATIO = 2.0
 # Requests leave a failure domain whose endpoints would be used more than this.
-UTILISATION = 0.8
+UTILISATION = 0.7
 # Time constant of the rates that peers are told.
 RATE_MS = 2_000.0
 # A customer is above its share with this many times the mean of the customers
@@ -133,64 +136,84 @@
 
 
 @attrs.frozen(kw_only=True)
-class Spill:
-    """The share of requests that go to other failure domains, and where to.
+class Spread:
+    """Which requests of a failure domain go elsewhere.
 
-    ``sums`` are the cumulative weights of the endpoints in ``names``.
+    ``leaving`` is the share that goes to endpoints of other failure domains,
+    whose names and cumulative weights are in ``names`` and ``sums``.
+    ``kept`` is, for each slow endpoint, the share of the requests placed there
+    that stay.
     """
 
-    share: float = 0.0
+    leaving: float = 0.0
     names: typing.Sequence[str] = ()
     sums: typing.Sequence[float] = ()
+    kept: typing.Mapping[str, float] = attrs.field(factory=dict)
 
 
-def compute_spill(
+def compute_spread(
     rooms: typing.Sequence[Room],
     demand: typing.Mapping[str, float],
     failure_domain: str,
-) -> Spill:
-    """Compute which requests of a failure domain go to others.
+) -> Spread:
+    """Compute which requests leave a failure domain or slow endpoints.
 
     ``demand`` is in requests per second, by failure domain. It changes slowly,
     so that all entry VMs come to nearly the same shares and draw by them. If
     they chose by the queues in late reports, all would leave an endpoint at
     once and come back at once.
     """
-    capacity: dict[str, float] = dict.fromkeys(demand, 0.0)
+    if not rooms:
+        return Spread()
+    capacity: dict[str, float] = dict.fromkeys((*demand, failure_domain), 0.0)
     for room in rooms:
         known = capacity.get(room.failure_domain, 0.0)
         capacity[room.failure_domain] = known + room.per_s
+    usual_ms = statistics.median(room.work_ms for room in rooms)
+    kept = {
+        room.name: usual_ms / room.work_ms
+        for room in rooms
+        if room.work_ms > SLOW_RATIO * usual_ms
+    }
+    level = sum(demand.values()) / sum(capacity.values())
+    level = max(UTILISATION, level)
     own = demand.get(failure_domain, 0.0)
-    total = sum(capacity.values())
-    if not own or not total:
-        return Spill()
-    level = max(UTILISATION, sum(demand.values()) / total)
-    share = 1.0 - level * capacity[failure_domain] / own
-    if share <= 0.0:
-        return Spill()
-    weights = {
-        room.name: room.per_s
+    leaving = 1.0 - level * capacity[failure_domain] / own if own else 0.0
+    if leaving <= 0.0:
+        return Spread(kept=kept)
+    others = [room for room in rooms if room.failure_domain != failure_domain]
+    weights = [
+        room.per_s
         * max(
             0.0,
             level
             - demand.get(room.failure_domain, 0.0)
             / capacity[room.failure_domain],
         )
-        for room in rooms
-        if room.failure_domain != failure_domain
-    }
-    sums = list(itertools.accumulate(weights.values()))
-    return Spill(share=share, names=list(weights), sums=sums)
+        for room in others
+    ]
+    return Spread(
+        leaving=leaving,
+        names=[room.name for room in others],
+        sums=list(itertools.accumulate(weights)),
+        kept=kept,
+    )
 
 
-def choose_remote(spill: Spill, draw: placement.Draw) -> str | None:
+def choose_remote(spread: Spread, draw: placement.Draw) -> str | None:
     """Return an endpoint of another failure domain, or None to stay."""
-    if not spill.sums or not spill.sums[-1]:
+    if not spread.sums or not spread.sums[-1]:
         return None
-    if draw(DRAWS) >= spill.share * DRAWS:
+    if draw(DRAWS) >= spread.leaving * DRAWS:
         return None
-    point = spill.sums[-1] * draw(DRAWS) / DRAWS
-    return spill.names[bisect.bisect_right(spill.sums, point)]
+    point = spread.sums[-1] * draw(DRAWS) / DRAWS
+    return spread.names[bisect.bisect_right(spread.sums, point)]
+
+
+def leaves_slow(spread: Spread, name: str, draw: placement.Draw) -> bool:
+    """Whether a request leaves the endpoint that was chosen first."""
+    kept = spread.kept.get(name)
+    return kept is not None and draw(DRAWS) >= kept * DRAWS
 
 
 @attrs.frozen(kw_only=True)
@@ -199,7 +222,9 @@
 
     ``left_ms`` is how long its caller still waits, ``target_ms`` its latency
     target. ``ranks`` are those of the requests that compete for the service's
-    endpoints. ``age_ms`` is how old the reports of what is in flight are.
+    endpoints. ``age_ms`` is how old the reports of what is in flight are,
+    ``seen_ms`` how long this entry VM's last answer took, 0 without any
+    lately.
     """
 
     left_ms: float
@@ -208,25 +233,33 @@
     ranks: typing.Sequence[int]
     above_share: bool = False
     age_ms: float = 0.0
+    seen_ms: float = float("inf")
 
 
-def compute_allowed_ms(claim: Claim) -> float:
-    """Return the longest predicted time to the answer that is accepted.
+def compute_refused_share(claim: Claim, answer_ms: float) -> float:
+    """Return the share of such requests to refuse at a predicted answer.
 
-    All of the caller's time for the most urgent requests. Others must not be
+    The most urgent are refused only past the caller's time. Others must not be
     late, and leave room to the more urgent ones: by rank first, then customers
-    above their share.
+    above their share. What this entry VM has seen itself must agree, since the
+    reports may be late. The share rises gradually: entry VMs would otherwise
+    refuse all and none by turns.
     """
     ranks = sorted({*claim.ranks, claim.rank})
     step = 2 * ranks.index(claim.rank) + claim.above_share
+    if answer_ms > claim.left_ms:
+        return 1.0
     if not step:
-        return claim.left_ms
+        return 0.0
     reserved = RESERVED_SHARE * step / (2 * len(ranks) - 1)
-    return min(claim.left_ms, claim.target_ms * (1.0 - reserved))
+    begin_ms = claim.target_ms * (1.0 - reserved)
+    answer_ms = min(answer_ms, claim.seen_ms)
+    share = (answer_ms - begin_ms) / (claim.target_ms - begin_ms)
+    return min(1.0, max(0.0, share))
 
 
 def compute_refusal_ms(
-    rooms: typing.Sequence[Room], claim: Claim
+    rooms: typing.Sequence[Room], claim: Claim, draw: placement.Draw
 ) -> float | None:
     """Return when to come back if no endpoint would answer in time.
 
@@ -239,10 +272,10 @@
     if claim.age_ms >= claim.left_ms:
         return None
     best = min(rooms, key=lambda room: room.answer_ms)
-    late_ms = best.answer_ms - compute_allowed_ms(claim)
-    if late_ms <= 0.0:
+    share = compute_refused_share(claim, best.answer_ms)
+    if draw(DRAWS) >= share * DRAWS:
         return None
-    return max(late_ms, best.work_ms)
+    return max(best.work_ms, best.answer_ms - claim.target_ms)
 
 
 def is_above_share(
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -66,7 +66,7 @@
             fleet.rate_limits.describe, fleet.rate_limits.merge
         ),
     )
-    fleet.room.find_domain = reporter.directory.find_domain
+    fleet.room.find_domain = reporter.find_domain
     reporter.add_topic(
         "in_flight",
         load_reports.Topic(fleet.room.describe, fleet.room.merge),
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -159,7 +159,7 @@
         if work.may_have_run:
             return None
         left_ms = work.deadline_ms - self.clock.now_ms() - REPLY_MARGIN_MS
-        wait_ms = self.placer.find_room_wait_ms(work, endpoint, left_ms)
+        wait_ms = self.placer.plain.find_wait_ms(work, endpoint, left_ms)
         if wait_ms is not None:
             self.metrics.count(
                 "room_refusals", service=work.service, rank=str(work.rank)
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -1,7 +1,6 @@
 """Tracks the load and health of all endpoints, for placement."""
 
 import random
-import typing
 
 import attrs
 
@@ -10,7 +9,6 @@
 from carawayward.decisions import health as health_module
 from carawayward.decisions import limits
 from carawayward.decisions import placement
-from carawayward.decisions import plain_room
 from carawayward.decisions import quarantine as quarantine_module
 from carawayward import events
 from carawayward.forwarding import board as board_module
@@ -22,7 +20,6 @@
 
 # A connection attempt that fails sooner was refused by a machine that is up.
 MIN_SILENT_CONNECT_MS = 400.0
-SPILL_REFRESH_MS = 250.0
 
 
 @attrs.frozen
@@ -47,15 +44,6 @@
     view: placement.EndpointView
 
 
-@attrs.frozen(eq=False)
-class KnownSpill:
-    """What leaves the failure domain, of a pool at a time in ms."""
-
-    pool: placement.Candidates
-    as_of_ms: float
-    spill: plain_room.Spill
-
-
 @attrs.define(eq=False)
 class Fleet:
     """The load and health of all endpoints in the registry.
@@ -83,7 +71,6 @@
         factory=quarantine_module.Quarantine
     )
     last_reached_ms: dict[str, float] = attrs.field(factory=dict)
-    spills: dict[str, KnownSpill] = attrs.field(factory=dict)
     cold_starts: cold_starts_module.ColdStartLimiter = attrs.field(init=False)
     rate_limits: rate_limits_module.RequestLimiter = attrs.field(init=False)
     notices: notices_module.EndpointNotices = attrs.field(init=False)
@@ -217,75 +204,15 @@
         excluded: frozenset[str],
     ) -> TrackedEndpoint | None:
         """Choose an endpoint with room for a request; None if all are full."""
-        now_ms = self.clock.now_ms()
-        domain = self.board.failure_domain
-        view = placement.choose(pool, key, domain, now_ms, self.draw, excluded)
-        if view is None or view.name not in self.tracked:
-            return None
-        endpoint = self.tracked[view.name]
-        remote = self._choose_remote(pool)
-        if remote is None or remote.entry.name in excluded:
-            return endpoint
-        is_available = placement.is_available(remote.view, now_ms, excluded)
-        return remote if is_available else endpoint
-
-    def _choose_remote(
-        self, pool: placement.Candidates
-    ) -> TrackedEndpoint | None:
-        """Choose an endpoint elsewhere if plain endpoints here are short."""
-        service = self.tracked[pool.views[0].name].entry.service
-        if not self.room.covers(service):
-            return None
-        now_ms = self.clock.now_ms()
-        spill = self.spills.get(service)
-        if (
-            spill is None
-            or spill.pool is not pool
-            or now_ms - spill.as_of_ms >= SPILL_REFRESH_MS
-        ):
-            rooms = self._list_rooms(pool.views, self.list_quarantined())
-            demand = self.room.find_demand(service)
-            domain = self.board.failure_domain
-            spill = KnownSpill(
-                pool,
-                now_ms,
-                plain_room.compute_spill(rooms, demand, domain),
-            )
-            self.spills[service] = spill
-        name = plain_room.choose_remote(spill.spill, self.draw)
-        return self.tracked[name] if name is not None else None
-
-    def is_full(self, endpoint: TrackedEndpoint) -> bool:
-        """Whether a request at a plain service's endpoint would wait."""
-        # Probes are sent under load too.
-        return (
-            endpoint.view.health.state is health_module.State.ACTIVE
-            and self.room.covers(endpoint.entry.service)
-            and self.room.is_full(endpoint.entry)
-        )
-
-    def find_rooms(
-        self, pool: placement.Candidates, excluded: frozenset[str]
-    ) -> list[plain_room.Room]:
-        """The room at plain endpoints, of a part if there are many."""
-        views = plain_room.draw_some(pool.views, self.draw)
-        return self._list_rooms(views, excluded)
-
-    def _list_rooms(
-        self,
-        views: typing.Sequence[placement.EndpointView],
-        excluded: frozenset[str],
-    ) -> list[plain_room.Room]:
-        """The room at plain endpoints; empty while unknown."""
-        now_ms = self.clock.now_ms()
-        return self.room.find_rooms(
-            [
-                self.tracked[view.name].entry
-                for view in views
-                if view.health.state is health_module.State.ACTIVE
-                and placement.is_available(view, now_ms, excluded)
-            ]
+        view = placement.choose(
+            pool,
+            key,
+            self.board.failure_domain,
+            self.clock.now_ms(),
+            self.draw,
+            excluded,
         )
+        return self.tracked.get(view.name) if view is not None else None
 
     def begin_request(
         self, endpoint: TrackedEndpoint, customer: str = ""
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -176,6 +176,11 @@
             self.directory.list_domain(failure_domain) or self.list_members()
         )
 
+    def find_domain(self, name: str) -> str:
+        """The failure domain of a known peer, else ""."""
+        peer = self.peers.get(name)
+        return peer.failure_domain if peer is not None else ""
+
     def record_load(self, engine: str, change: engine_load.Load) -> None:
         """Record a change of this entry VM's outstanding work, and report it.
 
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -6,13 +6,13 @@
 from carawayward.decisions import engine_load
 from carawayward.decisions import escalation
 from carawayward.decisions import placement
-from carawayward.decisions import plain_room
 from carawayward.decisions import retry_budget
 from carawayward import events
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import load_reports
 from carawayward.forwarding import message_types
 from carawayward.forwarding import metrics as metrics_module
+from carawayward.forwarding import plain_choice
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import work_items
@@ -39,6 +39,10 @@
     started_ms: float
     budgets: dict[str, retry_budget.RetryBudget] = attrs.field(factory=dict)
     budget_logged_ms: dict[str, float] = attrs.field(factory=dict)
+    plain: plain_choice.PlainChooser = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.plain = plain_choice.PlainChooser(self.fleet)
 
     def find_budget(self, service: str) -> retry_budget.RetryBudget:
         """Return the retry budget of a service, by the current bounds."""
@@ -169,7 +173,7 @@
         pool = self.fleet.find_pool(endpoint_filter)
         prompt = work_items.make_prompt(work)
         if prompt is None:
-            return self.fleet.choose(pool, None, excluded)
+            return self.plain.choose(pool, excluded)
         engine = self._choose_engine(work, pool, prompt, excluded)
         if engine is None:
             return None
@@ -203,31 +207,6 @@
         max_endpoints = self.rollouts.limit_endpoints(choice, count)
         return [attrs.evolve(new, max_endpoints=max_endpoints), old]
 
-    def find_room_wait_ms(
-        self,
-        work: work_items.Work,
-        endpoint: fleet_module.TrackedEndpoint,
-        left_ms: float,
-    ) -> float | None:
-        """Return when to come back if no plain endpoint answers in time.
-
-        None if the request is to be sent.
-        """
-        if not self.fleet.is_full(endpoint):
-            return None
-        pool = self.fleet.find_pool(fleet_module.EndpointFilter(work.service))
-        unusable = work.unusable | self.fleet.list_unavailable()
-        rooms = self.fleet.find_rooms(pool, unusable)
-        claim = plain_room.Claim(
-            left_ms=left_ms,
-            target_ms=work.route.target_ms,
-            rank=work.rank,
-            ranks=self.fleet.room.list_ranks(work.service),
-            above_share=self.fleet.room.is_above_share(work.customer),
-            age_ms=self.fleet.room.compute_age_ms(),
-        )
-        return plain_room.compute_refusal_ms(rooms, claim)
-
     def begin_reading(
         self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
     ) -> work_items.Reading:
--- a/src/carawayward/forwarding/plain_room.py
+++ b/src/carawayward/forwarding/plain_room.py
@@ -37,12 +37,14 @@
 class PeerInFlight:
     """What a peer has in flight, by the hashes of endpoints and customers.
 
-    ``rates`` are its requests per second, by the hash of the service.
+    ``rates`` are its requests per second, by the hash of the service,
+    ``work_ms`` is by the hash of the endpoint.
     """
 
     endpoints: Reported
     customers: Reported
     rates: Reported
+    work_ms: Reported
     valid_until_ms: float
     received_ms: float
 
@@ -60,6 +62,8 @@
     ``totals`` and ``customer_totals`` are the sums of the reports in
     ``peers``. ``customers`` are counted over all such services. ``work_ms`` is
     by the endpoint's process, so that a new one starts from its kind.
+    ``seen`` is when the last request of a service was answered, and how long
+    it took.
     """
 
     board: board_module.ForwardingBoard
@@ -71,7 +75,9 @@
     peers: dict[str, PeerInFlight] = attrs.field(factory=dict)
     totals: Reported = attrs.field(factory=dict)
     customer_totals: Reported = attrs.field(factory=dict)
+    shared_ms: dict[int, list[float]] = attrs.field(factory=dict)
     work_ms: dict[message_types.Process, float] = attrs.field(factory=dict)
+    seen: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     short_until_ms: float = board_module.NEVER
     told_until_ms: float = board_module.NEVER
     checked_ms: float = board_module.NEVER
@@ -108,7 +114,10 @@
         self, entry: message_types.EndpointEntry, took_ms: float
     ) -> None:
         """Learn the work time from a request that has just ended."""
-        if not self.covers(entry.service) or not self.totals:
+        if not self.covers(entry.service):
+            return
+        self.seen[entry.service] = (self.clock.now_ms(), took_ms)
+        if not self.totals:
             # How many requests were ahead of it is unknown.
             return
         known_ms = self.work_ms.get(entry.process)
@@ -116,6 +125,11 @@
             known_ms, self._make_room(entry, known_ms or took_ms), took_ms
         )
 
+    def find_seen_ms(self, service: str, max_age_ms: float) -> float:
+        """How long this entry VM's last answer took; 0 if it is too old."""
+        at_ms, took_ms = self.seen.get(service, (board_module.NEVER, 0.0))
+        return took_ms if self.clock.now_ms() - at_ms < max_age_ms else 0.0
+
     def is_full(self, entry: message_types.EndpointEntry) -> bool:
         """Whether all places of an endpoint are known to be taken."""
         self._expire()
@@ -130,22 +144,29 @@
         reported requests in flight.
         """
         self._expire()
-        known = [
-            self.work_ms[entry.process]
-            for entry in entries
-            if entry.process in self.work_ms
-        ]
-        if not known or not self.totals:
+        known = {entry.name: self._find_work_ms(entry) for entry in entries}
+        work_ms = [each for each in known.values() if each is not None]
+        if not work_ms or not self.totals:
             return []
-        usual_ms = statistics.median(known)
+        usual_ms = statistics.median(work_ms)
         rooms = [
-            self._make_room(entry, self.work_ms.get(entry.process, usual_ms))
+            self._make_room(entry, known[entry.name] or usual_ms)
             for entry in entries
         ]
         if any(room.queued for room in rooms):
             self.short_until_ms = self.clock.now_ms() + CLOSING_MS
         return rooms
 
+    def _find_work_ms(
+        self, entry: message_types.EndpointEntry
+    ) -> float | None:
+        """Return the median of what this entry VM and its peers have seen."""
+        number = load_report_messages.hash_name(entry.name)
+        known = self.shared_ms.get(number, [])
+        own_ms = self.work_ms.get(entry.process)
+        known = known if own_ms is None else [*known, own_ms]
+        return statistics.median(known) if known else None
+
     def _make_room(
         self, entry: message_types.EndpointEntry, work_ms: float
     ) -> plain_room.Room:
@@ -242,10 +263,16 @@
             for name, own in self.own.items()
         }
         customers = self.customers if now_ms < self.short_until_ms else {}
+        work_ms = {
+            load_report_messages.hash_name(process[0]): each
+            for process, each in self.work_ms.items()
+            if process[0] in self.own
+        }
         return [
             _encode(_get_means(endpoints, now_ms), MAX_ENDPOINTS_PER_REPORT),
             _encode(_get_means(customers, now_ms), MAX_CUSTOMERS_PER_REPORT),
             _encode(rates, MAX_SERVICES_PER_REPORT),
+            _encode(work_ms, MAX_ENDPOINTS_PER_REPORT, unit=1),
         ]
 
     def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
@@ -253,11 +280,12 @@
 
         Raises ValueError or TypeError if it is malformed.
         """
-        endpoints, customers, rates = value
+        endpoints, customers, rates, work_ms = value
         report = PeerInFlight(
             _decode(endpoints, MAX_ENDPOINTS_PER_REPORT),
             _decode(customers, MAX_CUSTOMERS_PER_REPORT),
             _decode(rates, MAX_SERVICES_PER_REPORT),
+            _decode(work_ms, MAX_ENDPOINTS_PER_REPORT, unit=1),
             self.clock.now_ms() + ttl_ms,
             self.clock.now_ms(),
         )
@@ -278,9 +306,13 @@
         if now_ms - self.checked_ms < EXPIRY_CHECK_MS:
             return
         self.checked_ms = now_ms
+        self.shared_ms = {}
         for name, report in list(self.peers.items()):
             if report.valid_until_ms <= now_ms:
                 self._drop(name)
+                continue
+            for number, work_ms in report.work_ms.items():
+                self.shared_ms.setdefault(number, []).append(work_ms)
         for process in list(self.work_ms):
             if not self.board.is_listed(process):
                 del self.work_ms[process]
@@ -301,15 +333,15 @@
     }
 
 
-def _encode(values: Reported, most: int) -> dict[int, int]:
-    units = {number: round(UNITS * each) for number, each in values.items()}
+def _encode(values: Reported, most: int, unit: int = UNITS) -> dict[int, int]:
+    units = {number: round(unit * each) for number, each in values.items()}
     largest = heapq.nlargest(most, units.items(), key=lambda item: item[1])
     return {
         number: min(MAX_REPORTED, each) for number, each in largest if each
     }
 
 
-def _decode(value: typing.Any, most: int) -> Reported:
+def _decode(value: typing.Any, most: int, unit: int = UNITS) -> Reported:
     if not isinstance(value, dict) or len(value) > most:
         raise ValueError("requests in flight are not a short map")
     found = {}
@@ -318,7 +350,7 @@
             raise TypeError("requests in flight are not whole numbers")
         if not 0 <= mean <= MAX_REPORTED:
             raise ValueError("requests in flight are out of range")
-        found[number] = mean / UNITS
+        found[number] = mean / unit
     return found
 
 
--- a/tests/cover/test_plain_room_load.py
+++ b/tests/cover/test_plain_room_load.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 import typing
+from unittest import mock
 
 import attrs
 
@@ -18,6 +19,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import message_types
+from carawayward.forwarding import plain_choice
 from carawayward.forwarding import table as table_module
 
 DOMAINS = ("north", "east", "south")
@@ -119,12 +121,6 @@
     return fleet
 
 
-def make_claim(rank, left_ms, ranks):
-    return plain_room.Claim(
-        left_ms=left_ms, target_ms=TARGET_MS, rank=rank, ranks=ranks
-    )
-
-
 def place_as_before(replay, fleet, rank, left_ms):
     """Own requests in flight alone; nothing is refused."""
     pool = fleet.find_pool(fleet_module.EndpointFilter(SERVICE))
@@ -132,18 +128,21 @@
 
 
 def place_by_reports(replay, fleet, rank, left_ms):
-    """The choice under test."""
+    """The choice and the refusal under test."""
+    chooser = replay.choosers[fleet.board.name]
     pool = fleet.find_pool(fleet_module.EndpointFilter(SERVICE))
-    excluded = fleet.list_quarantined()
-    endpoint = fleet.choose(pool, None, excluded) or fleet.choose(
-        pool, None, frozenset()
+    endpoint = chooser.choose(pool, fleet.list_quarantined())
+    endpoint = endpoint or chooser.choose(pool, frozenset())
+    if endpoint is None:
+        return None, None
+    work: typing.Any = mock.Mock(
+        service=SERVICE,
+        customer="",
+        rank=rank,
+        unusable=frozenset(),
+        route=fleet.board.table.routes[0],
     )
-    if endpoint is None or not fleet.is_full(endpoint):
-        return endpoint, None
-    rooms = fleet.find_rooms(pool, frozenset())
-    claim = make_claim(rank, left_ms, fleet.room.list_ranks(SERVICE))
-    claim = attrs.evolve(claim, age_ms=fleet.room.compute_age_ms())
-    return endpoint, plain_room.compute_refusal_ms(rooms, claim)
+    return endpoint, chooser.find_wait_ms(work, endpoint, left_ms)
 
 
 def place_with_perfect_knowledge(replay, fleet, rank, left_ms):
@@ -160,8 +159,10 @@
     ]
     fleet.find_pool(fleet_module.EndpointFilter(SERVICE))
     best = min(rooms, key=lambda room: room.answer_ms)
-    claim = make_claim(rank, left_ms, RANKS)
-    wait_ms = plain_room.compute_refusal_ms(rooms, claim)
+    claim = plain_room.Claim(
+        left_ms=left_ms, target_ms=TARGET_MS, rank=rank, ranks=RANKS
+    )
+    wait_ms = plain_room.compute_refusal_ms(rooms, claim, fleet.draw)
     return fleet.tracked[best.name], wait_ms
 
 
@@ -173,6 +174,7 @@
     place: typing.Callable
     clock: typing.Any = attrs.field(factory=clock_module.ManualClock)
     fleets: list = attrs.field(factory=list)
+    choosers: dict = attrs.field(factory=dict)
     desks: dict = attrs.field(factory=dict)
     events: list = attrs.field(factory=list)
     outcome: Outcome = attrs.field(factory=Outcome)
@@ -185,9 +187,7 @@
         draw = self.draw = random.Random(load.seed)
         self.desks = {f"desk-{each}": Desk() for each in range(4 - load.gone)}
         self.desks["desk-0"].slow = load.slow
-        self.fleets = [
-            make_fleet(each, load, self.clock) for each in range(load.vms)
-        ]
+        self.restart()
         now_ms, end_ms = 0.0, load.seconds * 1000
         while now_ms < end_ms:
             burst = load.burst if now_ms > end_ms / 4 else 1.0
@@ -235,6 +235,10 @@
             make_fleet(each, self.load, self.clock)
             for each in range(self.load.vms)
         ]
+        self.choosers = {
+            fleet.board.name: plain_choice.PlainChooser(fleet)
+            for fleet in self.fleets
+        }
 
     def arrive(self, vm, rank, began_ms, may_return):
         fleet, now_ms = self.fleets[vm], self.clock.now
