--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -11,7 +11,8 @@
 writes first), ``reachability`` (whether this entry VM has lost its own path to
 a service), ``relay_choice`` (which peer sends a request then),
 ``prompt_crashes`` (which prompts were in flight at crashes),
-``crashing_parts`` (which part of them is to blame) and
+``crashing_parts`` (which part of them is to blame), ``plain_room`` (where
+there is room at plain services, and who gets it) and
 ``store_polls`` (how long polls of the store may wait).
 
 For the callers' API: ``admission``, ``queueing``, ``retry``,
