--- a/tests/cover/test_plain_room.py
+++ b/tests/cover/test_plain_room.py
@@ -2,6 +2,7 @@
 
 import math
 import time
+import typing
 
 import attrs
 
@@ -124,6 +125,7 @@
 def test_malformed_reports_are_refused_and_change_nothing():
     """Another writer's value, or one that claims an impossible load."""
     fleet, _ = make_state()
+    value: typing.Any
     for value in (
         None,
         7,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -30,7 +30,9 @@
 class Callers:
     """All callers of the deployment.
 
-    ``load`` multiplies the usual rates. The share ``abusive`` of the callers
+    ``load`` multiplies the usual rates, ``loads`` those of some kinds.
+    ``customers`` are the shares of the customers. The share ``impatient``
+    comes back before it is told to. The share ``abusive`` of the callers
     repeats a failed request ``abuse`` times at once.
     """
 
@@ -40,6 +42,9 @@
     load: float = 1.0
     abusive: float = 0.0
     abuse: int = 8
+    impatient: float = 0.0
+    loads: dict[str, float] = attrs.field(factory=dict)
+    customers: dict[str, float] = attrs.field(factory=lambda: {"ikeja": 1.0})
     ids: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     pools: dict[str, httpcore.AsyncConnectionPool] = attrs.field(factory=dict)
 
@@ -52,7 +57,7 @@
         self, nursery: trio.Nursery, kind: traffic.Kind
     ) -> None:
         while True:
-            rate = kind.rate * self.load
+            rate = kind.rate * self.load * self.loads.get(kind.name, 1.0)
             await trio.sleep(self.draw.expovariate(rate))
             nursery.start_soon(self.call, kind, self.draw.randrange(10**9))
 
@@ -75,16 +80,37 @@
                 content = self.draw.randrange(10**9)
                 nursery.start_soon(self.call, kind, content, parts)
 
+    async def flood(self, customer: str, rate: float) -> None:
+        """Send requests of one customer until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self.draw.expovariate(rate))
+                kind = self.draw.choice(traffic.KINDS)
+                content = self.draw.randrange(10**9)
+                nursery.start_soon(self.call, kind, content, (), customer)
+
+    def _draw_customer(self) -> str:
+        names = list(self.customers)
+        if len(names) == 1:
+            return names[0]
+        return self.draw.choices(names, list(self.customers.values()))[0]
+
     async def call(
         self,
         kind: traffic.Kind,
         content: str | int,
         parts: tuple[str, ...] = (),
+        customer: str = "",
     ) -> None:
         """Send a request, and once more if it may be repeated.
 
-        Without ``parts`` its prompt begins with one of many.
+        Without ``parts`` its prompt begins with one of many, without
+        ``customer`` it is any.
         """
+        customer = customer or self._draw_customer()
+        is_patient = not self.impatient or (
+            self.draw.random() >= self.impatient
+        )
         began_ms = trio.current_time() * 1000
         times = 1
         if self.draw.random() < self.abusive:
@@ -94,13 +120,17 @@
             if left_ms <= 1.0:
                 return
             status, wait_ms = await self._send(
-                kind, content, left_ms, number == 0, parts
+                kind, content, left_ms, number == 0, parts, customer
             )
             if status in FINAL or 200 <= status < 300:
                 return
             if kind.route_kind == "unsafe" and status not in PROMISES:
                 return
-            if times == 1 and wait_ms <= MAX_WAIT_SHARE * left_ms:
+            if (
+                times == 1
+                and is_patient
+                and wait_ms <= MAX_WAIT_SHARE * left_ms
+            ):
                 await trio.sleep(wait_ms / 1000)
 
     async def _send(
@@ -110,6 +140,7 @@
         left_ms: float,
         first_try: bool,
         parts: tuple[str, ...],
+        customer: str,
     ) -> tuple[int, float]:
         """Return the status, 0 without one, and the Retry-After in ms."""
         vm = self.draw.choice(self.vms)
@@ -118,7 +149,7 @@
             "host": traffic.HOST,
             "carawayward-attempt-id": request_id,
             "carawayward-deadline-ms": str(int(left_ms)),
-            "carawayward-key": traffic.KEY,
+            "carawayward-key": traffic.get_key(customer),
         }
         if kind.stream:
             prefix, prompt = kind.prompt.split(",")
@@ -139,6 +170,9 @@
             first_try=first_try,
             route=kind.name,
             parts=parts,
+            customer=customer,
+            rank=kind.rank,
+            target_ms=kind.target_ms,
         )
         status, wait_ms = 0, 0.0
         with trio.move_on_after(left_ms / 1000):
@@ -161,6 +195,7 @@
                 if name.lower() == b"retry-after":
                     wait_ms = float(value) * 1000
         self.history.statuses[request_id] = status
+        self.history.answered_ms[request_id] = trio.current_time() * 1000
         return status, wait_ms
 
     def _get_pool(self, vm: processes.EntryVm) -> httpcore.AsyncConnectionPool:
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from tests.soak import hard_load
 from tests.soak import records
 
 MAX_REQUESTS_ON_TOO_MANY_ENDPOINTS = 3
@@ -502,6 +503,11 @@
     "repeats": check_repeats,
     "rests": check_rests,
     "partitions": check_partitions,
+    "ranks": hard_load.check_ranks,
+    "customers": hard_load.check_customers,
+    "waits": hard_load.check_waits,
+    "refused runs": hard_load.check_refused_runs,
+    "idle room": hard_load.check_idle_room,
 }
 
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -39,6 +39,13 @@
 COMPANIONS_PER_S = 5.0
 # How long endpoints stay down after such a crash.
 CRASHED_FOR_MS = (1_500.0, 6_000.0)
+# Where room is to be short, work takes this many times the usual.
+SHORT_WORK_FACTOR = 4.0
+FLOOD_PER_S = 60.0
+BURST_LOAD = 5.0
+HOT_PROMPTS_PER_S = 30.0
+UNEVEN_SLOWNESS = 2.4
+STALL_S, STALL_EVERY_S = 0.5, 2.0
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -71,8 +78,11 @@
         draw = random.Random(self.seed)
         async with trio.open_nursery() as nursery:
             port = await nursery.start(raw_http.serve, self.store.handle)
-            self.store.put("keyed.op", "config", traffic.make_config())
-            self.make_endpoints(draw)
+            short = any(each in schedule.HARD_LOAD_FAULTS for each in kinds)
+            self.store.put(
+                "keyed.op", "config", traffic.make_config(short=short)
+            )
+            self.make_endpoints(draw, short)
             for endpoint in self.fleet:
                 nursery.start_soon(endpoint.run)
             self.make_vms(port)
@@ -83,6 +93,8 @@
             self.callers = callers_module.Callers(
                 vms=self.vms, history=self.history, draw=draw
             )
+            if short:
+                self.callers.customers = traffic.CUSTOMERS
             await trio.sleep(WARM_UP_S)
             self.began_ms = trio.current_time() * 1000
             await self.callers.run(nursery)
@@ -93,8 +105,14 @@
             await trio.sleep(SETTLE_S)
             nursery.cancel_scope.cancel()
 
-    def make_endpoints(self, draw: random.Random) -> None:
-        """Make the endpoints of both services."""
+    def make_endpoints(self, draw: random.Random, short: bool = False) -> None:
+        """Make the endpoints of both services; of few places if ``short``."""
+        slots = {True: 64, False: 6}
+        if short:
+            slots = {
+                True: traffic.SHORT_SLOTS,
+                False: traffic.SHORT_DESK_SLOTS,
+            }
         for number in range(MATCHERS + DESKS):
             engine = number < MATCHERS
             listening, inner = loopback.find_free_ports(2)
@@ -102,9 +120,10 @@
                 name=f"{'matcher' if engine else 'desk'}-{number}",
                 service="matcher" if engine else "swap-desk",
                 zone=ZONES[number % len(ZONES)],
-                slots=64 if engine else 6,
+                slots=slots[engine],
                 engine=engine,
-                work_ms=150.0 if engine else 45.0,
+                work_ms=(150.0 if engine else 45.0)
+                * (SHORT_WORK_FACTOR if short else 1.0),
                 ports=(listening, inner),
                 store=self.store,
                 history=self.history,
@@ -113,6 +132,8 @@
             )
             endpoint.conduct.failing = 0.0 if engine else USUAL_FAILING
             self.fleet.append(endpoint)
+            places = self.history.places.setdefault(endpoint.service, [])
+            places.append(endpoint.slots)
 
     def make_vms(self, store_port: int) -> None:
         """Make the entry VMs, which find the store at ``store_port``."""
@@ -203,6 +224,8 @@
                 await self._partition(fault)
             case kind.CRASHING_PART:
                 await self._crash_by_part(fault)
+            case each if each in schedule.HARD_LOAD_FAULTS:
+                await self._take_room(fault)
             case kind.CRASHING_REQUEST:
                 index = fault.target % len(traffic.KINDS)
                 await self.callers.send_repeatedly(
@@ -212,6 +235,65 @@
                     pause_s=CRASHING_PAUSE_S,
                 )
 
+    async def _take_room(self, fault: schedule.ScheduledFault) -> None:
+        """Have callers want more room than there is, or endpoints less."""
+        shortage = records.Disruption(
+            name="", kind=fault.fault.value, from_ms=trio.current_time() * 1000
+        )
+        self.history.shortages.append(shortage)
+        callers, streams = self.callers, [k for k in traffic.KINDS if k.stream]
+        async with trio.open_nursery() as nursery:
+            match fault.fault:
+                case schedule.Fault.CUSTOMER_FLOOD:
+                    names = list(traffic.CUSTOMERS)
+                    nursery.start_soon(
+                        callers.flood,
+                        names[fault.target % len(names)],
+                        FLOOD_PER_S * (0.5 + fault.strength),
+                    )
+                case schedule.Fault.RANK_BURST:
+                    for each in traffic.KINDS:
+                        if each.rank >= 2:
+                            callers.loads[each.name] = BURST_LOAD
+                case schedule.Fault.UNEVEN_ENGINES:
+                    nursery.start_soon(self._stall_engines, fault.target)
+                case schedule.Fault.HOT_PART:
+                    nursery.start_soon(
+                        callers.send_prompts,
+                        streams[fault.target % len(streams)],
+                        (f"hot{fault.target:x}",),
+                        HOT_PROMPTS_PER_S,
+                    )
+                case schedule.Fault.IMPATIENT_CALLERS:
+                    callers.impatient = 0.3 + 0.7 * fault.strength
+            await trio.sleep(fault.for_ms / 1000)
+            nursery.cancel_scope.cancel()
+        callers.loads.clear()
+        callers.impatient = 0.0
+        shortage.until_ms = trio.current_time() * 1000
+
+    async def _stall_engines(self, target: int) -> None:
+        """Have a third of the engines run slowly, and stall at times."""
+        engines = [each for each in self.fleet if each.engine]
+        slow = engines[target % 3 :: 3]
+        before = [each.conduct for each in slow]
+        try:
+            while True:
+                for stalled, for_s in (
+                    (False, STALL_EVERY_S),
+                    (True, STALL_S),
+                ):
+                    for each in slow:
+                        each.conduct = attrs.evolve(
+                            each.conduct,
+                            slowness=UNEVEN_SLOWNESS,
+                            stalled=stalled,
+                        )
+                    await trio.sleep(for_s)
+        finally:
+            for each, conduct in zip(slow, before, strict=True):
+                each.conduct = conduct
+
     async def _partition(self, fault: schedule.ScheduledFault) -> None:
         """Cut entry VMs off from all endpoints.
 
@@ -350,7 +432,7 @@
 async def _change(
     group: typing.Sequence[endpoints.SoakEndpoint],
     for_ms: float,
-    **conduct: float,
+    **conduct: typing.Any,
 ) -> None:
     """Change the conduct of endpoints for a time."""
     before = [endpoint.conduct for endpoint in group]
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -22,6 +22,7 @@
 EVENT_PAUSE_S = 0.03
 # From the beginning of an answer to the crash that it causes.
 CRASH_DELAY_S = 0.05
+STALL_CHECK_S = 0.02
 
 
 @attrs.define
@@ -29,7 +30,8 @@
     """How an endpoint treats requests until it is told otherwise.
 
     ``failing``, ``declining`` and ``mute`` are shares of the requests;
-    ``rest_s`` is the Retry-After of those declined, 0 for none.
+    ``rest_s`` is the Retry-After of those declined, 0 for none. While it is
+    ``stalled``, nothing that runs goes on.
     """
 
     failing: float = 0.0
@@ -37,6 +39,7 @@
     mute: float = 0.0
     rest_s: float = 0.0
     slowness: float = 1.0
+    stalled: bool = False
 
 
 class CrashStage(enum.Enum):
@@ -171,6 +174,7 @@
         try:
             await self._process(exchange, arrival)
         finally:
+            arrival.ended_ms = trio.current_time() * 1000
             if incarnation == self.incarnation:
                 self.running -= 1
 
@@ -214,6 +218,7 @@
         load = max(1.0, self.running / self.slots)
         pause_ms = self.work_ms * self.conduct.slowness * load
         await trio.sleep(self.draw.uniform(0.5, 1.5) * pause_ms / 1000)
+        await self._wait_while_stalled()
         headers = {
             backend.ATTEMPT_ID_HEADER: arrival.request_id,
             backend.SEAL_HEADER: f"{self.instance}.seal",
@@ -226,6 +231,10 @@
             await exchange.answer(200, headers, b"done")
         arrival.answered_ms = trio.current_time() * 1000
 
+    async def _wait_while_stalled(self) -> None:
+        while self.conduct.stalled:
+            await trio.sleep(STALL_CHECK_S)
+
     def _crashes(self, request: raw_http.Request) -> bool:
         """Whether a part of the prompt, other than its last, crashes it."""
         prompt = request.headers.get("carawayward-prefix-hash", "")
@@ -271,4 +280,5 @@
         for number in range(start, STREAM_EVENTS + 1):
             await exchange.send_chunk(backend.make_event(number))
             await trio.sleep(EVENT_PAUSE_S * self.conduct.slowness)
+            await self._wait_while_stalled()
         await exchange.send_chunk(b"")
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -25,7 +25,8 @@
 
     Requests with the same ``content`` have the same path, caller and body.
     ``first_try`` is false if it repeats a request that was refused or failed.
-    ``parts`` are those of its prompt that others may share, in order.
+    ``parts`` are those of its prompt that others may share, in order. A
+    lower ``rank`` is more urgent.
     """
 
     request_id: str
@@ -38,6 +39,9 @@
     first_try: bool = True
     route: str = ""
     parts: tuple[str, ...] = ()
+    customer: str = ""
+    rank: int = 0
+    target_ms: float = math.inf
 
     @property
     def ends_ms(self) -> float:
@@ -52,7 +56,7 @@
     ``remaining_ms`` is the forwarded deadline, None without one. ``ran`` is
     set once the endpoint has begun to work on it, ``crashed`` if that ended
     the endpoint, at ``crashed_ms``. ``rest_ms`` is the Retry-After of a 503,
-    sent at ``answered_ms``.
+    sent at ``answered_ms``. It left the endpoint at ``ended_ms``.
     """
 
     request_id: str
@@ -64,6 +68,7 @@
     crashed_ms: float = math.inf
     answered_ms: float | None = None
     rest_ms: float = 0.0
+    ended_ms: float = math.inf
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -111,6 +116,9 @@
     """The records of one run, in the order of their times.
 
     ``begun`` are the requests of which the caller got a first event.
+    ``answered_ms`` is when the callers had their statuses. ``shortages`` are
+    the times in which room may be short, ``places`` the slots of each endpoint
+    by service.
     """
 
     sent: dict[str, Sent] = attrs.field(factory=dict)
@@ -121,6 +129,9 @@
     statuses: dict[str, int] = attrs.field(factory=dict)
     crashing_parts: list[CrashingPart] = attrs.field(factory=list)
     begun: set[str] = attrs.field(factory=set)
+    answered_ms: dict[str, float] = attrs.field(factory=dict)
+    shortages: list[Disruption] = attrs.field(factory=list)
+    places: dict[str, list[int]] = attrs.field(factory=dict)
 
     def find_vm(self, arrival: Arrival) -> str:
         """The entry VM that a request came from."""
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -41,13 +41,28 @@
     CRASHING_REQUEST = "request that crashes endpoints"
     PARTITION = "vms cut off from all endpoints"
     CRASHING_PART = "prompt part that crashes endpoints"
+    CUSTOMER_FLOOD = "one customer sends many times its usual"
+    RANK_BURST = "more of the less urgent requests"
+    UNEVEN_ENGINES = "some engines slow, and stalled at times"
+    HOT_PART = "many prompts share a part"
+    IMPATIENT_CALLERS = "callers come back before they are told to"
+
+
+# Faults that take room; callers then have ranks and several customers.
+HARD_LOAD_FAULTS = (
+    Fault.CUSTOMER_FLOOD,
+    Fault.RANK_BURST,
+    Fault.UNEVEN_ENGINES,
+    Fault.HOT_PART,
+    Fault.IMPATIENT_CALLERS,
+)
 
 
 # Drawn unless others are named; the seeds in use rest on this choice.
 USUAL_FAULTS = tuple(
     each
     for each in Fault
-    if each not in (Fault.PARTITION, Fault.CRASHING_PART)
+    if each not in (Fault.PARTITION, Fault.CRASHING_PART, *HARD_LOAD_FAULTS)
 )
 
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -4,11 +4,19 @@
 
 HOST = "swap.example"
 KEY = "key-of-ikeja"
+# Places of an engine and of a desk where room is to be short.
+SHORT_SLOTS, SHORT_DESK_SLOTS = 4, 2
+# Customers and their shares of the usual requests; the first one is alone
+# unless room is to be short.
+CUSTOMERS = {"ikeja": 0.4, "yaba": 0.25, "lekki": 0.2, "surulere": 0.15}
 
 
 @attrs.frozen(kw_only=True)
 class Kind:
-    """A kind of request, with its rate per second and its times in ms."""
+    """A kind of request, with its rate per second and its times in ms.
+
+    Its ``rank`` counts where room is to be short; 0 is the most urgent.
+    """
 
     name: str
     route_kind: str
@@ -16,6 +24,7 @@
     deadline_ms: float
     target_ms: float
     max_attempts: int
+    rank: int
     prompt: str = ""
 
     @property
@@ -37,6 +46,7 @@
         deadline_ms=25_000.0,
         target_ms=4_000.0,
         max_attempts=3,
+        rank=4,
         prompt="13300,3720",
     ),
     Kind(
@@ -46,6 +56,7 @@
         deadline_ms=12_000.0,
         target_ms=3_000.0,
         max_attempts=3,
+        rank=0,
         prompt="6300,2890",
     ),
     Kind(
@@ -55,6 +66,7 @@
         deadline_ms=25_000.0,
         target_ms=2_000.0,
         max_attempts=3,
+        rank=2,
         prompt="350,1110",
     ),
     Kind(
@@ -64,6 +76,7 @@
         deadline_ms=2_500.0,
         target_ms=150.0,
         max_attempts=1,
+        rank=1,
     ),
     Kind(
         name="handover-ok",
@@ -72,12 +85,21 @@
         deadline_ms=2_500.0,
         target_ms=150.0,
         max_attempts=2,
+        rank=3,
     ),
 )
 
 
-def make_config(version: int = 1) -> dict:
-    """The configuration as the operator writes it."""
+def get_key(customer: str) -> str:
+    """The key of a customer."""
+    return f"key-of-{customer}"
+
+
+def make_config(version: int = 1, short: bool = False) -> dict:
+    """The configuration as the operator writes it.
+
+    With ``short`` kinds have ranks of their own, and all customers keys.
+    """
     shared = {
         "host": HOST,
         "anonymous": False,
@@ -103,7 +125,7 @@
                 "maxAttempts": kind.max_attempts,
                 "timeoutMs": kind.deadline_ms,
                 "targetLatencyMs": kind.target_ms,
-                "priority": 1,
+                "priority": kind.rank if short else 1,
                 **({} if kind.stream else {"routeKind": kind.route_kind}),
             }
             for kind in KINDS
@@ -114,7 +136,7 @@
                 "healthPath": "/healthz",
                 "maxConnections": 370,
                 "engine": {
-                    "slots": 64,
+                    "slots": SHORT_SLOTS if short else 64,
                     "kvCapacityTokens": 628_077,
                     "models": [
                         {"name": "small", "cost": 0.0082},
@@ -134,5 +156,9 @@
             "headerTimeoutMs": 3_000,
             "idleTimeoutMs": 15_000,
         },
-        "tenants": [{"name": "ikeja", "apiKeys": [KEY], "priority": 1}],
+        "tenants": [
+            {"name": name, "apiKeys": [get_key(name)]} for name in CUSTOMERS
+        ]
+        if short
+        else [{"name": "ikeja", "apiKeys": [KEY], "priority": 1}],
     }
