--- a/src/carawayward/decisions/plain_room.py
+++ b/src/carawayward/decisions/plain_room.py
@@ -29,6 +29,9 @@
 UTILISATION = 0.7
 # Time constant of the rates that peers are told.
 RATE_MS = 2_000.0
+# Requests are not refused for others before an answer takes this many times
+# the work.
+MIN_QUEUE_FACTOR = 3.0
 # A customer is above its share with this many times the mean of the customers
 # that have requests in flight.
 SHARE_FACTOR = 1.5
@@ -236,8 +239,8 @@
     seen_ms: float = float("inf")
 
 
-def compute_refused_share(claim: Claim, answer_ms: float) -> float:
-    """Return the share of such requests to refuse at a predicted answer.
+def compute_refused_share(claim: Claim, room: Room) -> float:
+    """Return the share of such requests to refuse if ``room`` is the best.
 
     The most urgent are refused only past the caller's time. Others must not be
     late, and leave room to the more urgent ones: by rank first, then customers
@@ -247,14 +250,16 @@
     """
     ranks = sorted({*claim.ranks, claim.rank})
     step = 2 * ranks.index(claim.rank) + claim.above_share
-    if answer_ms > claim.left_ms:
+    if room.answer_ms > claim.left_ms:
         return 1.0
     if not step:
         return 0.0
     reserved = RESERVED_SHARE * step / (2 * len(ranks) - 1)
-    begin_ms = claim.target_ms * (1.0 - reserved)
-    answer_ms = min(answer_ms, claim.seen_ms)
-    share = (answer_ms - begin_ms) / (claim.target_ms - begin_ms)
+    # Where the work takes most of the target, a short queue has to do.
+    end_ms = max(claim.target_ms, room.work_ms * MIN_QUEUE_FACTOR)
+    begin_ms = end_ms * (1.0 - reserved)
+    answer_ms = min(room.answer_ms, claim.seen_ms)
+    share = (answer_ms - begin_ms) / (end_ms - begin_ms)
     return min(1.0, max(0.0, share))
 
 
@@ -272,7 +277,7 @@
     if claim.age_ms >= claim.left_ms:
         return None
     best = min(rooms, key=lambda room: room.answer_ms)
-    share = compute_refused_share(claim, best.answer_ms)
+    share = compute_refused_share(claim, best)
     if draw(DRAWS) >= share * DRAWS:
         return None
     return max(best.work_ms, best.answer_ms - claim.target_ms)
--- a/tests/cover/test_plain_room.py
+++ b/tests/cover/test_plain_room.py
@@ -53,7 +53,7 @@
     """A full queue: by rank first, then a customer above its share."""
     shares = [
         plain_room.compute_refused_share(
-            make_claim(rank=rank, above_share=above), 300.0
+            make_claim(rank=rank, above_share=above), make_room()
         )
         for rank, above in ((1, False), (1, True), (5, False), (5, True))
     ]
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -211,6 +211,11 @@
         "repeats": [],
         "rests": [],
         "partitions": [],
+        "ranks": [],
+        "customers": [],
+        "waits": [],
+        "refused runs": [],
+        "idle room": [],
     }
 
 
