--- a/src/carawayward/decisions/plain_room.py
+++ b/src/carawayward/decisions/plain_room.py
@@ -280,7 +280,7 @@
     share = compute_refused_share(claim, best)
     if draw(DRAWS) >= share * DRAWS:
         return None
-    return max(best.work_ms, best.answer_ms - claim.target_ms)
+    return best.answer_ms
 
 
 def is_above_share(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,8 +6,13 @@
 SEED = 10
 SECONDS = 20.0
 MIN_ANSWERED = 200
+MIN_REFUSED = 20
 PARTITION_SEED = 2
 PARTITION_SECONDS = 24.0
+HARD_LOAD_SEED = 1
+HARD_LOAD_SECONDS = 14.0
+# Clauses that need admission by rank before the endpoint is chosen.
+ADMISSION_CLAUSES = ("ranks", "waits")
 
 
 def test_the_seed_kills_and_cuts_entry_vms_and_crashes_endpoints():
@@ -35,3 +40,18 @@
     assert len(result.partitions) > 1, "no partitions for a valid check"
     assert not result.broken, (result.violations, str(soak.folder))
     assert result.ends_unasked == 0, "an entry VM ended by itself"
+
+
+def test_refusals_under_hard_load_are_true_and_beside_no_free_places():
+    """A flood by a customer and a burst by rank take all places."""
+    soak, result = run.run_seed(
+        HARD_LOAD_SEED,
+        HARD_LOAD_SECONDS,
+        kinds=(schedule.Fault.CUSTOMER_FLOOD, schedule.Fault.RANK_BURST),
+    )
+    refused = [s for s in soak.history.statuses.values() if s == 503]
+    assert len(refused) > MIN_REFUSED, "too few refusals for a valid check"
+    for clause, found in result.violations.items():
+        if clause not in ADMISSION_CLAUSES:
+            assert not found, (clause, found, str(soak.folder))
+    assert result.ends_unasked == 0, "an entry VM ended by itself"
