Count the time a request waits to be read towards its timeout

An entry VM that is busy reads a request late, and its caller's time ran on meanwhile: the deadline and the route's timeout were counted from the reading. Seen on loopback under load (soak, hard load, load average 26): the median request reached its first endpoint .54 s after it was sent, and was handed .5 s more than its caller had left. The kernel says how long ago a connection's last data arrived, so the wait is taken off.

Ruled out by the tests beside it: an endpoint silent before or after the head, connections that hang.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -22,6 +22,7 @@
 from carawayward.forwarding import replies
 from carawayward.forwarding import table as table_module
 from carawayward.forwarding import work_items
+from carawayward import http_server
 
 Receive = typing.Callable[[], typing.Awaitable[dict]]
 Send = typing.Callable[[dict], typing.Awaitable[None]]
@@ -120,7 +121,7 @@
     async def _serve(
         self, scope: dict, receive: Receive, reply: AsgiReply
     ) -> None:
-        began_ms = self.clock.now_ms()
+        began_ms = self.clock.now_ms() - find_age_ms(scope)
         check_framing(scope["headers"])
         limits = self._find_limits()
         body = await read_body(receive, limits.body_bytes)
@@ -210,6 +211,12 @@
         )
 
 
+def find_age_ms(scope: dict) -> float:
+    """Return how long the request has waited to be read, in ms."""
+    find = scope.get("state", {}).get(http_server.FIND_AGE_MS)
+    return 0.0 if find is None else find()
+
+
 def choose_service(
     route: table_module.Route, metadata: message_types.RequestMetadata
 ) -> str:
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -15,6 +15,7 @@
 import json
 import socket
 import ssl
+import struct
 import typing
 
 import attrs
@@ -42,6 +43,11 @@
 # that replace all entry VMs left a request without an answer. Callers are a
 # few ms away, and a busy process reads within tens of ms.
 IDLE_GRACE_S = 0.1
+# The key of a request's state with a function that says how long ago, in ms,
+# the kernel received the connection's last data.
+FIND_AGE_MS = "find_age_ms"
+# Where ``tcp_info`` has the time since the last data was received, in ms.
+LAST_DATA_RECEIVED = struct.Struct("=52xI")
 
 
 class Exchange(http_stream.HTTPStream):
@@ -320,6 +326,25 @@
         await self.protocol.handle(hypercorn_events.Closed())
 
 
+def find_age_ms(stream: trio.abc.Stream) -> float:
+    """Return how long ago the last data arrived, read or not.
+
+    A request may wait in the socket while the process is busy.
+    """
+    if isinstance(stream, trio.SSLStream):
+        stream = stream.transport_stream
+    if not isinstance(stream, trio.SocketStream):
+        return 0.0
+    try:
+        info = stream.socket.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size
+        )
+    except OSError:
+        # The caller has closed the connection.
+        return 0.0
+    return float(LAST_DATA_RECEIVED.unpack(info)[0])
+
+
 async def serve(
     app: typing.Any, config: listening.ListenerConfig, stop: trio.Event
 ) -> None:
@@ -334,7 +359,11 @@
             asgi_app,
             config,
             context,
-            hypercorn_typing.ConnectionState({}),
+            hypercorn_typing.ConnectionState(
+                hypercorn_typing.LifespanState(
+                    {FIND_AGE_MS: functools.partial(find_age_ms, stream)}
+                )
+            ),
             stream,
         )
 
--- a/tests/failures/test_plain_room.py
+++ b/tests/failures/test_plain_room.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import time
 
 import trio
 
@@ -106,3 +107,31 @@
         assert took_s < TIMEOUT_S + MAX_HELD_S
 
     trio.run(main)
+
+
+def test_time_that_a_request_waits_to_be_read_counts_towards_its_timeout():
+    """An entry VM is busy for most of the timeout when a request arrives.
+
+    The time that it has waited in the socket is over for its caller.
+    """
+
+    async def main():
+        desk = backend.Backend("desk-0", always=backend.stay_silent)
+        async with forwarding.open_forwarding(
+            desk, config=make_config()
+        ) as made:
+            host, _, port = made.daemon.settings.listen.callers.rpartition(":")
+            stream = await trio.open_tcp_stream(host, int(port))
+            head = b"POST /log/ HTTP/1.1\r\ncontent-length: 0\r\n"
+            for name, value in made.make_headers():
+                head += f"{name}: {value}\r\n".encode()
+            await trio.sleep(0.1)
+            began = trio.current_time()
+            await stream.send_all(head + b"\r\n")
+            time.sleep(0.75 * TIMEOUT_S)
+            answer = await stream.receive_some(100)
+            took_s = trio.current_time() - began
+        assert answer.startswith(b"HTTP/1.1 50")
+        assert took_s < TIMEOUT_S + MAX_HELD_S
+
+    trio.run(main)
