--- a/src/carawayward/decisions/plain_room.py
+++ b/src/carawayward/decisions/plain_room.py
@@ -280,7 +280,8 @@
     share = compute_refused_share(claim, best)
     if draw(DRAWS) >= share * DRAWS:
         return None
-    return best.answer_ms
+    # By then what waits now has a place.
+    return max(best.work_ms, best.answer_ms - best.work_ms)
 
 
 def is_above_share(
