--- a/src/carawayward/decisions/plain_room.py
+++ b/src/carawayward/decisions/plain_room.py
@@ -61,7 +61,8 @@
     gain = -math.expm1(-elapsed_ms / MEAN_MS)
     in_flight.mean += gain * (in_flight.count - in_flight.mean)
     in_flight.as_of_ms = now_ms
-    in_flight.count += change
+    # A request may have begun before its service was covered.
+    in_flight.count = max(0, in_flight.count + change)
     return in_flight.mean
 
 
--- a/src/carawayward/forwarding/plain_room.py
+++ b/src/carawayward/forwarding/plain_room.py
@@ -98,7 +98,7 @@
         self, entry: message_types.EndpointEntry, customer: str, change: int
     ) -> None:
         """Add ``change`` to this entry VM's requests at an endpoint."""
-        if not self.covers(entry.service):
+        if change > 0 and not self.covers(entry.service):
             return
         now_ms = self.clock.now_ms()
         own = self.own.setdefault(entry.name, plain_room.InFlight())
@@ -242,14 +242,13 @@
     def describe(self) -> list | None:
         """Return what load reports say of this entry VM.
 
-        Customers are reported only while endpoints are short of room. Once
+        Customers and work times are reported only while endpoints are short
+        of room. Once
         nothing is in flight, that is reported for as long as peers may have
         an earlier report.
         """
         now_ms = self.clock.now_ms()
         if now_ms >= self.told_until_ms:
-            self.own = _keep_busy(self.own)
-            self.customers = _keep_busy(self.customers)
             self.rates.clear()
             return None
         rates = {
@@ -262,11 +261,12 @@
             load_report_messages.hash_name(name): own
             for name, own in self.own.items()
         }
-        customers = self.customers if now_ms < self.short_until_ms else {}
+        is_short = now_ms < self.short_until_ms
+        customers = self.customers if is_short else {}
         work_ms = {
             load_report_messages.hash_name(process[0]): each
             for process, each in self.work_ms.items()
-            if process[0] in self.own
+            if is_short and process[0] in self.own
         }
         return [
             _encode(_get_means(endpoints, now_ms), MAX_ENDPOINTS_PER_REPORT),
@@ -313,15 +313,21 @@
                 continue
             for number, work_ms in report.work_ms.items():
                 self.shared_ms.setdefault(number, []).append(work_ms)
+        self.own = _keep_busy(self.own, now_ms)
+        self.customers = _keep_busy(self.customers, now_ms)
         for process in list(self.work_ms):
             if not self.board.is_listed(process):
                 del self.work_ms[process]
 
 
 def _keep_busy(
-    known: dict[typing.Any, plain_room.InFlight],
+    known: dict[typing.Any, plain_room.InFlight], now_ms: float
 ) -> dict[typing.Any, plain_room.InFlight]:
-    return {key: own for key, own in known.items() if own.count}
+    return {
+        key: own
+        for key, own in known.items()
+        if own.count or plain_room.update_mean(own, now_ms) * UNITS >= 0.5
+    }
 
 
 def _get_means(
