--- a/tests/cover/test_plain_room_load.py
+++ b/tests/cover/test_plain_room_load.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+import statistics
 import typing
 from unittest import mock
 
@@ -314,11 +315,19 @@
 
 
 def test_more_urgent_requests_find_room_when_there_is_too_little():
-    """A burst by 3.2 is more than the endpoints answer."""
-    before = play(place_as_before, burst=3.2)
-    after = play(place_by_reports, burst=3.2)
-    assert after.get_share(RANKS[0]) > before.get_share(RANKS[0]) + 0.02
-    assert after.get_share(RANKS[0]) > after.get_share(RANKS[1]) + 0.02
+    """A burst by 3.2 is more than the endpoints answer.
+
+    Means of four seeds, since one differs from another by more than the gain.
+    """
+    urgent, rest = RANKS
+    gains, leads = [], []
+    for seed in (1, 2, 3, 4):
+        before = play(place_as_before, burst=3.2, seed=seed)
+        after = play(place_by_reports, burst=3.2, seed=seed)
+        gains.append(after.get_share(urgent) - before.get_share(urgent))
+        leads.append(after.get_share(urgent) - after.get_share(rest))
+    assert statistics.fmean(gains) > 0.04
+    assert statistics.fmean(leads) > 0.04
 
 
 def test_requests_are_served_as_before_while_there_is_room():
