--- a/src/carawayward/forwarding/plain_room.py
+++ b/src/carawayward/forwarding/plain_room.py
@@ -242,8 +242,7 @@
     def describe(self) -> list | None:
         """Return what load reports say of this entry VM.
 
-        Customers and work times are reported only while endpoints are short
-        of room. Once
+        Customers are reported only while endpoints are short of room. Once
         nothing is in flight, that is reported for as long as peers may have
         an earlier report.
         """
@@ -261,12 +260,11 @@
             load_report_messages.hash_name(name): own
             for name, own in self.own.items()
         }
-        is_short = now_ms < self.short_until_ms
-        customers = self.customers if is_short else {}
+        customers = self.customers if now_ms < self.short_until_ms else {}
         work_ms = {
             load_report_messages.hash_name(process[0]): each
             for process, each in self.work_ms.items()
-            if is_short and process[0] in self.own
+            if process[0] in self.own
         }
         return [
             _encode(_get_means(endpoints, now_ms), MAX_ENDPOINTS_PER_REPORT),
