--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -15,6 +15,7 @@
 from carawayward.forwarding import load_reports
 from carawayward.forwarding import message_types
 from carawayward.forwarding import metrics as metrics_module
+from carawayward.forwarding import plain_choice
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import work_items
@@ -42,8 +43,10 @@
     paces: engine_paces.EnginePaces = attrs.field(init=False)
     budgets: dict[str, retry_budget.RetryBudget] = attrs.field(factory=dict)
     budget_logged_ms: dict[str, float] = attrs.field(factory=dict)
+    plain: plain_choice.PlainChooser = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.plain = plain_choice.PlainChooser(self.fleet)
         self.paces = engine_paces.EnginePaces(
             self.clock, self.fleet.paces, self.reporter.get_engine_names
         )
@@ -182,7 +185,7 @@
         pool = self.fleet.find_pool(endpoint_filter)
         prompt = work_items.make_prompt(work)
         if prompt is None:
-            return self.fleet.choose(pool, None, excluded)
+            return self.plain.choose(pool, excluded)
         engine = self._choose_engine(work, pool, prompt, excluded)
         if engine is None:
             return None
