Count runs on the old version for completion only, and reserve room for them

Cause: a session that stays on the old version is sent to the new one on completion as well, so that holding it back saves nothing.

Change: only completion waits for what runs on the old version; the switch to full traffic reserves room for three quarters of it.

--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -29,7 +29,7 @@
 EXPOSURE_PART = 0.85
 # Part of the runs on the old version that are taken to last until completion,
 # when full traffic begins to go to the new one.
-OLD_RUNS_LEFT_PART = 0.5
+OLD_RUNS_LEFT_PART = 0.75
 # A roll-out is reported as completed this long before its duration ends, even
 # if requests still run on the old version: the store takes some ms, and entry
 # VMs write in turn.
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -228,13 +228,14 @@
         if rollout.verdict is canary.Verdict.BAD:
             return message_types.RolloutState.ROLLED_BACK
         since_full_traffic = rollout.sum_since_full_traffic()
+        old_in_flight = rollout.count_old_in_flight(now_ms)
         may_complete = canary.may_complete(
             (1.0 - part) * rollout.order.duration_ms,
             rollout.verdict,
             self.rollouts.compute_share(rollout, now_ms),
             since_full_traffic.new,
-            rollout.count_old_in_flight(now_ms),
-            self.rollouts.fits_exposure(rollout, now_ms),
+            old_in_flight,
+            self.rollouts.fits_exposure(rollout, now_ms, old_in_flight),
         )
         if may_complete and canary.is_proven(
             rollout.sum_tallies(), since_full_traffic
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -130,7 +130,7 @@
         )
 
     def sum_exposure(
-        self, bounds: settings.Bounds, now_ms: float
+        self, bounds: settings.Bounds, old_in_flight: int = 0
     ) -> canary.Exposure:
         """The requests sent so far, and how many may meet a bad version."""
         peer_counts = self.peer_counts.values()
@@ -140,7 +140,7 @@
             sent=self.sent + sum(each.sent for each in peer_counts),
             sent_new=self.sent_new
             + sum(each.sent_new for each in peer_counts),
-            old_in_flight=self.count_old_in_flight(now_ms),
+            old_in_flight=old_in_flight,
         )
 
     def sum_all_routes(self) -> canary.Tally:
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -81,19 +81,24 @@
             early = rollout.compute_elapsed_part(now_ms) < canary.TRIAL_PART
             if new or early:
                 return new
+        # Runs on the old version do not count: those of a session that is kept
+        # there would be sent to the new one on completion as well.
         if rollout.at_full_traffic and not self.fits_exposure(rollout, now_ms):
             return False
         draw = placement.hash_key(f"{version}/{session or request_id}")
         return draw < share * 2.0**64
 
     def fits_exposure(
-        self, rollout: rollout_state.Rollout, now_ms: float
+        self,
+        rollout: rollout_state.Rollout,
+        now_ms: float,
+        old_in_flight: int = 0,
     ) -> bool:
         """Whether the new version may meet all requests until the end."""
         return canary.fits_exposure(
             rollout.compute_elapsed_part(now_ms),
             rollout.order.duration_ms,
-            rollout.sum_exposure(self.board.bounds, now_ms),
+            rollout.sum_exposure(self.board.bounds, old_in_flight),
         )
 
     def compute_share(
@@ -108,7 +113,9 @@
         ):
             return 0.0
         part = rollout.compute_elapsed_part(now_ms)
-        exposure = rollout.sum_exposure(self.board.bounds, now_ms)
+        exposure = rollout.sum_exposure(
+            self.board.bounds, rollout.count_old_in_flight(now_ms)
+        )
         share = canary.compute_share(part, rollout.verdict, exposure)
         # After the switch to full traffic only a halt moves traffic back:
         # otherwise sessions would change their version a second time.
