--- a/bench/load_shedding.py
+++ b/bench/load_shedding.py
@@ -133,7 +133,7 @@
         fleet_module.Fleet(board, clock),
         reporter,
         metrics_module.Metrics(),
-        random.Random(1).random,
+        draw=random.Random(1).random,
     )
     admission.check(make_work(board.table))
     admission.rooms[SERVICE].waits_seen = 10
--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -27,6 +27,9 @@
 # Part of the exposure budget that is used. Entry VMs' counts are slightly old,
 # and those that learn of a halt late send a few more requests.
 EXPOSURE_PART = 0.85
+# Part of the runs on the old version that are taken to last until completion,
+# when full traffic begins to go to the new one.
+OLD_RUNS_LEFT_PART = 0.75
 # A roll-out is reported as completed this long before its duration ends, even
 # if requests still run on the old version: the store takes some ms, and entry
 # VMs write in turn.
@@ -220,6 +223,7 @@
     allowed = exposure.share * total + exposure.slack
     if verdict is Verdict.GOOD and part >= TRIAL_PART:
         to_come = total * max(0.0, 1.0 - part)
+        to_come += OLD_RUNS_LEFT_PART * exposure.old_in_flight
         if exposure.sent_new + to_come <= EXPOSURE_PART * allowed:
             return 1.0
     wanted = min(TRIAL_REQUESTS, TRIAL_EXPOSURE * allowed)
--- a/src/carawayward/forwarding/admission.py
+++ b/src/carawayward/forwarding/admission.py
@@ -83,7 +83,8 @@
 class Admission:
     """Lets requests in by rank and customer while room is short.
 
-    Unless ``enabled``, all get in. ``table`` is the routing table that ``contended`` was computed from.
+    Unless ``enabled``, all get in. ``table`` is the routing table that
+    ``contended`` was computed from.
     """
 
     board: board_module.ForwardingBoard
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -18,6 +18,7 @@
 from carawayward.forwarding import cold_starts as cold_starts_module
 from carawayward.forwarding import message_types
 from carawayward.forwarding import notices as notices_module
+from carawayward.forwarding import plain_room as plain_room_module
 from carawayward.forwarding import rate_limits as rate_limits_module
 
 # A connection attempt that fails sooner was refused by a machine that is up.
@@ -77,6 +78,7 @@
     cold_starts: cold_starts_module.ColdStartLimiter = attrs.field(init=False)
     rate_limits: rate_limits_module.RequestLimiter = attrs.field(init=False)
     notices: notices_module.EndpointNotices = attrs.field(init=False)
+    room: plain_room_module.PlainRoom = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.cold_starts = cold_starts_module.ColdStartLimiter(
@@ -86,6 +88,7 @@
             self.board, self.clock
         )
         self.notices = notices_module.EndpointNotices(self.board, self.clock)
+        self.room = plain_room_module.PlainRoom(self.board, self.clock)
 
     def find_cache_tokens(self, name: str) -> int:
         """Return an engine's cache size in tokens; 0 if it is unknown."""
@@ -232,17 +235,23 @@
         )
         return self.tracked.get(view.name) if view is not None else None
 
-    def begin_request(self, endpoint: TrackedEndpoint) -> None:
+    def begin_request(
+        self, endpoint: TrackedEndpoint, customer: str = ""
+    ) -> None:
         """Record that a request is about to be sent to an endpoint."""
         endpoint.view.in_flight += 1
+        self.room.count(endpoint.entry, customer, 1)
         health_module.begin_probe(endpoint.view.health)
         quarantine_module.begin_try(
             self.quarantine, endpoint.entry.name, self.clock.now_ms()
         )
 
-    def end_request(self, endpoint: TrackedEndpoint) -> None:
+    def end_request(
+        self, endpoint: TrackedEndpoint, customer: str = ""
+    ) -> None:
         """Record that a request at an endpoint has ended."""
         endpoint.view.in_flight -= 1
+        self.room.count(endpoint.entry, customer, -1)
 
     def list_quarantined(self) -> frozenset[str]:
         """Return endpoints that recently declined or could not be reached."""
@@ -326,6 +335,7 @@
         self, endpoint: TrackedEndpoint, unit_ms: float
     ) -> None:
         """Record a complete response, which took ``unit_ms``."""
+        self.room.record_answer(endpoint.entry, unit_ms)
         if health_module.record_success(endpoint.view.health, unit_ms):
             events.log_event(
                 events.Event.ENDPOINT_BACK, endpoint=endpoint.entry.name
