--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -382,7 +382,7 @@
     now_ms: float,
     draw: typing.Callable[[int], int],
     remote_penalty: float = 0.0,
-    room: engine_room.Room = engine_room.NO_ROOM,
+    room: engine_room.Room = engine_room.UNLIMITED,
 ) -> Choice | None:
     """The engine that would finish reading the prompt first.
 
--- a/src/carawayward/decisions/engine_room.py
+++ b/src/carawayward/decisions/engine_room.py
@@ -33,7 +33,7 @@
         )
 
 
-NO_ROOM = Room()
+UNLIMITED = Room()
 
 
 def is_full(room: Room, streams: int) -> bool:
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -124,7 +124,7 @@
         prompt: engine_load.Prompt,
         excluded: frozenset[str],
         remote_weight: float = 0.0,
-        room: engine_room.Room = engine_room.NO_ROOM,
+        room: engine_room.Room = engine_room.UNLIMITED,
     ) -> engine_load.Choice | None:
         """Choose the engine that would finish reading a prompt first."""
         now_ms = self.clock.now_ms()
--- a/tests/common/engine_replay.py
+++ b/tests/common/engine_replay.py
@@ -178,7 +178,7 @@
         tokens = int(min(30_000, max(200, self.draw.lognormvariate(8.3, 1))))
         prompt = self.make_prompt(tokens)
         room = (
-            engine_room.NO_ROOM
+            engine_room.UNLIMITED
             if self.knowledge == "none"
             else engine_room.Room.from_times(
                 self.scenario.slots,
--- a/tests/cover/test_engine_order.py
+++ b/tests/cover/test_engine_order.py
@@ -96,7 +96,7 @@
 def order_by_class(level, choice):
     in_time = choice.weight * TOKEN_MS <= KINDS[level][2]
     found = engine_order.choose_class(level, in_time)
-    weight = engine_order.count_weight(choice, engine_room.NO_ROOM, found)
+    weight = engine_order.count_weight(choice, engine_room.UNLIMITED, found)
     return found, engine_order.choose_urgency(found, False), weight
 
 
