Tell engines the urgency only where their memory holds a full batch

Cause: engines preempt running requests for more urgent ones when their memory runs out; streams pause, prompts are read again.

Change: the order of ranks is on only with 32,768 tokens of memory for each place (kvCapacityTokens, slots).

--- a/src/carawayward/decisions/engine_order.py
+++ b/src/carawayward/decisions/engine_order.py
@@ -27,6 +27,8 @@
 MAX_CLASSES = MAX_LEVELS + 1
 # Urgencies that a class has, so that requests within it can be ordered.
 CLASS_SPAN = 2
+# Memory of an engine for each of its places, in tokens: long prompts fit.
+MIN_TOKENS_PER_PLACE = 32_768
 
 
 def find_level(ranks: typing.Sequence[int], rank: int) -> int | None:
@@ -39,6 +41,15 @@
     return min(bisect.bisect_left(ranks, rank), MAX_LEVELS - 1)
 
 
+def has_memory_for_order(slots: int, cache_tokens: int) -> bool:
+    """Whether engines may be told the urgency of requests.
+
+    When an engine's memory runs out, urgent requests preempt others, whose
+    streams pause and whose prompts are read again. So a full batch has to fit.
+    """
+    return cache_tokens >= MIN_TOKENS_PER_PLACE * slots
+
+
 def choose_class(level: int, in_time: bool) -> int:
     """The class of urgency of a request.
 
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -322,6 +322,12 @@
 
 
 def find_level(work: Work) -> int | None:
-    """The level of its rank; None if its service has only one rank."""
+    """The level of its rank; None if its service has no order of ranks."""
+    service = work.table.services.get(work.service)
+    engine = service.engine if service is not None else None
+    if engine is None or not engine_order.has_memory_for_order(
+        engine.slots, engine.cache_tokens
+    ):
+        return None
     ranks = work.table.list_ranks(work.service)
     return engine_order.find_level(ranks, work.rank)
