--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -72,6 +72,7 @@
         ),
     )
     fleet.room.find_domain = reporter.find_domain
+    fleet.room.enabled = settings.plain_room
     reporter.add_topic(
         "in_flight",
         load_reports.Topic(fleet.room.describe, fleet.room.merge),
--- a/src/carawayward/forwarding/plain_room.py
+++ b/src/carawayward/forwarding/plain_room.py
@@ -58,7 +58,8 @@
 class PlainRoom:
     """The requests in flight at the endpoints of plain services.
 
-    Covers services without ``engine`` that declare ``max_connections``.
+    Covers services without ``engine`` that declare ``max_connections``; none
+    unless ``enabled``.
     ``totals`` and ``customer_totals`` are the sums of the reports in
     ``peers``. ``customers`` are counted over all such services. ``work_ms`` is
     by the endpoint's process, so that a new one starts from its kind.
@@ -69,6 +70,7 @@
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
     find_domain: typing.Callable[[str], str] = find_no_domain
+    enabled: bool = True
     own: dict[str, plain_room.InFlight] = attrs.field(factory=dict)
     customers: dict[int, plain_room.InFlight] = attrs.field(factory=dict)
     rates: dict[str, plain_room.Rate] = attrs.field(factory=dict)
@@ -86,6 +88,8 @@
 
     def covers(self, service: str) -> bool:
         """Whether the places of a service are tracked."""
+        if not self.enabled:
+            return False
         table = self.board.table
         known = table.services.get(service) if table is not None else None
         return (
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -70,7 +70,8 @@
     """All settings of one entry VM that serves forwarded routes.
 
     With ``load_shedding``, requests are let in by rank and customer while
-    engines are behind.
+    engines are behind; with ``plain_room``, those to services without engines
+    are placed and refused by what all entry VMs have in flight there.
     """
 
     name: str
@@ -80,6 +81,7 @@
     bounds: Bounds = attrs.field(factory=Bounds)
     heartbeat_ms: float = 1_200.0
     load_shedding: bool = False
+    plain_room: bool = False
     log_level: str = "info"
 
     @classmethod
--- a/tests/common/forwarding.py
+++ b/tests/common/forwarding.py
@@ -306,6 +306,7 @@
             ),
             bounds=settings_module.Bounds(**typing.cast(dict, bounds)),
             heartbeat_ms=self.heartbeat_ms,
+            plain_room=True,
         )
         platform_ports = entry.make_ports(settings)
         if self.separate:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -28,6 +28,7 @@
 store:
   address: 127.0.0.1:{store}
 heartbeat_ms: 1200
+plain_room: true
 bounds:
   key_lease_ms: 5000
   drain_ms: 2000
