Count an engine's places only where its memory holds a full batch

Cause: with less memory, that limits what runs at once before the places do; engines with all places taken by short streams seemed full, and prompts went to others.

Change: the condition of the order of ranks holds for places as well.

--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -212,7 +212,12 @@
 
     def _make_room(self, work: work_items.Work) -> engine_room.Room:
         service = work.table.services[work.service]
-        slots = service.engine.slots if service.engine is not None else 0
+        engine, slots = service.engine, 0
+        # Otherwise the memory limits what runs at once, before the places do.
+        if engine is not None and engine_order.has_memory_for_order(
+            engine.slots, engine.cache_tokens
+        ):
+            slots = engine.slots
         model = self.fleet.get_latency_model(work.service)
         return engine_room.Room.from_times(
             slots, model.base_ms, model.held_ms, model.token_ms
