--- a/src/carawayward/decisions/engine_order.py
+++ b/src/carawayward/decisions/engine_order.py
@@ -41,11 +41,11 @@
     return min(bisect.bisect_left(ranks, rank), MAX_LEVELS - 1)
 
 
-def has_memory_for_order(slots: int, cache_tokens: int) -> bool:
-    """Whether engines may be told the urgency of requests.
+def holds_full_batch(slots: int, cache_tokens: int) -> bool:
+    """Whether an engine's memory holds long prompts in all of its places.
 
-    When an engine's memory runs out, urgent requests preempt others, whose
-    streams pause and whose prompts are read again. So a full batch has to fit.
+    Where it does not, memory limits what runs at once, and urgent requests
+    preempt others, whose streams pause and whose prompts are read again.
     """
     return cache_tokens >= MIN_TOKENS_PER_PLACE * slots
 
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -214,7 +214,7 @@
         service = work.table.services[work.service]
         engine, slots = service.engine, 0
         # Otherwise the memory limits what runs at once, before the places do.
-        if engine is not None and engine_order.has_memory_for_order(
+        if engine is not None and engine_order.holds_full_batch(
             engine.slots, engine.cache_tokens
         ):
             slots = engine.slots
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -325,7 +325,7 @@
     """The level of its rank; None if its service has no order of ranks."""
     service = work.table.services.get(work.service)
     engine = service.engine if service is not None else None
-    if engine is None or not engine_order.has_memory_for_order(
+    if engine is None or not engine_order.holds_full_batch(
         engine.slots, engine.cache_tokens
     ):
         return None
