Show how long requests wait to be read, and how many connections wait

What callers of one entry VM saw while it got most new connections: no answer. Now it has waited_ms, a histogram has it for all requests, and a gauge has the length of the accept queue.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -121,12 +121,14 @@
     async def _serve(
         self, scope: dict, receive: Receive, reply: AsgiReply
     ) -> None:
-        began_ms = self.clock.now_ms() - find_age_ms(scope)
+        waited_ms = find_age_ms(scope)
+        began_ms = self.clock.now_ms() - waited_ms
         check_framing(scope["headers"])
         limits = self._find_limits()
         body = await read_body(receive, limits.body_bytes)
         request = make_request(scope, body)
         work = self._make_work(request, began_ms)
+        work.waited_ms = waited_ms
         served = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_on_disconnect, receive, reply, nursery)
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -65,6 +65,10 @@
     write_logs: typing.Callable[[], typing.Awaitable[None]] = (
         trio.sleep_forever
     )
+    callers: listening.ListenerConfig = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.callers = self._make_listener(self.settings.listen.callers)
 
     @classmethod
     def from_config(
@@ -172,19 +176,22 @@
             return
         events.log_event(events.Event.SETTINGS_READ, node=self.board.name)
 
+    def _make_listener(self, address: str) -> listening.ListenerConfig:
+        limits = node_settings.Limits(idle_connection_ms=DEFAULT_IDLE_MS)
+        return listening.make_config(address, limits, None, 300)
+
     def _start_serving(self, nursery: trio.Nursery, stop: trio.Event) -> None:
         listen = self.settings.listen
-        limits = node_settings.Limits(idle_connection_ms=DEFAULT_IDLE_MS)
-        configs: list[listening.ListenerConfig] = []
+        nursery.start_soon(http_server.serve, self.app, self.callers, stop)
+        configs = [self.callers]
         for app, address in (
-            (self.app, listen.callers),
             (self._answer_readiness, listen.readiness),
             (self._answer_metrics, listen.metrics),
             (self.relay_server, listen.peers),
         ):
             if not address:
                 continue
-            config = listening.make_config(address, limits, None, 300)
+            config = self._make_listener(address)
             nursery.start_soon(http_server.serve, app, config, stop)
             configs.append(config)
         nursery.start_soon(self._follow_limits, configs)
@@ -228,6 +235,7 @@
             self.board, self.clock.boot_ms()
         )
         gauges |= self.app.forwarder.placer.collect_gauges()
+        gauges["connections_waiting"] = self.callers.count_waiting()
         gauges["services_unreachable"] = len(
             self.app.forwarder.sender.paths.list_lost()
         )
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -374,6 +374,7 @@
         )
         if 200 <= status < 300:
             self.metrics.observe("answer", took_ms, route=work.route.name)
+        self.metrics.observe("request_wait", work.waited_ms)
         events.log_event(
             events.Event.REQUEST_FORWARDED,
             request=work.metadata.request_id,
@@ -387,5 +388,6 @@
             confidence=work.confidence,
             runs=work.runs,
             took_ms=round(took_ms),
+            waited_ms=round(work.waited_ms),
             revision=work.table.revision,
         )
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -206,6 +206,7 @@
     ``pace`` is that of the engine, ``is_engine_full`` whether its places are
     taken. ``urgency_class`` is None where the service has only one rank.
     ``backlog_ms`` is the mean backlog of the engines, for the log.
+    ``waited_ms`` is how long the request waited to be read.
     """
 
     request: replies.CallerRequest
@@ -239,6 +240,7 @@
     is_engine_full: bool = False
     urgency_class: int | None = None
     backlog_ms: float = 0.0
+    waited_ms: float = 0.0
     _fingerprint: str = attrs.field(default="", init=False)
     _shared_parts: tuple[str, ...] | None = attrs.field(
         default=None, init=False
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -2,6 +2,7 @@
 
 import socket
 import ssl
+import struct
 
 from hypercorn import config as hypercorn_config
 import trio
@@ -12,6 +13,8 @@
 # Headers of up to this size reach the application, which refuses those above
 # its own limit with a response that says so.
 MAX_HEADER_BYTES = 65_536
+# Where ``tcp_info`` of a listening socket has the length of its accept queue.
+ACCEPT_QUEUE_LENGTH = struct.Struct("=24xI")
 
 
 def make_socket_options(silence_ms: int) -> list[tuple[int, int, int]]:
@@ -36,6 +39,7 @@
 
     Accepted connections inherit the options of the listening socket.
     ``changed`` is set, and replaced, by each change to the idle time-out.
+    ``listening_sockets`` are those that were created last.
     """
 
     silence_ms: int
@@ -43,6 +47,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.changed = trio.Event()
+        self.listening_sockets: list[socket.socket] = []
 
     def set_idle_timeout(self, timeout_ms: float) -> None:
         """Change the idle time-out, also of open connections."""
@@ -55,11 +60,31 @@
     def create_sockets(self) -> hypercorn_config.Sockets:
         """Create the listening sockets."""
         sockets = super().create_sockets()
-        for each in sockets.secure_sockets + sockets.insecure_sockets:
+        self.listening_sockets = (
+            sockets.secure_sockets + sockets.insecure_sockets
+        )
+        for each in self.listening_sockets:
             for option in make_socket_options(self.silence_ms):
                 each.setsockopt(*option)
         return sockets
 
+    def count_waiting(self) -> int:
+        """How many connections wait to be accepted."""
+        return sum(map(_get_queue_length, self.listening_sockets))
+
+
+def _get_queue_length(listening_socket: socket.socket) -> int:
+    try:
+        info = listening_socket.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, ACCEPT_QUEUE_LENGTH.size
+        )
+    except OSError:
+        # The listener has been closed.
+        return 0
+    if len(info) < ACCEPT_QUEUE_LENGTH.size:
+        return 0
+    return int(ACCEPT_QUEUE_LENGTH.unpack(info)[0])
+
 
 def make_config(
     address: str,
