--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,8 @@
 # A caller waits for at most this share of the time that it has left.
 MAX_WAIT_SHARE = 1.0 / 3.0
 CONNECT_S = 1.0
+# The share of the callers' connections that go to the favoured entry VMs.
+FAVOURED_SHARE = 0.9
 CALL_FAILURES = (
     httpcore.TimeoutException,
     httpcore.NetworkError,
@@ -24,6 +26,11 @@
     trio.BrokenResourceError,
     trio.ClosedResourceError,
 )
+UNREAD_FAILURES = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    ConnectionResetError,
+)
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -33,7 +40,9 @@
     ``load`` multiplies the usual rates, ``loads`` those of some kinds.
     ``customers`` are the shares of the customers. The share ``impatient``
     comes back before it is told to. The share ``abusive`` of the callers
-    repeats a failed request ``abuse`` times at once.
+    repeats a failed request ``abuse`` times at once. First tries of the
+    callers of a zone in ``favoured``, or of all if "" is, mostly go to its
+    entry VMs, each on a new connection.
     """
 
     vms: list[processes.EntryVm]
@@ -47,6 +56,8 @@
     customers: dict[str, float] = attrs.field(factory=lambda: {"ikeja": 1.0})
     ids: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     pools: dict[str, httpcore.AsyncConnectionPool] = attrs.field(factory=dict)
+    favoured: dict[str, list[processes.EntryVm]] = attrs.field(factory=dict)
+    calls: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
     async def run(self, nursery: trio.Nursery) -> None:
         """Send requests of all kinds until cancelled."""
@@ -112,6 +123,8 @@
             self.draw.random() >= self.impatient
         )
         began_ms = trio.current_time() * 1000
+        call = next(self.calls)
+        vm = None
         times = 1
         if self.draw.random() < self.abusive:
             times = self.abuse
@@ -119,12 +132,18 @@
             left_ms = began_ms + kind.deadline_ms - trio.current_time() * 1000
             if left_ms <= 1.0:
                 return
-            status, wait_ms = await self._send(
-                kind, content, left_ms, number == 0, parts, customer
+            vm, is_fresh = self._choose_vm(vm)
+            sent = self._record_sent(
+                kind, content, left_ms, number == 0, parts, customer, vm, call
             )
+            status, wait_ms = await self._send(kind, sent, vm, is_fresh)
             if status in FINAL or 200 <= status < 300:
                 return
-            if kind.route_kind == "unsafe" and status not in PROMISES:
+            if (
+                kind.route_kind == "unsafe"
+                and status not in PROMISES
+                and sent.request_id not in self.history.unread
+            ):
                 return
             if (
                 times == 1
@@ -133,7 +152,25 @@
             ):
                 await trio.sleep(wait_ms / 1000)
 
-    async def _send(
+    def _choose_vm(
+        self, tried: processes.EntryVm | None
+    ) -> tuple[processes.EntryVm, bool]:
+        """Choose an entry VM, and whether it needs a new connection.
+
+        A repeat meets another entry VM than the one that was ``tried``.
+        """
+        vm = self.draw.choice(self.vms)
+        if not self.favoured:
+            return vm, False
+        if tried is not None:
+            others = [each for each in self.vms if each is not tried]
+            return self.draw.choice(others), True
+        favoured = self.favoured.get("") or self.favoured.get(vm.zone)
+        if not favoured or self.draw.random() >= FAVOURED_SHARE:
+            return vm, False
+        return self.draw.choice(favoured), True
+
+    def _record_sent(
         self,
         kind: traffic.Kind,
         content: str | int,
@@ -141,26 +178,13 @@
         first_try: bool,
         parts: tuple[str, ...],
         customer: str,
-    ) -> tuple[int, float]:
-        """Return the status, 0 without one, and the Retry-After in ms."""
-        vm = self.draw.choice(self.vms)
-        request_id = f"{next(self.ids):016x}"
-        headers = {
-            "host": traffic.HOST,
-            "carawayward-attempt-id": request_id,
-            "carawayward-deadline-ms": str(int(left_ms)),
-            "carawayward-key": traffic.get_key(customer),
-        }
-        if kind.stream:
-            prefix, prompt = kind.prompt.split(",")
-            parts = parts or (f"{self.draw.randrange(200):x}",)
-            prompt_parts = [f"{each}:{prefix}" for each in parts]
-            prompt_parts.append(f"{self.draw.randrange(16**8):x}:{prompt}")
-            headers["carawayward-model"] = "*"
-            headers["carawayward-token-count"] = f"{prompt},120"
-            headers["carawayward-prefix-hash"] = ",".join(prompt_parts)
-        self.history.sent[request_id] = records.Sent(
-            request_id=request_id,
+        vm: processes.EntryVm,
+        call: int,
+    ) -> records.Sent:
+        if kind.stream and not parts:
+            parts = (f"{self.draw.randrange(200):x}",)
+        sent = records.Sent(
+            request_id=f"{next(self.ids):016x}",
             vm=vm.name,
             service=kind.service,
             content=f"/{kind.name}/{content}",
@@ -173,34 +197,86 @@
             customer=customer,
             rank=kind.rank,
             target_ms=kind.target_ms,
+            call=call,
         )
+        self.history.sent[sent.request_id] = sent
+        return sent
+
+    def _make_headers(
+        self, kind: traffic.Kind, sent: records.Sent
+    ) -> dict[str, str]:
+        headers = {
+            "host": traffic.HOST,
+            "carawayward-attempt-id": sent.request_id,
+            "carawayward-deadline-ms": str(int(sent.deadline_ms)),
+            "carawayward-key": traffic.get_key(sent.customer),
+        }
+        if kind.stream:
+            prefix, prompt = kind.prompt.split(",")
+            prompt_parts = [f"{each}:{prefix}" for each in sent.parts]
+            prompt_parts.append(f"{self.draw.randrange(16**8):x}:{prompt}")
+            headers["carawayward-model"] = "*"
+            headers["carawayward-token-count"] = f"{prompt},120"
+            headers["carawayward-prefix-hash"] = ",".join(prompt_parts)
+        return headers
+
+    async def _send(
+        self,
+        kind: traffic.Kind,
+        sent: records.Sent,
+        vm: processes.EntryVm,
+        is_fresh: bool,
+    ) -> tuple[int, float]:
+        """Return the status, 0 without one, and the Retry-After in ms."""
+        request_id, history = sent.request_id, self.history
+        headers = self._make_headers(kind, sent)
         status, wait_ms = 0, 0.0
-        with trio.move_on_after(left_ms / 1000):
+        with trio.move_on_after(sent.deadline_ms / 1000):
             try:
-                async with self._get_pool(vm).stream(
+                async with self._get_pool(vm, is_fresh).stream(
                     "GET" if kind.route_kind == "safe" else "POST",
-                    f"http://127.0.0.1:{vm.caller_port}/{kind.name}/{content}",
+                    f"http://127.0.0.1:{vm.caller_port}{sent.content}",
                     headers=list(headers.items()),
                     content=b"" if kind.route_kind == "safe" else b"body",
                     extensions={"timeout": {"connect": CONNECT_S}},
                 ) as response:
                     async for _ in response.aiter_stream():
                         if 200 <= response.status < 300:
-                            self.history.begun.add(request_id)
-            except CALL_FAILURES:
-                self.history.statuses[request_id] = 0
+                            history.begun.add(request_id)
+            except CALL_FAILURES as fault:
+                history.statuses[request_id] = 0
+                if is_unread(fault) and request_id not in history.begun:
+                    history.unread.add(request_id)
                 return 0, 0.0
             status = response.status
             for name, value in response.headers:
                 if name.lower() == b"retry-after":
                     wait_ms = float(value) * 1000
-        self.history.statuses[request_id] = status
-        self.history.answered_ms[request_id] = trio.current_time() * 1000
+        history.statuses[request_id] = status
+        history.answered_ms[request_id] = trio.current_time() * 1000
         return status, wait_ms
 
-    def _get_pool(self, vm: processes.EntryVm) -> httpcore.AsyncConnectionPool:
-        if vm.name not in self.pools:
-            self.pools[vm.name] = httpcore.AsyncConnectionPool(
-                max_connections=300, keepalive_expiry=10.0
+    def _get_pool(
+        self, vm: processes.EntryVm, is_fresh: bool
+    ) -> httpcore.AsyncConnectionPool:
+        """The pool of open connections to an entry VM, or of single ones."""
+        name = f"{vm.name}, fresh" if is_fresh else vm.name
+        if name not in self.pools:
+            self.pools[name] = httpcore.AsyncConnectionPool(
+                max_connections=1_000 if is_fresh else 300,
+                max_keepalive_connections=0 if is_fresh else None,
+                keepalive_expiry=10.0,
             )
-        return self.pools[vm.name]
+        return self.pools[name]
+
+
+def is_unread(fault: BaseException | None) -> bool:
+    """Whether a connection was not established, refused or reset.
+
+    The kernel resets one that is closed while received bytes are unread.
+    """
+    while fault is not None:
+        if isinstance(fault, UNREAD_FAILURES):
+            return True
+        fault = fault.__cause__ or fault.__context__
+    return False
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -30,6 +30,10 @@
 MIN_SERVED_RATIO = 2.0 / 3.0
 MAX_FAILED_FIRST_TRIES = 10
 MAX_FAILED_FIRST_TRY_SHARE = 1.0 / 50.0
+MIN_SERVED_RATIO_IN_SKEW = 3.0 / 4.0
+CALM_BEFORE_SKEW_MS = 6_000.0
+# Calls sent later than this before the end of a run may be open still.
+SETTLED_MS = 4_000.0
 
 Checker = typing.Callable[[records.History, records.Bounds], list[str]]
 
@@ -494,6 +498,80 @@
     return found
 
 
+def _is_call_served(
+    history: records.History,
+    bounds: records.Bounds,
+    tries: list[records.Sent],
+) -> bool | None:
+    """Whether a call's first try that was read is served; None if unknown.
+
+    A connection that was refused, or closed with the request unread, counts
+    as a failure only if no later try is read.
+    """
+    read = [each for each in tries if each.request_id not in history.unread]
+    if not read:
+        return False
+    first = read[0]
+    if not _is_in_touch(history, bounds, first.vm, first.at_ms):
+        return None
+    return 200 <= history.statuses.get(first.request_id, 0) < 300
+
+
+def count_calls(
+    history: records.History, bounds: records.Bounds, skew: records.Skew
+) -> tuple[FirstTries, FirstTries, FirstTries]:
+    """Count calls in the seconds before a skew, during it and after it.
+
+    Both of the latter begin ``contact_ms`` late. Calls without an answer at
+    the end of the run failed.
+    """
+    later_ms = [
+        each.from_ms for each in history.skews if each.from_ms > skew.until_ms
+    ]
+    spans = (
+        (skew.from_ms - CALM_BEFORE_SKEW_MS, skew.from_ms),
+        (skew.from_ms + bounds.contact_ms, skew.until_ms),
+        (
+            skew.until_ms + bounds.contact_ms,
+            min([history.ended_ms - SETTLED_MS, *later_ms]),
+        ),
+    )
+    calls: dict[int, list[records.Sent]] = collections.defaultdict(list)
+    for sent in history.sent.values():
+        calls[sent.call].append(sent)
+    outcomes: list[list[bool]] = [[], [], []]
+    for tries in calls.values():
+        served = _is_call_served(history, bounds, tries)
+        for (from_ms, until_ms), found in zip(spans, outcomes, strict=True):
+            if served is not None and from_ms <= tries[0].at_ms <= until_ms:
+                found.append(served)
+    before, during, after = (
+        FirstTries(sent=len(found), served=sum(found)) for found in outcomes
+    )
+    return before, during, after
+
+
+def check_skews(history: records.History, bounds: records.Bounds) -> list[str]:
+    """Find skews of new connections that callers notice.
+
+    Calls are served at the first try that was read less than three quarters
+    as often as in the seconds before, during a skew or after it.
+    """
+    found = []
+    for skew in history.skews:
+        before, during, after = count_calls(history, bounds, skew)
+        for name, tries in (("during", during), ("after", after)):
+            if min(before.sent, tries.sent) < MIN_REQUESTS_COMPARED:
+                continue
+            if tries.share >= MIN_SERVED_RATIO_IN_SKEW * before.share:
+                continue
+            found.append(
+                f"{tries.served} of {tries.sent} calls were served {name} a "
+                f"skew to {skew.vms}, {before.served} of {before.sent} before"
+            )
+    return found
+
+
 CHECKERS: dict[str, Checker] = {
     "attempts": check_endpoints_per_request,
     "deadlines": check_deadlines,
@@ -503,6 +581,7 @@
     "repeats": check_repeats,
     "rests": check_rests,
     "partitions": check_partitions,
+    "skews": check_skews,
     "ranks": hard_load.check_ranks,
     "customers": hard_load.check_customers,
     "waits": hard_load.check_waits,
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -10,6 +10,7 @@
 
 from tests.common import loopback
 from tests.soak import callers as callers_module
+from tests.soak import checkers
 from tests.soak import endpoints
 from tests.soak import processes
 from tests.soak import records
@@ -46,6 +47,15 @@
 HOT_PROMPTS_PER_S = 12.0
 UNEVEN_SLOWNESS = 2.4
 STALL_S, STALL_EVERY_S = 0.5, 2.0
+# The rule judges what is sent later than contact_ms after it began.
+MIN_SKEW_MS = 9_000.0
+SKEWS_APART_MS = 12_000.0
+# Callers send more, for a VM has to get more than it can serve.
+SKEWED_LOAD = 3.5
+# The balancer takes an entry VM out after this many probes without a 200.
+PROBE_INTERVAL_S = 1.0
+PROBES_MISSED = 2
+MEASURE_DELAY_S = 0.05
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -53,7 +63,7 @@
     """One deployment under the faults of a seed.
 
     With ``proxied`` the addresses of endpoints that are down accept
-    connections.
+    connections. Each entry VM gets ``core_share`` of a core.
     """
 
     seed: int
@@ -61,6 +71,7 @@
     folder: pathlib.Path
     entry_vms: int = ENTRY_VMS
     proxied: bool = False
+    core_share: float = 1.0
     bounds: records.Bounds = attrs.field(factory=records.Bounds)
     history: records.History = attrs.field(factory=records.History)
     store: store_module.Store = attrs.field(factory=store_module.Store)
@@ -69,6 +80,7 @@
     callers: callers_module.Callers = attrs.field(init=False)
     faults: list[schedule.ScheduledFault] = attrs.field(factory=list)
     began_ms: float = 0.0
+    max_delay_ms: float = 0.0
 
     async def play(
         self, seconds: float, kinds: tuple[schedule.Fault, ...]
@@ -95,6 +107,9 @@
             )
             if short:
                 self.callers.customers = traffic.CUSTOMERS
+            if schedule.Fault.SKEWED_CONNECTIONS in kinds:
+                self.callers.load = SKEWED_LOAD
+            nursery.start_soon(self._measure_delay)
             await trio.sleep(WARM_UP_S)
             self.began_ms = trio.current_time() * 1000
             await self.callers.run(nursery)
@@ -103,6 +118,7 @@
                 max(0.0, seconds + self.began_ms / 1000 - trio.current_time())
             )
             await trio.sleep(SETTLE_S)
+            self.history.ended_ms = trio.current_time() * 1000
             nursery.cancel_scope.cancel()
 
     def make_endpoints(self, draw: random.Random, short: bool = False) -> None:
@@ -147,10 +163,19 @@
                 store_port=store_port,
                 bounds=self.bounds,
                 history=self.history,
+                core_share=self.core_share,
             )
             for number in range(self.entry_vms)
         ]
 
+    async def _measure_delay(self) -> None:
+        """Keep how late the tasks of this process, callers too, have run."""
+        while True:
+            due_s = trio.current_time() + MEASURE_DELAY_S
+            await trio.sleep_until(due_s)
+            late_ms = (trio.current_time() - due_s) * 1000
+            self.max_delay_ms = max(self.max_delay_ms, late_ms)
+
     async def _inject(self, nursery: trio.Nursery) -> None:
         for each in self.faults:
             due_s = (self.began_ms + each.at_ms) / 1000
@@ -224,6 +249,8 @@
                 await self._partition(fault)
             case kind.CRASHING_PART:
                 await self._crash_by_part(fault)
+            case kind.SKEWED_CONNECTIONS:
+                await self._skew_connections(fault)
             case each if each in schedule.HARD_LOAD_FAULTS:
                 await self._take_room(fault)
             case kind.CRASHING_REQUEST:
@@ -333,6 +360,55 @@
             for endpoint in self.fleet:
                 endpoint.link.release(vm.ip)
 
+    async def _skew_connections(self, fault: schedule.ScheduledFault) -> None:
+        """Have most new connections go to one or two entry VMs.
+
+        They are those of all callers, or of the callers of a failure domain.
+        An entry VM that the balancer takes out is replaced by another one.
+        """
+        from_ms = trio.current_time() * 1000 + checkers.CALM_BEFORE_SKEW_MS
+        if any(
+            each.until_ms + SKEWS_APART_MS > from_ms
+            for each in self.history.skews
+        ):
+            return
+        first = self.vms[fault.target % len(self.vms)]
+        zone = first.zone if fault.target // len(self.vms) % 3 == 2 else ""
+        group = [vm for vm in self.vms if zone in ("", vm.zone)]
+        count = min(1 + int(fault.strength * 1.5), len(group))
+        begin = group.index(first)
+        in_turn = group[begin:] + group[:begin]
+        skew = records.Skew(zone=zone, vms=[], from_ms=from_ms)
+        self.history.skews.append(skew)
+        await trio.sleep_until(from_ms / 1000)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._keep_favouring, skew, in_turn, count)
+            await trio.sleep((MIN_SKEW_MS + fault.for_ms) / 1000)
+            nursery.cancel_scope.cancel()
+        self.callers.favoured.pop(zone)
+        skew.until_ms = trio.current_time() * 1000
+
+    async def _keep_favouring(
+        self,
+        skew: records.Skew,
+        in_turn: list[processes.EntryVm],
+        count: int,
+    ) -> None:
+        """Favour the first entry VMs that answer the balancer's probes."""
+        missed = dict.fromkeys((vm.name for vm in in_turn), 0)
+        while True:
+            ready = [vm for vm in in_turn if missed[vm.name] < PROBES_MISSED]
+            chosen = (ready or in_turn)[:count]
+            self.callers.favoured[skew.zone] = chosen
+            skew.vms += [vm.name for vm in chosen if vm.name not in skew.vms]
+            await trio.sleep(PROBE_INTERVAL_S)
+            for vm in in_turn:
+                with trio.move_on_after(PROBE_INTERVAL_S):
+                    is_ready = await vm.is_ready()
+                    missed[vm.name] = 0 if is_ready else missed[vm.name] + 1
+                    continue
+                missed[vm.name] += 1
+
     async def _crash_by_part(self, fault: schedule.ScheduledFault) -> None:
         """Send prompts with parts that crash endpoints, and sound ones.
 
--- a/tests/soak/partitioned.py
+++ b/tests/soak/partitioned.py
@@ -1,20 +1,25 @@
-"""Runs a program whose new connections can be cut off, by address.
+"""Runs a program whose connections and processor time are bounded.
 
 Its TCP connections come from the IP address of its environment, so that relays
 can tell whose they are. While the file named there exists, new connections to
-the addresses that it lists are refused or hang; see ``EntryVm.partition``.
+the addresses that it lists are refused or hang; see ``EntryVm.partition``. If
+it gets less than a core, it is stopped for a part of each period.
 """
 
 import json
 import os
 import pathlib
 import runpy
+import signal
 import socket
 import sys
+import time
 import typing
 
 IP_VARIABLE = "SOAK_IP"
 FILE_VARIABLE = "SOAK_PARTITION"
+CORE_VARIABLE = "SOAK_CORE_SHARE"
+CORE_PERIOD_S = 0.02
 # Lets the kernel choose the port when the connection is made.
 IP_BIND_ADDRESS_NO_PORT = 24
 
@@ -64,8 +69,25 @@
     return connect_unless_cut
 
 
+def bound_processor_time(core_share: float) -> None:
+    """Let this process run for a part of each period, as a quota does."""
+    bounded = os.getpid()
+    if os.fork():
+        return
+    while True:
+        time.sleep(CORE_PERIOD_S * core_share)
+        if os.getppid() != bounded:
+            os._exit(0)
+        os.kill(bounded, signal.SIGSTOP)
+        time.sleep(CORE_PERIOD_S * (1.0 - core_share))
+        os.kill(bounded, signal.SIGCONT)
+
+
 def main(program: str) -> None:
     """Run a Python program in this process."""
+    core_share = float(os.environ[CORE_VARIABLE])
+    if core_share < 1.0:
+        bound_processor_time(core_share)
     replaced: typing.Any = make_connect(
         socket.socket.connect,
         os.environ[IP_VARIABLE],
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -42,7 +42,8 @@
     """One entry VM; a new process starts soon after the last one has ended.
 
     Callers reach it through ``caller_link``, it reaches the store through
-    ``store_link``. Its connections come from ``ip``, its own address.
+    ``store_link``. Its connections come from ``ip``, its own address. It gets
+    ``core_share`` of a core.
     """
 
     name: str
@@ -53,6 +54,7 @@
     bounds: records.Bounds
     history: records.History
     ip: str
+    core_share: float = 1.0
     restart_ms: float = 600.0
     ports: list[int] = attrs.field(factory=lambda: loopback.find_free_ports(6))
     caller_link: link_module.Link = attrs.field(init=False)
@@ -62,7 +64,7 @@
     ends_unasked: int = 0
 
     def __attrs_post_init__(self) -> None:
-        self.caller_link = link_module.Link(self.ports[0])
+        self.caller_link = link_module.Link(self.ports[0], passes_resets=True)
         self.store_link = link_module.Link(self.store_port)
 
     @property
@@ -85,7 +87,7 @@
                     await trio.sleep(self.restart_ms / 1000)
             finally:
                 if self.process is not None:
-                    self.process.kill()
+                    self._signal(signal.SIGKILL)
 
     async def _run_process(self) -> None:
         self.starts += 1
@@ -109,7 +111,10 @@
                     "CARAWAYWARD_CONFIG": str(path),
                     partitioned.IP_VARIABLE: self.ip,
                     partitioned.FILE_VARIABLE: str(self._partition_path),
+                    partitioned.CORE_VARIABLE: f"{self.core_share:g}",
                 },
+                # Signals reach the process that bounds its processor time too.
+                process_group=0,
             )
         disruption.until_ms = trio.current_time() * 1000
         if await self.process.wait() != -signal.SIGKILL:
@@ -138,10 +143,11 @@
     async def wait_until_ready(self) -> None:
         """Wait until the process answers the balancer's probes with 200."""
         with trio.fail_after(START_S):
-            while not await self._is_ready():
+            while not await self.is_ready():
                 await trio.sleep(0.05)
 
-    async def _is_ready(self) -> bool:
+    async def is_ready(self) -> bool:
+        """Whether the process answers a probe with 200."""
         try:
             stream = await trio.open_tcp_stream("127.0.0.1", self.ports[1])
             async with stream:
@@ -166,7 +172,12 @@
         if self.process is not None and self.process.returncode is None:
             disruption = self.disrupt("kill")
             disruption.until_ms = disruption.from_ms
-            self.process.kill()
+            self._signal(signal.SIGKILL)
+
+    def _signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process and what bounds its processor time."""
+        if self.process is not None and self.process.returncode is None:
+            os.killpg(self.process.pid, number)
 
     @property
     def _partition_path(self) -> pathlib.Path:
@@ -189,9 +200,10 @@
         if process is None or process.returncode is not None:
             return
         disruption = self.disrupt("pause")
-        process.send_signal(signal.SIGSTOP)
+        self._signal(signal.SIGSTOP)
         await trio.sleep(for_ms / 1000)
-        process.send_signal(signal.SIGCONT)
+        if process is self.process:
+            self._signal(signal.SIGCONT)
         disruption.until_ms = trio.current_time() * 1000
 
     async def apply_link_mode(
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -26,7 +26,7 @@
     Requests with the same ``content`` have the same path, caller and body.
     ``first_try`` is false if it repeats a request that was refused or failed.
     ``parts`` are those of its prompt that others may share, in order. A
-    lower ``rank`` is more urgent.
+    lower ``rank`` is more urgent. The tries of one ``call`` follow each other.
     """
 
     request_id: str
@@ -42,6 +42,7 @@
     customer: str = ""
     rank: int = 0
     target_ms: float = math.inf
+    call: int = 0
 
     @property
     def ends_ms(self) -> float:
@@ -95,6 +96,20 @@
     until_ms: float = math.inf
 
 
+@attrs.define(kw_only=True, eq=False)
+class Skew:
+    """A time in which most first tries were new connections to few VMs.
+
+    ``zone`` is that of the callers concerned, empty for all; ``vms`` are the
+    entry VMs that got them, one after the other or together.
+    """
+
+    zone: str
+    vms: list[str]
+    from_ms: float
+    until_ms: float = math.inf
+
+
 @attrs.define(kw_only=True, eq=False)
 class CrashingPart:
     """A prompt part that crashes endpoints, and what is sent beside it.
@@ -118,7 +133,8 @@
     ``begun`` are the requests of which the caller got a first event.
     ``answered_ms`` is when the callers had their statuses. ``shortages`` are
     the times in which room may be short, ``places`` the slots of each endpoint
-    by service.
+    by service. The connections of ``unread`` requests were refused, or closed
+    before an entry VM had read them.
     """
 
     sent: dict[str, Sent] = attrs.field(factory=dict)
@@ -132,6 +148,9 @@
     answered_ms: dict[str, float] = attrs.field(factory=dict)
     shortages: list[Disruption] = attrs.field(factory=list)
     places: dict[str, list[int]] = attrs.field(factory=dict)
+    skews: list[Skew] = attrs.field(factory=list)
+    unread: set[str] = attrs.field(factory=set)
+    ended_ms: float = math.inf
 
     def find_vm(self, arrival: Arrival) -> str:
         """The entry VM that a request came from."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -43,6 +43,8 @@
     ends_unasked: int
     partitions: list[str]
     crashing_parts: list[str]
+    skews: list[str]
+    harness_delay_ms: float
 
     @property
     def broken(self) -> bool:
@@ -74,9 +76,26 @@
             describe_crashing_part(soak, each)
             for each in history.crashing_parts
         ],
+        skews=[describe_skew(soak, each) for each in history.skews],
+        harness_delay_ms=round(soak.max_delay_ms),
     )
 
 
+def describe_skew(soak: deployment.Soak, skew: records.Skew) -> str:
+    """How many calls were served before, during and after a skew."""
+    counts = ", ".join(
+        f"{each.served} of {each.sent}"
+        for each in checkers.count_calls(soak.history, soak.bounds, skew)
+    )
+    unread = sum(
+        soak.history.sent[each].at_ms <= skew.until_ms
+        for each in soak.history.unread
+        if soak.history.sent[each].at_ms >= skew.from_ms
+    )
+    where = skew.zone or "all zones"
+    return f"{where} to {skew.vms}: {counts}; {unread} not read"
+
+
 def describe_crashing_part(
     soak: deployment.Soak, part: records.CrashingPart
 ) -> str:
@@ -117,6 +136,7 @@
     kinds: tuple[schedule.Fault, ...] = schedule.USUAL_FAULTS,
     entry_vms: int = deployment.ENTRY_VMS,
     proxied: bool = False,
+    core_share: float = 1.0,
 ) -> tuple[deployment.Soak, Result]:
     """Play one seed; the logs are removed unless a rule was broken."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -126,6 +146,7 @@
         folder=folder,
         entry_vms=min(entry_vms, MAX_ENTRY_VMS),
         proxied=proxied,
+        core_share=core_share,
     )
     trio.run(soak.play, min(seconds, MAX_SECONDS), kinds)
     result = summarize(soak)
@@ -170,6 +191,7 @@
     vms: int = deployment.ENTRY_VMS,
     busy: int = 0,
     proxied: bool = False,
+    core_share: float = 1.0,
 ) -> int:
     """Play seeds, print a line for each; the exit code is 0 if all hold.
 
@@ -183,6 +205,7 @@
         busy: how many processes keep the machine busy meanwhile.
         proxied: whether addresses of endpoints that are down accept
             connections.
+        core_share: how much of a core each entry VM gets.
     """
     names = faults if isinstance(faults, tuple) else faults.split(",")
     kinds = tuple(schedule.Fault[name] for name in names if name)
@@ -199,6 +222,7 @@
                 kinds or schedule.USUAL_FAULTS,
                 vms,
                 proxied,
+                core_share,
             )
             broken += result.broken
             print(json.dumps(attrs.asdict(result)), flush=True)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -46,6 +46,7 @@
     UNEVEN_ENGINES = "some engines slow, and stalled at times"
     HOT_PART = "many prompts share a part"
     IMPATIENT_CALLERS = "callers come back before they are told to"
+    SKEWED_CONNECTIONS = "most new connections go to few vms"
 
 
 # Faults that take room; callers then have ranks and several customers.
@@ -62,7 +63,13 @@
 USUAL_FAULTS = tuple(
     each
     for each in Fault
-    if each not in (Fault.PARTITION, Fault.CRASHING_PART, *HARD_LOAD_FAULTS)
+    if each
+    not in (
+        Fault.PARTITION,
+        Fault.CRASHING_PART,
+        Fault.SKEWED_CONNECTIONS,
+        *HARD_LOAD_FAULTS,
+    )
 )
 
 
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -211,6 +211,7 @@
         "repeats": [],
         "rests": [],
         "partitions": [],
+        "skews": [],
         "ranks": [],
         "customers": [],
         "waits": [],
@@ -423,3 +424,54 @@
         if "shares_all_other_parts" in each
     ]
     assert "0 of 20" in violation
+
+
+def send_calls(history, count, at_ms, served, unread=0):
+    """Send calls; of the first ``unread`` the first try was not read."""
+    for number in range(count):
+        call = len(history.sent)
+        if number < unread:
+            request_id = add_request(history, 2 * call, at_ms=at_ms, call=call)
+            history.unread.add(request_id)
+            history.statuses[request_id] = 0
+        request_id = add_request(
+            history, 2 * call + 1, at_ms=at_ms, call=call, vm="edge-1"
+        )
+        history.statuses[request_id] = 200 if number < served else 503
+
+
+def skew_connections(served, unread=0, served_after=40):
+    """40 calls before a skew, 3 s after it began, and 3 s after its end."""
+    history = records.History()
+    skew = records.Skew(
+        zone="", vms=["edge-0"], from_ms=FAR_MS, until_ms=FAR_MS + 9_000.0
+    )
+    history.skews.append(skew)
+    history.ended_ms = skew.until_ms + 9_000.0
+    send_calls(history, 40, FAR_MS - 1.0, 40)
+    send_calls(history, 40, FAR_MS + 3_001.0, served, unread)
+    send_calls(history, 40, skew.until_ms + 3_001.0, served_after)
+    return history
+
+
+def test_calls_that_fail_while_few_entry_vms_get_them_are_found():
+    """Fewer than three quarters of those before are served."""
+    assert check(checkers.check_skews, skew_connections(29))
+    assert not check(checkers.check_skews, skew_connections(30))
+
+
+def test_calls_that_fail_after_few_entry_vms_got_them_are_found():
+    """The entry VM still works on what it got."""
+    assert check(checkers.check_skews, skew_connections(40, served_after=29))
+
+
+def test_tries_that_were_not_read_do_not_count_if_a_later_one_is_read():
+    """A try that was turned away counts if nothing follows it."""
+    history = skew_connections(40, unread=40)
+    assert not check(checkers.check_skews, history)
+    history.unread |= {
+        each.request_id
+        for each in history.sent.values()
+        if FAR_MS < each.at_ms < FAR_MS + 9_000.0
+    }
+    assert check(checkers.check_skews, history)
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -16,6 +16,8 @@
 import contextlib
 import functools
 import json
+import socket
+import struct
 import typing
 
 import attrs
@@ -23,6 +25,8 @@
 import trio
 
 CHUNK = 65_536
+# Has the kernel reset a connection when it is closed.
+LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 @attrs.define(eq=False)
@@ -39,9 +43,14 @@
 
 @attrs.define(eq=False)
 class Link:
-    """The connections from one process to another, and their mode."""
+    """The connections from one process to another, and their mode.
+
+    With ``passes_resets`` a connection is reset if the target refuses or
+    resets it; else it is closed.
+    """
 
     target: int
+    passes_resets: bool = False
     mode: str = "open"
     delay_ms: float = 0.0
     changed: trio.Event = attrs.field(factory=trio.Event)
@@ -110,11 +119,15 @@
     link.connections.add(connection)
     outbound = None
     try:
-        with connection.cancel_scope, contextlib.suppress(OSError):
+        with connection.cancel_scope:
             if link.mode == "reset":
                 return
             await link.wait_until_passing(connection)
-            outbound = await trio.open_tcp_stream("127.0.0.1", link.target)
+            try:
+                outbound = await trio.open_tcp_stream("127.0.0.1", link.target)
+            except OSError:
+                _pass_reset(link, inbound)
+                return
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
                     forward_until_failure, link, connection, inbound, outbound
@@ -138,10 +151,22 @@
     """Forward in one direction; end the connection if either end fails."""
     try:
         await forward(link, connection, source, sink)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
+    except trio.BrokenResourceError:
+        for each in (source, sink):
+            _pass_reset(link, each)
+        connection.cancel_scope.cancel()
+    except trio.ClosedResourceError:
         connection.cancel_scope.cancel()
 
 
+def _pass_reset(link: Link, stream: trio.SocketStream) -> None:
+    """Have a connection be reset, not closed, if the link passes resets."""
+    if link.passes_resets:
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE
+        )
+
+
 async def serve_link(
     link: Link,
     port: int = 0,
