Turn away new connections that one overloaded entry VM would leave waiting

Cause: the listener accepts one connection in each turn of the event loop. A turn takes as long as the work in hand, so an entry VM accepts just what it serves, 35 to 45 a second there, and nothing bounds what waits beyond that. The accept queue of 100 fills, which is the 2.6 s by which all took longer; then the kernel drops handshakes. Class: a queue without a bound on its time, and a bound on work (one a turn) that nobody is told of.

Evidence: ends a second did not rise with the load, heads of streams were read as soon as before, requests took the queue's length longer, and what was missing had no line in any log, as it was never read.

Ruled out: work in hand that slows itself down (heads 225 to 315 ms against 200 to 270); shares of limits by an even split (no refusal names one).

Change: a queue that did not empty for 250 ms is reset with nothing read, if fewer than half of the entry VMs heard of lately say that they are overloaded too; for 2 s after that the limit is 50 ms, one connection is accepted in four turns, and answers close their connections. Nothing that was read is dropped.

--- /dev/null
+++ b/src/carawayward/accept_queue.py
@@ -0,0 +1,127 @@
+"""Accepts connections one at a time, and turns away those beyond."""
+
+import socket
+import struct
+import typing
+
+import trio
+
+from carawayward import events
+from carawayward import supervision
+
+# Has the kernel reset a connection when it is closed.
+NO_LINGER = struct.pack("ii", 1, 0)
+# Connections that are turned away before other tasks have their turn.
+MAX_TURNED_AWAY_PER_TURN = 256
+
+
+class Policy(typing.Protocol):
+    """Decides how fast connections are accepted, and which are not."""
+
+    def count_turns(self) -> int:
+        """How many turns of the event loop each connection takes."""
+
+    def record_empty(self) -> None:
+        """Record that no connection waits."""
+
+    def should_turn_away(self) -> bool:
+        """Whether to turn away all that wait; called when some may."""
+
+    def record_turned_away(self, count: int) -> None:
+        """Record how many were turned away."""
+
+
+class KeepWaiting:
+    """The policy by which all connections wait until they are accepted."""
+
+    def count_turns(self) -> int:
+        """Accept one connection in each turn."""
+        return 1
+
+    def record_empty(self) -> None:
+        """Do nothing."""
+
+    def should_turn_away(self) -> bool:
+        """Never turn connections away."""
+        return False
+
+    def record_turned_away(self, count: int) -> None:
+        """Do nothing."""
+
+
+class AcceptingListener(trio.abc.Listener[trio.SocketStream]):
+    """Accepts connections; ``aclose`` leaves its socket open.
+
+    Its ``policy`` says how many turns of the event loop lie between two, so
+    that new requests do not take the time of those in hand, and whether others
+    wait meanwhile or are turned away.
+
+    Closing a listening socket resets the connections in its accept queue,
+    and with them requests that callers have already sent. ``drain`` accepts
+    these connections, then closes the socket.
+    """
+
+    def __init__(
+        self, listening_socket: socket.socket, policy: Policy
+    ) -> None:
+        self.listening_socket = listening_socket
+        self.policy = policy
+        self.inner = trio.SocketListener(
+            trio.socket.from_stdlib_socket(listening_socket)
+        )
+
+    async def accept(self) -> trio.SocketStream:
+        """Wait for the next connection."""
+        for _ in range(self.policy.count_turns()):
+            await trio.lowlevel.checkpoint()
+        try:
+            accepted, _ = self.listening_socket.accept()
+        except BlockingIOError:
+            self.policy.record_empty()
+            return await self.inner.accept()
+        if self.policy.should_turn_away():
+            self._turn_away_waiting()
+        return make_stream(accepted)
+
+    def _turn_away_waiting(self) -> None:
+        """Reset the connections that wait, with nothing read."""
+        count = 0
+        while count < MAX_TURNED_AWAY_PER_TURN:
+            try:
+                waiting, _ = self.listening_socket.accept()
+            except OSError:
+                # None is left, or none can be accepted now.
+                break
+            with waiting:
+                waiting.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+                )
+            count += 1
+        if count:
+            self.policy.record_turned_away(count)
+
+    async def aclose(self) -> None:
+        """Do nothing; ``drain`` closes the socket."""
+        await trio.lowlevel.checkpoint()
+
+    def drain(self) -> typing.Iterator[trio.SocketStream]:
+        """Accept the queued connections, then close the socket."""
+        with self.listening_socket:
+            while True:
+                try:
+                    accepted, _ = self.listening_socket.accept()
+                except BlockingIOError:
+                    return
+                except OSError as fault:
+                    events.log_event(
+                        events.Event.FAULT,
+                        task="closing a listener",
+                        detail=supervision.describe_fault(fault),
+                    )
+                    return
+                yield make_stream(accepted)
+
+
+def make_stream(accepted: socket.socket) -> trio.SocketStream:
+    """Make the stream of an accepted connection."""
+    return trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -17,8 +17,9 @@
 ``crashing_parts`` (which part of them is to blame), ``plain_room`` (where
 there is room at plain services, and who gets it), ``store_polls`` (how long
 polls of the store may wait), ``demand`` (who asks for how much of the
-engines), ``load_shedding`` (who gets their room when there is too little) and
-``returning`` (which callers come back as told).
+engines), ``load_shedding`` (who gets their room when there is too little),
+``returning`` (which callers come back as told) and ``overload`` (which
+connections this entry VM turns away).
 
 For the callers' API: ``admission``, ``queueing``, ``retry``,
 ``cascade``, ``evidence``, ``exposure``, ``rollout``, ``session`` and
--- /dev/null
+++ b/src/carawayward/decisions/overload.py
@@ -0,0 +1,82 @@
+"""When an entry VM that is overloaded turns away new connections.
+
+Answers a balancer that hands most new connections to few entry VMs, each of
+which serves only what its event loop can. Prevents requests that wait unread
+until their callers give up, although other entry VMs have room.
+
+A queue that empties from time to time only smooths bursts; one that stays
+is a sign of overload.
+"""
+
+import math
+
+import attrs
+
+# How long connections may wait all the time before some are turned away.
+MAX_STANDING_MS = 250.0
+# The same while the entry VM turns connections away, so that a queue does not
+# build up again and again.
+MAX_STANDING_OVERLOADED_MS = 50.0
+# The entry VM counts as overloaded for this long after the last time at which
+# it had too long a queue.
+OVERLOADED_MS = 2_000.0
+# Turns of the event loop for each connection. With more of them fewer requests
+# share the event loop, and each takes less time, while as many are served.
+TURNS = 1
+TURNS_OVERLOADED = 4
+# Part of the entry VMs heard of lately that may be overloaded as well.
+MAX_OVERLOADED_PART = 0.5
+
+
+@attrs.define
+class AcceptQueue:
+    """The connections that wait to be accepted; times in ms.
+
+    ``standing_since_ms`` is since when some have waited at all times, None if
+    none waited when last looked. The queue last was too long at
+    ``too_long_ms``.
+    """
+
+    standing_since_ms: float | None = None
+    too_long_ms: float = -math.inf
+
+
+def record_empty(queue: AcceptQueue) -> None:
+    """Record that no connection waits."""
+    queue.standing_since_ms = None
+
+
+def record_waiting(queue: AcceptQueue, now_ms: float) -> None:
+    """Record that connections wait."""
+    if queue.standing_since_ms is None:
+        queue.standing_since_ms = now_ms
+    limit_ms = MAX_STANDING_MS
+    if is_overloaded(queue, now_ms):
+        limit_ms = MAX_STANDING_OVERLOADED_MS
+    if now_ms - queue.standing_since_ms >= limit_ms:
+        queue.too_long_ms = now_ms
+
+
+def is_too_long(queue: AcceptQueue, now_ms: float) -> bool:
+    """Whether connections have waited for too long until now."""
+    return queue.standing_since_ms is not None and queue.too_long_ms == now_ms
+
+
+def is_overloaded(queue: AcceptQueue, now_ms: float) -> bool:
+    """Whether the queue has been too long lately."""
+    return now_ms - queue.too_long_ms < OVERLOADED_MS
+
+
+def count_turns(queue: AcceptQueue, now_ms: float) -> int:
+    """How many turns of the event loop each connection takes."""
+    return TURNS_OVERLOADED if is_overloaded(queue, now_ms) else TURNS
+
+
+def others_have_room(recent: int, overloaded: int) -> bool:
+    """Whether connections that are turned away will be served elsewhere.
+
+    ``recent`` is the number of other entry VMs heard of lately, ``overloaded``
+    that of those which said that they are overloaded. If most are, a caller
+    that is turned away has used up a try for nothing.
+    """
+    return overloaded < MAX_OVERLOADED_PART * recent
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -299,6 +299,13 @@
         "or to customers that ask for less. The request has not run.",
         'see "Room goes to others" in docs/operations/load.md',
     )
+    CONNECTIONS_TURNED_AWAY = EventKind(
+        1534,
+        "New connections came faster than this entry VM accepts them, while "
+        "others had room. Those that waited were reset with nothing read.",
+        'see "One entry VM gets most connections" in docs/operations/load.md',
+        logging.WARNING,
+    )
     REQUEST_HEDGED = EventKind(
         1507, "A run without output was started again on another endpoint."
     )
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -15,6 +15,7 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import connection_shedding
 from carawayward.forwarding import exchange
 from carawayward.forwarding import message_types
 from carawayward.forwarding import metrics as metrics_module
@@ -99,6 +100,7 @@
     forwarder: exchange.Forwarder
     readiness: readiness_module.Readiness
     metrics: metrics_module.Metrics
+    shedding: connection_shedding.ConnectionShedding
 
     async def __call__(
         self, scope: dict, receive: Receive, send: Send
@@ -106,7 +108,7 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        reply = AsgiReply(send, self.readiness.should_redirect_callers)
+        reply = AsgiReply(send, self._should_redirect_callers)
         self.board.open_requests += 1
         try:
             await self._serve(scope, receive, reply)
@@ -118,6 +120,12 @@
         finally:
             self.board.open_requests -= 1
 
+    def _should_redirect_callers(self) -> bool:
+        return (
+            self.readiness.should_redirect_callers()
+            or self.shedding.should_redirect_callers()
+        )
+
     async def _serve(
         self, scope: dict, receive: Receive, reply: AsgiReply
     ) -> None:
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -8,6 +8,7 @@
 from carawayward.forwarding import admission as admission_module
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import connection_shedding
 from carawayward.forwarding import conviction_log
 from carawayward.forwarding import crashing_parts
 from carawayward.forwarding import exchange
@@ -44,6 +45,7 @@
     relays: relay_client.RelayClient
     convictions: conviction_log.ConvictionLog
     admission: admission_module.Admission
+    shedding: connection_shedding.ConnectionShedding
 
 
 def make_placement(
@@ -135,6 +137,12 @@
     reporter.add_topic(
         "demand", load_reports.Topic(admission.describe, admission.merge)
     )
+    shedding = connection_shedding.ConnectionShedding(
+        board, clock, reporter, metrics
+    )
+    reporter.add_topic(
+        "overload", load_reports.Topic(shedding.describe, shedding.merge)
+    )
     return PlacementParts(
         placer,
         reporter,
@@ -145,6 +153,7 @@
         relays,
         convictions,
         admission,
+        shedding,
     )
 
 
@@ -194,7 +203,13 @@
         parts.admission,
     )
     return app_module.ForwardingApp(
-        board, clock, ports.dialect, forwarder, readiness, placer.metrics
+        board,
+        clock,
+        ports.dialect,
+        forwarder,
+        readiness,
+        placer.metrics,
+        parts.shedding,
     )
 
 
--- /dev/null
+++ b/src/carawayward/forwarding/connection_shedding.py
@@ -0,0 +1,98 @@
+"""Turns away new connections while only this entry VM is overloaded."""
+
+import typing
+
+import attrs
+
+from carawayward import clock as clock_module
+from carawayward.decisions import overload
+from carawayward import events
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import load_reports
+from carawayward.forwarding import metrics as metrics_module
+
+EVENT_INTERVAL_MS = 1_000.0
+
+
+@attrs.define(eq=False)
+class ConnectionShedding:
+    """The policy of the callers' listener; times in ms.
+
+    ``overloaded_until`` has the peers that reported overload, each with the
+    time until which its report counts. ``turned_away`` counts connections
+    since the last event, which was logged at ``logged_ms``.
+    """
+
+    board: board_module.ForwardingBoard
+    clock: clock_module.Clock
+    reporter: load_reports.LoadReporter
+    metrics: metrics_module.Metrics
+    queue: overload.AcceptQueue = attrs.field(factory=overload.AcceptQueue)
+    overloaded_until: dict[str, float] = attrs.field(factory=dict)
+    turned_away: int = 0
+    logged_ms: float = board_module.NEVER
+
+    def count_turns(self) -> int:
+        """How many turns of the event loop each connection takes."""
+        return overload.count_turns(self.queue, self.clock.now_ms())
+
+    def record_empty(self) -> None:
+        """Record that no connection waits."""
+        overload.record_empty(self.queue)
+
+    def should_turn_away(self) -> bool:
+        """Whether to turn away all connections that wait."""
+        now_ms = self.clock.now_ms()
+        was_overloaded = overload.is_overloaded(self.queue, now_ms)
+        overload.record_waiting(self.queue, now_ms)
+        if not overload.is_too_long(self.queue, now_ms):
+            return False
+        if not was_overloaded:
+            self.reporter.report_soon()
+        return self._others_have_room(now_ms)
+
+    def record_turned_away(self, count: int) -> None:
+        """Record how many connections were turned away."""
+        overload.record_empty(self.queue)
+        self.metrics.add("connections_turned_away", count)
+        self.turned_away += count
+        now_ms = self.clock.now_ms()
+        if now_ms - self.logged_ms < EVENT_INTERVAL_MS:
+            return
+        recent, overloaded = self._count_peers(now_ms)
+        events.log_event(
+            events.Event.CONNECTIONS_TURNED_AWAY,
+            connections=self.turned_away,
+            open_requests=self.board.open_requests,
+            peers=recent,
+            peers_overloaded=overloaded,
+        )
+        self.turned_away, self.logged_ms = 0, now_ms
+
+    def should_redirect_callers(self) -> bool:
+        """Whether callers should open their next connection elsewhere."""
+        now_ms = self.clock.now_ms()
+        return overload.is_overloaded(
+            self.queue, now_ms
+        ) and self._others_have_room(now_ms)
+
+    def describe(self) -> int | None:
+        """Describe the state for peers; None unless overloaded."""
+        now_ms = self.clock.now_ms()
+        return 1 if overload.is_overloaded(self.queue, now_ms) else None
+
+    def merge(self, sender: str, value: typing.Any, ttl_ms: float) -> None:
+        """Record that a peer is overloaded."""
+        name = sender.partition("/")[0]
+        self.overloaded_until[name] = self.clock.now_ms() + ttl_ms
+
+    def _others_have_room(self, now_ms: float) -> bool:
+        return overload.others_have_room(*self._count_peers(now_ms))
+
+    def _count_peers(self, now_ms: float) -> tuple[int, int]:
+        """Count the peers heard of lately, and those overloaded."""
+        recent = self.reporter.list_recent_peers()
+        return len(recent), sum(
+            now_ms < self.overloaded_until.get(name, board_module.NEVER)
+            for name in recent
+        )
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -69,6 +69,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.callers = self._make_listener(self.settings.listen.callers)
+        self.callers.accept_policy = self.app.shedding
 
     @classmethod
     def from_config(
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -224,6 +224,16 @@
             return None
         return self.directory.count_possible_members(self.clock.now_ms())
 
+    def list_recent_peers(self) -> list[str]:
+        """The names of the peers whose last report is still valid."""
+        now_ms = self.clock.now_ms()
+        return [
+            peer.name
+            for peer in self.peers.values()
+            if now_ms - peer.last_seen_ms
+            < peer.compute_ttl_ms(PEER_TIMEOUT_MS)
+        ]
+
     def count_stale_peers(self) -> tuple[int, int]:
         """The numbers of known peers, and of those recently reported stale."""
         now_ms = self.clock.now_ms()
--- a/src/carawayward/forwarding/metrics.py
+++ b/src/carawayward/forwarding/metrics.py
@@ -35,10 +35,14 @@
 
     def count(self, name: str, **labels: str) -> None:
         """Increment a counter."""
+        self.add(name, 1.0, **labels)
+
+    def add(self, name: str, amount: float, **labels: str) -> None:
+        """Add to a counter."""
         series = (name, tuple(sorted(labels.items())))
         if series not in self.counters and len(self.counters) >= MAX_COUNTERS:
             series = (name, (("label", OTHER),))
-        self.counters[series] = self.counters.get(series, 0.0) + 1.0
+        self.counters[series] = self.counters.get(series, 0.0) + amount
 
     def observe(self, name: str, value_ms: float, **labels: str) -> None:
         """Record a latency in a histogram."""
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -30,6 +30,7 @@
 from hypercorn import utils as hypercorn_utils
 import trio
 
+from carawayward import accept_queue
 from carawayward import events
 from carawayward import http_client as http
 from carawayward import listening
@@ -434,53 +435,11 @@
     return next_due - now
 
 
-class DrainableListener(trio.abc.Listener[trio.SocketStream]):
-    """Accepts connections; ``aclose`` leaves its socket open.
-
-    Closing a listening socket resets the connections in its accept queue,
-    and with them requests that callers have already sent. ``drain`` accepts
-    these connections, then closes the socket.
-    """
-
-    def __init__(self, listening_socket: socket.socket) -> None:
-        self.listening_socket = listening_socket
-        self.inner = trio.SocketListener(
-            trio.socket.from_stdlib_socket(listening_socket)
-        )
-
-    async def accept(self) -> trio.SocketStream:
-        """Wait for the next connection."""
-        return await self.inner.accept()
-
-    async def aclose(self) -> None:
-        """Do nothing; ``drain`` closes the socket."""
-        await trio.lowlevel.checkpoint()
-
-    def drain(self) -> typing.Iterator[trio.SocketStream]:
-        """Accept the queued connections, then close the socket."""
-        with self.listening_socket:
-            while True:
-                try:
-                    accepted, _ = self.listening_socket.accept()
-                except BlockingIOError:
-                    return
-                except OSError as fault:
-                    events.log_event(
-                        events.Event.FAULT,
-                        task="closing a listener",
-                        detail=supervision.describe_fault(fault),
-                    )
-                    return
-                yield trio.SocketStream(
-                    trio.socket.from_stdlib_socket(accepted)
-                )
-
-
 @attrs.frozen(eq=False)
 class ListeningPort:
     """A listening socket, with TLS if ``tls`` is set."""
 
-    queue: DrainableListener
+    queue: accept_queue.AcceptingListener
     tls: ssl.SSLContext | None = None
 
     @property
@@ -510,5 +469,6 @@
         tls = None
         if plain in sockets.secure_sockets:
             tls = config.create_ssl_context()
-        ports.append(ListeningPort(DrainableListener(plain), tls))
+        queue = accept_queue.AcceptingListener(plain, config.accept_policy)
+        ports.append(ListeningPort(queue, tls))
     return ports
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -7,6 +7,7 @@
 from hypercorn import config as hypercorn_config
 import trio
 
+from carawayward import accept_queue
 from carawayward import errors
 from carawayward import settings as settings_module
 
@@ -39,10 +40,12 @@
 
     Accepted connections inherit the options of the listening socket.
     ``changed`` is set, and replaced, by each change to the idle time-out.
-    ``listening_sockets`` are those that were created last.
+    ``listening_sockets`` are those that were created last. ``accept_policy``
+    decides whether connections wait to be accepted.
     """
 
     silence_ms: int
+    accept_policy: accept_queue.Policy = accept_queue.KeepWaiting()
 
     def __init__(self) -> None:
         super().__init__()
