--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -132,10 +132,12 @@
             left_ms = began_ms + kind.deadline_ms - trio.current_time() * 1000
             if left_ms <= 1.0:
                 return
-            vm, is_fresh = self._choose_vm(vm)
+            near = self.draw.choice(self.vms)
+            vm, is_fresh = self._choose_vm(near, vm)
             sent = self._record_sent(
-                kind, content, left_ms, number == 0, parts, customer, vm, call
+                kind, content, left_ms, number == 0, parts, customer, vm
             )
+            sent.call, sent.zone = call, near.zone
             status, wait_ms = await self._send(kind, sent, vm, is_fresh)
             if status in FINAL or 200 <= status < 300:
                 return
@@ -153,21 +155,21 @@
                 await trio.sleep(wait_ms / 1000)
 
     def _choose_vm(
-        self, tried: processes.EntryVm | None
+        self, near: processes.EntryVm, tried: processes.EntryVm | None
     ) -> tuple[processes.EntryVm, bool]:
         """Choose an entry VM, and whether it needs a new connection.
 
-        A repeat meets another entry VM than the one that was ``tried``.
+        It is the one ``near`` the caller, unless some are favoured there. A
+        repeat then meets another one than that which was ``tried``.
         """
-        vm = self.draw.choice(self.vms)
-        if not self.favoured:
-            return vm, False
+        favoured = self.favoured.get("") or self.favoured.get(near.zone)
+        if not favoured:
+            return near, False
         if tried is not None:
             others = [each for each in self.vms if each is not tried]
             return self.draw.choice(others), True
-        favoured = self.favoured.get("") or self.favoured.get(vm.zone)
-        if not favoured or self.draw.random() >= FAVOURED_SHARE:
-            return vm, False
+        if self.draw.random() >= FAVOURED_SHARE:
+            return near, False
         return self.draw.choice(favoured), True
 
     def _record_sent(
@@ -179,7 +181,6 @@
         parts: tuple[str, ...],
         customer: str,
         vm: processes.EntryVm,
-        call: int,
     ) -> records.Sent:
         if kind.stream and not parts:
             parts = (f"{self.draw.randrange(200):x}",)
@@ -197,7 +198,6 @@
             customer=customer,
             rank=kind.rank,
             target_ms=kind.target_ms,
-            call=call,
         )
         self.history.sent[sent.request_id] = sent
         return sent
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -522,6 +522,7 @@
 ) -> tuple[FirstTries, FirstTries, FirstTries]:
     """Count calls in the seconds before a skew, during it and after it.
 
+    They are those of its failure domain, if it has one.
     Both of the latter begin ``contact_ms`` late. Calls without an answer at
     the end of the run failed.
     """
@@ -541,6 +542,8 @@
         calls[sent.call].append(sent)
     outcomes: list[list[bool]] = [[], [], []]
     for tries in calls.values():
+        if skew.zone not in ("", tries[0].zone):
+            continue
         served = _is_call_served(history, bounds, tries)
         for (from_ms, until_ms), found in zip(spans, outcomes, strict=True):
             if served is not None and from_ms <= tries[0].at_ms <= until_ms:
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -50,8 +50,6 @@
 # The rule judges what is sent later than contact_ms after it began.
 MIN_SKEW_MS = 9_000.0
 SKEWS_APART_MS = 12_000.0
-# Callers send more, for a VM has to get more than it can serve.
-SKEWED_LOAD = 3.5
 # The balancer takes an entry VM out after this many probes without a 200.
 PROBE_INTERVAL_S = 1.0
 PROBES_MISSED = 2
@@ -63,7 +61,8 @@
     """One deployment under the faults of a seed.
 
     With ``proxied`` the addresses of endpoints that are down accept
-    connections. Each entry VM gets ``core_share`` of a core.
+    connections. Each entry VM gets ``core_share`` of a core, and callers send
+    ``load`` times the usual rates.
     """
 
     seed: int
@@ -72,6 +71,7 @@
     entry_vms: int = ENTRY_VMS
     proxied: bool = False
     core_share: float = 1.0
+    load: float = 1.0
     bounds: records.Bounds = attrs.field(factory=records.Bounds)
     history: records.History = attrs.field(factory=records.History)
     store: store_module.Store = attrs.field(factory=store_module.Store)
@@ -107,8 +107,7 @@
             )
             if short:
                 self.callers.customers = traffic.CUSTOMERS
-            if schedule.Fault.SKEWED_CONNECTIONS in kinds:
-                self.callers.load = SKEWED_LOAD
+            self.callers.load = self.load
             nursery.start_soon(self._measure_delay)
             await trio.sleep(WARM_UP_S)
             self.began_ms = trio.current_time() * 1000
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -19,14 +19,15 @@
     retry_slack: float = 58.0
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class Sent:
     """One request as a caller sent it, with an id of its own.
 
     Requests with the same ``content`` have the same path, caller and body.
     ``first_try`` is false if it repeats a request that was refused or failed.
     ``parts`` are those of its prompt that others may share, in order. A
-    lower ``rank`` is more urgent. The tries of one ``call`` follow each other.
+    lower ``rank`` is more urgent. The tries of one ``call`` follow each other;
+    its caller is in ``zone``.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     rank: int = 0
     target_ms: float = math.inf
     call: int = 0
+    zone: str = ""
 
     @property
     def ends_ms(self) -> float:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -137,6 +137,7 @@
     entry_vms: int = deployment.ENTRY_VMS,
     proxied: bool = False,
     core_share: float = 1.0,
+    load: float = 1.0,
 ) -> tuple[deployment.Soak, Result]:
     """Play one seed; the logs are removed unless a rule was broken."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -147,6 +148,7 @@
         entry_vms=min(entry_vms, MAX_ENTRY_VMS),
         proxied=proxied,
         core_share=core_share,
+        load=load,
     )
     trio.run(soak.play, min(seconds, MAX_SECONDS), kinds)
     result = summarize(soak)
@@ -192,6 +194,7 @@
     busy: int = 0,
     proxied: bool = False,
     core_share: float = 1.0,
+    load: float = 1.0,
 ) -> int:
     """Play seeds, print a line for each; the exit code is 0 if all hold.
 
@@ -206,10 +209,11 @@
         proxied: whether addresses of endpoints that are down accept
             connections.
         core_share: how much of a core each entry VM gets.
+        load: how many times the usual rates callers send.
     """
     names = faults if isinstance(faults, tuple) else faults.split(",")
     kinds = tuple(schedule.Fault[name] for name in names if name)
-    load = [
+    hogs = [
         subprocess.Popen([sys.executable, "-c", BUSY]) for _ in range(busy)
     ]
     broken = 0
@@ -223,11 +227,12 @@
                 vms,
                 proxied,
                 core_share,
+                load,
             )
             broken += result.broken
             print(json.dumps(attrs.asdict(result)), flush=True)
     finally:
-        for process in load:
+        for process in hogs:
             process.kill()
             process.wait()
     return int(broken > 0)
--- a/tests/soak/test_skewed_connections.py
+++ b/tests/soak/test_skewed_connections.py
@@ -8,6 +8,7 @@
 ENTRY_VMS = 6
 # One entry VM has to get more than it can serve.
 CORE_SHARE = 0.3
+LOAD = 3.5
 
 
 def test_calls_are_served_while_most_new_connections_go_to_one_entry_vm():
@@ -18,6 +19,7 @@
         kinds=(schedule.Fault.SKEWED_CONNECTIONS,),
         entry_vms=ENTRY_VMS,
         core_share=CORE_SHARE,
+        load=LOAD,
     )
     assert result.skews, "no skew for a valid check"
     assert not result.broken, (result.violations, str(soak.folder))
