Soak: bound what overlapping bursts multiply the load by, by option

Traced: four bursts overlapped and multiplied the load by 38, 1,160 calls a second for six entry VMs that bear 240, two of them paused and one killed; all of them got attempt timeouts of endpoints in the harness. The checker and the bursts stay as they are; a run may say how much the harness and the entry VMs bear.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that send requests, repeat them as told, and give up in time."""
 
 import itertools
+import math
 import random
 
 import attrs
@@ -37,7 +38,8 @@
 class Callers:
     """All callers of the deployment.
 
-    ``load`` multiplies the usual rates, ``loads`` those of some kinds.
+    ``load`` multiplies the usual rates, by at most ``max_load``; ``loads``
+    those of some kinds.
     ``customers`` are the shares of the customers. The share ``impatient``
     comes back before it is told to. The share ``abusive`` of the callers
     repeats a failed request ``abuse`` times at once. First tries of the
@@ -49,6 +51,7 @@
     history: records.History
     draw: random.Random
     load: float = 1.0
+    max_load: float = math.inf
     abusive: float = 0.0
     abuse: int = 8
     impatient: float = 0.0
@@ -68,7 +71,8 @@
         self, nursery: trio.Nursery, kind: traffic.Kind
     ) -> None:
         while True:
-            rate = kind.rate * self.load * self.loads.get(kind.name, 1.0)
+            load = min(self.load, self.max_load)
+            rate = kind.rate * load * self.loads.get(kind.name, 1.0)
             await trio.sleep(self.draw.expovariate(rate))
             nursery.start_soon(self.call, kind, self.draw.randrange(10**9))
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -62,7 +62,7 @@
 
     With ``proxied`` the addresses of endpoints that are down accept
     connections. Each entry VM gets ``core_share`` of a core, and callers send
-    ``load`` times the usual rates.
+    ``load`` times the usual rates, ``max_load`` times in bursts at most.
     """
 
     seed: int
@@ -72,6 +72,7 @@
     proxied: bool = False
     core_share: float = 1.0
     load: float = 1.0
+    max_load: float = math.inf
     bounds: records.Bounds = attrs.field(factory=records.Bounds)
     history: records.History = attrs.field(factory=records.History)
     store: store_module.Store = attrs.field(factory=store_module.Store)
@@ -108,6 +109,7 @@
             if short:
                 self.callers.customers = traffic.CUSTOMERS
             self.callers.load = self.load
+            self.callers.max_load = self.max_load
             nursery.start_soon(self._measure_delay)
             await trio.sleep(WARM_UP_S)
             self.began_ms = trio.current_time() * 1000
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import math
 import pathlib
 import shutil
 import subprocess
@@ -138,6 +139,7 @@
     proxied: bool = False,
     core_share: float = 1.0,
     load: float = 1.0,
+    max_load: float = math.inf,
 ) -> tuple[deployment.Soak, Result]:
     """Play one seed; the logs are removed unless a rule was broken."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -149,6 +151,7 @@
         proxied=proxied,
         core_share=core_share,
         load=load,
+        max_load=max_load,
     )
     trio.run(soak.play, min(seconds, MAX_SECONDS), kinds)
     result = summarize(soak)
@@ -195,6 +198,7 @@
     proxied: bool = False,
     core_share: float = 1.0,
     load: float = 1.0,
+    max_load: float = math.inf,
 ) -> int:
     """Play seeds, print a line for each; the exit code is 0 if all hold.
 
@@ -210,6 +214,7 @@
             connections.
         core_share: how much of a core each entry VM gets.
         load: how many times the usual rates callers send.
+        max_load: the same at most, where bursts overlap.
     """
     names = faults if isinstance(faults, tuple) else faults.split(",")
     kinds = tuple(schedule.Fault[name] for name in names if name)
@@ -228,6 +233,7 @@
                 proxied,
                 core_share,
                 load,
+                max_load,
             )
             broken += result.broken
             print(json.dumps(attrs.asdict(result)), flush=True)
