Keep a peer's overload with what else is known of the peer

The names of peers that had reported overload stayed for the life of the process, and each check went over all peers, up to 410, once for each answer while overloaded. The time until which a report of overload counts is now a field of the peer, which goes with it, and the peers are counted at most every 100 ms. No change in what is decided beyond that.

--- a/src/carawayward/forwarding/connection_shedding.py
+++ b/src/carawayward/forwarding/connection_shedding.py
@@ -12,15 +12,17 @@
 from carawayward.forwarding import metrics as metrics_module
 
 EVENT_INTERVAL_MS = 1_000.0
+# How often the reports of the peers are looked at.
+PEERS_INTERVAL_MS = 100.0
 
 
 @attrs.define(eq=False)
 class ConnectionShedding:
     """The policy of the callers' listener; times in ms.
 
-    ``overloaded_until`` has the peers that reported overload, each with the
-    time until which its report counts. ``turned_away`` counts connections
-    since the last event, which was logged at ``logged_ms``.
+    ``peers`` is the number of peers heard of lately and ``peers_overloaded``
+    that of those overloaded, as of ``counted_ms``. ``turned_away`` counts
+    connections since the last event, which was logged at ``logged_ms``.
     """
 
     board: board_module.ForwardingBoard
@@ -28,7 +30,9 @@
     reporter: load_reports.LoadReporter
     metrics: metrics_module.Metrics
     queue: overload.AcceptQueue = attrs.field(factory=overload.AcceptQueue)
-    overloaded_until: dict[str, float] = attrs.field(factory=dict)
+    peers: int = 0
+    peers_overloaded: int = 0
+    counted_ms: float = board_module.NEVER
     turned_away: int = 0
     logged_ms: float = board_module.NEVER
 
@@ -59,13 +63,12 @@
         now_ms = self.clock.now_ms()
         if now_ms - self.logged_ms < EVENT_INTERVAL_MS:
             return
-        recent, overloaded = self._count_peers(now_ms)
         events.log_event(
             events.Event.CONNECTIONS_TURNED_AWAY,
             connections=self.turned_away,
             open_requests=self.board.open_requests,
-            peers=recent,
-            peers_overloaded=overloaded,
+            peers=self.peers,
+            peers_overloaded=self.peers_overloaded,
         )
         self.turned_away, self.logged_ms = 0, now_ms
 
@@ -83,16 +86,12 @@
 
     def merge(self, sender: str, value: typing.Any, ttl_ms: float) -> None:
         """Record that a peer is overloaded."""
-        name = sender.partition("/")[0]
-        self.overloaded_until[name] = self.clock.now_ms() + ttl_ms
+        self.reporter.record_overload(sender.partition("/")[0], ttl_ms)
 
     def _others_have_room(self, now_ms: float) -> bool:
-        return overload.others_have_room(*self._count_peers(now_ms))
-
-    def _count_peers(self, now_ms: float) -> tuple[int, int]:
-        """Count the peers heard of lately, and those overloaded."""
-        recent = self.reporter.list_recent_peers()
-        return len(recent), sum(
-            now_ms < self.overloaded_until.get(name, board_module.NEVER)
-            for name in recent
-        )
+        if now_ms - self.counted_ms >= PEERS_INTERVAL_MS:
+            self.counted_ms = now_ms
+            self.peers, self.peers_overloaded = (
+                self.reporter.count_overloaded_peers()
+            )
+        return overload.others_have_room(self.peers, self.peers_overloaded)
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -224,15 +224,23 @@
             return None
         return self.directory.count_possible_members(self.clock.now_ms())
 
-    def list_recent_peers(self) -> list[str]:
-        """The names of the peers whose last report is still valid."""
+    def record_overload(self, name: str, ttl_ms: float) -> None:
+        """Record that a known peer has reported overload."""
+        until_ms = self.clock.now_ms() + ttl_ms
+        self.peers[name].overloaded_until_ms = until_ms
+
+    def count_overloaded_peers(self) -> tuple[int, int]:
+        """The numbers of peers heard of lately, and of those overloaded."""
         now_ms = self.clock.now_ms()
-        return [
-            peer.name
+        recent = [
+            peer
             for peer in self.peers.values()
             if now_ms - peer.last_seen_ms
             < peer.compute_ttl_ms(PEER_TIMEOUT_MS)
         ]
+        return len(recent), sum(
+            now_ms < peer.overloaded_until_ms for peer in recent
+        )
 
     def count_stale_peers(self) -> tuple[int, int]:
         """The numbers of known peers, and of those recently reported stale."""
--- a/src/carawayward/forwarding/report_channels.py
+++ b/src/carawayward/forwarding/report_channels.py
@@ -1,5 +1,6 @@
 """Decides which peers are sent load reports, how often, and what about."""
 
+import math
 import typing
 
 import attrs
@@ -41,7 +42,8 @@
     """Another entry VM; ``local`` if it is of the same failure domain.
 
     ``stale`` is set if it reported that its keys may be out of date.
-    ``interval_ms`` is the smoothed interval between two of its reports.
+    ``interval_ms`` is the smoothed interval between two of its reports. Its
+    last report of overload counts until ``overloaded_until_ms``.
     """
 
     name: str
@@ -53,6 +55,7 @@
     stale: bool = False
     interval_ms: float = 0.0
     failure_domain: str = ""
+    overloaded_until_ms: float = -math.inf
 
     def record_report(self, sequence: int, now_ms: float) -> None:
         """Update the report interval and the time when it was last seen."""
--- a/tests/cover/test_connection_shedding.py
+++ b/tests/cover/test_connection_shedding.py
@@ -11,21 +11,27 @@
 from carawayward.decisions import overload
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import connection_shedding
+from carawayward.forwarding import load_reports
 from carawayward.forwarding import metrics as metrics_module
+from carawayward.forwarding import report_channels
 
 TURN_MS = 10.0
 PEERS = [f"vm-{number}" for number in range(8)]
 
 
 def make_shedding(peers: typing.Sequence[str] = PEERS) -> typing.Any:
-    clock = clock_module.ManualClock(now=1_000_000.0)
-    reporter = mock.Mock()
-    reporter.list_recent_peers.return_value = list(peers)
+    """A policy whose peers have all just reported."""
+    board = board_module.ForwardingBoard(name="vm", failure_domain="a")
+    clock: typing.Any = clock_module.ManualClock(now=1_000_000.0)
+    reporter = load_reports.LoadReporter(
+        board, clock, mock.Mock(), "127.0.0.1:1", mock.Mock(), mock.Mock()
+    )
+    for name in peers:
+        reporter.peers[name] = report_channels.Peer(
+            name, ("127.0.0.1", 1), "1", clock.now_ms(), interval_ms=4_000.0
+        )
     return connection_shedding.ConnectionShedding(
-        board_module.ForwardingBoard(name="vm", failure_domain="a"),
-        typing.cast(clock_module.Clock, clock),
-        reporter,
-        metrics_module.Metrics(),
+        board, clock, reporter, metrics_module.Metrics()
     )
 
 
@@ -91,13 +97,25 @@
     assert wait_in_queue(shedding, 400.0)
 
 
-def test_peers_are_told_of_overload_even_if_nobody_is_turned_away():
+def test_peers_that_have_gone_silent_are_not_counted_on():
+    """Those left may all be overloaded."""
+    shedding = make_shedding()
+    report_overload(shedding, PEERS[:2])
+    for name in PEERS[2:]:
+        shedding.reporter.peers[name].last_seen_ms -= 10_000.0
+    assert not wait_in_queue(shedding, 400.0)
+
+
+def test_peers_get_reports_of_overload_even_if_nobody_is_turned_away():
     """Otherwise no entry VM would know that all are overloaded."""
     shedding = make_shedding()
     report_overload(shedding, PEERS)
-    wait_in_queue(shedding, 400.0)
+    with mock.patch.object(
+        load_reports.LoadReporter, "report_soon"
+    ) as report_soon:
+        wait_in_queue(shedding, 400.0)
     assert shedding.describe() == 1
-    assert shedding.reporter.report_soon.call_count == 1
+    assert report_soon.call_count == 1
 
 
 def test_open_connections_are_redirected_only_while_turning_away():
