--- a/src/carawayward/accept_queue.py
+++ b/src/carawayward/accept_queue.py
@@ -1,4 +1,4 @@
-"""Accepts connections one at a time, and turns away those beyond."""
+"""Accepts connections one at a time, and resets some of those that wait."""
 
 import socket
 import struct
@@ -16,7 +16,7 @@
 
 
 class Policy(typing.Protocol):
-    """Decides how fast connections are accepted, and which are not."""
+    """Decides how fast connections are accepted, and whether all are."""
 
     def count_turns(self) -> int:
         """How many turns of the event loop each connection takes."""
@@ -52,9 +52,9 @@
 class AcceptingListener(trio.abc.Listener[trio.SocketStream]):
     """Accepts connections; ``aclose`` leaves its socket open.
 
-    Its ``policy`` says how many turns of the event loop lie between two, so
-    that new requests do not take the time of those in hand, and whether others
-    wait meanwhile or are turned away.
+    It accepts one connection in as many turns of the event loop as its
+    ``policy`` says, so that requests in hand go on. The policy also decides
+    whether those that wait meanwhile are turned away.
 
     Closing a listening socket resets the connections in its accept queue,
     and with them requests that callers have already sent. ``drain`` accepts
--- a/src/carawayward/decisions/overload.py
+++ b/src/carawayward/decisions/overload.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-# How long connections may wait all the time before some are turned away.
+# How long the queue may go without being empty before it is turned away.
 MAX_STANDING_MS = 250.0
 # The same while the entry VM turns connections away, so that a queue does not
 # build up again and again.
@@ -32,9 +32,8 @@
 class AcceptQueue:
     """The connections that wait to be accepted; times in ms.
 
-    ``standing_since_ms`` is since when some have waited at all times, None if
-    none waited when last looked. The queue last was too long at
-    ``too_long_ms``.
+    ``standing_since_ms`` is since when the queue has not been empty, None if it
+    was when last checked. It last stood for too long at ``too_long_ms``.
     """
 
     standing_since_ms: float | None = None
@@ -46,20 +45,17 @@
     queue.standing_since_ms = None
 
 
-def record_waiting(queue: AcceptQueue, now_ms: float) -> None:
-    """Record that connections wait."""
+def record_waiting(queue: AcceptQueue, now_ms: float) -> bool:
+    """Record that connections wait; return whether they do for too long."""
     if queue.standing_since_ms is None:
         queue.standing_since_ms = now_ms
     limit_ms = MAX_STANDING_MS
     if is_overloaded(queue, now_ms):
         limit_ms = MAX_STANDING_OVERLOADED_MS
-    if now_ms - queue.standing_since_ms >= limit_ms:
-        queue.too_long_ms = now_ms
-
-
-def is_too_long(queue: AcceptQueue, now_ms: float) -> bool:
-    """Whether connections have waited for too long until now."""
-    return queue.standing_since_ms is not None and queue.too_long_ms == now_ms
+    if now_ms - queue.standing_since_ms < limit_ms:
+        return False
+    queue.too_long_ms = now_ms
+    return True
 
 
 def is_overloaded(queue: AcceptQueue, now_ms: float) -> bool:
--- a/src/carawayward/forwarding/connection_shedding.py
+++ b/src/carawayward/forwarding/connection_shedding.py
@@ -12,8 +12,8 @@
 from carawayward.forwarding import metrics as metrics_module
 
 EVENT_INTERVAL_MS = 1_000.0
-# How often the reports of the peers are looked at.
-PEERS_INTERVAL_MS = 100.0
+# How long a count of overloaded peers is valid.
+PEER_COUNT_TTL_MS = 100.0
 
 
 @attrs.define(eq=False)
@@ -48,8 +48,7 @@
         """Whether to turn away all connections that wait."""
         now_ms = self.clock.now_ms()
         was_overloaded = overload.is_overloaded(self.queue, now_ms)
-        overload.record_waiting(self.queue, now_ms)
-        if not overload.is_too_long(self.queue, now_ms):
+        if not overload.record_waiting(self.queue, now_ms):
             return False
         if not was_overloaded:
             self.reporter.report_soon()
@@ -89,7 +88,7 @@
         self.reporter.record_overload(sender.partition("/")[0], ttl_ms)
 
     def _others_have_room(self, now_ms: float) -> bool:
-        if now_ms - self.counted_ms >= PEERS_INTERVAL_MS:
+        if now_ms - self.counted_ms >= PEER_COUNT_TTL_MS:
             self.counted_ms = now_ms
             self.peers, self.peers_overloaded = (
                 self.reporter.count_overloaded_peers()
