--- a/src/carawayward/decisions/overload.py
+++ b/src/carawayward/decisions/overload.py
@@ -32,8 +32,8 @@
 class AcceptQueue:
     """The connections that wait to be accepted; times in ms.
 
-    ``standing_since_ms`` is since when the queue has not been empty, None if it
-    was when last checked. It last stood for too long at ``too_long_ms``.
+    ``standing_since_ms`` is since when the queue has not been empty, None if
+    it was when last checked. It last stood for too long at ``too_long_ms``.
     """
 
     standing_since_ms: float | None = None
