A peer that was overloaded for a moment counts as such for a second

Overload now lasts 1 s after its last sign, and a report of it 2.5 intervals of reports, 1 s at least. The test of its expiry failed before.

--- a/src/carawayward/decisions/overload.py
+++ b/src/carawayward/decisions/overload.py
@@ -19,7 +19,7 @@
 MAX_STANDING_OVERLOADED_MS = 50.0
 # The entry VM counts as overloaded for this long after the last time at which
 # it had too long a queue.
-OVERLOADED_MS = 2_000.0
+OVERLOADED_MS = 1_000.0
 # Turns of the event loop for each connection. With more of them fewer requests
 # share the event loop, and each takes less time, while as many are served.
 TURNS = 1
--- a/src/carawayward/forwarding/connection_shedding.py
+++ b/src/carawayward/forwarding/connection_shedding.py
@@ -85,7 +85,7 @@
 
     def merge(self, sender: str, value: typing.Any, ttl_ms: float) -> None:
         """Record that a peer is overloaded."""
-        self.reporter.record_overload(sender.partition("/")[0], ttl_ms)
+        self.reporter.record_overload(sender.partition("/")[0])
 
     def _others_have_room(self, now_ms: float) -> bool:
         if now_ms - self.counted_ms >= PEER_COUNT_TTL_MS:
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -36,6 +36,9 @@
 HEARTBEAT_MS = 1_500.0
 # Minimum time for which a peer's ``stale`` flag and topics are valid.
 PEER_TIMEOUT_MS = 2 * HEARTBEAT_MS
+# The same for its report of overload, which is not followed by one that the
+# overload is over.
+MIN_OVERLOAD_TTL_MS = 2.5 * REPORT_INTERVAL_MS
 # This many engines fit into an Ethernet frame together with the prompt parts.
 MAX_ENGINES_PER_REPORT = 30
 MAX_DATAGRAM_BYTES = 8_192
@@ -224,10 +227,11 @@
             return None
         return self.directory.count_possible_members(self.clock.now_ms())
 
-    def record_overload(self, name: str, ttl_ms: float) -> None:
+    def record_overload(self, name: str) -> None:
         """Record that a known peer has reported overload."""
-        until_ms = self.clock.now_ms() + ttl_ms
-        self.peers[name].overloaded_until_ms = until_ms
+        peer = self.peers[name]
+        ttl_ms = peer.compute_ttl_ms(MIN_OVERLOAD_TTL_MS)
+        peer.overloaded_until_ms = self.clock.now_ms() + ttl_ms
 
     def count_overloaded_peers(self) -> tuple[int, int]:
         """The numbers of peers heard of lately, and of those overloaded."""
