Soak: the clause on skews counts entry VMs in touch only, until the answer

The users' rules judge machines in touch; a kill before the answer excuses it. The test of it failed before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -143,6 +143,8 @@
             )
             sent.call, sent.zone = call, near.zone
             status, wait_ms = await self._send(kind, sent, vm, is_fresh)
+            ended_ms = trio.current_time() * 1000
+            self.history.ended_tries_ms[sent.request_id] = ended_ms
             if status in FINAL or 200 <= status < 300:
                 return
             if (
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -484,3 +484,13 @@
     assert not check(checkers.check_skews, history)
     history.ended_ms = FAR_MS + 9_000.0
     assert check(checkers.check_skews, history)
+
+
+def test_calls_at_entry_vms_that_end_meanwhile_do_not_count():
+    """All entry VMs that a call tried until it was read were in touch."""
+    history = skew_connections(20, unread=20)
+    assert check(checkers.check_skews, history)
+    for sent in history.sent.values():
+        history.ended_tries_ms[sent.request_id] = sent.at_ms + 100.0
+    disrupt(history, "edge-1", FAR_MS + 3_050.0)
+    assert not check(checkers.check_skews, history)
