--- a/src/carawayward/decisions/engine_pace.py
+++ b/src/carawayward/decisions/engine_pace.py
@@ -25,9 +25,8 @@
 STALL_MOMENTS = 2
 MAX_SAMPLES = 15
 MAX_LOG_RATIO = 2.5
-# A smaller logarithm counts as none: engines of one speed differ by chance,
-# and by how full their batches are.
-MIN_LOG_PACE = 0.4
+# A smaller logarithm counts as none: engines of one speed differ by chance.
+MIN_LOG_PACE = 0.18
 # The age of the newest moment from which a pace fades; twice as old, it is
 # gone. An engine that got no work may have recovered.
 FADE_MS = 30_000.0
@@ -118,11 +117,11 @@
     moments = paces.moments[engine]
     log_pace = _estimate([_find_median(each.samples) for each in moments])
     age_ms = now_ms - moments[-1].began_ms
-    part = max(0.0, min(1.0, 2.0 - age_ms / FADE_MS))
-    if abs(log_pace) < MIN_LOG_PACE or not part:
+    log_pace *= max(0.0, min(1.0, 2.0 - age_ms / FADE_MS))
+    if abs(log_pace) < MIN_LOG_PACE:
         paces.known.pop(engine, None)
     else:
-        paces.known[engine] = math.exp(log_pace * part)
+        paces.known[engine] = math.exp(log_pace)
 
 
 def expire(paces: Paces, now_ms: float) -> None:
