--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -525,9 +525,8 @@
 ) -> tuple[FirstTries, FirstTries, FirstTries]:
     """Count calls in the seconds before a skew, during it and after it.
 
-    They are those of its failure domain, if it has one.
-    Both of the latter begin ``contact_ms`` late. Calls without an answer at
-    the end of the run failed.
+    They are those of its failure domain, if it has one. Both of the latter
+    times begin ``contact_ms`` late.
     """
     later_ms = [
         each.from_ms for each in history.skews if each.from_ms > skew.until_ms
