Turn away only what would wait for too long, not the rest of a burst

Twenty callers had opened connections at once; on a busy machine their queue stood for 250 ms and was all but accepted. What is left of such a burst waits no longer for being left in the queue, and loses its caller a try. Now the queue is counted once it has stood for the limit, by accepting what waits, and turned away only if the last one would wait for the limit once more at the pace so far; else those counted are served first.

--- a/src/carawayward/accept_queue.py
+++ b/src/carawayward/accept_queue.py
@@ -1,5 +1,6 @@
 """Accepts connections one at a time, and resets some of those that wait."""
 
+import collections
 import socket
 import struct
 import typing
@@ -11,8 +12,8 @@
 
 # Has the kernel reset a connection when it is closed.
 NO_LINGER = struct.pack("ii", 1, 0)
-# Connections that are turned away before other tasks have their turn.
-MAX_TURNED_AWAY_PER_TURN = 256
+# Connections that are counted before other tasks have their turn.
+MAX_COUNTED_PER_TURN = 256
 
 
 class Policy(typing.Protocol):
@@ -24,8 +25,11 @@
     def record_empty(self) -> None:
         """Record that no connection waits."""
 
-    def should_turn_away(self) -> bool:
-        """Whether to turn away all that wait; called when some may."""
+    def should_count(self) -> bool:
+        """Record that one was accepted; whether to count those that wait."""
+
+    def should_turn_away(self, waiting: int) -> bool:
+        """Whether to turn away the ``waiting`` connections."""
 
     def record_turned_away(self, count: int) -> None:
         """Record how many were turned away."""
@@ -41,7 +45,11 @@
     def record_empty(self) -> None:
         """Do nothing."""
 
-    def should_turn_away(self) -> bool:
+    def should_count(self) -> bool:
+        """Never count connections."""
+        return False
+
+    def should_turn_away(self, waiting: int) -> bool:
         """Never turn connections away."""
         return False
 
@@ -66,6 +74,7 @@
     ) -> None:
         self.listening_socket = listening_socket
         self.policy = policy
+        self.counted: collections.deque[socket.socket] = collections.deque()
         self.inner = trio.SocketListener(
             trio.socket.from_stdlib_socket(listening_socket)
         )
@@ -74,31 +83,43 @@
         """Wait for the next connection."""
         for _ in range(self.policy.count_turns()):
             await trio.lowlevel.checkpoint()
-        try:
-            accepted, _ = self.listening_socket.accept()
-        except BlockingIOError:
+        accepted = self._accept_next()
+        if accepted is None:
             self.policy.record_empty()
             return await self.inner.accept()
-        if self.policy.should_turn_away():
-            self._turn_away_waiting()
+        if self.policy.should_count():
+            self._count_waiting()
+            if self.policy.should_turn_away(len(self.counted)):
+                self._turn_away_counted()
         return make_stream(accepted)
 
-    def _turn_away_waiting(self) -> None:
-        """Reset the connections that wait, with nothing read."""
-        count = 0
-        while count < MAX_TURNED_AWAY_PER_TURN:
+    def _accept_next(self) -> socket.socket | None:
+        """Accept the connection that has waited longest; None without any."""
+        if self.counted:
+            return self.counted.popleft()
+        try:
+            return self.listening_socket.accept()[0]
+        except BlockingIOError:
+            return None
+
+    def _count_waiting(self) -> None:
+        """Take the connections that wait from the kernel, unread."""
+        while len(self.counted) < MAX_COUNTED_PER_TURN:
             try:
-                waiting, _ = self.listening_socket.accept()
+                self.counted.append(self.listening_socket.accept()[0])
             except OSError:
                 # None is left, or none can be accepted now.
-                break
-            with waiting:
+                return
+
+    def _turn_away_counted(self) -> None:
+        """Reset the connections that were counted, with nothing read."""
+        count = len(self.counted)
+        while self.counted:
+            with self.counted.popleft() as waiting:
                 waiting.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
                 )
-            count += 1
-        if count:
-            self.policy.record_turned_away(count)
+        self.policy.record_turned_away(count)
 
     async def aclose(self) -> None:
         """Do nothing; ``drain`` closes the socket."""
@@ -109,9 +130,7 @@
         with self.listening_socket:
             while True:
                 try:
-                    accepted, _ = self.listening_socket.accept()
-                except BlockingIOError:
-                    return
+                    accepted = self._accept_next()
                 except OSError as fault:
                     events.log_event(
                         events.Event.FAULT,
@@ -119,6 +138,8 @@
                         detail=supervision.describe_fault(fault),
                     )
                     return
+                if accepted is None:
+                    return
                 yield make_stream(accepted)
 
 
--- a/src/carawayward/decisions/overload.py
+++ b/src/carawayward/decisions/overload.py
@@ -12,7 +12,8 @@
 
 import attrs
 
-# How long the queue may go without being empty before it is turned away.
+# How long the queue may go without being empty, and how long the last of those
+# that wait may have to wait, before they are turned away.
 MAX_STANDING_MS = 250.0
 # The same while the entry VM turns connections away, so that a queue does not
 # build up again and again.
@@ -33,10 +34,12 @@
     """The connections that wait to be accepted; times in ms.
 
     ``standing_since_ms`` is since when the queue has not been empty, None if
-    it was when last checked. It last stood for too long at ``too_long_ms``.
+    it was when last checked; ``accepted`` is how many were accepted since. The
+    queue was last too long at ``too_long_ms``.
     """
 
     standing_since_ms: float | None = None
+    accepted: int = 0
     too_long_ms: float = -math.inf
 
 
@@ -45,17 +48,38 @@
     queue.standing_since_ms = None
 
 
-def record_waiting(queue: AcceptQueue, now_ms: float) -> bool:
-    """Record that connections wait; return whether they do for too long."""
+def record_accepted(queue: AcceptQueue, now_ms: float) -> bool:
+    """Record that one of the connections that waited was accepted.
+
+    Returns whether the queue has not been empty for too long.
+    """
+    if queue.standing_since_ms is None:
+        queue.standing_since_ms, queue.accepted = now_ms, 0
+    queue.accepted += 1
+    return now_ms - queue.standing_since_ms >= get_limit_ms(queue, now_ms)
+
+
+def is_too_long(queue: AcceptQueue, waiting: int, now_ms: float) -> bool:
+    """Whether the last of ``waiting`` connections would wait for too long.
+
+    A burst that is nearly accepted would not, even if the queue stands.
+    """
     if queue.standing_since_ms is None:
-        queue.standing_since_ms = now_ms
-    limit_ms = MAX_STANDING_MS
-    if is_overloaded(queue, now_ms):
-        limit_ms = MAX_STANDING_OVERLOADED_MS
-    if now_ms - queue.standing_since_ms < limit_ms:
         return False
+    pace_ms = (now_ms - queue.standing_since_ms) / max(1, queue.accepted)
+    return waiting * pace_ms >= get_limit_ms(queue, now_ms)
+
+
+def record_too_long(queue: AcceptQueue, now_ms: float) -> None:
+    """Record that the queue is too long."""
     queue.too_long_ms = now_ms
-    return True
+
+
+def get_limit_ms(queue: AcceptQueue, now_ms: float) -> float:
+    """How long connections may wait."""
+    if is_overloaded(queue, now_ms):
+        return MAX_STANDING_OVERLOADED_MS
+    return MAX_STANDING_MS
 
 
 def is_overloaded(queue: AcceptQueue, now_ms: float) -> bool:
--- a/src/carawayward/forwarding/connection_shedding.py
+++ b/src/carawayward/forwarding/connection_shedding.py
@@ -44,15 +44,23 @@
         """Record that no connection waits."""
         overload.record_empty(self.queue)
 
-    def should_turn_away(self) -> bool:
-        """Whether to turn away all connections that wait."""
+    def should_count(self) -> bool:
+        """Record that one was accepted; whether to count those that wait."""
         now_ms = self.clock.now_ms()
-        was_overloaded = overload.is_overloaded(self.queue, now_ms)
-        if not overload.record_waiting(self.queue, now_ms):
+        if not overload.record_accepted(self.queue, now_ms):
             return False
-        if not was_overloaded:
-            self.reporter.report_soon()
-        return self._others_have_room(now_ms)
+        if self._others_have_room(now_ms):
+            return True
+        self._record_too_long(now_ms)
+        return False
+
+    def should_turn_away(self, waiting: int) -> bool:
+        """Whether to turn away the ``waiting`` connections."""
+        now_ms = self.clock.now_ms()
+        if not overload.is_too_long(self.queue, waiting, now_ms):
+            return False
+        self._record_too_long(now_ms)
+        return True
 
     def record_turned_away(self, count: int) -> None:
         """Record how many connections were turned away."""
@@ -87,6 +95,12 @@
         """Record that a peer is overloaded."""
         self.reporter.record_overload(sender.partition("/")[0])
 
+    def _record_too_long(self, now_ms: float) -> None:
+        was_overloaded = overload.is_overloaded(self.queue, now_ms)
+        overload.record_too_long(self.queue, now_ms)
+        if not was_overloaded:
+            self.reporter.report_soon()
+
     def _others_have_room(self, now_ms: float) -> bool:
         if now_ms - self.counted_ms >= PEER_COUNT_TTL_MS:
             self.counted_ms = now_ms
--- a/tests/cover/test_connection_shedding.py
+++ b/tests/cover/test_connection_shedding.py
@@ -35,13 +35,13 @@
     )
 
 
-def wait_in_queue(shedding, for_ms, turn_ms=TURN_MS):
+def wait_in_queue(shedding, for_ms, turn_ms=TURN_MS, waiting=100):
     """Connections wait in each turn; return whether any are turned away."""
     turned_away = False
     end_ms = shedding.clock.now_ms() + for_ms
     while shedding.clock.now_ms() < end_ms:
-        if shedding.should_turn_away():
-            shedding.record_turned_away(5)
+        if shedding.should_count() and shedding.should_turn_away(waiting):
+            shedding.record_turned_away(waiting)
             turned_away = True
         shedding.clock.advance(turn_ms)
     return turned_away
@@ -68,6 +68,13 @@
     assert not shedding.should_redirect_callers()
 
 
+def test_burst_that_is_nearly_accepted_is_not_turned_away():
+    """It has taken its time, and the last ones would not wait much longer."""
+    assert not wait_in_queue(make_shedding(), 400.0, waiting=2)
+    assert not wait_in_queue(make_shedding(), 5_000.0, waiting=20)
+    assert wait_in_queue(make_shedding(), 400.0, waiting=30)
+
+
 def test_connections_that_wait_while_the_process_was_stopped_are_accepted():
     """The time of one long turn does not count as a standing queue."""
     shedding = make_shedding()
@@ -164,7 +171,7 @@
         else:
             if waiting_since_ms is None:
                 waiting_since_ms = now_ms
-            if shedding.should_turn_away():
+            if shedding.should_count() and shedding.should_turn_away(100):
                 waited_ms = now_ms - waiting_since_ms
                 assert waited_ms >= overload.MAX_STANDING_OVERLOADED_MS
         shedding.clock.advance(pause_ms)
--- a/tests/failures/test_listener_overload.py
+++ b/tests/failures/test_listener_overload.py
@@ -35,12 +35,15 @@
     def record_empty(self) -> None:
         self.since_s = None
 
-    def should_turn_away(self) -> bool:
+    def should_count(self) -> bool:
         now_s = trio.current_time()
         if self.since_s is None:
             self.since_s = now_s
         return now_s - self.since_s > STANDING_S
 
+    def should_turn_away(self, waiting: int) -> bool:
+        return waiting > 0
+
     def record_turned_away(self, count: int) -> None:
         self.turned_away += count
 
