--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -155,7 +155,7 @@
                     b"GET /ready HTTP/1.1\r\nhost: a\r\n\r\n"
                 )
                 head = await stream.receive_some(100)
-        except OSError:
+        except (OSError, trio.BrokenResourceError):
             return False
         return head.startswith(b"HTTP/1.1 200")
 
