--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -25,6 +25,8 @@
 import trio
 
 CHUNK = 65_536
+# A link with a rate passes on smaller pieces, so that bytes come steadily.
+PACED_CHUNK = 8_192
 # Has the kernel reset a connection when it is closed.
 LINGER_NONE = struct.pack("ii", 1, 0)
 
@@ -46,7 +48,8 @@
     """The connections from one process to another, and their mode.
 
     With ``passes_resets`` a connection is reset if the target refuses or
-    resets it; else it is closed.
+    resets it; else it is closed. All connections together pass on
+    ``bytes_per_s`` at most; ``passed`` counts what they have.
     """
 
     target: int
@@ -56,6 +59,9 @@
     changed: trio.Event = attrs.field(factory=trio.Event)
     connections: set[Connection] = attrs.field(factory=set)
     held_sources: set[str] = attrs.field(factory=set)
+    bytes_per_s: float = float("inf")
+    passed: int = 0
+    _busy_until: float = 0.0
 
     def hold(self, source: str) -> None:
         """Forward nothing more of the connections from an address."""
@@ -85,6 +91,20 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    @property
+    def chunk(self) -> int:
+        """How many bytes to pass on at once."""
+        return CHUNK if self.bytes_per_s == float("inf") else PACED_CHUNK
+
+    async def wait_for_rate(self, size: int) -> None:
+        """Wait until ``size`` bytes have passed at the rate of the link."""
+        self.passed += size
+        if self.bytes_per_s == float("inf"):
+            return
+        start = max(self._busy_until, trio.current_time())
+        self._busy_until = start + size / self.bytes_per_s
+        await trio.sleep_until(self._busy_until)
+
     async def wait_until_passing(self, connection: Connection) -> None:
         """Wait until the connection may forward bytes."""
         while (
@@ -103,8 +123,9 @@
 ) -> None:
     """Forward bytes in one direction, and then the end of the stream."""
     while True:
-        data = await source.receive_some(CHUNK)
+        data = await source.receive_some(link.chunk)
         await link.wait_until_passing(connection)
+        await link.wait_for_rate(len(data))
         if link.delay_ms:
             await trio.sleep(link.delay_ms / 1000)
         if not data:
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -14,6 +14,8 @@
 from tests.standins import raw_http
 
 READ_ONLY = ("keyed.op", "keyed.servers")
+# A read answers with no more than this, but with one record at least.
+MAX_READ_BYTES = 1_024 * 1_024
 
 
 @attrs.define(eq=False)
@@ -154,7 +156,13 @@
             body = json.dumps({"first": topic.first}).encode()
             await exchange.answer(410, body=body)
             return
-        records = topic.records[start - topic.first :]
+        records = []
+        size = 0
+        for raw in topic.records[start - topic.first :]:
+            size += len(raw)
+            if records and size > MAX_READ_BYTES:
+                break
+            records.append(raw)
         body = struct.pack(">QQ", topic.end, topic.first) + b"".join(
             struct.pack(">I", len(raw)) + raw for raw in records
         )
