Time a call of the store by its progress, not as a whole

Callers saw requests handled by old configurations, and entry VMs that never got one: a call of the store had one second for all of its answer. 440 kB, 590 in a list, take longer than that on 5 Mbit/s with callers' bytes beside them; what had come was thrown away and read again from the start, for as long as the link was no faster. Class: a fixed time for work whose size grows, and a retry that begins anew.

Evidence: test_large_configurations on the code before: not listed after 4 s at 3 Mbit/s, not in force 3 s after a change at 2 Mbit/s, 1201 with TooSlowError each second. Ruled out there: decoding (20 ms).

The head of an answer still has a second; its body then a second from each byte, and no less than 20 bytes a ms on the whole, so that one that trickles is given up; 8 MiB at most. 1201 says how many bytes had come.

--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store, which implements ``KeyedLog``."""
 
 import base64
+import contextlib
 import json
 import re
 import struct
@@ -19,8 +20,15 @@
 from carawayward import http_client as http
 
 # Calls usually take a few ms, and up to 0.7 s on a slow store. A call without
-# an answer after this time is on a dead connection.
+# the head of an answer after this time, or whose body brings no byte for as
+# long, is on a dead connection.
 CALL_TIMEOUT_MS = 1_000.0
+# A body that comes steadily may take longer, as a long one on a busy link
+# does: giving it up would only read it again from the start. One that comes
+# more slowly than this is given up.
+MIN_BODY_BYTES_PER_MS = 20.0
+# More than the longest list of records in base64.
+MAX_BODY_BYTES = 8 * 1_048_576
 PARTITION = 0
 # Long polls are idle for seconds. This bounds, in ms, how long a connection
 # whose other side no longer responds can block one.
@@ -61,20 +69,27 @@
     ) -> Answer:
         """Make one call; raise PlatformUnavailable without a usable answer."""
         mark = http.SentMark()
+        received = bytearray()
         try:
-            with trio.fail_after((CALL_TIMEOUT_MS + wait_ms) / 1000):
-                response = await self.pool.request(
+            with trio.fail_after(
+                (CALL_TIMEOUT_MS + wait_ms) / 1000
+            ) as timeout:
+                async with self.pool.stream(
                     method,
                     f"http://{self.address}{path}",
                     content=body,
                     extensions={"trace": mark.trace},
-                )
+                ) as response:
+                    await read_body(response, received, timeout)
         except http.CALL_FAILURES as cause:
             # When one connection has lost an answer, the idle ones are likely
             # dead too, and each would cost a call its timeout.
             await http.drop_idle(self.pool)
             raise errors.PlatformUnavailable(
-                "store", f"no answer ({type(cause).__name__})", mark.sent
+                "store",
+                f"no answer ({type(cause).__name__}) after {len(received)}"
+                " bytes of its body",
+                mark.sent,
             ) from cause
         if response.status in (429, 503):
             raise errors.PlatformUnavailable(
@@ -82,7 +97,7 @@
             )
         era = parse_era(response.headers)
         self._record_era(era)
-        return Answer(response.status, response.content, era)
+        return Answer(response.status, bytes(received), era)
 
     def _record_era(self, era: int) -> None:
         """Record the era of an answer; raise PlatformUnavailable if it is old.
@@ -199,6 +214,30 @@
         return position
 
 
+async def read_body(
+    response: httpcore.Response,
+    received: bytearray,
+    timeout: trio.CancelScope,
+) -> None:
+    """Read a body into ``received`` for as long as it comes steadily.
+
+    Moves the deadline of ``timeout``, within which the head has come. Raises
+    httpcore.RemoteProtocolError if the body is too long.
+    """
+    began = trio.current_time()
+    chunks = typing.cast(typing.AsyncGenerator, response.aiter_stream())
+    async with contextlib.aclosing(chunks):
+        timeout.deadline = began + CALL_TIMEOUT_MS / 1000
+        async for chunk in chunks:
+            received += chunk
+            if len(received) > MAX_BODY_BYTES:
+                raise httpcore.RemoteProtocolError("body too long")
+            expected_ms = len(received) / MIN_BODY_BYTES_PER_MS
+            timeout.deadline = CALL_TIMEOUT_MS / 1000 + min(
+                trio.current_time(), began + expected_ms / 1000
+            )
+
+
 def parse_era(headers: message_types.Headers) -> int:
     """The era of an answer; 0 without the header.
 
