Fetch a long change in chunks that the client asks for

Callers saw a confirmed configuration in force late at the entry VMs that a delegate on a slow link reads for. A delegate compressed and sent all chunks of a long record to each client, and again for each query: a client queries at once when it learns that it is behind, and each 400 ms. 18 clients x 20 kB on 5 Mbit/s are .6 s for one round; what did not fit was dropped and all was sent again, beside callers' bytes, and clients that had been behind for 600 ms read the store as well. Class: as with the store's calls, a retry that begins anew, and a sender that does not wait for what the link carries.

The first two chunks are pushed with the change; the client asks for those that it lacks, four at a time, when one of the last four is on its way, and again after 200 ms. Compression is done once for all clients. Parts that come count as a sign of life of the delegate, for 1.2 s. A change may have 512 chunks, not 48.

--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -27,6 +27,9 @@
 # this reads the store: both the datagram with the change and the answer to the
 # next query were lost.
 MAX_BEHIND_MS = 600.0
+# The same while parts of a long change arrive: a whole record read from the
+# store takes as long again.
+MAX_FETCH_MS = 1_200.0
 
 
 @attrs.define(eq=False)
@@ -57,7 +60,8 @@
     ``push_updates`` is called when records have arrived. ``log`` keeps the
     changes that can be passed on to others. ``latest_known_position`` is the
     highest position that another entry VM has reported; ``behind_since_ms``
-    is since when this feed has been behind it.
+    is since when this feed has been behind it, and ``progress_ms`` when a part
+    of the missing records arrived last.
 
     ``begin_era`` is called before ``replace`` if the store was restored from
     a backup: missing records may be written again, and the records present
@@ -93,6 +97,7 @@
     due_ms: float = board_module.NEVER
     latest_known_position: int = 0
     behind_since_ms: float | None = None
+    progress_ms: float = board_module.NEVER
     failing: bool = False
     log: change_log.ChangeLog = attrs.field(factory=change_log.ChangeLog)
     _delegating: bool = False
@@ -165,6 +170,12 @@
         if not served:
             self._wakeup.set()
 
+    def notify_progress(self) -> None:
+        """Record that a part of the missing records has arrived."""
+        self.progress_ms = self.clock.boot_ms()
+        # Reports cannot confirm anything until the records are complete.
+        self.due_ms = max(self.due_ms, self.progress_ms)
+
     def check_delegate(self) -> None:
         """Check soon whether there is still a delegate."""
         self._delegate_wait.cancel()
@@ -344,8 +355,11 @@
         if self.behind_since_ms is None:
             # It may get behind meanwhile.
             return MAX_BEHIND_MS
-        behind_ms = self.clock.boot_ms() - self.behind_since_ms
-        return MAX_BEHIND_MS - behind_ms
+        end_ms = min(
+            max(self.behind_since_ms, self.progress_ms) + MAX_BEHIND_MS,
+            self.behind_since_ms + MAX_FETCH_MS,
+        )
+        return end_ms - self.clock.boot_ms()
 
     def _compute_age_ms(self) -> float:
         return self.clock.boot_ms() - self.current_as_of_ms
--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -29,6 +29,7 @@
 from carawayward.forwarding import attestation
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import change_log
+from carawayward.forwarding import chunk_transfer
 from carawayward.forwarding import freshness_messages
 from carawayward.forwarding import load_reports
 from carawayward import supervision
@@ -39,7 +40,7 @@
 DELEGATE_TIMEOUT_MS = 2.5 * store_polls.QUERY_MS
 # Number of queries kept for their answers; more than are sent within the
 # timeout.
-MAX_PENDING_QUERIES = 12
+MAX_PENDING_QUERIES = 64
 # An entry VM that has sent a query within this time counts as a client.
 CLIENT_TTL_MS = 3.0 * store_polls.QUERY_MS
 # How long a client that is behind waits for the answer to a query for further
@@ -47,8 +48,6 @@
 CATCH_UP_RETRY_MS = 50.0
 # Datagrams per update pushed to a client; the client queries for the rest.
 MAX_REPORTS_PER_UPDATE = 8
-# Number of long records whose chunks are kept until all have arrived.
-MAX_ASSEMBLIES = 4
 
 
 class DelegatedTopic(typing.Protocol):
@@ -83,6 +82,9 @@
         ``served`` says whether the delegate will send the missing records.
         """
 
+    def notify_progress(self) -> None:
+        """Record that a part of the missing records has arrived."""
+
 
 @attrs.frozen
 class PendingQuery:
@@ -120,7 +122,8 @@
 
     ``answered_ms`` is, by topic, when the last query was sent whose answer
     contained a report on the topic. ``on_new_client`` is called when an
-    entry VM becomes a client.
+    entry VM becomes a client. ``fetching`` is set while a change is being
+    fetched in chunks.
     """
 
     board: board_module.ForwardingBoard
@@ -135,9 +138,10 @@
     choice: delegates.DelegateChoice = attrs.field(init=False)
     started_ms: float = board_module.NEVER
     catch_up_queries: dict[str, CatchUpQuery] = attrs.field(factory=dict)
-    assemblies: collections.OrderedDict[
-        tuple[str, int, int], dict[int, bytes]
-    ] = attrs.field(factory=collections.OrderedDict)
+    fetcher: chunk_transfer.ChunkFetcher = attrs.field(
+        factory=chunk_transfer.ChunkFetcher
+    )
+    fetching: trio.Event = attrs.field(factory=trio.Event)
     on_new_client: list[typing.Callable[[], None]] = attrs.field(factory=list)
     _last_number: int = attrs.field(factory=lambda: secrets.randbits(32))
 
@@ -147,15 +151,15 @@
             (freshness_messages.QUERY, self._on_query),
             (freshness_messages.REPORT, self._on_report),
             (freshness_messages.CHUNK, self._on_chunk),
+            (freshness_messages.CHUNK_REQUEST, self._on_chunk_request),
         ):
             self.reporter.add_handler(kind, handler)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start to query the delegate."""
         self.started_ms = self.clock.boot_ms()
-        nursery.start_soon(
-            supervision.run_with_restarts, self._query_forever, ()
-        )
+        for task in (self._query_forever, self._retry_transfers):
+            nursery.start_soon(supervision.run_with_restarts, task, ())
 
     async def close(self) -> None:
         """Nothing to release; the nursery ends the task."""
@@ -197,6 +201,7 @@
         for peer, client in list(self.list_clients().items()):
             for _ in range(MAX_REPORTS_PER_UPDATE):
                 before = client.positions.get(name)
+                self._push_first_chunks(peer, client, name)
                 self._send_report(peer, client, (name,))
                 if client.positions.get(name) in (before, position):
                     break
@@ -209,6 +214,22 @@
             self._query_delegates()
             await self.clock.sleep(store_polls.QUERY_MS)
 
+    async def _retry_transfers(self) -> None:
+        while True:
+            await self.fetching.wait()
+            await self.clock.sleep(chunk_transfer.RETRY_MS / 2.0)
+            self._request_lost_chunks()
+            if not self.fetcher.is_active(self.clock.boot_ms()):
+                self.fetching = trio.Event()
+
+    def _request_lost_chunks(self) -> None:
+        positions = {
+            name: topic.get_position() for name, topic in self.topics.items()
+        }
+        retries = self.fetcher.list_retries(positions, self.clock.boot_ms())
+        for peer, request in retries:
+            self._request_chunks(peer, request)
+
     def _query_delegates(self) -> None:
         before = self.choice.delegate
         delegate = self.choice.choose(self.reporter.list_delegate_candidates())
@@ -216,22 +237,35 @@
             events.log_event(events.Event.DELEGATE_CHOSEN, reader=delegate)
         for peer in self.choice.list_targets(self.clock.boot_ms()):
             self._query(peer)
+        self._request_lost_chunks()
 
     def _query(self, peer: str) -> None:
-        self._last_number += 1
-        self.pending_queries[self._last_number] = PendingQuery(
-            peer, self.clock.boot_ms()
-        )
-        while len(self.pending_queries) > MAX_PENDING_QUERIES:
-            self.pending_queries.popitem(last=False)
         positions = {
             name: position
             for name, topic in self.topics.items()
             if (position := topic.get_position()) is not None
         }
-        query = freshness_messages.Query(self._last_number, positions)
+        query = freshness_messages.Query(
+            self._add_pending_query(peer), positions
+        )
         self.reporter.send(peer, query.to_bytes())
 
+    def _request_chunks(
+        self, peer: str, request: freshness_messages.ChunkRequest
+    ) -> None:
+        request = attrs.evolve(request, number=self._add_pending_query(peer))
+        self.reporter.send(peer, request.to_bytes())
+
+    def _add_pending_query(self, peer: str) -> int:
+        """Return the number of a query that is about to be sent."""
+        self._last_number += 1
+        self.pending_queries[self._last_number] = PendingQuery(
+            peer, self.clock.boot_ms()
+        )
+        while len(self.pending_queries) > MAX_PENDING_QUERIES:
+            self.pending_queries.popitem(last=False)
+        return self._last_number
+
     def _on_query(self, peer: str, fields: list) -> None:
         query = freshness_messages.Query.from_fields(fields)
         client = Client(
@@ -264,9 +298,10 @@
         name: str,
         known: attestation.Attestation,
     ) -> freshness_messages.TopicReport:
-        """Make the report on a topic; send a change too long for it in chunks.
+        """Make the report on a topic.
 
-        Records the position up to which the client has been sent changes.
+        Records the position up to which the client has been sent changes. A
+        change that is too long for a report is left to be requested in chunks.
         """
         position, now_ms = known.position, self.clock.boot_ms()
         make_report = functools.partial(
@@ -286,27 +321,40 @@
         if len(chosen) < len(listed):
             end = chosen[-1].offset + 1 if chosen else start
         if listed and not chosen:
-            served = self._send_chunks(peer, client, name, start, listed[0])
+            served = freshness_messages.may_split(listed[0])
             client.positions[name] = listed[0].offset + 1
             return make_report(start, start, served=served)
         client.positions[name] = end
         return make_report(start, end, chosen)
 
+    def _push_first_chunks(self, peer: str, client: Client, name: str) -> None:
+        """Send the first chunks of the next change if it is a long one."""
+        start = client.positions.get(name)
+        topic = self.topics[name]
+        if start is None or topic.get_attestation() is None:
+            return
+        listed = topic.list_since(start)
+        if listed and not freshness_messages.select_fitting(listed):
+            request = freshness_messages.ChunkRequest(
+                client.number, name, start, None, ()
+            )
+            self._send_chunks(peer, request, listed)
+
+    def _on_chunk_request(self, peer: str, fields: list) -> None:
+        request = freshness_messages.ChunkRequest.from_fields(fields)
+        topic = self.topics.get(request.topic)
+        if topic is not None:
+            listed = topic.list_since(request.start)
+            self._send_chunks(peer, request, listed)
+
     def _send_chunks(
         self,
         peer: str,
-        client: Client,
-        name: str,
-        start: int,
-        change: change_log.Change,
-    ) -> bool:
-        """Send a change in chunks; return False if it needs too many."""
-        chunks = freshness_messages.split_change(
-            client.number, name, start, change
-        )
-        for chunk in chunks:
+        request: freshness_messages.ChunkRequest,
+        listed: list[change_log.Change] | None,
+    ) -> None:
+        for chunk in chunk_transfer.select_chunks(request, listed):
             self.reporter.send(peer, chunk.to_bytes())
-        return bool(chunks)
 
     def _on_report(self, peer: str, fields: list) -> None:
         report = freshness_messages.FreshnessReport.from_fields(fields)
@@ -345,6 +393,9 @@
         after = topic.get_position()
         if after is not None and after < report.position:
             topic.notify_position(report.position, report.served)
+            if report.served and report.start == report.end == after:
+                self._fetch_chunks(name, query.peer, after)
+                return
             self._catch_up(
                 name, query.peer, number, after, report.start > before
             )
@@ -389,19 +440,22 @@
         position = topic.get_position()
         if position is None or position > chunk.offset:
             return
-        key = (chunk.topic, chunk.offset, chunk.count)
-        parts = self.assemblies.setdefault(key, {})
-        parts[chunk.index] = chunk.data
-        if len(parts) < chunk.count:
-            while len(self.assemblies) > MAX_ASSEMBLIES:
-                self.assemblies.popitem(last=False)
-            return
-        del self.assemblies[key]
-        value = freshness_messages.join_chunks(
-            [parts[index] for index in range(chunk.count)]
-        )
-        change = change_log.Change(chunk.offset, chunk.key, value)
-        if topic.apply_changes(chunk.start, chunk.offset + 1, (change,)):
-            # The report sent with the chunks covers changes up to the former
-            # position only; request one for the new position.
-            self._query(peer)
+        topic.notify_progress()
+        self.fetching.set()
+        match self.fetcher.receive(peer, chunk, self.clock.boot_ms()):
+            case freshness_messages.ChunkRequest() as request:
+                self._request_chunks(peer, request)
+            case change_log.Change() as change:
+                end = change.offset + 1
+                if topic.apply_changes(chunk.start, end, (change,)):
+                    # The last report covers changes up to the former position
+                    # only; request one for the new position.
+                    self._query(peer)
+
+    def _fetch_chunks(self, name: str, peer: str, position: int) -> None:
+        """Request the chunks of the change that follows ``position``."""
+        now_ms = self.clock.boot_ms()
+        request = self.fetcher.request(peer, name, position, now_ms)
+        self.fetching.set()
+        if request is not None:
+            self._request_chunks(peer, request)
--- a/src/carawayward/forwarding/freshness_messages.py
+++ b/src/carawayward/forwarding/freshness_messages.py
@@ -14,10 +14,13 @@
 QUERY = 20
 REPORT = 21
 CHUNK = 22
+CHUNK_REQUEST = 23
 
 # Space for the changes of a report, or for a chunk, within an Ethernet frame.
 MAX_CHANGES_BYTES = 1_100
-MAX_CHUNKS = 48
+MAX_CHUNKS = 512
+# Long changes whose compressed form is kept for further clients.
+COMPRESSED_CACHE_SIZE = 4
 # Changes are packed if that makes them fit into the same space. Those of
 # endpoints that renew their entries are much alike.
 MAX_UNPACKED_BYTES = 4 * MAX_CHANGES_BYTES
@@ -169,6 +172,39 @@
         )
 
 
+@attrs.frozen
+class ChunkRequest:
+    """Requests chunks of the change that follows position ``start``.
+
+    ``offset`` is that of the change whose ``indices`` are missing; None before
+    any of its chunks has come.
+    """
+
+    number: int
+    topic: str
+    start: int
+    offset: int | None
+    indices: tuple[int, ...]
+
+    def to_bytes(self) -> bytes:
+        """Encode the datagram."""
+        return cbor2.dumps([CHUNK_REQUEST, *attrs.astuple(self)])
+
+    @classmethod
+    def from_fields(cls, fields: list) -> "ChunkRequest":
+        """Parse decoded fields; raises ValueError or TypeError."""
+        _, number, topic, start, offset, indices = fields
+        if len(indices) > MAX_CHUNKS:
+            raise ValueError(f"{len(indices)} chunks requested at once")
+        return cls(
+            validate_count(number),
+            str(topic),
+            validate_count(start),
+            None if offset is None else validate_count(offset),
+            tuple(validate_count(index) for index in indices),
+        )
+
+
 def select_fitting(
     listed: typing.Iterable[change_log.Change],
 ) -> tuple[change_log.Change, ...]:
@@ -228,14 +264,30 @@
     return [[each.offset, each.key, each.value] for each in changes]
 
 
+@functools.lru_cache(COMPRESSED_CACHE_SIZE)
+def _compress(change: change_log.Change) -> tuple[bytes, ...]:
+    """Compress a long change; return its chunks' data, all clients' alike."""
+    compressed = zlib.compress(change.value or b"")
+    return tuple(
+        compressed[begin : begin + MAX_CHANGES_BYTES]
+        for begin in range(0, len(compressed), MAX_CHANGES_BYTES)
+    )
+
+
+def may_split(change: change_log.Change) -> bool:
+    """Whether a change can be sent in chunks."""
+    return len(_compress(change)) <= MAX_CHUNKS
+
+
 def split_change(
-    number: int, topic: str, start: int, change: change_log.Change
+    number: int,
+    topic: str,
+    start: int,
+    change: change_log.Change,
+    indices: typing.Iterable[int],
 ) -> list[Chunk]:
-    """Split a long change into chunks; none if it needs too many."""
-    compressed = zlib.compress(change.value or b"")
-    count = -(-len(compressed) // MAX_CHANGES_BYTES)
-    if count > MAX_CHUNKS:
-        return []
+    """Make the chunks of a long change that have the given indices."""
+    parts = _compress(change)
     return [
         Chunk(
             number,
@@ -244,12 +296,11 @@
             change.offset,
             change.key,
             index,
-            count,
-            compressed[
-                index * MAX_CHANGES_BYTES : (index + 1) * MAX_CHANGES_BYTES
-            ],
+            len(parts),
+            parts[index],
         )
-        for index in range(count)
+        for index in indices
+        if index < len(parts)
     ]
 
 
--- a/tests/cover/test_delegate_failures.py
+++ b/tests/cover/test_delegate_failures.py
@@ -46,6 +46,9 @@
     def notify_position(self, position, served):
         raise AssertionError("the topic never changes")
 
+    def notify_progress(self):
+        """Parts of a long change are not recorded."""
+
 
 @attrs.define
 class Network:
--- a/tests/model/test_delegated_reads.py
+++ b/tests/model/test_delegated_reads.py
@@ -95,6 +95,9 @@
     def notify_position(self, position, served):
         """Ignore it: the schedule decides when to poll."""
 
+    def notify_progress(self):
+        """Parts of a long change are not recorded."""
+
     def confirm(self, attested):
         if attested.position != self.position:
             return
