Look up routes and targets without a walk over all routes

A request on an entry VM with 1,400 routes paid for all of them: the route was found by a walk over its host's prefixes, and while engines are behind the target of the least urgent routes by one over all routes. Class: work of each request that grows with the size of the configuration.

Routes are kept by host and prefix, and looked up by each length of prefix that the host has, the longest first; targets are computed once for each table.

--- a/src/carawayward/forwarding/table.py
+++ b/src/carawayward/forwarding/table.py
@@ -147,7 +147,11 @@
     keyed: bool
     _shortest_targets: dict[str, float] = attrs.field(init=False, eq=False)
     _ranks: dict[str, tuple[int, ...]] = attrs.field(init=False, eq=False)
-    _routes_by_host: dict[str, list[Route]] = attrs.field(init=False, eq=False)
+    _patient_targets: dict[str, float] = attrs.field(init=False, eq=False)
+    _routes_by_host: dict[str, dict[str, Route]] = attrs.field(
+        init=False, eq=False
+    )
+    _prefix_lengths: dict[str, list[int]] = attrs.field(init=False, eq=False)
 
     @_shortest_targets.default
     def _find_shortest_targets(self) -> dict[str, float]:
@@ -176,42 +180,50 @@
                 ranks.add(self.find_rank(route, None))
         return {name: tuple(sorted(ranks)) for name, ranks in found.items()}
 
+    @_patient_targets.default
+    def _find_patient_targets(self) -> dict[str, float]:
+        """Return each service's shortest target of its least urgent routes."""
+        found: dict[str, tuple[int, float]] = {}
+        for route in self.routes:
+            if not route.target_ms:
+                continue
+            # A higher rank is less urgent.
+            own = (self.find_rank(route, None), -route.target_ms)
+            for target in route.targets:
+                known = found.get(target.service, own)
+                found[target.service] = max(known, own)
+        return {service: -target for service, (_, target) in found.items()}
+
     def find_patient_target(self, service: str) -> float:
         """Return the shortest latency target of the least urgent routes.
 
         In ms, of the routes to a service; infinite if none has a target.
         """
-        routes = [
-            route
-            for route in self.routes
-            if route.target_ms
-            and any(target.service == service for target in route.targets)
-        ]
-        least_urgent = max(
-            (self.find_rank(route, None) for route in routes), default=0
-        )
-        return min(
-            (
-                route.target_ms
-                for route in routes
-                if self.find_rank(route, None) == least_urgent
-            ),
-            default=float("inf"),
-        )
+        return self._patient_targets.get(service, float("inf"))
 
     @_routes_by_host.default
-    def _index_routes(self) -> dict[str, list[Route]]:
-        found: dict[str, list[Route]] = {}
+    def _index_routes(self) -> dict[str, dict[str, Route]]:
+        found: dict[str, dict[str, Route]] = {}
         for route in self.routes:
-            found.setdefault(route.host, []).append(route)
-        for routes in found.values():
-            routes.sort(key=lambda route: -len(route.path_prefix))
+            found.setdefault(route.host, {}).setdefault(
+                route.path_prefix, route
+            )
         return found
 
+    @_prefix_lengths.default
+    def _list_prefix_lengths(self) -> dict[str, list[int]]:
+        """Return the lengths of each host's prefixes, the longest first."""
+        return {
+            host: sorted(set(map(len, routes)), reverse=True)
+            for host, routes in self._routes_by_host.items()
+        }
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest matching prefix."""
-        for route in self._routes_by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
+        routes = self._routes_by_host.get(host, {})
+        for length in self._prefix_lengths.get(host, ()):
+            route = routes.get(path[:length])
+            if route is not None:
                 return route
         return None
 
