Skip superseded records also where one fills an answer

An answer of the store holds 1,024 kB. The number of records that are missing, times the length of the first, counts as well.

--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -31,6 +31,9 @@
 # More than the longest list of records in base64.
 MAX_BODY_BYTES = 8 * 1_048_576
 PARTITION = 0
+# Where the first record of a read begins: after the end of the log, its first
+# offset and the record's length.
+FIRST_RECORD_AT = 20
 # Long polls are idle for seconds. This bounds, in ms, how long a connection
 # whose other side no longer responds can block one.
 UNRESPONSIVE_TIMEOUT_MS = 3_000
@@ -174,10 +177,12 @@
         offset = positions.get_offset(start)
 
         def check(length: int | None, begin: bytes) -> None:
-            if length is None or length <= listing_bytes or len(begin) < 8:
+            if length is None or len(begin) < FIRST_RECORD_AT:
                 return
-            (end,) = struct.unpack_from(">Q", begin)
-            if end - offset > 1:
+            end, _, first_bytes = struct.unpack_from(">QQI", begin)
+            # An answer has a limited length: others may have to follow it.
+            total_bytes = max(length, (end - offset) * first_bytes)
+            if end - offset > 1 and total_bytes > listing_bytes:
                 raise keyed_log.ListingShorter()
 
         answer = await self.store.call(
--- a/tests/failures/test_large_configurations.py
+++ b/tests/failures/test_large_configurations.py
@@ -132,19 +132,29 @@
     run_reader(scenario, 100 * MBIT, make_large_config(1, 4))
 
 
-def test_superseded_configurations_delay_the_last_one_little():
-    """Guards against a reader that reads all versions one by one."""
+def play_storm(routes: int, bytes_per_s: float) -> None:
+    """Write versions in quick succession; the last is in force in time."""
 
     async def scenario(store, reader):
         assert await reader.wait_for(1, 4.0)
         for version in range(2, 32):
             store.put(
-                TOPIC, records.CONFIG_KEY, make_large_config(version, 1_400)
+                TOPIC, records.CONFIG_KEY, make_large_config(version, routes)
             )
             await trio.sleep(0.1)
         assert await reader.wait_for(31, APPLY_S)
 
-    run_reader(scenario, 9 * MBIT, make_large_config(1, 1_400))
+    run_reader(scenario, bytes_per_s, make_large_config(1, routes))
+
+
+def test_superseded_configurations_delay_the_last_one_little():
+    """Guards against a reader that reads all versions one by one."""
+    play_storm(1_400, 9 * MBIT)
+
+
+def test_superseded_configurations_longer_than_an_answer_are_skipped():
+    """Guards against versions read one by one as each fills an answer."""
+    play_storm(3_600, 24 * MBIT)
 
 
 def test_large_configuration_is_as_long_as_those_seen():
