Soak: operators change the configuration, and probes show its effect

Nothing checked the four promises on configurations: the soak's operator never wrote a second version. Each version replaces a route and a key by others; entry VMs are probed with the newest ones, the ones before and those of records that are not valid. Checkers: in force in time, never back in one process, invalid ones left out, keys that were taken away, added routes served.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -239,7 +239,7 @@
         status, wait_ms = 0, 0.0
         with trio.move_on_after(sent.deadline_ms / 1000):
             try:
-                async with self._get_pool(vm, is_fresh).stream(
+                async with self.get_pool(vm, is_fresh).stream(
                     "GET" if kind.route_kind == "safe" else "POST",
                     f"http://127.0.0.1:{vm.caller_port}{sent.content}",
                     headers=list(headers.items()),
@@ -262,8 +262,8 @@
         history.answered_ms[request_id] = trio.current_time() * 1000
         return status, wait_ms
 
-    def _get_pool(
-        self, vm: processes.EntryVm, is_fresh: bool
+    def get_pool(
+        self, vm: processes.EntryVm, is_fresh: bool = False
     ) -> httpcore.AsyncConnectionPool:
         """The pool of open connections to an entry VM, or of single ones."""
         name = f"{vm.name}, fresh" if is_fresh else vm.name
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from tests.soak import configurations
 from tests.soak import hard_load
 from tests.soak import records
 
@@ -593,6 +594,7 @@
     "waits": hard_load.check_waits,
     "refused runs": hard_load.check_refused_runs,
     "idle room": hard_load.check_idle_room,
+    **configurations.CHECKERS,
 }
 
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -11,6 +11,7 @@
 from tests.common import loopback
 from tests.soak import callers as callers_module
 from tests.soak import checkers
+from tests.soak import configurations
 from tests.soak import endpoints
 from tests.soak import processes
 from tests.soak import records
@@ -53,6 +54,8 @@
 # The balancer takes an entry VM out after this many probes without a 200.
 PROBE_INTERVAL_S = 1.0
 PROBES_MISSED = 2
+# What a call of a slow store takes.
+SLOW_STORE_MS = 250.0
 MEASURE_DELAY_S = 0.05
 
 
@@ -62,7 +65,8 @@
 
     With ``proxied`` the addresses of endpoints that are down accept
     connections. Each entry VM gets ``core_share`` of a core, and callers send
-    ``load`` times the usual rates, ``max_load`` times in bursts at most.
+    ``load`` times the usual rates, ``max_load`` times in bursts at most. Its
+    link to the store passes on ``store_mbps``.
     """
 
     seed: int
@@ -73,12 +77,14 @@
     core_share: float = 1.0
     load: float = 1.0
     max_load: float = math.inf
+    store_mbps: float = math.inf
     bounds: records.Bounds = attrs.field(factory=records.Bounds)
     history: records.History = attrs.field(factory=records.History)
     store: store_module.Store = attrs.field(factory=store_module.Store)
     vms: list[processes.EntryVm] = attrs.field(factory=list)
     fleet: list[endpoints.SoakEndpoint] = attrs.field(factory=list)
     callers: callers_module.Callers = attrs.field(init=False)
+    operator: configurations.Operator = attrs.field(init=False)
     faults: list[schedule.ScheduledFault] = attrs.field(factory=list)
     began_ms: float = 0.0
     max_delay_ms: float = 0.0
@@ -100,6 +106,7 @@
                 nursery.start_soon(endpoint.run)
             self.make_vms(port)
             for vm in self.vms:
+                vm.store_link.bytes_per_s = self.store_mbps * 1e6 / 8.0
                 nursery.start_soon(vm.run)
             for vm in self.vms:
                 await vm.wait_until_ready()
@@ -114,6 +121,8 @@
             await trio.sleep(WARM_UP_S)
             self.began_ms = trio.current_time() * 1000
             await self.callers.run(nursery)
+            if any(each in schedule.CONFIG_FAULTS for each in kinds):
+                self._probe_configurations(nursery)
             await self._inject(nursery)
             await trio.sleep(
                 max(0.0, seconds + self.began_ms / 1000 - trio.current_time())
@@ -169,6 +178,18 @@
             for number in range(self.entry_vms)
         ]
 
+    def _probe_configurations(self, nursery: trio.Nursery) -> None:
+        """Start an operator, and probes of what each entry VM has in force."""
+        draw = random.Random(self.seed)
+        self.operator = configurations.Operator(
+            store=self.store, history=self.history, draw=draw
+        )
+        prober = configurations.Prober(
+            callers=self.callers, history=self.history, draw=draw
+        )
+        for vm in self.vms:
+            nursery.start_soon(prober.run, vm)
+
     async def _measure_delay(self) -> None:
         """Keep how late the tasks of this process, callers too, have run."""
         while True:
@@ -210,7 +231,10 @@
                 mode = "held" if fault.fault is kind.STORE_CUT else "reset"
                 await vm.apply_link_mode(vm.store_link, mode, fault.for_ms)
             case (
-                kind.STORE_DOWN | kind.STORE_SILENT | kind.STORE_LOSES_ANSWERS
+                kind.STORE_DOWN
+                | kind.STORE_SILENT
+                | kind.STORE_LOSES_ANSWERS
+                | kind.STORE_SLOW
             ):
                 await self._disturb_store(fault)
             case kind.ENDPOINT_CRASHED:
@@ -252,6 +276,14 @@
                 await self._crash_by_part(fault)
             case kind.SKEWED_CONNECTIONS:
                 await self._skew_connections(fault)
+            case kind.CONFIG_CHANGED:
+                self.operator.change()
+            case kind.CONFIG_STORM:
+                await self.operator.storm()
+            case kind.CONFIG_GROWN:
+                self.operator.change(configurations.GROWN_ROUTES)
+            case kind.CONFIG_INVALID:
+                self.operator.write_invalid()
             case each if each in schedule.HARD_LOAD_FAULTS:
                 await self._take_room(fault)
             case kind.CRASHING_REQUEST:
@@ -484,9 +516,12 @@
                 self.store.silent = True
             case schedule.Fault.STORE_LOSES_ANSWERS:
                 self.store.dropping_append_answers = True
+            case schedule.Fault.STORE_SLOW:
+                self.store.delay_ms = SLOW_STORE_MS
         await trio.sleep(fault.for_ms / 1000)
         self.store.error_status = 0
         self.store.silent = False
+        self.store.delay_ms = 0.0
         self.store.dropping_append_answers = False
         for each in disruptions:
             each.until_ms = trio.current_time() * 1000
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -11,12 +11,15 @@
 
 @attrs.frozen(kw_only=True)
 class Bounds:
-    """The figures of the retry rules; times in ms."""
+    """The figures of the rules; times in ms."""
 
     contact_ms: float = 3_000.0
     retry_ratio: float = 0.9
     retry_window_ms: float = 10_000.0
     retry_slack: float = 58.0
+    apply_ms: float = 2_000.0
+    back_ms: float = 250.0
+    revoke_ms: float = 5_000.0
 
 
 @attrs.define(kw_only=True)
@@ -128,6 +131,38 @@
     until_ms: float = math.inf
 
 
+@attrs.frozen(kw_only=True)
+class Version:
+    """A version of the configuration: the paths and keys that it allows."""
+
+    paths: frozenset[str]
+    keys: frozenset[str]
+    acked_ms: float
+
+
+@attrs.define(kw_only=True)
+class Probe:
+    """A request whose answer shows which versions its entry VM may have.
+
+    ``start`` counts the starts of its process.
+    """
+
+    vm: str
+    start: int
+    path: str
+    key: str
+    at_ms: float
+    status: int = 0
+    ended_ms: float = math.inf
+
+    def describe(self) -> str:
+        """Say what was answered."""
+        return (
+            f"{self.vm}: {self.status} on {self.path} with {self.key}, sent "
+            f"at {self.at_ms:.0f}, answered at {self.ended_ms:.0f}"
+        )
+
+
 @attrs.define(eq=False)
 class History:
     """The records of one run, in the order of their times.
@@ -137,7 +172,8 @@
     when they had these or gave up. ``shortages`` are
     the times in which room may be short, ``places`` the slots of each endpoint
     by service. The connections of ``unread`` requests were refused, or closed
-    before an entry VM had read them.
+    before an entry VM had read them. ``versions`` are those of the
+    configuration, the first one first.
     """
 
     sent: dict[str, Sent] = attrs.field(factory=dict)
@@ -154,6 +190,9 @@
     ended_tries_ms: dict[str, float] = attrs.field(factory=dict)
     skews: list[Skew] = attrs.field(factory=list)
     unread: set[str] = attrs.field(factory=set)
+    versions: list[Version] = attrs.field(factory=list)
+    invalid_paths: list[str] = attrs.field(factory=list)
+    probes: list[Probe] = attrs.field(factory=list)
     ended_ms: float = math.inf
 
     def find_vm(self, arrival: Arrival) -> str:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,6 +18,7 @@
 import trio
 
 from tests.soak import checkers
+from tests.soak import configurations
 from tests.soak import deployment
 from tests.soak import records
 from tests.soak import schedule
@@ -45,6 +46,7 @@
     partitions: list[str]
     crashing_parts: list[str]
     skews: list[str]
+    configurations: str
     harness_delay_ms: float
 
     @property
@@ -78,10 +80,26 @@
             for each in history.crashing_parts
         ],
         skews=[describe_skew(soak, each) for each in history.skews],
+        configurations=describe_configurations(soak),
         harness_delay_ms=round(soak.max_delay_ms),
     )
 
 
+def describe_configurations(soak: deployment.Soak) -> str:
+    """How many versions were written, and what probes of them showed."""
+    history = soak.history
+    if not history.probes:
+        return ""
+    added, first = configurations.count_probes(history, soak.bounds)
+    ran = sum(each.status in configurations.RAN for each in history.probes)
+    return (
+        f"{len(history.versions)} versions, {len(history.invalid_paths)} not "
+        f"valid; {ran} of {len(history.probes)} probes ran; served on added "
+        f"routes {sum(added)} of {len(added)}, on a first one {sum(first)} of "
+        f"{len(first)}"
+    )
+
+
 def describe_skew(soak: deployment.Soak, skew: records.Skew) -> str:
     """How many calls were served before, during and after a skew."""
     counts = ", ".join(
@@ -140,6 +158,7 @@
     core_share: float = 1.0,
     load: float = 1.0,
     max_load: float = math.inf,
+    store_mbps: float = math.inf,
 ) -> tuple[deployment.Soak, Result]:
     """Play one seed; the logs are removed unless a rule was broken."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -152,6 +171,7 @@
         core_share=core_share,
         load=load,
         max_load=max_load,
+        store_mbps=store_mbps,
     )
     trio.run(soak.play, min(seconds, MAX_SECONDS), kinds)
     result = summarize(soak)
@@ -199,6 +219,7 @@
     core_share: float = 1.0,
     load: float = 1.0,
     max_load: float = math.inf,
+    store_mbps: float = math.inf,
 ) -> int:
     """Play seeds, print a line for each; the exit code is 0 if all hold.
 
@@ -215,6 +236,7 @@
         core_share: how much of a core each entry VM gets.
         load: how many times the usual rates callers send.
         max_load: the same at most, where bursts overlap.
+        store_mbps: the rate of each entry VM's link to the store.
     """
     names = faults if isinstance(faults, tuple) else faults.split(",")
     kinds = tuple(schedule.Fault[name] for name in names if name)
@@ -234,6 +256,7 @@
                 core_share,
                 load,
                 max_load,
+                store_mbps,
             )
             broken += result.broken
             print(json.dumps(attrs.asdict(result)), flush=True)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -47,6 +47,11 @@
     HOT_PART = "many prompts share a part"
     IMPATIENT_CALLERS = "callers come back before they are told to"
     SKEWED_CONNECTIONS = "most new connections go to few vms"
+    CONFIG_CHANGED = "configuration changed"
+    CONFIG_STORM = "configurations in quick succession"
+    CONFIG_GROWN = "configuration with many more routes"
+    CONFIG_INVALID = "configuration that is not valid"
+    STORE_SLOW = "store slow"
 
 
 # Faults that take room; callers then have ranks and several customers.
@@ -59,6 +64,15 @@
 )
 
 
+# Changes by operators, which entry VMs are then probed for.
+CONFIG_FAULTS = (
+    Fault.CONFIG_CHANGED,
+    Fault.CONFIG_STORM,
+    Fault.CONFIG_GROWN,
+    Fault.CONFIG_INVALID,
+)
+
+
 # Drawn unless others are named; the seeds in use rest on this choice.
 USUAL_FAULTS = tuple(
     each
@@ -68,6 +82,8 @@
         Fault.PARTITION,
         Fault.CRASHING_PART,
         Fault.SKEWED_CONNECTIONS,
+        Fault.STORE_SLOW,
+        *CONFIG_FAULTS,
         *HARD_LOAD_FAULTS,
     )
 )
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -58,7 +58,8 @@
     without a reply and lists their topics in ``unanswered``.
     ``dropping_append_answers`` applies appends, then resets the connection.
     With ``delaying_polls`` long polls return no record before they time out.
-    ``era`` is sent in all replies, None in none.
+    ``era`` is sent in all replies, None in none. Calls take ``delay_ms``
+    longer.
     """
 
     topics: dict[str, Topic] = attrs.field(factory=dict)
@@ -66,6 +67,7 @@
     silent: bool = False
     dropping_append_answers: bool = False
     delaying_polls: bool = False
+    delay_ms: float = 0.0
     calls: int = 0
     unanswered: list[str] = attrs.field(factory=list)
     era: int | None = None
@@ -111,6 +113,8 @@
         if self.silent:
             self.unanswered.append(query["topic"])
             await trio.sleep_forever()
+        if self.delay_ms:
+            await trio.sleep(self.delay_ms / 1000)
         if self.error_status:
             await exchange.answer(self.error_status)
             return
