Apply the newest record of a key that can be used, not the last one

Found on the way, by reading: since records that a later one of the same key supersedes are skipped, a valid configuration that is read together with one that cannot be used was skipped for it, and never put into force. The records of a key are tried from the last one on; one that cannot be used is not passed on to clients either, for whom it would have superseded the one before.

--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -67,9 +67,11 @@
             elif failure_domain not in self.missing_since_ms:
                 self._lift(failure_domain)
 
-    def apply(self, record: keyed_log.Record) -> None:
-        """Apply one record."""
-        self._apply_decoded(self.decode(record))
+    def apply(self, record: keyed_log.Record) -> bool:
+        """Apply one record; return False if it cannot be used."""
+        decoded = self.decode(record)
+        self._apply_decoded(decoded)
+        return decoded is not None or record.value is None
 
     def _evacuate(self, failure_domain: str) -> None:
         self.missing_since_ms.pop(failure_domain, None)
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -37,7 +37,8 @@
     """Keeps a reader up to date with one topic.
 
     ``replace`` receives the newest record of every key at the start and after
-    a gap, ``apply`` each further record. ``mark_current`` receives the boot
+    a gap, ``apply`` further records; it returns False for one that cannot be
+    used, which then does not supersede the one before. ``mark_current`` receives the boot
     time up to which the reader is known to be up to date: when the call that
     showed it was sent. ``outages`` is shared by all feeds. ``record_failing``
     is called with True after the first failed call, and with False after the
@@ -73,7 +74,7 @@
     clock: clock_module.Clock
     outages: store_outages.OutageTracker
     replace: typing.Callable[[list[keyed_log.Record]], None]
-    apply: typing.Callable[[keyed_log.Record], None]
+    apply: typing.Callable[[keyed_log.Record], bool | None]
     mark_current: typing.Callable[[float], None] = lambda as_of_ms: None
     get_poll_wait: typing.Callable[[], float] = lambda: store_polls.MAX_POLL_MS
     get_call_gap: typing.Callable[[], float] = lambda: (
@@ -399,9 +400,9 @@
         if before is None or lost is not None:
             self._replace(batch)
         else:
-            for record in list_latest(batch.records):
-                if record.offset >= before:
-                    self._apply(record)
+            self._apply_newest(
+                [each for each in batch.records if each.offset >= before]
+            )
         self._set_position(batch.end)
 
     def _replace(self, batch: keyed_log.Batch) -> None:
@@ -417,9 +418,26 @@
         behind = self._is_behind()
         self.behind_since_ms = self.clock.boot_ms() if behind else None
 
+    def _apply_newest(self, records: list[keyed_log.Record]) -> None:
+        """Apply the newest record of each key that can be used.
+
+        Each takes time to decode; a reader that is behind may have many.
+        """
+        by_key: dict[str, list[keyed_log.Record]] = {}
+        for record in records:
+            by_key.setdefault(record.key, []).append(record)
+        applied = []
+        for same_key in by_key.values():
+            for record in reversed(same_key):
+                if self.apply(record) is not False:
+                    applied.append(record)
+                    break
+        for record in sorted(applied, key=lambda each: each.offset):
+            self.log.apply(record)
+
     def _apply(self, record: keyed_log.Record) -> None:
-        self.log.apply(record)
-        self.apply(record)
+        if self.apply(record) is not False:
+            self.log.apply(record)
 
     def _record_success(self) -> None:
         if not self.failing:
@@ -438,9 +456,3 @@
             events.log_event(
                 events.Event.PLATFORM_DOWN, topic=self.name, detail=str(fault)
             )
-
-
-def list_latest(records: list[keyed_log.Record]) -> list[keyed_log.Record]:
-    """Leave out records that a later one of the same key supersedes."""
-    latest = {record.key: record.offset for record in records}
-    return [each for each in records if latest[each.key] == each.offset]
