Refuse a configuration with a dangling service or a wrong type

A record whose routes name a service that it does not have, or with a text where a number or a name is due, was put into force: its requests had no endpoints, or failed on each comparison.

test_older_and_unreadable_configurations now waits after each record: since superseded records are skipped it would have seen the last one only. With the new cases it fails on the decoder before.

--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -99,19 +99,25 @@
         for key in tenant["apiKeys"]:
             customers[key] = customer
     limits = body.get("limits", {})
+    routes = tuple(read_route(each) for each in body["routes"])
+    services = {each["name"]: read_service(each) for each in body["services"]}
+    for route in routes:
+        for target in route.targets:
+            if target.service not in services:
+                raise ValueError(
+                    f"route {route.name} names an unknown service"
+                )
     return table.RoutingTable(
         revision=_require_type(body["version"], int),
-        routes=tuple(read_route(each) for each in body["routes"]),
-        services={
-            each["name"]: read_service(each) for each in body["services"]
-        },
+        routes=routes,
+        services=services,
         customers_by_key=customers,
         keyed=bool(tenants),
         limits=table.CallerLimits(
-            header_bytes=limits.get("maxHeaderBytes", 16_384),
-            body_bytes=limits.get("maxBodyBytes", 4_194_304),
-            header_ms=limits.get("headerTimeoutMs", 3_000),
-            idle_ms=limits.get("idleTimeoutMs", 15_000),
+            header_bytes=_require_count(limits, "maxHeaderBytes", 16_384),
+            body_bytes=_require_count(limits, "maxBodyBytes", 4_194_304),
+            header_ms=_require_count(limits, "headerTimeoutMs", 3_000),
+            idle_ms=_require_count(limits, "idleTimeoutMs", 15_000),
         ),
     )
 
@@ -120,9 +126,9 @@
     """Convert a route, which names one service or splits over several."""
     split = body.get("split") or [{"service": body["service"], "weight": 1}]
     return table.Route(
-        name=body["name"],
-        host=body["host"],
-        path_prefix=body["pathPrefix"],
+        name=_require_type(body["name"], str),
+        host=_require_type(body["host"], str),
+        path_prefix=_require_type(body["pathPrefix"], str),
         kind=ROUTE_KINDS[body["routeKind"]],
         targets=tuple(
             table.Target(each["service"], float(each["weight"]))
@@ -130,7 +136,7 @@
         ),
         timeout_ms=float(body["timeoutMs"]),
         target_ms=float(body.get("targetLatencyMs") or body["timeoutMs"]),
-        max_attempts=body.get("maxAttempts", 1),
+        max_attempts=_require_count(body, "maxAttempts", 1),
         priority=_parse_rank(body.get("priority")),
         anonymous=body.get("anonymous", False),
         affinity=body.get("affinity", False),
@@ -218,6 +224,14 @@
     return value
 
 
+def _require_count(body: dict, field: str, default: int) -> int:
+    """A field that is a non-negative whole number, or the default."""
+    value = _require_type(body.get(field, default), int)
+    if value < 0:
+        raise ValueError(f"{field} is negative")
+    return value
+
+
 def _log_unreadable(record: keyed_log.Record, fault: Exception) -> None:
     events.log_event(
         events.Event.ENTRY_UNREADABLE,
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -206,19 +206,43 @@
             await deployment.wait_for(
                 lambda: deployment.find_table().revision == 5
             )
+            feed = deployment.find_controller(0)
             for broken in (
                 {"version": 6},
                 {**forwarding.make_config(7), "routes": [{"name": 3}]},
                 {**forwarding.make_config(8), "version": "8"},
+                {**forwarding.make_config(9), "services": []},
+                {**forwarding.make_config(9), "limits": {"maxBodyBytes": ""}},
                 "text",
                 {**forwarding.make_config(3), "routes": []},
             ):
                 deployment.store.put("keyed.op", "config", broken)
-            end = deployment.store.topic("keyed.op").end
+                end = deployment.store.topic("keyed.op").end
+                while feed.position != end:
+                    await trio.sleep(0.01)
+                assert deployment.find_table().revision == 5
+            assert (await deployment.call("GET", "/look/")).status == 200
+
+    trio.run(main)
+
+
+def test_configuration_before_an_unreadable_one_is_put_into_force():
+    """Guards against a configuration skipped for one that cannot be used.
+
+    Both are read at once.
+    """
+
+    async def main():
+        (desk,) = make_desks(1)
+        async with forwarding.open_forwarding(desk) as deployment:
+            deployment.store.put(
+                "keyed.op", "config", forwarding.make_config(5)
+            )
+            deployment.store.put("keyed.op", "config", {"version": 6})
             feed = deployment.find_controller(0)
+            end = deployment.store.topic("keyed.op").end
             await deployment.wait_for(lambda: feed.position == end)
             assert deployment.find_table().revision == 5
-            assert (await deployment.call("GET", "/look/")).status == 200
 
     trio.run(main)
 
