Bound answers that never end, in memory and in time

Servers in trouble may send bytes that are no answer, in a head or a body, until the caller closes. test_endless_answers on the code before: - a plain body without a length (8 kB each 50 ms) held its caller for the route's time (2.0 s) and then gave a 504 without a second attempt; one that declares 1 GB too; - a stream of filler, or of comments, after its first event counted as alive: given up only at the route's time (over 4 s), not after two gap targets; - through the callers' API, reports and calls were kept in memory whole, as were the answers of the platform's services and of peers (relayed probes). Heads without end, and an unsafe request's body, were bounded before; so was the store's answer since its calls are timed by progress.

A stream has to bring an event, with a new id where it may be resumed, within two gap targets. Single calls read 8 MiB at most, in one function.

--- a/src/carawayward/forwarding/attempt_timeouts.py
+++ b/src/carawayward/forwarding/attempt_timeouts.py
@@ -34,6 +34,13 @@
     return HEAD_TIMEOUT_TARGETS * route.target_ms
 
 
+def compute_body_timeout_ms(route: table.Route) -> float:
+    """How long to wait for a short body after the head of a response."""
+    if not route.repeatable or route.kind is table.RouteKind.STREAM:
+        return NO_TIMEOUT_MS
+    return HEAD_TIMEOUT_TARGETS * route.target_ms
+
+
 def _compute_stream_timeout_ms(
     route: table.Route, left_ms: float, predicted_ms: float
 ) -> float:
--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -331,8 +331,10 @@
 ) -> None:
     """Raise AttemptFailed unless the peer's process answers."""
     try:
-        response = await connection.request(
-            "GET", f"http://{address}{relay_messages.PATH.decode()}"
+        response = await http.request(
+            connection,
+            "GET",
+            f"http://{address}{relay_messages.PATH.decode()}",
         )
     except http.CALL_FAILURES as cause:
         raise attempt_module.AttemptFailed(
@@ -357,8 +359,8 @@
     async with httpcore.AsyncConnectionPool() as pool:
         try:
             with trio.fail_after(PROBE_TIMEOUT_MS / 1000):
-                response = await pool.request(
-                    "POST", url, content=asked.to_bytes()
+                response = await http.request(
+                    pool, "POST", url, content=asked.to_bytes()
                 )
             return relay_messages.decode_probe_reply(response.content)
         except (*http.CALL_FAILURES, *relay_messages.DECODE_ERRORS):
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -6,6 +6,7 @@
 import trio
 
 from carawayward.forwarding import attempt as attempt_module
+from carawayward.forwarding import attempt_timeouts
 from carawayward.forwarding import crashing_parts
 from carawayward.forwarding import event_stream
 from carawayward.forwarding import hops
@@ -19,8 +20,8 @@
 MAX_BODY_BYTES = 4_194_304
 # Statuses that tell callers that a request has not run and will not.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-# A stream without data for this many times the route's gap target is resumed
-# from another endpoint.
+# A stream without an event for this many times the route's gap target is
+# resumed from another endpoint.
 GAP_TIMEOUT_TARGETS = 2.0
 
 
@@ -57,7 +58,10 @@
             return work_items.Failed(
                 f"status {head.status} not marked as declined"
             )
-        body = await answer.read_body(MAX_BODY_BYTES)
+        body = await answer.read_body(
+            MAX_BODY_BYTES,
+            attempt_timeouts.compute_body_timeout_ms(work.route),
+        )
         work.progress.status = head.status
         if head.status >= 500 and work.route.repeatable:
             return work_items.Failed(f"status {head.status}", head, body)
@@ -99,8 +103,9 @@
             # One scope for all waits: a new one for each would cost as much
             # as the wait.
             with trio.CancelScope() as gap_scope:
+                last_event_at, last_event = trio.current_time(), None
                 while True:
-                    gap_scope.deadline = trio.current_time() + gap_timeout_s
+                    gap_scope.deadline = last_event_at + gap_timeout_s
                     chunk = await anext(chunks, b"")
                     gap_scope.deadline = float("inf")
                     if not chunk:
@@ -115,6 +120,13 @@
                     )
                     if failure is not None:
                         return failure
+                    if (
+                        not work.route.resumable
+                        or work.last_event != last_event
+                    ):
+                        # Bytes alone, and comments, show no progress.
+                        last_event_at = trio.current_time()
+                        last_event = work.last_event
             if gap_scope.cancelled_caught:
                 return work_items.Failed("stream idle timeout", timed_out=True)
         if splitter.pending or not reply.started:
--- a/src/carawayward/gateway/endpoints.py
+++ b/src/carawayward/gateway/endpoints.py
@@ -207,7 +207,8 @@
                 mark.on_connect = functools.partial(
                     _extend_deadline, scope, timeout_ms / 1000
                 )
-                response = await pool.request(
+                response = await http.request(
+                    pool,
                     method,
                     f"http://{endpoint.address}{path}",
                     headers={"Content-Type": "application/json"},
--- a/src/carawayward/http_client.py
+++ b/src/carawayward/http_client.py
@@ -66,6 +66,14 @@
         return 0
 
 
+def find_length(headers: typing.Iterable[tuple[bytes, bytes]]) -> int | None:
+    """The declared length of a body, in bytes; None if there is none."""
+    for name, value in headers:
+        if name.lower() == b"content-length" and value.isdigit():
+            return int(value)
+    return None
+
+
 async def drop_idle(pool: httpcore.AsyncConnectionPool) -> None:
     """Close a pool's idle connections.
 
@@ -77,6 +85,33 @@
             await connection.aclose()
 
 
+# More than any answer of a service, an endpoint or the store to a single call
+# holds.
+MAX_BODY_BYTES = 8 * 1_048_576
+
+
+async def request(
+    pool: httpcore.AsyncConnectionPool | httpcore.AsyncHTTP11Connection,
+    method: str,
+    url: str,
+    **options: typing.Any,
+) -> httpcore.Response:
+    """Make a call and read the whole response, which has a limited length.
+
+    Raises httpcore.RemoteProtocolError if it is longer than
+    ``MAX_BODY_BYTES``; its connection is closed.
+    """
+    async with pool.stream(method, url, **options) as response:
+        body = bytearray()
+        async for chunk in response.aiter_stream():
+            body += chunk
+            if len(body) > MAX_BODY_BYTES:
+                raise httpcore.RemoteProtocolError("body too long")
+    return httpcore.Response(
+        response.status, headers=response.headers, content=bytes(body)
+    )
+
+
 CALL_FAILURES = (
     httpcore.TimeoutException,
     httpcore.NetworkError,
@@ -121,7 +156,8 @@
         content = None if body is None else json.dumps(body).encode()
         try:
             with trio.fail_after(timeout_ms / 1000):
-                response = await self.pool.request(
+                response = await request(
+                    self.pool,
                     method,
                     self.base_url + path,
                     headers={
--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -28,8 +28,6 @@
 # does: giving it up would only read it again from the start. One that comes
 # more slowly than this is given up.
 MIN_BODY_BYTES_PER_MS = 20.0
-# More than the longest list of records in base64.
-MAX_BODY_BYTES = 8 * 1_048_576
 PARTITION = 0
 # Where the first record of a read begins: after the end of the log, its first
 # offset and the record's length.
@@ -255,15 +253,15 @@
     httpcore.RemoteProtocolError if the body is too long.
     """
     began = trio.current_time()
-    length = get_length(response.headers) if response.status == 200 else None
+    length = http.find_length(response.headers)
     chunks = typing.cast(typing.AsyncGenerator, response.aiter_stream())
     async with contextlib.aclosing(chunks):
         timeout.deadline = began + CALL_TIMEOUT_MS / 1000
         async for chunk in chunks:
-            if not received:
+            if not received and response.status == 200:
                 check(length, chunk)
             received += chunk
-            if len(received) > MAX_BODY_BYTES:
+            if len(received) > http.MAX_BODY_BYTES:
                 raise httpcore.RemoteProtocolError("body too long")
             expected_ms = len(received) / MIN_BODY_BYTES_PER_MS
             timeout.deadline = CALL_TIMEOUT_MS / 1000 + min(
@@ -271,14 +269,6 @@
             )
 
 
-def get_length(headers: message_types.Headers) -> int | None:
-    """The declared length of a body; None if there is none."""
-    for name, value in headers:
-        if name.lower() == b"content-length" and value.isdigit():
-            return int(value)
-    return None
-
-
 def parse_era(headers: message_types.Headers) -> int:
     """The era of an answer; 0 without the header.
 
