Prefer entry VMs with wide links as delegates

Where all links are alike, or nothing is known, nothing changes. While entry VMs know different sets a few more read, as before.

--- a/src/carawayward/decisions/delegates.py
+++ b/src/carawayward/decisions/delegates.py
@@ -12,6 +12,9 @@
 necessary. The queries are also the failure detector: a delegate that leaves
 several in a row unanswered is skipped until it answers again. Detection takes
 as long among a hundred entry VMs as among eight.
+
+A delegate sends long changes to all of its clients, over a link that it shares
+with callers. Entry VMs with a wide link are preferred.
 """
 
 import typing
@@ -28,17 +31,31 @@
 MAX_UNANSWERED = 3
 # Interval at which a skipped entry VM is queried again.
 PROBE_MS = 2_000.0
+# A link of this rate carries a change of 100 kB to all clients of a delegate
+# within a few hundred ms.
+WIDE_LINK_MBPS = 50.0
+
 
+def list_delegates(
+    names: typing.Collection[str], wide: typing.Collection[str] = ()
+) -> list[str]:
+    """The delegates among the entry VMs of a failure domain.
 
-def list_delegates(names: typing.Collection[str]) -> list[str]:
-    """The delegates among the entry VMs of a failure domain."""
+    Those that are ``wide``, that is have a wide link, go first.
+    """
     count = -(-len(names) // MAX_CLIENTS_PER_DELEGATE)
-    return sorted(names, key=placement.hash_key)[:count]
+    return sorted(
+        names, key=lambda name: (name not in wide, placement.hash_key(name))
+    )[:count]
 
 
-def choose_delegate(own: str, names: typing.Collection[str]) -> str:
+def choose_delegate(
+    own: str,
+    names: typing.Collection[str],
+    wide: typing.Collection[str] = (),
+) -> str:
     """The delegate of ``own`` among ``names``, which may be ``own`` itself."""
-    listed = list_delegates(names)
+    listed = list_delegates(names, wide)
     if own in listed:
         return own
     return max(listed, key=lambda name: placement.hash_key(f"{own} by {name}"))
@@ -59,13 +76,22 @@
     unanswered: dict[str, int] = attrs.field(factory=dict)
     probed_ms: dict[str, float] = attrs.field(factory=dict)
 
-    def choose(self, names: typing.Collection[str]) -> str:
-        """Choose among the entry VMs of the failure domain."""
+    def choose(
+        self,
+        names: typing.Collection[str],
+        wide: typing.Collection[str] = (),
+    ) -> str:
+        """Choose among the entry VMs of the failure domain.
+
+        Those in ``wide`` have a wide link.
+        """
         known = {self.own, *names}
         for by_name in (self.unanswered, self.probed_ms):
             for name in by_name.keys() - known:
                 del by_name[name]
-        self.delegate = choose_delegate(self.own, known - self._list_failed())
+        self.delegate = choose_delegate(
+            self.own, known - self._list_failed(), wide
+        )
         return self.delegate
 
     def list_targets(self, now_ms: float) -> list[str]:
--- a/src/carawayward/decisions/store_polls.py
+++ b/src/carawayward/decisions/store_polls.py
@@ -95,14 +95,18 @@
     return max(MIN_POLL_MS, wanted_ms)
 
 
-def compute_retry_ms(own: str, domain: typing.Collection[str]) -> float:
+def compute_retry_ms(
+    own: str,
+    domain: typing.Collection[str],
+    wide: typing.Collection[str] = (),
+) -> float:
     """Interval between calls of ``own`` during an outage of the store.
 
     ``domain`` are the entry VMs of its failure domain, whether or not they
-    reach the store. When it is down all of them call it, which grows with
-    their number.
+    reach the store, and ``wide`` those with a wide link. When it is down all
+    of them call it, which grows with their number.
     """
-    reads = own in delegates.list_delegates({own, *domain})
+    reads = own in delegates.list_delegates({own, *domain}, wide)
     return RETRY_MS if reads else CLIENT_RETRY_MS
 
 
--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -80,6 +80,12 @@
         load_reports.Topic(fleet.room.describe, fleet.room.merge),
     )
     freshness = freshness_module.FreshnessController(board, clock, reporter)
+    reporter.add_topic(
+        "wide_link",
+        load_reports.Topic(
+            freshness.wide_links.describe, freshness.wide_links.merge
+        ),
+    )
     rollouts = rollouts_module.Rollouts(board, clock)
     reporter.add_topic(
         "rollouts", load_reports.Topic(rollouts.describe, rollouts.merge)
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -51,6 +51,7 @@
     want no request from this entry VM. ``evacuated`` holds the failure domains
     whose endpoints get no requests. ``refusing`` is set during a shutdown,
     once the load balancer has had time to stop sending new connections.
+    ``link_mbps`` is the rate of this entry VM's link, 0 if it is not known.
     ``open_relays`` are requests that this entry VM sends for its peers.
     ``declared`` is set, and replaced, by each change to ``table`` or
     ``orders``.
@@ -60,6 +61,7 @@
     failure_domain: str
     incarnation: str = attrs.field(factory=lambda: secrets.token_hex(4))
     bounds: settings.Bounds = attrs.field(factory=settings.Bounds)
+    link_mbps: float = 0.0
     state: State = State.STARTING
     refusing: bool = False
     table: table_module.RoutingTable | None = None
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -88,6 +88,7 @@
             name=settings.name,
             failure_domain=settings.failure_domain,
             bounds=settings.bounds,
+            link_mbps=settings.link_mbps,
         )
         parts = assembly.make_placement(settings, board, clock, ports)
         feeds = feeds_module.make_feeds(
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -38,13 +38,13 @@
 
     ``replace`` receives the newest record of every key at the start and after
     a gap, ``apply`` further records; it returns False for one that cannot be
-    used, which then does not supersede the one before. ``mark_current`` receives the boot
-    time up to which the reader is known to be up to date: when the call that
-    showed it was sent. ``outages`` is shared by all feeds. ``record_failing``
-    is called with True after the first failed call, and with False after the
-    first one that succeeds again. ``get_poll_wait`` returns how long the next
-    poll may wait, in ms, and ``get_call_gap`` how long after the start of a
-    call that returned records the next one begins.
+    used, which then does not supersede the one before. ``mark_current``
+    receives the boot time up to which the reader is known to be up to date:
+    when the call that showed it was sent. ``outages`` is shared by all feeds.
+    ``record_failing`` is called with True after the first failed call, and
+    with False after the first one that succeeds again. ``get_poll_wait``
+    returns how long the next poll may wait, in ms, and ``get_call_gap`` how
+    long after the start of a call that returned records the next one begins.
     Nothing is read unless ``is_needed`` returns true; ``wait_until_needed``
     returns when it may do so again.
 
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -51,7 +51,9 @@
 
     def get_retry_ms() -> float:
         domain = freshness.reporter.list_domain_members(board.failure_domain)
-        return store_polls.compute_retry_ms(board.name, domain or ())
+        return store_polls.compute_retry_ms(
+            board.name, domain or (), freshness.wide_links.list_names()
+        )
 
     outages = store_outages.OutageTracker(clock, get_retry_ms)
     table = make_table_feed(board, outages, ports, freshness, rounds)
--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -32,6 +32,7 @@
 from carawayward.forwarding import chunk_transfer
 from carawayward.forwarding import freshness_messages
 from carawayward.forwarding import load_reports
+from carawayward.forwarding import wide_links as wide_links_module
 from carawayward import supervision
 
 # Two consecutive queries without an answer. A single lost datagram does not
@@ -136,6 +137,7 @@
     clients: dict[str, Client] = attrs.field(factory=dict)
     answered_ms: dict[str, float] = attrs.field(factory=dict)
     choice: delegates.DelegateChoice = attrs.field(init=False)
+    wide_links: wide_links_module.WideLinks = attrs.field(init=False)
     started_ms: float = board_module.NEVER
     catch_up_queries: dict[str, CatchUpQuery] = attrs.field(factory=dict)
     fetcher: chunk_transfer.ChunkFetcher = attrs.field(
@@ -147,6 +149,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.choice = delegates.DelegateChoice(self.board.name)
+        self.wide_links = wide_links_module.WideLinks(self.board)
         for kind, handler in (
             (freshness_messages.QUERY, self._on_query),
             (freshness_messages.REPORT, self._on_report),
@@ -232,7 +235,10 @@
 
     def _query_delegates(self) -> None:
         before = self.choice.delegate
-        delegate = self.choice.choose(self.reporter.list_delegate_candidates())
+        delegate = self.choice.choose(
+            self.reporter.list_delegate_candidates(),
+            self.wide_links.list_names(),
+        )
         if delegate != before:
             events.log_event(events.Event.DELEGATE_CHOSEN, reader=delegate)
         for peer in self.choice.list_targets(self.clock.boot_ms()):
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -72,6 +72,7 @@
     With ``load_shedding``, requests are let in by rank and customer while
     engines are behind; with ``plain_room``, those to services without engines
     are placed and refused by what all entry VMs have in flight there.
+    ``link_mbps`` is the rate of the network link, 0 if it is not known.
     """
 
     name: str
@@ -80,6 +81,7 @@
     store: Store
     bounds: Bounds = attrs.field(factory=Bounds)
     heartbeat_ms: float = 1_200.0
+    link_mbps: float = 0.0
     load_shedding: bool = False
     plain_room: bool = False
     log_level: str = "info"
@@ -110,6 +112,7 @@
             for field, value in attrs.asdict(settings.bounds).items()
         }
         numbers["heartbeat_ms"] = settings.heartbeat_ms
+        numbers["link_mbps"] = settings.link_mbps
         for field, value in numbers.items():
             if not 0 <= value < math.inf:
                 raise error(field, value, "write a number, 0 or more")
--- a/tests/cover/test_forwarding_freshness.py
+++ b/tests/cover/test_forwarding_freshness.py
@@ -125,6 +125,31 @@
         assert max_clients <= 2.5 * delegates.MAX_CLIENTS_PER_DELEGATE
 
 
+def test_entry_vms_with_wide_links_are_delegates_first():
+    """Guards against long changes sent to all clients over a narrow link."""
+    names = [f"vm-{number}" for number in range(40)]
+    for wide in (["vm-7"], ["vm-7", "vm-30"], ["vm-1", "vm-2", "vm-3"]):
+        chosen = {
+            delegates.choose_delegate(each, names, wide) for each in names
+        }
+        assert len(chosen) == 2
+        assert len(chosen & set(wide)) == min(2, len(wide))
+
+
+def test_entry_vms_learn_whose_links_are_wide():
+    """Guards against a delegate by hash although a wide link is known."""
+    (client, _, _), (delegate, _, _) = make_pair()
+    assert client.choice.choose([delegate.board.name]) == delegate.board.name
+    client.board.link_mbps = 100.0
+    client._query_delegates()
+    assert client.choice.delegate == client.board.name
+    delegate.wide_links.merge(
+        f"{client.board.name}/1", client.wide_links.describe(), 1_000.0
+    )
+    delegate._query_delegates()
+    assert delegate.choice.delegate == client.board.name
+
+
 def test_attestation_is_as_of_the_sending_of_the_query():
     """Guards against keys that are trusted for longer than allowed.
 
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -277,7 +277,7 @@
     raise AssertionError("the oversized event was accepted")
 
 
-SECTIONS = {"heartbeatMs": "1200"}
+SECTIONS = {"heartbeatMs": "1200", "limits.linkMbps": "5.0"}
 COLD_SECTIONS = {
     "bounds.coldOvershoot": "1.5",
     "bounds.coldSlack": "5",
@@ -316,6 +316,7 @@
     assert found.bounds.apply_ms == 2000
     assert found.bounds.retry_ratio == 0.9
     assert found.bounds.cold_slack == 0.0
+    assert found.link_mbps == 5.0
 
 
 def test_process_started_with_the_settings_of_the_first_start_has_no_slack():
