Time calls of all platform services by their progress; mend single calls

The same cause elsewhere: the client of the product's own log and other services gave each call a fixed time for all of its answer as well. Both clients now read a body with one function. test_long_answer_of_a_platform_service failed before.

--- a/src/carawayward/http_client.py
+++ b/src/carawayward/http_client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 import os
 import typing
 
@@ -88,6 +89,48 @@
 # More than any answer of a service, an endpoint or the store to a single call
 # holds.
 MAX_BODY_BYTES = 8 * 1_048_576
+# A body that comes steadily may take longer than its call, as a long one on a
+# busy link does: giving it up would only read it again from the start. One
+# that comes more slowly than this is given up.
+MIN_BODY_BYTES_PER_MS = 20.0
+
+# Called with the declared length of a body and its first bytes; the rest is
+# not read if it raises.
+CheckBody = typing.Callable[[int | None, bytes], None]
+
+
+def accept_body(length: int | None, begin: bytes) -> None:
+    """Accept any body."""
+
+
+async def read_body(
+    response: httpcore.Response,
+    received: bytearray,
+    timeout: trio.CancelScope,
+    timeout_ms: float,
+    check: CheckBody = accept_body,
+) -> None:
+    """Read a body into ``received`` for as long as it comes steadily.
+
+    Moves the deadline of ``timeout``, within which the head has come:
+    ``timeout_ms`` may pass without a byte. Raises httpcore.RemoteProtocolError
+    if the body is longer than ``MAX_BODY_BYTES``.
+    """
+    began = trio.current_time()
+    length = find_length(response.headers)
+    chunks = typing.cast(typing.AsyncGenerator, response.aiter_stream())
+    async with contextlib.aclosing(chunks):
+        timeout.deadline = began + timeout_ms / 1000
+        async for chunk in chunks:
+            if not received and response.status == 200:
+                check(length, chunk)
+            received += chunk
+            if len(received) > MAX_BODY_BYTES:
+                raise httpcore.RemoteProtocolError("body too long")
+            expected_ms = len(received) / MIN_BODY_BYTES_PER_MS
+            timeout.deadline = timeout_ms / 1000 + min(
+                trio.current_time(), began + expected_ms / 1000
+            )
 
 
 async def request(
@@ -101,15 +144,14 @@
     Raises httpcore.RemoteProtocolError if it is longer than
     ``MAX_BODY_BYTES``; its connection is closed.
     """
+    received = bytearray()
     async with pool.stream(method, url, **options) as response:
-        body = bytearray()
-        async for chunk in response.aiter_stream():
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                raise httpcore.RemoteProtocolError("body too long")
-    return httpcore.Response(
-        response.status, headers=response.headers, content=bytes(body)
+        await read_body(response, received, trio.CancelScope(), math.inf)
+    whole = httpcore.Response(
+        response.status, headers=response.headers, content=bytes(received)
     )
+    whole.read()
+    return whole
 
 
 CALL_FAILURES = (
@@ -150,14 +192,15 @@
     ) -> Reply:
         """Make one call; raise PlatformUnavailable if there is no response.
 
-        429, 503 and other server errors also count as no response.
+        The head has ``timeout_ms``; the body may take longer if it comes
+        steadily. 429, 503 and other server errors also count as no response.
         """
         mark = SentMark(may_send=may_send)
+        received = bytearray()
         content = None if body is None else json.dumps(body).encode()
         try:
-            with trio.fail_after(timeout_ms / 1000):
-                response = await request(
-                    self.pool,
+            with trio.fail_after(timeout_ms / 1000) as timeout:
+                async with self.pool.stream(
                     method,
                     self.base_url + path,
                     headers={
@@ -166,7 +209,8 @@
                     },
                     content=content,
                     extensions={"trace": mark.trace},
-                )
+                ) as response:
+                    await read_body(response, received, timeout, timeout_ms)
         except CALL_FAILURES as cause:
             if isinstance(cause, trio.TooSlowError):
                 await drop_idle(self.pool)
@@ -174,9 +218,9 @@
             raise errors.PlatformUnavailable(
                 self.service, detail, sent=mark.sent
             ) from cause
-        return self._read(response)
+        return self._read(response, bytes(received))
 
-    def _read(self, response: httpcore.Response) -> Reply:
+    def _read(self, response: httpcore.Response, content: bytes) -> Reply:
         headers = {
             name.decode().lower(): value.decode("latin-1")
             for name, value in response.headers
@@ -191,8 +235,8 @@
             )
         body = None
         with contextlib.suppress(ValueError):
-            body = json.loads(response.content)
-        if response.status >= 500 or (body is None and response.content):
+            body = json.loads(content)
+        if response.status >= 500 or (body is None and content):
             raise errors.PlatformUnavailable(
                 self.service, f"status {response.status}"
             )
--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store, which implements ``KeyedLog``."""
 
 import base64
-import contextlib
 import json
 import math
 import re
@@ -24,10 +23,6 @@
 # the head of an answer after this time, or whose body brings no byte for as
 # long, is on a dead connection.
 CALL_TIMEOUT_MS = 1_000.0
-# A body that comes steadily may take longer, as a long one on a busy link
-# does: giving it up would only read it again from the start. One that comes
-# more slowly than this is given up.
-MIN_BODY_BYTES_PER_MS = 20.0
 PARTITION = 0
 # Where the first record of a read begins: after the end of the log, its first
 # offset and the record's length.
@@ -49,13 +44,6 @@
     era: int
 
 
-Check = typing.Callable[[int | None, bytes], None]
-
-
-def accept_any_length(length: int | None, begin: bytes) -> None:
-    """Accept an answer of any length."""
-
-
 @attrs.define(eq=False)
 class Store:
     """HTTP client of the store at one address.
@@ -75,7 +63,7 @@
         path: str,
         body: bytes = b"",
         wait_ms: float = 0.0,
-        check: Check = accept_any_length,
+        check: http.CheckBody = http.accept_body,
     ) -> Answer:
         """Make one call; raise PlatformUnavailable without a usable answer.
 
@@ -94,7 +82,9 @@
                     content=body,
                     extensions={"trace": mark.trace},
                 ) as response:
-                    await read_body(response, received, timeout, check)
+                    await http.read_body(
+                        response, received, timeout, CALL_TIMEOUT_MS, check
+                    )
         except http.CALL_FAILURES as cause:
             # When one connection has lost an answer, the idle ones are likely
             # dead too, and each would cost a call its timeout.
@@ -241,34 +231,6 @@
         return position
 
 
-async def read_body(
-    response: httpcore.Response,
-    received: bytearray,
-    timeout: trio.CancelScope,
-    check: Check,
-) -> None:
-    """Read a body into ``received`` for as long as it comes steadily.
-
-    Moves the deadline of ``timeout``, within which the head has come. Raises
-    httpcore.RemoteProtocolError if the body is too long.
-    """
-    began = trio.current_time()
-    length = http.find_length(response.headers)
-    chunks = typing.cast(typing.AsyncGenerator, response.aiter_stream())
-    async with contextlib.aclosing(chunks):
-        timeout.deadline = began + CALL_TIMEOUT_MS / 1000
-        async for chunk in chunks:
-            if not received and response.status == 200:
-                check(length, chunk)
-            received += chunk
-            if len(received) > http.MAX_BODY_BYTES:
-                raise httpcore.RemoteProtocolError("body too long")
-            expected_ms = len(received) / MIN_BODY_BYTES_PER_MS
-            timeout.deadline = CALL_TIMEOUT_MS / 1000 + min(
-                trio.current_time(), began + expected_ms / 1000
-            )
-
-
 def parse_era(headers: message_types.Headers) -> int:
     """The era of an answer; 0 without the header.
 
--- a/tests/failures/test_large_configurations.py
+++ b/tests/failures/test_large_configurations.py
@@ -12,6 +12,7 @@
 from carawayward.forwarding import feed
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import store_outages
+from carawayward import http_client
 from carawayward.platform import records
 from carawayward.platform import store as store_client
 from tests.common import clocks
@@ -157,6 +158,27 @@
     play_storm(3_600, 24 * MBIT)
 
 
+def test_long_answer_of_a_platform_service_may_take_longer_than_a_call():
+    """Guards against a document of the log that no slow link brings in time."""
+
+    async def handle(exchange):
+        await exchange.answer(200, body=b'"' + b"x" * 400_000 + b'"')
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(raw_http.serve, handle)
+            link = link_module.Link(port, bytes_per_s=3 * MBIT)
+            port = await nursery.start(link_module.serve_link, link)
+            client = http_client.PlatformClient(
+                "log", f"http://127.0.0.1:{port}"
+            )
+            reply = await client.call("GET", "/records", timeout_ms=500)
+            assert len(reply.body) == 400_000
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_large_configuration_is_as_long_as_those_seen():
     """Guards against tests that pass as their configurations are short."""
     size = len(json.dumps(make_large_config(1, 1_400)))
