--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -56,6 +56,8 @@
 PROBES_MISSED = 2
 # What a call of a slow store takes.
 SLOW_STORE_MS = 250.0
+# Where links to the store are narrow, a configuration may take longer.
+NARROW_LINK_BOUNDS = records.Bounds(apply_ms=3_000.0)
 MEASURE_DELAY_S = 0.05
 
 
@@ -93,6 +95,8 @@
         self, seconds: float, kinds: tuple[schedule.Fault, ...]
     ) -> None:
         """Start everything, send requests under faults, and end it."""
+        if self.store_mbps < math.inf:
+            self.bounds = NARROW_LINK_BOUNDS
         self.faults = schedule.draw_faults(self.seed, seconds * 1000, kinds)
         draw = random.Random(self.seed)
         async with trio.open_nursery() as nursery:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -32,6 +32,7 @@
 bounds:
   key_lease_ms: 5000
   drain_ms: 2000
+  apply_ms: {apply}
   retry_ratio: {ratio}
   retry_slack: {slack}
 """
@@ -133,6 +134,7 @@
                 peers=peers,
                 metrics=metrics,
                 store=store,
+                apply=f"{self.bounds.apply_ms:g}",
                 ratio=f"{self.bounds.retry_ratio:g}",
                 slack=f"{self.bounds.retry_slack:g}",
             ),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -194,6 +194,7 @@
         ],
         "sent": [attrs.asdict(each) for each in history.sent.values()],
         "arrivals": [attrs.asdict(each) for each in history.arrivals],
+        "probes": [attrs.asdict(each) for each in history.probes],
         "disruptions": [
             attrs.asdict(each)
             for each in (
