--- a/tests/failures/test_large_configurations.py
+++ b/tests/failures/test_large_configurations.py
@@ -159,7 +159,7 @@
 
 
 def test_long_answer_of_a_platform_service_may_take_longer_than_a_call():
-    """Guards against a document of the log that no slow link brings in time."""
+    """Guards against a document that a slow link never brings in time."""
 
     async def handle(exchange):
         await exchange.answer(200, body=b'"' + b"x" * 400_000 + b'"')
