Drop chunks that cannot be applied yet

A delegate takes what it has pushed for known, and pushes the first chunks of the next long change from there; a client that was still fetching the one before began anew for each. Such chunks are dropped; the client asks for that change when its turn comes. The test failed before. Found by reading.

--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -444,7 +444,7 @@
         ):
             return
         position = topic.get_position()
-        if position is None or position > chunk.offset:
+        if position is None or not chunk.start <= position <= chunk.offset:
             return
         topic.notify_progress()
         self.fetching.set()
--- a/tests/cover/test_forwarding_freshness.py
+++ b/tests/cover/test_forwarding_freshness.py
@@ -562,6 +562,28 @@
     assert not mine.read
 
 
+def test_chunk_that_cannot_be_applied_yet_ends_no_transfer():
+    """Guards against a transfer begun anew for each change that follows.
+
+    The delegate takes the changes that it has pushed for known.
+    """
+    ((client, _, _), (delegate, _, _)), (mine, theirs) = make_topic_pair()
+    send_query(client)
+    exchange(client, delegate)
+    for key in ("first", "second"):
+        theirs.write(key, random.Random(key).randbytes(9_000))
+        delegate.push_updates("endpoints")
+        sent = [cbor2.loads(data) for _, data in delegate.reporter.sent]
+        delegate.reporter.sent.clear()
+        for fields in sent:
+            if fields[0] == freshness_messages.CHUNK:
+                deliver(client, delegate.board.name, cbor2.dumps(fields))
+    transfer = client.fetcher.transfers["endpoints"]
+    assert (transfer.start, len(transfer.parts)) == (0, 2)
+    exchange(client, delegate)
+    assert set(mine.log.newest) == {"first", "second"}
+
+
 def test_chunks_that_do_not_match_are_rejected():
     """Guards against a corrupt table joined from chunks of two tables."""
     ((client, _, _), (delegate, _, _)), (mine, theirs) = make_topic_pair()
