--- a/src/carawayward/decisions/canary.py
+++ b/src/carawayward/decisions/canary.py
@@ -67,7 +67,7 @@
 # An answer that took this many times the old version's mean for its kind
 # counts as bad. Versions that are "several times slower" exceed it, whereas
 # batching and cold caches stay below.
-SLOW_FACTOR = 2.5
+SLOW_FACTOR = 4.0
 # Shorter times never count as slow: callers do not notice them, and a busy
 # machine adds a few ms.
 MIN_SLOW_MS = 20.0
