Go on with a transfer at another delegate; comments of chunks and links

A request after a change of delegate began the transfer anew, though chunks that come by themselves went on with it; both use one function now.

--- a/src/carawayward/decisions/delegates.py
+++ b/src/carawayward/decisions/delegates.py
@@ -31,8 +31,7 @@
 MAX_UNANSWERED = 3
 # Interval at which a skipped entry VM is queried again.
 PROBE_MS = 2_000.0
-# A link of this rate carries a change of 100 kB to all clients of a delegate
-# within a few hundred ms.
+# The rate from which a link is wide.
 WIDE_LINK_MBPS = 50.0
 
 
--- a/src/carawayward/forwarding/chunk_transfer.py
+++ b/src/carawayward/forwarding/chunk_transfer.py
@@ -21,8 +21,8 @@
 MAX_OUTSTANDING_AT_REQUEST = 1
 # Chunks sent before the client asks; all clients are sent these at once.
 FIRST_CHUNKS = 2
-# Chunks that have not come after this time are lost. A full window for each of
-# the clients of a delegate takes .15 s on a link of 5 Mbit/s.
+# Chunks that have not come after this time count as lost. A delegate may have
+# to send a window to each of its clients first.
 RETRY_MS = 200.0
 # A transfer that nothing has come of for this long goes on with the queries,
 # which are less frequent.
@@ -96,19 +96,6 @@
         """Whether lost chunks have to be requested again."""
         return any(each.is_active(now_ms) for each in self.transfers.values())
 
-    def _find_transfer(
-        self, peer: str, topic: str, start: int, now_ms: float
-    ) -> Transfer:
-        """The transfer of the change at ``start``, which may be a new one.
-
-        Another delegate goes on where the former one ended.
-        """
-        transfer = self.transfers.get(topic)
-        if transfer is None or transfer.start != start:
-            transfer = self.transfers[topic] = Transfer(peer, start, now_ms)
-        transfer.peer = peer
-        return transfer
-
     def request(
         self, peer: str, topic: str, start: int, now_ms: float
     ) -> freshness_messages.ChunkRequest | None:
@@ -116,12 +103,7 @@
 
         None while chunks of it are on their way.
         """
-        transfer = self.transfers.get(topic)
-        if transfer is None or (transfer.peer, transfer.start) != (
-            peer,
-            start,
-        ):
-            transfer = self.transfers[topic] = Transfer(peer, start, now_ms)
+        transfer = self._find_transfer(peer, topic, start, now_ms)
         if now_ms - transfer.active_ms < RETRY_MS:
             return None
         transfer.outstanding.clear()
@@ -168,6 +150,19 @@
             return None
         return _request_missing(chunk.topic, transfer, now_ms)
 
+    def _find_transfer(
+        self, peer: str, topic: str, start: int, now_ms: float
+    ) -> Transfer:
+        """The transfer of the change at ``start``, which may be a new one.
+
+        Another delegate goes on where the former one ended.
+        """
+        transfer = self.transfers.get(topic)
+        if transfer is None or transfer.start != start:
+            transfer = self.transfers[topic] = Transfer(peer, start, now_ms)
+        transfer.peer = peer
+        return transfer
+
 
 def _request_missing(
     topic: str, transfer: Transfer, now_ms: float
