Read record by record if a list has one that cannot be used

The list is not taken then, and the records are read one by one up to its end. The store promises to accept valid ones only; keys must fail closed all the same.

test_configuration_before_an_unusable_one_is_not_skipped comes with it.

--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -48,12 +48,17 @@
         """Expect the next records to come from a restored backup."""
         self._restored = True
 
-    def replace(self, records: list[keyed_log.Record]) -> None:
-        """Apply the newest record of every key."""
+    def replace(self, records: list[keyed_log.Record]) -> bool:
+        """Apply the newest record of every key.
+
+        Returns False if one of them cannot be used.
+        """
         restored, self._restored = self._restored, False
+        usable = True
         missing = set(self.board.evacuated)
         for record in records:
             decoded = self.decode(record)
+            usable = usable and (decoded is not None or record.value is None)
             if isinstance(decoded, message_types.Evacuation):
                 missing.discard(decoded.failure_domain)
             # An order in the backup that has been superseded since would
@@ -66,6 +71,7 @@
                 self.missing_since_ms.setdefault(failure_domain, now_ms)
             elif failure_domain not in self.missing_since_ms:
                 self._lift(failure_domain)
+        return usable
 
     def apply(self, record: keyed_log.Record) -> bool:
         """Apply one record; return False if it cannot be used."""
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -1,5 +1,6 @@
 """Follows one topic of the store, with its own calls or through a delegate."""
 
+import math
 import typing
 
 import attrs
@@ -38,7 +39,8 @@
 
     ``replace`` receives the newest record of every key at the start and after
     a gap, ``apply`` further records; it returns False for one that cannot be
-    used, which then does not supersede the one before. ``mark_current``
+    used, which then does not supersede the one before. ``replace`` returns
+    False if any of its records cannot be used. ``mark_current``
     receives the boot time up to which the reader is known to be up to date:
     when the call that showed it was sent. ``outages`` is shared by all feeds.
     ``record_failing`` is called with True after the first failed call, and
@@ -73,7 +75,7 @@
     topic: keyed_log.KeyedLog
     clock: clock_module.Clock
     outages: store_outages.OutageTracker
-    replace: typing.Callable[[list[keyed_log.Record]], None]
+    replace: typing.Callable[[list[keyed_log.Record]], bool | None]
     apply: typing.Callable[[keyed_log.Record], bool | None]
     mark_current: typing.Callable[[float], None] = lambda as_of_ms: None
     get_poll_wait: typing.Callable[[], float] = lambda: store_polls.MAX_POLL_MS
@@ -105,6 +107,7 @@
     _gap_ms: float = 0.0
     _in_gap: bool = False
     _relist_cause: call_causes.Cause | None = None
+    _read_all_until: int = 0
     _wakeup: trio.Event = attrs.field(factory=trio.Event)
     _delegate_wait: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
@@ -247,8 +250,10 @@
             # Recorded before the records are applied: entries missing from
             # them may have expired in the outage that this answer ends.
             self.outages.record_answer()
-            self._apply_batch(batch)
+            applied = self._apply_batch(batch)
             self._record_success()
+            if not applied:
+                continue
             if batch.complete:
                 self._mark_current(max(sent_ms, self.current_as_of_ms))
             if cause is not call_causes.Cause.POLL:
@@ -387,31 +392,48 @@
     async def _call(self, wait_ms: float) -> keyed_log.Batch:
         if self.position is None or self._relist_cause is not None:
             return await self.topic.read_newest()
-        return await self.topic.read(
-            self.position, wait_ms, self.log.estimate_listing_bytes()
-        )
+        listing_bytes = self.log.estimate_listing_bytes()
+        if self.position < self._read_all_until:
+            listing_bytes = math.inf
+        return await self.topic.read(self.position, wait_ms, listing_bytes)
+
+    def _apply_batch(self, batch: keyed_log.Batch) -> bool:
+        """Apply the result of a call unless a delegate's changes are newer.
 
-    def _apply_batch(self, batch: keyed_log.Batch) -> None:
-        """Apply the result of a call unless a delegate's changes are newer."""
+        Returns False if it shows nothing of the records up to its end.
+        """
         before, lost = self.position, self._relist_cause
         self._relist_cause = None
         if before is not None and batch.end < before:
-            return
+            return True
         if before is None or lost is not None:
-            self._replace(batch)
+            superseded = lost is call_causes.Cause.SUPERSEDED
+            if not self._replace(batch, superseded):
+                self._read_all_until = batch.end
+                return False
         else:
             self._apply_newest(
                 [each for each in batch.records if each.offset >= before]
             )
         self._set_position(batch.end)
+        return True
+
+    def _replace(self, batch: keyed_log.Batch, superseded: bool) -> bool:
+        """Replace all records by the newest of every key.
 
-    def _replace(self, batch: keyed_log.Batch) -> None:
-        """Replace all records by the newest of every key."""
+        Returns False if the records between are needed after all: a list made
+        because they are ``superseded`` has one that cannot be used, and lacks
+        the one before it.
+        """
         before = self.position
         if before is not None and not positions.is_same_era(before, batch.end):
+            superseded = False
             self.begin_era()
+        usable = self.replace(batch.records) is not False
+        if superseded and not usable:
+            return False
         self.log.replace(batch.records, before, batch.end)
-        self.replace(batch.records)
+        return True
 
     def _set_position(self, position: int) -> None:
         self.position = position
--- a/tests/failures/test_large_configurations.py
+++ b/tests/failures/test_large_configurations.py
@@ -55,15 +55,16 @@
     link: link_module.Link
     in_force_s: dict[int, float] = attrs.field(factory=dict)
 
-    def apply(self, record: keyed_log.Record) -> None:
-        """Decode a record as an entry VM does."""
+    def apply(self, record: keyed_log.Record) -> bool:
+        """Decode a record as an entry VM does; False if it is unusable."""
         decoded: typing.Any = records.decode_declaration(record)
-        self.in_force_s[decoded.revision] = trio.current_time()
+        if decoded is not None:
+            self.in_force_s[decoded.revision] = trio.current_time()
+        return decoded is not None
 
-    def replace(self, listed: list[keyed_log.Record]) -> None:
-        """Decode all records of a listing."""
-        for record in listed:
-            self.apply(record)
+    def replace(self, listed: list[keyed_log.Record]) -> bool:
+        """Decode all records of a listing; False if one is unusable."""
+        return all([self.apply(record) for record in listed])
 
     async def wait_for(self, revision: int, seconds: float) -> bool:
         """Wait until a revision is in force; False if it takes longer."""
@@ -158,6 +159,22 @@
     play_storm(3_600, 24 * MBIT)
 
 
+def test_configuration_before_an_unusable_one_is_not_skipped():
+    """Guards against a list that has only the record that cannot be used."""
+
+    async def scenario(store, reader):
+        assert await reader.wait_for(1, 4.0)
+        for version in (2, 3):
+            store.put(
+                TOPIC, records.CONFIG_KEY, make_large_config(version, 1_400)
+            )
+        broken = {**make_large_config(4, 1_400), "services": [{}]}
+        store.put(TOPIC, records.CONFIG_KEY, broken)
+        assert await reader.wait_for(3, APPLY_S)
+
+    run_reader(scenario, 9 * MBIT, make_large_config(1, 1_400))
+
+
 def test_long_answer_of_a_platform_service_may_take_longer_than_a_call():
     """Guards against a document that a slow link never brings in time."""
 
