--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -409,10 +409,17 @@
         pause_s=0.05,
         deadline_ms=1500,
         headers=(),
+        body=b"",
+        chunked=False,
     ):
         self.vm, self.record = vm, record
         self.route, self.kind, self.pause_s = route, kind, pause_s
         self.deadline_ms, self.headers = deadline_ms, headers
+        self.framing = f"Content-Length: {len(body)}"
+        self.body = body
+        if chunked:
+            self.framing = "Transfer-Encoding: chunked"
+            self.body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
         self.results = []
 
     async def run(self):
@@ -451,11 +458,12 @@
             f"Carawayward-Deadline-Ms: {self.deadline_ms}",
             "Carawayward-Key: key-of-tenant-a",
             *self.headers,
-            "Content-Length: 0",
+            self.framing,
         ]
         wait_s = self.deadline_ms / 1000
         try:
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+            writer.write(head + self.body)
             await writer.drain()
             head = await asyncio.wait_for(read_head(reader), wait_s)
             if head is None:
