Confine an exception that a record causes to that record

What callers saw: after a record that could not be decoded had been written to the servers' topic, entry VMs took no change of any endpoint, for as long as the record was kept: drained endpoints went on getting requests, and after a release no request was served.

Cause (hypothesis 1): decode_endpoint caught four kinds of exceptions; deep nesting raises another, RecursionError, as does a number too large for a float, OverflowError. It passed through the reader and the feed, which sets its position only after the records are applied; supervision restarted the task at the same position, where it raised again, every 0.5 s.

In the tests below `fault` events of TopicFeed._follow, "RecursionError in JSONDecoder.raw_decode", every 0.5 s. Ruled out: 2, no controller raised; 3, the frame is in the decoder; 4, both the delegate and its client stood still, as both raise on their own.

Change: record_isolation.isolate() is the one guard, for any exception; each reader decodes and applies each record inside it, listed, read on or passed on by a delegate. An endpoint whose entry cannot be used is dropped, a declaration or status has no effect. A feed sets its position whatever its reader raises. Records are decoded into fully checked types, so that nothing raises where a value is used later.

Related paths, same change: the topics of operators, statuses, members and convictions (these two restarted at the start, and convictions were then not written either); the store client's own decoding (items of a listing, a malformed answer is no answer, keys are quoted for the next page); the streams of configurations and roll-outs behind the callers' API, where wrong types raised, and a roll-out record that was not understood was read again; a member whose address is a name blocked on its resolution at each send. Still open: a record of such a stream nested so deeply that the log's whole answer cannot be parsed; it stops that stream until it has expired.

New: gauge topic_position{topic}.

--- a/src/carawayward/controllers/configuration.py
+++ b/src/carawayward/controllers/configuration.py
@@ -1,5 +1,6 @@
 """Keeps the newest configuration in force, from the log and from peers."""
 
+import functools
 import random
 import typing
 
@@ -15,6 +16,7 @@
 from carawayward.peers import hub as hub_module
 from carawayward.protocol import config_log
 from carawayward.protocol import freshness
+from carawayward import record_isolation
 from carawayward.services import log as log_module
 
 STREAM = config_log.STREAM
@@ -101,7 +103,12 @@
         if state is None or batch.oldest > state.read_to + 1:
             state = self._restart(batch)
         for item in batch.records:
-            state = self._apply_item(state, item)
+            state = record_isolation.isolate(
+                functools.partial(self._apply_item, state, item),
+                config_log.skip_record(state, item.offset),
+                stream=STREAM,
+                offset=item.offset,
+            )
         self.state = state
         self.oldest = batch.oldest
         if not state.known:
@@ -139,11 +146,11 @@
     ) -> config_log.ConfigState:
         record = config_log.decode(item.data)
         if record is None:
-            return attrs.evolve(state, read_to=max(state.read_to, item.offset))
+            return config_log.skip_record(state, item.offset)
+        after = config_log.apply_record(state, item.offset, record)
         if isinstance(record, config_log.Snapshot):
             self.snapshot_offset = item.offset
             self.snapshot_at_ms = item.at_ms
-        after = config_log.apply_record(state, item.offset, record)
         refused = isinstance(record, config_log.Publish) and (
             after.known and after.revision != item.offset
         )
--- a/src/carawayward/controllers/publishing.py
+++ b/src/carawayward/controllers/publishing.py
@@ -1,5 +1,6 @@
 """Publishes a document to the log, and finds out whether it took effect."""
 
+import functools
 import secrets
 
 import attrs
@@ -8,6 +9,7 @@
 from carawayward import declaration
 from carawayward import errors
 from carawayward.protocol import config_log
+from carawayward import record_isolation
 from carawayward.services import log as log_module
 
 MAX_ATTEMPTS = 3
@@ -37,18 +39,28 @@
             if not batch.records:
                 return self.state
             for item in batch.records:
-                self._apply_item(item)
+                self.state, self.outcome = record_isolation.isolate(
+                    functools.partial(self._apply_item, self.state, item),
+                    self._skip_item(self.state, item),
+                    stream=config_log.STREAM,
+                    offset=item.offset,
+                )
 
-    def _apply_item(self, item: log_module.LogRecord) -> None:
-        assert self.state is not None
+    def _apply_item(
+        self, state: config_log.ConfigState, item: log_module.LogRecord
+    ) -> tuple[config_log.ConfigState, config_log.PublishResult]:
         record = config_log.decode(item.data)
         if record is None:
-            self.state = attrs.evolve(self.state, read_to=item.offset)
-            return
-        self.state, self.outcome = config_log.track_publish(
-            self.state, item.offset, record, self.publish_id, self.outcome
+            return self._skip_item(state, item)
+        return config_log.track_publish(
+            state, item.offset, record, self.publish_id, self.outcome
         )
 
+    def _skip_item(
+        self, state: config_log.ConfigState, item: log_module.LogRecord
+    ) -> tuple[config_log.ConfigState, config_log.PublishResult]:
+        return config_log.skip_record(state, item.offset), self.outcome
+
     async def publish(self, document: dict, base: int, operator: str) -> int:
         """Append until the outcome is known; return the revision."""
         record = config_log.Publish(
--- a/src/carawayward/controllers/rollout_reader.py
+++ b/src/carawayward/controllers/rollout_reader.py
@@ -1,9 +1,12 @@
 """Reads the roll-out stream, and adopts state that peers have read."""
 
+import functools
+
 import attrs
 
 from carawayward import clock as clock_module
 from carawayward.decisions import rollout as decisions
+from carawayward import record_isolation
 from carawayward.services import log as log_module
 
 STREAM = "rollouts"
@@ -40,17 +43,26 @@
                 state = decisions.start_reading(batch.oldest)
             self.started = True
         for item in batch.records:
-            record = decisions.decode(item.data)
-            if record is None:
-                continue
-            state = decisions.apply_record(
-                state, item.offset, item.at_ms, record
+            state = record_isolation.isolate(
+                functools.partial(self._apply_item, state, item),
+                decisions.skip_record(state, item.offset),
+                stream=STREAM,
+                offset=item.offset,
             )
-            if isinstance(record, decisions.Snapshot):
-                self.snapshot_ms = item.at_ms
         self.state = state
         self.current_as_of_ms = max(self.current_as_of_ms, sent_ms)
 
+    def _apply_item(
+        self, state: decisions.RolloutLog, item: log_module.LogRecord
+    ) -> decisions.RolloutLog:
+        record = decisions.decode(item.data)
+        if record is None:
+            return decisions.skip_record(state, item.offset)
+        after = decisions.apply_record(state, item.offset, item.at_ms, record)
+        if isinstance(record, decisions.Snapshot):
+            self.snapshot_ms = item.at_ms
+        return after
+
     def adopt_peer_state(
         self, read_to: int, progress: dict[str, decisions.Progress]
     ) -> None:
--- a/src/carawayward/decisions/rollout.py
+++ b/src/carawayward/decisions/rollout.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from carawayward import checked_fields
 from carawayward import rollout_declaration
 
 
@@ -111,6 +112,11 @@
     return _apply_known(state, offset, at_ms, record)
 
 
+def skip_record(state: RolloutLog, offset: int) -> RolloutLog:
+    """Go on after a record that cannot be used."""
+    return attrs.evolve(state, read_to=max(state.read_to, offset))
+
+
 def _apply_snapshot(state: RolloutLog, snapshot: Snapshot) -> RolloutLog:
     """Take over a snapshot if this reader has no state yet.
 
@@ -212,20 +218,23 @@
         "advance": Advance,
         "halt": Halt,
         "resume": Resume,
-        "snapshot": _decode_snapshot,
+        "snapshot": _make_snapshot,
     }
     kind = kinds.get(str(data.get("kind")))
     fields = {key: value for key, value in data.items() if key != "kind"}
     if kind is None:
         return None
     try:
-        return kind(**fields)
+        return checked_fields.make_checked(kind, fields)
     except (TypeError, AttributeError):
         return None
 
 
-def _decode_snapshot(as_of: int, progress: dict) -> Snapshot:
+def _make_snapshot(as_of: int, progress: dict) -> Snapshot:
     return Snapshot(
         as_of=as_of,
-        progress={name: Progress(**data) for name, data in progress.items()},
+        progress={
+            str(name): checked_fields.make_checked(Progress, data)
+            for name, data in progress.items()
+        },
     )
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -205,7 +205,8 @@
     )
     ENTRY_UNREADABLE = EventKind(
         1510,
-        "A record in the platform's store cannot be read and is ignored.",
+        "A record in the platform's store cannot be decoded or used and is "
+        "ignored; the others hold.",
         "check the writer of the record named in the event",
         logging.WARNING,
     )
--- a/src/carawayward/forwarding/conviction_log.py
+++ b/src/carawayward/forwarding/conviction_log.py
@@ -5,6 +5,7 @@
 would crash as many endpoints again.
 """
 
+import functools
 import typing
 
 import attrs
@@ -14,11 +15,10 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import suspicion
 from carawayward import errors
-from carawayward import events
 from carawayward.forwarding import call_causes
 from carawayward.forwarding import keyed_log
-from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import suspects as suspects_module
+from carawayward import record_isolation
 from carawayward import supervision
 
 RETRY_MS = 500.0
@@ -53,7 +53,7 @@
 
     @classmethod
     def from_record(cls, record: keyed_log.Record) -> "Conviction":
-        """Decode a record; raises one of DECODE_ERRORS."""
+        """Decode a record; raises an exception if it is malformed."""
         wall_ms, numbers, *rest = cbor2.loads(record.value or b"")
         endpoints = tuple(str(int(each)) for each in numbers)
         if not record.key.startswith(PART_PREFIX):
@@ -138,25 +138,27 @@
         batch = await self._call(
             call_causes.Cause.START, self.topic.read_newest
         )
-        expired = []
-        for record in batch.records:
-            try:
-                conviction = Conviction.from_record(record)
-            except load_report_messages.DECODE_ERRORS as fault:
-                events.log_event(
-                    events.Event.ENTRY_UNREADABLE,
-                    key=record.key,
-                    offset=record.offset,
-                    fault=type(fault).__name__,
-                )
-                continue
-            age_ms = max(0, self.clock.wall_ms() - conviction.wall_ms)
-            if age_ms > suspicion.RECORD_TTL_MS:
-                expired.append(keyed_log.Record(record.key, None))
-            else:
-                self._apply(conviction, age_ms)
+        expired = [
+            keyed_log.Record(record.key, None)
+            for record in batch.records
+            if record_isolation.isolate(
+                functools.partial(self._apply_record, record),
+                False,
+                key=record.key,
+                offset=record.offset,
+            )
+        ]
         await self._append(expired)
 
+    def _apply_record(self, record: keyed_log.Record) -> bool:
+        """Refuse what a record says; return whether it has expired."""
+        conviction = Conviction.from_record(record)
+        age_ms = max(0, self.clock.wall_ms() - conviction.wall_ms)
+        if age_ms > suspicion.RECORD_TTL_MS:
+            return True
+        self._apply(conviction, age_ms)
+        return False
+
     def _apply(self, conviction: Conviction, age_ms: int) -> None:
         """Refuse what a record says."""
         if conviction.parts:
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -13,6 +13,7 @@
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import assembly
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import feed
 from carawayward.forwarding import feeds as feeds_module
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import ports as ports_module
@@ -236,6 +237,9 @@
         gauges = metrics_module.collect_gauges(
             self.board, self.clock.boot_ms()
         )
+        for each in self.controllers:
+            if isinstance(each, feed.TopicFeed):
+                gauges |= each.collect_gauges()
         gauges |= self.app.forwarder.placer.collect_gauges()
         gauges["connections_waiting"] = self.callers.count_waiting()
         gauges["services_unreachable"] = len(
--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -10,6 +10,7 @@
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import message_types
 from carawayward.forwarding import table
+from carawayward import record_isolation
 
 # Number of superseded orders that are kept.
 MAX_SUPERSEDED = 100
@@ -57,14 +58,10 @@
         usable = True
         missing = set(self.board.evacuated)
         for record in records:
-            decoded = self.decode(record)
+            decoded = self._decode_and_apply(record, restored)
             usable = usable and (decoded is not None or record.value is None)
             if isinstance(decoded, message_types.Evacuation):
                 missing.discard(decoded.failure_domain)
-            # An order in the backup that has been superseded since would
-            # start a finished roll-out again.
-            if not restored or decoded not in self.superseded:
-                self._apply_decoded(decoded)
         for failure_domain in missing:
             if restored:
                 now_ms = self.clock.boot_ms()
@@ -75,10 +72,26 @@
 
     def apply(self, record: keyed_log.Record) -> bool:
         """Apply one record; return False if it cannot be used."""
-        decoded = self.decode(record)
-        self._apply_decoded(decoded)
+        decoded = self._decode_and_apply(record)
         return decoded is not None or record.value is None
 
+    def _decode_and_apply(
+        self, record: keyed_log.Record, restored: bool = False
+    ) -> Decoded:
+        """Apply one record and return its contents; None if it is unusable."""
+
+        def decode_and_apply() -> Decoded:
+            decoded = self.decode(record)
+            # An order in a backup that has been superseded since would start
+            # a finished roll-out again.
+            if not restored or decoded not in self.superseded:
+                self._apply_decoded(decoded)
+            return decoded
+
+        return record_isolation.isolate(
+            decode_and_apply, None, key=record.key, offset=record.offset
+        )
+
     def _evacuate(self, failure_domain: str) -> None:
         self.missing_since_ms.pop(failure_domain, None)
         if failure_domain in self.board.evacuated:
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -1,5 +1,6 @@
 """Follows one topic of the store, with its own calls or through a delegate."""
 
+import contextlib
 import math
 import typing
 
@@ -15,6 +16,7 @@
 from carawayward.forwarding import call_causes
 from carawayward.forwarding import change_log
 from carawayward.forwarding import keyed_log
+from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import positions
 from carawayward.forwarding import store_outages
 from carawayward import supervision
@@ -139,6 +141,15 @@
         """Return the end of the topic; None if it is currently unknown."""
         return None if self.failing or self._is_behind() else self.position
 
+    def collect_gauges(self) -> dict[str, float]:
+        """How far the topic has been read."""
+        offset = positions.get_offset(self.position or 0)
+        return {
+            metrics_module.format_series(
+                "topic_position", topic=self.name
+            ): float(offset)
+        }
+
     def confirm(self, attested: attestation.Attestation) -> None:
         """Accept another entry VM's attestation.
 
@@ -207,12 +218,13 @@
         """
         if self.position is None or not start <= self.position < end:
             return False
-        for each in changed:
-            if each.offset >= self.position:
-                self._apply(
-                    keyed_log.Record(each.key, each.value, each.offset)
-                )
-        self._set_position(end)
+        position = self.position
+        with self._advancing_to(end):
+            for each in changed:
+                if each.offset >= position:
+                    self._apply(
+                        keyed_log.Record(each.key, each.value, each.offset)
+                    )
         self.push_updates()
         # The changes may be of a kind that only a read of the store settles.
         self.check_delegate()
@@ -408,14 +420,11 @@
             return True
         if before is None or lost is not None:
             superseded = lost is call_causes.Cause.SUPERSEDED
-            if not self._replace(batch, superseded):
-                self._read_all_until = batch.end
-                return False
-        else:
+            return self._replace(batch, superseded)
+        with self._advancing_to(batch.end):
             self._apply_newest(
                 [each for each in batch.records if each.offset >= before]
             )
-        self._set_position(batch.end)
         return True
 
     def _replace(self, batch: keyed_log.Batch, superseded: bool) -> bool:
@@ -429,11 +438,27 @@
         if before is not None and not positions.is_same_era(before, batch.end):
             superseded = False
             self.begin_era()
-        usable = self.replace(batch.records) is not False
-        if superseded and not usable:
-            return False
-        self.log.replace(batch.records, before, batch.end)
-        return True
+        with self._advancing_to(batch.end):
+            usable = self.replace(batch.records) is not False
+            if usable or not superseded:
+                self.log.replace(batch.records, before, batch.end)
+                return True
+        assert before is not None
+        self._set_position(before)
+        self._read_all_until = batch.end
+        return False
+
+    @contextlib.contextmanager
+    def _advancing_to(self, position: int) -> typing.Iterator[None]:
+        """Set the position at the end of the block, whatever it raises.
+
+        A restarted task would otherwise be given the same records again, and
+        stand still at them for as long as they are kept.
+        """
+        try:
+            yield
+        finally:
+            self._set_position(position)
 
     def _set_position(self, position: int) -> None:
         self.position = position
--- a/src/carawayward/forwarding/load_report_messages.py
+++ b/src/carawayward/forwarding/load_report_messages.py
@@ -5,6 +5,7 @@
 two prompts has 131 bytes, against 276 with names and each part sent twice.
 """
 
+import ipaddress
 import typing
 
 import attrs
@@ -13,6 +14,7 @@
 from carawayward.decisions import engine_load
 from carawayward.decisions import engine_order
 from carawayward.decisions import placement
+from carawayward import settings as settings_module
 
 VERSION = 5
 # Errors raised while decoding a malformed datagram.
@@ -60,7 +62,11 @@
     @classmethod
     def from_fields(cls, fields: typing.Iterable[object]) -> "Sender":
         """Build from the fields in order; raises one of DECODE_ERRORS."""
-        return cls(*(str(each) for each in fields))
+        sender = cls(*(_require_text(each) for each in fields))
+        host, _ = settings_module.split_address(sender.address)
+        # Sending to a name would block for as long as it takes to resolve.
+        ipaddress.ip_address(host)
+        return sender
 
     @classmethod
     def from_bytes(cls, data: bytes) -> "Sender":
@@ -154,6 +160,12 @@
         )
 
 
+def _require_text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError("text expected")
+    return value
+
+
 def _read_load(
     weight: float, streams: int, *classes: float
 ) -> engine_load.Load:
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -27,6 +27,7 @@
 from carawayward.forwarding import peer_directory
 from carawayward.forwarding import registration as registration_module
 from carawayward.forwarding import report_channels
+from carawayward import record_isolation
 from carawayward import settings as settings_module
 from carawayward import supervision
 
@@ -294,17 +295,14 @@
                 self.send(peer.name, data)
 
     def _add_peer_from_record(self, record: keyed_log.Record) -> None:
-        try:
+        def decode_and_add() -> None:
             self._add_peer(
                 load_report_messages.Sender.from_bytes(record.value or b"")
             )
-        except load_report_messages.DECODE_ERRORS as fault:
-            events.log_event(
-                events.Event.ENTRY_UNREADABLE,
-                key=record.key,
-                offset=record.offset,
-                fault=type(fault).__name__,
-            )
+
+        record_isolation.isolate(
+            decode_and_add, None, key=record.key, offset=record.offset
+        )
 
     def _add_peer(self, sender: load_report_messages.Sender) -> None:
         if self.directory.add(sender, self.clock.now_ms()):
--- a/src/carawayward/forwarding/registry.py
+++ b/src/carawayward/forwarding/registry.py
@@ -10,6 +10,7 @@
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import message_types
 from carawayward.forwarding import store_outages
+from carawayward import record_isolation
 
 # Live endpoints that could not renew their entries during an outage of the
 # store have written them again within about two seconds of its recovery.
@@ -110,10 +111,10 @@
             del self.held_records[name]
         restored, self._restored = self._restored, False
         for record in records:
-            if restored and self._was_removed(record):
-                self._hold(record)
-            else:
-                self.apply(record)
+            self._apply_or_drop(
+                self._apply_restored if restored else self._apply_record,
+                record,
+            )
         for name in list(self.board.endpoints):
             if name not in present:
                 self._handle_missing(name)
@@ -121,6 +122,32 @@
 
     def apply(self, record: keyed_log.Record) -> None:
         """Apply one record."""
+        self._apply_or_drop(self._apply_record, record)
+
+    def _apply_or_drop(
+        self,
+        apply: typing.Callable[[keyed_log.Record], None],
+        record: keyed_log.Record,
+    ) -> None:
+        """Apply a record; one that cannot be used names no endpoint."""
+
+        def try_apply() -> bool:
+            apply(record)
+            return True
+
+        if not record_isolation.isolate(
+            try_apply, False, key=record.key, offset=record.offset
+        ):
+            self._drop(record.key, "unusable entry")
+
+    def _apply_restored(self, record: keyed_log.Record) -> None:
+        """Apply a record that a restored backup lists."""
+        if self._was_removed(record):
+            self._hold(record)
+        else:
+            self._apply_record(record)
+
+    def _apply_record(self, record: keyed_log.Record) -> None:
         self.held_records.pop(record.key, None)
         if record.value is None:
             self._handle_missing(record.key)
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -19,6 +19,7 @@
 from carawayward.forwarding import message_types
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
+from carawayward import record_isolation
 from carawayward import supervision
 
 # After the store was restored from a backup, entry VMs that know no decision
@@ -109,11 +110,17 @@
             self.apply(record)
 
     def apply(self, record: keyed_log.Record) -> None:
-        """Apply one status."""
-        status = self.decode_status(record)
-        if status is not None:
-            self.latest[status.service] = status
-            self._apply_status(status)
+        """Apply one status; one that cannot be used is ignored."""
+
+        def decode_and_apply() -> None:
+            status = self.decode_status(record)
+            if status is not None:
+                self._apply_status(status)
+                self.latest[status.service] = status
+
+        record_isolation.isolate(
+            decode_and_apply, None, key=record.key, offset=record.offset
+        )
 
     def mark_current(self, as_of_ms: float) -> None:
         """Record that the statuses were current at ``as_of_ms``."""
--- a/src/carawayward/http_client.py
+++ b/src/carawayward/http_client.py
@@ -234,7 +234,8 @@
                 retry_after_ms=delay_ms,
             )
         body = None
-        with contextlib.suppress(ValueError):
+        # Deeply nested JSON raises RecursionError.
+        with contextlib.suppress(ValueError, RecursionError):
             body = json.loads(content)
         if response.status >= 500 or (body is None and content):
             raise errors.PlatformUnavailable(
--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -1,17 +1,20 @@
 """Decodes and encodes the records in the platform's store.
 
-Records come from other programs: fields may be missing or of the wrong type.
+Records come from other programs: fields may be missing, of the wrong type or
+out of range. All are checked here, so that what is decoded can be used
+without further checks.
 """
 
+import functools
+import ipaddress
 import json
 import math
 import typing
 
-from carawayward import errors
-from carawayward import events
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import message_types
 from carawayward.forwarding import table
+from carawayward import record_isolation
 
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
@@ -30,8 +33,11 @@
 ROLLOUT_STATE_NAMES = {state: name for name, state in ROLLOUT_STATES.items()}
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
-# Errors raised while decoding a malformed record.
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+# Larger than any count or time in ms that a record can hold; floats represent
+# all whole numbers up to it.
+MAX_NUMBER = 2**53 - 1
+
+Decoded = typing.TypeVar("Decoded")
 
 
 def decode_declaration(
@@ -50,14 +56,10 @@
         return message_types.Evacuation(domain, lifted) if domain else None
     if record.value is None:
         return None
-    try:
-        body = json.loads(record.value)
-        if record.key == CONFIG_KEY:
-            return read_table(body)
-        if record.key.startswith(ROLLOUT_PREFIX):
-            return read_order(body)
-    except (*DECODE_ERRORS, errors.DeclarationError) as fault:
-        _log_unreadable(record, fault)
+    if record.key == CONFIG_KEY:
+        return _decode(record, read_table)
+    if record.key.startswith(ROLLOUT_PREFIX):
+        return _decode(record, read_order)
     return None
 
 
@@ -65,53 +67,51 @@
     record: keyed_log.Record,
 ) -> message_types.EndpointEntry | None:
     """Decode a record of the servers' topic; None if it is unusable."""
-    try:
-        body = json.loads(record.value or b"")
-        born = body.get("born")
-        entry = message_types.EndpointEntry(
-            name=record.key,
-            service=_require_type(body["service"], str),
-            address=_require_type(body["address"], str),
-            failure_domain=_require_type(body.get("zone", ""), str),
-            version=_require_type(body.get("version", ""), str),
-            slots=_require_type(body.get("slots", 1), int),
-            leaving=LEAVING_BY_STATE[body["state"]],
-            born=born if type(born) is int else None,
-            cold_ms=_parse_number(body.get("coldRemainingMs")),
-        )
-        host, _, port = entry.address.rpartition(":")
-        if not host or not 0 < int(port) < 65536:
-            raise ValueError("invalid address")
-        return entry
-    except DECODE_ERRORS as fault:
-        _log_unreadable(record, fault)
-        return None
+    return _decode(record, functools.partial(read_endpoint, record.key))
+
+
+def read_endpoint(name: str, body: dict) -> message_types.EndpointEntry:
+    """Convert the entry that an endpoint wrote under its name."""
+    born = body.get("born")
+    return message_types.EndpointEntry(
+        name=_require_header_text(name),
+        service=_require_type(body["service"], str),
+        address=_require_address(body["address"]),
+        failure_domain=_require_type(body.get("zone", ""), str),
+        version=_require_type(body.get("version", ""), str),
+        slots=_require_count(body.get("slots", 1), minimum=1),
+        leaving=LEAVING_BY_STATE[_require_type(body["state"], str)],
+        born=born if type(born) is int and 0 <= born <= MAX_NUMBER else None,
+        cold_ms=_parse_number(body.get("coldRemainingMs")),
+    )
 
 
 def read_table(body: dict) -> table.RoutingTable:
     """Convert a configuration to a routing table."""
     customers = {}
-    tenants = body.get("tenants", [])
+    tenants = _require_type(body.get("tenants", []), list)
     for tenant in tenants:
         customer = table.Customer(
-            tenant["name"], _parse_rank(tenant.get("priority"))
+            _require_header_text(tenant["name"]),
+            _parse_rank(tenant.get("priority")),
         )
-        for key in tenant["apiKeys"]:
-            customers[key] = customer
+        for key in _require_type(tenant["apiKeys"], list):
+            customers[_require_type(key, str)] = customer
     limits = body.get("limits", {})
     return table.RoutingTable(
         revision=_require_type(body["version"], int),
         routes=tuple(read_route(each) for each in body["routes"]),
         services={
-            each["name"]: read_service(each) for each in body["services"]
+            service.name: service
+            for service in map(read_service, body["services"])
         },
         customers_by_key=customers,
         keyed=bool(tenants),
         limits=table.CallerLimits(
-            header_bytes=_require_count(limits, "maxHeaderBytes", 16_384),
-            body_bytes=_require_count(limits, "maxBodyBytes", 4_194_304),
-            header_ms=_require_count(limits, "headerTimeoutMs", 3_000),
-            idle_ms=_require_count(limits, "idleTimeoutMs", 15_000),
+            header_bytes=_require_count(limits.get("maxHeaderBytes", 16_384)),
+            body_bytes=_require_count(limits.get("maxBodyBytes", 4_194_304)),
+            header_ms=_require_number(limits.get("headerTimeoutMs", 3_000)),
+            idle_ms=_require_number(limits.get("idleTimeoutMs", 15_000)),
         ),
     )
 
@@ -119,46 +119,61 @@
 def read_route(body: dict) -> table.Route:
     """Convert a route, which names one service or splits over several."""
     split = body.get("split") or [{"service": body["service"], "weight": 1}]
+    timeout_ms = _require_number(body["timeoutMs"])
+    gap_target_ms = body.get("gapTargetMs")
     return table.Route(
         name=_require_type(body["name"], str),
         host=_require_type(body["host"], str),
         path_prefix=_require_type(body["pathPrefix"], str),
-        kind=ROUTE_KINDS[body["routeKind"]],
+        kind=ROUTE_KINDS[_require_type(body["routeKind"], str)],
         targets=tuple(
-            table.Target(each["service"], float(each["weight"]))
+            table.Target(
+                _require_type(each["service"], str),
+                _require_number(each["weight"]),
+            )
             for each in split
         ),
-        timeout_ms=float(body["timeoutMs"]),
-        target_ms=float(body.get("targetLatencyMs") or body["timeoutMs"]),
-        max_attempts=_require_count(body, "maxAttempts", 1),
+        timeout_ms=timeout_ms,
+        target_ms=_require_number(body.get("targetLatencyMs") or timeout_ms),
+        max_attempts=_require_count(body.get("maxAttempts", 1)),
         priority=_parse_rank(body.get("priority")),
-        anonymous=body.get("anonymous", False),
-        affinity=body.get("affinity", False),
-        resumable=body.get("resumable", False),
-        gap_target_ms=body.get("gapTargetMs"),
-        models=tuple(body.get("sizes", ())),
+        anonymous=_require_flag(body, "anonymous"),
+        affinity=_require_flag(body, "affinity"),
+        resumable=_require_flag(body, "resumable"),
+        gap_target_ms=(
+            None if gap_target_ms is None else _require_number(gap_target_ms)
+        ),
+        models=tuple(map(_require_header_text, body.get("sizes") or ())),
     )
 
 
 def read_service(body: dict) -> table.Service:
     """Convert a service, with its engine settings if it has engines."""
     engine = body.get("engine")
+    max_connections = body.get("maxConnections")
     return table.Service(
-        name=body["name"],
-        health_path=body.get("healthPath", ""),
-        max_connections=body.get("maxConnections"),
+        name=_require_type(body["name"], str),
+        health_path=_require_type(body.get("healthPath") or "", str),
+        max_connections=(
+            None
+            if max_connections is None
+            else _require_count(max_connections)
+        ),
         cold_start_ms=1000.0 * (_parse_number(body.get("coldStartS")) or 0.0),
         cold_per_s=_parse_number(body.get("coldPerS")),
-        engine=table.Engine(
-            slots=engine["slots"],
-            cache_tokens=engine["kvCapacityTokens"],
-            costs={
-                each["name"]: float(each["cost"])
-                for each in engine.get("models", ())
-            },
-        )
-        if engine
-        else None,
+        engine=read_engine(engine) if engine else None,
+    )
+
+
+def read_engine(body: dict) -> table.Engine:
+    """Convert the settings of a service's engines."""
+    return table.Engine(
+        slots=_require_count(body["slots"], minimum=1),
+        cache_tokens=_require_count(body["kvCapacityTokens"], minimum=1),
+        costs={
+            _require_type(each["name"], str): _require_number(each["cost"])
+            for each in body.get("models") or ()
+        },
     )
 
 
@@ -167,7 +182,7 @@
     return message_types.RolloutOrder(
         service=_require_type(body["service"], str),
         version=_require_type(body["target"], str),
-        duration_ms=float(body["durationS"]) * 1000.0,
+        duration_ms=_require_number(body["durationS"]) * 1000.0,
     )
 
 
@@ -178,13 +193,16 @@
     service = record.key.removeprefix(ROLLOUT_PREFIX)
     if record.value is None or service == record.key:
         return None
-    try:
-        body = json.loads(record.value)
-        state = ROLLOUT_STATES[body["state"]]
-        return message_types.RolloutStatus(service, body["target"], state)
-    except DECODE_ERRORS as fault:
-        _log_unreadable(record, fault)
-        return None
+    return _decode(record, functools.partial(read_status, service))
+
+
+def read_status(service: str, body: dict) -> message_types.RolloutStatus:
+    """Convert the status of a service's roll-out."""
+    return message_types.RolloutStatus(
+        service,
+        _require_type(body["target"], str),
+        ROLLOUT_STATES[_require_type(body["state"], str)],
+    )
 
 
 def encode_status(status: message_types.RolloutStatus) -> keyed_log.Record:
@@ -198,18 +216,31 @@
     )
 
 
+def _decode(
+    record: keyed_log.Record, read: typing.Callable[[dict], Decoded]
+) -> Decoded | None:
+    """Decode a record whose value is a JSON object; None if it cannot be."""
+
+    def decode() -> Decoded | None:
+        return read(_require_type(json.loads(record.value or b""), dict))
+
+    return record_isolation.isolate(
+        decode, None, key=record.key, offset=record.offset
+    )
+
+
 def _parse_number(value: typing.Any) -> float | None:
     """A finite, non-negative number; None for anything else."""
-    if type(value) not in (int, float) or not 0 <= value < math.inf:
+    if type(value) not in (int, float) or not 0 <= value <= MAX_NUMBER:
         return None
     return float(value)
 
 
 def _parse_rank(value: typing.Any) -> int | None:
     """The rank of a route or customer; None for anything but a number."""
-    if type(value) not in (int, float) or not math.isfinite(value):
+    if type(value) not in (int, float) or not -math.inf < value < math.inf:
         return None
-    return max(table.MOST_URGENT, min(table.LEAST_URGENT, int(value)))
+    return int(max(table.MOST_URGENT, min(table.LEAST_URGENT, value)))
 
 
 def _require_type(value: typing.Any, kind: type) -> typing.Any:
@@ -218,18 +249,42 @@
     return value
 
 
-def _require_count(body: dict, field: str, default: int) -> int:
-    """A field that is a non-negative whole number, or the default."""
-    value = _require_type(body.get(field, default), int)
-    if value < 0:
-        raise ValueError(f"{field} is negative")
-    return value
+def _require_number(value: typing.Any) -> float:
+    """A finite, non-negative number."""
+    number = _parse_number(value)
+    if number is None:
+        raise ValueError("non-negative number expected")
+    return number
 
 
-def _log_unreadable(record: keyed_log.Record, fault: Exception) -> None:
-    events.log_event(
-        events.Event.ENTRY_UNREADABLE,
-        key=record.key,
-        offset=record.offset,
-        fault=type(fault).__name__,
-    )
+def _require_flag(body: dict, field: str) -> bool:
+    """A field that is true or false; false if it is missing."""
+    return _require_type(body.get(field, False), bool)
+
+
+def _require_count(value: typing.Any, minimum: int = 0) -> int:
+    """A whole number that is not less than ``minimum``."""
+    count = _require_type(value, int)
+    if not minimum <= count <= MAX_NUMBER:
+        raise ValueError("number is out of range")
+    return count
+
+
+def _require_header_text(value: typing.Any) -> str:
+    """Text that can be sent as the value of a header."""
+    text = _require_type(value, str)
+    if not text or not text.isprintable() or text != text.strip():
+        raise ValueError("cannot be the value of a header")
+    return text
+
+
+def _require_address(value: typing.Any) -> str:
+    """The IP address and port of an endpoint; names are not resolved."""
+    address = _require_type(value, str)
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host)
+    if not port.isdecimal() or not port.isascii():
+        raise ValueError("port is not a number")
+    if not 0 < int(port) < 65536:
+        raise ValueError("port is out of range")
+    return address
--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -1,11 +1,13 @@
 """Client of the platform's store, which implements ``KeyedLog``."""
 
 import base64
+import functools
 import json
 import math
 import re
 import struct
 import typing
+import urllib.parse
 
 import attrs
 import httpcore
@@ -18,6 +20,7 @@
 from carawayward.forwarding import positions
 from carawayward.gateway import connections
 from carawayward import http_client as http
+from carawayward import record_isolation
 
 # Calls usually take a few ms, and up to 0.7 s on a slow store. A call without
 # the head of an answer after this time, or whose body brings no byte for as
@@ -34,6 +37,8 @@
 ERA_HEADER = b"store-era"
 ERA_PATTERN = re.compile(rb"[0-9]{1,9}")
 
+Read = typing.TypeVar("Read")
+
 
 @attrs.frozen
 class Answer:
@@ -139,24 +144,33 @@
         """
         records: list[keyed_log.Record] = []
         end: int | None = None
-        after = ""
+        after: str | None = None
         while True:
-            answer = await self.store.call(
-                "GET",
-                f"/api/log-newest?topic={self.topic}&part={PARTITION}{after}",
-            )
-            body = parse_json(answer)
+            path = f"/api/log-newest?topic={self.topic}&part={PARTITION}"
+            if after is not None:
+                path += f"&after={quote_key(after)}"
+            answer = await self.store.call("GET", path)
+            page = parse_body(answer, ListingPage.from_body)
             if end is None:
-                end = positions.make_position(answer.era, int(body["end"]))
+                end = positions.make_position(answer.era, page.end)
             elif positions.get_era(end) != answer.era:
                 # The previous pages are of another era: start again.
                 return await self.read_newest()
-            records += [
-                decode_item(item, answer.era) for item in body["items"]
-            ]
-            if not body["hasMore"] or not body["items"]:
+            for item in page.items:
+                record = record_isolation.isolate(
+                    functools.partial(decode_item, item, answer.era),
+                    None,
+                    topic=self.topic,
+                )
+                if record is not None:
+                    records.append(record)
+            if not page.has_more or not page.items:
                 return keyed_log.Batch(records, end)
-            after = f"&after={body['items'][-1]['key']}"
+            if page.last_key == after:
+                raise errors.PlatformUnavailable(
+                    "store", "a page of the listing is followed by itself"
+                )
+            after = page.last_key
 
     async def read(
         self, start: int, wait_ms: float, listing_bytes: float = math.inf
@@ -218,12 +232,12 @@
             body,
         )
         if answer.status == 412:
-            found = int(json.loads(answer.content)["end"])
+            found = parse_body(answer, read_end, status=412)
             raise keyed_log.Conflict(
                 positions.make_position(answer.era, found)
             )
         position = positions.make_position(
-            answer.era, int(parse_json(answer)["end"])
+            answer.era, parse_body(answer, read_end)
         )
         if end is not None and not positions.is_same_era(end, position):
             # The condition held by chance, in an era that was not read yet.
@@ -247,23 +261,63 @@
     return 0
 
 
-def parse_json(answer: Answer) -> typing.Any:
-    """Decode a 200 answer's body; raise PlatformUnavailable for others."""
-    if answer.status != 200:
+def parse_body(
+    answer: Answer,
+    read: typing.Callable[[typing.Any], Read],
+    status: int = 200,
+) -> Read:
+    """Return what ``read`` makes of the answer's body, which is JSON.
+
+    Raises PlatformUnavailable if the answer has another status, or whatever
+    is wrong with its body.
+    """
+    if answer.status != status:
         raise errors.PlatformUnavailable("store", f"status {answer.status}")
     try:
-        return json.loads(answer.content)
-    except ValueError as cause:
+        return read(json.loads(answer.content))
+    except Exception as cause:
         raise errors.PlatformUnavailable(
-            "store", "response body is not JSON"
+            "store", f"unreadable body ({type(cause).__name__})"
         ) from cause
 
 
+def quote_key(key: str) -> str:
+    """Quote a key for a query."""
+    return urllib.parse.quote(key, errors="replace")
+
+
+def read_end(body: dict) -> int:
+    """The end of a topic, in the body of an answer."""
+    return int(body["end"])
+
+
+@attrs.frozen
+class ListingPage:
+    """A page of a list of the latest records, in the order of their keys."""
+
+    items: list
+    end: int
+    has_more: bool
+    last_key: str
+
+    @classmethod
+    def from_body(cls, body: dict) -> "ListingPage":
+        """Convert a decoded body, whose items are not looked into."""
+        items = list(body["items"])
+        last_key = str(items[-1]["key"]) if items else ""
+        return cls(items, read_end(body), bool(body["hasMore"]), last_key)
+
+
 def decode_item(item: dict, era: int) -> keyed_log.Record:
-    """Decode an entry of a list of latest records; values are in base64."""
+    """Decode an entry of a list of latest records; values are in base64.
+
+    Raises an exception if it is malformed.
+    """
     value = base64.b64decode(item["value"])
     position = positions.make_position(era, int(item["offset"]))
-    return keyed_log.Record(item["key"], value or None, position)
+    # Like ``decode_record``, replaces what cannot be encoded as UTF-8.
+    key = item["key"].encode("utf-8", "replace").decode()
+    return keyed_log.Record(key, value or None, position)
 
 
 def split_records(content: bytes) -> typing.Iterator[bytes]:
@@ -277,8 +331,13 @@
 
 
 def decode_record(raw: bytes, offset: int) -> keyed_log.Record:
-    """Decode a record of a keyed topic: length of the key, key, value."""
+    """Decode a record of a keyed topic: length of the key, key, value.
+
+    One that is shorter than its key names none.
+    """
     size = raw[0] if raw else 0
+    if len(raw) <= size:
+        return keyed_log.Record("", None, offset)
     key = raw[1 : 1 + size].decode("utf-8", "replace")
     return keyed_log.Record(key, raw[1 + size :] or None, offset)
 
--- a/src/carawayward/protocol/config_log.py
+++ b/src/carawayward/protocol/config_log.py
@@ -20,8 +20,8 @@
 
 import attrs
 
+from carawayward import checked_fields
 from carawayward import declaration
-from carawayward import errors
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +94,11 @@
     return _apply_publish(state, offset, record)
 
 
+def skip_record(state: ConfigState, offset: int) -> ConfigState:
+    """Go on after a record that cannot be used."""
+    return attrs.evolve(state, read_to=max(state.read_to, offset))
+
+
 def _add_pending(
     state: ConfigState, offset: int, record: Publish
 ) -> ConfigState:
@@ -143,7 +148,7 @@
     """
     if snapshot.as_of < state.first_offset - 1:
         return False
-    return declaration.digest_document(snapshot.document) == snapshot.digest
+    return _is_declarable(snapshot)
 
 
 def apply_peer_copy(state: ConfigState, copy: Snapshot) -> ConfigState:
@@ -167,15 +172,21 @@
 
 def is_valid(revision: int, record: Publish) -> bool:
     """Whether a publish takes effect while ``revision`` is in force."""
-    if record.base_revision != revision:
-        return False
-    if declaration.digest_document(record.document) != record.digest:
-        return False
+    return record.base_revision == revision and _is_declarable(record)
+
+
+def _is_declarable(record: Record) -> bool:
+    """Whether a record's document is intact and can be put into force.
+
+    It has not been checked by anyone if a program other than ours wrote it,
+    and may make any of the checks raise.
+    """
     try:
         declaration.Declaration.from_config(record.document)
-    except errors.DeclarationError:
+        digest = declaration.digest_document(record.document)
+    except Exception:
         return False
-    return True
+    return digest == record.digest
 
 
 def make_snapshot(state: ConfigState) -> Snapshot | None:
@@ -261,6 +272,6 @@
     if kind is None or not isinstance(fields.get("document"), dict):
         return None
     try:
-        return kind(**fields)
+        return checked_fields.make_checked(kind, fields)
     except TypeError:
         return None
--- a/src/carawayward/services/log.py
+++ b/src/carawayward/services/log.py
@@ -69,11 +69,20 @@
         reply = await self.client.call("GET", path, timeout_ms=wait_ms + 5_000)
         if reply.status != 200 or not isinstance(reply.body, dict):
             raise errors.PlatformUnavailable("log", f"status {reply.status}")
-        records = [
-            LogRecord(item["offset"], item["at_ms"], item["data"])
-            for item in reply.body["records"]
-        ]
-        return Batch(records, reply.body["next"], reply.body["oldest"])
+        try:
+            records = [
+                LogRecord(
+                    int(item["offset"]), int(item["at_ms"]), item["data"]
+                )
+                for item in reply.body["records"]
+            ]
+            return Batch(
+                records, int(reply.body["next"]), int(reply.body["oldest"])
+            )
+        except (LookupError, TypeError, ValueError) as cause:
+            raise errors.PlatformUnavailable(
+                "log", f"unreadable body ({type(cause).__name__})"
+            ) from cause
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/carawayward/settings.py
+++ b/src/carawayward/settings.py
@@ -146,7 +146,8 @@
 def split_address(address: str) -> tuple[str, int]:
     """Split ``ip:port``; raise ValueError if it is malformed."""
     host, separator, port = address.rpartition(":")
-    if not separator or not host or not port.isdecimal():
+    is_number = port.isascii() and port.isdecimal()
+    if not separator or not host or not is_number:
         raise ValueError(f"{address!r} is not ip:port")
     if not 0 < int(port) < 65536:
         raise ValueError(f"{address!r} has no valid port")
