Decide in one place whether a request may run again

What callers saw: on a streaming route that lists models and does not allow its streams to be resumed, some requests ran twice under a burst: a first token at the smallest model, a whole answer of the largest.

Cause (hypothesis 1): under load choose_first begins with the smallest model on such routes too, find_larger_model did not ask whether the route allows another run, and claim_retry refused one only after Failed, not after Unsure. Three places knew parts of the rule; the outcome that leads to another run by our own choice passed none of them.

Change: retries.may_run() is the rule, on what is known of all attempts so far, not on the kind of the last one: what may have run runs again only if retries.may_repeat() allows the route. It is checked right before the first byte of each attempt, so a request that is handed to one peer after another or resumes a stream passes it too; claim_retry asks it first. No answer is dropped for a larger model unless it allows that. An outcome that is not listed as one of a request that did not run counts as a run. Attempt events name the route.

Related paths: retries after failed and unanswered runs, streams resumed within an answer, peers asked in turn, timeouts of attempts, 5xx answers: all use the same function now. The callers' API repeats completions, which are repeatable, and calls by decisions/retry.may_retry alone; unchanged.

--- a/src/carawayward/forwarding/attempt_timeouts.py
+++ b/src/carawayward/forwarding/attempt_timeouts.py
@@ -1,5 +1,6 @@
 """How long an attempt waits for an endpoint before another one is tried."""
 
+from carawayward.forwarding import retries
 from carawayward.forwarding import table
 
 NO_TIMEOUT_MS = float("inf")
@@ -27,7 +28,7 @@
     ``left_ms`` is the time to the caller's deadline, ``predicted_ms`` the
     predicted time to the first token.
     """
-    if not route.repeatable:
+    if not retries.may_repeat(route):
         return NO_TIMEOUT_MS
     if route.kind is table.RouteKind.STREAM:
         return _compute_stream_timeout_ms(route, left_ms, predicted_ms)
@@ -36,7 +37,7 @@
 
 def compute_body_timeout_ms(route: table.Route) -> float:
     """How long to wait for a short body after the head of a response."""
-    if not route.repeatable or route.kind is table.RouteKind.STREAM:
+    if not retries.may_repeat(route) or route.kind is table.RouteKind.STREAM:
         return NO_TIMEOUT_MS
     return HEAD_TIMEOUT_TARGETS * route.target_ms
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -28,13 +28,6 @@
 # A reply is sent this long before the caller's deadline, so that it arrives
 # in time.
 REPLY_MARGIN_MS = 20.0
-# Outcomes after which the request is certain not to have run.
-NOT_RUN_OUTCOMES = (
-    work_items.Unreached,
-    work_items.Withheld,
-    work_items.Diverted,
-    work_items.Declined,
-)
 
 
 @attrs.define(eq=False)
@@ -219,7 +212,7 @@
             self.fleet.end_request(endpoint, work.customer)
             reading.end()
             self.rollouts.end(run, work)
-        if isinstance(outcome, NOT_RUN_OUTCOMES):
+        if isinstance(outcome, work_items.NOT_RUN_OUTCOMES):
             work.mark = None
         if isinstance(outcome, work_items.Delivered):
             took_ms = self.clock.now_ms() - began_ms
@@ -254,10 +247,11 @@
     ) -> None:
         """Record an attempt whose response was not delivered."""
         name = endpoint.entry.name
+        if not isinstance(outcome, work_items.NOT_RUN_OUTCOMES):
+            work.earlier_may_have_run = True
         match outcome:
             case work_items.Unsure():
                 work.runs += 1
-                work.earlier_may_have_run = True
                 work.model = outcome.model
             case work_items.Unreached():
                 self._record_unreached(work, endpoint, outcome)
@@ -270,7 +264,6 @@
             case work_items.Failed():
                 work.failed_endpoints |= {name}
                 work.runs += 1
-                work.earlier_may_have_run = True
                 work.failure = outcome
                 self.fleet.record_failure(endpoint, outcome.cause)
         self.metrics.count("attempts", outcome=type(outcome).__name__.lower())
@@ -323,6 +316,7 @@
         events.log_event(
             events.Event.ATTEMPT_ENDED,
             request=work.metadata.request_id,
+            route=work.route.name,
             endpoint=endpoint.entry.name,
             outcome=type(outcome).__name__,
             cause=outcome.cause,
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -16,6 +16,7 @@
 from carawayward.forwarding import message_types
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import plain_choice
+from carawayward.forwarding import retries
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import work_items
@@ -111,7 +112,7 @@
         ):
             return
         may_escalate = (
-            work.route.repeatable
+            retries.may_repeat(work.route)
             and work.route.max_attempts > 1
             and retry_budget.may_spend(
                 self.find_budget(work.service),
@@ -331,7 +332,7 @@
 
     def find_larger_model(self, work: work_items.Work) -> int | None:
         """Return the larger model to ask instead; None to keep the answer."""
-        if work.model is None:
+        if work.model is None or not retries.may_repeat(work.route):
             return None
         if work.runs + 1 >= work.route.max_attempts:
             return None
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -12,6 +12,7 @@
 from carawayward.forwarding import hops
 from carawayward.forwarding import placing
 from carawayward.forwarding import replies
+from carawayward.forwarding import retries
 from carawayward.forwarding import table
 from carawayward.forwarding import work_items
 
@@ -63,7 +64,7 @@
             attempt_timeouts.compute_body_timeout_ms(work.route),
         )
         work.progress.status = head.status
-        if head.status >= 500 and work.route.repeatable:
+        if head.status >= 500 and retries.may_repeat(work.route):
             return work_items.Failed(f"status {head.status}", head, body)
         if reply.started:
             return work_items.Failed(
--- a/src/carawayward/forwarding/retries.py
+++ b/src/carawayward/forwarding/retries.py
@@ -1,7 +1,8 @@
-"""Decides whether another endpoint is tried after a failed attempt."""
+"""Decides whether a request may run, and whether another endpoint is tried."""
 
 import typing
 
+from carawayward.forwarding import table
 from carawayward.forwarding import work_items
 
 # Attempts that could not connect do not count towards a route's limit, which
@@ -11,6 +12,26 @@
 MAX_UNREACHED_MS = 1_500.0
 
 
+def may_repeat(route: table.Route) -> bool:
+    """Whether a request that may have run may run again.
+
+    Anything that leads to another run, such as dropping an answer to ask a
+    larger model, is begun only if this allows it.
+    """
+    if route.kind is table.RouteKind.STREAM:
+        return route.resumable
+    return route.kind is table.RouteKind.IDEMPOTENT
+
+
+def may_run(work: work_items.Work) -> bool:
+    """Whether a request may be sent to an endpoint or to a peer.
+
+    Checked right before the first byte of each attempt, so that no way to
+    another run gets around it.
+    """
+    return not work.may_have_run or may_repeat(work.route)
+
+
 def claim_retry(
     work: work_items.Work,
     outcome: work_items.Undelivered,
@@ -18,9 +39,11 @@
 ) -> str:
     """Claim another attempt; return why there is none, else "".
 
-    ``spend_budget`` is called for a further run and returns whether the retry
-    budget allows it.
+    The outcome has been recorded in ``work``. ``spend_budget`` is called for a
+    further run and returns whether the retry budget allows it.
     """
+    if not may_run(work):
+        return "not repeatable"
     match outcome:
         case work_items.Withheld():
             return "withheld"
@@ -29,8 +52,6 @@
         case work_items.Unreached():
             in_time = work.unreached_ms <= MAX_UNREACHED_MS
             return "" if in_time else "unreached for long"
-        case work_items.Failed() if not work.route.repeatable:
-            return "not repeatable"
     if work.runs >= work.route.max_attempts:
         return "attempts used up"
     return "" if spend_budget() else "retry budget spent"
--- a/src/carawayward/forwarding/sending.py
+++ b/src/carawayward/forwarding/sending.py
@@ -18,6 +18,7 @@
 from carawayward.forwarding import relay_client
 from carawayward.forwarding import relaying
 from carawayward.forwarding import replies
+from carawayward.forwarding import retries
 from carawayward.forwarding import service_paths
 from carawayward.forwarding import suspects as suspects_module
 from carawayward.forwarding import work_items
@@ -53,14 +54,17 @@
     ) -> http.SentMark:
         """Make a mark that is asked right before the first byte is sent.
 
-        It checks ``may_send`` and whether the endpoint has asked for rest
-        while the connection was established, and records the permit as used.
+        It checks whether the request may run, by ``may_send`` too, and whether
+        the endpoint has asked for rest while the connection was established,
+        and records the permit as used.
         If the request is withheld, ``work.withheld`` says why.
         """
 
         def may_send() -> bool:
             work.withheld = None
-            if not self.may_send(work):
+            if not retries.may_run(work):
+                work.withheld = work_items.Withheld("may have run")
+            elif not self.may_send(work):
                 work.withheld = work_items.Withheld("keys may be old")
             elif self.placer.fleet.notices.is_resting(endpoint.entry):
                 work.withheld = work_items.Diverted("endpoint rests")
--- a/src/carawayward/forwarding/table.py
+++ b/src/carawayward/forwarding/table.py
@@ -75,13 +75,6 @@
                 return target.service
         return self.targets[-1].service
 
-    @property
-    def repeatable(self) -> bool:
-        """Whether a request may run more than once."""
-        if self.kind is RouteKind.STREAM:
-            return self.resumable
-        return self.kind is RouteKind.IDEMPOTENT
-
 
 @attrs.frozen(kw_only=True)
 class Engine:
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -91,6 +91,9 @@
 
 Undelivered = Unreached | Withheld | Diverted | Declined | Unsure | Failed
 Outcome = Delivered | Undelivered
+# Outcomes after which the request is certain not to have run; after any other
+# it may have.
+NOT_RUN_OUTCOMES = (Unreached, Withheld, Diverted, Declined)
 
 
 @attrs.define(eq=False)
--- a/tests/model/test_relays.py
+++ b/tests/model/test_relays.py
@@ -11,7 +11,6 @@
 from nose2.tools import params
 
 from carawayward.forwarding import attempt
-from carawayward.forwarding import exchange
 from carawayward.forwarding import hops
 from carawayward.forwarding import message_types
 from carawayward.forwarding import relay_client
@@ -82,7 +81,7 @@
         outcome = work_items.Failed("", broke_off=True)
     else:
         outcome = work_items.Unreached("")
-    not_run = isinstance(outcome, exchange.NOT_RUN_OUTCOMES)
+    not_run = isinstance(outcome, work_items.NOT_RUN_OUTCOMES)
     return attrs.evolve(state, waiting=None, status=503 if not_run else 502)
 
 
