Rely on the first table as soon as it is known, and log before it is current

What callers saw: an entry VM whose first table came from its delegate answered 503 to readiness probes until the delegate's next report, up to 0.4 s, and 500 in place of 404 on routes that do not exist.

Cause: mark_current recorded how recent the declarations are only once there was a table. An empty list is knowledge too: what follows it is complete. Until the next mark the table's age was infinite, and rounding it for the log line of a refusal raised OverflowError, which hypercorn answers with 500.

Change: the mark is recorded with and without a table; the age is None if never marked, in log lines and in the metrics page, which raised as well. The same elsewhere: a delegate's report of a topic whose first list was not complete has an infinite age and raised in the task that receives all datagrams; it is left out. No other rounded value is infinite before the first event.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -212,11 +212,7 @@
             request=self.dialect.find_id(scope["headers"]),
             status=refusal.status,
             cause=refusal.cause,
-            table_age_ms=round(
-                self.clock.boot_ms() - self.board.table_as_of_ms
-            )
-            if self.board.table
-            else None,
+            table_age_ms=self.board.compute_table_age_ms(self.clock.boot_ms()),
             revision=self.board.table.revision if self.board.table else 0,
         )
 
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -93,6 +93,12 @@
         entry = self.endpoints.get(process[0])
         return entry is not None and entry.process == process
 
+    def compute_table_age_ms(self, boot_ms: float) -> int | None:
+        """How long ago the table was known to be current; None if never."""
+        if self.table is None or self.table_as_of_ms == NEVER:
+            return None
+        return round(boot_ms - self.table_as_of_ms)
+
     def is_key_lease_valid(self, boot_ms: float) -> bool:
         """Whether the keys of the current table may still be accepted.
 
--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -146,8 +146,8 @@
         for failure_domain, at_ms in list(self.missing_since_ms.items()):
             if as_of_ms >= at_ms + REWRITE_GRACE_MS:
                 self._lift(failure_domain)
-        if self.board.table is not None:
-            self.board.table_as_of_ms = as_of_ms
+        # Also before the first table: all that precedes it is known by then.
+        self.board.table_as_of_ms = as_of_ms
 
     def _apply_table(self, decoded: table.RoutingTable) -> None:
         """Put a newer table into force; never revert to an older one."""
--- a/src/carawayward/forwarding/freshness.py
+++ b/src/carawayward/forwarding/freshness.py
@@ -291,7 +291,8 @@
         reports = {}
         for name in names:
             known = self.topics[name].get_attestation()
-            if known is not None:
+            # Not known to be current before the first read is complete.
+            if known is not None and known.as_of_ms > board_module.NEVER:
                 reports[name] = self._make_report(peer, client, name, known)
         if reports:
             report = freshness_messages.FreshnessReport(client.number, reports)
--- a/src/carawayward/forwarding/metrics.py
+++ b/src/carawayward/forwarding/metrics.py
@@ -75,7 +75,9 @@
     }
     if board.table is not None:
         gauges["table_revision"] = board.table.revision
-        gauges["table_age_ms"] = round(boot_ms - board.table_as_of_ms)
+    age_ms = board.compute_table_age_ms(boot_ms)
+    if age_ms is not None:
+        gauges["table_age_ms"] = age_ms
     return gauges
 
 
