Bound what received bytes cost, and end what they bring nothing of

What callers saw: one model server that answered with newlines without end stopped the entry VM that relayed it for seconds; plain requests to sound servers passed their time-out by up to 3 s.

Cause (all four hypotheses). Splitting a stream copied what was pending for each pair of newlines and searched it from the beginning for each chunk; each event was written by itself; a connection yielded after 16 reads of 64 KiB, whatever these cost; and all bytes counted as progress, so nothing ended it.

Change: TimeSlice yields by the clock, after 2 ms, at each read of an endpoint's connection and each chunk; a read takes 4 KiB. EventSplitter and LineSplitter go on where they ended; the events of a read are sent in one piece. A stream or run may have 1 MiB without progress, 64 bytes more for each chunk; comments and empty lines are no progress on any route. Heads with the interim ones before them may have 128 KiB. CBOR is decoded without tags, the fields of a relayed request apart from its body and by type. A datagram that raises whatever exception no longer ends the task that receives them all.

Related paths: both ways in, the relay listener, datagrams, links of the callers' API, error bodies of engines (read without a limit before), malformed events (ended with a fault, now a failed run), ids of 5,000 digits.

--- a/src/carawayward/forwarding/attempt.py
+++ b/src/carawayward/forwarding/attempt.py
@@ -16,6 +16,7 @@
 from carawayward.forwarding import message_types
 from carawayward.gateway import connections
 from carawayward import http_client as http
+from carawayward import time_slices
 
 # A round trip between failure domains takes a few ms. A lost SYN is sent again
 # only after a second; trying another endpoint is faster.
@@ -77,12 +78,22 @@
     head: ResponseHead
     _response: httpcore.Response
 
+    @property
+    def time_slice(self) -> time_slices.TimeSlice:
+        """The time slice of the task that reads the body."""
+        return connections.get_time_slice(self._response)
+
     async def read_chunks(self) -> typing.AsyncGenerator[bytes, None]:
-        """Read the body in chunks; raise AttemptFailed if it is truncated."""
+        """Read the body in chunks; raise AttemptFailed if it is truncated.
+
+        Lets other tasks run now and then, however small the chunks are.
+        """
         stream = typing.cast(typing.AsyncIterable, self._response.stream)
+        time_slice = self.time_slice
         try:
             async for chunk in stream:
                 yield chunk
+                await time_slice.yield_if_over()
         except http.CALL_FAILURES as cause:
             raise AttemptFailed(type(cause).__name__, sent=True) from cause
 
@@ -131,6 +142,8 @@
         stream = await backend.connect_tcp(host, int(port), CONNECT_TIMEOUT_S)
     except http.CALL_FAILURES as cause:
         raise AttemptFailed(type(cause).__name__, sent=False) from cause
+    assert isinstance(stream, connections.EndpointStream)
+    stream.head_bytes_left = connections.MAX_HEAD_BYTES
     origin = httpcore.Origin(b"http", host.encode(), int(port))
     return httpcore.AsyncHTTP11Connection(origin, stream)
 
@@ -179,6 +192,7 @@
         except http.CALL_FAILURES as cause:
             detail = type(cause).__name__
             raise AttemptFailed(detail, sent=mark.sent) from cause
+        connections.end_head(response)
         answer = read_response(response.status, list(response.headers))
         if answer.request_id and answer.request_id != request_id:
             raise AttemptFailed("response to another request", sent=True)
--- a/src/carawayward/forwarding/conviction_log.py
+++ b/src/carawayward/forwarding/conviction_log.py
@@ -18,6 +18,7 @@
 from carawayward.forwarding import call_causes
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import suspects as suspects_module
+from carawayward import plain_cbor
 from carawayward import record_isolation
 from carawayward import supervision
 
@@ -54,8 +55,8 @@
     @classmethod
     def from_record(cls, record: keyed_log.Record) -> "Conviction":
         """Decode a record; raises an exception if it is malformed."""
-        wall_ms, numbers, *rest = cbor2.loads(record.value or b"")
-        endpoints = tuple(str(int(each)) for each in numbers)
+        wall_ms, numbers, *rest = plain_cbor.loads(record.value or b"")
+        endpoints = tuple(f"{each:d}" for each in numbers)
         if not record.key.startswith(PART_PREFIX):
             content = bytes.fromhex(record.key).hex()
             return cls(int(wall_ms), endpoints, content=content)
@@ -63,7 +64,7 @@
         return cls(
             int(wall_ms),
             endpoints,
-            parts=frozenset(bytes(each).hex() for each in parts),
+            parts=frozenset(each.hex() for each in parts),
         )
 
 
--- a/src/carawayward/forwarding/event_stream.py
+++ b/src/carawayward/forwarding/event_stream.py
@@ -4,11 +4,21 @@
 and the rest of the stream may then come from another endpoint.
 """
 
+import re
+
 import attrs
 
 # Engines' events are some hundred bytes. A longer one than this is malformed;
-# buffering it would use up the memory of the entry VM.
+# buffering it would use up the memory of the entry VM. Other bytes that bring
+# no event, such as empty lines and comments, are limited to as many.
 MAX_EVENT_BYTES = 1_048_576
+# The end of an event, with all empty lines that follow it.
+EVENT_END = re.compile(rb"\r?\n(?:\r?\n)+")
+# As many bytes of a longer one may be at the end of what was searched.
+MAX_PARTIAL_END = 3
+FIELDS = re.compile(rb"(?:^|[\r\n])(id|data)(?::([^\r\n]*))?(?=[\r\n])")
+# Longer numbers than this count no events, and would be slow to convert.
+MAX_ID_DIGITS = 18
 
 
 class MalformedStream(Exception):
@@ -17,46 +27,60 @@
 
 @attrs.frozen
 class ServerEvent:
-    """One event as received; ``number`` is its id if that is an integer."""
+    """One event as received; ``number`` is its id if that is an integer.
+
+    ``has_data`` is False for comments and empty lines.
+    """
 
     raw: bytes
     number: int | None
+    has_data: bool
 
 
 @attrs.define
 class EventSplitter:
-    """Buffers bytes until an event is complete."""
+    """Buffers bytes until an event is complete.
+
+    ``searched`` bytes of ``pending`` hold no end of an event.
+    """
 
-    pending: bytes = b""
+    pending: bytearray = attrs.field(factory=bytearray)
+    searched: int = 0
 
     def feed(self, data: bytes) -> list[ServerEvent]:
-        """Add received bytes; return the events that they complete."""
+        """Add received bytes; return the events that they complete.
+
+        Raises MalformedStream if the next event is too large.
+        """
         self.pending += data
         events = []
-        while True:
-            end = self._find_end()
-            if end < 0:
-                break
-            raw, self.pending = self.pending[:end], self.pending[end:]
-            events.append(ServerEvent(raw, parse_event_id(raw)))
+        begin = 0
+        for end in EVENT_END.finditer(self.pending, self.searched):
+            events.append(parse_event(bytes(self.pending[begin : end.end()])))
+            begin = end.end()
+        del self.pending[:begin]
+        self.searched = max(0, len(self.pending) - MAX_PARTIAL_END)
         if len(self.pending) > MAX_EVENT_BYTES:
             raise MalformedStream("event too large")
         return events
 
-    def _find_end(self) -> int:
-        ends = [
-            self.pending.find(delimiter) + len(delimiter)
-            for delimiter in (b"\n\n", b"\r\n\r\n")
-            if delimiter in self.pending
-        ]
-        return min(ends, default=-1)
-
-
-def parse_event_id(raw: bytes) -> int | None:
-    """Parse an event's id; None if it has none or it is not a number."""
-    for line in raw.splitlines():
-        name, _, value = line.partition(b":")
-        if name == b"id":
-            text = value.strip()
-            return int(text) if text.isdigit() else None
-    return None
+    def take_rest(self) -> bytes | None:
+        """Take the empty lines after the last event; None if it is cut off."""
+        rest = bytes(self.pending)
+        return None if rest.strip(b"\r\n") else rest
+
+
+def parse_event(raw: bytes) -> ServerEvent:
+    """Parse the id of an event, and whether it has any data."""
+    number, has_id, has_data = None, False, False
+    for field in FIELDS.finditer(raw):
+        if field[1] == b"data":
+            has_data = True
+        elif not has_id:
+            has_id = True
+            text = (field[2] or b"").strip()
+            if text.isdigit() and len(text) <= MAX_ID_DIGITS:
+                number = int(text)
+        if has_id and has_data:
+            break
+    return ServerEvent(raw, number, has_data)
--- a/src/carawayward/forwarding/freshness_messages.py
+++ b/src/carawayward/forwarding/freshness_messages.py
@@ -9,6 +9,7 @@
 import cbor2
 
 from carawayward.forwarding import change_log
+from carawayward import plain_cbor
 
 # First element of each datagram; distinct from the versions of load reports.
 QUERY = 20
@@ -247,7 +248,7 @@
         raise ValueError(f"packed changes are unreadable: {cause}") from cause
     if not decompressor.eof:
         raise ValueError("packed changes are incomplete or too long")
-    return cbor2.loads(data)
+    return plain_cbor.loads(data)
 
 
 @functools.lru_cache(PACKED_CACHE_SIZE)
--- a/src/carawayward/forwarding/load_report_messages.py
+++ b/src/carawayward/forwarding/load_report_messages.py
@@ -14,6 +14,7 @@
 from carawayward.decisions import engine_load
 from carawayward.decisions import engine_order
 from carawayward.decisions import placement
+from carawayward import plain_cbor
 from carawayward import settings as settings_module
 
 VERSION = 5
@@ -30,7 +31,7 @@
 
 def decode(data: bytes) -> list:
     """Decode the fields of a datagram; raises one of DECODE_ERRORS."""
-    fields = cbor2.loads(data)
+    fields = plain_cbor.loads(data)
     if not isinstance(fields, list) or not fields:
         raise ValueError("datagram has no fields")
     return fields
@@ -71,7 +72,7 @@
     @classmethod
     def from_bytes(cls, data: bytes) -> "Sender":
         """Decode a record; raises one of DECODE_ERRORS."""
-        return cls.from_fields(cbor2.loads(data))
+        return cls.from_fields(plain_cbor.loads(data))
 
 
 @attrs.frozen
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -393,29 +393,33 @@
     def _handle_datagram(
         self, data: bytes, address: report_channels.Address | None = None
     ) -> None:
-        """Handle a peer's datagram; a malformed one is logged and dropped.
+        """Handle a peer's datagram; one that cannot be handled is dropped.
 
         Load reports name their sender; datagrams of other kinds are
-        attributed by their source ``address``.
+        attributed by their source ``address``. Whatever one of them makes a
+        handler raise, the task goes on with the next.
         """
         try:
-            fields = load_report_messages.decode(data)
-            handler = self.handlers.get(fields[0])
-            if handler is None:
-                self._handle_report(fields)
-                return
-            peer = (
-                self.directory.names_by_address.get(address)
-                if address
-                else None
-            )
-            if peer is not None:
-                handler(peer, fields)
-        except load_report_messages.DECODE_ERRORS as fault:
+            self._dispatch(load_report_messages.decode(data), address)
+        except Exception as fault:
             events.log_event(
-                events.Event.PEER_REFUSED, fault=type(fault).__name__
+                events.Event.PEER_REFUSED,
+                detail=supervision.describe_fault(fault),
             )
 
+    def _dispatch(
+        self, fields: list, address: report_channels.Address | None
+    ) -> None:
+        handler = self.handlers.get(fields[0])
+        if handler is None:
+            self._handle_report(fields)
+            return
+        peer = (
+            self.directory.names_by_address.get(address) if address else None
+        )
+        if peer is not None:
+            handler(peer, fields)
+
     def _handle_report(self, fields: list) -> None:
         message = load_report_messages.Message.from_fields(fields)
         if message is None:
--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -144,7 +144,7 @@
             request_id=work.metadata.request_id,
             customer=work.customer,
             key=work.metadata.key,
-            remaining_ms=work.deadline_ms - self.clock.now_ms(),
+            remaining_ms=max(0.0, work.deadline_ms - self.clock.now_ms()),
             silence_ms=attempt_timeouts.get_silence_timeout_ms(work.route),
             forwarded=forwarded,
         )
--- a/src/carawayward/forwarding/relay_messages.py
+++ b/src/carawayward/forwarding/relay_messages.py
@@ -1,11 +1,12 @@
 """The messages with which entry VMs relay requests for each other.
 
-A relayed request is a POST whose body is CBOR, so that the caller's headers
-cannot be mistaken for those of the hop. The reply is the endpoint's own, with
-one header that says whether it is one.
+A relayed request is a POST whose body holds its fields as CBOR, so that the
+caller's headers cannot be mistaken for those of the hop, and its own body. The
+reply is the endpoint's own, with one header that says whether it is one.
 """
 
 import enum
+import struct
 import typing
 
 import attrs
@@ -18,7 +19,12 @@
 
 PATH = b"/relay"
 PROBE_PATH = b"/probe"
-DECODE_ERRORS = load_report_messages.DECODE_ERRORS
+DECODE_ERRORS = (*load_report_messages.DECODE_ERRORS, struct.error)
+FIELDS_LENGTH = struct.Struct(">I")
+# What a relayed request has besides its body: headers and a few fields.
+MAX_FIELDS_BYTES = 131_072
+# More than any request may take.
+MAX_TIME_MS = 1e12
 
 
 class RelayOutcome(enum.Enum):
@@ -71,8 +77,8 @@
     forwarded: attempt_module.ForwardedRequest
 
     def to_bytes(self) -> bytes:
-        """Encode it."""
-        return cbor2.dumps(
+        """Encode it: its fields' length, the fields, and the body."""
+        fields = cbor2.dumps(
             [
                 self.endpoint,
                 self.born,
@@ -85,14 +91,20 @@
                 self.forwarded.method,
                 self.forwarded.target,
                 self.forwarded.headers,
-                self.forwarded.body,
             ]
         )
+        return FIELDS_LENGTH.pack(len(fields)) + fields + self.forwarded.body
 
     @classmethod
     def from_bytes(cls, data: bytes) -> "RelayedRequest":
         """Decode it; raises one of DECODE_ERRORS."""
-        fields: list[typing.Any] = load_report_messages.decode(data)
+        (length,) = FIELDS_LENGTH.unpack_from(data)
+        begin = FIELDS_LENGTH.size
+        if length > min(MAX_FIELDS_BYTES, len(data) - begin):
+            raise ValueError("fields are too long")
+        fields: list[typing.Any] = load_report_messages.decode(
+            data[begin : begin + length]
+        )
         (
             endpoint,
             born,
@@ -105,24 +117,26 @@
             method,
             target,
             headers,
-            body,
         ) = fields
         return cls(
-            endpoint=str(endpoint),
-            born=None if born is None else int(born),
-            service=str(service),
-            request_id=str(request_id),
-            customer=str(customer),
-            key=str(key),
-            remaining_ms=float(remaining_ms),
-            silence_ms=None if silence_ms is None else int(silence_ms),
+            endpoint=_require(endpoint, str),
+            born=_read_born(born),
+            service=_require(service, str),
+            request_id=_require(request_id, str),
+            customer=_require(customer, str),
+            key=_require(key, str),
+            remaining_ms=_require_ms(remaining_ms),
+            silence_ms=(
+                None if silence_ms is None else int(_require_ms(silence_ms))
+            ),
             forwarded=attempt_module.ForwardedRequest(
-                method=bytes(method),
-                target=bytes(target),
+                method=_require(method, bytes),
+                target=_require(target, bytes),
                 headers=[
-                    (bytes(name), bytes(value)) for name, value in headers
+                    (_require(name, bytes), _require(value, bytes))
+                    for name, value in headers
                 ],
-                body=bytes(body),
+                body=data[begin + length :],
             ),
         )
 
@@ -142,9 +156,24 @@
     def from_bytes(cls, data: bytes) -> "ProbeRequest":
         """Decode it; raises one of DECODE_ERRORS."""
         endpoint, born = load_report_messages.decode(data)
-        return cls(
-            endpoint=str(endpoint), born=None if born is None else int(born)
-        )
+        return cls(endpoint=_require(endpoint, str), born=_read_born(born))
+
+
+def _require(value: typing.Any, kind: type) -> typing.Any:
+    if type(value) is not kind:
+        raise TypeError(f"{kind.__name__} expected")
+    return value
+
+
+def _require_ms(value: typing.Any) -> float:
+    """A time that a request may take, in ms."""
+    if type(value) not in (int, float) or not 0 <= value <= MAX_TIME_MS:
+        raise ValueError("time expected")
+    return float(value)
+
+
+def _read_born(value: typing.Any) -> int | None:
+    return None if value is None else _require(value, int)
 
 
 def encode_probe_reply(connects: bool | None) -> bytes:
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -26,8 +26,6 @@
 
 # Each takes two descriptors, and processor time from this entry VM's callers.
 MAX_OPEN_RELAYS = 200
-# What a relayed request has besides its body: headers and a few fields.
-MAX_ENVELOPE_BYTES = 131_072
 
 # The outcome in logs if the peer has closed its connection, as it does when it
 # wants a larger model's answer or its caller has left.
@@ -95,7 +93,9 @@
     ) -> None:
         """Tell a peer whether an endpoint accepts connections from here."""
         try:
-            body = await app_module.read_body(receive, MAX_ENVELOPE_BYTES)
+            body = await app_module.read_body(
+                receive, relay_messages.MAX_FIELDS_BYTES
+            )
             asked = relay_messages.ProbeRequest.from_bytes(body)
         except app_module.Refused as fault:
             await replies.refuse(reply, fault.status, None)
@@ -147,7 +147,10 @@
         if table is None:
             raise app_module.Refused(503, "no routing table yet")
         body = await app_module.read_body(
-            receive, table.limits.body_bytes + MAX_ENVELOPE_BYTES
+            receive,
+            table.limits.body_bytes
+            + relay_messages.FIELDS_LENGTH.size
+            + relay_messages.MAX_FIELDS_BYTES,
         )
         try:
             return relay_messages.RelayedRequest.from_bytes(body)
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -15,6 +15,7 @@
 from carawayward.forwarding import retries
 from carawayward.forwarding import table
 from carawayward.forwarding import work_items
+from carawayward import http_client as http
 
 # A plain response is relayed once it is complete, so that a truncated one can
 # be retried; this limits the memory of each.
@@ -24,6 +25,22 @@
 # A stream without an event for this many times the route's gap target is
 # resumed from another endpoint.
 GAP_TIMEOUT_TARGETS = 2.0
+# What may come of a stream between two events.
+MAX_IDLE_BYTES = event_stream.MAX_EVENT_BYTES
+
+
+@attrs.define(eq=False)
+class StreamState:
+    """What has been read of a stream.
+
+    ``idle_bytes`` were read since the last event that shows progress, with
+    what chunks cost besides.
+    """
+
+    splitter: event_stream.EventSplitter = attrs.field(
+        factory=event_stream.EventSplitter
+    )
+    idle_bytes: int = 0
 
 
 @attrs.define(eq=False)
@@ -95,7 +112,7 @@
             return work_items.Unsure(
                 f"confidence {work.confidence}", larger_model
             )
-        splitter = event_stream.EventSplitter()
+        stream = StreamState()
         gap_ms = work.route.gap_target_ms
         gap_timeout_s = (
             GAP_TIMEOUT_TARGETS * gap_ms / 1000 if gap_ms else float("inf")
@@ -104,7 +121,7 @@
             # One scope for all waits: a new one for each would cost as much
             # as the wait.
             with trio.CancelScope() as gap_scope:
-                last_event_at, last_event = trio.current_time(), None
+                last_event_at = trio.current_time()
                 while True:
                     gap_scope.deadline = last_event_at + gap_timeout_s
                     chunk = await anext(chunks, b"")
@@ -117,21 +134,19 @@
                             "stream idle timeout", timed_out=True
                         )
                     failure = await self._relay_chunk(
-                        work, answer, splitter, chunk, reply
+                        work, answer, stream, chunk, reply
                     )
                     if failure is not None:
                         return failure
-                    if (
-                        not work.route.resumable
-                        or work.last_event != last_event
-                    ):
-                        # Bytes alone, and comments, show no progress.
+                    if not stream.idle_bytes:
                         last_event_at = trio.current_time()
-                        last_event = work.last_event
             if gap_scope.cancelled_caught:
                 return work_items.Failed("stream idle timeout", timed_out=True)
-        if splitter.pending or not reply.started:
+        rest = stream.splitter.take_rest()
+        if rest is None or not reply.started:
             return work_items.Failed("stream truncated")
+        if rest:
+            await reply.send(rest)
         work.progress.status = answer.head.status
         await reply.finish()
         return work_items.Delivered(answer.head.status)
@@ -140,34 +155,38 @@
         self,
         work: work_items.Work,
         answer: attempt_module.ResponseReader,
-        splitter: event_stream.EventSplitter,
+        stream: StreamState,
         chunk: bytes,
         reply: replies.Reply,
     ) -> work_items.Failed | None:
         """Relay the events that a chunk completes; return why it cannot."""
+        stream.idle_bytes += len(chunk) + http.CHUNK_OVERHEAD_BYTES
+        complete = bytearray()
+        failure = None
         try:
-            events = splitter.feed(chunk)
+            for event in stream.splitter.feed(chunk):
+                failure = record_event(work, event)
+                if failure is not None:
+                    break
+                complete += event.raw
+                if is_progress(work.route, event):
+                    stream.idle_bytes = 0
         except event_stream.MalformedStream as fault:
-            return work_items.Failed(str(fault))
-        for event in events:
-            failure = await self._relay_event(work, answer, event, reply)
-            if failure is not None:
-                return failure
-        return None
-
-    async def _relay_event(
+            failure = work_items.Failed(str(fault))
+        if complete:
+            await self._relay_events(work, answer, bytes(complete), reply)
+        if failure is None and stream.idle_bytes > MAX_IDLE_BYTES:
+            failure = work_items.Failed("stream without events")
+        return failure
+
+    async def _relay_events(
         self,
         work: work_items.Work,
         response: attempt_module.ResponseReader,
-        event: event_stream.ServerEvent,
+        events: bytes,
         reply: replies.Reply,
-    ) -> work_items.Failed | None:
-        """Relay one event; fail if its id does not follow the last one."""
-        if event.number is not None:
-            last = work.last_event
-            if last is not None and event.number != last + 1:
-                return work_items.Failed(f"event {event.number} after {last}")
-            work.last_event = event.number
+    ) -> None:
+        """Relay complete events."""
         if not reply.started:
             await reply.start(
                 response.head.status,
@@ -175,10 +194,32 @@
                     response.head.headers, self.internal_headers
                 ),
             )
-        await reply.send(event.raw)
+        await reply.send(events)
         answer = work.progress.answer
         assert answer is not None
         answer.record_event(self.placer.clock.now_ms())
         if answer.duration_ms >= crashing_parts.ANSWER_SOUND_MS:
             self.parts.record_answer(work)
-        return None
+
+
+def record_event(
+    work: work_items.Work, event: event_stream.ServerEvent
+) -> work_items.Failed | None:
+    """Record an event's id; fail if it does not follow the last one."""
+    if event.number is not None:
+        last = work.last_event
+        if last is not None and event.number != last + 1:
+            return work_items.Failed(f"event {event.number} after {last}")
+        work.last_event = event.number
+    return None
+
+
+def is_progress(route: table.Route, event: event_stream.ServerEvent) -> bool:
+    """Whether an event shows that its stream goes on.
+
+    Bytes alone, empty lines and comments do not, nor does what a resumed
+    stream would not be continued after.
+    """
+    if event.number is not None:
+        return True
+    return event.has_data and not route.resumable
--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -18,14 +18,18 @@
 
 from carawayward import http_client as http
 from carawayward import listening
+from carawayward import time_slices
 
 MAX_CONNECTIONS = 2_000
 MAX_IDLE = 50
 IDLE_EXPIRY_S = 15.0
-# A stream that always has data to read yields to other tasks after this
-# many reads.
-READS_PER_CHECKPOINT = 16
+# What is read at once. All of it may have to be parsed before the reader can
+# let other tasks run, and heads cost up to 2 us a byte.
+MAX_READ_BYTES = 4_096
 MAX_UNWRITTEN_BYTES = 65_536
+# What a connection for one request may receive before the end of a response's
+# head.
+MAX_HEAD_BYTES = 131_072
 # Unused pools are closed when a pool is added and there are more than this.
 PRUNE_ABOVE = 64
 
@@ -56,7 +60,8 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
         self.reading: Reading | None = None
-        self.immediate_reads = 0
+        self.time_slice = time_slices.TimeSlice()
+        self.head_bytes_left: int | None = None
         self.unwritten = b""
         self.drained = False
 
@@ -64,6 +69,7 @@
         self, max_bytes: int, timeout: float | None = None
     ) -> bytes:
         """Read the available data, or wait for some."""
+        max_bytes = min(max_bytes, MAX_READ_BYTES)
         if self.unwritten:
             await self._send_unwritten(timeout)
         if self.reading is None:
@@ -82,11 +88,17 @@
         return data
 
     async def _record_read(self, data: bytes, max_bytes: int) -> None:
-        """Record a read without a wait, and now and then let others run."""
+        """Record a read that may have found data without a wait.
+
+        Raises httpcore.RemoteProtocolError if there is more than the head of
+        a response may have, with the interim ones before it.
+        """
         self.drained = len(data) < max_bytes
-        self.immediate_reads += 1
-        if self.immediate_reads % READS_PER_CHECKPOINT == 0:
-            await trio.lowlevel.checkpoint()
+        if self.head_bytes_left is not None:
+            self.head_bytes_left -= len(data)
+            if self.head_bytes_left < 0:
+                raise httpcore.RemoteProtocolError("head too long")
+        await self.time_slice.yield_if_over()
 
     async def _receive(self, max_bytes: int) -> bytes:
         """Read what has arrived, or wait for it."""
@@ -94,6 +106,7 @@
             descriptor = self.stream.socket.fileno()
             if self.drained:
                 await trio.lowlevel.wait_readable(descriptor)
+                self.time_slice.restart()
             try:
                 data = os.read(descriptor, max_bytes)
             except BlockingIOError:
@@ -109,6 +122,7 @@
             await trio.lowlevel.wait_readable(self.stream.socket.fileno())
         finally:
             reading.waiting_since = None
+        self.time_slice.restart()
         data = os.read(self.stream.socket.fileno(), max_bytes)
         # A short read emptied the socket buffer. Reading again at once
         # would waste one system call on each token.
@@ -162,6 +176,24 @@
         return bool(poll.poll(0))
 
 
+def get_time_slice(response: httpcore.Response) -> time_slices.TimeSlice:
+    """The time slice of the task that reads a response.
+
+    The connection restarts it when it has waited for data.
+    """
+    stream = response.extensions.get("network_stream")
+    if isinstance(stream, EndpointStream):
+        return stream.time_slice
+    return time_slices.TimeSlice()
+
+
+def end_head(response: httpcore.Response) -> None:
+    """Record that the head of a response is complete."""
+    stream = response.extensions.get("network_stream")
+    if isinstance(stream, EndpointStream):
+        stream.head_bytes_left = None
+
+
 async def open_stream(host: str, port: int) -> trio.SocketStream:
     """Connect; for an IP address without the tasks that resolve a name."""
     try:
--- a/src/carawayward/gateway/endpoints.py
+++ b/src/carawayward/gateway/endpoints.py
@@ -82,7 +82,7 @@
                 load=float(body["load"]),
                 leaving=bool(body["leaving"]),
             )
-        except (KeyError, TypeError, ValueError) as cause:
+        except (KeyError, TypeError, ValueError, OverflowError) as cause:
             raise errors.EndpointError(
                 endpoint.name, f"malformed report: {cause}", sent=True
             ) from cause
@@ -217,7 +217,8 @@
                 )
             if response.status == 200:
                 return json.loads(response.content)
-        except (*http.CALL_FAILURES, ValueError) as cause:
+        # Deeply nested JSON raises RecursionError.
+        except (*http.CALL_FAILURES, ValueError, RecursionError) as cause:
             if isinstance(cause, trio.TooSlowError):
                 await self.pools.drop_idle(endpoint.address)
             raise errors.EndpointError(
--- a/src/carawayward/gateway/streams.py
+++ b/src/carawayward/gateway/streams.py
@@ -15,6 +15,7 @@
 import trio
 
 from carawayward import blackboard
+from carawayward import checked_fields
 from carawayward import errors
 from carawayward import events
 from carawayward.gateway import connections
@@ -28,6 +29,8 @@
 WATCH_INTERVAL_S = 0.1
 BODY_END_TIMEOUT_S = 0.02
 MAX_LINE_BYTES = 1_000_000
+# What may come of a run between two tokens.
+MAX_IDLE_BYTES = MAX_LINE_BYTES
 MAX_RESUMES = 20
 CONNECT_TIMEOUT_S = 2.0
 
@@ -118,6 +121,7 @@
     end: RunEnd | None = None
     _parts: list[str] = attrs.field(factory=list)
     _pending_chars: int = 0
+    _idle_bytes: int = 0
     _digest: typing.Any = attrs.field(factory=hashlib.sha256)
 
     async def read_to_end(self) -> RunEnd:
@@ -228,12 +232,18 @@
                 },
             ) as response:
                 if response.status != 200:
-                    await response.aread()
+                    await self._skip_body(response)
                     self._raise_for_status(response.status, resume)
                 return await self._read_body(response)
         finally:
             self.sent = self.sent or mark.sent
 
+    async def _skip_body(self, response: httpcore.Response) -> None:
+        """Read a body to its end, within the limits of a single call."""
+        timeout_ms = self.watch.silence_limits.connection_ms
+        with trio.fail_after(timeout_ms / 1000) as timeout:
+            await http.read_body(response, bytearray(), timeout, timeout_ms)
+
     def _raise_for_status(self, status: int, resume: bool) -> None:
         if resume and status == 404:
             raise RunGone
@@ -267,27 +277,45 @@
     async def _process_events(
         self, response: httpcore.Response, scope: trio.CancelScope
     ) -> None:
-        async for event in read_events(response):
-            text = event.get("text")
-            if text is None:
-                if event.get("end"):
-                    await self._flush()
-                    self.end = self._verify_end(event)
-                    # Reading the body to its end lets the connection be
-                    # reused for the next run. Wait only briefly for an
-                    # engine that is slow to end it.
-                    scope.deadline = trio.current_time() + BODY_END_TIMEOUT_S
-            elif event["offset"] == self.offset:
-                self.offset += 1
-                self._parts.append(text)
-                self._pending_chars += len(text)
-                if self._pending_chars >= MAX_PENDING_CHARS:
-                    await self._flush()
-            elif event["offset"] > self.offset:
-                raise StreamCut
+        """Process the events of one response.
+
+        Raises StreamCut if it ends before the run, or is malformed.
+        """
+        splitter = LineSplitter()
+        time_slice = connections.get_time_slice(response)
+        stream = typing.cast(typing.AsyncIterable, response.stream)
+        async for chunk in stream:
+            self._idle_bytes += len(chunk) + http.CHUNK_OVERHEAD_BYTES
+            for line in splitter.feed(chunk):
+                event = parse_event(line)
+                if event is not None:
+                    await self._process_event(event, scope)
+                await time_slice.yield_if_over()
+            if self._idle_bytes > MAX_IDLE_BYTES:
+                raise self._make_error("bytes without a token")
         if self.end is None:
             raise StreamCut
 
+    async def _process_event(
+        self, event: "Token | EndEvent", scope: trio.CancelScope
+    ) -> None:
+        if isinstance(event, EndEvent):
+            await self._flush()
+            self.end = self._verify_end(event)
+            # Reading the body to its end lets the connection be reused for
+            # the next run. Wait only briefly for an engine that is slow to
+            # end it.
+            scope.deadline = trio.current_time() + BODY_END_TIMEOUT_S
+        elif event.offset == self.offset:
+            self.offset += 1
+            self._idle_bytes = 0
+            self._parts.append(event.text)
+            self._pending_chars += len(event.text)
+            if self._pending_chars >= MAX_PENDING_CHARS:
+                await self._flush()
+        elif event.offset > self.offset:
+            raise StreamCut
+
     async def _flush(self) -> None:
         """Pass on the buffered text in one piece."""
         if not self._parts:
@@ -299,19 +327,14 @@
         self.length += len(text)
         await self.on_text(text)
 
-    def _verify_end(self, event: dict) -> RunEnd:
+    def _verify_end(self, event: "EndEvent") -> RunEnd:
         """Check the answer against the engine's length and digest."""
-        digest = event.get("digest", self._digest.hexdigest())
-        if event["length"] != self.length:
+        digest = self._digest.hexdigest()
+        if event.end.length != self.length:
             raise self._make_error("answer length differs from the engine's")
-        if digest != self._digest.hexdigest():
+        if event.digest not in (None, digest):
             raise self._make_error("answer digest differs from the engine's")
-        return RunEnd(
-            length=event["length"],
-            input_tokens=event["input_tokens"],
-            output_tokens=event["output_tokens"],
-            confidence=event["confidence"],
-        )
+        return event.end
 
 
 def encode_run(run: Run) -> bytes:
@@ -324,22 +347,76 @@
     return f"/v1/runs/{urllib.parse.quote(run.run_id, safe='')}"
 
 
-async def read_events(
-    response: httpcore.Response,
-) -> typing.AsyncIterator[dict]:
-    """Parse server-sent events whose data are JSON objects.
+@attrs.frozen
+class Token:
+    """A piece of text, and its number in the run."""
+
+    offset: int
+    text: str
+
+
+@attrs.frozen
+class EndEvent:
+    """The engine's end event, and its digest of the text if it gave one."""
+
+    end: RunEnd
+    digest: str | None = None
 
-    Raises StreamCut for an overlong line or invalid JSON.
+
+@attrs.define
+class LineSplitter:
+    """Buffers bytes until a line is complete.
+
+    ``searched`` bytes of ``pending`` hold no end of a line.
     """
-    partial_line = b""
-    assert isinstance(response.stream, typing.AsyncIterable)
-    async for chunk in response.stream:
-        *lines, partial_line = (partial_line + chunk).split(b"\n")
-        if len(partial_line) > MAX_LINE_BYTES:
+
+    pending: bytearray = attrs.field(factory=bytearray)
+    searched: int = 0
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Add received bytes; return the lines that they complete.
+
+        Raises StreamCut if the next line is too long.
+        """
+        self.pending += data
+        lines = []
+        begin = 0
+        while (
+            end := self.pending.find(b"\n", max(begin, self.searched))
+        ) >= 0:
+            if end > begin:
+                lines.append(bytes(self.pending[begin:end]))
+            begin = end + 1
+        del self.pending[:begin]
+        self.searched = len(self.pending)
+        if len(self.pending) > MAX_LINE_BYTES:
             raise StreamCut
-        for line in lines:
-            if line.startswith(b"data: {"):
-                try:
-                    yield json.loads(line[6:])
-                except ValueError:
-                    raise StreamCut from None
+        return lines
+
+
+def parse_event(line: bytes) -> Token | EndEvent | None:
+    """Parse a server-sent event whose data are a JSON object.
+
+    None for any other line. Raises StreamCut if the object is malformed.
+    """
+    if not line.startswith(b"data: {"):
+        return None
+    try:
+        event = json.loads(line[6:])
+        if event.get("text") is not None:
+            token = {name: event[name] for name in ("offset", "text")}
+            return checked_fields.make_checked(Token, token)
+        if not event.get("end"):
+            return None
+        end = RunEnd(
+            length=int(event["length"]),
+            input_tokens=int(event["input_tokens"]),
+            output_tokens=int(event["output_tokens"]),
+            confidence=float(event["confidence"]),
+        )
+        return EndEvent(end, event.get("digest"))
+    except (LookupError, TypeError, ValueError, OverflowError) as cause:
+        raise StreamCut from cause
+    except RecursionError as cause:
+        # Nested too deeply.
+        raise StreamCut from cause
--- a/src/carawayward/http_client.py
+++ b/src/carawayward/http_client.py
@@ -94,6 +94,9 @@
 # that comes more slowly than this is given up.
 MIN_BODY_BYTES_PER_MS = 20.0
 
+# A chunk costs as much as so many of its bytes, however short it is.
+CHUNK_OVERHEAD_BYTES = 64
+
 # Called with the declared length of a body and its first bytes; the rest is
 # not read if it raises.
 CheckBody = typing.Callable[[int | None, bytes], None]
--- a/src/carawayward/peers/messages.py
+++ b/src/carawayward/peers/messages.py
@@ -5,6 +5,8 @@
 import attrs
 import cbor2
 
+from carawayward import plain_cbor
+
 
 class JunkMessage(ValueError):
     """Data on a peer link that is not a message of this protocol."""
@@ -37,7 +39,7 @@
     if isinstance(data, str):
         raise JunkMessage("unexpected text frame")
     try:
-        parts = cbor2.loads(data)
+        parts = plain_cbor.loads(data)
     except (cbor2.CBORDecodeError, ValueError, RecursionError) as cause:
         raise JunkMessage(type(cause).__name__) from None
     match parts:
--- a/src/carawayward/protocol/handshake.py
+++ b/src/carawayward/protocol/handshake.py
@@ -18,6 +18,7 @@
 import cbor2
 
 from carawayward import errors
+from carawayward import plain_cbor
 
 NONCE_BYTES = 16
 MAX_NAME_LENGTH = 200
@@ -88,7 +89,7 @@
     if not isinstance(data, bytes) or len(data) > MAX_MESSAGE_BYTES:
         raise fault
     try:
-        parts = cbor2.loads(data)
+        parts = plain_cbor.loads(data)
     except (cbor2.CBORDecodeError, ValueError, RecursionError):
         raise fault from None
     match parts:
