Forward bodies that come in chunks, and give up those that stop coming

What callers saw: each request whose body came in chunks was answered 500 on every route, with nothing logged; one whose body stopped coming waited for as long as the caller did.

Cause: Transfer-Encoding is a header of one connection and is dropped, no Content-Length was added, and h11 refuses to send a body that was not declared; its exception is none that an attempt expects. Reading a body had no time limit.

Change: the length that was received is declared to the endpoint, through peers too. A body of which nothing comes for idleTimeoutMs ends with 408: it has not run. One that outgrows maxBodyBytes ends with 413, as before.

Tests: test_chunked_bodies; bodies cut anywhere, with extensions and trailers, on three kinds of routes, direct and through peers, compared with the same ones with a length. 5 of 6 failed before (413 held), all pass now.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import math
 import typing
 
 import attrs
@@ -133,7 +134,7 @@
         began_ms = self.clock.now_ms() - waited_ms
         check_framing(scope["headers"])
         limits = self._find_limits()
-        body = await read_body(receive, limits.body_bytes)
+        body = await read_body(receive, limits.body_bytes, limits.idle_ms)
         request = make_request(scope, body)
         work = self._make_work(request, began_ms)
         work.waited_ms = waited_ms
@@ -244,11 +245,21 @@
         raise Refused(400, "ambiguous framing or host")
 
 
-async def read_body(receive: Receive, max_bytes: int) -> bytes:
-    """Read the whole body of a request."""
+async def read_body(
+    receive: Receive, max_bytes: int, idle_ms: float = math.inf
+) -> bytes:
+    """Read the whole body of a request.
+
+    Raises Refused if it is longer than ``max_bytes``, or if no part of it
+    comes for ``idle_ms``.
+    """
     body = bytearray()
     while True:
-        message = await receive()
+        message = None
+        with trio.move_on_after(idle_ms / 1000):
+            message = await receive()
+        if message is None:
+            raise Refused(408, "body too slow")
         if message["type"] == "http.disconnect":
             raise CallerLeft()
         body += message.get("body", b"")
--- a/src/carawayward/forwarding/hops.py
+++ b/src/carawayward/forwarding/hops.py
@@ -1,4 +1,4 @@
-"""Removes the headers that must not be forwarded."""
+"""Selects the headers that are forwarded."""
 
 from carawayward.forwarding import message_types
 
@@ -33,6 +33,20 @@
     return [pair for pair in headers if pair[0].lower() not in dropped]
 
 
+def select_request_headers(
+    headers: message_types.Headers, body: bytes
+) -> message_types.Headers:
+    """Select the headers of a caller's request that an endpoint gets.
+
+    The body is sent with its length, also if it came in chunks.
+    """
+    selected = drop_hop_by_hop_headers(headers)
+    names = {name.lower() for name, _ in headers}
+    if b"transfer-encoding" in names and b"content-length" not in names:
+        selected.append((b"content-length", b"%d" % len(body)))
+    return selected
+
+
 def select_response_headers(
     headers: message_types.Headers, internal: frozenset[bytes]
 ) -> message_types.Headers:
--- a/src/carawayward/forwarding/sending.py
+++ b/src/carawayward/forwarding/sending.py
@@ -161,7 +161,7 @@
         return attempt_module.ForwardedRequest(
             method=work.request.method,
             target=work.request.target,
-            headers=hops.drop_hop_by_hop_headers(headers),
+            headers=hops.select_request_headers(headers, work.request.body),
             body=work.request.body,
         )
 
