Answer truthfully and log when an unexpected exception ends a request

What callers saw: 500 without a word of whether the request had run, and nothing in the log: hypercorn answers exceptions of the application, and logs them at a level that is off. An endpoint whose address is no IP and port got requests over and over, as it looked idle, and each ended so.

Cause: an attempt expected a list of exceptions; connecting to "127.0..1:80" raises UnicodeError, a request that h11 cannot write LocalProtocolError, a header with a number of 5,000 digits or "inf" ValueError or OverflowError.

Change: whatever is raised while connecting or sending is a failed attempt at that endpoint, and one of which nothing was written has not run. An exception anywhere else ends the request with a `fault` event that has its id and whether it may have run, a counter faults{kind}, and 503 if it has not run, 500 else; relays likewise. Numbers in headers of callers and endpoints are bounded.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -25,6 +25,7 @@
 from carawayward.forwarding import table as table_module
 from carawayward.forwarding import work_items
 from carawayward import http_server
+from carawayward import supervision
 
 Receive = typing.Callable[[], typing.Awaitable[dict]]
 Send = typing.Callable[[dict], typing.Awaitable[None]]
@@ -55,13 +56,15 @@
 
     ``finished`` is set right before the end of the body is sent. If
     ``should_redirect_callers`` returns true when the reply starts, the reply
-    closes the caller's connection.
+    closes the caller's connection. ``work`` is the request's, once that has
+    been accepted.
     """
 
     send_event: Send
     should_redirect_callers: typing.Callable[[], bool]
     started: bool = False
     finished: bool = False
+    work: work_items.Work | None = None
 
     async def start(self, status: int, headers: message_types.Headers) -> None:
         """Send status and headers."""
@@ -118,6 +121,11 @@
             await replies.refuse(reply, refusal.status, refusal.retry_after_ms)
         except CallerLeft:
             pass
+        except (Exception, BaseExceptionGroup) as fault:
+            _, rest = supervision.split_cancelled(fault)
+            if rest is None:
+                raise
+            await self._end_with_fault(scope, reply, rest)
         finally:
             self.board.open_requests -= 1
 
@@ -136,7 +144,7 @@
         limits = self._find_limits()
         body = await read_body(receive, limits.body_bytes, limits.idle_ms)
         request = make_request(scope, body)
-        work = self._make_work(request, began_ms)
+        work = reply.work = self._make_work(request, began_ms)
         work.waited_ms = waited_ms
         served = False
         async with trio.open_nursery() as nursery:
@@ -147,6 +155,33 @@
         if not served:
             self.forwarder.record_caller_left(work)
 
+    async def _end_with_fault(
+        self, scope: dict, reply: AsgiReply, fault: BaseException
+    ) -> None:
+        """End a request that an unexpected exception has ended.
+
+        The caller is told truthfully whether it may have run. A reply that
+        has begun stays unfinished, which shows that it is truncated.
+        """
+        self.metrics.count("faults", kind=type(fault).__name__)
+        work = reply.work
+        may_have_run = work is not None and work.may_have_run
+        events.log_event(
+            events.Event.FAULT,
+            task="request",
+            request=self.dialect.find_id(scope["headers"]),
+            may_have_run=may_have_run,
+            detail=supervision.describe_fault(fault),
+        )
+        if reply.started:
+            return
+        if may_have_run:
+            await replies.send_response(reply, 500, [], b"")
+        else:
+            await replies.refuse(
+                reply, 503, readiness_module.OTHER_VM_RETRY_MS
+            )
+
     def _find_limits(self) -> table_module.CallerLimits:
         table = self.board.table
         return table.limits if table else table_module.CallerLimits()
--- a/src/carawayward/forwarding/attempt.py
+++ b/src/carawayward/forwarding/attempt.py
@@ -128,9 +128,23 @@
         return bytes(body)
 
 
+class AttemptConnection(httpcore.AsyncHTTP11Connection):
+    """A connection that knows whether anything has been sent on it."""
+
+    def __init__(
+        self, origin: httpcore.Origin, stream: connections.EndpointStream
+    ) -> None:
+        super().__init__(origin, stream)
+        self.endpoint_stream = stream
+
+    def has_sent(self) -> bool:
+        """Whether a byte may have left this machine."""
+        return self.endpoint_stream.has_written
+
+
 async def open_connection(
     address: str, silence_timeout_ms: int | None
-) -> httpcore.AsyncHTTP11Connection:
+) -> AttemptConnection:
     """Connect to an address; raise AttemptFailed if that fails.
 
     With ``silence_timeout_ms`` the kernel ends the connection after that time
@@ -140,16 +154,17 @@
     backend = connections.EndpointBackend(silence_timeout_ms)
     try:
         stream = await backend.connect_tcp(host, int(port), CONNECT_TIMEOUT_S)
-    except http.CALL_FAILURES as cause:
+    except Exception as cause:
+        # Whatever is wrong with an address, it is that of one endpoint.
         raise AttemptFailed(type(cause).__name__, sent=False) from cause
     assert isinstance(stream, connections.EndpointStream)
     stream.head_bytes_left = connections.MAX_HEAD_BYTES
     origin = httpcore.Origin(b"http", host.encode(), int(port))
-    return httpcore.AsyncHTTP11Connection(origin, stream)
+    return AttemptConnection(origin, stream)
 
 
 Connect = typing.Callable[
-    [str, int | None], typing.Awaitable[httpcore.AsyncHTTP11Connection]
+    [str, int | None], typing.Awaitable[AttemptConnection]
 ]
 
 
@@ -189,7 +204,10 @@
             response = await connection.handle_async_request(request)
         except http.TooLate as cause:
             raise AttemptWithheld() from cause
-        except http.CALL_FAILURES as cause:
+        except Exception as cause:
+            # A request that cannot be written is refused by h11 before
+            # anything of it has been sent.
+            mark.sent = mark.sent and connection.has_sent()
             detail = type(cause).__name__
             raise AttemptFailed(detail, sent=mark.sent) from cause
         connections.end_head(response)
--- a/src/carawayward/forwarding/relay_client.py
+++ b/src/carawayward/forwarding/relay_client.py
@@ -307,7 +307,7 @@
 
 async def _connect_to_live_peer(
     address: str, silence_timeout_ms: int | None
-) -> httpcore.AsyncHTTP11Connection:
+) -> attempt_module.AttemptConnection:
     """Connect to a peer; raise AttemptFailed unless its process answers.
 
     The kernel accepts connections for a frozen process, which would run the
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -23,6 +23,7 @@
 from carawayward.forwarding import replies
 from carawayward.forwarding import service_paths
 from carawayward import http_client as http
+from carawayward import supervision
 
 # Each takes two descriptors, and processor time from this entry VM's callers.
 MAX_OPEN_RELAYS = 200
@@ -187,6 +188,17 @@
             outcome, cause = Outcome.BROKEN, fault.detail
             if not fault.sent:
                 outcome = self._record_unreached(endpoint, began_ms)
+        except Exception as fault:
+            outcome = Outcome.BROKEN if mark.sent else Outcome.DECLINED
+            cause = type(fault).__name__
+            self.metrics.count("faults", kind=cause)
+            events.log_event(
+                events.Event.FAULT,
+                task="relay",
+                request=relayed.request_id,
+                may_have_run=mark.sent,
+                detail=supervision.describe_fault(fault),
+            )
         if not reply.started:
             await self._send_outcome(reply, outcome, cause)
         return outcome
--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -62,6 +62,7 @@
         self.reading: Reading | None = None
         self.time_slice = time_slices.TimeSlice()
         self.head_bytes_left: int | None = None
+        self.has_written = False
         self.unwritten = b""
         self.drained = False
 
@@ -140,6 +141,7 @@
 
     async def _send_unwritten(self, timeout: float | None) -> None:
         data, self.unwritten = self.unwritten, b""
+        self.has_written = True
         data = data[http.write_nonblocking(self.stream, data) :]
         if not data:
             return
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -45,6 +45,10 @@
     )
 )
 MISDIRECTED = 421
+# Larger than any number in a header; floats represent all whole numbers below
+# it, and texts of as many digits are quickly converted.
+MAX_VALUE = 2.0**53
+MAX_DIGITS = 15
 # Statuses with which an endpoint may ask for a pause.
 OVERLOADED = frozenset((429, 503))
 
@@ -150,7 +154,7 @@
 ) -> float | None:
     with contextlib.suppress(ValueError):
         value = float(_get_text(values, name))
-        return value if value >= 0 else None
+        return value if 0.0 <= value < math.inf else None
     return None
 
 
@@ -177,17 +181,23 @@
 
         try:
             date = email.utils.parsedate_to_datetime(text)
-        except ValueError:
+            delay_s = date.timestamp() - time.time()
+        except (ValueError, TypeError, OverflowError):
             return 0.0
-        delay_s = date.timestamp() - time.time()
-    return delay_s * 1000.0 if 0.0 < delay_s < math.inf else 0.0
+    return delay_s * 1000.0 if 0.0 < delay_s < MAX_VALUE else 0.0
 
 
 def _get_integer(
     values: typing.Mapping[bytes, bytes], name: bytes
 ) -> int | None:
-    text = _get_text(values, name)
-    return int(text) if text.isdecimal() else None
+    return _parse_integer(_get_text(values, name))
+
+
+def _parse_integer(text: str) -> int | None:
+    """A whole number; None for anything else, or if it is far too large."""
+    if not text.isdecimal() or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
 
 
 def _get_numbers(
@@ -195,7 +205,9 @@
 ) -> list[float]:
     with contextlib.suppress(ValueError):
         text = _get_text(values, name)
-        return [float(part) for part in text.split(",")] if text else []
+        numbers = [float(part) for part in text.split(",")] if text else []
+        if all(0.0 <= number < MAX_VALUE for number in numbers):
+            return numbers
     return []
 
 
@@ -203,8 +215,9 @@
     """Parse ID:TOKENS entries, up to the first malformed one."""
     parts = []
     for entry in text.split(",") if text else ():
-        name, _, tokens = entry.strip().partition(":")
-        if not name or not tokens.isdecimal():
+        name, _, digits = entry.strip().partition(":")
+        tokens = _parse_integer(digits)
+        if not name or tokens is None:
             break
-        parts.append(message_types.PromptPart(name, int(tokens)))
+        parts.append(message_types.PromptPart(name, tokens))
     return tuple(parts)
