--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -66,6 +66,7 @@
     write_logs: typing.Callable[[], typing.Awaitable[None]] = (
         trio.sleep_forever
     )
+    take_early_reload: typing.Callable[[], bool] = lambda: False
     callers: listening.ListenerConfig = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -164,6 +165,8 @@
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
+            if self.take_early_reload():
+                self.reload()
             async for each in signals:
                 if each != signal.SIGHUP:
                     stop.set()
--- a/src/carawayward/platform/entry.py
+++ b/src/carawayward/platform/entry.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from carawayward import early_signals
 from carawayward import errors
 from carawayward.forwarding import daemon
 from carawayward.forwarding import ports as ports_module
@@ -56,5 +57,6 @@
         settings, ports, lambda: read_settings().bounds
     )
     process.write_logs = handler.write_waiting
+    process.take_early_reload = early_signals.take_reload
     trio.run(process.run)
     handler.flush()
