Bound the memory of request bodies; a logged exception breaks a soak

What operators saw: 24 bodies of 4 MB at once took a process from 45 to 222 MB, on machines of 160 MB and more; nothing bounded the sum.

Change: bodies of open requests, relayed ones too, have 16 MiB together, those up to 64 KiB a quarter more. A declared length that is too long or finds no room is refused before the body comes (413, 503 with Retry-After: not run), one in chunks as soon as it does not fit. Gauge body_bytes.

Open: a caller that is refused while it still sends may get a reset in place of the answer, as the listener closes at once (so did 413 before).

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import math
 import typing
 
 import attrs
@@ -16,6 +15,7 @@
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import body_room
 from carawayward.forwarding import connection_shedding
 from carawayward.forwarding import exchange
 from carawayward.forwarding import message_types
@@ -24,6 +24,7 @@
 from carawayward.forwarding import replies
 from carawayward.forwarding import table as table_module
 from carawayward.forwarding import work_items
+from carawayward import http_client as http
 from carawayward import http_server
 from carawayward import supervision
 
@@ -113,9 +114,10 @@
         if scope["type"] != "http":
             return
         reply = AsgiReply(send, self._should_redirect_callers)
+        kept = body_room.KeptBody(self.board.body_room)
         self.board.open_requests += 1
         try:
-            await self._serve(scope, receive, reply)
+            await self._serve(scope, receive, reply, kept)
         except Refused as refusal:
             self._log_refusal(scope, refusal)
             await replies.refuse(reply, refusal.status, refusal.retry_after_ms)
@@ -127,6 +129,7 @@
                 raise
             await self._end_with_fault(scope, reply, rest)
         finally:
+            kept.release()
             self.board.open_requests -= 1
 
     def _should_redirect_callers(self) -> bool:
@@ -136,13 +139,20 @@
         )
 
     async def _serve(
-        self, scope: dict, receive: Receive, reply: AsgiReply
+        self,
+        scope: dict,
+        receive: Receive,
+        reply: AsgiReply,
+        kept: body_room.KeptBody,
     ) -> None:
         waited_ms = find_age_ms(scope)
         began_ms = self.clock.now_ms() - waited_ms
         check_framing(scope["headers"])
         limits = self._find_limits()
-        body = await read_body(receive, limits.body_bytes, limits.idle_ms)
+        check_length(scope["headers"], limits.body_bytes, kept)
+        body = await read_body(
+            receive, limits.body_bytes, limits.idle_ms, kept
+        )
         request = make_request(scope, body)
         work = reply.work = self._make_work(request, began_ms)
         work.waited_ms = waited_ms
@@ -280,13 +290,37 @@
         raise Refused(400, "ambiguous framing or host")
 
 
+def check_length(
+    headers: message_types.Headers, max_bytes: int, kept: body_room.KeptBody
+) -> None:
+    """Refuse a request whose declared body is too long or finds no room.
+
+    Its body would only be received in vain.
+    """
+    length = http.find_length(headers) or 0
+    if length > max_bytes:
+        raise Refused(413, "body too large")
+    take_room(kept, length)
+
+
+def take_room(kept: body_room.KeptBody, length: int) -> None:
+    """Take room for a body; raise Refused if there is too little."""
+    if not kept.grow(length):
+        raise Refused(
+            503, "no room for the body", readiness_module.OTHER_VM_RETRY_MS
+        )
+
+
 async def read_body(
-    receive: Receive, max_bytes: int, idle_ms: float = math.inf
+    receive: Receive,
+    max_bytes: int,
+    idle_ms: float,
+    kept: body_room.KeptBody,
 ) -> bytes:
     """Read the whole body of a request.
 
-    Raises Refused if it is longer than ``max_bytes``, or if no part of it
-    comes for ``idle_ms``.
+    Raises Refused if it is longer than ``max_bytes``, if no part of it comes
+    for ``idle_ms``, or if there is no room to keep it.
     """
     body = bytearray()
     while True:
@@ -300,6 +334,7 @@
         body += message.get("body", b"")
         if len(body) > max_bytes:
             raise Refused(413, "body too large")
+        take_room(kept, len(body))
         if not message.get("more_body", False):
             return bytes(body)
 
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -9,6 +9,7 @@
 import attrs
 import trio
 
+from carawayward.forwarding import body_room as body_room_module
 from carawayward.forwarding import message_types
 from carawayward.forwarding import settings
 from carawayward.forwarding import table as table_module
@@ -64,6 +65,9 @@
     link_mbps: float = 0.0
     state: State = State.STARTING
     refusing: bool = False
+    body_room: body_room_module.BodyRoom = attrs.field(
+        factory=body_room_module.BodyRoom
+    )
     table: table_module.RoutingTable | None = None
     table_as_of_ms: float = NEVER
     store_failing: bool = False
--- a/src/carawayward/forwarding/metrics.py
+++ b/src/carawayward/forwarding/metrics.py
@@ -64,6 +64,7 @@
     """The current values of the gauges."""
     gauges: dict[str, float] = {
         "open_requests": board.open_requests,
+        "body_bytes": board.body_room.kept_bytes,
         "endpoints": len(board.endpoints),
         "endpoints_cold": len(board.cold_reports),
         "endpoints_limited": len(board.limited),
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -15,6 +15,7 @@
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import attempt as attempt_module
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import body_room
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import hops
 from carawayward.forwarding import message_types
@@ -22,6 +23,7 @@
 from carawayward.forwarding import relay_messages
 from carawayward.forwarding import replies
 from carawayward.forwarding import service_paths
+from carawayward.forwarding import table as table_module
 from carawayward import http_client as http
 from carawayward import supervision
 
@@ -81,21 +83,26 @@
             serve = self._serve
             if scope["raw_path"] == relay_messages.PROBE_PATH:
                 serve = self._serve_probe
+            kept = body_room.KeptBody(self.board.body_room)
             self.board.open_relays += 1
             try:
-                await serve(receive, reply)
+                await serve(receive, reply, kept)
             except app_module.CallerLeft:
                 pass
             finally:
+                kept.release()
                 self.board.open_relays -= 1
 
     async def _serve_probe(
-        self, receive: app_module.Receive, reply: app_module.AsgiReply
+        self,
+        receive: app_module.Receive,
+        reply: app_module.AsgiReply,
+        kept: body_room.KeptBody,
     ) -> None:
         """Tell a peer whether an endpoint accepts connections from here."""
         try:
-            body = await app_module.read_body(
-                receive, relay_messages.MAX_FIELDS_BYTES
+            body = await self._read_body(
+                receive, relay_messages.MAX_FIELDS_BYTES, kept
             )
             asked = relay_messages.ProbeRequest.from_bytes(body)
         except app_module.Refused as fault:
@@ -116,10 +123,13 @@
         await replies.send_response(reply, 200, [], answer)
 
     async def _serve(
-        self, receive: app_module.Receive, reply: app_module.AsgiReply
+        self,
+        receive: app_module.Receive,
+        reply: app_module.AsgiReply,
+        kept: body_room.KeptBody,
     ) -> None:
         try:
-            relayed = await self._read(receive)
+            relayed = await self._read(receive, kept)
         except app_module.Refused as fault:
             await self._send_outcome(reply, Outcome.DECLINED, fault.cause)
             return
@@ -140,18 +150,31 @@
             outcome=name,
         )
 
+    async def _read_body(
+        self,
+        receive: app_module.Receive,
+        max_bytes: int,
+        kept: body_room.KeptBody,
+    ) -> bytes:
+        table = self.board.table
+        limits = table.limits if table else table_module.CallerLimits()
+        return await app_module.read_body(
+            receive, max_bytes, limits.idle_ms, kept
+        )
+
     async def _read(
-        self, receive: app_module.Receive
+        self, receive: app_module.Receive, kept: body_room.KeptBody
     ) -> relay_messages.RelayedRequest:
         """Read a relayed request; raise Refused if it is malformed."""
         table = self.board.table
         if table is None:
             raise app_module.Refused(503, "no routing table yet")
-        body = await app_module.read_body(
+        body = await self._read_body(
             receive,
             table.limits.body_bytes
             + relay_messages.FIELDS_LENGTH.size
             + relay_messages.MAX_FIELDS_BYTES,
+            kept,
         )
         try:
             return relay_messages.RelayedRequest.from_bytes(body)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,7 @@
 import fire
 import trio
 
+from carawayward import events
 from tests.soak import checkers
 from tests.soak import configurations
 from tests.soak import deployment
@@ -61,7 +62,10 @@
     windows = checkers.list_windows(history, soak.bounds)
     return Result(
         seed=soak.seed,
-        violations=checkers.check_all(history, soak.bounds),
+        violations={
+            **checkers.check_all(history, soak.bounds),
+            "faults": list_faults(soak.folder),
+        },
         sent=len(history.sent),
         answered=sum(200 <= s < 300 for s in history.statuses.values()),
         arrivals=len(history.arrivals),
@@ -85,6 +89,17 @@
     )
 
 
+def list_faults(folder: pathlib.Path) -> list[str]:
+    """The unexpected exceptions that entry VMs have logged."""
+    marks = (f'"event": {events.Event.FAULT.value.code}', "Traceback")
+    return [
+        f"{path.stem}: {line.strip()}"
+        for path in sorted(folder.glob("*.log"))
+        for line in path.read_text(errors="replace").splitlines()
+        if any(mark in line for mark in marks)
+    ]
+
+
 def describe_configurations(soak: deployment.Soak) -> str:
     """How many versions were written, and what probes of them showed."""
     history = soak.history
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -1,9 +1,13 @@
 """Each check of the retry rules fails on a history that breaks its clause."""
 
+import pathlib
+import tempfile
+
 import attrs
 
 from tests.soak import checkers
 from tests.soak import records
+from tests.soak import run
 
 BOUNDS = records.Bounds()
 FAR_MS = 100_000.0
@@ -499,3 +503,15 @@
         history.ended_tries_ms[sent.request_id] = sent.at_ms + 100.0
     disrupt(history, "edge-1", FAR_MS + 3_050.0)
     assert not check(checkers.check_skews, history)
+
+
+def test_exception_that_an_entry_vm_has_logged_breaks_the_run():
+    """Guards against 500s of our own that no rule counts."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        (folder / "edge-1.1.log").write_text(
+            '{"event": 1511}\n{"event": 1901, "task": "request"}\n'
+        )
+        (folder / "edge-2.1.log").write_text('{"event": 1510}\n')
+        (found,) = run.list_faults(folder)
+        assert found.startswith("edge-1.1: ")
