Keep a foreign roll-out order from stopping all roll-outs

What operators would see: an order for a service whose name is longer than a key, or no text that can be encoded, is decoded; writing its status raises, in each round, and no roll-out after it is judged or written.

Found by reading all users of decoded records.

Change: text of the store has to be printable, the service of an order short enough for a key; each roll-out is processed on its own, and one that raises is logged and does not stop the others. Null counts as false where a flag may be missing.

--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -144,7 +144,8 @@
             self.needed.set()
             for rollout in list(self.rollouts.rollouts.values()):
                 if rollout.running or self.restoring:
-                    await self._step(rollout)
+                    # One that cannot be processed does not stop the others.
+                    await supervision.run_once(self._step, (rollout,))
             self._end_restoring()
             await self.clock.sleep(self._get_round_interval_ms())
 
--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -24,7 +24,7 @@
 MAX_IDLE = 50
 IDLE_EXPIRY_S = 15.0
 # What is read at once. All of it may have to be parsed before the reader can
-# let other tasks run, and heads cost up to 2 us a byte.
+# let other tasks run.
 MAX_READ_BYTES = 4_096
 MAX_UNWRITTEN_BYTES = 65_536
 # What a connection for one request may receive before the end of a response's
--- a/src/carawayward/gateway/streams.py
+++ b/src/carawayward/gateway/streams.py
@@ -34,6 +34,16 @@
 MAX_RESUMES = 20
 CONNECT_TIMEOUT_S = 2.0
 
+# What decoding an event raises if it is malformed; RecursionError if it is
+# nested too deeply.
+MALFORMED = (
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 OnText = typing.Callable[[str], typing.Awaitable[None]]
 
 
@@ -415,8 +425,5 @@
             confidence=float(event["confidence"]),
         )
         return EndEvent(end, event.get("digest"))
-    except (LookupError, TypeError, ValueError, OverflowError) as cause:
-        raise StreamCut from cause
-    except RecursionError as cause:
-        # Nested too deeply.
+    except MALFORMED as cause:
         raise StreamCut from cause
--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -36,6 +36,8 @@
 # Larger than any count or time in ms that a record can hold; floats represent
 # all whole numbers up to it.
 MAX_NUMBER = 2**53 - 1
+# A key has up to 255 bytes, with its prefix.
+MAX_KEY_PART_BYTES = 200
 
 Decoded = typing.TypeVar("Decoded")
 
@@ -180,7 +182,7 @@
 def read_order(body: dict) -> message_types.RolloutOrder:
     """Convert an order to move a service to another version."""
     return message_types.RolloutOrder(
-        service=_require_type(body["service"], str),
+        service=_require_key_part(body["service"]),
         version=_require_type(body["target"], str),
         duration_ms=_require_number(body["durationS"]) * 1000.0,
     )
@@ -244,8 +246,11 @@
 
 
 def _require_type(value: typing.Any, kind: type) -> typing.Any:
+    """A value of a type; text that can be encoded, logged and sent."""
     if type(value) is not kind:
         raise TypeError(f"{kind.__name__} expected")
+    if isinstance(value, str) and not value.isprintable():
+        raise ValueError("text has characters that cannot be printed")
     return value
 
 
@@ -258,8 +263,9 @@
 
 
 def _require_flag(body: dict, field: str) -> bool:
-    """A field that is true or false; false if it is missing."""
-    return _require_type(body.get(field, False), bool)
+    """A field that is true or false; false if it is missing or null."""
+    value = body.get(field)
+    return False if value is None else _require_type(value, bool)
 
 
 def _require_count(value: typing.Any, minimum: int = 0) -> int:
@@ -273,11 +279,19 @@
 def _require_header_text(value: typing.Any) -> str:
     """Text that can be sent as the value of a header."""
     text = _require_type(value, str)
-    if not text or not text.isprintable() or text != text.strip():
+    if not text or text != text.strip():
         raise ValueError("cannot be the value of a header")
     return text
 
 
+def _require_key_part(value: typing.Any) -> str:
+    """Text that can be a part of a record's key."""
+    text = _require_type(value, str)
+    if len(text.encode()) > MAX_KEY_PART_BYTES:
+        raise ValueError("too long for a key")
+    return text
+
+
 def _require_address(value: typing.Any) -> str:
     """The IP address and port of an endpoint; names are not resolved."""
     address = _require_type(value, str)
--- a/tests/cover/test_record_isolation.py
+++ b/tests/cover/test_record_isolation.py
@@ -4,6 +4,7 @@
 import struct
 import types
 import typing
+from unittest import mock
 
 import attrs
 import cbor2
@@ -64,6 +65,7 @@
     | strategies.text(max_size=6)
     | strategies.sampled_from(
         ["127.0..1:80", "[::1:80", "a\x00:80", "x\r\ny: z", "\ud800", "1:2:3"]
+        + ["x" * 300]
     ),
     lambda inner: (
         strategies.lists(inner, max_size=2)
@@ -273,6 +275,8 @@
                 assert_typed(getattr(value, field.name), hints[field.name])
     else:
         assert type(value) is expected, (value, expected)
+        if expected is str:
+            value.encode()
         if expected is float:
             assert 0.0 <= value < float("inf")
 
@@ -470,6 +474,58 @@
     assert list(rounds.latest) == ["x"]
 
 
+@hypothesis.given(
+    strategies.text() | strategies.sampled_from(["\ud800", "x" * 300])
+)
+def test_status_of_any_order_can_be_written(service):
+    """Guards against roll-outs that all stand still at a foreign order."""
+    body = {"service": service, "target": "v2", "durationS": 5}
+    record = keyed_log.Record("rollout/x", json.dumps(body).encode(), 7)
+    order = records.decode_declaration(record)
+    if order is not None:
+        assert isinstance(order, message_types.RolloutOrder)
+        state = message_types.RolloutState.RUNNING
+        status = message_types.RolloutStatus(order.service, "v2", state)
+        store_module.encode_record(records.encode_status(status))
+
+
+def test_rollout_that_cannot_be_processed_does_not_stop_the_others():
+    """Guards against a roll-out that stands still for another's fault."""
+    stepped = []
+
+    async def step(rounds, rollout):
+        stepped.append(rollout.order)
+        if rollout.order == "a":
+            raise UnforeseenError()
+
+    running = {
+        name: types.SimpleNamespace(
+            order=name, running=True, at_full_traffic=False
+        )
+        for name in ("a", "b")
+    }
+    fake: typing.Any = types.SimpleNamespace(
+        rollouts=running, apply_orders=lambda: None
+    )
+    rounds = rollout_rounds.RolloutRounds(
+        board_module.ForwardingBoard(name="vm", failure_domain="north"),
+        clocks.TrioClock(),
+        fake,
+        typing.cast(typing.Any, None),
+        records.decode_status,
+        records.encode_status,
+        lambda: (),
+    )
+
+    async def main():
+        with mock.patch.object(rollout_rounds.RolloutRounds, "_step", step):
+            with trio.move_on_after(0.5):
+                await rounds._run_rounds()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert stepped[:4] == ["a", "b", "a", "b"]
+
+
 def test_conviction_that_cannot_be_used_hides_no_other():
     """Guards against convictions that are neither read nor written."""
     applied = []
