--- a/tests/failures/test_request_forms.py
+++ b/tests/failures/test_request_forms.py
@@ -21,7 +21,7 @@
 
 
 def cut(draw, body, trailers=b""):
-    """Frame a body as chunks that end anywhere, with and without extensions."""
+    """Frame a body as chunks that end anywhere, some with extensions."""
     framed = []
     while body:
         size = draw.choice((1, 2, 7, 100, len(body)))
