Log exactly one final line for each request that was read

Cause: lines were written where a reply ends, not where a request ends; a cancelled task, a caller that left before its body was whole, and a relay that was cancelled wrote none. Change: ForwardingApp logs in a finally what has no line yet: 1511 with status 0 and cause "cut", or the new 1406 request_incomplete; a relay logs 1529 in a finally. Counters unfinished_replies{cause}, incomplete_requests{cause}. Nothing is decided differently.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -148,6 +148,11 @@
     RUN_RESUMED = EventKind(
         1404, "A run was resumed over a new connection to its engine."
     )
+    REQUEST_INCOMPLETE = EventKind(
+        1406,
+        "A request did not arrive whole: its caller left, or its connection "
+        "was closed.",
+    )
     ENDPOINT_FAILED = EventKind(
         1501,
         "A call to an endpoint failed.",
@@ -211,7 +216,9 @@
         logging.WARNING,
     )
     REQUEST_FORWARDED = EventKind(
-        1511, "A forwarded request has ended with its final response."
+        1511,
+        "A forwarded request has ended; with status 0 its caller does not "
+        "have the whole response.",
     )
     ATTEMPT_ENDED = EventKind(
         1512, "An attempt of a forwarded request ended without its response."
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -58,7 +58,7 @@
     ``finished`` is set right before the end of the body is sent. If
     ``should_redirect_callers`` returns true when the reply starts, the reply
     closes the caller's connection. ``work`` is the request's, once that has
-    been accepted.
+    been accepted. ``is_logged`` is set once the request's end is logged.
     """
 
     send_event: Send
@@ -66,6 +66,7 @@
     started: bool = False
     finished: bool = False
     work: work_items.Work | None = None
+    is_logged: bool = False
 
     async def start(self, status: int, headers: message_types.Headers) -> None:
         """Send status and headers."""
@@ -119,16 +120,18 @@
         try:
             await self._serve(scope, receive, reply, kept)
         except Refused as refusal:
+            reply.is_logged = True
             self._log_refusal(scope, refusal)
             await replies.refuse(reply, refusal.status, refusal.retry_after_ms)
         except CallerLeft:
-            pass
+            self._log_incomplete(scope, reply, "caller left")
         except (Exception, BaseExceptionGroup) as fault:
             _, rest = supervision.split_cancelled(fault)
             if rest is None:
                 raise
             await self._end_with_fault(scope, reply, rest)
         finally:
+            self._log_cut(scope, reply)
             kept.release()
             self.board.open_requests -= 1
 
@@ -174,6 +177,7 @@
         has begun stays unfinished, which shows that it is truncated.
         """
         self.metrics.count("faults", kind=type(fault).__name__)
+        reply.is_logged = True
         work = reply.work
         may_have_run = work is not None and work.may_have_run
         events.log_event(
@@ -251,6 +255,26 @@
         """Make the refusal of a request that needs a current table."""
         return Refused(503, cause, self.readiness.compute_retry_after_ms())
 
+    def _log_cut(self, scope: dict, reply: AsgiReply) -> None:
+        """Log the end of a request that was cancelled with its connection."""
+        if reply.is_logged:
+            return
+        if reply.work is None:
+            self._log_incomplete(scope, reply, "connection closed")
+        elif not reply.work.is_logged:
+            self.forwarder.record_cut(reply.work)
+
+    def _log_incomplete(
+        self, scope: dict, reply: AsgiReply, cause: str
+    ) -> None:
+        reply.is_logged = True
+        self.metrics.count("incomplete_requests", cause=cause)
+        events.log_event(
+            events.Event.REQUEST_INCOMPLETE,
+            request=self.dialect.find_id(scope["headers"]),
+            cause=cause,
+        )
+
     def _log_refusal(self, scope: dict, refusal: Refused) -> None:
         self.metrics.count("refusals", cause=refusal.cause)
         events.log_event(
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -361,11 +361,18 @@
         """Log that the caller left before it had the whole response."""
         self._log_end(work, 0, "caller left")
 
+    def record_cut(self, work: work_items.Work) -> None:
+        """Log that a request was cancelled before its response was whole."""
+        self._log_end(work, 0, "cut")
+
     def _log_end(self, work: work_items.Work, status: int, cause: str) -> None:
+        work.is_logged = True
         took_ms = self.clock.now_ms() - work.began_ms
         self.metrics.count(
             "requests", route=work.route.name, status=str(status)
         )
+        if status == 0:
+            self.metrics.count("unfinished_replies", cause=cause)
         if 200 <= status < 300:
             self.metrics.observe("answer", took_ms, route=work.route.name)
         self.metrics.observe("request_wait", work.waited_ms)
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -134,13 +134,22 @@
             await self._send_outcome(reply, Outcome.DECLINED, fault.cause)
             return
         outcome = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                app_module.cancel_on_disconnect, receive, reply, nursery
-            )
-            with trio.move_on_after(relayed.remaining_ms / 1000):
-                outcome = await self._relay(relayed, reply)
-            nursery.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    app_module.cancel_on_disconnect, receive, reply, nursery
+                )
+                with trio.move_on_after(relayed.remaining_ms / 1000):
+                    outcome = await self._relay(relayed, reply)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._log_end(relayed, outcome)
+
+    def _log_end(
+        self,
+        relayed: relay_messages.RelayedRequest,
+        outcome: Outcome | None,
+    ) -> None:
         name = outcome.name.lower() if outcome else ABANDONED
         self.metrics.count("relays", outcome=name)
         events.log_event(
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -209,7 +209,8 @@
     ``pace`` is that of the engine, ``is_engine_full`` whether its places are
     taken. ``urgency_class`` is None where the service has only one rank.
     ``backlog_ms`` is the mean backlog of the engines, for the log.
-    ``waited_ms`` is how long the request waited to be read.
+    ``waited_ms`` is how long the request waited to be read. ``is_logged`` is
+    set once its end is logged.
     """
 
     request: replies.CallerRequest
@@ -244,6 +245,7 @@
     urgency_class: int | None = None
     backlog_ms: float = 0.0
     waited_ms: float = 0.0
+    is_logged: bool = False
     _fingerprint: str = attrs.field(default="", init=False)
     _shared_parts: tuple[str, ...] | None = attrs.field(
         default=None, init=False
