Reply to each request before a leaving entry VM ends

Cause: the wait for open requests has a bound, and what was left at its end was cancelled with the listeners. Nothing compared what a request still needs with the time left, neither for a request that came, nor for a retry or a larger model. Class: a bounded wait whose end abandons what waits, without an outcome. Change: a stop sets a deadline for all requests in hand, 700 ms before the kill (forwarding/stop_deadline.py), and the ordinary path of a request that runs out of time replies: 503 with Retry-After for another entry VM if it has not run, else 502; relays tell the peer whether it may have run; a body that is not whole is refused. decisions/planned_stop.py decides what is begun at all: an attempt that is predicted to end after that deadline is refused at once; an answer is not dropped for a larger model that could not end. Endpoints get what is left until the stop as their deadline, so that one that has not begun declines and the caller can be told truthfully that it has not run. Without a stop the deadline is infinite and nothing changes. A stop uses the bounds as reloaded, and refuses from its end on even if the grace period is shorter than the load balancer's time. Test: tests.failures.test_leaving_requests. Open here: replies that their callers do not read, and streams that have begun, are still cut off.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -21,6 +21,7 @@
 from carawayward.forwarding import message_types
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import readiness as readiness_module
+from carawayward.forwarding import refusals
 from carawayward.forwarding import replies
 from carawayward.forwarding import table as table_module
 from carawayward.forwarding import work_items
@@ -153,9 +154,12 @@
         check_framing(scope["headers"])
         limits = self._find_limits()
         check_length(scope["headers"], limits.body_bytes, kept)
-        body = await read_body(
-            receive, limits.body_bytes, limits.idle_ms, kept
-        )
+        with self.board.stop_deadline.limit(self.clock.now_ms()) as reading:
+            body = await read_body(
+                receive, limits.body_bytes, limits.idle_ms, kept
+            )
+        if reading.cancelled_caught:
+            raise make_leaving_refusal()
         request = make_request(scope, body)
         work = reply.work = self._make_work(request, began_ms)
         work.waited_ms = waited_ms
@@ -208,7 +212,7 @@
         if table is None:
             raise Refused(503, "no routing table yet", NOT_READY_RETRY_MS)
         if self.board.refusing:
-            raise Refused(503, "leaving", readiness_module.OTHER_VM_RETRY_MS)
+            raise make_leaving_refusal()
         try:
             metadata = self.dialect.read_request(request.headers)
         except errors.BadRequest as fault:
@@ -293,6 +297,11 @@
     return 0.0 if find is None else find()
 
 
+def make_leaving_refusal() -> Refused:
+    """Make the refusal of a request that another entry VM has to serve."""
+    return Refused(503, refusals.LEAVING, readiness_module.OTHER_VM_RETRY_MS)
+
+
 def choose_service(
     route: table_module.Route, metadata: message_types.RequestMetadata
 ) -> str:
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -12,6 +12,7 @@
 from carawayward.forwarding import body_room as body_room_module
 from carawayward.forwarding import message_types
 from carawayward.forwarding import settings
+from carawayward.forwarding import stop_deadline as stop_deadline_module
 from carawayward.forwarding import table as table_module
 
 NEVER = float("-inf")
@@ -51,7 +52,8 @@
     requests they accept, ``resting_until`` the times before which endpoints
     want no request from this entry VM. ``evacuated`` holds the failure domains
     whose endpoints get no requests. ``refusing`` is set during a shutdown,
-    once the load balancer has had time to stop sending new connections.
+    once the load balancer has had time to stop sending new connections;
+    ``stop_deadline`` is when all replies have to be sent.
     ``link_mbps`` is the rate of this entry VM's link, 0 if it is not known.
     ``open_relays`` are requests that this entry VM sends for its peers.
     ``declared`` is set, and replaced, by each change to ``table`` or
@@ -65,6 +67,9 @@
     link_mbps: float = 0.0
     state: State = State.STARTING
     refusing: bool = False
+    stop_deadline: stop_deadline_module.StopDeadline = attrs.field(
+        factory=stop_deadline_module.StopDeadline
+    )
     body_room: body_room_module.BodyRoom = attrs.field(
         factory=body_room_module.BodyRoom
     )
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -8,6 +8,7 @@
 import trio
 
 from carawayward import clock as clock_module
+from carawayward.decisions import planned_stop
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import app as app_module
@@ -27,9 +28,6 @@
 # A load balancer that probes once a second and removes a target after two
 # failed probes sends no new connections after this time.
 BALANCER_REMOVAL_MS = 2_200.0
-# Streams that are still open this long before the process would be killed are
-# cut off, so that their callers notice and the process exits by itself.
-STREAM_CUTOFF_MS = 600.0
 # Time-out for closing the listeners, when only idle connections are left.
 LISTENERS_CLOSE_S = 0.3
 METRICS_HEADERS = [(b"content-type", b"text/plain; version=0.0.4")]
@@ -258,15 +256,20 @@
     async def _drain(self) -> None:
         """Wait for the load balancer, then for the open requests.
 
-        Ends in time to cut off streams before the process is killed.
+        Requests that cannot end in time get a reply that says so. Replies that
+        are not read, and streams, are cut off before the process is killed.
         """
+        times = planned_stop.StopTimes.from_grace(self.board.bounds.grace_ms)
+        self.board.stop_deadline.begin(
+            self.clock.now_ms(), times.replies_due_ms
+        )
         self.board.state = board_module.State.LEAVING
         events.log_event(
             events.Event.NODE_LEAVING, open=self.board.open_requests
         )
-        drain_ms = self.settings.bounds.grace_ms - STREAM_CUTOFF_MS
-        with trio.move_on_after(max(0.0, drain_ms) / 1000):
+        with trio.move_on_after(times.cutoff_ms / 1000):
             await self.clock.sleep(BALANCER_REMOVAL_MS)
             self.board.refusing = True
             while self.board.open_requests or self.board.open_relays:
                 await self.clock.sleep(POLL_MS)
+        self.board.refusing = True
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -4,7 +4,6 @@
 import typing
 
 import attrs
-import trio
 
 from carawayward import clock as clock_module
 from carawayward.decisions import retry_budget
@@ -15,6 +14,7 @@
 from carawayward.forwarding import message_types
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import placing
+from carawayward.forwarding import readiness as readiness_module
 from carawayward.forwarding import refusals
 from carawayward.forwarding import relay_client
 from carawayward.forwarding import replies
@@ -22,6 +22,7 @@
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import sending
+from carawayward.forwarding import stop_deadline as stop_deadline_module
 from carawayward.forwarding import suspects as suspects_module
 from carawayward.forwarding import work_items
 
@@ -52,6 +53,11 @@
         """The known endpoints."""
         return self.placer.fleet
 
+    @property
+    def stop_deadline(self) -> stop_deadline_module.StopDeadline:
+        """When all replies have to be sent."""
+        return self.fleet.board.stop_deadline
+
     @property
     def rollouts(self) -> rollouts_module.Rollouts:
         """The current roll-outs."""
@@ -70,10 +76,14 @@
             self.placer.find_budget(work.service), now_ms
         )
         self.placer.choose_model(work)
-        left_ms = work.deadline_ms - now_ms - REPLY_MARGIN_MS
-        with trio.move_on_after(max(0.0, left_ms) / 1000) as scope:
+        deadline_ms = work.deadline_ms - REPLY_MARGIN_MS
+        with self.stop_deadline.limit(now_ms, deadline_ms) as scope:
             await self._run_attempts(work, reply)
-        if scope.cancelled_caught:
+        if not scope.cancelled_caught:
+            return
+        if self.stop_deadline.is_earlier(deadline_ms):
+            await self._send_leaving(work, reply)
+        else:
             await self._send_final_failure(work, reply, "deadline")
 
     async def _run_attempts(
@@ -94,6 +104,9 @@
                 cause = refusals.explain_shortage(self.fleet, work.service)
                 await self._send_final_failure(work, reply, cause)
                 return
+            if not self.placer.may_begin(work):
+                await self._send_leaving(work, reply)
+                return
             if self._would_miss_deadline(work):
                 await self._send_final_failure(
                     work,
@@ -336,6 +349,23 @@
             work, outcome, lambda: self.placer.spend_budget(work.service)
         )
 
+    async def _send_leaving(
+        self, work: work_items.Work, reply: replies.Reply
+    ) -> None:
+        """Send the final reply to a request that would outlast this process.
+
+        It is for another entry VM if it has not run.
+        """
+        self.metrics.count(
+            "stopped_requests", may_have_run=str(work.may_have_run).lower()
+        )
+        await self._send_final_failure(
+            work,
+            reply,
+            refusals.LEAVING,
+            readiness_module.OTHER_VM_RETRY_MS,
+        )
+
     async def _send_final_failure(
         self,
         work: work_items.Work,
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -8,6 +8,7 @@
 from carawayward.decisions import engine_room
 from carawayward.decisions import escalation
 from carawayward.decisions import placement
+from carawayward.decisions import planned_stop
 from carawayward.decisions import retry_budget
 from carawayward import events
 from carawayward.forwarding import engine_paces
@@ -151,6 +152,8 @@
                 self._order(work, engine)[1],
                 engine.pace,
             )
+            if not self._may_answer(work, ttft_ms, engine.pace):
+                break
             work.backlog_ms = self.fleet.find_backlog_ms(work.service, pool)
             shortest_ms = work.table.find_shortest_target(work.service)
             return escalation.compute_overload(
@@ -291,6 +294,27 @@
         model = self.fleet.get_latency_model(work.service)
         return engine_load.predict_ttft(model, work.backlog, work.pace)
 
+    def may_begin(self, work: work_items.Work) -> bool:
+        """Whether an attempt at the chosen endpoint may end before a stop."""
+        if work.backlog:
+            return self._may_answer(work, self.predict_ttft(work), work.pace)
+        return planned_stop.may_begin(
+            self._find_left_ms(), work.route.target_ms, 0.0
+        )
+
+    def _may_answer(
+        self, work: work_items.Work, ttft_ms: float, pace: float
+    ) -> bool:
+        """Whether an engine's answer is expected to end before a stop."""
+        held_ms = self.fleet.get_latency_model(work.service).held_ms
+        return planned_stop.may_begin(
+            self._find_left_ms(), ttft_ms, held_ms * pace
+        )
+
+    def _find_left_ms(self) -> float:
+        """How long it is until all replies have to be sent."""
+        return self.fleet.board.stop_deadline.due_ms - self.clock.now_ms()
+
     def observe_ttft(self, work: work_items.Work) -> None:
         """Record the time to the first token and update the latency model."""
         progress = work.progress
--- a/src/carawayward/forwarding/refusals.py
+++ b/src/carawayward/forwarding/refusals.py
@@ -10,6 +10,8 @@
 DEFAULT_RETRY_AFTER_MS = 1_000.0
 # Retries reach other entry VMs, for which an endpoint may be available sooner.
 MAX_RETRY_AFTER_MS = 5_000.0
+# The cause of refusals by an entry VM that stops before the request would end.
+LEAVING = "leaving"
 
 
 def explain_shortage(fleet: fleet_module.Fleet, service: str) -> str:
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -20,6 +20,7 @@
 from carawayward.forwarding import hops
 from carawayward.forwarding import message_types
 from carawayward.forwarding import metrics as metrics_module
+from carawayward.forwarding import refusals
 from carawayward.forwarding import relay_messages
 from carawayward.forwarding import replies
 from carawayward.forwarding import service_paths
@@ -139,8 +140,7 @@
                 nursery.start_soon(
                     app_module.cancel_on_disconnect, receive, reply, nursery
                 )
-                with trio.move_on_after(relayed.remaining_ms / 1000):
-                    outcome = await self._relay(relayed, reply)
+                outcome = await self._relay_in_time(relayed, reply)
                 nursery.cancel_scope.cancel()
         finally:
             self._log_end(relayed, outcome)
@@ -167,9 +167,11 @@
     ) -> bytes:
         table = self.board.table
         limits = table.limits if table else table_module.CallerLimits()
-        return await app_module.read_body(
-            receive, max_bytes, limits.idle_ms, kept
-        )
+        with self.board.stop_deadline.limit(self.clock.now_ms()):
+            return await app_module.read_body(
+                receive, max_bytes, limits.idle_ms, kept
+            )
+        raise app_module.make_leaving_refusal()
 
     async def _read(
         self, receive: app_module.Receive, kept: body_room.KeptBody
@@ -190,13 +192,33 @@
         except relay_messages.DECODE_ERRORS as fault:
             raise app_module.Refused(400, type(fault).__name__) from fault
 
+    async def _relay_in_time(
+        self,
+        relayed: relay_messages.RelayedRequest,
+        reply: app_module.AsgiReply,
+    ) -> Outcome | None:
+        """Relay a request until its deadline, or until this entry VM stops.
+
+        In a stop the peer is told whether the request may have run.
+        """
+        mark, now_ms = http.SentMark(), self.clock.now_ms()
+        deadline_ms = now_ms + relayed.remaining_ms
+        stop_deadline = self.board.stop_deadline
+        with stop_deadline.limit(now_ms, deadline_ms):
+            return await self._relay(relayed, reply, mark)
+        if reply.started or not stop_deadline.is_earlier(deadline_ms):
+            return None
+        outcome = Outcome.BROKEN if mark.sent else Outcome.DECLINED
+        await self._send_outcome(reply, outcome, refusals.LEAVING)
+        return outcome
+
     async def _relay(
         self,
         relayed: relay_messages.RelayedRequest,
         reply: app_module.AsgiReply,
+        mark: http.SentMark,
     ) -> Outcome:
         """Send a request to its endpoint and relay the response."""
-        mark = http.SentMark()
         began_ms = self.clock.now_ms()
         try:
             endpoint = self._find_endpoint(relayed)
--- a/src/carawayward/forwarding/sending.py
+++ b/src/carawayward/forwarding/sending.py
@@ -146,7 +146,11 @@
     def _make_forwarded_request(
         self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
     ) -> attempt_module.ForwardedRequest:
-        left_ms = work.deadline_ms - self.clock.now_ms() - RELAY_MARGIN_MS
+        # What an endpoint cannot begin before this entry VM stops it declines,
+        # so that another entry VM may send it again.
+        due_ms = self.placer.fleet.board.stop_deadline.due_ms
+        deadline_ms = min(work.deadline_ms, due_ms)
+        left_ms = deadline_ms - self.clock.now_ms() - RELAY_MARGIN_MS
         if work.progress.relayed:
             left_ms -= RELAY_MARGIN_MS
         dispatch = message_types.DispatchMetadata(
