Close connections whose callers do not read when the listeners stop

What callers saw: one caller that did not read its reply kept a stopping entry VM alive until SIGKILL, which also cut the writing of its log and the deregistration; whoever else was still being served then ended without a reply. Cause: writes are shielded from cancellation for as long as a caller may be silent, so that the cancellation at the end of a stop waited for them. Change: the listener aborts what is still open before it cancels.

--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -402,11 +402,17 @@
             for stream in port.close():
                 connections.start_soon(handle, stream)
         await context.terminated.set()
-        with trio.move_on_after(config.graceful_timeout):
-            await trio.sleep(IDLE_GRACE_S)
-            while open_connections:
-                close_idle(open_connections, 0.0)
-                await trio.sleep(CLOSE_CHECK_INTERVAL_S)
+        try:
+            with trio.move_on_after(config.graceful_timeout):
+                await trio.sleep(IDLE_GRACE_S)
+                while open_connections:
+                    close_idle(open_connections, 0.0)
+                    await trio.sleep(CLOSE_CHECK_INTERVAL_S)
+        finally:
+            # A write that its caller does not read is shielded from
+            # cancellation and would keep the process until it is killed.
+            for connection in list(open_connections):
+                connection.abort()
         connections.cancel_scope.cancel()
 
 
--- a/tests/failures/test_leaving_requests.py
+++ b/tests/failures/test_leaving_requests.py
@@ -1,11 +1,13 @@
 """What callers get of an entry VM that stops before their requests end."""
 
+import socket
 from unittest import mock
 
 from nose2.tools import params
 import trio
 
 from carawayward.decisions import planned_stop
+from carawayward import events
 from tests.common import forwarding
 from tests.standins import backend
 
@@ -183,3 +185,37 @@
     answer = play(scenario, desk)
     assert answer.status == 503
     assert float(answer.headers["retry-after"]) > 0.0
+
+
+def test_caller_that_does_not_read_does_not_hold_up_a_stop():
+    """Guards against a process that has to be killed, with all it holds."""
+    desk = backend.Backend("desk-0")
+
+    async def answer_at_length(_, exchange):
+        run = desk.begin(exchange)
+        await exchange.answer(200, desk.seal(exchange), bytes(4_000_000))
+        run.ended = "ok"
+
+    desk.always = answer_at_length
+    ended = []
+
+    def record(event, **fields):
+        if event is events.Event.NODE_STOPPED:
+            ended.append(trio.current_time())
+
+    async def scenario(made):
+        host, _, port = made.daemon.settings.listen.callers.partition(":")
+        plain = trio.socket.socket()
+        plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        await plain.connect((host, int(port)))
+        stream = trio.SocketStream(plain)
+        lines = "".join(f"{n}: {v}\r\n" for n, v in made.make_headers())
+        await stream.send_all(f"GET /look/ HTTP/1.1\r\n{lines}\r\n".encode())
+        await made.wait_for(lambda: [run.ended for run in desk.runs] == ["ok"])
+        began = trio.current_time()
+        made.stops[0].set()
+        with mock.patch.object(events, "log_event", record):
+            await made.wait_for(lambda: bool(ended))
+        return (ended[0] - began) * 1000
+
+    assert play(scenario, desk) < GRACE_MS
