Never record a connection as idle while it carries a request

What callers could see: a request on a kept connection ends without an answer. Idle connections are closed at once when the listener stops or the idle limit is lowered, and at the limit otherwise; this one carried a request.

Cause: hypercorn's protocol says that a connection became idle after it has let the reader go on. If the end of the reply waits for room in the socket's buffer in between, the next request is read first, and the connection is recorded as idle afterwards, for as long as that request takes. It needs a caller that pipelines, or both sides of the socket ready in one turn of the event loop.

Change: the event of the protocol counts only if no request is in hand by then.

--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -241,6 +241,7 @@
         self.open_connections = open_connections
         self.idle = IdleTimer()
         self.idle_task = typing.cast(worker_context.TrioSingleTask, self.idle)
+        self.exchanges: Http1Protocol | None = None
 
     async def run(self) -> None:
         """Serve the connection; an exception ends only this connection."""
@@ -285,6 +286,19 @@
         finally:
             plain.detach()
 
+    def has_request(self) -> bool:
+        """Whether a request is in hand."""
+        return self.exchanges is not None and self.exchanges.stream is not None
+
+    def _update_idle(self, idle: bool) -> None:
+        """Record whether the connection has become idle.
+
+        If the protocol waited for a write before it said that it became
+        idle, the next request may have been read meanwhile.
+        """
+        idle = idle and not self.has_request()
+        self.idle.since = trio.current_time() if idle else None
+
     def _get_socket(self) -> trio.socket.SocketType:
         stream: typing.Any = self.stream
         if isinstance(stream, trio.SSLStream):
@@ -293,7 +307,7 @@
 
     async def _read_data(self) -> None:
         wrapper = self.protocol
-        wrapper.protocol = Http1Protocol(
+        self.exchanges = wrapper.protocol = Http1Protocol(
             wrapper.app,
             wrapper.config,
             wrapper.context,
@@ -313,6 +327,9 @@
         message on the wire. A write that does not complete in time closes
         the connection, and with it ends the run that it belongs to.
         """
+        if isinstance(event, hypercorn_events.Updated):
+            self._update_idle(event.idle)
+            return
         if not isinstance(event, hypercorn_events.RawData):
             await super().protocol_send(event)
             return
--- a/tests/failures/test_listener_stop.py
+++ b/tests/failures/test_listener_stop.py
@@ -1,48 +1,17 @@
 """A stopping listener serves requests that were sent before the stop."""
 
 import socket
-import typing
 
 import trio
 
 from carawayward import http_server
-from carawayward import listening
-from carawayward import settings
-from tests.common import loopback
+from tests.common import listeners
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: circle.example\r\n\r\n"
 # Connections that are open when the listener stops. trio schedules tasks in
 # random order, so with this many at least one meets the unfavourable order.
 CALLERS = 20
 
-Scenario = typing.Callable[[str, int, trio.Event], typing.Awaitable[None]]
-
-
-async def answer(scope: dict, receive: typing.Any, send: typing.Any) -> None:
-    """Answer with an empty 200."""
-    await send({"type": "http.response.start", "status": 200, "headers": []})
-    await send({"type": "http.response.body", "body": b""})
-
-
-def run_beside_listener(scenario: Scenario) -> None:
-    """Run a scenario with a listener that it can stop."""
-
-    async def run() -> None:
-        (port,) = loopback.find_free_ports(1)
-        config = listening.make_config(
-            f"127.0.0.1:{port}", settings.Limits(), None, 2_000
-        )
-        stop = trio.Event()
-        with trio.fail_after(20):
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(http_server.serve, answer, config, stop)
-                await trio.to_thread.run_sync(
-                    loopback.wait_until_listening, f"127.0.0.1:{port}"
-                )
-                await scenario("127.0.0.1", port, stop)
-
-    trio.run(run)
-
 
 async def open_callers(host: str, port: int) -> list[trio.SocketStream]:
     """Open connections and wait until the listener has accepted them."""
@@ -76,7 +45,7 @@
         for caller in callers:
             assert await read_status(caller) == b"HTTP/1.1 200 "
 
-    run_beside_listener(scenario)
+    listeners.run_beside_listener(scenario)
 
 
 def test_connection_just_accepted_may_still_send_its_request():
@@ -95,7 +64,7 @@
         for caller in callers:
             assert await read_status(caller) == b"HTTP/1.1 200 "
 
-    run_beside_listener(scenario)
+    listeners.run_beside_listener(scenario)
 
 
 def test_idle_connections_do_not_hold_up_a_stop():
@@ -112,7 +81,7 @@
             for caller in callers:
                 assert await read_status(caller) == b""
 
-    run_beside_listener(scenario)
+    listeners.run_beside_listener(scenario)
 
 
 def test_connection_that_waits_to_be_accepted_is_served():
@@ -128,4 +97,4 @@
             stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
             assert await read_status(stream) == b"HTTP/1.1 200 "
 
-    run_beside_listener(scenario)
+    listeners.run_beside_listener(scenario)
