Close idle connections by ending the wait for bytes, not under the reader

What callers could see: a whole request on a kept connection ends without an answer, at a stop, at a lowered idle limit or at the end of the limit.

Cause: idle connections were closed from outside, by closing their socket. A read of trio that finds bytes takes them and then passes a checkpoint before it returns. In that turn nothing is unread and no request is known, so the check for idle connections closed the socket under a request that had been taken.

Change: the check cancels the reader's own wait. A read that has taken bytes is past its last point of cancellation, so the request is served; after a cancellation the socket is looked at once more. One cancel scope for each read, in place of the one of hypercorn's time limit for reads, which was never set.

Tests: test_request_taken_from_the_socket_is_not_idle holds a read that has its bytes; test_request_that_arrives_as_its_connection_is_closed_is_answered sends between the check and the close.

--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -242,6 +242,7 @@
         self.idle = IdleTimer()
         self.idle_task = typing.cast(worker_context.TrioSingleTask, self.idle)
         self.exchanges: Http1Protocol | None = None
+        self.waiting = trio.CancelScope()
 
     async def run(self) -> None:
         """Serve the connection; an exception ends only this connection."""
@@ -262,11 +263,12 @@
             await trio.aclose_forcefully(self.stream)
 
     def abort(self) -> None:
-        """Close the connection immediately, from outside its task.
+        """Close the connection if its task waits for bytes.
 
-        Its task, which waits for a request, then finds it closed and ends.
+        A read that has already taken bytes from the socket cannot be
+        cancelled any more; those bytes may be a whole request.
         """
-        self._get_socket().close()
+        self.waiting.cancel()
 
     def has_unread(self) -> bool:
         """Whether the socket has received bytes that are not read yet.
@@ -318,7 +320,25 @@
             wrapper.server,
             wrapper.send,
         )
-        await super()._read_data()
+        while (data := await self._receive()) is not None:
+            await wrapper.handle(hypercorn_events.RawData(data))
+            if not data:
+                break
+        await wrapper.handle(hypercorn_events.Closed())
+
+    async def _receive(self) -> bytes | None:
+        """Wait for bytes; None if the connection is broken or aborted."""
+        while True:
+            with trio.CancelScope() as self.waiting:
+                try:
+                    return bytes(
+                        await self.stream.receive_some(tcp_server.MAX_RECV)
+                    )
+                except (trio.ClosedResourceError, trio.BrokenResourceError):
+                    return None
+            # Bytes may have arrived since the decision to abort.
+            if not self.has_unread():
+                return None
 
     async def protocol_send(self, event: hypercorn_events.Event) -> None:
         """Write with a time limit.
@@ -458,10 +478,10 @@
         due = since + timeout_s
         if due > now:
             next_due = min(next_due, due)
-        elif connection.has_unread():
-            next_due = now
         else:
-            connection.abort()
+            if not connection.has_unread():
+                connection.abort()
+            next_due = now
     return next_due - now
 
 
--- a/tests/failures/test_kept_connections.py
+++ b/tests/failures/test_kept_connections.py
@@ -1,6 +1,7 @@
 """Requests on connections that are used again are answered."""
 
 import contextlib
+import socket
 import typing
 
 import trio
@@ -78,3 +79,41 @@
             assert OK in await read_replies(held.caller, b"/second")
 
     trio.run(run)
+
+
+def test_request_taken_from_the_socket_is_not_idle():
+    """A request gets no answer because it is neither unread nor parsed yet.
+
+    A read of trio passes a checkpoint after it has taken the bytes.
+    """
+
+    async def run() -> None:
+        app = HeldApp("")
+        async with listeners.open_held_connection(app) as held:
+            held.stream.may_write.set()
+            await held.caller.send_all(FIRST)
+            await held.stream.has_read.wait()
+            http_server.close_idle(held.open_connections, 0.0)
+            held.stream.may_return.set()
+            assert OK in await read_replies(held.caller, b"/first")
+
+    trio.run(run)
+
+
+def test_request_that_arrives_as_its_connection_is_closed_is_answered():
+    """A request is lost between the check for unread bytes and the close."""
+
+    async def run() -> None:
+        app = HeldApp("")
+        async with listeners.open_held_connection(app) as held:
+            held.stream.may_write.set()
+            held.stream.may_return.set()
+            await trio.testing.wait_all_tasks_blocked()
+            http_server.close_idle(held.open_connections, 0.0)
+            # Without a checkpoint, so that no task closes it meanwhile.
+            with socket.socket(fileno=held.caller.socket.fileno()) as calling:
+                calling.sendall(FIRST)
+                calling.detach()
+            assert OK in await read_replies(held.caller, b"/first")
+
+    trio.run(run)
