Let a reply that is sent before the body's end reach its caller

What callers saw: a request is refused while its body is still sent (413, 503 "no room for the body", 400, malformed HTTP), and the caller has a reset in place of the refusal: the write of the body fails before the reply is read.

Cause: the connection was closed right after the reply, with bytes unread or on their way. The kernel then resets it at once, and may drop what is not yet sent.

Change: after the last reply the listener closes its own direction only, and reads and discards for up to 2 s and 16 MiB until the caller closes (RFC 9112, 9.6). A connection that does so counts as neither idle nor carrying a request. The bound also ends a reader that waits for an application that has gone.

Tests: test_refusal_reaches_a_caller_that_still_sends_its_body (8 MiB, sent as a whole before the reply is read) and the same as the listener stops.

--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -11,6 +11,7 @@
   data occupies a task until TCP times out.
 """
 
+import contextlib
 import functools
 import json
 import socket
@@ -45,6 +46,10 @@
 # that replace all entry VMs left a request without an answer. Callers are a
 # few ms away, and a busy process reads within tens of ms.
 IDLE_GRACE_S = 0.1
+# How long, and how much, is read and discarded after the last reply on a
+# connection. A caller may still send the body of a request that was refused.
+DISCARD_S = 2.0
+MAX_DISCARDED_BYTES = 16 * 1_048_576
 # The key of a request's state with a function that says how long ago, in ms,
 # the kernel received the connection's last data.
 FIND_AGE_MS = "find_age_ms"
@@ -243,6 +248,8 @@
         self.idle_task = typing.cast(worker_context.TrioSingleTask, self.idle)
         self.exchanges: Http1Protocol | None = None
         self.waiting = trio.CancelScope()
+        self.reading = trio.CancelScope()
+        self.discarding = False
 
     async def run(self) -> None:
         """Serve the connection; an exception ends only this connection."""
@@ -288,6 +295,22 @@
         finally:
             plain.detach()
 
+    async def _finish(self) -> None:
+        """Send the end of the connection, and discard what still comes.
+
+        If a socket is closed while it has unread bytes, or gets some later,
+        the kernel resets the connection, and the caller may lose the last
+        reply (RFC 9112, 9.6).
+        """
+        async with self.send_lock:
+            with contextlib.suppress(OSError):
+                self._get_socket().shutdown(socket.SHUT_WR)
+        if not self.discarding:
+            self.discarding = True
+            self.idle.since = None
+            self.reading.deadline = trio.current_time() + DISCARD_S
+        await self.protocol.handle(hypercorn_events.Closed())
+
     def has_request(self) -> bool:
         """Whether a request is in hand."""
         return self.exchanges is not None and self.exchanges.stream is not None
@@ -298,7 +321,7 @@
         If the protocol waited for a write before it said that it became
         idle, the next request may have been read meanwhile.
         """
-        idle = idle and not self.has_request()
+        idle = idle and not self.discarding and not self.has_request()
         self.idle.since = trio.current_time() if idle else None
 
     def _get_socket(self) -> trio.socket.SocketType:
@@ -320,12 +343,30 @@
             wrapper.server,
             wrapper.send,
         )
-        while (data := await self._receive()) is not None:
-            await wrapper.handle(hypercorn_events.RawData(data))
-            if not data:
-                break
+        with self.reading:
+            await self._read_requests()
+            await self._discard_rest()
         await wrapper.handle(hypercorn_events.Closed())
 
+    async def _read_requests(self) -> None:
+        while not self.discarding:
+            data = await self._receive()
+            if data is None:
+                return
+            if not self.discarding:
+                await self.protocol.handle(hypercorn_events.RawData(data))
+            if not data:
+                return
+
+    async def _discard_rest(self) -> None:
+        """Discard what the caller sends after the last reply."""
+        left = MAX_DISCARDED_BYTES
+        while self.discarding and left > 0:
+            data = await self._receive()
+            if not data:
+                return
+            left -= len(data)
+
     async def _receive(self) -> bytes | None:
         """Wait for bytes; None if the connection is broken or aborted."""
         while True:
@@ -351,7 +392,7 @@
             self._update_idle(event.idle)
             return
         if not isinstance(event, hypercorn_events.RawData):
-            await super().protocol_send(event)
+            await self._finish()
             return
         data = event.data
         if not self.send_lock.locked():
--- a/tests/failures/test_kept_connections.py
+++ b/tests/failures/test_kept_connections.py
@@ -14,6 +14,12 @@
 SECOND = b"GET /second HTTP/1.1\r\nHost: circle.example\r\n\r\n"
 OK = b"HTTP/1.1 200 "
 READ_S = 5.0
+# More than the buffers of both sockets hold together.
+LARGE_BODY = bytes(8 * 1_048_576)
+LARGE = (
+    b"POST /large HTTP/1.1\r\nHost: circle.example\r\n"
+    b"Content-Length: %d\r\n\r\n" % len(LARGE_BODY)
+)
 
 
 class HeldApp:
@@ -117,3 +123,72 @@
             assert OK in await read_replies(held.caller, b"/first")
 
     trio.run(run)
+
+
+def send_all_then_read(port: int) -> bytes:
+    """Send a request with a large body as a plain client does."""
+    with socket.create_connection(("127.0.0.1", port)) as calling:
+        calling.settimeout(READ_S)
+        calling.sendall(LARGE + LARGE_BODY)
+        received = b""
+        while data := calling.recv(65_536):
+            received += data
+    return received
+
+
+async def refuse(scope: dict, receive: typing.Any, send: typing.Any) -> None:
+    """Refuse without reading the body."""
+    await send({"type": "http.response.start", "status": 413, "headers": []})
+    await send({"type": "http.response.body", "body": b"too large"})
+
+
+def test_refusal_reaches_a_caller_that_still_sends_its_body():
+    """A refusal is lost because its connection is closed with unread bytes.
+
+    The kernel then resets the connection, and the caller's next write fails
+    before it reads the reply.
+    """
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        reply = await trio.to_thread.run_sync(send_all_then_read, port)
+        assert reply.startswith(b"HTTP/1.1 413 ")
+        assert b"too large" in reply
+        stop.set()
+
+    listeners.run_beside_listener(scenario, refuse)
+
+
+def test_refusal_reaches_a_caller_that_still_sends_as_the_listener_stops():
+    """A refusal is lost because a stop closes what it takes for idle."""
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        caller = await trio.open_tcp_stream(host, port)
+        await caller.send_all(LARGE)
+        assert b"413" in await read_replies(caller, b"0\r\n\r\n")
+        stop.set()
+        await trio.sleep(2 * http_server.IDLE_GRACE_S)
+        await caller.send_all(LARGE_BODY)
+        await caller.send_eof()
+        assert await caller.receive_some() == b""
+
+    listeners.run_beside_listener(scenario, refuse)
+
+
+def test_refused_caller_that_never_closes_is_closed():
+    """Refused callers hold connections without a bound.
+
+    What they still send is read, so nothing else would end them.
+    """
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        caller = await trio.open_tcp_stream(host, port)
+        await caller.send_all(LARGE)
+        assert b"413" in await read_replies(caller, b"0\r\n\r\n")
+        with trio.fail_after(http_server.DISCARD_S + READ_S):
+            with contextlib.suppress(trio.BrokenResourceError):
+                while True:
+                    await caller.send_all(b"more")
+                    await trio.sleep(0.01)
+        stop.set()
+
+    listeners.run_beside_listener(scenario, refuse)
