A stopping listener answers requests that it has read, and says that it closes

What callers could see: a request that is sent before the reply before it is complete ends without an answer when the listener stops meanwhile. After that reply the connection was closed, whatever had been read; where another request had been read, its task then waited for the end of the stop, which it held up. No reply said that its connection was about to be closed.

Change: a reply that begins after the stop has "Connection: close", unless a further request has been read; after any other reply the connection goes on and is closed once it is idle, with nothing unread.

--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -138,10 +138,40 @@
                 await self.release()
             return
         if type(event) is hypercorn_protocol_events.Response:
+            if self._is_last():
+                event.headers.append((b"connection", b"close"))
             self.chunked = self._will_chunk(event)
             self.start_buffering()
         await super().stream_send(event)
 
+    def _is_last(self) -> bool:
+        """Whether no request follows, as the listener has been stopped."""
+        return (
+            self.context.terminated.is_set()
+            and not self.connection.trailing_data[0]
+        )
+
+    async def _maybe_recycle(self) -> None:
+        """Prepare for the next request, or close if there can be none.
+
+        A request that has been read is served after a stop, too. Unless a
+        reply says otherwise the connection is closed when it is idle.
+        """
+        await self._close_stream()
+        connection = self.connection
+        assert isinstance(connection, h11.Connection)
+        recycles = (
+            connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+        )
+        if recycles:
+            connection.start_next_cycle()
+        await self.can_read.set()
+        if recycles:
+            await self.send(hypercorn_events.Updated(idle=True))
+        else:
+            await self.send(hypercorn_events.Closed())
+
     def _will_chunk(self, event: hypercorn_protocol_events.Response) -> bool:
         """Whether h11 will use chunked encoding; mirrors its own decision."""
         assert isinstance(self.connection, h11.Connection)
--- a/tests/failures/test_kept_connections.py
+++ b/tests/failures/test_kept_connections.py
@@ -192,3 +192,43 @@
         stop.set()
 
     listeners.run_beside_listener(scenario, refuse)
+
+
+def test_request_read_before_a_stop_is_answered_though_another_is_in_hand():
+    """A request that was read gets no answer after the stop of a listener.
+
+    It is read while the reply before it is not complete. The connection was
+    closed after that reply, and a task waited for it until the stop ended.
+    """
+    app = HeldApp("/first")
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        caller = await trio.open_tcp_stream(host, port)
+        await caller.send_all(FIRST + SECOND)
+        await app.has_begun.wait()
+        stop.set()
+        await trio.sleep(2 * http_server.IDLE_GRACE_S)
+        app.may_answer.set()
+        replies = await read_replies(caller, b"/second")
+        assert replies.count(OK) == 2
+        assert await caller.receive_some() == b""
+
+    listeners.run_beside_listener(scenario, app)
+
+
+def test_reply_that_begins_after_a_stop_says_that_its_connection_closes():
+    """A caller that always has a next request holds up a stop."""
+    app = HeldApp("/first")
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        caller = await trio.open_tcp_stream(host, port)
+        await caller.send_all(FIRST)
+        await app.has_begun.wait()
+        stop.set()
+        await trio.testing.wait_all_tasks_blocked()
+        app.may_answer.set()
+        reply = await read_replies(caller, b"/first")
+        assert b"\r\nconnection: close\r\n" in reply.lower()
+        assert await caller.receive_some() == b""
+
+    listeners.run_beside_listener(scenario, app)
