Show why a listener closes connections, and log the requests that this ends

Change: closes are counted by reason (idle, stop, malformed, write timeout, reply before the body's end, unfinished reply); the metrics page of an entry VM shows those of the callers' listener. Closes that end a request are logged as 1406 requests_cut, how many by reason, at most once a second and once at the end.

The counters on the metrics page have no test of their own.

--- /dev/null
+++ b/src/carawayward/closes.py
@@ -0,0 +1,60 @@
+"""Counts the connections that a listener closes, by reason."""
+
+import collections
+import enum
+
+import attrs
+import trio
+
+from carawayward import events
+
+LOG_INTERVAL_S = 1.0
+
+
+class CloseReason(enum.Enum):
+    """Why a listener closes a caller's connection."""
+
+    IDLE = "idle"
+    STOP = "stop"
+    # The caller has sent what is no HTTP.
+    MALFORMED = "malformed"
+    # The caller has accepted no data for too long.
+    WRITE_TIMEOUT = "write_timeout"
+    # A reply was sent before the whole body of its request had come.
+    EARLY_REPLY = "early_reply"
+    # The application ended before its reply was complete.
+    UNFINISHED_REPLY = "unfinished_reply"
+
+
+@attrs.define(eq=False)
+class CloseRecorder:
+    """Counts closes, and logs those that end a request.
+
+    It logs at most once in ``LOG_INTERVAL_S``, and what is left at the end.
+    """
+
+    closed: collections.Counter[CloseReason] = attrs.field(
+        factory=collections.Counter
+    )
+    unlogged: collections.Counter[CloseReason] = attrs.field(
+        factory=collections.Counter
+    )
+    logged_s: float = float("-inf")
+
+    def record(self, reason: CloseReason, ends_request: bool) -> None:
+        """Record that a connection is being closed."""
+        self.closed[reason] += 1
+        if not ends_request:
+            return
+        self.unlogged[reason] += 1
+        if trio.current_time() - self.logged_s >= LOG_INTERVAL_S:
+            self.log()
+
+    def log(self) -> None:
+        """Log how many requests were ended since the last time."""
+        if not self.unlogged:
+            return
+        ended = {each.value: n for each, n in self.unlogged.items()}
+        self.unlogged.clear()
+        self.logged_s = trio.current_time()
+        events.log_event(events.Event.REQUESTS_CUT, **ended)
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -145,6 +145,13 @@
     REQUEST_UNPROVEN = EventKind(
         1405, "A caller's key, session token or ticket was rejected."
     )
+    REQUESTS_CUT = EventKind(
+        1406,
+        "The listener closed connections with requests in hand; the event "
+        "has how many, by reason. At most once a second.",
+        "for stop: find out what the requests waited for; else none",
+        logging.WARNING,
+    )
     RUN_RESUMED = EventKind(
         1404, "A run was resumed over a new connection to its engine."
     )
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -245,6 +245,11 @@
                 gauges |= each.collect_gauges()
         gauges |= self.app.forwarder.placer.collect_gauges()
         gauges["connections_waiting"] = self.callers.count_waiting()
+        for reason, count in self.callers.closes.closed.items():
+            name = metrics_module.format_series(
+                "connections_closed", reason=reason.value
+            )
+            gauges[name] = count
         gauges["services_unreachable"] = len(
             self.app.forwarder.sender.paths.list_lost()
         )
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -32,6 +32,7 @@
 import trio
 
 from carawayward import accept_queue
+from carawayward import closes
 from carawayward import events
 from carawayward import http_client as http
 from carawayward import listening
@@ -286,9 +287,13 @@
         self.open_connections.add(self)
         try:
             await super().run()
+        except trio.Cancelled:
+            self._record_stop()
+            raise
         except (Exception, BaseExceptionGroup) as fault:
             _, rest = supervision.split_cancelled(fault)
             if rest is None:
+                self._record_stop()
                 raise
             events.log_event(
                 events.Event.FAULT,
@@ -336,11 +341,32 @@
             with contextlib.suppress(OSError):
                 self._get_socket().shutdown(socket.SHUT_WR)
         if not self.discarding:
+            self._record_end()
             self.discarding = True
             self.idle.since = None
             self.reading.deadline = trio.current_time() + DISCARD_S
         await self.protocol.handle(hypercorn_events.Closed())
 
+    def _record_close(self, reason: closes.CloseReason) -> None:
+        self.config.closes.record(reason, self.has_request())
+
+    def _record_stop(self) -> None:
+        if self.has_request():
+            self._record_close(closes.CloseReason.STOP)
+
+    def _record_end(self) -> None:
+        """Record why no further request is read."""
+        assert self.exchanges is not None
+        h11_connection = self.exchanges.connection
+        if h11_connection.their_state is h11.ERROR:
+            self._record_close(closes.CloseReason.MALFORMED)
+        elif h11_connection.our_state is h11.SEND_BODY:
+            self.config.closes.record(
+                closes.CloseReason.UNFINISHED_REPLY, ends_request=True
+            )
+        elif h11_connection.their_state is h11.SEND_BODY:
+            self._record_close(closes.CloseReason.EARLY_REPLY)
+
     def has_request(self) -> bool:
         """Whether a request is in hand."""
         return self.exchanges is not None and self.exchanges.stream is not None
@@ -409,6 +435,7 @@
                     return None
             # Bytes may have arrived since the decision to abort.
             if not self.has_unread():
+                self._record_close(closes.CloseReason.IDLE)
                 return None
 
     async def protocol_send(self, event: hypercorn_events.Event) -> None:
@@ -439,6 +466,7 @@
                     await self.stream.send_all(data)
                 if not scope.cancelled_caught:
                     return
+                self._record_close(closes.CloseReason.WRITE_TIMEOUT)
                 await trio.aclose_forcefully(self.stream)
             except (
                 trio.BrokenResourceError,
@@ -474,6 +502,15 @@
     app: typing.Any, config: listening.ListenerConfig, stop: trio.Event
 ) -> None:
     """Serve until ``stop`` is set, then wait for open requests to finish."""
+    try:
+        await _serve(app, config, stop)
+    finally:
+        config.closes.log()
+
+
+async def _serve(
+    app: typing.Any, config: listening.ListenerConfig, stop: trio.Event
+) -> None:
     context = worker_context.WorkerContext(None)
     open_connections: set[Connection] = set()
     asgi_app = hypercorn_utils.wrap_app(app, config.wsgi_max_body_size, "asgi")
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -8,6 +8,7 @@
 import trio
 
 from carawayward import accept_queue
+from carawayward import closes
 from carawayward import errors
 from carawayward import settings as settings_module
 
@@ -41,7 +42,8 @@
     Accepted connections inherit the options of the listening socket.
     ``changed`` is set, and replaced, by each change to the idle time-out.
     ``listening_sockets`` are those that were created last. ``accept_policy``
-    decides whether connections wait to be accepted.
+    decides whether connections wait to be accepted. ``closes`` counts the
+    connections that the listener has closed.
     """
 
     silence_ms: int
@@ -50,6 +52,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.changed = trio.Event()
+        self.closes = closes.CloseRecorder()
         self.listening_sockets: list[socket.socket] = []
 
     def set_idle_timeout(self, timeout_ms: float) -> None:
--- a/tests/failures/test_kept_connections.py
+++ b/tests/failures/test_kept_connections.py
@@ -3,10 +3,12 @@
 import contextlib
 import socket
 import typing
+from unittest import mock
 
 import trio
 import trio.testing
 
+from carawayward import events
 from carawayward import http_server
 from tests.common import listeners
 
@@ -232,3 +234,29 @@
         assert await caller.receive_some() == b""
 
     listeners.run_beside_listener(scenario, app)
+
+
+def test_stop_that_ends_requests_logs_how_many():
+    """Requests that a stop ends leave no trace."""
+    lines: list[dict] = []
+
+    def record(event: events.Event, **fields: typing.Any) -> None:
+        lines.append({"event": event, **fields})
+
+    app = HeldApp("/first")
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        callers = [await trio.open_tcp_stream(host, port) for _ in range(3)]
+        for caller in callers:
+            await caller.send_all(FIRST)
+        await app.has_begun.wait()
+        await trio.testing.wait_all_tasks_blocked()
+        stop.set()
+        for caller in callers:
+            assert await read_replies(caller, b"/first") == b""
+
+    with mock.patch.object(events, "log_event", record):
+        listeners.run_beside_listener(scenario, app)
+    cuts = [e for e in lines if e["event"] is events.Event.REQUESTS_CUT]
+    assert sum(each["stop"] for each in cuts) == 3
+    assert len(cuts) <= 2
