A planned stop of the callers' API answers what it cannot let finish

What callers saw: at stop.deadline_ms, and at a second signal, each request in hand ended with a closed connection and without a line in the log.

Cause: the stop's end was unknown to the requests. It cancelled their tasks, so that the code that answers a request that runs out of time never ran. Nothing compared what a request needs with what is left.

Change: each request in hand has a Deadline, the earlier of its own and the stop's, and each wait is limited by it: engine runs, service calls, bills, claims, relays to peers, look-ups, bodies. A stop, and a second signal, bring it forward; the waits adapt. The latest start of a queued request counts the whole run before a stop, so that one with too little time left is refused at once. The stop keeps the last quarter of its time, at most 2 s, for replies and the hand-over. Event 1005 has a count of the requests that were ended; stop.not_run and stop.ended count them as metrics. A call that a stop cancels all the same has its 1402.

At most once: "not run" comes from the code that gave it before (queue without a slot, no claim at a first attempt); a call that was placed on an endpoint when time ran out is "unknown", also if it was not sent yet.

The test of a second signal first looked for the count in `ended`; it is logged at the signal, before anything is answered, so the three requests are in `running`, and the test looks there.

--- a/src/carawayward/blackboard.py
+++ b/src/carawayward/blackboard.py
@@ -102,6 +102,8 @@
     name and an incarnation, to the entry VM that has taken over its tickets;
     ``heir_of`` lists the issuers that this entry VM has taken over.
     ``endpoints_probed`` becomes True after the first round of probes.
+    ``ended_by_stop`` counts the requests that a planned stop has ended
+    although they may have run.
     """
 
     name: str
@@ -119,6 +121,7 @@
     endpoints_probed: bool = False
     in_flight: dict[str, int] = attrs.field(factory=dict)
     running: int = 0
+    ended_by_stop: int = 0
     quality: quality_module.QualityState = attrs.field(
         factory=quality_module.QualityState
     )
--- a/src/carawayward/daemon.py
+++ b/src/carawayward/daemon.py
@@ -191,6 +191,7 @@
             self.clock,
             self.controllers,
             lambda: app.open_requests,
+            self.api.lifecycle.deadlines,
         )
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
--- a/src/carawayward/decisions/admission.py
+++ b/src/carawayward/decisions/admission.py
@@ -7,6 +7,7 @@
 
 import collections
 import enum
+import math
 
 import attrs
 
@@ -90,7 +91,11 @@
 
 
 def find_latest_start(
-    times: ServiceTimes, kind: str, now_ms: float, deadline_ms: float
+    times: ServiceTimes,
+    kind: str,
+    now_ms: float,
+    deadline_ms: float,
+    stop_ms: float = math.inf,
 ) -> float:
     """The latest time at which a run can start and still likely end in time.
 
@@ -99,11 +104,15 @@
     reserved for the run: a few slow runs on one bad endpoint must not make the
     whole pool look too slow, since then nothing would run that could correct
     the estimate.
+
+    Before ``stop_ms``, the end of a planned stop, the whole run is reserved:
+    another entry VM has the time for it that this one lacks.
     """
     longest = estimate_longest_ms(times, kind)
-    return deadline_ms - min(
-        longest, MAX_RESERVED_PART * (deadline_ms - now_ms)
-    )
+    latest = deadline_ms
+    if math.isfinite(deadline_ms):
+        latest -= min(longest, MAX_RESERVED_PART * (deadline_ms - now_ms))
+    return min(latest, stop_ms - longest)
 
 
 def record_service_time(
--- a/src/carawayward/gateway/app.py
+++ b/src/carawayward/gateway/app.py
@@ -9,6 +9,7 @@
 from starlette import requests as http_requests
 from starlette import responses
 from starlette import routing
+import trio
 
 from carawayward import blackboard as blackboard_module
 from carawayward import declaration
@@ -25,6 +26,12 @@
 from carawayward import outcomes
 from carawayward.protocol import tokens
 
+# Only a stop that takes too long cancels a call.
+CUT_CALL = outcomes.Unknown(
+    outcomes.Reason.LEAVING,
+    "this entry VM stopped while it ran; look before you send it again",
+)
+
 Handler = typing.Callable[
     ["CallersApi", http_requests.Request],
     typing.Awaitable[responses.Response],
@@ -116,8 +123,9 @@
     ) -> responses.Response:
         """Run a completion; the answer is streamed if so requested."""
         customer = self._authenticate(request)
-        limits = self.lifecycle.settings.limits
-        data = await requests.read_json(request, limits)
+        data = await requests.read_json(
+            request, self.lifecycle.settings.limits, self.lifecycle.deadlines
+        )
         completion = requests.read_completion(request, data)
         pins: dict[str, str] = {}
         if completion.session:
@@ -196,12 +204,18 @@
                 )
             return replies.make_failure(refusal, "")
         customer = self._authenticate(request)
-        limits = self.lifecycle.settings.limits
-        data = await requests.read_json(request, limits)
+        data = await requests.read_json(
+            request, self.lifecycle.settings.limits, self.lifecycle.deadlines
+        )
         call = requests.read_service_call(request, data)
         self.lookups.begin(customer.name, call.request_key)
         try:
             outcome = await self._run_service(customer, call)
+        except trio.Cancelled:
+            self.lookups.record_outcome(
+                customer.name, call.request_key, CUT_CALL
+            )
+            raise
         finally:
             self.lookups.end(customer.name, call.request_key)
         self.lookups.record_outcome(customer.name, call.request_key, outcome)
--- a/src/carawayward/gateway/dispatch.py
+++ b/src/carawayward/gateway/dispatch.py
@@ -4,12 +4,15 @@
 fails, the request is retried on another one or refused.
 """
 
+import math
+
 import attrs
 import trio
 
 from carawayward import blackboard as blackboard_module
 from carawayward import clock as clock_module
 from carawayward.controllers import suspects as suspects_module
+from carawayward import deadlines
 from carawayward.decisions import admission
 from carawayward.decisions import placement
 from carawayward.decisions import queueing
@@ -35,6 +38,16 @@
 # The earlier steps of a cascade have already been paid for, so a later step
 # is dispatched before the same customer's new requests.
 LATER_STEP_PRIORITY = 1
+# What a caller can do if no endpoint was free in time.
+REMEDIES = {
+    outcomes.Reason.DEADLINE: (
+        "no endpoint was free in time; send it again with a later deadline"
+    ),
+    outcomes.Reason.LEAVING: (
+        "this entry VM is stopping, and no endpoint was free in time; call "
+        "another"
+    ),
+}
 
 
 @attrs.define(eq=False)
@@ -95,14 +108,13 @@
         request: requests.Completion,
         version: str,
         index: int,
-        deadline_ms: float,
+        deadline: deadlines.Deadline,
         on_text: running.OnText,
         buffered: bool,
     ) -> running.StepResult | outcomes.Outcome:
         """Run one step of a plan.
 
-        ``deadline_ms`` is a time on this process's monotonic clock. A
-        ``buffered`` step passes its text to ``on_text`` in one piece, once
+        A ``buffered`` step passes its text to ``on_text`` in one piece, once
         the answer is complete.
         """
         step = running.StepRun(
@@ -110,7 +122,7 @@
             request=request,
             version=version,
             index=index,
-            deadline_ms=deadline_ms,
+            deadline=deadline,
             on_text=on_text,
             buffered=buffered,
             fingerprint=suspicion.make_fingerprint(
@@ -205,9 +217,8 @@
                 return self._refuse_admission(step, rejection)
         if not await self.queues.wait(queue, waiter, is_retry=attempt > 0):
             return self._recheck(step) or step.refuse(
-                outcomes.Reason.DEADLINE,
-                "no endpoint was free in time; send it again with a later "
-                "deadline",
+                step.deadline.reason,
+                REMEDIES[step.deadline.reason],
                 admission.estimate_service_ms(
                     queue.service_times, step.customer.name
                 ),
@@ -222,14 +233,23 @@
     def _make_waiter(self, step: running.StepRun) -> queues_module.Waiter:
         service_times, customer = step.queue.service_times, step.customer.name
         work = admission.estimate_service_ms(service_times, customer)
-        latest_ms = admission.find_latest_start(
-            service_times, customer, self.clock.now_ms(), step.deadline_ms
-        )
+        now_ms = self.clock.now_ms()
+
+        def find_latest_start() -> float:
+            latest_ms = admission.find_latest_start(
+                service_times,
+                customer,
+                now_ms,
+                step.deadline.own_ms,
+                step.deadline.stop_ms,
+            )
+            return latest_ms - REFUSAL_MARGIN_MS
+
         item = queueing.WaitingRequest(
             customer=step.customer.name,
             weight=step.customer.weight,
             work=work,
-            latest_start_ms=latest_ms - REFUSAL_MARGIN_MS,
+            latest_start_ms=find_latest_start(),
             priority=LATER_STEP_PRIORITY if step.index else 0,
         )
         return queues_module.Waiter(
@@ -237,6 +257,8 @@
             key=placement.hash_key(running.find_cacheable_prefix(step)),
             fingerprint=step.fingerprint,
             excluded=step.excluded,
+            deadline=step.deadline,
+            find_latest_start=find_latest_start,
         )
 
     def _compute_queue_limit(self, customer: declaration.Customer) -> int:
@@ -252,6 +274,11 @@
         self, step: running.StepRun, rejection: admission.Refusal
     ) -> outcomes.Outcome:
         if rejection.cause is admission.Cause.HOPELESS:
+            if step.deadline.reason is outcomes.Reason.LEAVING:
+                return step.refuse(
+                    outcomes.Reason.LEAVING,
+                    REMEDIES[outcomes.Reason.LEAVING],
+                )
             return step.refuse(
                 outcomes.Reason.DEADLINE,
                 "the deadline is shorter than such an answer takes; give a "
@@ -309,6 +336,7 @@
         call: requests.ServiceCall,
         operation: declaration.Operation,
         pool: str,
+        deadline: deadlines.Deadline,
     ) -> outcomes.Outcome:
         """Call a plain service under the same limits as an engine.
 
@@ -322,14 +350,20 @@
         may_have_started = False
         for attempt in range(MAX_ATTEMPTS):
             waiter = await self._acquire_call(
-                customer, call, queue, excluded, attempt
+                customer, call, queue, excluded, attempt, deadline
             )
             if isinstance(waiter, outcomes.NotRun):
                 if may_have_started:
                     break
                 return waiter
             try:
-                return await self.runs.call(queue, waiter, call, operation)
+                with deadline.limit(self.clock):
+                    return await self.runs.call(queue, waiter, call, operation)
+                return outcomes.Unknown(
+                    deadline.reason,
+                    "this entry VM is stopping while it ran; look before you "
+                    "send it again",
+                )
             except errors.EndpointError as fault:
                 may_have_started |= fault.sent
                 excluded |= {fault.endpoint}
@@ -365,6 +399,7 @@
         queue: queues_module.DispatchQueue,
         excluded: frozenset[str],
         attempt: int,
+        deadline: deadlines.Deadline,
     ) -> queues_module.Waiter | outcomes.NotRun:
         """Wait for a slot for a service call, or return the refusal."""
         self.queues.refresh_candidates(queue)
@@ -386,7 +421,24 @@
             ),
             latest_start_ms=self.clock.now_ms() + wait_limit_ms,
         )
-        waiter = queues_module.Waiter(item=item, key=None, excluded=excluded)
+
+        def find_latest_start() -> float:
+            latest_ms = admission.find_latest_start(
+                queue.service_times,
+                customer.name,
+                self.clock.now_ms(),
+                math.inf,
+                deadline.stop_ms,
+            )
+            return min(item.latest_start_ms, latest_ms)
+
+        waiter = queues_module.Waiter(
+            item=item,
+            key=None,
+            excluded=excluded,
+            deadline=deadline,
+            find_latest_start=find_latest_start,
+        )
         if attempt == 0:
             queue_limit = self._compute_queue_limit(customer)
             rejection = self.queues.admit(queue, waiter, queue_limit)
@@ -398,7 +450,7 @@
                 )
         if not await self.queues.wait(queue, waiter, is_retry=attempt > 0):
             return outcomes.NotRun(
-                outcomes.Reason.DEADLINE,
+                deadline.reason,
                 "no endpoint was free in time; send it again",
                 RETRY_AFTER_MS,
             )
--- a/src/carawayward/gateway/lifecycle.py
+++ b/src/carawayward/gateway/lifecycle.py
@@ -3,11 +3,11 @@
 import typing
 
 import attrs
-import trio
 
 from carawayward import blackboard as blackboard_module
 from carawayward import clock as clock_module
 from carawayward.controllers import billing as billing_module
+from carawayward import deadlines as deadlines_module
 from carawayward.decisions import cascade
 from carawayward.decisions import evidence
 from carawayward.decisions import session
@@ -38,6 +38,12 @@
     dispatcher: dispatch.Dispatcher
     bills: billing_module.BillingController
     metrics: metrics_module.Metrics
+    deadlines: deadlines_module.Deadlines = attrs.field(
+        default=attrs.Factory(
+            lambda self: deadlines_module.Deadlines(self.clock),
+            takes_self=True,
+        )
+    )
 
     def refuse_admission(self) -> outcomes.NotRun | None:
         """Return a refusal if this entry VM accepts no new work now."""
@@ -127,15 +133,20 @@
                 "is cut off; call another one",
                 RETRY_AFTER_MS,
             )
-        ends_ms = self.clock.now_ms() + deadline_ms
         self.board.running += 1
         try:
-            with trio.move_on_after(deadline_ms / 1000):
-                return await self._run_plan(
-                    customer, request, plan, ends_ms, on_text
-                )
+            with self.deadlines.begin(deadline_ms) as deadline:
+                with deadline.limit(self.clock):
+                    return await self._run_plan(
+                        customer, request, plan, deadline, on_text
+                    )
         finally:
             self.board.running -= 1
+        if deadline.reason is outcomes.Reason.LEAVING:
+            return outcomes.Unknown(
+                outcomes.Reason.LEAVING,
+                "this entry VM is stopping while it ran; it may be sent again",
+            )
         return outcomes.Unknown(
             outcomes.Reason.DEADLINE,
             "the deadline passed while it ran; it may be sent again",
@@ -146,13 +157,13 @@
         customer: declaration.Customer,
         request: requests.Completion,
         plan: planning.Plan,
-        ends_ms: float,
+        deadline: deadlines_module.Deadline,
         on_text: OnText,
     ) -> outcomes.Outcome:
         tried: list[str] = []
         try:
             return await self._run_steps(
-                customer, request, plan.steps, ends_ms, on_text, tried
+                customer, request, plan.steps, deadline, on_text, tried
             )
         finally:
             planning.release(self.board, plan, tried)
@@ -162,7 +173,7 @@
         customer: declaration.Customer,
         request: requests.Completion,
         plan: list[cascade.Step],
-        ends_ms: float,
+        deadline: deadlines_module.Deadline,
         on_text: OnText,
         tried: list[str],
     ) -> outcomes.Outcome:
@@ -184,7 +195,7 @@
                 request,
                 step.version,
                 index,
-                ends_ms,
+                deadline,
                 on_text if last else buffer_text,
                 buffered=not (last and request.stream),
             )
@@ -211,7 +222,9 @@
                 cost=cost,
                 plan=tuple(tried),
             )
-            return await self._bill(customer, request.request_key, answer)
+            return await self._bill(
+                customer, request.request_key, answer, deadline
+            )
         raise AssertionError("the last step of a plan must accept any answer")
 
     def _record_answer(
@@ -255,6 +268,7 @@
         customer: declaration.Customer,
         request_key: str,
         answer: outcomes.Answered,
+        deadline: deadlines_module.Deadline,
         attempts: int = 1,
     ) -> outcomes.Outcome:
         """Store the bill durably before the answer counts as complete.
@@ -273,8 +287,9 @@
             made_ms=self.clock.wall_ms(),
         )
         for _ in range(attempts):
-            if await self.bills.make_durable(bill):
-                return answer
+            with deadline.limit(self.clock):
+                if await self.bills.make_durable(bill):
+                    return answer
         return outcomes.Interrupted(
             outcomes.Reason.NOT_BILLABLE,
             str(answer.text),
@@ -293,16 +308,17 @@
         watch = self.metrics.watch(customer.name, call.service)
         self.board.running += 1
         try:
-            outcome = await self.dispatcher.call_service(
-                customer, call, operation, pool
-            )
-            if isinstance(outcome, outcomes.Answered):
-                # A non-repeatable run continues after its caller has stopped
-                # waiting, so its bill gets more attempts.
-                attempts = 1 if operation.repeatable else BILL_ATTEMPTS
-                outcome = await self._bill(
-                    customer, call.request_key, outcome, attempts
+            with self.deadlines.begin() as deadline:
+                outcome = await self.dispatcher.call_service(
+                    customer, call, operation, pool, deadline
                 )
+                if isinstance(outcome, outcomes.Answered):
+                    # A non-repeatable run continues after its caller has
+                    # stopped waiting, so its bill gets more attempts.
+                    attempts = 1 if operation.repeatable else BILL_ATTEMPTS
+                    outcome = await self._bill(
+                        customer, call.request_key, outcome, deadline, attempts
+                    )
             record_metrics(watch, outcome)
             return outcome
         finally:
--- a/src/carawayward/gateway/lookups.py
+++ b/src/carawayward/gateway/lookups.py
@@ -88,6 +88,7 @@
             self._text_chars > MAX_TEXT_CHARS and len(self.recent_outcomes) > 1
         ):
             self._evict(next(iter(self.recent_outcomes)))
+        self._count_ended_by_stop(outcome)
         match outcome:
             case outcomes.NotRun(reason):
                 event = events.Event.REQUEST_REFUSED
@@ -99,6 +100,17 @@
             event, customer=customer, request=request_key, reason=reason
         )
 
+    def _count_ended_by_stop(self, outcome: outcomes.Outcome) -> None:
+        if self.board.state is not blackboard_module.NodeState.LEAVING:
+            return
+        metrics = self.once.lifecycle.metrics
+        match outcome:
+            case outcomes.NotRun(reason=outcomes.Reason.LEAVING):
+                metrics.count("stop.not_run")
+            case outcomes.Unknown(reason=outcomes.Reason.LEAVING):
+                self.board.ended_by_stop += 1
+                metrics.count("stop.ended")
+
     def _evict(self, key: Key) -> None:
         outcome = self.recent_outcomes.pop(key, None)
         if outcome is not None:
@@ -117,7 +129,8 @@
             name, _ = handover.follow_heirs(self.board.heirs, holder)
             if name not in peers and name != self.board.name:
                 peers.append(name)
-        answers += await self._ask_peers(key, peers)
+        with self.once.lifecycle.deadlines.limit():
+            answers += await self._ask_peers(key, peers)
         if answers:
             return max(answers, key=rank_answer)
         if holder is not None:
--- a/src/carawayward/gateway/once.py
+++ b/src/carawayward/gateway/once.py
@@ -205,9 +205,11 @@
     ) -> outcomes.Outcome:
         assert call.made_ms is not None
         key = (customer.name, call.request_key)
-        result = await self.claims.acquire(
-            key, call.made_ms, self._compute_timeout_ms(call)
-        )
+        result: claims_module.Result = claims_module.NoClaim()
+        with self.lifecycle.deadlines.limit():
+            result = await self.claims.acquire(
+                key, call.made_ms, self._compute_timeout_ms(call)
+            )
         match result:
             case claims_module.HeldBy(holder):
                 if not tickets.holds(self.rights, holder, self.self_id):
@@ -335,6 +337,16 @@
         holder: tuple[str, str],
     ) -> outcomes.Outcome:
         """Relay a call to the holder of its right, which alone may run it."""
+        with self.lifecycle.deadlines.limit():
+            return await self._call_holder(customer, call, holder)
+        return once_outcomes.make_holder_unavailable("gave no answer in time")
+
+    async def _call_holder(
+        self,
+        customer: declaration.Customer,
+        call: requests.ServiceCall,
+        holder: tuple[str, str],
+    ) -> outcomes.Outcome:
         name, incarnation = handover.follow_heirs(self.board.heirs, holder)
         try:
             link = await self.hub.get_link(
--- a/src/carawayward/gateway/queues.py
+++ b/src/carawayward/gateway/queues.py
@@ -11,6 +11,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.controllers import suspects as suspects_module
+from carawayward import deadlines
 from carawayward.decisions import admission
 from carawayward.decisions import limits
 from carawayward.decisions import placement
@@ -29,7 +30,8 @@
     """A queued request; ``view`` is set once it has a slot on an endpoint.
 
     ``suspect`` tells whether the slot is for the trial run of a request
-    that is suspected of crashing endpoints.
+    that is suspected of crashing endpoints. ``find_latest_start`` takes a
+    planned stop into account, which may begin while the request waits.
     """
 
     item: queueing.WaitingRequest
@@ -39,6 +41,12 @@
     event: trio.Event = attrs.field(factory=trio.Event)
     view: placement.EndpointView | None = None
     suspect: bool = False
+    deadline: deadlines.Deadline = attrs.field(factory=deadlines.Deadline)
+    find_latest_start: deadlines.FindTime = attrs.field(
+        default=attrs.Factory(
+            lambda self: lambda: self.item.latest_start_ms, takes_self=True
+        )
+    )
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -145,16 +153,19 @@
         convicted meanwhile. Cancellation removes the request from the queue
         at once and releases a slot that was granted at the same moment.
         """
+        if waiter.find_latest_start() < self.clock.now_ms():
+            return False
         if is_retry:
             queue.retry_waiters.append(waiter)
         else:
             waiter.item.payload = waiter
             queueing.push(queue.fair_queue, waiter.item)
         self.dispatch_waiting(queue)
-        wait_limit_ms = waiter.item.latest_start_ms - self.clock.now_ms()
         try:
             if waiter.view is None:
-                with trio.move_on_after(max(0.0, wait_limit_ms) / 1000):
+                with waiter.deadline.limit(
+                    self.clock, waiter.find_latest_start
+                ):
                     await waiter.event.wait()
         except BaseException:
             if waiter.view is not None:
--- a/src/carawayward/gateway/requests.py
+++ b/src/carawayward/gateway/requests.py
@@ -6,8 +6,8 @@
 
 import attrs
 from starlette import requests as http_requests
-import trio
 
+from carawayward import deadlines as deadlines_module
 from carawayward import errors
 from carawayward import settings as settings_module
 
@@ -54,12 +54,14 @@
 
 
 async def read_json(
-    request: http_requests.Request, limits: settings_module.Limits
+    request: http_requests.Request,
+    limits: settings_module.Limits,
+    deadlines: deadlines_module.Deadlines,
 ) -> dict:
     """Read a JSON object, limited in size, time and nesting depth."""
     body = bytearray()
     try:
-        with trio.fail_after(limits.body_timeout_ms / 1000):
+        with deadlines.limit(limits.body_timeout_ms) as scope:
             async for chunk in request.stream():
                 body += chunk
                 if len(body) > limits.max_body_bytes:
@@ -69,14 +71,14 @@
                         "send a smaller one",
                         status=413,
                     )
-    except trio.TooSlowError:
-        raise errors.BadRequest(
-            "body", "too slow", "send the body without pauses", status=408
-        ) from None
     except http_requests.ClientDisconnect:
         raise errors.BadRequest(
             "body", "cut off", "send the whole body"
         ) from None
+    if scope.cancelled_caught:
+        raise errors.BadRequest(
+            "body", "too slow", "send the body without pauses", status=408
+        )
     return parse_json(body)
 
 
--- a/src/carawayward/gateway/running.py
+++ b/src/carawayward/gateway/running.py
@@ -11,6 +11,7 @@
 from carawayward import blackboard as blackboard_module
 from carawayward import clock as clock_module
 from carawayward.controllers import suspects as suspects_module
+from carawayward import deadlines
 from carawayward.decisions import admission
 from carawayward.decisions import placement
 from carawayward.decisions import retry
@@ -60,7 +61,7 @@
     request: requests.Completion
     version: str
     index: int
-    deadline_ms: float
+    deadline: deadlines.Deadline
     on_text: OnText
     buffered: bool
     fingerprint: str
@@ -225,7 +226,7 @@
                 return end
             except trio.Cancelled:
                 now_ms = self.clock.now_ms()
-                if now_ms >= step.deadline_ms:
+                if now_ms >= step.deadline.ends_ms:
                     self._record_service_time(
                         step.queue, waiter, now_ms - began_ms
                     )
--- a/src/carawayward/stopping.py
+++ b/src/carawayward/stopping.py
@@ -9,11 +9,18 @@
 
 from carawayward import blackboard as blackboard_module
 from carawayward import clock as clock_module
+from carawayward import deadlines as deadlines_module
 from carawayward import events
 from carawayward import settings as settings_module
 from carawayward import supervision
 
 POLL_INTERVAL_MS = 20.0
+# The end of a stop in which no request may wait any more: the replies are
+# written and the controllers hand over their state, for which the links to
+# peers alone take 0.5 s. At most a part of the whole, so that a short stop
+# also leaves time for requests.
+CLOSING_MS = 2_000.0
+MAX_CLOSING_PART = 0.25
 CUT_EXIT_CODE = 1
 FORCED_EXIT_DELAY_S = 2.0
 
@@ -30,6 +37,8 @@
     """The steps of a planned stop; ``stage`` names the current one.
 
     ``count_open`` counts requests whose response is not completely written.
+    ``deadlines`` are those of all requests in hand. ``cut`` is set if the
+    stop ended a request or a task.
     """
 
     settings: settings_module.Settings
@@ -37,6 +46,7 @@
     clock: clock_module.Clock
     controllers: typing.Sequence[Closable]
     count_open: typing.Callable[[], int]
+    deadlines: deadlines_module.Deadlines
     stop_serving: trio.Event = attrs.field(factory=trio.Event)
     stage: str = "not begun"
     cut: bool = False
@@ -47,7 +57,8 @@
         First the VM reports that it is not ready, and waits until the load
         balancer has removed it: a request that still arrives is answered
         ("not run, leaving") instead of meeting a closed port. Then running
-        requests finish, and then the listeners close.
+        requests finish, and then the listeners close. A request that cannot
+        finish in time runs out of it shortly before, and is answered so.
         """
         self.board.state = blackboard_module.NodeState.LEAVING
         events.log_event(
@@ -55,21 +66,31 @@
             running=self.board.running,
             open=self.count_open(),
         )
-        cause = "deadline"
-        deadline_s = self.settings.stop.deadline_ms / 1000
-        with trio.move_on_after(deadline_s) as scope:
+        deadline_ms = self.settings.stop.deadline_ms
+        closing_ms = compute_closing_ms(deadline_ms)
+        now_ms = self.clock.now_ms()
+        self.deadlines.bring_forward(now_ms + deadline_ms - closing_ms)
+        with trio.move_on_after(deadline_ms / 1000) as scope:
             async with trio.open_nursery() as nursery:
 
                 async def end_on_signal() -> None:
-                    nonlocal cause
                     await anext(signals)
-                    cause = "second signal"
-                    scope.cancel()
+                    self._report_cut("second signal")
+                    self.deadlines.bring_forward(self.clock.now_ms())
+                    scope.deadline = min(
+                        scope.deadline, trio.current_time() + closing_ms / 1000
+                    )
 
                 nursery.start_soon(end_on_signal)
                 await self._run_stages()
                 nursery.cancel_scope.cancel()
-        if self.stage == "left":
+        if self.stage != "left":
+            self._report_cut("deadline")
+        self.stop_serving.set()
+
+    def _report_cut(self, cause: str) -> None:
+        """Log that requests or tasks are ended, once for each stop."""
+        if self.cut:
             return
         self.cut = True
         events.log_event(
@@ -78,15 +99,18 @@
             stage=self.stage,
             running=self.board.running,
             open=self.count_open(),
+            ended=self.board.ended_by_stop,
         )
-        self.stop_serving.set()
 
     async def _run_stages(self) -> None:
         self.stage = "waiting for the load balancer"
-        await self.clock.sleep(self.settings.stop.unready_ms)
+        with self.deadlines.limit(self.settings.stop.unready_ms):
+            await trio.sleep_forever()
         self.stage = "finishing requests"
         while self.board.running or self.count_open():
             await self.clock.sleep(POLL_INTERVAL_MS)
+        if self.board.ended_by_stop:
+            self._report_cut("deadline")
         self.stop_serving.set()
         for controller in reversed(self.controllers):
             self.stage = f"closing {type(controller).__name__}"
@@ -103,6 +127,11 @@
         self.stage = "left"
 
 
+def compute_closing_ms(deadline_ms: float) -> float:
+    """How long before the end of a stop its requests run out of time."""
+    return min(CLOSING_MS, MAX_CLOSING_PART * deadline_ms)
+
+
 def force_exit_later() -> None:
     """End the process soon if a stop that was cut short does not end it.
 
--- a/tests/failures/test_stop_answers.py
+++ b/tests/failures/test_stop_answers.py
@@ -2,6 +2,7 @@
 
 import collections
 import concurrent.futures
+import functools
 import json
 import signal
 import time
@@ -118,7 +119,7 @@
 
 def stop_and_collect(
     running: deployment.Deployment,
-    calls: dict[str, typing.Callable[[], deployment.Response]],
+    calls: typing.Mapping[str, typing.Callable[[], deployment.Response]],
     begun: typing.Callable[[], bool],
     signals: int = 1,
 ) -> Ended:
@@ -208,8 +209,11 @@
         )
 
 
-def check_unknown(ended: Ended) -> None:
-    """Check that each request got an answer that promises nothing."""
+def check_unknown(ended: Ended, counted_as: str) -> None:
+    """Check that each request got an answer that promises nothing.
+
+    ``counted_as`` is the field of the event of the stop that counts them.
+    """
     found = {key: describe(reply) for key, reply in ended.replies.items()}
     assert found == dict.fromkeys(
         ("run", "service", "ticket"), (504, False)
@@ -217,7 +221,7 @@
     assert ended.count_final_lines() == dict.fromkeys(found, 1)
     assert ended.exit_code == 1
     (cut,) = ended.find_events("work_cut")
-    assert cut["ended"] == 3, cut
+    assert cut[counted_as] == 3, cut
 
 
 def test_requests_that_endpoints_work_on_are_answered_before_the_deadline():
@@ -226,12 +230,12 @@
     An engine's first token, a service's answer and that of a call that may
     not be repeated are still to come when the deadline of the stop passes.
     """
-    check_unknown(stop_while_endpoints_work(signals=1))
+    check_unknown(stop_while_endpoints_work(signals=1), "ended")
 
 
 def test_requests_that_endpoints_work_on_are_answered_at_a_second_signal():
     """An operator in a hurry resets the connections of all callers."""
-    check_unknown(stop_while_endpoints_work(signals=2))
+    check_unknown(stop_while_endpoints_work(signals=2), "running")
 
 
 def stop_during_a_stream(signals: int) -> Ended:
@@ -278,7 +282,7 @@
         assert complete(vm, "learn", "first").status == 200
         running.set_faults("matchers-0", late_ms=60_000)
         calls = {
-            key: lambda key=key: complete(vm, key, key)
+            key: functools.partial(complete, vm, key, key)
             for key in (f"request-{number}" for number in range(12))
         }
 
