A stop has a line of each request that it cuts off

What operators saw: a caller that reads no more holds its request to the end of the stop.

Cause: a write that the caller does not take cannot be cancelled. The process ends before the request's task gets to record its outcome.

Change: at its end a stop records "unknown, leaving" for each request that is still in hand; whatever its task records later is dropped, so that there is one line. A cancelled service call records "unknown".

--- a/src/carawayward/daemon.py
+++ b/src/carawayward/daemon.py
@@ -192,6 +192,7 @@
             self.controllers,
             lambda: app.open_requests,
             self.api.lifecycle.deadlines,
+            self.api.lookups.cut_off,
         )
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
--- a/src/carawayward/gateway/app.py
+++ b/src/carawayward/gateway/app.py
@@ -26,10 +26,9 @@
 from carawayward import outcomes
 from carawayward.protocol import tokens
 
-# Only a stop that takes too long cancels a call.
-CUT_CALL = outcomes.Unknown(
-    outcomes.Reason.LEAVING,
-    "this entry VM stopped while it ran; look before you send it again",
+CANCELLED_CALL = outcomes.Unknown(
+    outcomes.Reason.CALLER_LEFT,
+    "the caller left while it ran; look before you send it again",
 )
 
 Handler = typing.Callable[
@@ -211,14 +210,16 @@
         self.lookups.begin(customer.name, call.request_key)
         try:
             outcome = await self._run_service(customer, call)
+        except Exception:
+            # It is logged and answered by its handler.
+            self.lookups.end(customer.name, call.request_key)
+            raise
         except trio.Cancelled:
-            self.lookups.record_outcome(
-                customer.name, call.request_key, CUT_CALL
+            self.lookups.end_with_outcome(
+                customer.name, call.request_key, CANCELLED_CALL
             )
             raise
-        finally:
-            self.lookups.end(customer.name, call.request_key)
-        self.lookups.record_outcome(customer.name, call.request_key, outcome)
+        self.lookups.end_with_outcome(customer.name, call.request_key, outcome)
         if isinstance(outcome, outcomes.Answered):
             return responses.JSONResponse(
                 outcome.text,
--- a/src/carawayward/gateway/lookups.py
+++ b/src/carawayward/gateway/lookups.py
@@ -65,10 +65,33 @@
     def end_with_outcome(
         self, customer: str, request_key: str, outcome: outcomes.Outcome
     ) -> None:
-        """Record the end of an attempt together with its outcome."""
+        """Record the end of an attempt together with its outcome.
+
+        An attempt that ``cut_off`` has ended is not recorded again.
+        """
+        if (customer, request_key) not in self.running:
+            return
         self.end(customer, request_key)
         self.record_outcome(customer, request_key, outcome)
 
+    def cut_off(self) -> None:
+        """Record the end of all attempts, right before the process ends.
+
+        A write that its caller does not take cannot be cancelled, so the
+        task of such a request may not get to record anything.
+        """
+        for (customer, request_key), count in list(self.running.items()):
+            for _ in range(count):
+                self.end_with_outcome(
+                    customer,
+                    request_key,
+                    outcomes.Unknown(
+                        outcomes.Reason.LEAVING,
+                        "this entry VM stopped while it ran; look before you "
+                        "send it again",
+                    ),
+                )
+
     def record_outcome(
         self, customer: str, request_key: str, outcome: outcomes.Outcome
     ) -> None:
--- a/src/carawayward/stopping.py
+++ b/src/carawayward/stopping.py
@@ -37,7 +37,8 @@
     """The steps of a planned stop; ``stage`` names the current one.
 
     ``count_open`` counts requests whose response is not completely written.
-    ``deadlines`` are those of all requests in hand. ``cut`` is set if the
+    ``deadlines`` are those of all requests in hand; ``cut_off`` records the
+    end of those that are not over when the stop ends. ``cut`` is set if the
     stop ended a request or a task.
     """
 
@@ -47,6 +48,7 @@
     controllers: typing.Sequence[Closable]
     count_open: typing.Callable[[], int]
     deadlines: deadlines_module.Deadlines
+    cut_off: typing.Callable[[], None]
     stop_serving: trio.Event = attrs.field(factory=trio.Event)
     stage: str = "not begun"
     cut: bool = False
@@ -86,6 +88,7 @@
                 nursery.cancel_scope.cancel()
         if self.stage != "left":
             self._report_cut("deadline")
+            self.cut_off()
         self.stop_serving.set()
 
     def _report_cut(self, cause: str) -> None:
--- a/tests/failures/test_stop_answers.py
+++ b/tests/failures/test_stop_answers.py
@@ -5,6 +5,7 @@
 import functools
 import json
 import signal
+import socket
 import time
 import typing
 
@@ -360,3 +361,115 @@
     assert ended.took_s["relayed"] < 3.0
     lines = [e for e in entry_events if e["name"] in FINAL_EVENTS]
     assert [line["request"] for line in lines] == ["relayed"]
+
+
+def test_call_that_is_queued_for_a_service_is_refused_as_not_run():
+    """A caller must look up a call that was never sent.
+
+    All slots of the service are taken by calls that give no answer. The
+    ticket of the queued call stays unused, and its heir runs it.
+    """
+    plan = streaming.make_plan(entry_vms=2, engines=1, stop=STOP)
+    with deployment.Deployment(plan) as running:
+        vm, heir = running.entry_vms
+        running.set_faults("swap-desk-0", silent_before=True)
+        tickets = {
+            f"call-{number}": call_api(vm, "", "/v1/tickets", {}).json()
+            for number in range(8)
+        }
+        calls = {
+            key: functools.partial(
+                call_service,
+                vm,
+                key,
+                "log-swap",
+                **{"Carawayward-Ticket": issued["ticket"]},
+            )
+            for key, issued in tickets.items()
+        }
+        ended = stop_and_collect(
+            running, calls, lambda: count_running(vm) == len(calls)
+        )
+        refused = [
+            key
+            for key, reply in ended.replies.items()
+            if describe(reply) == (503, True)
+        ]
+        assert refused, ended.replies
+        for key in set(calls) - set(refused):
+            assert describe(ended.replies[key]) == (504, False)
+        assert ended.count_final_lines() == dict.fromkeys(calls, 1)
+        running.set_faults("swap-desk-0", silent_before=False)
+        for key in refused:
+            assert ended.replies[key].json()["reason"] == "leaving"
+            ticket = {"Carawayward-Ticket": tickets[key]["ticket"]}
+            again = call_service(heir, key, "log-swap", **ticket)
+            assert again.status == 200, again
+        assert count_runs(running, "swap-desk") == len(refused)
+
+
+def test_body_that_is_still_being_sent_is_answered_by_a_stop():
+    """A caller that sends its body slowly gets a reset connection."""
+    plan = streaming.make_plan(engines=1, stop=STOP)
+    with deployment.Deployment(plan) as running:
+        vm = running.entry_vms[0]
+        assert vm.process is not None
+        host, _, port = vm.callers.partition(":")
+        with socket.create_connection((host, int(port)), 20.0) as connection:
+            connection.sendall(
+                b"POST /v1/chat/completions HTTP/1.1\r\nHost: vm\r\n"
+                b"Authorization: Bearer demo-ikeja-families\r\n"
+                b"Content-Length: 1000\r\n\r\n{"
+            )
+            # The head has been read once a later request is answered.
+            assert deployment.call("GET", vm.callers, "/readyz").status == 200
+            vm.process.send_signal(signal.SIGTERM)
+            reply = connection.recv(65_536)
+        assert reply.startswith(b"HTTP/1.1 408 "), reply
+        assert b'"not_run":true' in reply, reply
+        vm.process.wait(EXIT_TIMEOUT_S)
+        bad = [
+            event
+            for event in read_events(running, vm.name)
+            if event["name"] == "request_bad"
+        ]
+        assert len(bad) == 1, bad
+
+
+def test_request_whose_caller_stops_reading_has_its_line():
+    """An operator cannot find the request that a stop cut off.
+
+    The caller of a long stream reads no more, so that nothing can be
+    written until the process ends.
+    """
+    plan = streaming.make_plan(engines=1, stop=SHORT_STOP)
+    with deployment.Deployment(plan) as running:
+        vm = running.entry_vms[0]
+        assert vm.process is not None
+        running.set_faults("matchers-0", token_ms=0)
+        with streaming.open_stream(vm.callers, "tokens=900000") as response:
+            chunks = response.iter_stream()
+            next(chunks)
+            headers = dict(response.headers)
+            key = headers[b"carawayward-request"].decode()
+            assert streaming.wait_for(lambda: has_stalled(running))
+            vm.process.send_signal(signal.SIGTERM)
+            assert vm.process.wait(EXIT_TIMEOUT_S) == 1
+        lines = [
+            event["request"]
+            for event in read_events(running, vm.name)
+            if event["name"] in FINAL_EVENTS
+        ]
+    assert lines == [key], lines
+
+
+def has_stalled(running: deployment.Deployment) -> bool:
+    """Whether the engine makes no more tokens of its only run."""
+    address = running.addresses["matchers-0"]
+    counts = []
+    for _ in range(2):
+        (run,) = deployment.call("GET", address, "/kept").json()
+        counts.append(run["made"])
+        time.sleep(0.5)
+        assert run["state"] == "running", run
+    return bool(counts[0] == counts[1])
