Refusals before a request is read have a line in the log

What operators saw: a stopping entry VM answers requests on kept connections with "not run, leaving", and its log does not show them. They are made before the request has a key, by code that logged nothing.

Readiness checks stay without a line.

--- a/src/carawayward/gateway/app.py
+++ b/src/carawayward/gateway/app.py
@@ -49,7 +49,7 @@
     ) -> responses.Response:
         refusal = api.lifecycle.refuse_admission()
         if refusal is not None:
-            return replies.make_failure(refusal, "")
+            return make_early_refusal(refusal)
         return await handle(api, request)
 
     return check_and_handle
@@ -106,11 +106,14 @@
         """Liveness check: succeeds whenever the process can answer."""
         return responses.JSONResponse({"live": True, "name": self.board.name})
 
-    @require_admission
     async def show_ready(
         self, request: http_requests.Request
     ) -> responses.Response:
         """Readiness check for the platform's load balancer."""
+        refusal = self.lifecycle.refuse_admission()
+        if refusal is not None:
+            # Checks are too frequent for a line in the log each.
+            return replies.make_failure(refusal, "")
         assert self.board.config is not None
         return responses.JSONResponse(
             {"ready": True, "revision": self.board.config.revision}
@@ -174,7 +177,7 @@
         if self.board.config is None:
             refusal = self.lifecycle.refuse_admission()
             assert refusal is not None
-            return replies.make_failure(refusal, "")
+            return make_early_refusal(refusal)
         customer = self._authenticate(request)
         key = request.path_params["key"]
         found = await self.lookups.find(customer.name, key)
@@ -198,10 +201,8 @@
         refusal = self.lifecycle.refuse_admission()
         if refusal is not None:
             if requests.may_be_retry(request):
-                return replies.make_failure(
-                    make_uncertain_refusal(refusal), ""
-                )
-            return replies.make_failure(refusal, "")
+                return make_early_refusal(make_uncertain_refusal(refusal))
+            return make_early_refusal(refusal)
         customer = self._authenticate(request)
         data = await requests.read_json(
             request, self.lifecycle.settings.limits, self.lifecycle.deadlines
@@ -270,6 +271,17 @@
         return customer
 
 
+def make_early_refusal(
+    refusal: outcomes.NotRun | outcomes.Unknown,
+) -> responses.Response:
+    """Log and answer a request that is refused before it is read."""
+    event = events.Event.REQUEST_REFUSED
+    if isinstance(refusal, outcomes.Unknown):
+        event = events.Event.REQUEST_UNKNOWN
+    events.log_event(event, reason=refusal.reason)
+    return replies.make_failure(refusal, "")
+
+
 def make_uncertain_refusal(refusal: outcomes.NotRun) -> outcomes.Unknown:
     """Turn an early refusal of a possible retry into an unknown outcome.
 
--- a/tests/failures/test_stop_answers.py
+++ b/tests/failures/test_stop_answers.py
@@ -2,6 +2,7 @@
 
 import collections
 import concurrent.futures
+import contextlib
 import functools
 import json
 import signal
@@ -10,6 +11,7 @@
 import typing
 
 import attrs
+import httpcore
 
 from tests.common import deployment
 from tests.common import streaming
@@ -473,3 +475,47 @@
         time.sleep(0.5)
         assert run["state"] == "running", run
     return bool(counts[0] == counts[1])
+
+
+def test_requests_that_arrive_during_a_stop_have_a_line_each():
+    """An operator cannot tell how many requests a stop has turned away.
+
+    They come over connections that were open before, are answered at once,
+    and the log had no line of them.
+    """
+    plan = streaming.make_plan(
+        engines=1, stop={"unready_ms": 1_500, "deadline_ms": 20_000}
+    )
+    paths = ("/v1/chat/completions", "/v1/services/swap-desk/look-up-parcel")
+    with deployment.Deployment(plan) as running:
+        vm = running.entry_vms[0]
+        assert vm.process is not None
+        with contextlib.ExitStack() as stack:
+            pools = [
+                stack.enter_context(httpcore.ConnectionPool()) for _ in paths
+            ]
+            for pool in pools:
+                pool.request("GET", f"http://{vm.callers}/healthz")
+            vm.process.send_signal(signal.SIGTERM)
+            assert streaming.wait_for(
+                lambda: any(
+                    event["name"] == "node_leaving"
+                    for event in read_events(running, vm.name)
+                )
+            )
+            for pool, path in zip(pools, paths, strict=True):
+                reply = pool.request(
+                    "POST",
+                    f"http://{vm.callers}{path}",
+                    headers=list(streaming.HEADERS.items()),
+                    content=json.dumps(streaming.make_body("late")).encode(),
+                )
+                assert reply.status == 503, reply
+                assert json.loads(reply.content)["not_run"] is True
+        assert vm.process.wait(EXIT_TIMEOUT_S) == 0
+        lines = [
+            (event["name"], event["reason"])
+            for event in read_events(running, vm.name)
+            if event["name"] in FINAL_EVENTS
+        ]
+    assert lines == [("request_refused", "leaving")] * 2, lines
