--- a/src/carawayward/gateway/app.py
+++ b/src/carawayward/gateway/app.py
@@ -9,6 +9,7 @@
 from starlette import requests as http_requests
 from starlette import responses
 from starlette import routing
+import trio
 
 from carawayward import blackboard as blackboard_module
 from carawayward import declaration
@@ -25,6 +26,11 @@
 from carawayward import outcomes
 from carawayward.protocol import tokens
 
+CANCELLED_CALL = outcomes.Unknown(
+    outcomes.Reason.CALLER_LEFT,
+    "the caller left while it ran; look before you send it again",
+)
+
 Handler = typing.Callable[
     ["CallersApi", http_requests.Request],
     typing.Awaitable[responses.Response],
@@ -43,7 +49,7 @@
     ) -> responses.Response:
         refusal = api.lifecycle.refuse_admission()
         if refusal is not None:
-            return replies.make_failure(refusal, "")
+            return make_early_refusal(refusal)
         return await handle(api, request)
 
     return check_and_handle
@@ -100,11 +106,14 @@
         """Liveness check: succeeds whenever the process can answer."""
         return responses.JSONResponse({"live": True, "name": self.board.name})
 
-    @require_admission
     async def show_ready(
         self, request: http_requests.Request
     ) -> responses.Response:
         """Readiness check for the platform's load balancer."""
+        refusal = self.lifecycle.refuse_admission()
+        if refusal is not None:
+            # Checks are too frequent for a line in the log each.
+            return replies.make_failure(refusal, "")
         assert self.board.config is not None
         return responses.JSONResponse(
             {"ready": True, "revision": self.board.config.revision}
@@ -116,8 +125,9 @@
     ) -> responses.Response:
         """Run a completion; the answer is streamed if so requested."""
         customer = self._authenticate(request)
-        limits = self.lifecycle.settings.limits
-        data = await requests.read_json(request, limits)
+        data = await requests.read_json(
+            request, self.lifecycle.settings.limits, self.lifecycle.deadlines
+        )
         completion = requests.read_completion(request, data)
         pins: dict[str, str] = {}
         if completion.session:
@@ -167,7 +177,7 @@
         if self.board.config is None:
             refusal = self.lifecycle.refuse_admission()
             assert refusal is not None
-            return replies.make_failure(refusal, "")
+            return make_early_refusal(refusal)
         customer = self._authenticate(request)
         key = request.path_params["key"]
         found = await self.lookups.find(customer.name, key)
@@ -191,20 +201,26 @@
         refusal = self.lifecycle.refuse_admission()
         if refusal is not None:
             if requests.may_be_retry(request):
-                return replies.make_failure(
-                    make_uncertain_refusal(refusal), ""
-                )
-            return replies.make_failure(refusal, "")
+                return make_early_refusal(make_uncertain_refusal(refusal))
+            return make_early_refusal(refusal)
         customer = self._authenticate(request)
-        limits = self.lifecycle.settings.limits
-        data = await requests.read_json(request, limits)
+        data = await requests.read_json(
+            request, self.lifecycle.settings.limits, self.lifecycle.deadlines
+        )
         call = requests.read_service_call(request, data)
         self.lookups.begin(customer.name, call.request_key)
         try:
             outcome = await self._run_service(customer, call)
-        finally:
+        except Exception:
+            # It is logged and answered by its handler.
             self.lookups.end(customer.name, call.request_key)
-        self.lookups.record_outcome(customer.name, call.request_key, outcome)
+            raise
+        except trio.Cancelled:
+            self.lookups.end_with_outcome(
+                customer.name, call.request_key, CANCELLED_CALL
+            )
+            raise
+        self.lookups.end_with_outcome(customer.name, call.request_key, outcome)
         if isinstance(outcome, outcomes.Answered):
             return responses.JSONResponse(
                 outcome.text,
@@ -255,6 +271,17 @@
         return customer
 
 
+def make_early_refusal(
+    refusal: outcomes.NotRun | outcomes.Unknown,
+) -> responses.Response:
+    """Log and answer a request that is refused before it is read."""
+    event = events.Event.REQUEST_REFUSED
+    if isinstance(refusal, outcomes.Unknown):
+        event = events.Event.REQUEST_UNKNOWN
+    events.log_event(event, reason=refusal.reason)
+    return replies.make_failure(refusal, "")
+
+
 def make_uncertain_refusal(refusal: outcomes.NotRun) -> outcomes.Unknown:
     """Turn an early refusal of a possible retry into an unknown outcome.
 
