A reply that is being sent is sent whole, and its connection read on

Callers saw a part of an answer that its server had given in full, or an answer and then none to the next request on the kept connection, if the request's task was cancelled (by its deadline, or because its entry VM stops) in the moment in which the reply was sent. Cause: what the socket did not take at once waits for a lock before the shielded write, and taking a lock, even a free one, can be cancelled; and after the last write hypercorn has another checkpoint, before it lets the connection read on. The wait for the lock, and the end of a reply, are shielded now; each is bounded by the time limit of writes, and an abort ends both.

Trial, two requests on one connection, the first one's task cancelled as its body is sent: the second timed out, now it is answered.

--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -73,11 +73,14 @@
             return
         self.protocol.ending = True
         self.protocol.start_buffering()
-        try:
-            await super().app_send(message)
-        finally:
-            self.protocol.ending = False
-            await self.protocol.release()
+        # If the end were cancelled after it has been written, the connection
+        # would stay open but never read its next request.
+        with trio.CancelScope(shield=True):
+            try:
+                await super().app_send(message)
+            finally:
+                self.protocol.ending = False
+                await self.protocol.release()
 
 
 class Http1Protocol(h11_protocol.H11Protocol):
@@ -339,22 +342,22 @@
                 data = data[http.write_nonblocking(self.stream, data) :]
             if not data:
                 return
-        async with self.send_lock:
-            try:
-                with trio.CancelScope(
-                    shield=True,
-                    relative_deadline=self.config.silence_ms / 1000,
-                ) as scope:
+        try:
+            # Waiting for the lock can be cancelled too, even for a free one.
+            with trio.CancelScope(
+                shield=True, relative_deadline=self.config.silence_ms / 1000
+            ) as scope:
+                async with self.send_lock:
                     await self.stream.send_all(data)
-                if not scope.cancelled_caught:
-                    return
-                await trio.aclose_forcefully(self.stream)
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-                trio.BusyResourceError,
-            ):
-                pass
+            if not scope.cancelled_caught:
+                return
+            await trio.aclose_forcefully(self.stream)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.BusyResourceError,
+        ):
+            pass
         await self.protocol.handle(hypercorn_events.Closed())
 
 
--- a/tests/failures/test_listener_stop.py
+++ b/tests/failures/test_listener_stop.py
@@ -1,6 +1,7 @@
 """A stopping listener serves requests that were sent before the stop."""
 
 import socket
+import typing
 
 import trio
 
@@ -8,9 +9,12 @@
 from tests.common import listeners
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: circle.example\r\n\r\n"
+CLOSING_REQUEST = REQUEST[:-2] + b"Connection: close\r\n\r\n"
 # Connections that are open when the listener stops. trio schedules tasks in
 # random order, so with this many at least one meets the unfavourable order.
 CALLERS = 20
+# More than a socket takes at once.
+LARGE_BYTES = 8_000_000
 
 
 async def open_callers(host: str, port: int) -> list[trio.SocketStream]:
@@ -98,3 +102,48 @@
             assert await read_status(stream) == b"HTTP/1.1 200 "
 
     listeners.run_beside_listener(scenario)
+
+
+async def answer_large_cancelled(
+    scope: dict, receive: typing.Any, send: typing.Any
+) -> None:
+    """Send an answer in a scope that is cancelled as the body is sent."""
+    body = bytes(LARGE_BYTES)
+    length = str(len(body)).encode()
+    with trio.CancelScope() as cancelled:
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [(b"content-length", length)],
+            }
+        )
+        cancelled.cancel()
+        await send(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+
+def test_answer_whose_task_is_cancelled_while_it_is_written_is_sent_whole():
+    """The caller gets a part of an answer, or none to its next request.
+
+    What the socket took at once was on the wire; the write of the rest
+    waited for a lock and was cancelled there. After an answer that was
+    written whole its connection was not read again.
+    """
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        caller = await trio.open_tcp_stream(host, port)
+        for request in (REQUEST, CLOSING_REQUEST):
+            await caller.send_all(request)
+            received = await caller.receive_some()
+            head, _, body = received.partition(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200 ")
+            left = LARGE_BYTES - len(body)
+            while left and (chunk := await caller.receive_some()):
+                left -= len(chunk)
+            assert left == 0
+        stop.set()
+
+    listeners.run_beside_listener(scenario, answer_large_cancelled)
