--- a/tests/failures/test_kept_connections.py
+++ b/tests/failures/test_kept_connections.py
@@ -260,3 +260,36 @@
     cuts = [e for e in lines if e["event"] is events.Event.REQUESTS_CUT]
     assert sum(each["stop"] for each in cuts) == 3
     assert len(cuts) <= 2
+
+
+def test_request_after_a_reply_that_was_cancelled_at_its_end_is_answered():
+    """A request waits for ever behind a reply that its caller has whole.
+
+    The task of the reply is cancelled once the body is sent, as by its
+    deadline, and its connection is never prepared for another request.
+    """
+
+    async def answer(scope: dict, receive: typing.Any, send: typing.Any):
+        length = [(b"content-length", b"2")]
+        start = {"type": "http.response.start", "status": 200}
+        await send({**start, "headers": length})
+        with trio.CancelScope() as task:
+            body = {"type": "http.response.body", "body": b"ok"}
+            await send({**body, "more_body": True})
+            task.cancel()
+            await send({"type": "http.response.body", "body": b""})
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        async with await trio.open_tcp_stream(host, port) as caller:
+            for path in (b"/first", b"/second"):
+                await caller.send_all(
+                    b"GET %b HTTP/1.1\r\nHost: a.example\r\n\r\n" % path
+                )
+                reply = b""
+                with trio.fail_after(5):
+                    while not reply.endswith(b"\r\n\r\nok"):
+                        reply += await caller.receive_some()
+                        assert reply
+        stop.set()
+
+    listeners.run_beside_listener(scenario, answer)
