Close connections under blocked writes at the end of a stop, and log why

After the idle close no longer closes sockets under their readers, the end of a stop did not end a write that its caller does not read, and the process would have been killed. Sockets are closed forcefully there now.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -393,7 +393,8 @@
 
     def record_cut(self, work: work_items.Work) -> None:
         """Log that a request was cancelled before its response was whole."""
-        self._log_end(work, 0, "cut")
+        stopped = self.stop_deadline.due_ms <= self.clock.now_ms()
+        self._log_end(work, 0, refusals.LEAVING if stopped else "cut")
 
     def _log_end(self, work: work_items.Work, status: int, cause: str) -> None:
         work.is_logged = True
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -320,6 +320,10 @@
         """
         self.waiting.cancel()
 
+    def close_forcefully(self) -> None:
+        """Close the socket, under a write of another task too."""
+        self._get_socket().close()
+
     def has_unread(self) -> bool:
         """Whether the socket has received bytes that are not read yet.
 
@@ -565,7 +569,7 @@
             # A write that its caller does not read is shielded from
             # cancellation and would keep the process until it is killed.
             for connection in list(open_connections):
-                connection.abort()
+                connection.close_forcefully()
         connections.cancel_scope.cancel()
 
 
