Soak: planned stops and reloads of entry VMs, and checks of LOST

Cause: the soak killed entry VMs and never stopped or reloaded one, and no checker saw a request that ends without an answer.

Callers record for each try how far the request and its answer came, on a kept or a fresh connection. Checks of LOST, of final log lines, and of unsafe requests that were refused and ran or ran twice.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 import itertools
 import math
 import random
+import typing
 
 import attrs
 import httpcore
@@ -32,6 +33,7 @@
     httpcore.ConnectTimeout,
     ConnectionResetError,
 )
+Trace = typing.Callable[[str, dict[str, typing.Any]], typing.Awaitable[None]]
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -204,6 +206,7 @@
             customer=customer,
             rank=kind.rank,
             target_ms=kind.target_ms,
+            unsafe=kind.route_kind == "unsafe",
         )
         self.history.sent[sent.request_id] = sent
         return sent
@@ -237,29 +240,38 @@
         request_id, history = sent.request_id, self.history
         headers = self._make_headers(kind, sent)
         status, wait_ms = 0, 0.0
-        with trio.move_on_after(sent.deadline_ms / 1000):
+        record = history.tries[request_id] = records.Try()
+        with trio.move_on_after(sent.deadline_ms / 1000) as scope:
             try:
                 async with self.get_pool(vm, is_fresh).stream(
                     "GET" if kind.route_kind == "safe" else "POST",
                     f"http://127.0.0.1:{vm.caller_port}{sent.content}",
                     headers=list(headers.items()),
                     content=b"" if kind.route_kind == "safe" else b"body",
-                    extensions={"timeout": {"connect": CONNECT_S}},
+                    extensions={
+                        "timeout": {"connect": CONNECT_S},
+                        "trace": make_trace(record),
+                    },
                 ) as response:
                     async for _ in response.aiter_stream():
                         if 200 <= response.status < 300:
                             history.begun.add(request_id)
             except CALL_FAILURES as fault:
+                record.ended_ms = trio.current_time() * 1000
+                record.unread = is_unread(fault) and not record.begun
                 history.statuses[request_id] = 0
                 if is_unread(fault) and request_id not in history.begun:
                     history.unread.add(request_id)
                 return 0, 0.0
             status = response.status
+            record.complete = True
             for name, value in response.headers:
                 if name.lower() == b"retry-after":
                     wait_ms = float(value) * 1000
+        record.gave_up = scope.cancelled_caught
+        record.ended_ms = trio.current_time() * 1000
         history.statuses[request_id] = status
-        history.answered_ms[request_id] = trio.current_time() * 1000
+        history.answered_ms[request_id] = record.ended_ms
         return status, wait_ms
 
     def get_pool(
@@ -276,6 +288,25 @@
         return self.pools[name]
 
 
+def make_trace(record: records.Try) -> Trace:
+    """Make a trace of the client that records how far a request came."""
+
+    async def trace(event: str, info: dict[str, typing.Any]) -> None:
+        match event:
+            case "connection.connect_tcp.started":
+                record.kept = False
+            case "http11.send_request_body.complete":
+                record.sent_ms = trio.current_time() * 1000
+            case "http11.receive_response_headers.complete":
+                record.begun = True
+                headers = info["return_value"][3]
+                record.closing = (b"connection", b"close") in [
+                    (name.lower(), value.lower()) for name, value in headers
+                ]
+
+    return trace
+
+
 def is_unread(fault: BaseException | None) -> bool:
     """Whether a connection was not established, refused or reset.
 
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -14,6 +14,7 @@
 
 from tests.soak import configurations
 from tests.soak import hard_load
+from tests.soak import lost
 from tests.soak import records
 
 MAX_REQUESTS_ON_TOO_MANY_ENDPOINTS = 3
@@ -595,6 +596,7 @@
     "refused runs": hard_load.check_refused_runs,
     "idle room": hard_load.check_idle_room,
     **configurations.CHECKERS,
+    **lost.CHECKERS,
 }
 
 
--- a/tests/soak/configurations.py
+++ b/tests/soak/configurations.py
@@ -24,6 +24,8 @@
 PROBE_INTERVAL_S = 0.2
 PROBE_DEADLINE_MS = 2_000.0
 STORM_VERSIONS, STORM_GAP_S = 20, 0.1
+# From below the pauses between requests of a kept connection to the usual.
+IDLE_LIMITS_MS = (500, 1_000, 3_000, 15_000)
 GROWN_ROUTES, MAX_IDLE_ROUTES = 700, 1_400
 RAN = (200, 500)
 MIN_PROBES_COMPARED = 20
@@ -40,6 +42,7 @@
     draw: random.Random
     version: int = 1
     config: dict = attrs.field(factory=traffic.make_config)
+    idle_ms: int | None = None
 
     def __attrs_post_init__(self) -> None:
         self.history.versions.append(self._make_record(0.0))
@@ -73,12 +76,19 @@
         ]
         first["routes"] += [make_route(f"probe-{self.version}"), *grown]
         first["tenants"][0]["apiKeys"].append(f"key-{self.version}")
+        if self.idle_ms is not None:
+            first["limits"]["idleTimeoutMs"] = self.idle_ms
         self.config = first
         self.store.put(TOPIC, "config", self.config)
         self.history.versions.append(
             self._make_record(trio.current_time() * 1000)
         )
 
+    def change_idle_limit(self, strength: float) -> None:
+        """Write a version with another idle limit of connections."""
+        self.idle_ms = IDLE_LIMITS_MS[int(strength * len(IDLE_LIMITS_MS))]
+        self.change()
+
     def write_invalid(self) -> None:
         """Write a record that is no valid version."""
         self.version += 1
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -13,6 +13,7 @@
 from tests.soak import checkers
 from tests.soak import configurations
 from tests.soak import endpoints
+from tests.soak import planned_work
 from tests.soak import processes
 from tests.soak import records
 from tests.soak import schedule
@@ -58,7 +59,7 @@
 SLOW_STORE_MS = 250.0
 # Where links to the store are narrow, a configuration may take longer.
 NARROW_LINK_BOUNDS = records.Bounds(apply_ms=3_000.0)
-MEASURE_DELAY_S = 0.05
+MEASURE_DELAY_S, MIN_STALL_MS = 0.05, 10.0
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -125,7 +126,7 @@
             await trio.sleep(WARM_UP_S)
             self.began_ms = trio.current_time() * 1000
             await self.callers.run(nursery)
-            if any(each in schedule.CONFIG_FAULTS for each in kinds):
+            if any(each in schedule.OPERATOR_FAULTS for each in kinds):
                 self._probe_configurations(nursery)
             await self._inject(nursery)
             await trio.sleep(
@@ -201,6 +202,15 @@
             await trio.sleep_until(due_s)
             late_ms = (trio.current_time() - due_s) * 1000
             self.max_delay_ms = max(self.max_delay_ms, late_ms)
+            if late_ms > MIN_STALL_MS:
+                self.history.stalls.append(
+                    records.Disruption(
+                        name="",
+                        kind="stall",
+                        from_ms=due_s * 1000,
+                        until_ms=due_s * 1000 + late_ms,
+                    )
+                )
 
     async def _inject(self, nursery: trio.Nursery) -> None:
         for each in self.faults:
@@ -288,6 +298,10 @@
                 self.operator.change(configurations.GROWN_ROUTES)
             case kind.CONFIG_INVALID:
                 self.operator.write_invalid()
+            case kind.CONFIG_IDLE_LIMIT:
+                self.operator.change_idle_limit(fault.strength)
+            case each if each in schedule.PLANNED_FAULTS:
+                await planned_work.apply(self.vms, fault)
             case each if each in schedule.HARD_LOAD_FAULTS:
                 await self._take_room(fault)
             case kind.CRASHING_REQUEST:
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -1,6 +1,7 @@
 """Entry VM processes, and the faults that hit them from outside."""
 
 import json
+import math
 import os
 import pathlib
 import signal
@@ -35,7 +36,10 @@
   apply_ms: {apply}
   retry_ratio: {ratio}
   retry_slack: {slack}
+  grace_ms: {grace}
+  session_ms: {session}
 """
+SESSION_MS = 5_000.0
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -63,6 +67,7 @@
     process: trio.Process | None = None
     starts: int = 0
     ends_unasked: int = 0
+    session_ms: float = SESSION_MS
 
     def __attrs_post_init__(self) -> None:
         self.caller_link = link_module.Link(self.ports[0], passes_resets=True)
@@ -91,11 +96,16 @@
                     self._signal(signal.SIGKILL)
 
     async def _run_process(self) -> None:
+        last = self.record
         self.starts += 1
-        path = self._write_settings()
+        path = self.write_settings()
         disruption = self.disrupt("start")
-        log = self.folder / f"{self.name}.{self.starts}.log"
-        with log.open("wb") as output:
+        disruption.planned = last is not None and last.stop_ms < math.inf
+        record = records.VmProcess(
+            vm=self.name, start=self.starts, from_ms=disruption.from_ms
+        )
+        self.history.processes.append(record)
+        with self.log_path.open("wb") as output:
             self.process = await trio.lowlevel.open_process(
                 [
                     sys.executable,
@@ -118,13 +128,33 @@
                 process_group=0,
             )
         disruption.until_ms = trio.current_time() * 1000
-        if await self.process.wait() != -signal.SIGKILL:
+        record.exit_code = await self.process.wait()
+        record.until_ms = trio.current_time() * 1000
+        asked = {-signal.SIGKILL}
+        if record.stop_ms < math.inf:
+            # SIGTERM ends a process that has no handler for it yet.
+            asked |= {0, -signal.SIGTERM}
+        if record.exit_code not in asked:
             self.ends_unasked += 1
 
-    def _write_settings(self) -> pathlib.Path:
+    @property
+    def record(self) -> records.VmProcess | None:
+        """The record of the last process."""
+        own = [p for p in self.history.processes if p.vm == self.name]
+        return own[-1] if own else None
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        """The log of the last process."""
+        return self.folder / f"{self.name}.{self.starts}.log"
+
+    def write_settings(self) -> pathlib.Path:
+        """Write the settings file."""
         path = self.folder / f"{self.name}.yaml"
         callers, readiness, peers, metrics, _, store = self.ports
-        path.write_text(
+        # A process that reads it meanwhile finds a complete one.
+        fresh = path.with_suffix(".new")
+        fresh.write_text(
             SETTINGS.format(
                 name=self.name,
                 zone=self.zone,
@@ -137,9 +167,12 @@
                 apply=f"{self.bounds.apply_ms:g}",
                 ratio=f"{self.bounds.retry_ratio:g}",
                 slack=f"{self.bounds.retry_slack:g}",
+                grace=f"{self.bounds.grace_ms:g}",
+                session=f"{self.session_ms:g}",
             ),
             encoding="utf-8",
         )
+        fresh.replace(path)
         return path
 
     async def wait_until_ready(self) -> None:
@@ -176,6 +209,42 @@
             disruption.until_ms = disruption.from_ms
             self._signal(signal.SIGKILL)
 
+    async def stop(self) -> None:
+        """Ask the process to end, and end it after the grace.
+
+        It is started again. Only the process itself gets SIGTERM: what bounds
+        its processor time has to outlive it.
+        """
+        process, record = self.process, self.record
+        if (
+            process is None
+            or record is None
+            or process.returncode is not None
+            or record.stop_ms < math.inf
+        ):
+            return
+        disruption = self.disrupt("stop")
+        disruption.planned = True
+        record.stop_ms = disruption.from_ms
+        process.send_signal(signal.SIGTERM)
+        with trio.move_on_after(self.bounds.grace_ms / 1000):
+            await process.wait()
+        if process is self.process:
+            self._signal(signal.SIGKILL)
+        disruption.until_ms = trio.current_time() * 1000
+
+    def reload(self) -> None:
+        """Have the process read its settings again."""
+        # One that has logged nothing yet would be ended by SIGHUP.
+        if (
+            self.process is not None
+            and self.process.returncode is None
+            and self.log_path.stat().st_size > 0
+        ):
+            now_ms = trio.current_time() * 1000
+            self.history.reloads_ms.setdefault(self.name, []).append(now_ms)
+            self.process.send_signal(signal.SIGHUP)
+
     def _signal(self, number: signal.Signals) -> None:
         """Send a signal to the process and what bounds its processor time."""
         if self.process is not None and self.process.returncode is None:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -20,6 +20,8 @@
     apply_ms: float = 2_000.0
     back_ms: float = 250.0
     revoke_ms: float = 5_000.0
+    grace_ms: float = 8_000.0
+    loss_slack_ms: float = 200.0
 
 
 @attrs.define(kw_only=True)
@@ -30,7 +32,7 @@
     ``first_try`` is false if it repeats a request that was refused or failed.
     ``parts`` are those of its prompt that others may share, in order. A
     lower ``rank`` is more urgent. The tries of one ``call`` follow each other;
-    its caller is in ``zone``.
+    its caller is in ``zone``. An ``unsafe`` one may run only once.
     """
 
     request_id: str
@@ -48,6 +50,7 @@
     target_ms: float = math.inf
     call: int = 0
     zone: str = ""
+    unsafe: bool = False
 
     @property
     def ends_ms(self) -> float:
@@ -55,6 +58,46 @@
         return self.at_ms + self.deadline_ms
 
 
+@attrs.define(kw_only=True)
+class Try:
+    """What a caller saw of one request on its connection.
+
+    ``kept`` is whether the connection had carried a request before,
+    ``sent_ms`` when the last byte was sent. The answer has ``begun`` and is
+    ``complete``, or not; with ``closing`` it said that the connection ends.
+    One that was ``unread`` got a reset or no connection. The connection ended,
+    or the caller ``gave_up``, at ``ended_ms``.
+    """
+
+    kept: bool = True
+    sent_ms: float = math.inf
+    begun: bool = False
+    complete: bool = False
+    closing: bool = False
+    unread: bool = False
+    gave_up: bool = False
+    ended_ms: float = math.inf
+
+
+@attrs.define(kw_only=True)
+class VmProcess:
+    """One process of an entry VM, and what its log has on requests.
+
+    ``stop_ms`` is when it got SIGTERM. ``finals`` counts the final lines of
+    each request, ``logged`` are all requests with a line. ``exit_code`` is
+    None while it runs.
+    """
+
+    vm: str
+    start: int
+    from_ms: float
+    until_ms: float = math.inf
+    stop_ms: float = math.inf
+    exit_code: int | None = None
+    finals: dict[str, int] = attrs.field(factory=dict)
+    logged: set[str] = attrs.field(factory=set)
+
+
 @attrs.define(kw_only=True, eq=False)
 class Arrival:
     """A request at an endpoint.
@@ -79,12 +122,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Disruption:
-    """A time in which an entry VM or an endpoint was disrupted."""
+    """A time in which an entry VM or an endpoint was disrupted.
+
+    A stop and the start that follows it are ``planned``.
+    """
 
     name: str
     kind: str
     from_ms: float
     until_ms: float = math.inf
+    planned: bool = False
 
     def overlaps(self, from_ms: float, until_ms: float) -> bool:
         """Whether any of it lies in the given time."""
@@ -173,7 +220,9 @@
     the times in which room may be short, ``places`` the slots of each endpoint
     by service. The connections of ``unread`` requests were refused, or closed
     before an entry VM had read them. ``versions`` are those of the
-    configuration, the first one first.
+    configuration, the first one first. ``reloads_ms`` are the times of the
+    SIGHUPs of each entry VM, ``stalls`` those in which callers and endpoints
+    ran late.
     """
 
     sent: dict[str, Sent] = attrs.field(factory=dict)
@@ -194,6 +243,10 @@
     invalid_paths: list[str] = attrs.field(factory=list)
     probes: list[Probe] = attrs.field(factory=list)
     ended_ms: float = math.inf
+    tries: dict[str, Try] = attrs.field(factory=dict)
+    processes: list[VmProcess] = attrs.field(factory=list)
+    reloads_ms: dict[str, list[float]] = attrs.field(factory=dict)
+    stalls: list[Disruption] = attrs.field(factory=list)
 
     def find_vm(self, arrival: Arrival) -> str:
         """The entry VM that a request came from."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,6 +21,7 @@
 from tests.soak import checkers
 from tests.soak import configurations
 from tests.soak import deployment
+from tests.soak import lost
 from tests.soak import records
 from tests.soak import schedule
 
@@ -48,6 +49,9 @@
     crashing_parts: list[str]
     skews: list[str]
     configurations: str
+    stops: int
+    reloads: int
+    tries: dict[str, int]
     harness_delay_ms: float
 
     @property
@@ -59,6 +63,9 @@
 def summarize(soak: deployment.Soak) -> Result:
     """Check a run."""
     history = soak.history
+    for process in history.processes:
+        name = f"{process.vm}.{process.start}.log"
+        lost.read_log(process, soak.folder / name)
     windows = checkers.list_windows(history, soak.bounds)
     return Result(
         seed=soak.seed,
@@ -85,6 +92,9 @@
         ],
         skews=[describe_skew(soak, each) for each in history.skews],
         configurations=describe_configurations(soak),
+        stops=sum(each.stop_ms < math.inf for each in history.processes),
+        reloads=sum(map(len, history.reloads_ms.values())),
+        tries=lost.describe_tries(history, soak.bounds),
         harness_delay_ms=round(soak.max_delay_ms),
     )
 
@@ -208,6 +218,14 @@
             for each in soak.faults
         ],
         "sent": [attrs.asdict(each) for each in history.sent.values()],
+        "tries": {
+            key: attrs.asdict(each) for key, each in history.tries.items()
+        },
+        "processes": [
+            attrs.asdict(each, filter=lambda field, _: field.name != "logged")
+            for each in history.processes
+        ],
+        "reloads_ms": history.reloads_ms,
         "arrivals": [attrs.asdict(each) for each in history.arrivals],
         "probes": [attrs.asdict(each) for each in history.probes],
         "disruptions": [
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -52,6 +52,10 @@
     CONFIG_GROWN = "configuration with many more routes"
     CONFIG_INVALID = "configuration that is not valid"
     STORE_SLOW = "store slow"
+    CONFIG_IDLE_LIMIT = "configuration with another idle limit"
+    VM_STOPPED = "vm stopped"
+    ROLLING_STOP = "all vms stopped in turn"
+    VM_RELOADED = "settings of a vm reloaded"
 
 
 # Faults that take room; callers then have ranks and several customers.
@@ -72,6 +76,18 @@
     Fault.CONFIG_INVALID,
 )
 
+# All changes by operators; the seeds in use rest on those above.
+OPERATOR_FAULTS = (*CONFIG_FAULTS, Fault.CONFIG_IDLE_LIMIT)
+
+
+# Planned work, during which no request may be lost.
+PLANNED_FAULTS = (
+    Fault.CONFIG_IDLE_LIMIT,
+    Fault.VM_STOPPED,
+    Fault.ROLLING_STOP,
+    Fault.VM_RELOADED,
+)
+
 
 # Drawn unless others are named; the seeds in use rest on this choice.
 USUAL_FAULTS = tuple(
@@ -85,6 +101,7 @@
         Fault.STORE_SLOW,
         *CONFIG_FAULTS,
         *HARD_LOAD_FAULTS,
+        *PLANNED_FAULTS,
     )
 )
 
