--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -59,6 +59,8 @@
 SLOW_STORE_MS = 250.0
 # Where links to the store are narrow, a configuration may take longer.
 NARROW_LINK_BOUNDS = records.Bounds(apply_ms=3_000.0)
+# Longer than the grace of an entry VM that is stopped.
+MAX_QUEUE_S = 10.0
 MEASURE_DELAY_S, MIN_STALL_MS = 0.05, 10.0
 
 
@@ -276,6 +278,9 @@
                 await _change([endpoint], fault.for_ms, mute=share)
             case kind.ENDPOINT_SLOW:
                 await _change([endpoint], fault.for_ms, slowness=20.0 * share)
+            case kind.SERVICE_QUEUES:
+                queue_s = MAX_QUEUE_S * fault.strength
+                await _change(group, fault.for_ms, queue_s=queue_s)
             case kind.BURST:
                 self.callers.load *= 1.0 + 2.0 * fault.strength
                 await trio.sleep(fault.for_ms / 1000)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -30,14 +30,16 @@
     """How an endpoint treats requests until it is told otherwise.
 
     ``failing``, ``declining`` and ``mute`` are shares of the requests;
-    ``rest_s`` is the Retry-After of those declined, 0 for none. While it is
-    ``stalled``, nothing that runs goes on.
+    ``rest_s`` is the Retry-After of those declined, 0 for none. They wait for
+    ``queue_s`` before they run. While it is ``stalled``, nothing that runs
+    goes on.
     """
 
     failing: float = 0.0
     declining: float = 0.0
     mute: float = 0.0
     rest_s: float = 0.0
+    queue_s: float = 0.0
     slowness: float = 1.0
     stalled: bool = False
 
@@ -207,6 +209,11 @@
     async def _process(
         self, exchange: raw_http.Exchange, arrival: records.Arrival
     ) -> None:
+        if self.conduct.queue_s:
+            with trio.move_on_after(self.conduct.queue_s):
+                # Ends as soon as its entry VM has left.
+                await exchange.stream.receive_some(1)
+                return
         arrival.ran = True
         if self.crash_mark in exchange.request.target:
             arrival.crashed = True
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -56,6 +56,7 @@
     VM_STOPPED = "vm stopped"
     ROLLING_STOP = "all vms stopped in turn"
     VM_RELOADED = "settings of a vm reloaded"
+    SERVICE_QUEUES = "requests wait in the queues of a service"
 
 
 # Faults that take room; callers then have ranks and several customers.
@@ -99,6 +100,7 @@
         Fault.CRASHING_PART,
         Fault.SKEWED_CONNECTIONS,
         Fault.STORE_SLOW,
+        Fault.SERVICE_QUEUES,
         *CONFIG_FAULTS,
         *HARD_LOAD_FAULTS,
         *PLANNED_FAULTS,
