--- a/src/carawayward/daemon.py
+++ b/src/carawayward/daemon.py
@@ -191,6 +191,8 @@
             self.clock,
             self.controllers,
             lambda: app.open_requests,
+            self.api.lifecycle.deadlines,
+            self.api.lookups.cut_off,
         )
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -11,6 +11,7 @@
   data occupies a task until TCP times out.
 """
 
+import contextlib
 import functools
 import json
 import socket
@@ -31,6 +32,7 @@
 import trio
 
 from carawayward import accept_queue
+from carawayward import closes
 from carawayward import events
 from carawayward import http_client as http
 from carawayward import listening
@@ -45,6 +47,10 @@
 # that replace all entry VMs left a request without an answer. Callers are a
 # few ms away, and a busy process reads within tens of ms.
 IDLE_GRACE_S = 0.1
+# How long, and how much, is read and discarded after the last reply on a
+# connection. A caller may still send the body of a request that was refused.
+DISCARD_S = 2.0
+MAX_DISCARDED_BYTES = 16 * 1_048_576
 # The key of a request's state with a function that says how long ago, in ms,
 # the kernel received the connection's last data.
 FIND_AGE_MS = "find_age_ms"
@@ -57,6 +63,7 @@
 class Exchange(http_stream.HTTPStream):
     """One request and its response."""
 
+    config: listening.ListenerConfig
     protocol: "Http1Protocol"
 
     async def app_send(
@@ -73,11 +80,18 @@
             return
         self.protocol.ending = True
         self.protocol.start_buffering()
-        try:
-            await super().app_send(message)
-        finally:
-            self.protocol.ending = False
-            await self.protocol.release()
+        # If the end were cancelled after it has been written, the connection
+        # would stay open but never read its next request.
+        with trio.CancelScope(
+            shield=True, relative_deadline=self.config.silence_ms / 1000
+        ) as ending:
+            try:
+                await super().app_send(message)
+            finally:
+                self.protocol.ending = False
+                await self.protocol.release()
+        if ending.cancelled_caught:
+            await self.protocol.send(hypercorn_events.Closed())
 
 
 class Http1Protocol(h11_protocol.H11Protocol):
@@ -133,10 +147,40 @@
                 await self.release()
             return
         if type(event) is hypercorn_protocol_events.Response:
+            if self._is_last():
+                event.headers.append((b"connection", b"close"))
             self.chunked = self._will_chunk(event)
             self.start_buffering()
         await super().stream_send(event)
 
+    def _is_last(self) -> bool:
+        """Whether no request follows, as the listener has been stopped."""
+        return (
+            self.context.terminated.is_set()
+            and not self.connection.trailing_data[0]
+        )
+
+    async def _maybe_recycle(self) -> None:
+        """Prepare for the next request, or close if there can be none.
+
+        A request that has been read is served after a stop, too. Unless a
+        reply says otherwise the connection is closed when it is idle.
+        """
+        await self._close_stream()
+        connection = self.connection
+        assert isinstance(connection, h11.Connection)
+        recycles = (
+            connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+        )
+        if recycles:
+            connection.start_next_cycle()
+        await self.can_read.set()
+        if recycles:
+            await self.send(hypercorn_events.Updated(idle=True))
+        else:
+            await self.send(hypercorn_events.Closed())
+
     def _will_chunk(self, event: hypercorn_protocol_events.Response) -> bool:
         """Whether h11 will use chunked encoding; mirrors its own decision."""
         assert isinstance(self.connection, h11.Connection)
@@ -242,15 +286,22 @@
         self.idle = IdleTimer()
         self.idle_task = typing.cast(worker_context.TrioSingleTask, self.idle)
         self.exchanges: Http1Protocol | None = None
+        self.waiting = trio.CancelScope()
+        self.reading = trio.CancelScope()
+        self.discarding = False
 
     async def run(self) -> None:
         """Serve the connection; an exception ends only this connection."""
         self.open_connections.add(self)
         try:
             await super().run()
+        except trio.Cancelled:
+            self._record_stop()
+            raise
         except (Exception, BaseExceptionGroup) as fault:
             _, rest = supervision.split_cancelled(fault)
             if rest is None:
+                self._record_stop()
                 raise
             events.log_event(
                 events.Event.FAULT,
@@ -262,11 +313,12 @@
             await trio.aclose_forcefully(self.stream)
 
     def abort(self) -> None:
-        """Close the connection immediately, from outside its task.
+        """Close the connection if its task waits for bytes.
 
-        Its task, which waits for a request, then finds it closed and ends.
+        A read that has already taken bytes from the socket cannot be
+        cancelled any more; those bytes may be a whole request.
         """
-        self._get_socket().close()
+        self.waiting.cancel()
 
     def has_unread(self) -> bool:
         """Whether the socket has received bytes that are not read yet.
@@ -286,6 +338,43 @@
         finally:
             plain.detach()
 
+    async def _finish(self) -> None:
+        """Send the end of the connection, and discard what still comes.
+
+        If a socket is closed while it has unread bytes, or gets some later,
+        the kernel resets the connection, and the caller may lose the last
+        reply (RFC 9112, 9.6).
+        """
+        async with self.send_lock:
+            with contextlib.suppress(OSError):
+                self._get_socket().shutdown(socket.SHUT_WR)
+        if not self.discarding:
+            self._record_end()
+            self.discarding = True
+            self.idle.since = None
+            self.reading.deadline = trio.current_time() + DISCARD_S
+        await self.protocol.handle(hypercorn_events.Closed())
+
+    def _record_close(self, reason: closes.CloseReason) -> None:
+        self.config.closes.record(reason, self.has_request())
+
+    def _record_stop(self) -> None:
+        if self.has_request():
+            self._record_close(closes.CloseReason.STOP)
+
+    def _record_end(self) -> None:
+        """Record why no further request is read."""
+        assert self.exchanges is not None
+        h11_connection = self.exchanges.connection
+        if h11_connection.their_state is h11.ERROR:
+            self._record_close(closes.CloseReason.MALFORMED)
+        elif h11_connection.our_state is h11.SEND_BODY:
+            self.config.closes.record(
+                closes.CloseReason.UNFINISHED_REPLY, ends_request=True
+            )
+        elif h11_connection.their_state is h11.SEND_BODY:
+            self._record_close(closes.CloseReason.EARLY_REPLY)
+
     def has_request(self) -> bool:
         """Whether a request is in hand."""
         return self.exchanges is not None and self.exchanges.stream is not None
@@ -296,7 +385,7 @@
         If the protocol waited for a write before it said that it became
         idle, the next request may have been read meanwhile.
         """
-        idle = idle and not self.has_request()
+        idle = idle and not self.discarding and not self.has_request()
         self.idle.since = trio.current_time() if idle else None
 
     def _get_socket(self) -> trio.socket.SocketType:
@@ -318,7 +407,44 @@
             wrapper.server,
             wrapper.send,
         )
-        await super()._read_data()
+        with self.reading:
+            await self._read_requests()
+            await self._discard_rest()
+        await wrapper.handle(hypercorn_events.Closed())
+
+    async def _read_requests(self) -> None:
+        while not self.discarding:
+            data = await self._receive()
+            if data is None:
+                return
+            if not self.discarding:
+                await self.protocol.handle(hypercorn_events.RawData(data))
+            if not data:
+                return
+
+    async def _discard_rest(self) -> None:
+        """Discard what the caller sends after the last reply."""
+        left = MAX_DISCARDED_BYTES
+        while self.discarding and left > 0:
+            data = await self._receive()
+            if not data:
+                return
+            left -= len(data)
+
+    async def _receive(self) -> bytes | None:
+        """Wait for bytes; None if the connection is broken or aborted."""
+        while True:
+            with trio.CancelScope() as self.waiting:
+                try:
+                    return bytes(
+                        await self.stream.receive_some(tcp_server.MAX_RECV)
+                    )
+                except (trio.ClosedResourceError, trio.BrokenResourceError):
+                    return None
+            # Bytes may have arrived since the decision to abort.
+            if not self.has_unread():
+                self._record_close(closes.CloseReason.IDLE)
+                return None
 
     async def protocol_send(self, event: hypercorn_events.Event) -> None:
         """Write with a time limit.
@@ -331,7 +457,7 @@
             self._update_idle(event.idle)
             return
         if not isinstance(event, hypercorn_events.RawData):
-            await super().protocol_send(event)
+            await self._finish()
             return
         data = event.data
         if not self.send_lock.locked():
@@ -339,22 +465,23 @@
                 data = data[http.write_nonblocking(self.stream, data) :]
             if not data:
                 return
-        async with self.send_lock:
-            try:
-                with trio.CancelScope(
-                    shield=True,
-                    relative_deadline=self.config.silence_ms / 1000,
-                ) as scope:
+        try:
+            # Waiting for the lock can be cancelled too, even for a free one.
+            with trio.CancelScope(
+                shield=True, relative_deadline=self.config.silence_ms / 1000
+            ) as scope:
+                async with self.send_lock:
                     await self.stream.send_all(data)
-                if not scope.cancelled_caught:
-                    return
-                await trio.aclose_forcefully(self.stream)
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-                trio.BusyResourceError,
-            ):
-                pass
+            if not scope.cancelled_caught:
+                return
+            self._record_close(closes.CloseReason.WRITE_TIMEOUT)
+            await trio.aclose_forcefully(self.stream)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.BusyResourceError,
+        ):
+            pass
         await self.protocol.handle(hypercorn_events.Closed())
 
 
@@ -383,6 +510,15 @@
     app: typing.Any, config: listening.ListenerConfig, stop: trio.Event
 ) -> None:
     """Serve until ``stop`` is set, then wait for open requests to finish."""
+    try:
+        await _serve(app, config, stop)
+    finally:
+        config.closes.log()
+
+
+async def _serve(
+    app: typing.Any, config: listening.ListenerConfig, stop: trio.Event
+) -> None:
     context = worker_context.WorkerContext(None)
     open_connections: set[Connection] = set()
     asgi_app = hypercorn_utils.wrap_app(app, config.wsgi_max_body_size, "asgi")
@@ -464,10 +600,10 @@
         due = since + timeout_s
         if due > now:
             next_due = min(next_due, due)
-        elif connection.has_unread():
-            next_due = now
         else:
-            connection.abort()
+            if not connection.has_unread():
+                connection.abort()
+            next_due = now
     return next_due - now
 
 
