--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -21,6 +21,7 @@
 from carawayward.forwarding import message_types
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import readiness as readiness_module
+from carawayward.forwarding import refusals
 from carawayward.forwarding import replies
 from carawayward.forwarding import table as table_module
 from carawayward.forwarding import work_items
@@ -58,7 +59,7 @@
     ``finished`` is set right before the end of the body is sent. If
     ``should_redirect_callers`` returns true when the reply starts, the reply
     closes the caller's connection. ``work`` is the request's, once that has
-    been accepted.
+    been accepted. ``is_logged`` is set once the request's end is logged.
     """
 
     send_event: Send
@@ -66,6 +67,7 @@
     started: bool = False
     finished: bool = False
     work: work_items.Work | None = None
+    is_logged: bool = False
 
     async def start(self, status: int, headers: message_types.Headers) -> None:
         """Send status and headers."""
@@ -119,16 +121,18 @@
         try:
             await self._serve(scope, receive, reply, kept)
         except Refused as refusal:
+            reply.is_logged = True
             self._log_refusal(scope, refusal)
             await replies.refuse(reply, refusal.status, refusal.retry_after_ms)
         except CallerLeft:
-            pass
+            self._log_incomplete(scope, reply, "caller left")
         except (Exception, BaseExceptionGroup) as fault:
             _, rest = supervision.split_cancelled(fault)
             if rest is None:
                 raise
             await self._end_with_fault(scope, reply, rest)
         finally:
+            self._log_cut(scope, reply)
             kept.release()
             self.board.open_requests -= 1
 
@@ -150,9 +154,12 @@
         check_framing(scope["headers"])
         limits = self._find_limits()
         check_length(scope["headers"], limits.body_bytes, kept)
-        body = await read_body(
-            receive, limits.body_bytes, limits.idle_ms, kept
-        )
+        with self.board.stop_deadline.limit(self.clock.now_ms()) as reading:
+            body = await read_body(
+                receive, limits.body_bytes, limits.idle_ms, kept
+            )
+        if reading.cancelled_caught:
+            raise make_leaving_refusal()
         request = make_request(scope, body)
         work = reply.work = self._make_work(request, began_ms)
         work.waited_ms = waited_ms
@@ -174,6 +181,7 @@
         has begun stays unfinished, which shows that it is truncated.
         """
         self.metrics.count("faults", kind=type(fault).__name__)
+        reply.is_logged = True
         work = reply.work
         may_have_run = work is not None and work.may_have_run
         events.log_event(
@@ -204,7 +212,7 @@
         if table is None:
             raise Refused(503, "no routing table yet", NOT_READY_RETRY_MS)
         if self.board.refusing:
-            raise Refused(503, "leaving", readiness_module.OTHER_VM_RETRY_MS)
+            raise make_leaving_refusal()
         try:
             metadata = self.dialect.read_request(request.headers)
         except errors.BadRequest as fault:
@@ -251,6 +259,26 @@
         """Make the refusal of a request that needs a current table."""
         return Refused(503, cause, self.readiness.compute_retry_after_ms())
 
+    def _log_cut(self, scope: dict, reply: AsgiReply) -> None:
+        """Log the end of a request that was cancelled with its connection."""
+        if reply.is_logged:
+            return
+        if reply.work is None:
+            self._log_incomplete(scope, reply, "connection closed")
+        elif not reply.work.is_logged:
+            self.forwarder.record_cut(reply.work)
+
+    def _log_incomplete(
+        self, scope: dict, reply: AsgiReply, cause: str
+    ) -> None:
+        reply.is_logged = True
+        self.metrics.count("incomplete_requests", cause=cause)
+        events.log_event(
+            events.Event.REQUEST_INCOMPLETE,
+            request=self.dialect.find_id(scope["headers"]),
+            cause=cause,
+        )
+
     def _log_refusal(self, scope: dict, refusal: Refused) -> None:
         self.metrics.count("refusals", cause=refusal.cause)
         events.log_event(
@@ -269,6 +297,11 @@
     return 0.0 if find is None else find()
 
 
+def make_leaving_refusal() -> Refused:
+    """Make the refusal of a request that another entry VM has to serve."""
+    return Refused(503, refusals.LEAVING, readiness_module.OTHER_VM_RETRY_MS)
+
+
 def choose_service(
     route: table_module.Route, metadata: message_types.RequestMetadata
 ) -> str:
