--- a/src/carawayward/gateway/lookups.py
+++ b/src/carawayward/gateway/lookups.py
@@ -65,10 +65,33 @@
     def end_with_outcome(
         self, customer: str, request_key: str, outcome: outcomes.Outcome
     ) -> None:
-        """Record the end of an attempt together with its outcome."""
+        """Record the end of an attempt together with its outcome.
+
+        An attempt that ``cut_off`` has ended is not recorded again.
+        """
+        if (customer, request_key) not in self.running:
+            return
         self.end(customer, request_key)
         self.record_outcome(customer, request_key, outcome)
 
+    def cut_off(self) -> None:
+        """Record the end of all attempts, right before the process ends.
+
+        A write that its caller does not take cannot be cancelled, so the
+        task of such a request may not get to record anything.
+        """
+        for (customer, request_key), count in list(self.running.items()):
+            for _ in range(count):
+                self.end_with_outcome(
+                    customer,
+                    request_key,
+                    outcomes.Unknown(
+                        outcomes.Reason.LEAVING,
+                        "this entry VM stopped while it ran; look before you "
+                        "send it again",
+                    ),
+                )
+
     def record_outcome(
         self, customer: str, request_key: str, outcome: outcomes.Outcome
     ) -> None:
@@ -88,6 +111,7 @@
             self._text_chars > MAX_TEXT_CHARS and len(self.recent_outcomes) > 1
         ):
             self._evict(next(iter(self.recent_outcomes)))
+        self._count_ended_by_stop(outcome)
         match outcome:
             case outcomes.NotRun(reason):
                 event = events.Event.REQUEST_REFUSED
@@ -99,6 +123,17 @@
             event, customer=customer, request=request_key, reason=reason
         )
 
+    def _count_ended_by_stop(self, outcome: outcomes.Outcome) -> None:
+        if self.board.state is not blackboard_module.NodeState.LEAVING:
+            return
+        metrics = self.once.lifecycle.metrics
+        match outcome:
+            case outcomes.NotRun(reason=outcomes.Reason.LEAVING):
+                metrics.count("stop.not_run")
+            case outcomes.Unknown(reason=outcomes.Reason.LEAVING):
+                self.board.ended_by_stop += 1
+                metrics.count("stop.ended")
+
     def _evict(self, key: Key) -> None:
         outcome = self.recent_outcomes.pop(key, None)
         if outcome is not None:
@@ -117,7 +152,8 @@
             name, _ = handover.follow_heirs(self.board.heirs, holder)
             if name not in peers and name != self.board.name:
                 peers.append(name)
-        answers += await self._ask_peers(key, peers)
+        with self.once.lifecycle.deadlines.limit():
+            answers += await self._ask_peers(key, peers)
         if answers:
             return max(answers, key=rank_answer)
         if holder is not None:
