--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -63,6 +63,7 @@
 class Exchange(http_stream.HTTPStream):
     """One request and its response."""
 
+    config: listening.ListenerConfig
     protocol: "Http1Protocol"
 
     async def app_send(
@@ -79,11 +80,18 @@
             return
         self.protocol.ending = True
         self.protocol.start_buffering()
-        try:
-            await super().app_send(message)
-        finally:
-            self.protocol.ending = False
-            await self.protocol.release()
+        # If the end were cancelled after it has been written, the connection
+        # would stay open but never read its next request.
+        with trio.CancelScope(
+            shield=True, relative_deadline=self.config.silence_ms / 1000
+        ) as ending:
+            try:
+                await super().app_send(message)
+            finally:
+                self.protocol.ending = False
+                await self.protocol.release()
+        if ending.cancelled_caught:
+            await self.protocol.send(hypercorn_events.Closed())
 
 
 class Http1Protocol(h11_protocol.H11Protocol):
@@ -457,23 +465,23 @@
                 data = data[http.write_nonblocking(self.stream, data) :]
             if not data:
                 return
-        async with self.send_lock:
-            try:
-                with trio.CancelScope(
-                    shield=True,
-                    relative_deadline=self.config.silence_ms / 1000,
-                ) as scope:
+        try:
+            # Waiting for the lock can be cancelled too, even for a free one.
+            with trio.CancelScope(
+                shield=True, relative_deadline=self.config.silence_ms / 1000
+            ) as scope:
+                async with self.send_lock:
                     await self.stream.send_all(data)
-                if not scope.cancelled_caught:
-                    return
-                self._record_close(closes.CloseReason.WRITE_TIMEOUT)
-                await trio.aclose_forcefully(self.stream)
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-                trio.BusyResourceError,
-            ):
-                pass
+            if not scope.cancelled_caught:
+                return
+            self._record_close(closes.CloseReason.WRITE_TIMEOUT)
+            await trio.aclose_forcefully(self.stream)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.BusyResourceError,
+        ):
+            pass
         await self.protocol.handle(hypercorn_events.Closed())
 
 
