Soak: find whole requests that wait and are never begun

The new clause does: a whole request on a kept connection, over a second without any sign, in no log of an entry VM that ended by itself. Test: test_request_that_is_read_and_never_begun_is_found, with each exception. Not shown yet by a run of the soak on the code that had the fault.

--- a/tests/soak/lost.py
+++ b/tests/soak/lost.py
@@ -26,6 +26,8 @@
 MIN_CONFIG_RATIO = 3.0
 MAX_USED_SHARE = 0.7
 MAX_LOST_ON_KEPT = 3
+# An entry VM has read what it got this long before.
+READ_WITHIN_MS = 1_000.0
 FINAL_LINES = (
     ("request_forwarded", None),
     ("request_refused", None),
@@ -317,6 +319,42 @@
     ]
 
 
+def check_never_begun(
+    history: records.History, bounds: records.Bounds
+) -> list[str]:
+    """Find whole requests on kept connections that wait and are never begun.
+
+    Their entry VM neither passed them on nor has a line of them. Counted are
+    those of processes that ended by themselves, undisrupted.
+    """
+    processes = [
+        process
+        for process in history.processes
+        if process.exit_code not in (None, -signal.SIGKILL)
+    ]
+    return [
+        each.describe("read, and never begun")
+        for each in list_ended(history, bounds)
+        if each.seen.kept
+        and not (each.arrivals or each.seen.begun or each.seen.complete)
+        and each.seen.ended_ms - each.seen.sent_ms >= READ_WITHIN_MS
+        and any(
+            process.vm == each.vm
+            and process.from_ms <= each.sent.at_ms <= process.until_ms
+            and each.sent.request_id not in process.lines
+            for process in processes
+        )
+        and not any(
+            not other.planned
+            and other.name == each.vm
+            and other.overlaps(
+                each.sent.at_ms - bounds.contact_ms, each.seen.ended_ms
+            )
+            for other in history.vm_disruptions
+        )
+    ]
+
+
 def check_unsafe_runs(
     history: records.History, bounds: records.Bounds
 ) -> list[str]:
@@ -338,6 +376,7 @@
     "lost": check_lost,
     "lost on kept connections": check_lost_on_kept,
     "final lines": check_final_lines,
+    "never begun": check_never_begun,
     "unsafe runs": check_unsafe_runs,
 }
 
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -228,6 +228,7 @@
         "added routes": [],
         "lost": [],
         "lost on kept connections": [],
+        "never begun": [],
         "final lines": [],
         "unsafe runs": [],
     }
--- a/tests/soak/test_lost.py
+++ b/tests/soak/test_lost.py
@@ -271,3 +271,26 @@
                 base.add_arrival(history, request_id, ran=True)
             found = base.check(lost.check_unsafe_runs, history)
             assert bool(found) is is_found
+
+
+def is_never_begun(passed_on=False, lines=None, **changes):
+    """Whether a request that its caller has given up is found."""
+    history = make_history(stop_ms=base.FAR_MS + 30_000.0)
+    end_ms = base.FAR_MS + 25_000.0
+    changes = {"gave_up": True, "ended_ms": end_ms, **changes}
+    request_id = add_try(history, **changes)
+    if passed_on:
+        base.add_arrival(history, request_id)
+    history.processes[0].lines.update({request_id: 1} if lines else {})
+    return bool(base.check(lost.check_never_begun, history))
+
+
+def test_request_that_is_read_and_never_begun_is_found():
+    """It waits behind a reply that has ended, with or without a stop."""
+    assert is_never_begun()
+    assert is_never_begun(gave_up=False)
+    assert not is_never_begun(lines=True)
+    assert not is_never_begun(passed_on=True)
+    assert not is_never_begun(complete=True)
+    assert not is_never_begun(kept=False)
+    assert not is_never_begun(ended_ms=base.FAR_MS + 900.0)
