Split the listener by what its parts do

http_exchanges has the requests and responses of a connection, http_connections one connection, http_server the listener. Moved as they were; abort, which no longer closes a socket, is close_if_waiting.

--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -18,8 +18,9 @@
 there is room at plain services, and who gets it), ``store_polls`` (how long
 polls of the store may wait), ``demand`` (who asks for how much of the
 engines), ``load_shedding`` (who gets their room when there is too little),
-``returning`` (which callers come back as told) and ``overload`` (which
-connections this entry VM turns away).
+``returning`` (which callers come back as told), ``overload`` (which
+connections this entry VM turns away) and ``planned_stop`` (what is still begun
+before a stop).
 
 For the callers' API: ``admission``, ``queueing``, ``retry``,
 ``cascade``, ``evidence``, ``exposure``, ``rollout``, ``session`` and
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -26,6 +26,7 @@
 from carawayward.forwarding import table as table_module
 from carawayward.forwarding import work_items
 from carawayward import http_client as http
+from carawayward import http_exchanges
 from carawayward import http_server
 from carawayward import supervision
 
@@ -390,7 +391,7 @@
     """Make the request that is forwarded, from its ASGI scope and body."""
     path: bytes = scope["raw_path"]
     query: bytes = scope["query_string"]
-    target = scope.get("state", {}).get(http_server.TARGET)
+    target = scope.get("state", {}).get(http_exchanges.TARGET)
     if target is None:
         target = path + b"?" + query if query else path
     headers = list(scope["headers"])
--- /dev/null
+++ b/src/carawayward/http_connections.py
@@ -0,0 +1,258 @@
+"""One connection of a caller: reading, writing, and how it ends."""
+
+import contextlib
+import socket
+import typing
+
+import h11
+from hypercorn import events as hypercorn_events
+from hypercorn.trio import tcp_server
+from hypercorn.trio import worker_context
+import trio
+
+from carawayward import closes
+from carawayward import events
+from carawayward import http_client as http
+from carawayward import http_exchanges
+from carawayward import listening
+from carawayward import supervision
+
+# How long, and how much, is read and discarded after the last reply on a
+# connection. A caller may still send the body of a request that was refused.
+DISCARD_S = 2.0
+MAX_DISCARDED_BYTES = 16 * 1_048_576
+
+
+class IdleTimer:
+    """Records since when a connection has carried no request.
+
+    It replaces a task that hypercorn starts and ends for each request; a
+    single task checks the timers of all connections instead.
+    """
+
+    def __init__(self) -> None:
+        self.since: float | None = None
+
+    async def restart(self, task_group: object, action: object) -> None:
+        """Record that the connection becomes idle."""
+        self.since = trio.current_time()
+
+    async def stop(self) -> None:
+        """Record that the connection is no longer idle."""
+        self.since = None
+
+
+class Connection(tcp_server.TCPServer):
+    """A caller's connection; ``open_connections`` is the set of all."""
+
+    config: listening.ListenerConfig
+
+    def __init__(
+        self, open_connections: set["Connection"], *arguments: typing.Any
+    ) -> None:
+        super().__init__(*arguments)
+        self.open_connections = open_connections
+        self.idle = IdleTimer()
+        self.idle_task = typing.cast(worker_context.TrioSingleTask, self.idle)
+        self.exchanges: http_exchanges.Http1Protocol | None = None
+        self.waiting = trio.CancelScope()
+        self.reading = trio.CancelScope()
+        self.discarding = False
+
+    async def run(self) -> None:
+        """Serve the connection; an exception ends only this connection."""
+        self.open_connections.add(self)
+        try:
+            await super().run()
+        except trio.Cancelled:
+            self._record_stop()
+            raise
+        except (Exception, BaseExceptionGroup) as fault:
+            _, rest = supervision.split_cancelled(fault)
+            if rest is None:
+                self._record_stop()
+                raise
+            events.log_event(
+                events.Event.FAULT,
+                task="connection",
+                detail=supervision.describe_fault(rest),
+            )
+        finally:
+            self.open_connections.discard(self)
+            await trio.aclose_forcefully(self.stream)
+
+    def close_if_waiting(self) -> None:
+        """Close the connection if its task waits for bytes.
+
+        A read that has already taken bytes from the socket cannot be
+        cancelled any more; those bytes may be a whole request.
+        """
+        self.waiting.cancel()
+
+    def close_forcefully(self) -> None:
+        """Close the socket, under a write of another task too."""
+        self._get_socket().close()
+
+    def has_unread(self) -> bool:
+        """Whether the socket has received bytes that are not read yet.
+
+        trio's sockets would wait for bytes, so this peeks through a socket
+        of the standard library, detached before it can close the connection.
+        """
+        descriptor = self._get_socket().fileno()
+        if descriptor < 0:
+            return False
+        plain = socket.socket(fileno=descriptor)
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return bool(plain.recv(1, flags))
+        except OSError:
+            return False
+        finally:
+            plain.detach()
+
+    async def _finish(self) -> None:
+        """Send the end of the connection, and discard what still comes.
+
+        If a socket is closed while it has unread bytes, or gets some later,
+        the kernel resets the connection, and the caller may lose the last
+        reply (RFC 9112, 9.6).
+        """
+        async with self.send_lock:
+            with contextlib.suppress(OSError):
+                self._get_socket().shutdown(socket.SHUT_WR)
+        if not self.discarding:
+            self._record_end()
+            self.discarding = True
+            self.idle.since = None
+            self.reading.deadline = trio.current_time() + DISCARD_S
+        await self.protocol.handle(hypercorn_events.Closed())
+
+    def _record_close(self, reason: closes.CloseReason) -> None:
+        self.config.closes.record(reason, self.has_request())
+
+    def _record_stop(self) -> None:
+        if self.has_request():
+            self._record_close(closes.CloseReason.STOP)
+
+    def _record_end(self) -> None:
+        """Record why no further request is read."""
+        assert self.exchanges is not None
+        h11_connection = self.exchanges.connection
+        if h11_connection.their_state is h11.ERROR:
+            self._record_close(closes.CloseReason.MALFORMED)
+        elif h11_connection.our_state is h11.SEND_BODY:
+            self.config.closes.record(
+                closes.CloseReason.UNFINISHED_REPLY, ends_request=True
+            )
+        elif h11_connection.their_state is h11.SEND_BODY:
+            self._record_close(closes.CloseReason.EARLY_REPLY)
+
+    def has_request(self) -> bool:
+        """Whether a request is in hand."""
+        return self.exchanges is not None and self.exchanges.stream is not None
+
+    def _update_idle(self, idle: bool) -> None:
+        """Record whether the connection has become idle.
+
+        If the protocol waited for a write before it said that it became
+        idle, the next request may have been read meanwhile.
+        """
+        idle = idle and not self.discarding and not self.has_request()
+        self.idle.since = trio.current_time() if idle else None
+
+    def _get_socket(self) -> trio.socket.SocketType:
+        stream: typing.Any = self.stream
+        if isinstance(stream, trio.SSLStream):
+            stream = stream.transport_stream
+        return stream.socket
+
+    async def _read_data(self) -> None:
+        wrapper = self.protocol
+        self.exchanges = wrapper.protocol = http_exchanges.Http1Protocol(
+            wrapper.app,
+            wrapper.config,
+            wrapper.context,
+            wrapper.task_group,
+            wrapper.state,
+            wrapper.ssl,
+            wrapper.client,
+            wrapper.server,
+            wrapper.send,
+        )
+        with self.reading:
+            await self._read_requests()
+            await self._discard_rest()
+        await wrapper.handle(hypercorn_events.Closed())
+
+    async def _read_requests(self) -> None:
+        while not self.discarding:
+            data = await self._receive()
+            if data is None:
+                return
+            if not self.discarding:
+                await self.protocol.handle(hypercorn_events.RawData(data))
+            if not data:
+                return
+
+    async def _discard_rest(self) -> None:
+        """Discard what the caller sends after the last reply."""
+        left = MAX_DISCARDED_BYTES
+        while self.discarding and left > 0:
+            data = await self._receive()
+            if not data:
+                return
+            left -= len(data)
+
+    async def _receive(self) -> bytes | None:
+        """Wait for bytes; None if the connection is broken or idle."""
+        while True:
+            with trio.CancelScope() as self.waiting:
+                try:
+                    return bytes(
+                        await self.stream.receive_some(tcp_server.MAX_RECV)
+                    )
+                except (trio.ClosedResourceError, trio.BrokenResourceError):
+                    return None
+            # Bytes may have arrived since the decision to close.
+            if not self.has_unread():
+                self._record_close(closes.CloseReason.IDLE)
+                return None
+
+    async def protocol_send(self, event: hypercorn_events.Event) -> None:
+        """Write with a time limit.
+
+        Writes are shielded because a cancelled one would leave a partial
+        message on the wire. A write that does not complete in time closes
+        the connection, and with it ends the run that it belongs to.
+        """
+        if isinstance(event, hypercorn_events.Updated):
+            self._update_idle(event.idle)
+            return
+        if not isinstance(event, hypercorn_events.RawData):
+            await self._finish()
+            return
+        data = event.data
+        if not self.send_lock.locked():
+            if isinstance(self.stream, trio.SocketStream):
+                data = data[http.write_nonblocking(self.stream, data) :]
+            if not data:
+                return
+        try:
+            # Waiting for the lock can be cancelled too, even for a free one.
+            with trio.CancelScope(
+                shield=True, relative_deadline=self.config.silence_ms / 1000
+            ) as scope:
+                async with self.send_lock:
+                    await self.stream.send_all(data)
+            if not scope.cancelled_caught:
+                return
+            self._record_close(closes.CloseReason.WRITE_TIMEOUT)
+            await trio.aclose_forcefully(self.stream)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.BusyResourceError,
+        ):
+            pass
+        await self.protocol.handle(hypercorn_events.Closed())
--- /dev/null
+++ b/src/carawayward/http_exchanges.py
@@ -0,0 +1,212 @@
+"""Requests and responses of one HTTP/1.1 connection, with hypercorn."""
+
+import json
+import typing
+
+import h11
+from hypercorn import events as hypercorn_events
+from hypercorn.protocol import events as hypercorn_protocol_events
+from hypercorn.protocol import h11 as h11_protocol
+from hypercorn.protocol import http_stream
+from hypercorn import typing as hypercorn_typing
+import trio
+
+from carawayward import events
+from carawayward import listening
+
+# The key of a request's state with its target as received.
+TARGET = "target"
+
+
+class Exchange(http_stream.HTTPStream):
+    """One request and its response."""
+
+    config: listening.ListenerConfig
+    protocol: "Http1Protocol"
+
+    async def app_send(
+        self, message: hypercorn_typing.ASGISendEvent | None
+    ) -> None:
+        """Send one ASGI message of the application."""
+        last = (
+            message is not None
+            and message["type"] == "http.response.body"
+            and not message.get("more_body", False)
+        )
+        if not last:
+            await super().app_send(message)
+            return
+        self.protocol.ending = True
+        self.protocol.start_buffering()
+        # If the end were cancelled after it has been written, the connection
+        # would stay open but never read its next request.
+        with trio.CancelScope(
+            shield=True, relative_deadline=self.config.silence_ms / 1000
+        ) as ending:
+            try:
+                await super().app_send(message)
+            finally:
+                self.protocol.ending = False
+                await self.protocol.release()
+        if ending.cancelled_caught:
+            await self.protocol.send(hypercorn_events.Closed())
+
+
+class Http1Protocol(h11_protocol.H11Protocol):
+    """HTTP/1.1 only; a server is allowed to ignore "Upgrade".
+
+    The head of a response is sent with its first chunk and the end with its
+    last: each write is a system call, which costs more than everything else
+    that a token takes. ``chunked`` says that the chunks of the current
+    response are framed here, in one step instead of a dozen.
+    """
+
+    def __init__(self, *arguments: typing.Any) -> None:
+        super().__init__(*arguments)
+        self.chunked = False
+        self.ending = False
+        self.buffered: list[bytes] | None = None
+        self.send_unbuffered = self.send
+        self.send = self._send
+
+    async def _send(self, event: hypercorn_events.Event) -> None:
+        if isinstance(event, hypercorn_events.RawData):
+            if self.buffered is not None:
+                self.buffered.append(event.data)
+                return
+        else:
+            await self.release()
+        await self.send_unbuffered(event)
+
+    def start_buffering(self) -> None:
+        """Buffer what is sent until it is released."""
+        if self.buffered is None:
+            self.buffered = []
+
+    async def release(self) -> None:
+        """Send the buffered data in one write and stop buffering."""
+        buffered, self.buffered = self.buffered, None
+        if buffered:
+            data = b"".join(buffered)
+            await self.send_unbuffered(hypercorn_events.RawData(data=data))
+
+    async def stream_send(
+        self, event: hypercorn_protocol_events.Event
+    ) -> None:
+        """Send one event of a response."""
+        if type(event) is hypercorn_protocol_events.Body:
+            if self.chunked:
+                size = b"%x\r\n" % len(event.data)
+                data = size + event.data + b"\r\n"
+                await self.send(hypercorn_events.RawData(data=data))
+            else:
+                await super().stream_send(event)
+            if not self.ending:
+                await self.release()
+            return
+        if type(event) is hypercorn_protocol_events.Response:
+            if self._is_last():
+                event.headers.append((b"connection", b"close"))
+            self.chunked = self._will_chunk(event)
+            self.start_buffering()
+        await super().stream_send(event)
+
+    def _is_last(self) -> bool:
+        """Whether no request follows, as the listener has been stopped."""
+        return (
+            self.context.terminated.is_set()
+            and not self.connection.trailing_data[0]
+        )
+
+    async def _maybe_recycle(self) -> None:
+        """Prepare for the next request, or close if there can be none.
+
+        A request that has been read is served after a stop, too. Unless a
+        reply says otherwise the connection is closed when it is idle.
+        """
+        await self._close_stream()
+        connection = self.connection
+        assert isinstance(connection, h11.Connection)
+        recycles = (
+            connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+        )
+        if recycles:
+            connection.start_next_cycle()
+        await self.can_read.set()
+        if recycles:
+            await self.send(hypercorn_events.Updated(idle=True))
+        else:
+            await self.send(hypercorn_events.Closed())
+
+    def _will_chunk(self, event: hypercorn_protocol_events.Response) -> bool:
+        """Whether h11 will use chunked encoding; mirrors its own decision."""
+        assert isinstance(self.connection, h11.Connection)
+        sized = any(name == b"content-length" for name, _ in event.headers)
+        version = self.connection.their_http_version or b"1.0"
+        bodiless = event.status_code < 200 or event.status_code in (204, 304)
+        return not sized and not bodiless and version >= b"1.1"
+
+    async def _check_protocol(self, event: h11.Request) -> None:
+        """Never switch to another protocol."""
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        stream = Exchange(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.ssl,
+            self.client,
+            self.server,
+            self.stream_send,
+            h11_protocol.STREAM_ID,
+        )
+        stream.protocol = self
+        self.stream = stream
+        await stream.handle(
+            hypercorn_protocol_events.Request(
+                stream_id=h11_protocol.STREAM_ID,
+                headers=list(request.headers),
+                http_version=request.http_version.decode(),
+                # Methods are case-sensitive (RFC 9110, 9.1).
+                method=request.method.decode("ascii"),
+                raw_path=request.target,
+                state=self._make_state(request.target),
+            )
+        )
+        self.keep_alive_requests += 1
+
+    def _make_state(self, target: bytes) -> hypercorn_typing.ConnectionState:
+        """The state of a request: the connection's, and its target.
+
+        The path and the query of the scope do not say whether there was a
+        question mark before an empty query.
+        """
+        return hypercorn_typing.ConnectionState(
+            {**self.connection_state, TARGET: target}
+        )
+
+    async def _send_error_response(self, status_code: int) -> None:
+        """Refuse invalid HTTP with a problem document like other refusals."""
+        events.log_event(
+            events.Event.REQUEST_BAD, field="http", status=status_code
+        )
+        problem = {
+            "title": "bad request",
+            "status": status_code,
+            "detail": "this is no HTTP/1.1 request, or its head is too large",
+            "not_run": True,
+        }
+        body = json.dumps(problem).encode()
+        headers = [
+            (b"content-type", b"application/problem+json"),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+            *self.config.response_headers("h11"),
+        ]
+        await self._send_h11_event(
+            h11.Response(status_code=status_code, headers=headers)
+        )
+        await self._send_h11_event(h11.Data(data=body))
+        await self._send_h11_event(h11.EndOfMessage())
--- a/tests/common/listeners.py
+++ b/tests/common/listeners.py
@@ -10,6 +10,7 @@
 from hypercorn import utils as hypercorn_utils
 import trio
 
+from carawayward import http_connections
 from carawayward import http_server
 from carawayward import listening
 from carawayward import settings
@@ -99,7 +100,7 @@
 
     stream: HeldStream
     caller: trio.SocketStream
-    open_connections: set[http_server.Connection]
+    open_connections: set[http_connections.Connection]
 
 
 @contextlib.asynccontextmanager
@@ -118,7 +119,7 @@
         set(),
     )
     config = make_config()
-    connection = http_server.Connection(
+    connection = http_connections.Connection(
         held.open_connections,
         hypercorn_utils.wrap_app(app, config.wsgi_max_body_size, "asgi"),
         config,
--- a/tests/failures/test_kept_connections.py
+++ b/tests/failures/test_kept_connections.py
@@ -9,6 +9,7 @@
 import trio.testing
 
 from carawayward import events
+from carawayward import http_connections
 from carawayward import http_server
 from tests.common import listeners
 
@@ -186,7 +187,7 @@
         caller = await trio.open_tcp_stream(host, port)
         await caller.send_all(LARGE)
         assert b"413" in await read_replies(caller, b"0\r\n\r\n")
-        with trio.fail_after(http_server.DISCARD_S + READ_S):
+        with trio.fail_after(http_connections.DISCARD_S + READ_S):
             with contextlib.suppress(trio.BrokenResourceError):
                 while True:
                     await caller.send_all(b"more")
