--- a/tests/cover/test_listeners.py
+++ b/tests/cover/test_listeners.py
@@ -17,7 +17,7 @@
     def __init__(self, closed_s: list[float]) -> None:
         self.idle = types.SimpleNamespace(since=trio.current_time())
         self.has_unread = lambda: False
-        self.abort = lambda: closed_s.append(trio.current_time())
+        self.close_if_waiting = lambda: closed_s.append(trio.current_time())
 
 
 def measure_close_s(change: typing.Callable[[listening.ListenerConfig], None]):
