Bound the end of a reply, and close its connection if it takes longer

If the task's own scope had ended, the close after it was cancelled as well, and the connection stayed as it was. Change: the shield lasts 0.5 s besides the writes, which have a limit of their own; the close after it is shielded. Test: test_application_that_does_not_read_does_not_hold_up_a_stop.

--- a/src/carawayward/http_exchanges.py
+++ b/src/carawayward/http_exchanges.py
@@ -16,6 +16,9 @@
 
 # The key of a request's state with its target as received.
 TARGET = "target"
+# How long the end of a reply may take besides its writes. An application that
+# does not read its request could block it for ever.
+REPLY_END_S = 0.5
 
 
 class Exchange(http_stream.HTTPStream):
@@ -41,7 +44,7 @@
         # If the end were cancelled after it has been written, the connection
         # would stay open but never read its next request.
         with trio.CancelScope(
-            shield=True, relative_deadline=self.config.silence_ms / 1000
+            shield=True, relative_deadline=REPLY_END_S
         ) as ending:
             try:
                 await super().app_send(message)
@@ -49,7 +52,8 @@
                 self.protocol.ending = False
                 await self.protocol.release()
         if ending.cancelled_caught:
-            await self.protocol.send(hypercorn_events.Closed())
+            with trio.CancelScope(shield=True):
+                await self.protocol.send(hypercorn_events.Closed())
 
 
 class Http1Protocol(h11_protocol.H11Protocol):
--- a/tests/failures/test_kept_connections.py
+++ b/tests/failures/test_kept_connections.py
@@ -31,6 +31,7 @@
     def __init__(self, held_path: str) -> None:
         self.held_path = held_path
         self.has_begun = trio.Event()
+        self.held = 0
         self.may_answer = trio.Event()
 
     async def __call__(
@@ -38,6 +39,7 @@
     ) -> None:
         """Answer with 200 and the path."""
         if scope["path"] == self.held_path:
+            self.held += 1
             self.has_begun.set()
             await self.may_answer.wait()
         path = scope["path"].encode()
@@ -250,8 +252,8 @@
         callers = [await trio.open_tcp_stream(host, port) for _ in range(3)]
         for caller in callers:
             await caller.send_all(FIRST)
-        await app.has_begun.wait()
-        await trio.testing.wait_all_tasks_blocked()
+        while app.held < len(callers):
+            await trio.sleep(0.005)
         stop.set()
         for caller in callers:
             assert await read_replies(caller, b"/first") == b""
@@ -294,3 +296,25 @@
         stop.set()
 
     listeners.run_beside_listener(scenario, answer)
+
+
+def test_application_that_does_not_read_does_not_hold_up_a_stop():
+    """The end of its reply waits for room to say that the exchange is over."""
+
+    async def answer(scope: dict, receive: typing.Any, send: typing.Any):
+        await trio.sleep(0.3)
+        with trio.CancelScope() as task:
+            task.cancel()
+            await listeners.answer(scope, receive, send)
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        async with await trio.open_tcp_stream(host, port) as caller:
+            await caller.send_all(
+                b"POST / HTTP/1.1\r\nHost: a.example\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 50
+            )
+            assert OK in await caller.receive_some()
+            assert await caller.receive_some() == b""
+            stop.set()
+
+    listeners.run_beside_listener(scenario, answer)
