--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -120,11 +120,11 @@
                     close_idle(open_connections, 0.0)
                     await trio.sleep(CLOSE_CHECK_INTERVAL_S)
         finally:
+            connections.cancel_scope.cancel()
             # A write that its caller does not read is shielded from
             # cancellation and would keep the process until it is killed.
             for connection in list(open_connections):
                 connection.close_forcefully()
-        connections.cancel_scope.cancel()
 
 
 async def keep_closing_idle(
