--- a/tests/common/stopping.py
+++ b/tests/common/stopping.py
@@ -180,7 +180,8 @@
 class EntryVm:
     """The process of an entry VM, with its log.
 
-    ``signalled_s`` is when it got its first signal to stop.
+    ``signalled_s`` is when it got its first signal to stop. ``descriptors``
+    limits how many it may have open, unless it is 0.
     """
 
     running: forwarding.Forwarding
@@ -190,6 +191,7 @@
     process: trio.Process = attrs.field(init=False)
     signalled_s: float = float("inf")
     signalled: trio.Event = attrs.field(factory=trio.Event)
+    descriptors: int = 0
 
     @property
     def _partition_path(self) -> pathlib.Path:
@@ -224,6 +226,7 @@
                     partitioned.IP_VARIABLE: "127.0.0.1",
                     partitioned.FILE_VARIABLE: str(self._partition_path),
                     partitioned.CORE_VARIABLE: "1",
+                    partitioned.DESCRIPTORS_VARIABLE: f"{self.descriptors}",
                 },
             )
 
--- a/tests/failures/test_path_tls.py
+++ b/tests/failures/test_path_tls.py
@@ -1,53 +1,15 @@
 """TLS on the listeners for which the settings name certificates."""
 
 import pathlib
-import ssl
 import tempfile
 
-import attrs
-import httpcore
 import trio
 
 from tests.common import certificates
-from tests.common import deployment
 from tests.common import loopback
 from tests.common import peering
 from tests.common import streaming
-
-
-@attrs.define
-class TlsDeployment(deployment.Deployment):
-    """A deployment that uses TLS on the callers' and operators' ports."""
-
-    plan: deployment.Plan = streaming.make_plan()
-    authority: str = ""
-    client: dict = attrs.field(factory=dict)
-
-    def wait_until_ready(self, vm: deployment.EntryProcess) -> None:
-        """Wait until the entry VM reports ready over TLS."""
-        assert streaming.wait_for(
-            lambda: self.get(vm.callers, "/readyz", self.client) == 200, 30.0
-        )
-
-    def get(self, address: str, path: str, client: dict) -> int:
-        """Return the status of a GET over TLS; 0 if the connection fails."""
-        context = ssl.create_default_context(cafile=self.authority)
-        if client:
-            context.load_cert_chain(client["certificate"], client["key"])
-        with httpcore.ConnectionPool(ssl_context=context) as pool:
-            try:
-                reply = pool.request(
-                    "GET",
-                    f"https://{address}{path}",
-                    extensions={
-                        "timeout": dict.fromkeys(
-                            ("connect", "read", "write", "pool"), 10.0
-                        )
-                    },
-                )
-            except (httpcore.NetworkError, httpcore.ProtocolError):
-                return 0
-        return reply.status
+from tests.common import tls_deployment
 
 
 def test_callers_and_operators_are_served_over_tls():
@@ -67,7 +29,7 @@
             "operators": server,
         }
         plan = streaming.make_plan(tls=tls)
-        with TlsDeployment(
+        with tls_deployment.TlsDeployment(
             plan=plan, authority=own.certificate, client=client
         ) as running:
             vm = running.entry_vms[0]
--- a/tests/run.py
+++ b/tests/run.py
@@ -25,6 +25,8 @@
 # Modules in these folders start complete deployments. Few of them run in
 # parallel, so that their outcome does not depend on the load of the machine.
 HEAVY = ("failures", "history", "soak")
+# Modules whose names begin so measure processes, and run one at a time.
+ALONE = "test_crowd_"
 LIGHT_WORKERS = 4
 HEAVY_WORKERS = 2
 
@@ -91,10 +93,16 @@
 
 def run_all(modules: list[str]) -> list[ModuleResult]:
     """Run light modules in parallel, then heavy ones, fewer at once."""
-    heavy = [m for m in modules if m.split(".")[1] in HEAVY]
-    light = [m for m in modules if m not in heavy]
+    alone = [m for m in modules if m.split(".")[-1].startswith(ALONE)]
+    rest = [m for m in modules if m not in alone]
+    heavy = [m for m in rest if m.split(".")[1] in HEAVY]
+    light = [m for m in rest if m not in heavy]
     results: list[ModuleResult] = []
-    for group, workers in ((light, LIGHT_WORKERS), (heavy, HEAVY_WORKERS)):
+    for group, workers in (
+        (light, LIGHT_WORKERS),
+        (heavy, HEAVY_WORKERS),
+        (alone, 1),
+    ):
         with concurrent.futures.ThreadPoolExecutor(workers) as pool:
             results += pool.map(run_module, group)
     return results
--- a/tests/soak/partitioned.py
+++ b/tests/soak/partitioned.py
@@ -3,12 +3,14 @@
 Its TCP connections come from the IP address of its environment, so that relays
 can tell whose they are. While the file named there exists, new connections to
 the addresses that it lists are refused or hang; see ``EntryVm.partition``. If
-it gets less than a core, it is stopped for a part of each period.
+it gets less than a core, it is stopped for a part of each period. It may also
+get fewer descriptors.
 """
 
 import json
 import os
 import pathlib
+import resource
 import runpy
 import signal
 import socket
@@ -19,6 +21,7 @@
 IP_VARIABLE = "SOAK_IP"
 FILE_VARIABLE = "SOAK_PARTITION"
 CORE_VARIABLE = "SOAK_CORE_SHARE"
+DESCRIPTORS_VARIABLE = "SOAK_DESCRIPTORS"
 CORE_PERIOD_S = 0.02
 # Lets the kernel choose the port when the connection is made.
 IP_BIND_ADDRESS_NO_PORT = 24
@@ -88,6 +91,8 @@
     core_share = float(os.environ[CORE_VARIABLE])
     if core_share < 1.0:
         bound_processor_time(core_share)
+    if descriptors := int(os.environ.get(DESCRIPTORS_VARIABLE, "0")):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
     replaced: typing.Any = make_connect(
         socket.socket.connect,
         os.environ[IP_VARIABLE],
