End writes by progress, and log why an answer was cut

What callers saw: one that read a long answer steadily but slowly was cut off after 20 s, with two thirds of it; the log said 200, delivered, or that the caller had left.

Cause: the time limit of a write (caller_silence_ms) ran over the whole body. A write that failed told its application nothing, so that the outcome depended on which task came first.

Change: blocked writes are watched together. One is aborted if its caller has accepted nothing for caller_silence_ms (the kernel's count of unacknowledged bytes shows it), or if it goes on for as long after its request's deadline. The kernel holds at most 128 KiB of a reply unsent (TCP_NOTSENT_LOWAT). A reply that can't be sent ends its request as ReplyLost, and the last line names the reason. Aborted connections are reset, so that the kernel keeps nothing of them. No copy of what is left of a write any more.

--- a/src/carawayward/closes.py
+++ b/src/carawayward/closes.py
@@ -20,12 +20,26 @@
     MALFORMED = "malformed"
     # The caller has accepted no data for too long.
     WRITE_TIMEOUT = "write_timeout"
+    # The caller still reads long after its request's deadline.
+    DEADLINE = "deadline"
     # A reply was sent before the whole body of its request had come.
     EARLY_REPLY = "early_reply"
     # The application ended before its reply was complete.
     UNFINISHED_REPLY = "unfinished_reply"
 
 
+# What the last log line of a request says if its connection was closed.
+EXPLANATIONS = {
+    CloseReason.IDLE: "idle connection closed",
+    CloseReason.STOP: "leaving",
+    CloseReason.MALFORMED: "malformed request",
+    CloseReason.WRITE_TIMEOUT: "caller does not read",
+    CloseReason.DEADLINE: "caller reads past its deadline",
+    CloseReason.EARLY_REPLY: "closed after an early reply",
+    CloseReason.UNFINISHED_REPLY: "reply not finished",
+}
+
+
 @attrs.define(eq=False)
 class CloseRecorder:
     """Counts closes, and logs those that end a request.
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -10,6 +10,7 @@
 import attrs
 import trio
 
+from carawayward import caller_links
 from carawayward import clock as clock_module
 from carawayward.decisions import placement
 from carawayward import errors
@@ -61,10 +62,12 @@
     ``should_redirect_callers`` returns true when the reply starts, the reply
     closes the caller's connection. ``work`` is the request's, once that has
     been accepted. ``is_logged`` is set once the request's end is logged.
+    ``link`` is to the caller's connection.
     """
 
     send_event: Send
     should_redirect_callers: typing.Callable[[], bool]
+    link: caller_links.CallerLink
     started: bool = False
     finished: bool = False
     work: work_items.Work | None = None
@@ -93,9 +96,19 @@
         await self._send_body(b"", more=False)
 
     async def _send_body(self, chunk: bytes, more: bool) -> None:
-        await self.send_event(
-            {"type": "http.response.body", "body": chunk, "more_body": more}
-        )
+        try:
+            await self.send_event(
+                {
+                    "type": "http.response.body",
+                    "body": chunk,
+                    "more_body": more,
+                }
+            )
+        finally:
+            # Also if the request has been cancelled meanwhile: the reply did
+            # not end for that reason.
+            if self.link.lost:
+                raise replies.ReplyLost()
 
 
 @attrs.define(eq=False)
@@ -116,7 +129,8 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        reply = AsgiReply(send, self._should_redirect_callers)
+        link = caller_links.find_link(scope)
+        reply = AsgiReply(send, self._should_redirect_callers, link)
         kept = body_room.KeptBody(self.board.body_room)
         self.board.open_requests += 1
         try:
@@ -124,9 +138,13 @@
         except Refused as refusal:
             reply.is_logged = True
             self._log_refusal(scope, refusal)
-            await replies.refuse(reply, refusal.status, refusal.retry_after_ms)
+            with contextlib.suppress(replies.ReplyLost):
+                await replies.refuse(
+                    reply, refusal.status, refusal.retry_after_ms
+                )
         except CallerLeft:
-            self._log_incomplete(scope, reply, "caller left")
+            cause = link.explain_loss("caller left")
+            self._log_incomplete(scope, reply, cause)
         except (Exception, BaseExceptionGroup) as fault:
             _, rest = supervision.split_cancelled(fault)
             if rest is None:
@@ -167,11 +185,13 @@
         served = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_on_disconnect, receive, reply, nursery)
-            await self.forwarder.serve(work, reply)
-            served = True
+            with contextlib.suppress(replies.ReplyLost):
+                await self.forwarder.serve(work, reply)
+                served = True
             nursery.cancel_scope.cancel()
         if not served:
-            self.forwarder.record_caller_left(work)
+            cause = reply.link.explain_loss("caller left")
+            self.forwarder.record_caller_left(work, cause)
 
     async def _end_with_fault(
         self, scope: dict, reply: AsgiReply, fault: BaseException
@@ -194,12 +214,13 @@
         )
         if reply.started:
             return
-        if may_have_run:
-            await replies.send_response(reply, 500, [], b"")
-        else:
-            await replies.refuse(
-                reply, 503, readiness_module.OTHER_VM_RETRY_MS
-            )
+        with contextlib.suppress(replies.ReplyLost):
+            if may_have_run:
+                await replies.send_response(reply, 500, [], b"")
+            else:
+                await replies.refuse(
+                    reply, 503, readiness_module.OTHER_VM_RETRY_MS
+                )
 
     def _find_limits(self) -> table_module.CallerLimits:
         table = self.board.table
@@ -265,9 +286,10 @@
         if reply.is_logged:
             return
         if reply.work is None:
-            self._log_incomplete(scope, reply, "connection closed")
+            cause = reply.link.explain_loss("connection closed")
+            self._log_incomplete(scope, reply, cause)
         elif not reply.work.is_logged:
-            self.forwarder.record_cut(reply.work)
+            self.forwarder.record_cut(reply.work, reply.link.closed_for)
 
     def _log_incomplete(
         self, scope: dict, reply: AsgiReply, cause: str
@@ -292,6 +314,11 @@
         )
 
 
+def make_reply(scope: dict, send: Send) -> AsgiReply:
+    """Make the reply of an application that redirects no caller."""
+    return AsgiReply(send, lambda: False, caller_links.find_link(scope))
+
+
 def find_age_ms(scope: dict) -> float:
     """Return how long the request has waited to be read, in ms."""
     find = scope.get("state", {}).get(http_server.FIND_AGE_MS)
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -1,5 +1,6 @@
 """The process of an entry VM that serves forwarded routes."""
 
+import contextlib
 import gc
 import signal
 import typing
@@ -229,8 +230,9 @@
         self, scope: dict, receive: typing.Any, send: typing.Any
     ) -> None:
         ready = self.app.readiness.is_ready()
-        reply = app_module.AsgiReply(send, lambda: False)
-        await replies.refuse(reply, 200 if ready else 503, None)
+        reply = app_module.make_reply(scope, send)
+        with contextlib.suppress(replies.ReplyLost):
+            await replies.refuse(reply, 200 if ready else 503, None)
 
     async def _answer_metrics(
         self, scope: dict, receive: typing.Any, send: typing.Any
@@ -255,8 +257,9 @@
             set(self.app.forwarder.suspects.parts.convicted.values())
         )
         page = metrics_module.render_page(self.app.metrics, gauges)
-        reply = app_module.AsgiReply(send, lambda: False)
-        await replies.send_response(reply, 200, METRICS_HEADERS, page)
+        reply = app_module.make_reply(scope, send)
+        with contextlib.suppress(replies.ReplyLost):
+            await replies.send_response(reply, 200, METRICS_HEADERS, page)
 
     async def _drain(self) -> None:
         """Wait for the load balancer, then for the open requests.
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -6,6 +6,7 @@
 import attrs
 
 from carawayward import clock as clock_module
+from carawayward import closes
 from carawayward.decisions import retry_budget
 from carawayward import events
 from carawayward.forwarding import admission as admission_module
@@ -387,14 +388,22 @@
         )
         self._log_end(work, status, cause)
 
-    def record_caller_left(self, work: work_items.Work) -> None:
-        """Log that the caller left before it had the whole response."""
-        self._log_end(work, 0, "caller left")
+    def record_caller_left(self, work: work_items.Work, cause: str) -> None:
+        """Log that the connection ended before the whole response."""
+        self._log_end(work, 0, cause)
 
-    def record_cut(self, work: work_items.Work) -> None:
-        """Log that a request was cancelled before its response was whole."""
+    def record_cut(
+        self, work: work_items.Work, reason: closes.CloseReason | None
+    ) -> None:
+        """Log that a request was cancelled before its response was whole.
+
+        ``reason`` is why its connection was closed.
+        """
         stopped = self.stop_deadline.due_ms <= self.clock.now_ms()
-        self._log_end(work, 0, refusals.LEAVING if stopped else "cut")
+        cause = refusals.LEAVING if stopped else "cut"
+        if reason is not None:
+            cause = closes.EXPLANATIONS[reason]
+        self._log_end(work, 0, cause)
 
     def _log_end(self, work: work_items.Work, status: int, cause: str) -> None:
         work.is_logged = True
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -5,6 +5,7 @@
 to another entry VM.
 """
 
+import contextlib
 import typing
 
 import attrs
@@ -72,7 +73,16 @@
         """Serve one request of a peer."""
         if scope["type"] != "http":
             return
-        reply = app_module.AsgiReply(send, lambda: False)
+        with contextlib.suppress(app_module.CallerLeft, replies.ReplyLost):
+            await self._answer(scope, receive, send)
+
+    async def _answer(
+        self,
+        scope: dict,
+        receive: app_module.Receive,
+        send: app_module.Send,
+    ) -> None:
+        reply = app_module.make_reply(scope, send)
         host, _ = scope["client"] or ("", 0)
         if host not in self.list_peer_hosts():
             await replies.refuse(reply, 403, None)
@@ -88,8 +98,6 @@
             self.board.open_relays += 1
             try:
                 await serve(receive, reply, kept)
-            except app_module.CallerLeft:
-                pass
             finally:
                 kept.release()
                 self.board.open_relays -= 1
@@ -140,7 +148,8 @@
                 nursery.start_soon(
                     app_module.cancel_on_disconnect, receive, reply, nursery
                 )
-                outcome = await self._relay_in_time(relayed, reply)
+                with contextlib.suppress(replies.ReplyLost):
+                    outcome = await self._relay_in_time(relayed, reply)
                 nursery.cancel_scope.cancel()
         finally:
             self._log_end(relayed, outcome)
@@ -234,6 +243,8 @@
                 self.fleet.record_response(endpoint, answer.head.metadata)
                 await _relay_response(answer, reply)
             return Outcome.RELAYED
+        except replies.ReplyLost:
+            raise
         except Refusal as refusal:
             outcome, cause = refusal.outcome, refusal.cause
         except attempt_module.AttemptWithheld:
--- a/src/carawayward/forwarding/replies.py
+++ b/src/carawayward/forwarding/replies.py
@@ -24,8 +24,12 @@
     body: bytes
 
 
+class ReplyLost(Exception):
+    """The caller's connection has ended, and with it the reply."""
+
+
 class Reply(typing.Protocol):
-    """Interface for replying to a caller.
+    """Interface for replying to a caller; sending raises ReplyLost.
 
     A reply that is not finished reaches the caller truncated. ``started``
     says whether anything has been sent to the caller.
--- a/src/carawayward/http_client.py
+++ b/src/carawayward/http_client.py
@@ -54,7 +54,9 @@
             self.on_connect()
 
 
-def write_nonblocking(stream: trio.SocketStream, data: bytes) -> int:
+def write_nonblocking(
+    stream: trio.SocketStream, data: bytes | memoryview
+) -> int:
     """Write as much as possible without blocking; return the byte count.
 
     A write through trio costs two scheduler cycles, although the socket
--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -10,17 +10,23 @@
 from hypercorn.trio import worker_context
 import trio
 
+from carawayward import accept_queue
+from carawayward import caller_links
 from carawayward import closes
 from carawayward import events
 from carawayward import http_client as http
 from carawayward import http_exchanges
 from carawayward import listening
 from carawayward import supervision
+from carawayward import write_progress
 
 # How long, and how much, is read and discarded after the last reply on a
 # connection. A caller may still send the body of a request that was refused.
 DISCARD_S = 2.0
 MAX_DISCARDED_BYTES = 16 * 1_048_576
+# What is written at once while a caller reads slowly: over TLS that much is
+# copied to be encrypted.
+MAX_WRITE_BYTES = 65_536
 
 
 class IdleTimer:
@@ -58,6 +64,8 @@
         self.waiting = trio.CancelScope()
         self.reading = trio.CancelScope()
         self.discarding = False
+        self.link = caller_links.CallerLink()
+        self.state[caller_links.LINK] = self.link
 
     async def run(self) -> None:
         """Serve the connection; an exception ends only this connection."""
@@ -93,6 +101,23 @@
         """Close the socket, under a write of another task too."""
         self._get_socket().close()
 
+    def abort(self, reason: closes.CloseReason) -> None:
+        """Reset the connection, whatever its tasks are waiting for.
+
+        A close alone would leave the rest of a reply with the kernel.
+        """
+        if self.link.closed_for is not None:
+            return
+        self.link.closed_for = reason
+        self._record_close(reason)
+        socket_ = self._get_socket()
+        # Fails if the caller has closed the connection.
+        with contextlib.suppress(OSError):
+            socket_.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, accept_queue.NO_LINGER
+            )
+        socket_.close()
+
     def has_unread(self) -> bool:
         """Whether the socket has received bytes that are not read yet.
 
@@ -220,39 +245,49 @@
                 return None
 
     async def protocol_send(self, event: hypercorn_events.Event) -> None:
-        """Write with a time limit.
-
-        Writes are shielded because a cancelled one would leave a partial
-        message on the wire. A write that does not complete in time closes
-        the connection, and with it ends the run that it belongs to.
-        """
+        """Write, for as long as the caller accepts data."""
         if isinstance(event, hypercorn_events.Updated):
             self._update_idle(event.idle)
             return
         if not isinstance(event, hypercorn_events.RawData):
             await self._finish()
             return
-        data = event.data
+        data = memoryview(event.data)
         if not self.send_lock.locked():
             if isinstance(self.stream, trio.SocketStream):
                 data = data[http.write_nonblocking(self.stream, data) :]
             if not data:
                 return
+        if not await self._write_rest(data):
+            self.link.lost = True
+            await self.protocol.handle(hypercorn_events.Closed())
+
+    async def _write_rest(self, data: memoryview) -> bool:
+        """Write what the socket did not take at once; False if it fails.
+
+        This is shielded because a cancelled write would leave a partial
+        message on the wire. One whose caller accepts nothing is aborted, and
+        with it ends the run that it belongs to.
+        """
+        write = self.config.writes.begin(
+            lambda: write_progress.count_unsent(self._get_socket().fileno()),
+            self.abort,
+            trio.current_effective_deadline(),
+        )
         try:
             # Waiting for the lock can be cancelled too, even for a free one.
-            with trio.CancelScope(
-                shield=True, relative_deadline=self.config.silence_ms / 1000
-            ) as scope:
+            with trio.CancelScope(shield=True):
                 async with self.send_lock:
-                    await self.stream.send_all(data)
-            if not scope.cancelled_caught:
-                return
-            self._record_close(closes.CloseReason.WRITE_TIMEOUT)
-            await trio.aclose_forcefully(self.stream)
+                    while data:
+                        await self.stream.send_all(data[:MAX_WRITE_BYTES])
+                        data = data[MAX_WRITE_BYTES:]
+                        write.written += 1
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
             trio.BusyResourceError,
         ):
-            pass
-        await self.protocol.handle(hypercorn_events.Closed())
+            return False
+        finally:
+            self.config.writes.end(write)
+        return True
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -107,6 +107,7 @@
                 )
             )
             accepting.start_soon(keep_closing_idle, open_connections, config)
+            connections.start_soon(config.writes.run)
             await stop.wait()
             accepting.cancel_scope.cancel()
         for port in ports:
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -11,10 +11,14 @@
 from carawayward import closes
 from carawayward import errors
 from carawayward import settings as settings_module
+from carawayward import write_progress
 
 # Headers of up to this size reach the application, which refuses those above
 # its own limit with a response that says so.
 MAX_HEADER_BYTES = 65_536
+# What the kernel holds of a reply besides what is on its way. With more, a
+# reply would look sent long before a slow caller has read it.
+MAX_UNSENT_BYTES = 131_072
 # Where ``tcp_info`` of a listening socket has the length of its accept queue.
 ACCEPT_QUEUE_LENGTH = struct.Struct("=24xI")
 
@@ -43,10 +47,12 @@
     ``changed`` is set, and replaced, by each change to the idle time-out.
     ``listening_sockets`` are those that were created last. ``accept_policy``
     decides whether connections wait to be accepted. ``closes`` counts the
-    connections that the listener has closed.
+    connections that the listener has closed, ``writes`` watches those that
+    wait for their callers.
     """
 
     silence_ms: int
+    writes: write_progress.WriteWatch
     accept_policy: accept_queue.Policy = accept_queue.KeepWaiting()
 
     def __init__(self) -> None:
@@ -72,6 +78,11 @@
         for each in self.listening_sockets:
             for option in make_socket_options(self.silence_ms):
                 each.setsockopt(*option)
+            each.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_NOTSENT_LOWAT,
+                MAX_UNSENT_BYTES,
+            )
         return sockets
 
     def count_waiting(self) -> int:
@@ -105,6 +116,7 @@
     """
     config = ListenerConfig()
     config.silence_ms = limits.caller_silence_ms
+    config.writes = write_progress.WriteWatch(limits.caller_silence_ms / 1000)
     config.bind = [address]
     config.graceful_timeout = graceful_ms / 1000
     config.keep_alive_timeout = limits.idle_connection_ms / 1000
