Account for buffered bytes, and free endpoints before callers read

What callers saw: an entry VM ran out of memory, and all its requests were lost, beside clients that asked for long answers and read them slowly or never.

Cause: plain answers are read whole, so that a truncated one can be retried, with no bound over all of them, and each was in memory three to four times (bytearray, bytes, framed with its head, the rest of a partial write). The endpoint's connection stayed open for as long as the caller read.

Change: - One account (buffers.BufferAccount, 32 MiB) of request bodies, answers read and writes that wait, a share for each connection. body_room is a part. - Short of room, the connections are closed that cost the most: bytes held, times the time they need to move as many (decisions/buffer_shedding). They are reset, their last line says 'no room for buffered bytes', and connections_closed{reason="buffers"} counts them. Connections that hold up to 64 KiB have a quarter more room. - An answer for which that makes no room is relayed as it comes, with back-pressure, and its request is not retried any more. - One copy of an answer: BytesIO.getvalue, large parts are written by themselves, and the rest of a write is a view. - A whole answer is sent once its attempt has ended: the endpoint, its descriptor and its measured time do not depend on the caller. - A reader that waits for the end of a request wakes up when its connection is closed.

--- a/src/carawayward/caller_links.py
+++ b/src/carawayward/caller_links.py
@@ -1,7 +1,10 @@
 """What an application may know and ask of its caller's connection."""
 
+import typing
+
 import attrs
 
+from carawayward import buffers
 from carawayward import closes
 
 # The key of a request's state with the link to its connection.
@@ -13,9 +16,16 @@
     """A caller's connection, as the application sees it.
 
     ``closed_for`` is why the listener has closed it. ``lost`` is set once
-    something could not be sent.
+    something could not be sent. ``share`` is what it holds of the buffered
+    bytes; the endpoint's kernel buffers hold ``unread_bytes`` more while a
+    write waits. ``abort`` closes the connection.
     """
 
+    share: buffers.BufferShare = attrs.field(
+        factory=lambda: buffers.BufferShare(buffers.BufferAccount())
+    )
+    abort: typing.Callable[[closes.CloseReason], None] = lambda reason: None
+    unread_bytes: int = 0
     closed_for: closes.CloseReason | None = None
     lost: bool = False
 
--- a/src/carawayward/closes.py
+++ b/src/carawayward/closes.py
@@ -22,6 +22,9 @@
     WRITE_TIMEOUT = "write_timeout"
     # The caller still reads long after its request's deadline.
     DEADLINE = "deadline"
+    # No room was left for the bytes of all connections, and this one held the
+    # most for the longest.
+    BUFFERS = "buffers"
     # A reply was sent before the whole body of its request had come.
     EARLY_REPLY = "early_reply"
     # The application ended before its reply was complete.
@@ -35,6 +38,7 @@
     CloseReason.MALFORMED: "malformed request",
     CloseReason.WRITE_TIMEOUT: "caller does not read",
     CloseReason.DEADLINE: "caller reads past its deadline",
+    CloseReason.BUFFERS: "no room for buffered bytes",
     CloseReason.EARLY_REPLY: "closed after an early reply",
     CloseReason.UNFINISHED_REPLY: "reply not finished",
 }
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -10,8 +10,10 @@
 import attrs
 import trio
 
+from carawayward import buffers
 from carawayward import caller_links
 from carawayward import clock as clock_module
+from carawayward import closes
 from carawayward.decisions import placement
 from carawayward import errors
 from carawayward import events
@@ -73,6 +75,25 @@
     work: work_items.Work | None = None
     is_logged: bool = False
 
+    def hold(self, count: int) -> bool:
+        """Account for ``count`` kept bytes of the response."""
+        return self.link.share.hold(buffers.Part.ANSWER, count)
+
+    def expect_unread(self, count: int) -> None:
+        """Account for ``count`` bytes more while a write waits."""
+        self.link.unread_bytes = count
+
+    def give_up(self) -> None:
+        """Close the connection, as there is no room for the response."""
+        self.link.abort(closes.CloseReason.BUFFERS)
+        self.link.lost = True
+        raise replies.ReplyLost()
+
+    def release(self) -> None:
+        """Hold nothing of a response any more."""
+        self.hold(0)
+        self.link.unread_bytes = 0
+
     async def start(self, status: int, headers: message_types.Headers) -> None:
         """Send status and headers."""
         self.started = True
@@ -131,7 +152,7 @@
             return
         link = caller_links.find_link(scope)
         reply = AsgiReply(send, self._should_redirect_callers, link)
-        kept = body_room.KeptBody(self.board.body_room)
+        kept = body_room.KeptBody(self.board.body_room, link.share)
         self.board.open_requests += 1
         try:
             await self._serve(scope, receive, reply, kept)
@@ -153,6 +174,7 @@
         finally:
             self._log_cut(scope, reply)
             kept.release()
+            reply.release()
             self.board.open_requests -= 1
 
     def _should_redirect_callers(self) -> bool:
--- a/src/carawayward/forwarding/attempt.py
+++ b/src/carawayward/forwarding/attempt.py
@@ -6,12 +6,10 @@
 """
 
 import contextlib
-import math
 import typing
 
 import attrs
 import httpcore
-import trio
 
 from carawayward.forwarding import message_types
 from carawayward.gateway import connections
@@ -21,9 +19,6 @@
 # A round trip between failure domains takes a few ms. A lost SYN is sent again
 # only after a second; trying another endpoint is faster.
 CONNECT_TIMEOUT_S = 0.5
-# A long body may take longer than the attempt timeout if it comes as fast as
-# this.
-MIN_BODY_BYTES_PER_MS = 1_000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -97,35 +92,9 @@
         except http.CALL_FAILURES as cause:
             raise AttemptFailed(type(cause).__name__, sent=True) from cause
 
-    async def read_body(
-        self, max_bytes: int, timeout_ms: float = math.inf
-    ) -> bytes:
-        """Read the whole body.
-
-        Raises AttemptFailed if it is truncated or longer than ``max_bytes``.
-        One that declares no length may have no end: it has ``timeout_ms``, and
-        what its bytes take on a slow link.
-        """
-        length = http.find_length(self.head.headers)
-        if length is not None:
-            timeout_ms = math.inf
-            if length > max_bytes:
-                raise AttemptFailed("body too large", sent=True)
-        body = bytearray()
-        began = trio.current_time()
-        with trio.move_on_after(timeout_ms / 1000) as timeout:
-            async with contextlib.aclosing(self.read_chunks()) as chunks:
-                async for chunk in chunks:
-                    body += chunk
-                    if len(body) > max_bytes:
-                        raise AttemptFailed("body too large", sent=True)
-                    expected_ms = len(body) / MIN_BODY_BYTES_PER_MS
-                    timeout.deadline = (
-                        began + (timeout_ms + expected_ms) / 1000
-                    )
-        if timeout.cancelled_caught:
-            raise AttemptFailed("body too slow", sent=True)
-        return bytes(body)
+    def limit_unread(self) -> None:
+        """Have the kernel keep little of what is not read yet."""
+        connections.limit_unread(self._response)
 
 
 class AttemptConnection(httpcore.AsyncHTTP11Connection):
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -9,6 +9,7 @@
 import attrs
 import trio
 
+from carawayward import buffers as buffers_module
 from carawayward.forwarding import body_room as body_room_module
 from carawayward.forwarding import message_types
 from carawayward.forwarding import settings
@@ -70,6 +71,9 @@
     stop_deadline: stop_deadline_module.StopDeadline = attrs.field(
         factory=stop_deadline_module.StopDeadline
     )
+    buffers: buffers_module.BufferAccount = attrs.field(
+        factory=buffers_module.BufferAccount
+    )
     body_room: body_room_module.BodyRoom = attrs.field(
         factory=body_room_module.BodyRoom
     )
--- a/src/carawayward/forwarding/body_room.py
+++ b/src/carawayward/forwarding/body_room.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-# Bodies take some three times their length while they are received and sent.
+from carawayward import buffers
+
 MAX_BODY_BYTES = 16 * 1_048_576
 # Requests with bodies up to this length are accepted beside large ones that
 # take all of the room, within as much again as a quarter of it.
@@ -19,9 +20,10 @@
 
 @attrs.define(eq=False)
 class KeptBody:
-    """The room that one request's body takes."""
+    """The room that one request's body takes, of its connection's share."""
 
     room: BodyRoom
+    share: buffers.BufferShare
     taken_bytes: int = 0
 
     def grow(self, length: int) -> bool:
@@ -32,6 +34,8 @@
         added = max(0, length - self.taken_bytes)
         if added and self.room.kept_bytes + added > limit:
             return False
+        if added and not self.share.hold(buffers.Part.BODY, length):
+            return False
         self.taken_bytes += added
         self.room.kept_bytes += added
         return True
@@ -40,3 +44,4 @@
         """Give the room back."""
         self.room.kept_bytes -= self.taken_bytes
         self.taken_bytes = 0
+        self.share.hold(buffers.Part.BODY, 0)
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -183,7 +183,9 @@
 
     def _make_listener(self, address: str) -> listening.ListenerConfig:
         limits = node_settings.Limits(idle_connection_ms=DEFAULT_IDLE_MS)
-        return listening.make_config(address, limits, None, 300)
+        return listening.make_config(
+            address, limits, None, 300, self.board.buffers
+        )
 
     def _start_serving(self, nursery: trio.Nursery, stop: trio.Event) -> None:
         listen = self.settings.listen
@@ -245,6 +247,7 @@
                 gauges |= each.collect_gauges()
         gauges |= self.app.forwarder.placer.collect_gauges()
         gauges["connections_waiting"] = self.callers.count_waiting()
+        gauges["buffered_bytes"] = self.board.buffers.held_bytes
         for reason, count in self.callers.closes.closed.items():
             name = metrics_module.format_series(
                 "connections_closed", reason=reason.value
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -123,6 +123,12 @@
                 )
                 return
             outcome = await self._try_endpoint(work, endpoint, choice, reply)
+            if isinstance(outcome, work_items.Answered):
+                # Only now, as a caller may take long: the endpoint is free.
+                await replies.send_response(
+                    reply, outcome.status, outcome.headers, outcome.body
+                )
+                outcome = work_items.Delivered(outcome.status)
             if isinstance(outcome, work_items.Delivered):
                 if outcome.status < 300:
                     self.suspects.record_answer(work)
@@ -228,7 +234,7 @@
             self.rollouts.end(run, work)
         if isinstance(outcome, work_items.NOT_RUN_OUTCOMES):
             work.mark = None
-        if isinstance(outcome, work_items.Delivered):
+        if isinstance(outcome, (work_items.Answered, work_items.Delivered)):
             took_ms = self.clock.now_ms() - began_ms
             self.fleet.record_success(endpoint, took_ms)
         return outcome
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -94,12 +94,13 @@
             serve = self._serve
             if scope["raw_path"] == relay_messages.PROBE_PATH:
                 serve = self._serve_probe
-            kept = body_room.KeptBody(self.board.body_room)
+            kept = body_room.KeptBody(self.board.body_room, reply.link.share)
             self.board.open_relays += 1
             try:
                 await serve(receive, reply, kept)
             finally:
                 kept.release()
+                reply.release()
                 self.board.open_relays -= 1
 
     async def _serve_probe(
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -5,6 +5,7 @@
 import attrs
 import trio
 
+from carawayward.forwarding import answer_bodies
 from carawayward.forwarding import attempt as attempt_module
 from carawayward.forwarding import attempt_timeouts
 from carawayward.forwarding import crashing_parts
@@ -15,11 +16,9 @@
 from carawayward.forwarding import retries
 from carawayward.forwarding import table
 from carawayward.forwarding import work_items
+from carawayward.gateway import connections
 from carawayward import http_client as http
 
-# A plain response is relayed once it is complete, so that a truncated one can
-# be retried; this limits the memory of each.
-MAX_BODY_BYTES = 4_194_304
 # Statuses that tell callers that a request has not run and will not.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # A stream without an event for this many times the route's gap target is
@@ -76,24 +75,48 @@
             return work_items.Failed(
                 f"status {head.status} not marked as declined"
             )
-        body = await answer.read_body(
-            MAX_BODY_BYTES,
-            attempt_timeouts.compute_body_timeout_ms(work.route),
-        )
-        work.progress.status = head.status
-        if head.status >= 500 and retries.may_repeat(work.route):
-            return work_items.Failed(f"status {head.status}", head, body)
-        if reply.started:
-            return work_items.Failed(
-                f"status {head.status} on resuming a stream"
+        return await self._relay_plain(work, answer, reply)
+
+    async def _relay_plain(
+        self,
+        work: work_items.Work,
+        answer: attempt_module.ResponseReader,
+        reply: replies.Reply,
+    ) -> work_items.Outcome:
+        """Read a plain response, and relay it if it cannot be kept whole."""
+        head = answer.head
+        # That of an earlier attempt is relayed if no other succeeds.
+        held = len(work.failure.body) if work.failure else 0
+        timeout_ms = attempt_timeouts.compute_body_timeout_ms(work.route)
+        async with contextlib.aclosing(answer.read_chunks()) as chunks:
+            body = answer_bodies.AnswerBody.from_response(
+                head, chunks, timeout_ms
             )
-        await replies.send_response(
-            reply,
-            head.status,
-            hops.select_response_headers(head.headers, self.internal_headers),
-            body,
-        )
-        return work_items.Delivered(head.status)
+            begin = await body.read_ahead(lambda n: reply.hold(held + n))
+            work.progress.status = head.status
+            if head.status >= 500 and retries.may_repeat(work.route):
+                cause = f"status {head.status}"
+                if not body.complete:
+                    return work_items.Failed(cause)
+                return work_items.Failed(cause, head, begin)
+            if reply.started:
+                return work_items.Failed(
+                    f"status {head.status} on resuming a stream"
+                )
+            headers = hops.select_response_headers(
+                head.headers, self.internal_headers
+            )
+            if body.complete:
+                return work_items.Answered(head.status, headers, begin)
+            work.is_partly_sent = True
+            answer.limit_unread()
+            reply.expect_unread(connections.UNREAD_BYTES)
+            await reply.start(head.status, headers)
+            await reply.send(begin)
+            async for chunk in body.read_rest():
+                await reply.send(chunk)
+            await reply.finish()
+            return work_items.Delivered(head.status)
 
     async def _relay_stream(
         self,
--- a/src/carawayward/forwarding/replies.py
+++ b/src/carawayward/forwarding/replies.py
@@ -37,6 +37,18 @@
 
     started: bool
 
+    def hold(self, count: int) -> bool:
+        """Account for ``count`` kept bytes of the response.
+
+        False if there is no room for more.
+        """
+
+    def expect_unread(self, count: int) -> None:
+        """Account for ``count`` bytes more while a write waits."""
+
+    def give_up(self) -> None:
+        """Close the connection, as there is no room for the response."""
+
     async def start(self, status: int, headers: message_types.Headers) -> None:
         """Send status and headers."""
 
--- a/src/carawayward/forwarding/retries.py
+++ b/src/carawayward/forwarding/retries.py
@@ -44,6 +44,8 @@
     """
     if not may_run(work):
         return "not repeatable"
+    if work.is_partly_sent:
+        return "partly sent"
     match outcome:
         case work_items.Withheld():
             return "withheld"
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -22,6 +22,15 @@
 MAX_ANSWER_PAUSE_MS = 1_000.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The whole response has been read; the caller has none of it yet."""
+
+    status: int
+    headers: message_types.Headers
+    body: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Delivered:
     """The caller has been sent the whole response."""
@@ -90,7 +99,7 @@
 
 
 Undelivered = Unreached | Withheld | Diverted | Declined | Unsure | Failed
-Outcome = Delivered | Undelivered
+Outcome = Answered | Delivered | Undelivered
 # Outcomes after which the request is certain not to have run; after any other
 # it may have.
 NOT_RUN_OUTCOMES = (Unreached, Withheld, Diverted, Declined)
@@ -210,7 +219,8 @@
     taken. ``urgency_class`` is None where the service has only one rank.
     ``backlog_ms`` is the mean backlog of the engines, for the log.
     ``waited_ms`` is how long the request waited to be read. ``is_logged`` is
-    set once its end is logged.
+    set once its end is logged, ``is_partly_sent`` once its caller has the
+    beginning of a plain response that is not kept.
     """
 
     request: replies.CallerRequest
@@ -246,6 +256,7 @@
     backlog_ms: float = 0.0
     waited_ms: float = 0.0
     is_logged: bool = False
+    is_partly_sent: bool = False
     _fingerprint: str = attrs.field(default="", init=False)
     _shared_parts: tuple[str, ...] | None = attrs.field(
         default=None, init=False
--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -30,6 +30,9 @@
 # What a connection for one request may receive before the end of a response's
 # head.
 MAX_HEAD_BYTES = 131_072
+# What the kernel may receive of a response that is read as slowly as its
+# caller reads it. The kernel doubles it for what packets take besides.
+UNREAD_BYTES = 65_536
 # Unused pools are closed when a pool is added and there are more than this.
 PRUNE_ABOVE = 64
 
@@ -196,6 +199,15 @@
         stream.head_bytes_left = None
 
 
+def limit_unread(response: httpcore.Response) -> None:
+    """Have the kernel receive little of a response that is not read."""
+    stream = response.extensions.get("network_stream")
+    if isinstance(stream, EndpointStream):
+        stream.stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES
+        )
+
+
 async def open_stream(host: str, port: int) -> trio.SocketStream:
     """Connect; for an IP address without the tasks that resolve a name."""
     try:
--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -11,6 +11,7 @@
 import trio
 
 from carawayward import accept_queue
+from carawayward import buffers
 from carawayward import caller_links
 from carawayward import closes
 from carawayward import events
@@ -64,7 +65,13 @@
         self.waiting = trio.CancelScope()
         self.reading = trio.CancelScope()
         self.discarding = False
-        self.link = caller_links.CallerLink()
+        self.link = caller_links.CallerLink(
+            buffers.BufferShare(
+                self.config.buffers,
+                lambda: self.abort(closes.CloseReason.BUFFERS),
+            ),
+            self.abort,
+        )
         self.state[caller_links.LINK] = self.link
 
     async def run(self) -> None:
@@ -87,6 +94,7 @@
             )
         finally:
             self.open_connections.discard(self)
+            self.link.share.release()
             await trio.aclose_forcefully(self.stream)
 
     def close_if_waiting(self) -> None:
@@ -117,6 +125,8 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, accept_queue.NO_LINGER
             )
         socket_.close()
+        # It may wait for a request in hand rather than for bytes.
+        self.reading.cancel()
 
     def has_unread(self) -> bool:
         """Whether the socket has received bytes that are not read yet.
@@ -234,9 +244,9 @@
         while True:
             with trio.CancelScope() as self.waiting:
                 try:
-                    return bytes(
-                        await self.stream.receive_some(tcp_server.MAX_RECV)
-                    )
+                    data = await self.stream.receive_some(tcp_server.MAX_RECV)
+                    self.link.share.moved_bytes += len(data)
+                    return bytes(data)
                 except (trio.ClosedResourceError, trio.BrokenResourceError):
                     return None
             # Bytes may have arrived since the decision to close.
@@ -255,7 +265,9 @@
         data = memoryview(event.data)
         if not self.send_lock.locked():
             if isinstance(self.stream, trio.SocketStream):
-                data = data[http.write_nonblocking(self.stream, data) :]
+                count = http.write_nonblocking(self.stream, data)
+                self.link.share.moved_bytes += count
+                data = data[count:]
             if not data:
                 return
         if not await self._write_rest(data):
@@ -269,6 +281,9 @@
         message on the wire. One whose caller accepts nothing is aborted, and
         with it ends the run that it belongs to.
         """
+        if not self._hold_unwritten(len(data)):
+            self.abort(closes.CloseReason.BUFFERS)
+            return False
         write = self.config.writes.begin(
             lambda: write_progress.count_unsent(self._get_socket().fileno()),
             self.abort,
@@ -279,9 +294,11 @@
             with trio.CancelScope(shield=True):
                 async with self.send_lock:
                     while data:
-                        await self.stream.send_all(data[:MAX_WRITE_BYTES])
+                        chunk = data[:MAX_WRITE_BYTES]
+                        await self.stream.send_all(chunk)
                         data = data[MAX_WRITE_BYTES:]
                         write.written += 1
+                        self.link.share.moved_bytes += len(chunk)
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
@@ -290,4 +307,11 @@
             return False
         finally:
             self.config.writes.end(write)
+            self.link.share.hold(buffers.Part.WRITE, 0)
         return True
+
+    def _hold_unwritten(self, count: int) -> bool:
+        """Account for what waits to be written, unless the answer holds it."""
+        count += self.link.unread_bytes
+        held = self.link.share.held.get(buffers.Part.ANSWER, 0)
+        return self.link.share.hold(buffers.Part.WRITE, max(0, count - held))
--- a/src/carawayward/http_exchanges.py
+++ b/src/carawayward/http_exchanges.py
@@ -14,11 +14,15 @@
 from carawayward import events
 from carawayward import listening
 
+# States in which nothing of a response has been sent.
+ANSWERABLE_STATES = frozenset((h11.IDLE, h11.SEND_RESPONSE))
 # The key of a request's state with its target as received.
 TARGET = "target"
 # How long the end of a reply may take besides its writes. An application that
 # does not read its request could block it for ever.
 REPLY_END_S = 0.5
+# Larger parts of a reply are written by themselves rather than copied.
+MAX_JOINED_BYTES = 16_384
 
 
 class Exchange(http_stream.HTTPStream):
@@ -72,6 +76,7 @@
         self.buffered: list[bytes] | None = None
         self.send_unbuffered = self.send
         self.send = self._send
+        self.ended = False
 
     async def _send(self, event: hypercorn_events.Event) -> None:
         if isinstance(event, hypercorn_events.RawData):
@@ -82,6 +87,58 @@
             await self.release()
         await self.send_unbuffered(event)
 
+    async def handle(self, event: hypercorn_events.Event) -> None:
+        """Handle received bytes, or the end of the connection."""
+        await super().handle(event)
+        if isinstance(event, hypercorn_events.Closed):
+            self.ended = True
+            # The reader may wait for the end of a request to read the next.
+            await self.can_read.set()
+
+    async def _handle_events(self) -> None:
+        """Handle what has been received; wait while a request is in hand.
+
+        Requests that are received behind it are dropped if the connection
+        ends meanwhile.
+        """
+        while not self.ended:
+            if self.connection.they_are_waiting_for_100_continue:
+                await self._send_h11_event(
+                    h11.InformationalResponse(
+                        status_code=100,
+                        headers=self.config.response_headers("h11"),
+                    )
+                )
+            try:
+                event = self.connection.next_event()
+            except h11.RemoteProtocolError as error:
+                if self.connection.our_state in ANSWERABLE_STATES:
+                    await self._send_error_response(error.error_status_hint)
+                await self.send(hypercorn_events.Closed())
+                return
+            if event is h11.PAUSED:
+                await self.can_read.clear()
+                await self.can_read.wait()
+            elif isinstance(event, h11.Request):
+                await self.send(hypercorn_events.Updated(idle=False))
+                await self._create_stream(event)
+            elif event is h11.NEED_DATA or self.stream is None:
+                return
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+            elif isinstance(event, h11.Data):
+                await self.stream.handle(
+                    hypercorn_protocol_events.Body(
+                        stream_id=h11_protocol.STREAM_ID, data=event.data
+                    )
+                )
+            elif isinstance(event, h11.EndOfMessage):
+                await self.stream.handle(
+                    hypercorn_protocol_events.EndBody(
+                        stream_id=h11_protocol.STREAM_ID
+                    )
+                )
+
     def start_buffering(self) -> None:
         """Buffer what is sent until it is released."""
         if self.buffered is None:
@@ -90,8 +147,7 @@
     async def release(self) -> None:
         """Send the buffered data in one write and stop buffering."""
         buffered, self.buffered = self.buffered, None
-        if buffered:
-            data = b"".join(buffered)
+        for data in join_small(buffered or []):
             await self.send_unbuffered(hypercorn_events.RawData(data=data))
 
     async def stream_send(
@@ -101,8 +157,8 @@
         if type(event) is hypercorn_protocol_events.Body:
             if self.chunked:
                 size = b"%x\r\n" % len(event.data)
-                data = size + event.data + b"\r\n"
-                await self.send(hypercorn_events.RawData(data=data))
+                for data in join_small([size, event.data, b"\r\n"]):
+                    await self.send(hypercorn_events.RawData(data=data))
             else:
                 await super().stream_send(event)
             if not self.ending:
@@ -214,3 +270,22 @@
         )
         await self._send_h11_event(h11.Data(data=body))
         await self._send_h11_event(h11.EndOfMessage())
+
+
+def join_small(parts: list[bytes]) -> list[bytes]:
+    """Join the parts of a message, but none that is large."""
+    if sum(map(len, parts)) <= MAX_JOINED_BYTES:
+        return [b"".join(parts)] if parts else []
+    joined: list[bytes] = []
+    small: list[bytes] = []
+    for part in parts:
+        if len(part) <= MAX_JOINED_BYTES:
+            small.append(part)
+            continue
+        if small:
+            joined.append(b"".join(small))
+        joined.append(part)
+        small = []
+    if small:
+        joined.append(b"".join(small))
+    return joined
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -8,6 +8,7 @@
 import trio
 
 from carawayward import accept_queue
+from carawayward import buffers
 from carawayward import closes
 from carawayward import errors
 from carawayward import settings as settings_module
@@ -48,11 +49,13 @@
     ``listening_sockets`` are those that were created last. ``accept_policy``
     decides whether connections wait to be accepted. ``closes`` counts the
     connections that the listener has closed, ``writes`` watches those that
-    wait for their callers.
+    wait for their callers. ``buffers`` accounts for the bytes that all
+    connections of the process hold.
     """
 
     silence_ms: int
     writes: write_progress.WriteWatch
+    buffers: buffers.BufferAccount
     accept_policy: accept_queue.Policy = accept_queue.KeepWaiting()
 
     def __init__(self) -> None:
@@ -108,6 +111,7 @@
     limits: settings_module.Limits,
     tls: settings_module.Tls | None,
     graceful_ms: int,
+    account: buffers.BufferAccount | None = None,
 ) -> ListenerConfig:
     """Create a listener's configuration.
 
@@ -116,6 +120,7 @@
     """
     config = ListenerConfig()
     config.silence_ms = limits.caller_silence_ms
+    config.buffers = account or buffers.BufferAccount()
     config.writes = write_progress.WriteWatch(limits.caller_silence_ms / 1000)
     config.bind = [address]
     config.graceful_timeout = graceful_ms / 1000
--- /dev/null
+++ b/tests/failures/test_answer_room.py
@@ -0,0 +1,88 @@
+"""Plain answers that there is no room to keep whole."""
+
+import httpcore
+from nose2.tools import params
+import trio
+
+from tests.common import forwarding
+from tests.standins import backend
+from tests.standins import raw_http
+
+ANSWER = bytes(range(256)) * 4_096
+MAX_BYTES = 100_000
+
+
+def make_answer(framing: str, cut: bool) -> backend.Behaviour:
+    """Make an answer that declares its length, is chunked, or neither."""
+
+    async def answer(server, exchange):
+        server.begin(exchange).ended = framing
+        headers = server.seal(exchange)
+        body = ANSWER[: len(ANSWER) // 2] if cut else ANSWER
+        if framing == "chunked":
+            await exchange.begin_stream(headers)
+            await exchange.send_chunk(body)
+            if not cut:
+                await exchange.send_chunk(b"")
+        else:
+            if framing == "declared":
+                headers["content-length"] = f"{len(ANSWER)}"
+            head = raw_http.make_head(200, headers)
+            await exchange.stream.send_all(head + body)
+        if cut:
+            await exchange.reset()
+        await exchange.stream.aclose()
+
+    return answer
+
+
+@params(
+    *[
+        (framing, cut)
+        for framing in ("declared", "chunked", "closed")
+        for cut in (False, True)
+    ]
+)
+def test_answer_without_room_is_relayed_as_it_comes(framing: str, cut: bool):
+    """Guards against a long answer that is lost, or looks whole when cut."""
+
+    async def main():
+        desk = backend.Backend("desk-0", always=make_answer(framing, cut))
+        async with forwarding.open_forwarding(desk) as made:
+            made.daemon.board.buffers.max_bytes = MAX_BYTES
+            try:
+                answer = await made.call("GET", "/look/")
+            except httpcore.RemoteProtocolError:
+                answer = None
+            # What its caller has a part of must not run again.
+            assert len(desk.runs) == 1
+            await made.wait_for(
+                lambda: made.daemon.board.buffers.held_bytes == 0
+            )
+        assert (answer is None) == cut
+        if answer is not None:
+            assert (answer.status, answer.body) == (200, ANSWER)
+
+    trio.run(main)
+
+
+def test_answer_of_an_unsound_kind_without_room_is_a_failure():
+    """Guards against a 500 that is relayed though a retry could succeed."""
+
+    async def fail_at_length(server, exchange):
+        server.begin(exchange).ended = "failed"
+        await exchange.answer(500, server.seal(exchange), ANSWER)
+
+    async def main():
+        desks = [backend.Backend(f"desk-{n}") for n in range(2)]
+        for each in desks:
+            each.behaviours = [fail_at_length]
+        async with forwarding.open_forwarding(*desks) as made:
+            made.daemon.board.buffers.max_bytes = MAX_BYTES
+            desks[1].behaviours.clear()
+            statuses = {
+                (await made.call("GET", "/look/")).status for _ in range(4)
+            }
+        assert statuses == {200}
+
+    trio.run(main)
--- a/tests/failures/test_body_room.py
+++ b/tests/failures/test_body_room.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 import trio
 
+from carawayward import buffers
 from carawayward.forwarding import body_room
 from tests.common import forwarding
 from tests.standins import backend
@@ -25,7 +26,11 @@
 def test_kept_bodies_never_take_more_than_their_room(steps):
     """Guards against a process that is killed for its memory."""
     room = body_room.BodyRoom()
-    kept = [body_room.KeptBody(room) for _ in range(6)]
+    account = buffers.BufferAccount(1 << 40, read_clock=lambda: 0.0)
+    kept = [
+        body_room.KeptBody(room, buffers.BufferShare(account))
+        for _ in range(6)
+    ]
     most = body_room.MAX_BODY_BYTES + body_room.SMALL_BODY_ROOM_BYTES
     for index, length in steps:
         if length < 0:
@@ -33,6 +38,7 @@
         elif kept[index].grow(length):
             assert kept[index].taken_bytes >= length
         assert 0 <= room.kept_bytes <= most
+        assert account.held_bytes == room.kept_bytes
     for each in kept:
         each.release()
     assert room.kept_bytes == 0
