Account for events of streams, and keep one copy of each

What callers saw: an entry VM ran out of memory beside clients that read streams of large events slowly.

Cause: an event may have 1 MiB, and was copied six times on its way (slices of the buffer, parsed, joined, framed, the rest of a partial write); no bound over all streams. Events that a slow caller does not take yet may fill the kernel's receive buffer too, which grows to megabytes.

Change: an event is copied once out of the buffer that it is assembled in, and written as it is. What a stream keeps counts in the account of buffered bytes from 16 KiB on. The kernel receives at most 64 KiB of a stream that is not read, and that counts while a write waits.

--- a/src/carawayward/forwarding/event_stream.py
+++ b/src/carawayward/forwarding/event_stream.py
@@ -55,9 +55,12 @@
         self.pending += data
         events = []
         begin = 0
-        for end in EVENT_END.finditer(self.pending, self.searched):
-            events.append(parse_event(bytes(self.pending[begin : end.end()])))
-            begin = end.end()
+        with memoryview(self.pending) as view:
+            for end in EVENT_END.finditer(view, self.searched):
+                events.append(parse_event(bytes(view[begin : end.end()])))
+                begin = end.end()
+                # It refers to the view, which cannot be released before.
+                del end
         del self.pending[:begin]
         self.searched = max(0, len(self.pending) - MAX_PARTIAL_END)
         if len(self.pending) > MAX_EVENT_BYTES:
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -24,6 +24,8 @@
 # A stream without an event for this many times the route's gap target is
 # resumed from another endpoint.
 GAP_TIMEOUT_TARGETS = 2.0
+# What of a stream is kept without being accounted for.
+MAX_UNCOUNTED_BYTES = 16_384
 # What may come of a stream between two events.
 MAX_IDLE_BYTES = event_stream.MAX_EVENT_BYTES
 
@@ -136,6 +138,8 @@
                 f"confidence {work.confidence}", larger_model
             )
         stream = StreamState()
+        answer.limit_unread()
+        reply.expect_unread(connections.UNREAD_BYTES)
         gap_ms = work.route.gap_target_ms
         gap_timeout_s = (
             GAP_TIMEOUT_TARGETS * gap_ms / 1000 if gap_ms else float("inf")
@@ -184,24 +188,36 @@
     ) -> work_items.Failed | None:
         """Relay the events that a chunk completes; return why it cannot."""
         stream.idle_bytes += len(chunk) + http.CHUNK_OVERHEAD_BYTES
-        complete = bytearray()
+        complete: list[bytes] = []
         failure = None
         try:
             for event in stream.splitter.feed(chunk):
                 failure = record_event(work, event)
                 if failure is not None:
                     break
-                complete += event.raw
+                complete.append(event.raw)
                 if is_progress(work.route, event):
                     stream.idle_bytes = 0
         except event_stream.MalformedStream as fault:
             failure = work_items.Failed(str(fault))
+        self._hold_stream(stream, complete, reply)
         if complete:
-            await self._relay_events(work, answer, bytes(complete), reply)
+            # A single event is not copied.
+            await self._relay_events(work, answer, b"".join(complete), reply)
         if failure is None and stream.idle_bytes > MAX_IDLE_BYTES:
             failure = work_items.Failed("stream without events")
         return failure
 
+    def _hold_stream(
+        self, stream: StreamState, complete: list[bytes], reply: replies.Reply
+    ) -> None:
+        """Account for what is kept; raise ReplyLost if there is no room."""
+        count = len(stream.splitter.pending) + sum(map(len, complete))
+        if count <= MAX_UNCOUNTED_BYTES:
+            count = 0
+        if not reply.hold(count):
+            reply.give_up()
+
     async def _relay_events(
         self,
         work: work_items.Work,
