Keep descriptors back for endpoints, the store and peers

What callers saw: beside 500 idle clients, or as many heads without end or slow streams, at 400 descriptors, no other client could connect (0 of 48), and requests in hand could not reach their endpoints. Standard error got ten tracebacks a second and no event.

Cause: listeners accepted connections until no descriptor was left.

Change: each listener has a number of connections (decisions/resource_limits divides the descriptors of the new setting resources.descriptors, from the platform's template, or of the process's limit). When it is reached, a new connection takes the place of the longest idle one, a head without end counts as idle; else of the one whose client has moved the least while it was waited for, for 1 s or more; else it is closed unread, which its client may retry. Idle ones with unread bytes stay. connections_closed{reason="descriptors"}, events 1407, 1408, and 'no descriptor for a new connection' in the last line of a request. Accepts that fail for want of descriptors or memory are logged as 1409 once a second and tried again.

resources.memory_mb sets the account of buffered bytes.

--- a/src/carawayward/accept_queue.py
+++ b/src/carawayward/accept_queue.py
@@ -1,6 +1,7 @@
 """Accepts connections one at a time, and resets some of those that wait."""
 
 import collections
+import errno
 import socket
 import struct
 import typing
@@ -14,6 +15,12 @@
 NO_LINGER = struct.pack("ii", 1, 0)
 # Connections that are counted before other tasks have their turn.
 MAX_COUNTED_PER_TURN = 256
+# How long nothing is accepted after the kernel had no descriptor or memory.
+SHORTAGE_PAUSE_S = 0.1
+SHORTAGES = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
+LOG_INTERVAL_S = 1.0
 
 
 class Policy(typing.Protocol):
@@ -75,12 +82,32 @@
         self.listening_socket = listening_socket
         self.policy = policy
         self.counted: collections.deque[socket.socket] = collections.deque()
+        self.logged_s = float("-inf")
         self.inner = trio.SocketListener(
             trio.socket.from_stdlib_socket(listening_socket)
         )
 
     async def accept(self) -> trio.SocketStream:
-        """Wait for the next connection."""
+        """Wait for the next connection, also while none can be accepted."""
+        while True:
+            try:
+                return await self._accept()
+            except OSError as fault:
+                if fault.errno not in SHORTAGES:
+                    raise
+                self._log_shortage(fault)
+                await trio.sleep(SHORTAGE_PAUSE_S)
+
+    def _log_shortage(self, fault: OSError) -> None:
+        now_s = trio.current_time()
+        if now_s - self.logged_s >= LOG_INTERVAL_S:
+            self.logged_s = now_s
+            events.log_event(
+                events.Event.ACCEPT_FAILED,
+                detail=supervision.describe_fault(fault),
+            )
+
+    async def _accept(self) -> trio.SocketStream:
         for _ in range(self.policy.count_turns()):
             await trio.lowlevel.checkpoint()
         accepted = self._accept_next()
--- a/src/carawayward/closes.py
+++ b/src/carawayward/closes.py
@@ -25,6 +25,8 @@
     # No room was left for the bytes of all connections, and this one held the
     # most for the longest.
     BUFFERS = "buffers"
+    # No descriptor was left for a new connection.
+    DESCRIPTORS = "descriptors"
     # A reply was sent before the whole body of its request had come.
     EARLY_REPLY = "early_reply"
     # The application ended before its reply was complete.
@@ -39,6 +41,7 @@
     CloseReason.WRITE_TIMEOUT: "caller does not read",
     CloseReason.DEADLINE: "caller reads past its deadline",
     CloseReason.BUFFERS: "no room for buffered bytes",
+    CloseReason.DESCRIPTORS: "no descriptor for a new connection",
     CloseReason.EARLY_REPLY: "closed after an early reply",
     CloseReason.UNFINISHED_REPLY: "reply not finished",
 }
@@ -46,9 +49,11 @@
 
 @attrs.define(eq=False)
 class CloseRecorder:
-    """Counts closes, and logs those that end a request.
+    """Counts closes, and logs those that end a request or are unusual.
 
     It logs at most once in ``LOG_INTERVAL_S``, and what is left at the end.
+    ``unlogged`` has those that ended a request, ``turned_away`` the others
+    for which there were too few descriptors.
     """
 
     closed: collections.Counter[CloseReason] = attrs.field(
@@ -57,22 +62,31 @@
     unlogged: collections.Counter[CloseReason] = attrs.field(
         factory=collections.Counter
     )
+    turned_away: int = 0
     logged_s: float = float("-inf")
 
     def record(self, reason: CloseReason, ends_request: bool) -> None:
         """Record that a connection is being closed."""
         self.closed[reason] += 1
-        if not ends_request:
+        if ends_request:
+            self.unlogged[reason] += 1
+        elif reason is CloseReason.DESCRIPTORS:
+            self.turned_away += 1
+        else:
             return
-        self.unlogged[reason] += 1
         if trio.current_time() - self.logged_s >= LOG_INTERVAL_S:
             self.log()
 
     def log(self) -> None:
-        """Log how many requests were ended since the last time."""
-        if not self.unlogged:
-            return
-        ended = {each.value: n for each, n in self.unlogged.items()}
-        self.unlogged.clear()
-        self.logged_s = trio.current_time()
-        events.log_event(events.Event.REQUESTS_CUT, **ended)
+        """Log how many connections were closed since the last time."""
+        if self.unlogged:
+            ended = {each.value: n for each, n in self.unlogged.items()}
+            self.unlogged.clear()
+            self.logged_s = trio.current_time()
+            events.log_event(events.Event.REQUESTS_CUT, **ended)
+        if self.turned_away:
+            events.log_event(
+                events.Event.DESCRIPTORS_SHORT, closed=self.turned_away
+            )
+            self.turned_away = 0
+            self.logged_s = trio.current_time()
--- a/src/carawayward/daemon.py
+++ b/src/carawayward/daemon.py
@@ -38,6 +38,7 @@
 from carawayward import listening
 from carawayward import metrics as metrics_module
 from carawayward.peers import hub as hub_module
+from carawayward import process_resources
 from carawayward.protocol import tokens
 from carawayward.services import log as log_module
 from carawayward.services import vms as vms_module
@@ -238,21 +239,31 @@
         """Serve callers and operators until ``stop_serving`` is set."""
         listen, tls = self.settings.listen, self.settings.tls
         limits, stop = self.settings.limits, self.settings.stop
-        for app, address, listener_tls in (
-            (callers_app, listen.callers, tls.callers),
+        resources = self.settings.resources
+        account = process_resources.make_account(resources)
+        connections = process_resources.find_connection_limits(resources)
+        for app, address, listener_tls, max_connections in (
+            (
+                callers_app,
+                listen.callers,
+                tls.callers,
+                connections.callers,
+            ),
             (
                 middleware.RequestMiddleware(
                     build_operators_app(self.pages, self.console), self.board
                 ),
                 listen.operators,
                 tls.operators,
+                connections.others,
             ),
         ):
             # When ``stop_serving`` is set no request is running, unless the
             # stop was cut short, so this timeout interrupts no stream.
             config = listening.make_config(
-                address, limits, listener_tls, graceful_ms=stop.deadline_ms
+                address, limits, listener_tls, stop.deadline_ms, account
             )
+            config.max_connections = max_connections
             nursery.start_soon(http_server.serve, app, config, stop_serving)
 
     async def _become_ready(self) -> None:
--- a/src/carawayward/decisions/resource_limits.py
+++ b/src/carawayward/decisions/resource_limits.py
@@ -16,7 +16,9 @@
 # Connections of peers; each request on one takes a second descriptor.
 PEERS_SHARE = 0.1
 MAX_PEER_CONNECTIONS = 200
-MAX_OTHER_CONNECTIONS = 8
+MAX_OTHER_CONNECTIONS = 16
+# Where the process has no limit.
+MAX_DESCRIPTORS = 65_536
 
 
 @attrs.frozen
@@ -42,6 +44,7 @@
 
 def divide_descriptors(descriptors: int) -> ConnectionLimits:
     """Divide the descriptors of a process."""
+    descriptors = min(descriptors, MAX_DESCRIPTORS)
     reserved = max(MIN_RESERVED, int(descriptors * RESERVED_SHARE))
     peers = min(MAX_PEER_CONNECTIONS, int(descriptors * PEERS_SHARE))
     callers = (descriptors - reserved - 2 * peers) // 2
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -152,6 +152,21 @@
         "for stop: find out what the requests waited for; else none",
         logging.WARNING,
     )
+    DESCRIPTORS_SHORT = EventKind(
+        1408,
+        "There were more connections than descriptors allow: as many without "
+        "a request were closed, the longest idle first. At most once a "
+        "second.",
+        'see "Clients that do not behave" in docs/OPERATIONS.md',
+        logging.WARNING,
+    )
+    ACCEPT_FAILED = EventKind(
+        1409,
+        "No connection could be accepted.",
+        "raise the process's limit of descriptors, or set "
+        "resources.descriptors to it",
+        logging.ERROR,
+    )
     RUN_RESUMED = EventKind(
         1404, "A run was resumed over a new connection to its engine."
     )
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -10,6 +10,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import planned_stop
+from carawayward.decisions import resource_limits
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import app as app_module
@@ -24,6 +25,7 @@
 from carawayward.forwarding import settings as settings_module
 from carawayward import http_server
 from carawayward import listening
+from carawayward import process_resources
 from carawayward import settings as node_settings
 
 # A load balancer that probes once a second and removes a target after two
@@ -67,9 +69,17 @@
     )
     take_early_reload: typing.Callable[[], bool] = lambda: False
     callers: listening.ListenerConfig = attrs.field(init=False)
+    connection_limits: resource_limits.ConnectionLimits = attrs.field(
+        init=False
+    )
 
     def __attrs_post_init__(self) -> None:
-        self.callers = self._make_listener(self.settings.listen.callers)
+        self.connection_limits = process_resources.find_connection_limits(
+            self.settings.resources
+        )
+        self.callers = self._make_listener(
+            self.settings.listen.callers, self.connection_limits.callers
+        )
         self.callers.accept_policy = self.app.shedding
 
     @classmethod
@@ -90,6 +100,7 @@
             failure_domain=settings.failure_domain,
             bounds=settings.bounds,
             link_mbps=settings.link_mbps,
+            buffers=process_resources.make_account(settings.resources),
         )
         parts = assembly.make_placement(settings, board, clock, ports)
         feeds = feeds_module.make_feeds(
@@ -181,24 +192,28 @@
             return
         events.log_event(events.Event.SETTINGS_READ, node=self.board.name)
 
-    def _make_listener(self, address: str) -> listening.ListenerConfig:
+    def _make_listener(
+        self, address: str, max_connections: int
+    ) -> listening.ListenerConfig:
         limits = node_settings.Limits(idle_connection_ms=DEFAULT_IDLE_MS)
-        return listening.make_config(
+        config = listening.make_config(
             address, limits, None, 300, self.board.buffers
         )
+        config.max_connections = max_connections
+        return config
 
     def _start_serving(self, nursery: trio.Nursery, stop: trio.Event) -> None:
-        listen = self.settings.listen
+        listen, limits = self.settings.listen, self.connection_limits
         nursery.start_soon(http_server.serve, self.app, self.callers, stop)
         configs = [self.callers]
-        for app, address in (
-            (self._answer_readiness, listen.readiness),
-            (self._answer_metrics, listen.metrics),
-            (self.relay_server, listen.peers),
+        for app, address, max_connections in (
+            (self._answer_readiness, listen.readiness, limits.others),
+            (self._answer_metrics, listen.metrics, limits.others),
+            (self.relay_server, listen.peers, limits.peers),
         ):
             if not address:
                 continue
-            config = self._make_listener(address)
+            config = self._make_listener(address, max_connections)
             nursery.start_soon(http_server.serve, app, config, stop)
             configs.append(config)
         nursery.start_soon(self._follow_limits, configs)
--- a/src/carawayward/forwarding/settings.py
+++ b/src/carawayward/forwarding/settings.py
@@ -80,6 +80,9 @@
     listen: Listen
     store: Store
     bounds: Bounds = attrs.field(factory=Bounds)
+    resources: settings_module.Resources = attrs.field(
+        factory=settings_module.Resources
+    )
     heartbeat_ms: float = 1_200.0
     link_mbps: float = 0.0
     load_shedding: bool = False
@@ -116,6 +119,7 @@
         for field, value in numbers.items():
             if not 0 <= value < math.inf:
                 raise error(field, value, "write a number, 0 or more")
+        settings_module.check_resources(settings.resources)
         if not settings.name or not settings.failure_domain:
             raise error(
                 "name, failure_domain", "", "set both for this entry VM"
--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -14,6 +14,7 @@
 from carawayward import buffers
 from carawayward import caller_links
 from carawayward import closes
+from carawayward.decisions import connection_room
 from carawayward import events
 from carawayward import http_client as http
 from carawayward import http_exchanges
@@ -65,6 +66,10 @@
         self.waiting = trio.CancelScope()
         self.reading = trio.CancelScope()
         self.discarding = False
+        self.closing = False
+        self.closing_for = closes.CloseReason.IDLE
+        self.opened_s = self.received_s = trio.current_time()
+        self.write: write_progress.BlockedWrite | None = None
         self.link = caller_links.CallerLink(
             buffers.BufferShare(
                 self.config.buffers,
@@ -78,7 +83,10 @@
         """Serve the connection; an exception ends only this connection."""
         self.open_connections.add(self)
         try:
-            await super().run()
+            if self._make_room():
+                await super().run()
+            else:
+                self.abort(closes.CloseReason.DESCRIPTORS)
         except trio.Cancelled:
             self._record_stop()
             raise
@@ -97,6 +105,25 @@
             self.link.share.release()
             await trio.aclose_forcefully(self.stream)
 
+    def _make_room(self) -> bool:
+        """Close another connection if there are too many; False if none."""
+        most = self.config.max_connections
+        if len(self.open_connections) <= most:
+            return True
+        others = [
+            each
+            for each in self.open_connections
+            if each is not self and not each.closing
+        ]
+        if len(others) < most:
+            return True
+        now_s = trio.current_time()
+        activities = [each.describe(now_s) for each in others]
+        return any(
+            others[index].make_way()
+            for index in connection_room.order_to_close(activities)
+        )
+
     def close_if_waiting(self) -> None:
         """Close the connection if its task waits for bytes.
 
@@ -105,6 +132,36 @@
         """
         self.waiting.cancel()
 
+    def describe(self, now_s: float) -> connection_room.Activity:
+        """Describe what it does."""
+        if self.exchanges is None:
+            return connection_room.Activity(now_s - self.opened_s)
+        if self.idle.since is not None:
+            return connection_room.Activity(now_s - self.idle.since)
+        if self.write is not None:
+            return connection_room.Activity(
+                None, now_s - self.write.began_s, self.write.count_accepted()
+            )
+        if self.exchanges.connection.their_state is h11.SEND_BODY:
+            return connection_room.Activity(None, now_s - self.received_s)
+        return connection_room.Activity(None)
+
+    def make_way(self) -> bool:
+        """Close the connection for a new one, unless a request has come.
+
+        An idle one is closed without a reset, which its client's next request
+        would cross.
+        """
+        if self.idle.since is not None:
+            if self.has_unread():
+                return False
+            self.closing_for = closes.CloseReason.DESCRIPTORS
+            self.close_if_waiting()
+        else:
+            self.abort(closes.CloseReason.DESCRIPTORS)
+        self.closing = True
+        return True
+
     def close_forcefully(self) -> None:
         """Close the socket, under a write of another task too."""
         self._get_socket().close()
@@ -246,13 +303,15 @@
                 try:
                     data = await self.stream.receive_some(tcp_server.MAX_RECV)
                     self.link.share.moved_bytes += len(data)
+                    self.received_s = trio.current_time()
                     return bytes(data)
                 except (trio.ClosedResourceError, trio.BrokenResourceError):
                     return None
             # Bytes may have arrived since the decision to close.
             if not self.has_unread():
-                self._record_close(closes.CloseReason.IDLE)
+                self._record_close(self.closing_for)
                 return None
+            self.closing = False
 
     async def protocol_send(self, event: hypercorn_events.Event) -> None:
         """Write, for as long as the caller accepts data."""
@@ -284,7 +343,7 @@
         if not self._hold_unwritten(len(data)):
             self.abort(closes.CloseReason.BUFFERS)
             return False
-        write = self.config.writes.begin(
+        self.write = write = self.config.writes.begin(
             lambda: write_progress.count_unsent(self._get_socket().fileno()),
             self.abort,
             trio.current_effective_deadline(),
@@ -297,7 +356,7 @@
                         chunk = data[:MAX_WRITE_BYTES]
                         await self.stream.send_all(chunk)
                         data = data[MAX_WRITE_BYTES:]
-                        write.written += 1
+                        write.written += len(chunk)
                         self.link.share.moved_bytes += len(chunk)
         except (
             trio.BrokenResourceError,
@@ -307,6 +366,7 @@
             return False
         finally:
             self.config.writes.end(write)
+            self.write = None
             self.link.share.hold(buffers.Part.WRITE, 0)
         return True
 
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -10,6 +10,7 @@
 from carawayward import accept_queue
 from carawayward import buffers
 from carawayward import closes
+from carawayward.decisions import resource_limits
 from carawayward import errors
 from carawayward import settings as settings_module
 from carawayward import write_progress
@@ -50,12 +51,13 @@
     decides whether connections wait to be accepted. ``closes`` counts the
     connections that the listener has closed, ``writes`` watches those that
     wait for their callers. ``buffers`` accounts for the bytes that all
-    connections of the process hold.
+    connections of the process hold. At most ``max_connections`` are open.
     """
 
     silence_ms: int
     writes: write_progress.WriteWatch
     buffers: buffers.BufferAccount
+    max_connections: int = resource_limits.MAX_DESCRIPTORS
     accept_policy: accept_queue.Policy = accept_queue.KeepWaiting()
 
     def __init__(self) -> None:
--- a/src/carawayward/settings.py
+++ b/src/carawayward/settings.py
@@ -74,6 +74,18 @@
     bills_buffered: int = 20_000
 
 
+@attrs.frozen(kw_only=True)
+class Resources:
+    """What the process may take of its machine.
+
+    Without ``memory_mb`` (0) the defaults are those of a small machine. The
+    process's own limit of descriptors applies too.
+    """
+
+    memory_mb: float = 0.0
+    descriptors: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class Stop:
     """Times of a planned stop."""
@@ -112,6 +124,7 @@
     # peers behind address translation.
     peer_routes: dict[str, str] = attrs.field(factory=dict)
     limits: Limits = attrs.field(factory=Limits)
+    resources: Resources = attrs.field(factory=Resources)
     stop: Stop = attrs.field(factory=Stop)
     tls: TlsListeners = attrs.field(factory=TlsListeners)
     agreed: Agreed = attrs.field(factory=Agreed)
@@ -180,6 +193,7 @@
                 raise errors.SettingsError(
                     f"{group}.{field}", value, "write a number above 0"
                 )
+    check_resources(settings.resources)
     for field in ("callers", "peers", "operators"):
         check_tls(f"tls.{field}", getattr(settings.tls, field))
     check_agreed(settings.agreed)
@@ -189,6 +203,15 @@
         )
 
 
+def check_resources(resources: Resources) -> None:
+    """Check that no resource is negative."""
+    for field, value in attrs.asdict(resources).items():
+        if not 0 <= value < float("inf"):
+            raise errors.SettingsError(
+                f"resources.{field}", value, "write a number, 0 or more"
+            )
+
+
 def check_agreed(agreed: Agreed) -> None:
     """Check that the log keeps a key's first claim for long enough."""
     limit_ms = agreed.log_retention_ms // 4
--- a/src/carawayward/write_progress.py
+++ b/src/carawayward/write_progress.py
@@ -28,11 +28,16 @@
 
     count_unsent: typing.Callable[[], int]
     abort: typing.Callable[[closes.CloseReason], None]
+    began_s: float
     due_s: float
     progressed_s: float
     written: int = 0
     seen: tuple[int, int] = (0, 0)
 
+    def count_accepted(self) -> int:
+        """How many bytes the caller has accepted at least."""
+        return max(0, self.written - self.count_unsent())
+
     def record_progress(self, now_s: float) -> None:
         """Record whether the caller has accepted anything since last time."""
         seen = (self.written, self.count_unsent())
@@ -63,6 +68,7 @@
         write = BlockedWrite(
             count_unsent,
             abort,
+            began_s=now_s,
             due_s=max(deadline_s, now_s) + self.timeout_s,
             progressed_s=now_s,
         )
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -338,6 +338,15 @@
     assert found.evacuate_ms == 4000
 
 
+def test_limits_of_the_machine_reach_the_settings():
+    """Callers took the memory and the descriptors of all other uses."""
+    text = fill_template(
+        SECTIONS | {"limits.memoryMb": "300"}, **{"limits.maxFds": "4100"}
+    )
+    found = settings.ForwardingSettings.from_config(text).resources
+    assert (found.memory_mb, found.descriptors) == (300.0, 4_100)
+
+
 def test_bounds_in_seconds_reach_the_settings():
     """Sessions were pinned for the default time, not for the deployment's."""
     text = fill_template(SECTIONS | SECONDS_SECTIONS)
