--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -26,5 +26,8 @@
 ``cascade``, ``evidence``, ``exposure``, ``rollout``, ``session`` and
 ``orders``.
 
-For both: ``placement``, ``limits``, ``health`` and ``suspicion``.
+For both: ``placement``, ``limits``, ``health``, ``suspicion``,
+``resource_limits`` (how a process divides its memory and descriptors),
+``buffer_shedding`` (which connections are closed when the memory runs short)
+and ``connection_room`` (which one when descriptors do).
 """
