Refuse long heads before they are parsed, and account for others

What callers saw: heads of many short fields or without end took 0.1 to 1.5 MB each, for as long as their clients liked, and seconds of the processor.

Cause: a head of up to 64 KiB was parsed whole before the application refused it; a complete longer one too, if it came in one read. No bound over all connections on heads, on what the kernel receives before it is read, or on bytes read that stayed in frames of tasks that wait.

Change: a head may have twice what operators allow for headers (32 KiB at least) and is refused with 431 before it is parsed. From 4 KiB on a head counts in the account with its copies and 256 bytes a field; without room it is refused with 503 and Retry-After. Heads are read 8 KiB at a time, so that the account can act before all connections have read; bytes received are not kept in frames, nor in a closed connection until the next collection. The kernel receives 24 KiB on a connection at most (it doubles that). With a known memory, callers have no more connections than three tenths of it hold.

--- a/src/carawayward/decisions/resource_limits.py
+++ b/src/carawayward/decisions/resource_limits.py
@@ -10,6 +10,10 @@
 BUFFERED_SHARE = 0.2
 DEFAULT_BUFFERED_BYTES = 32 * 1_048_576
 MAX_BUFFERED_BYTES = 256 * 1_048_576
+# Connections of callers, with what the kernel receives on each before it is
+# read.
+CONNECTIONS_SHARE = 0.3
+CONNECTION_BYTES = 65_536
 # Kept back for the store, files, and the listeners of readiness and metrics.
 RESERVED_SHARE = 0.1
 MIN_RESERVED = 24
@@ -42,10 +46,15 @@
     return min(share, MAX_BUFFERED_BYTES)
 
 
-def divide_descriptors(descriptors: int) -> ConnectionLimits:
-    """Divide the descriptors of a process."""
+def divide_descriptors(
+    descriptors: int, memory_mb: float = 0.0
+) -> ConnectionLimits:
+    """Divide the descriptors of a process; 0 MB is not known."""
     descriptors = min(descriptors, MAX_DESCRIPTORS)
     reserved = max(MIN_RESERVED, int(descriptors * RESERVED_SHARE))
     peers = min(MAX_PEER_CONNECTIONS, int(descriptors * PEERS_SHARE))
     callers = (descriptors - reserved - 2 * peers) // 2
+    if memory_mb:
+        share = memory_mb * 1e6 * CONNECTIONS_SHARE
+        callers = min(callers, int(share / CONNECTION_BYTES))
     return ConnectionLimits(callers=max(1, callers), peers=max(1, peers))
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -221,12 +221,14 @@
     async def _follow_limits(
         self, configs: list[listening.ListenerConfig]
     ) -> None:
-        """Keep the listeners' idle time-out at the routing table's limit."""
+        """Keep the listeners' limits at those of the routing table."""
         while True:
             declared = self.board.declared
             if self.board.table is not None:
+                limits = self.board.table.limits
                 for config in configs:
-                    config.set_idle_timeout(self.board.table.limits.idle_ms)
+                    config.set_idle_timeout(limits.idle_ms)
+                self.callers.set_header_limit(limits.header_bytes)
             await declared.wait()
 
     async def _become_ready(self) -> None:
--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -29,6 +29,9 @@
 # What is written at once while a caller reads slowly: over TLS that much is
 # copied to be encrypted.
 MAX_WRITE_BYTES = 65_536
+# What is read at once of a head. All connections may read before any of them
+# can be closed.
+MAX_HEAD_READ_BYTES = 8_192
 
 
 class IdleTimer:
@@ -102,6 +105,8 @@
             )
         finally:
             self.open_connections.discard(self)
+            if self.exchanges is not None:
+                self.exchanges.drop_received()
             self.link.share.release()
             await trio.aclose_forcefully(self.stream)
 
@@ -231,7 +236,9 @@
         """Record why no further request is read."""
         assert self.exchanges is not None
         h11_connection = self.exchanges.connection
-        if h11_connection.their_state is h11.ERROR:
+        if self.exchanges.refused_for is not None:
+            self._record_close(self.exchanges.refused_for)
+        elif h11_connection.their_state is h11.ERROR:
             self._record_close(closes.CloseReason.MALFORMED)
         elif h11_connection.our_state is h11.SEND_BODY:
             self.config.closes.record(
@@ -278,30 +285,39 @@
         await wrapper.handle(hypercorn_events.Closed())
 
     async def _read_requests(self) -> None:
+        assert self.exchanges is not None
         while not self.discarding:
             data = await self._receive()
             if data is None:
                 return
             if not self.discarding:
-                await self.protocol.handle(hypercorn_events.RawData(data))
-            if not data:
-                return
+                self.exchanges.add_received(data)
+                at_end = not data
+                # It would be kept for as long as a request takes.
+                del data
+                await self.exchanges.handle_received()
+                if at_end:
+                    return
 
     async def _discard_rest(self) -> None:
         """Discard what the caller sends after the last reply."""
         left = MAX_DISCARDED_BYTES
         while self.discarding and left > 0:
-            data = await self._receive()
-            if not data:
+            count = len(await self._receive() or b"")
+            if not count:
                 return
-            left -= len(data)
+            left -= count
 
     async def _receive(self) -> bytes | None:
         """Wait for bytes; None if the connection is broken or idle."""
         while True:
             with trio.CancelScope() as self.waiting:
                 try:
-                    data = await self.stream.receive_some(tcp_server.MAX_RECV)
+                    data = await self.stream.receive_some(
+                        tcp_server.MAX_RECV
+                        if self.has_request()
+                        else MAX_HEAD_READ_BYTES
+                    )
                     self.link.share.moved_bytes += len(data)
                     self.received_s = trio.current_time()
                     return bytes(data)
--- a/src/carawayward/http_exchanges.py
+++ b/src/carawayward/http_exchanges.py
@@ -1,6 +1,7 @@
 """Requests and responses of one HTTP/1.1 connection, with hypercorn."""
 
 import json
+import re
 import typing
 
 import h11
@@ -11,11 +12,22 @@
 from hypercorn import typing as hypercorn_typing
 import trio
 
+from carawayward import buffers
+from carawayward import caller_links
+from carawayward import closes
 from carawayward import events
 from carawayward import listening
 
 # States in which nothing of a response has been sent.
 ANSWERABLE_STATES = frozenset((h11.IDLE, h11.SEND_RESPONSE))
+# Shorter heads are not accounted for.
+MAX_UNCOUNTED_HEAD_BYTES = 4_096
+HEAD_END = re.compile(rb"\n\r?\n")
+# What a field of a head takes in memory besides its bytes, which are there
+# twice while it is parsed.
+FIELD_BYTES = 256
+COPIES = 2
+NO_ROOM_RETRY_S = 1
 # The key of a request's state with its target as received.
 TARGET = "target"
 # How long the end of a reply may take besides its writes. An application that
@@ -77,6 +89,10 @@
         self.send_unbuffered = self.send
         self.send = self._send
         self.ended = False
+        self.refused_for: closes.CloseReason | None = None
+        state = typing.cast(dict, self.connection_state)
+        link: caller_links.CallerLink = state[caller_links.LINK]
+        self.share = link.share
 
     async def _send(self, event: hypercorn_events.Event) -> None:
         if isinstance(event, hypercorn_events.RawData):
@@ -88,14 +104,18 @@
         await self.send_unbuffered(event)
 
     async def handle(self, event: hypercorn_events.Event) -> None:
-        """Handle received bytes, or the end of the connection."""
+        """Handle the end of the connection."""
         await super().handle(event)
         if isinstance(event, hypercorn_events.Closed):
             self.ended = True
             # The reader may wait for the end of a request to read the next.
             await self.can_read.set()
 
-    async def _handle_events(self) -> None:
+    def add_received(self, data: bytes) -> None:
+        """Add received bytes to those that are not handled yet."""
+        self.connection.receive_data(data)
+
+    async def handle_received(self) -> None:
         """Handle what has been received; wait while a request is in hand.
 
         Requests that are received behind it are dropped if the connection
@@ -109,6 +129,10 @@
                         headers=self.config.response_headers("h11"),
                     )
                 )
+            status = self._check_head()
+            if status:
+                await self._refuse_head(status)
+                return
             try:
                 event = self.connection.next_event()
             except h11.RemoteProtocolError as error:
@@ -139,6 +163,47 @@
                     )
                 )
 
+    def drop_received(self) -> None:
+        """Free the bytes that were received and not parsed.
+
+        References in a circle would keep them until the next collection.
+        """
+        if self.connection.trailing_data[0]:
+            self.connection = h11.Connection(h11.SERVER)
+
+    def _check_head(self) -> int:
+        """Check a head before it is parsed, and account for it.
+
+        Parsing takes time and many times the memory of its bytes. Returns the
+        status to refuse it with, or 0.
+        """
+        if self.connection.their_state is not h11.IDLE:
+            return 0
+        received, _ = self.connection.trailing_data
+        if len(received) <= MAX_UNCOUNTED_HEAD_BYTES:
+            return 0
+        limit = self.config.h11_max_incomplete_size
+        end = HEAD_END.search(received, 0, limit)
+        length = end.end() if end else len(received)
+        fields = received.count(b"\n", 0, length)
+        has_room = self.share.hold(
+            buffers.Part.HEAD, COPIES * length + fields * FIELD_BYTES
+        )
+        if end is None and length >= limit:
+            return 431
+        return 0 if has_room else 503
+
+    async def _refuse_head(self, status: int) -> None:
+        """Refuse a request whose head is too long or finds no room."""
+        self.refused_for = (
+            closes.CloseReason.MALFORMED
+            if status == 431
+            else closes.CloseReason.BUFFERS
+        )
+        await self._send_error_response(status)
+        await self.send(hypercorn_events.Closed())
+        self.drop_received()
+
     def start_buffering(self) -> None:
         """Buffer what is sent until it is released."""
         if self.buffered is None:
@@ -193,6 +258,7 @@
         )
         if recycles:
             connection.start_next_cycle()
+            self.share.hold(buffers.Part.HEAD, 0)
         await self.can_read.set()
         if recycles:
             await self.send(hypercorn_events.Updated(idle=True))
@@ -252,10 +318,13 @@
         events.log_event(
             events.Event.REQUEST_BAD, field="http", status=status_code
         )
+        detail = "this is no HTTP/1.1 request, or its head is too large"
+        if status_code == 503:
+            detail = "there is no room for the request"
         problem = {
-            "title": "bad request",
+            "title": "bad request" if status_code < 500 else "overloaded",
             "status": status_code,
-            "detail": "this is no HTTP/1.1 request, or its head is too large",
+            "detail": detail,
             "not_run": True,
         }
         body = json.dumps(problem).encode()
@@ -265,6 +334,8 @@
             (b"connection", b"close"),
             *self.config.response_headers("h11"),
         ]
+        if status_code == 503:
+            headers.append((b"retry-after", b"%d" % NO_ROOM_RETRY_S))
         await self._send_h11_event(
             h11.Response(status_code=status_code, headers=headers)
         )
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -15,9 +15,13 @@
 from carawayward import settings as settings_module
 from carawayward import write_progress
 
-# Headers of up to this size reach the application, which refuses those above
-# its own limit with a response that says so.
-MAX_HEADER_BYTES = 65_536
+# Heads of requests may have twice what operators allow for headers, with the
+# request line; the application refuses headers above the limit itself.
+MIN_HEAD_BYTES = 32_768
+MAX_HEAD_BYTES = 262_144
+# What the kernel may receive on each connection before it is read. It doubles
+# this for what packets take besides, and would else let it grow to megabytes.
+MAX_UNREAD_BYTES = 24_576
 # What the kernel holds of a reply besides what is on its way. With more, a
 # reply would look sent long before a slow caller has read it.
 MAX_UNSENT_BYTES = 131_072
@@ -51,7 +55,8 @@
     decides whether connections wait to be accepted. ``closes`` counts the
     connections that the listener has closed, ``writes`` watches those that
     wait for their callers. ``buffers`` accounts for the bytes that all
-    connections of the process hold. At most ``max_connections`` are open.
+    connections of the process hold. At most ``max_connections`` are open. The
+    head of a request may have ``h11_max_incomplete_size`` bytes.
     """
 
     silence_ms: int
@@ -66,6 +71,12 @@
         self.closes = closes.CloseRecorder()
         self.listening_sockets: list[socket.socket] = []
 
+    def set_header_limit(self, header_bytes: int) -> None:
+        """Change how long heads of requests may be, on new connections."""
+        self.h11_max_incomplete_size = min(
+            max(2 * header_bytes, MIN_HEAD_BYTES), MAX_HEAD_BYTES
+        )
+
     def set_idle_timeout(self, timeout_ms: float) -> None:
         """Change the idle time-out, also of open connections."""
         if self.keep_alive_timeout == timeout_ms / 1000:
@@ -83,6 +94,9 @@
         for each in self.listening_sockets:
             for option in make_socket_options(self.silence_ms):
                 each.setsockopt(*option)
+            each.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_UNREAD_BYTES
+            )
             each.setsockopt(
                 socket.IPPROTO_TCP,
                 socket.TCP_NOTSENT_LOWAT,
@@ -128,7 +142,7 @@
     config.graceful_timeout = graceful_ms / 1000
     config.keep_alive_timeout = limits.idle_connection_ms / 1000
     config.ssl_handshake_timeout = limits.body_timeout_ms / 1000
-    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.h11_max_incomplete_size = MIN_HEAD_BYTES
     config.include_server_header = False
     config.loglevel = "CRITICAL"
     config.alpn_protocols = ["http/1.1"]
--- a/src/carawayward/process_resources.py
+++ b/src/carawayward/process_resources.py
@@ -19,10 +19,13 @@
 def find_connection_limits(
     resources: settings_module.Resources,
 ) -> resource_limits.ConnectionLimits:
-    """Divide the descriptors of the settings, or of the process if fewer."""
+    """Divide the descriptors of the settings, or of the process if fewer.
+
+    A small memory allows fewer connections.
+    """
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if limit == resource.RLIM_INFINITY:
         limit = resource_limits.MAX_DESCRIPTORS
     if resources.descriptors:
         limit = min(limit, resources.descriptors)
-    return resource_limits.divide_descriptors(limit)
+    return resource_limits.divide_descriptors(limit, resources.memory_mb)
--- a/tests/common/listeners.py
+++ b/tests/common/listeners.py
@@ -34,18 +34,21 @@
     return listening.make_config(address, settings.Limits(), None, GRACEFUL_MS)
 
 
-def run_beside_listener(scenario: Scenario, app: App = answer) -> None:
+def run_beside_listener(
+    scenario: Scenario, app: App = answer, buffered_bytes: int | None = None
+) -> None:
     """Run a scenario with a listener that it can stop."""
 
     async def run() -> None:
         (port,) = loopback.find_free_ports(1)
         address = f"127.0.0.1:{port}"
+        config = make_config(address)
+        if buffered_bytes is not None:
+            config.buffers.max_bytes = buffered_bytes
         stop = trio.Event()
         with trio.fail_after(SCENARIO_S):
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    http_server.serve, app, make_config(address), stop
-                )
+                nursery.start_soon(http_server.serve, app, config, stop)
                 await trio.to_thread.run_sync(
                     loopback.wait_until_listening, address
                 )
