End requests whose callers have left, whatever they sent behind

What callers saw: beside clients that sent thousands of requests on a connection and left, ordinary requests got no answer for 5 s.

Cause: a connection is not read while a request is in hand, so that the end of it is not seen while bytes that came before wait. What had been received was worked off, one request after the other.

Change: while a connection waits for the end of a request with others behind it, it is checked every 100 ms, and before the next one begins, whether it has been reset or closed in both directions; then the request in hand is cancelled and the others are dropped. A connection that is closed in one direction is still served.

--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -1,6 +1,7 @@
 """One connection of a caller: reading, writing, and how it ends."""
 
 import contextlib
+import select
 import socket
 import typing
 
@@ -208,6 +209,15 @@
         finally:
             plain.detach()
 
+    def has_hung_up(self) -> bool:
+        """Whether the connection has ended in both directions."""
+        descriptor = self._get_socket().fileno()
+        if descriptor < 0:
+            return True
+        poll = select.poll()
+        poll.register(descriptor, 0)
+        return bool(poll.poll(0))
+
     async def _finish(self) -> None:
         """Send the end of the connection, and discard what still comes.
 
@@ -279,6 +289,7 @@
             wrapper.server,
             wrapper.send,
         )
+        self.exchanges.has_hung_up = self.has_hung_up
         with self.reading:
             await self._read_requests()
             await self._discard_rest()
--- a/src/carawayward/http_exchanges.py
+++ b/src/carawayward/http_exchanges.py
@@ -33,6 +33,9 @@
 # How long the end of a reply may take besides its writes. An application that
 # does not read its request could block it for ever.
 REPLY_END_S = 0.5
+# How often it is checked whether a caller has left that has sent more requests
+# than the one in hand.
+HANGUP_CHECK_S = 0.1
 # Larger parts of a reply are written by themselves rather than copied.
 MAX_JOINED_BYTES = 16_384
 
@@ -93,6 +96,7 @@
         state = typing.cast(dict, self.connection_state)
         link: caller_links.CallerLink = state[caller_links.LINK]
         self.share = link.share
+        self.has_hung_up: typing.Callable[[], bool] = lambda: False
 
     async def _send(self, event: hypercorn_events.Event) -> None:
         if isinstance(event, hypercorn_events.RawData):
@@ -141,8 +145,7 @@
                 await self.send(hypercorn_events.Closed())
                 return
             if event is h11.PAUSED:
-                await self.can_read.clear()
-                await self.can_read.wait()
+                await self._wait_for_reply()
             elif isinstance(event, h11.Request):
                 await self.send(hypercorn_events.Updated(idle=False))
                 await self._create_stream(event)
@@ -163,6 +166,20 @@
                     )
                 )
 
+    async def _wait_for_reply(self) -> None:
+        """Wait for the end of the request in hand, or of the connection.
+
+        What was received behind the request hides that its caller has left.
+        """
+        await self.can_read.clear()
+        while not self.ended:
+            with trio.move_on_after(HANGUP_CHECK_S) as waiting:
+                await self.can_read.wait()
+            if self.has_hung_up():
+                await self.handle(hypercorn_events.Closed())
+            if not waiting.cancelled_caught:
+                return
+
     def drop_received(self) -> None:
         """Free the bytes that were received and not parsed.
 
