Account for bodies at the callers' API, with their copies

What callers saw: the API's process ran out of memory beside clients that called services with long bodies and read the answers slowly.

Cause: a body of a call is there as bytes, text, values and what is sent to the endpoint, with no bound over all calls.

Change: read_json counts a body four times in the account; without room the call is refused, not run (429, a time to come back), or with 504 and unknown if it may be a retry. Replies that wait count since the account is that of the listeners. Bodies on forwarded routes count twice, and a long one is not copied before it is written to its endpoint. Gauges buffered_bytes and connections_closed_* on the API's status page too.

--- a/src/carawayward/caller_links.py
+++ b/src/carawayward/caller_links.py
@@ -36,7 +36,7 @@
         return closes.EXPLANATIONS[self.closed_for]
 
 
-def find_link(scope: dict) -> CallerLink:
+def find_link(scope: typing.Mapping[str, typing.Any]) -> CallerLink:
     """Find the link to a request's connection; one of its own if none."""
     link = scope.get("state", {}).get(LINK)
     return CallerLink() if link is None else link
--- a/src/carawayward/daemon.py
+++ b/src/carawayward/daemon.py
@@ -12,7 +12,9 @@
 import trio
 
 from carawayward import blackboard as blackboard_module
+from carawayward import buffers
 from carawayward import clock as clock_module
+from carawayward import closes
 from carawayward.console import pages as console_pages
 from carawayward.controllers import billing
 from carawayward.controllers import claims as claims_module
@@ -76,6 +78,8 @@
     api: app_module.CallersApi
     pages: status.StatusPages
     console: console_pages.Console
+    account: buffers.BufferAccount
+    closed: closes.CloseRecorder
 
     @classmethod
     def from_config(cls, settings: settings_module.Settings) -> "Daemon":
@@ -115,6 +119,8 @@
             bills,
             metrics,
         )
+        account = process_resources.make_account(settings.resources)
+        closed = closes.CloseRecorder()
         signer = tokens.Signer(tuple(settings.keys.tokens))
         claims = claims_module.ClaimsController.from_config(
             settings, board, clock, log
@@ -155,7 +161,7 @@
                     metrics,
                     settings.statsd,
                     f"carawayward.{settings.name}",
-                    lambda: collect_gauges(board, bills),
+                    lambda: collect_gauges(board, bills, account, closed),
                 ),
             ],
             clients=[log, vms],
@@ -171,11 +177,13 @@
                 metrics,
                 clock,
                 tuple(settings.keys.operators),
-                lambda: collect_gauges(board, bills),
+                lambda: collect_gauges(board, bills, account, closed),
             ),
             console=console_pages.Console.from_config(
                 settings, board, clock, log
             ),
+            account=account,
+            closed=closed,
         )
 
     async def run(self) -> None:
@@ -240,7 +248,6 @@
         listen, tls = self.settings.listen, self.settings.tls
         limits, stop = self.settings.limits, self.settings.stop
         resources = self.settings.resources
-        account = process_resources.make_account(resources)
         connections = process_resources.find_connection_limits(resources)
         for app, address, listener_tls, max_connections in (
             (
@@ -261,8 +268,9 @@
             # When ``stop_serving`` is set no request is running, unless the
             # stop was cut short, so this timeout interrupts no stream.
             config = listening.make_config(
-                address, limits, listener_tls, stop.deadline_ms, account
+                address, limits, listener_tls, stop.deadline_ms, self.account
             )
+            config.closes = self.closed
             config.max_connections = max_connections
             nursery.start_soon(http_server.serve, app, config, stop_serving)
 
@@ -300,10 +308,19 @@
 
 
 def collect_gauges(
-    board: blackboard_module.Blackboard, bills: billing.BillingController
+    board: blackboard_module.Blackboard,
+    bills: billing.BillingController,
+    account: buffers.BufferAccount,
+    closed: closes.CloseRecorder,
 ) -> dict[str, float]:
     """Collect the current values of the gauges."""
+    counts = {
+        f"connections_closed_{reason.value}": closed.closed[reason]
+        for reason in closes.CloseReason
+    }
     return {
+        **counts,
+        "buffered_bytes": account.held_bytes,
         "running": board.running,
         "bills_waiting": len(bills.waiting),
         "revision": board.config.revision if board.config else 0,
--- a/src/carawayward/errors.py
+++ b/src/carawayward/errors.py
@@ -38,6 +38,10 @@
         self.status = status
 
 
+class NoRoom(CarawaywardError):
+    """A request is not read, as too many bytes are kept for others."""
+
+
 class NotAuthenticated(CarawaywardError):
     """A caller, peer or operator could not be authenticated."""
 
--- a/src/carawayward/forwarding/body_room.py
+++ b/src/carawayward/forwarding/body_room.py
@@ -9,6 +9,8 @@
 # take all of the room, within as much again as a quarter of it.
 SMALL_BODY_BYTES = 65_536
 SMALL_BODY_ROOM_BYTES = MAX_BODY_BYTES // 4
+# A body is copied when it is complete, and to be relayed by a peer.
+COPIES = 2
 
 
 @attrs.define(eq=False)
@@ -34,7 +36,7 @@
         added = max(0, length - self.taken_bytes)
         if added and self.room.kept_bytes + added > limit:
             return False
-        if added and not self.share.hold(buffers.Part.BODY, length):
+        if added and not self.share.hold(buffers.Part.BODY, COPIES * length):
             return False
         self.taken_bytes += added
         self.room.kept_bytes += added
--- a/src/carawayward/gateway/app.py
+++ b/src/carawayward/gateway/app.py
@@ -26,6 +26,7 @@
 from carawayward import outcomes
 from carawayward.protocol import tokens
 
+NO_ROOM_RETRY_MS = 1_000
 CANCELLED_CALL = outcomes.Unknown(
     outcomes.Reason.CALLER_LEFT,
     "the caller left while it ran; look before you send it again",
@@ -93,6 +94,7 @@
             exception_handlers={
                 errors.BadRequest: handle_bad_request,
                 errors.NotAuthenticated: handle_not_authenticated,
+                errors.NoRoom: _handle_no_room,
                 errors.InvalidToken: _handle_invalid_token,
                 http_exceptions.HTTPException: _handle_http_exception,
                 Exception: _handle_unexpected,
@@ -315,6 +317,18 @@
     )
 
 
+async def _handle_no_room(
+    request: http_requests.Request, fault: Exception
+) -> responses.Response:
+    """Refuse a request that has not been read; an earlier one may have."""
+    refusal = outcomes.NotRun(
+        outcomes.Reason.OVERLOADED, "send it again later", NO_ROOM_RETRY_MS
+    )
+    if requests.may_be_retry(request):
+        return make_early_refusal(make_uncertain_refusal(refusal))
+    return make_early_refusal(refusal)
+
+
 async def _handle_invalid_token(
     request: http_requests.Request, fault: Exception
 ) -> responses.Response:
--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -138,12 +138,18 @@
 
         httpcore writes head and body separately; this sends them together.
         """
-        self.unwritten += buffer
+        if len(buffer) >= MAX_UNWRITTEN_BYTES:
+            # A long body is not copied.
+            if self.unwritten:
+                await self._send_unwritten(timeout)
+            self.unwritten = buffer
+        else:
+            self.unwritten += buffer
         if len(self.unwritten) >= MAX_UNWRITTEN_BYTES:
             await self._send_unwritten(timeout)
 
     async def _send_unwritten(self, timeout: float | None) -> None:
-        data, self.unwritten = self.unwritten, b""
+        data, self.unwritten = memoryview(self.unwritten), b""
         self.has_written = True
         data = data[http.write_nonblocking(self.stream, data) :]
         if not data:
--- a/src/carawayward/gateway/middleware.py
+++ b/src/carawayward/gateway/middleware.py
@@ -11,6 +11,8 @@
 from starlette import types
 
 from carawayward import blackboard as blackboard_module
+from carawayward import buffers
+from carawayward import caller_links
 from carawayward import errors
 from carawayward import events
 from carawayward.gateway import replies
@@ -42,6 +44,8 @@
             await self._serve(scope, receive, exchange)
         finally:
             self.open_requests -= 1
+            link = caller_links.find_link(scope)
+            link.share.hold(buffers.Part.BODY, 0)
 
     async def _serve(
         self, scope: types.Scope, receive: types.Receive, exchange: "_Exchange"
--- a/src/carawayward/gateway/requests.py
+++ b/src/carawayward/gateway/requests.py
@@ -7,6 +7,8 @@
 import attrs
 from starlette import requests as http_requests
 
+from carawayward import buffers
+from carawayward import caller_links
 from carawayward import deadlines as deadlines_module
 from carawayward import errors
 from carawayward import settings as settings_module
@@ -15,6 +17,8 @@
 MAX_TOKENS = 32_768
 MAX_MESSAGES = 1_000
 MAX_NESTING = 32
+# The bytes of a body, their text, the values in it, and what an endpoint gets.
+COPIES = 4
 
 
 @attrs.frozen(kw_only=True)
@@ -58,8 +62,12 @@
     limits: settings_module.Limits,
     deadlines: deadlines_module.Deadlines,
 ) -> dict:
-    """Read a JSON object, limited in size, time and nesting depth."""
+    """Read a JSON object, limited in size, time and nesting depth.
+
+    Raises NoRoom if there is none to keep it.
+    """
     body = bytearray()
+    share = caller_links.find_link(request.scope).share
     try:
         with deadlines.limit(limits.body_timeout_ms) as scope:
             async for chunk in request.stream():
@@ -71,6 +79,8 @@
                         "send a smaller one",
                         status=413,
                     )
+                if not share.hold(buffers.Part.BODY, COPIES * len(body)):
+                    raise errors.NoRoom()
     except http_requests.ClientDisconnect:
         raise errors.BadRequest(
             "body", "cut off", "send the whole body"
--- a/tests/common/asgi.py
+++ b/tests/common/asgi.py
@@ -66,6 +66,7 @@
     path: str,
     headers: typing.Sequence[tuple[bytes, bytes]] = (AUTH, JSON),
     body: typing.Sequence[bytes | None] = (b"",),
+    state: dict | None = None,
 ) -> Reply:
     """Send one request; None in the body makes the caller disconnect."""
     chunks = list(body)
@@ -96,7 +97,7 @@
         "headers": list(headers),
         "client": ("127.0.0.1", 1),
         "server": ("127.0.0.1", 2),
-        "state": {},
+        "state": state or {},
         "extensions": {},
     }
     await app(scope, receive, send)
--- a/tests/failures/test_body_room.py
+++ b/tests/failures/test_body_room.py
@@ -38,7 +38,7 @@
         elif kept[index].grow(length):
             assert kept[index].taken_bytes >= length
         assert 0 <= room.kept_bytes <= most
-        assert account.held_bytes == room.kept_bytes
+        assert account.held_bytes == body_room.COPIES * room.kept_bytes
     for each in kept:
         each.release()
     assert room.kept_bytes == 0
