Soak: crowds of clients that misbehave

Crowds of 120 clients at one entry VM are idle, send heads without end or of many fields, never read long answers, read them or streams of long events slowly, or send many requests and leave; all but the last stay until their process is gone. They overlap with stops, kills and reloads. A clause bounds each process's peak of resident memory by that of the smallest machines.

--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -13,6 +13,7 @@
 import attrs
 
 from tests.soak import configurations
+from tests.soak import crowds
 from tests.soak import hard_load
 from tests.soak import lost
 from tests.soak import records
@@ -595,6 +596,7 @@
     "waits": hard_load.check_waits,
     "refused runs": hard_load.check_refused_runs,
     "idle room": hard_load.check_idle_room,
+    "memory": crowds.check_memory,
     **configurations.CHECKERS,
     **lost.CHECKERS,
 }
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -12,6 +12,7 @@
 from tests.soak import callers as callers_module
 from tests.soak import checkers
 from tests.soak import configurations
+from tests.soak import crowds as crowds_module
 from tests.soak import endpoints
 from tests.soak import planned_work
 from tests.soak import processes
@@ -90,6 +91,7 @@
     fleet: list[endpoints.SoakEndpoint] = attrs.field(factory=list)
     callers: callers_module.Callers = attrs.field(init=False)
     operator: configurations.Operator = attrs.field(init=False)
+    crowds: crowds_module.Crowds = attrs.field(init=False)
     faults: list[schedule.ScheduledFault] = attrs.field(factory=list)
     began_ms: float = 0.0
     max_delay_ms: float = 0.0
@@ -125,6 +127,8 @@
             self.callers.load = self.load
             self.callers.max_load = self.max_load
             nursery.start_soon(self._measure_delay)
+            self.crowds = crowds_module.Crowds(nursery, self.history)
+            nursery.start_soon(self.crowds.keep_measuring, self.vms)
             await trio.sleep(WARM_UP_S)
             self.began_ms = trio.current_time() * 1000
             await self.callers.run(nursery)
@@ -296,6 +300,8 @@
                 await self._crash_by_part(fault)
             case kind.SKEWED_CONNECTIONS:
                 await self._skew_connections(fault)
+            case kind.CROWD:
+                self.crowds.begin(vm, fault.target, fault.for_ms)
             case kind.CONFIG_CHANGED:
                 self.operator.change()
             case kind.CONFIG_STORM:
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from tests.soak import crowds
 from tests.soak import records
 from tests.standins import backend
 from tests.standins import link as link_module
@@ -159,6 +160,9 @@
                 200, {"carawayward-instance-id": self.instance}
             )
             return
+        if crowds.MARK in request.target:
+            await self._answer_crowd(exchange, request_id)
+            return
         arrival = self._record(request, request_id)
         expected = request.headers.get("carawayward-expect-instance")
         if expected != self.instance:
@@ -180,6 +184,15 @@
             if incarnation == self.incarnation:
                 self.running -= 1
 
+    async def _answer_crowd(
+        self, exchange: raw_http.Exchange, request_id: str
+    ) -> None:
+        headers = {
+            backend.ATTEMPT_ID_HEADER: request_id,
+            backend.SEAL_HEADER: f"{self.instance}.seal",
+        }
+        await crowds.answer(exchange, headers)
+
     def _record(
         self, request: raw_http.Request, request_id: str
     ) -> records.Arrival:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -82,7 +82,8 @@
     """One process of an entry VM, and what its log has on requests.
 
     ``stop_ms`` is when it got SIGTERM. ``lines`` counts the final lines of
-    each request that has any line. ``exit_code`` is None while it runs.
+    each request that has any line. ``exit_code`` is None while it runs;
+    ``peak_bytes`` is the most memory that it was seen to take.
     """
 
     vm: str
@@ -91,6 +92,7 @@
     until_ms: float = math.inf
     stop_ms: float = math.inf
     exit_code: int | None = None
+    peak_bytes: int = 0
     lines: dict[str, int] = attrs.field(factory=dict)
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -53,6 +53,7 @@
     reloads: int
     tries: dict[str, int]
     harness_delay_ms: float
+    peak_mb: float
 
     @property
     def broken(self) -> bool:
@@ -96,6 +97,10 @@
         reloads=sum(map(len, history.reloads_ms.values())),
         tries=lost.count_endings(history, soak.bounds),
         harness_delay_ms=round(soak.max_delay_ms),
+        peak_mb=round(
+            max((each.peak_bytes for each in history.processes), default=0)
+            / 1e6
+        ),
     )
 
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -57,6 +57,7 @@
     ROLLING_STOP = "all vms stopped in turn"
     VM_RELOADED = "settings of a vm reloaded"
     ENGINES_QUEUE = "requests wait in the queues of engines"
+    CROWD = "crowd of clients that misbehave"
 
 
 # Faults that take room; callers then have ranks and several customers.
@@ -101,6 +102,7 @@
         Fault.SKEWED_CONNECTIONS,
         Fault.STORE_SLOW,
         Fault.ENGINES_QUEUE,
+        Fault.CROWD,
         *CONFIG_FAULTS,
         *HARD_LOAD_FAULTS,
         *PLANNED_FAULTS,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,15 @@
 PARTITION_SECONDS = 24.0
 HARD_LOAD_SEED = 1
 HARD_LOAD_SECONDS = 14.0
+CROWD_SEED = 3
+CROWD_SECONDS = 20.0
+CROWD_FAULTS = (
+    schedule.Fault.CROWD,
+    schedule.Fault.CROWD,
+    schedule.Fault.VM_STOPPED,
+    schedule.Fault.VM_KILLED,
+    schedule.Fault.VM_RELOADED,
+)
 REFUSAL_CLAUSES = ("customers", "refused runs", "idle room")
 
 
@@ -54,3 +63,11 @@
         found = result.violations[clause]
         assert not found, (clause, found, str(soak.folder))
     assert result.ends_unasked == 0, "an entry VM ended by itself"
+
+
+def test_crowds_end_no_process_and_others_get_answers():
+    """Clients that misbehave stay until their entry VM has ended."""
+    soak, result = run.run_seed(CROWD_SEED, CROWD_SECONDS, kinds=CROWD_FAULTS)
+    assert not result.broken, (result.violations, str(soak.folder))
+    assert result.ends_unasked == 0, "an entry VM ended by itself"
+    assert result.answered > MIN_ANSWERED, "too few answers for a valid check"
