Let connections that only wait to be discarded make room first

Found in review: a connection on which nothing more is read than what comes after its last reply, for 2 s, was none that could make room for a new one. Aborted connections no longer count as open while their tasks end.

--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -1,6 +1,7 @@
 """One connection of a caller: reading, writing, and how it ends."""
 
 import contextlib
+import math
 import select
 import socket
 import typing
@@ -73,6 +74,7 @@
         self.closing = False
         self.closing_for = closes.CloseReason.IDLE
         self.opened_s = self.received_s = trio.current_time()
+        self.finished_s = math.inf
         self.write: write_progress.BlockedWrite | None = None
         self.link = caller_links.CallerLink(
             buffers.BufferShare(
@@ -140,6 +142,8 @@
 
     def describe(self, now_s: float) -> connection_room.Activity:
         """Describe what it does."""
+        if self.discarding:
+            return connection_room.Activity(now_s - self.finished_s)
         if self.exchanges is None:
             return connection_room.Activity(now_s - self.opened_s)
         if self.idle.since is not None:
@@ -180,6 +184,7 @@
         if self.link.closed_for is not None:
             return
         self.link.closed_for = reason
+        self.closing = True
         self._record_close(reason)
         socket_ = self._get_socket()
         # Fails if the caller has closed the connection.
@@ -232,7 +237,8 @@
             self._record_end()
             self.discarding = True
             self.idle.since = None
-            self.reading.deadline = trio.current_time() + DISCARD_S
+            self.finished_s = trio.current_time()
+            self.reading.deadline = self.finished_s + DISCARD_S
         await self.protocol.handle(hypercorn_events.Closed())
 
     def _record_close(self, reason: closes.CloseReason) -> None:
--- a/tests/failures/test_answer_room.py
+++ b/tests/failures/test_answer_room.py
@@ -66,7 +66,7 @@
     trio.run(main)
 
 
-def test_answer_of_an_unsound_kind_without_room_is_a_failure():
+def test_failed_answer_without_room_is_retried():
     """Guards against a 500 that is relayed though a retry could succeed."""
 
     async def fail_at_length(server, exchange):
