Account for answers of services at the callers' API

Cause: an answer of a service may have 8 MiB, and was kept three times (bytes, text, values) with no bound over all calls.

Change: a call has the share of its caller's connection, and its answer counts in it while it is read. The answer of a call whose caller has left is read on, since its outcome may be looked up.

--- a/src/carawayward/buffers.py
+++ b/src/carawayward/buffers.py
@@ -73,7 +73,8 @@
 
     ``close`` closes the connection. ``moved_bytes`` is what its client has
     sent and accepted; ``began_s`` and ``began_bytes`` are from when it began
-    to hold any.
+    to hold any. ``closing`` is set once it is closed to make room, ``ended``
+    once it has ended.
     """
 
     account: BufferAccount
@@ -84,6 +85,7 @@
     began_s: float = 0.0
     began_bytes: int = 0
     closing: bool = False
+    ended: bool = False
 
     def hold(self, part: Part, count: int) -> bool:
         """Hold ``count`` bytes for a part; False if there is no room.
@@ -91,7 +93,7 @@
         Less than before is always possible.
         """
         added = count - self.held.get(part, 0)
-        if not added:
+        if not added or self.ended:
             return True
         if added > 0:
             if self.closing or not self.account.make_room(self, added):
@@ -104,8 +106,13 @@
         self._change(added)
         return True
 
-    def release(self) -> None:
-        """Hold nothing any more."""
+    def end(self) -> None:
+        """Hold nothing any more, as the connection has ended.
+
+        A call that may run only once goes on, and its answer is kept for the
+        caller to look up.
+        """
+        self.ended = True
         self.held.clear()
         self._change(-self.held_bytes)
 
--- a/src/carawayward/gateway/app.py
+++ b/src/carawayward/gateway/app.py
@@ -12,6 +12,8 @@
 import trio
 
 from carawayward import blackboard as blackboard_module
+from carawayward import buffers
+from carawayward import caller_links
 from carawayward import declaration
 from carawayward import errors
 from carawayward import events
@@ -209,7 +211,11 @@
         data = await requests.read_json(
             request, self.lifecycle.settings.limits, self.lifecycle.deadlines
         )
-        call = requests.read_service_call(request, data)
+        share = caller_links.find_link(request.scope).share
+        call = attrs.evolve(
+            requests.read_service_call(request, data),
+            hold=functools.partial(hold_answer, share),
+        )
         self.lookups.begin(customer.name, call.request_key)
         try:
             outcome = await self._run_service(customer, call)
@@ -273,6 +279,11 @@
         return customer
 
 
+def hold_answer(share: buffers.BufferShare, length: int) -> bool:
+    """Account for what is kept of an answer; False if there is no room."""
+    return share.hold(buffers.Part.ANSWER, requests.ANSWER_COPIES * length)
+
+
 def make_early_refusal(
     refusal: outcomes.NotRun | outcomes.Unknown,
 ) -> responses.Response:
--- a/src/carawayward/gateway/dispatch.py
+++ b/src/carawayward/gateway/dispatch.py
@@ -25,6 +25,7 @@
 from carawayward.gateway import queues as queues_module
 from carawayward.gateway import requests
 from carawayward.gateway import running
+from carawayward import http_client as http
 from carawayward import outcomes
 from carawayward import settings as settings_module
 
@@ -388,6 +389,9 @@
     ) -> bool:
         if not retry.may_retry(fault.sent, operation.repeatable, False):
             return False
+        if isinstance(fault.__cause__, http.NoRoom):
+            # Another answer would be as long.
+            return False
         if not fault.sent and fault.status is None:
             return True
         return retry.spend(queue.retry_budget, self.clock.now_ms())
--- a/src/carawayward/gateway/endpoints.py
+++ b/src/carawayward/gateway/endpoints.py
@@ -94,6 +94,7 @@
         body: object,
         repeatable: bool,
         may_send: MaySend = allow_sending,
+        hold: http.Hold = http.hold_any,
     ) -> typing.Any:
         """Call a plain service.
 
@@ -104,7 +105,7 @@
         path = f"/operations/{operation}"
         if not repeatable:
             return await self._exchange_on_new_connection(
-                endpoint, path, body, may_send, repeatable
+                endpoint, path, body, may_send, repeatable, hold
             )
         try:
             return await self._exchange(
@@ -115,6 +116,7 @@
                 self.service_timeout_ms,
                 reused_timeout_ms=self.silence_limits.connection_ms,
                 may_send=may_send,
+                hold=hold,
             )
         except errors.EndpointError as fault:
             if not fault.silent:
@@ -123,7 +125,7 @@
         # call waits only ``connection_ms`` on it rather than the whole
         # timeout, and is then sent once more on a new connection.
         return await self._exchange_on_new_connection(
-            endpoint, path, body, may_send, repeatable
+            endpoint, path, body, may_send, repeatable, hold
         )
 
     async def _exchange_on_new_connection(
@@ -133,6 +135,7 @@
         body: object,
         may_send: MaySend,
         repeatable: bool,
+        hold: http.Hold,
     ) -> typing.Any:
         async with connections.make_single_use_pool() as fresh:
             return await self._exchange(
@@ -144,6 +147,7 @@
                 pool=fresh,
                 may_send=may_send,
                 repeatable=repeatable,
+                hold=hold,
             )
 
     async def run_engine(
@@ -192,6 +196,7 @@
         reused_timeout_ms: float | None = None,
         may_send: MaySend = allow_sending,
         repeatable: bool = True,
+        hold: http.Hold = http.hold_any,
     ) -> typing.Any:
         """Make one call.
 
@@ -212,6 +217,7 @@
                     method,
                     f"http://{endpoint.address}{path}",
                     headers={"Content-Type": "application/json"},
+                    hold=hold,
                     content=content,
                     extensions={"trace": mark.trace},
                 )
--- a/src/carawayward/gateway/middleware.py
+++ b/src/carawayward/gateway/middleware.py
@@ -45,7 +45,8 @@
         finally:
             self.open_requests -= 1
             link = caller_links.find_link(scope)
-            link.share.hold(buffers.Part.BODY, 0)
+            for part in (buffers.Part.BODY, buffers.Part.ANSWER):
+                link.share.hold(part, 0)
 
     async def _serve(
         self, scope: types.Scope, receive: types.Receive, exchange: "_Exchange"
--- a/src/carawayward/gateway/once.py
+++ b/src/carawayward/gateway/once.py
@@ -36,6 +36,8 @@
 RELAY_MARGIN_MS = 2_000
 RETRY_AFTER_MS = 1_000
 PRUNE_INTERVAL_MS = 5_000.0
+# Fields of a call that are not sent to other entry VMs.
+LOCAL_FIELDS = frozenset(("hold", "may_send"))
 
 RunService = typing.Callable[
     [declaration.Customer, requests.ServiceCall],
@@ -359,7 +361,7 @@
         body = {
             "customer": customer.name,
             "call": attrs.asdict(
-                call, filter=lambda field, _: field.name != "may_send"
+                call, filter=lambda field, _: field.name not in LOCAL_FIELDS
             ),
         }
         timeout_ms = self._compute_timeout_ms(call) + RELAY_MARGIN_MS
--- a/src/carawayward/gateway/requests.py
+++ b/src/carawayward/gateway/requests.py
@@ -11,6 +11,7 @@
 from carawayward import caller_links
 from carawayward import deadlines as deadlines_module
 from carawayward import errors
+from carawayward import http_client as http
 from carawayward import settings as settings_module
 
 MAX_KEY_LENGTH = 200
@@ -19,6 +20,8 @@
 MAX_NESTING = 32
 # The bytes of a body, their text, the values in it, and what an endpoint gets.
 COPIES = 4
+# The bytes of an answer, their text and the values in it.
+ANSWER_COPIES = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -39,7 +42,8 @@
     """A validated call of a service.
 
     ``made_ms`` is when the caller made its own key, ``arrived_ms`` when the
-    call reached the first entry VM (both wall clock). ``may_send`` is called
+    call reached the first entry VM (both wall clock). ``hold`` accounts for
+    what is kept of the answer. ``may_send`` is called
     right before the first byte of a non-repeatable call is sent.
     """
 
@@ -52,6 +56,7 @@
     first_attempt: bool = False
     deadline_ms: int | None = None
     arrived_ms: int | None = None
+    hold: http.Hold = attrs.field(default=http.hold_any, eq=False, repr=False)
     may_send: typing.Callable[[], bool] = attrs.field(
         default=lambda: True, eq=False, repr=False
     )
--- a/src/carawayward/gateway/running.py
+++ b/src/carawayward/gateway/running.py
@@ -317,9 +317,9 @@
         view: placement.EndpointView,
         fault: errors.EndpointError,
     ) -> None:
-        if isinstance(fault.__cause__, http.TooLate):
-            # The call was stopped on this side before its first byte; the
-            # endpoint is not at fault.
+        if isinstance(fault.__cause__, (http.TooLate, http.NoRoom)):
+            # The call was stopped on this side, before its first byte or
+            # within the answer; the endpoint is not at fault.
             return
         events.log_event(
             events.Event.ENDPOINT_FAILED,
@@ -350,6 +350,7 @@
                 call.body,
                 operation.repeatable,
                 call.may_send,
+                call.hold,
             )
         except errors.EndpointError as fault:
             self._record_endpoint_fault(queue, view, fault)
--- a/src/carawayward/http_client.py
+++ b/src/carawayward/http_client.py
@@ -104,6 +104,19 @@
 CheckBody = typing.Callable[[int | None, bytes], None]
 
 
+# Called with how many bytes of a body are kept; whether there is room.
+Hold = typing.Callable[[int], bool]
+
+
+class NoRoom(httpcore.RemoteProtocolError):
+    """There is no room to keep the rest of a body."""
+
+
+def hold_any(count: int) -> bool:
+    """Have room for any body."""
+    return True
+
+
 def accept_body(length: int | None, begin: bytes) -> None:
     """Accept any body."""
 
@@ -114,12 +127,13 @@
     timeout: trio.CancelScope,
     timeout_ms: float,
     check: CheckBody = accept_body,
+    hold: Hold = hold_any,
 ) -> None:
     """Read a body into ``received`` for as long as it comes steadily.
 
     Moves the deadline of ``timeout``, within which the head has come:
     ``timeout_ms`` may pass without a byte. Raises httpcore.RemoteProtocolError
-    if the body is longer than ``MAX_BODY_BYTES``.
+    if the body is longer than ``MAX_BODY_BYTES``, NoRoom if ``hold`` has none.
     """
     began = trio.current_time()
     length = find_length(response.headers)
@@ -132,6 +146,8 @@
             received += chunk
             if len(received) > MAX_BODY_BYTES:
                 raise httpcore.RemoteProtocolError("body too long")
+            if not hold(len(received)):
+                raise NoRoom("no room for the body")
             expected_ms = len(received) / MIN_BODY_BYTES_PER_MS
             timeout.deadline = timeout_ms / 1000 + min(
                 trio.current_time(), began + expected_ms / 1000
@@ -142,16 +158,19 @@
     pool: httpcore.AsyncConnectionPool | httpcore.AsyncHTTP11Connection,
     method: str,
     url: str,
+    hold: Hold = hold_any,
     **options: typing.Any,
 ) -> httpcore.Response:
     """Make a call and read the whole response, which has a limited length.
 
     Raises httpcore.RemoteProtocolError if it is longer than
-    ``MAX_BODY_BYTES``; its connection is closed.
+    ``MAX_BODY_BYTES``, or NoRoom; its connection is closed.
     """
     received = bytearray()
     async with pool.stream(method, url, **options) as response:
-        await read_body(response, received, trio.CancelScope(), math.inf)
+        await read_body(
+            response, received, trio.CancelScope(), math.inf, hold=hold
+        )
     whole = httpcore.Response(
         response.status, headers=response.headers, content=bytes(received)
     )
--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -110,7 +110,7 @@
             self.open_connections.discard(self)
             if self.exchanges is not None:
                 self.exchanges.drop_received()
-            self.link.share.release()
+            self.link.share.end()
             await trio.aclose_forcefully(self.stream)
 
     def _make_room(self) -> bool:
--- a/tests/cover/test_buffers.py
+++ b/tests/cover/test_buffers.py
@@ -45,7 +45,7 @@
         assert share not in closed or share.closing
     assert len(set(map(id, closed))) == len(closed) == account.closed
     for share in shares:
-        share.release()
+        share.end()
     assert account.held_bytes == 0 and not account.holders
 
 
