--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from tests.common import crowds
 from tests.soak import checkers
 from tests.soak import records
 from tests.soak import run
@@ -203,6 +204,20 @@
     assert not check(checkers.check_rests, history)
 
 
+def test_process_that_takes_too_much_memory_is_found():
+    """Only a process at the bound or above it breaks the clause."""
+    history = records.History()
+    for number, peak in enumerate((0, crowds.MEMORY_BYTES - 1)):
+        history.processes.append(
+            records.VmProcess(
+                vm="edge", start=number, from_ms=0.0, peak_bytes=peak
+            )
+        )
+    assert not checkers.check_all(history, BOUNDS)["memory"]
+    history.processes[0].peak_bytes = crowds.MEMORY_BYTES
+    assert len(checkers.check_all(history, BOUNDS)["memory"]) == 1
+
+
 def test_every_clause_has_a_checker():
     """The clauses of the rule, and nothing else, are checked."""
     history = records.History()
@@ -221,6 +236,7 @@
         "waits": [],
         "refused runs": [],
         "idle room": [],
+        "memory": [],
         "late versions": [],
         "regressions": [],
         "invalid versions": [],
