Count the connections that a stop closes with unread requests

Callers saw connections end without an answer; no line named the requests, and whether they had been read could not be told from logs.

Cause: a stop recorded only connections with a request in hand. One whose bytes wait in its socket, or whose head is not whole, was closed unseen.

Change: reason "unread" in connections_closed, and in 1407 as a stop ends.

Evidence: test_stop_counts_the_requests_that_it_closes_unread failed before (no such reason).

--- a/src/carawayward/closes.py
+++ b/src/carawayward/closes.py
@@ -16,6 +16,9 @@
 
     IDLE = "idle"
     STOP = "stop"
+    # The listener has been stopped and bytes of a request were not parsed: it
+    # has not been begun and its caller may send it again.
+    UNREAD = "unread"
     # The caller has sent what is no HTTP.
     MALFORMED = "malformed"
     # The caller has accepted no data for too long.
@@ -37,6 +40,7 @@
 EXPLANATIONS = {
     CloseReason.IDLE: "idle connection closed",
     CloseReason.STOP: "leaving",
+    CloseReason.UNREAD: "leaving",
     CloseReason.MALFORMED: "malformed request",
     CloseReason.WRITE_TIMEOUT: "caller does not read",
     CloseReason.DEADLINE: "caller reads past its deadline",
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -147,9 +147,11 @@
     )
     REQUESTS_CUT = EventKind(
         1407,
-        "The listener closed connections with requests in hand; the event "
-        "has how many, by reason. At most once a second.",
-        "for stop: find out what the requests waited for; else none",
+        "The listener closed connections with requests in hand, or in a stop "
+        "with unread ones; the event has how many, by reason. At most once a "
+        "second.",
+        "for stop: find out what the requests waited for; for unread: the "
+        "process is short of processor time; else none",
         logging.WARNING,
     )
     DESCRIPTORS_SHORT = EventKind(
--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -247,6 +247,10 @@
     def _record_stop(self) -> None:
         if self.has_request():
             self._record_close(closes.CloseReason.STOP)
+        elif self.has_unread() or self.has_partial_head():
+            self.config.closes.record(
+                closes.CloseReason.UNREAD, ends_request=True
+            )
 
     def _record_end(self) -> None:
         """Record why no further request is read."""
@@ -267,6 +271,17 @@
         """Whether a request is in hand."""
         return self.exchanges is not None and self.exchanges.stream is not None
 
+    def _is_stopping(self) -> bool:
+        return self.context.terminated.is_set()
+
+    def has_partial_head(self) -> bool:
+        """Whether bytes were received that are no whole head yet."""
+        return (
+            self.exchanges is not None
+            and not self.discarding
+            and bool(self.exchanges.connection.trailing_data[0])
+        )
+
     def _update_idle(self, idle: bool) -> None:
         """Record whether the connection has become idle.
 
@@ -342,7 +357,10 @@
                     return None
             # Bytes may have arrived since the decision to close.
             if not self.has_unread():
-                self._record_close(self.closing_for)
+                if self.has_partial_head() and self._is_stopping():
+                    self._record_stop()
+                else:
+                    self._record_close(self.closing_for)
                 return None
             self.closing = False
 
--- a/tests/common/listeners.py
+++ b/tests/common/listeners.py
@@ -35,14 +35,18 @@
 
 
 def run_beside_listener(
-    scenario: Scenario, app: App = answer, buffered_bytes: int | None = None
+    scenario: Scenario,
+    app: App = answer,
+    buffered_bytes: int | None = None,
+    config: listening.ListenerConfig | None = None,
 ) -> None:
     """Run a scenario with a listener that it can stop."""
+    config = config or make_config()
 
     async def run() -> None:
         (port,) = loopback.find_free_ports(1)
         address = f"127.0.0.1:{port}"
-        config = make_config(address)
+        config.bind = [address]
         if buffered_bytes is not None:
             config.buffers.max_bytes = buffered_bytes
         stop = trio.Event()
--- a/tests/failures/test_listener_stop.py
+++ b/tests/failures/test_listener_stop.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from carawayward import closes
 from carawayward import http_server
 from tests.common import listeners
 
@@ -88,6 +89,23 @@
     listeners.run_beside_listener(scenario)
 
 
+def test_stop_counts_the_requests_that_it_closes_unread():
+    """A stop closes connections under requests that no line mentions."""
+    config = listeners.make_config()
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        callers = await open_callers(host, port)
+        for caller in callers:
+            await caller.send_all(REQUEST[:-2])
+        await trio.sleep(0.05)
+        stop.set()
+        for caller in callers:
+            assert await read_status(caller) == b""
+
+    listeners.run_beside_listener(scenario, config=config)
+    assert config.closes.closed[closes.CloseReason.UNREAD] == CALLERS
+
+
 def test_connection_that_waits_to_be_accepted_is_served():
     """Connections in the accept queue are reset when the listener closes."""
 
