--- a/tests/common/stopping.py
+++ b/tests/common/stopping.py
@@ -181,7 +181,8 @@
     """The process of an entry VM, with its log.
 
     ``signalled_s`` is when it got its first signal to stop. ``descriptors``
-    limits how many it may have open, unless it is 0.
+    limits how many it may have open, unless it is 0. It gets ``core_share`` of
+    a core.
     """
 
     running: forwarding.Forwarding
@@ -192,6 +193,7 @@
     signalled_s: float = float("inf")
     signalled: trio.Event = attrs.field(factory=trio.Event)
     descriptors: int = 0
+    core_share: float = 1.0
 
     @property
     def _partition_path(self) -> pathlib.Path:
@@ -225,7 +227,7 @@
                     "CARAWAYWARD_CONFIG": str(path),
                     partitioned.IP_VARIABLE: "127.0.0.1",
                     partitioned.FILE_VARIABLE: str(self._partition_path),
-                    partitioned.CORE_VARIABLE: "1",
+                    partitioned.CORE_VARIABLE: f"{self.core_share}",
                     partitioned.DESCRIPTORS_VARIABLE: f"{self.descriptors}",
                 },
             )
@@ -314,6 +316,7 @@
     ready: bool = True,
     failing_store: bool = False,
     target_ms: int = TARGET_MS,
+    core_share: float = 1.0,
 ) -> typing.AsyncIterator[list[EntryVm]]:
     """Run a store and endpoints, and entry VMs as processes.
 
@@ -325,7 +328,12 @@
         running.store.error_status = 503 if failing_store else 0
         with tempfile.TemporaryDirectory() as folder:
             made = [
-                EntryVm(running, f"edge-{number}", pathlib.Path(folder))
+                EntryVm(
+                    running,
+                    f"edge-{number}",
+                    pathlib.Path(folder),
+                    core_share=core_share,
+                )
                 for number in range(vms)
             ]
             try:
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -423,6 +423,14 @@
     return callers
 
 
+async def has_ended(caller):
+    """Whether its connection has been closed, with nothing sent on it."""
+    with trio.move_on_after(0.01):
+        assert not await caller.stream.receive_some()
+        return True
+    return False
+
+
 async def send_at(caller, after_s):
     await caller.vm.sleep_until(after_s)
     await caller.send("GET", "/look/1")
@@ -486,6 +494,29 @@
     trio.run(main)
 
 
+def test_idle_connections_are_closed_once_callers_have_been_moved():
+    """Callers kept them, and were refused instead of served elsewhere."""
+
+    async def main():
+        engine = make_engine(events=3, pause_ms=1_000.0)
+        async with stopping.open_vms(make_desk(), engine) as (vm,):
+            (idle,) = await open_kept(vm, 1)
+            streaming = await vm.send("POST", "/tip/1", b"prompt")
+            await stop_checks.wait_for_arrivals(vm, 2)
+            vm.signal()
+            await vm.sleep_until(stopping.REFUSING_S - 0.1)
+            assert not await has_ended(idle)
+            await vm.sleep_until(stopping.REFUSING_S + 0.3)
+            assert await has_ended(idle)
+            answer = await streaming.read()
+            assert answer.complete and "connection" not in answer.headers
+            await trio.sleep(0.3)
+            assert await has_ended(streaming)
+            await stop_checks.Report(vm).finish()
+
+    trio.run(main)
+
+
 def test_requests_that_come_as_the_listeners_close_are_answered_or_unread():
     """With and without another request that is still open then."""
 
