Close idle connections of a stopping entry VM once callers have been moved

What callers saw: a request on a kept connection of an entry VM that stops was refused (503, leaving) although others would have served it, and spent its only retry; at the end all idle connections were closed at one moment, where requests that came in the same round trip ended with nothing.

Cause: replies that began before the stop cannot say Connection: close. Connections that carried them stayed open until the listener stopped.

Ruled out: requests that had been read, connections turned away, the end of a stop.

Change: once the balancer has had its time, connections are closed 0.1 s after they become idle; one that has sent a part of a head keeps the usual time-out.

--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -298,6 +298,7 @@
         with trio.move_on_after(times.cutoff_ms / 1000):
             await self.clock.sleep(BALANCER_REMOVAL_MS)
             self.board.refusing = True
+            self.callers.start_draining()
             while self.board.open_requests or self.board.open_relays:
                 await self.clock.sleep(POLL_MS)
         self.board.refusing = True
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -30,6 +30,7 @@
 # Idle connections are closed at most this much too late.
 IDLE_CHECK_INTERVAL_S = 0.25
 CLOSE_CHECK_INTERVAL_S = 0.02
+DRAIN_CHECK_INTERVAL_S = 0.05
 # How long connections without a request stay open after the listener has
 # stopped accepting. A caller that has just connected or sent a request cannot
 # know of the stop: when such connections were closed at once, one of 34 runs
@@ -134,18 +135,28 @@
 ) -> None:
     """Close idle connections when their time-out is over, for ever."""
     while True:
-        wait_s = close_idle(connections, config.keep_alive_timeout)
+        timeout_s = config.keep_alive_timeout
+        if config.draining:
+            close_idle(connections, IDLE_GRACE_S, timeout_s)
+            wait_s = DRAIN_CHECK_INTERVAL_S
+        else:
+            wait_s = close_idle(connections, timeout_s)
+            wait_s = max(IDLE_CHECK_INTERVAL_S, wait_s)
         changed = config.changed
-        with trio.move_on_after(max(IDLE_CHECK_INTERVAL_S, wait_s)):
+        with trio.move_on_after(wait_s):
             await changed.wait()
 
 
 def close_idle(
-    connections: set[http_connections.Connection], timeout_s: float
+    connections: set[http_connections.Connection],
+    timeout_s: float,
+    head_timeout_s: float = 0.0,
 ) -> float:
     """Close connections that have carried no request for a while.
 
-    Returns how long it takes at least until another one has to be closed.
+    Those that have sent a part of a head have ``head_timeout_s``, if that is
+    more. Returns how long it takes at least until another one has to be
+    closed.
 
     A request counts only once its head is complete, so this also limits how
     long a caller may take to send a head. Connections with unread bytes stay
@@ -160,6 +171,8 @@
         if since is None:
             continue
         due = since + timeout_s
+        if connection.has_partial_head():
+            due = since + max(timeout_s, head_timeout_s)
         if due > now:
             next_due = min(next_due, due)
         else:
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -50,13 +50,15 @@
     """A hypercorn configuration that sets options on listening sockets.
 
     Accepted connections inherit the options of the listening socket.
-    ``changed`` is set, and replaced, by each change to the idle time-out.
+    ``changed`` is set, and replaced, by each change to when idle connections
+    are closed.
     ``listening_sockets`` are those that were created last. ``accept_policy``
     decides whether connections wait to be accepted. ``closes`` counts the
     connections that the listener has closed, ``writes`` watches those that
     wait for their callers. ``buffers`` accounts for the bytes that all
     connections of the process hold. At most ``max_connections`` are open. The
-    head of a request may have ``h11_max_incomplete_size`` bytes.
+    head of a request may have ``h11_max_incomplete_size`` bytes. While the
+    listener is ``draining``, connections are closed as they become idle.
     """
 
     silence_ms: int
@@ -64,6 +66,7 @@
     buffers: buffers.BufferAccount
     max_connections: int = resource_limits.MAX_DESCRIPTORS
     accept_policy: accept_queue.Policy = accept_queue.KeepWaiting()
+    draining: bool = False
 
     def __init__(self) -> None:
         super().__init__()
@@ -82,6 +85,17 @@
         if self.keep_alive_timeout == timeout_ms / 1000:
             return
         self.keep_alive_timeout = timeout_ms / 1000
+        self._notify_changed()
+
+    def start_draining(self) -> None:
+        """Close connections as they become idle, for callers to move away.
+
+        A caller that keeps one would send its next request here.
+        """
+        self.draining = True
+        self._notify_changed()
+
+    def _notify_changed(self) -> None:
         changed, self.changed = self.changed, trio.Event()
         changed.set()
 
