Signals that come as the process ends no longer kill it

Operators saw: an entry VM that had stopped in order, nothing open, ended with -15 instead of 0 (forwarded routes) or 1 (callers' API, a second signal cut the stop short) if another SIGTERM came in its last milliseconds.

Cause: trio's signal receiver restores on close the handlers that it found, the default ones, and raises again each signal that nobody has taken. From then on, and while the interpreter ends, one SIGTERM kills the process. An interpreter that ends also resets handlers written in Python, so a handler would not do.

Change: both daemons open the receiver through process_signals.open_receiver. It finds harmless handlers there, so what is raised again does nothing, and leaves the signals ignored, which the end of the interpreter keeps. A signal between the two handlers is raised again for the receiver.

A SIGTERM while the program is still imported ends it with -15 as before; no request is read then.

--- a/src/carawayward/daemon.py
+++ b/src/carawayward/daemon.py
@@ -41,6 +41,7 @@
 from carawayward import metrics as metrics_module
 from carawayward.peers import hub as hub_module
 from carawayward import process_resources
+from carawayward import process_signals
 from carawayward.protocol import tokens
 from carawayward.services import log as log_module
 from carawayward.services import vms as vms_module
@@ -203,7 +204,7 @@
             self.api.lifecycle.deadlines,
             self.api.lookups.cut_off,
         )
-        with trio.open_signal_receiver(
+        with process_signals.open_receiver(
             signal.SIGTERM, signal.SIGINT
         ) as signals:
             async with trio.open_nursery() as nursery:
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -26,6 +26,7 @@
 from carawayward import http_server
 from carawayward import listening
 from carawayward import process_resources
+from carawayward import process_signals
 from carawayward import settings as node_settings
 
 # A load balancer that probes once a second and removes a target after two
@@ -172,7 +173,7 @@
 
         Without a handler SIGHUP would terminate the process.
         """
-        with trio.open_signal_receiver(
+        with process_signals.open_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             if self.take_early_reload():
--- a/tests/failures/test_stop_signals.py
+++ b/tests/failures/test_stop_signals.py
@@ -2,12 +2,15 @@
 
 import pathlib
 import signal
+import time
 
 import trio
 
+from tests.common import deployment
 from tests.common import loopback
 from tests.common import stop_checks
 from tests.common import stopping
+from tests.common import streaming
 from tests.standins import backend
 
 
@@ -48,6 +51,21 @@
     trio.run(main)
 
 
+def test_signals_until_the_end_do_not_kill_the_process_of_the_callers_api():
+    """One that came as it exited ended it with the signal's own code."""
+    with deployment.Deployment(streaming.make_plan(engines=1)) as running:
+        vm = running.entry_vms[0]
+        process = vm.process
+        assert process is not None
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.002)
+        output = (running.folder / f"{vm.name}.out").read_text()
+    # The second signal cut the stop short.
+    assert process.returncode == 1, process.returncode
+    assert output.count('"node_stopped"') == 1, output
+
+
 def handles(process, number):
     """Whether a process has a handler for a signal."""
     status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
