--- a/tests/common/stopping.py
+++ b/tests/common/stopping.py
@@ -209,7 +209,7 @@
             ),
             encoding="utf-8",
         )
-        with self.log_path.open("wb") as output:
+        with self.log_path.open("ab") as output:
             self.process = await trio.lowlevel.open_process(
                 [
                     sys.executable,
