A run that breaks off with the peer that relays it is no crash

What callers would see: requests refused as crashing endpoints, on all entry VMs, as load reports carry the crashes.

Cause: a run that breaks off is followed by a probe from its own entry VM. That one has lost its path and is refused; when no peer is left to be asked, the refusal counted as that of an ended process.

Change: for a run that a peer has relayed only peers are asked. If none can tell, nothing is concluded; the end of the endpoint's process is still noticed by the registry and the reviews of unanswered runs.

Ruled out: to distrust each refusal while the path is lost: the path also counts as lost when a request has crashed all endpoints of a service, which must be noticed.

--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -163,7 +163,7 @@
         self.silent_since_ms.setdefault(entry.process, self._now_ms())
         # The caller may leave during the probe.
         run = self._add_run(work, entry, took_ms)
-        if not await self._is_refused(entry):
+        if not await self._is_refused(entry, work.progress.relayed):
             return False
         # The request may have had an answer during the probe.
         if run in self.unanswered_runs:
@@ -203,8 +203,14 @@
             self.unanswered_runs.append(run)
         return run
 
-    async def _is_refused(self, entry: message_types.EndpointEntry) -> bool:
-        """Whether an endpoint refuses connections; probes it once."""
+    async def _is_refused(
+        self, entry: message_types.EndpointEntry, relayed: bool
+    ) -> bool:
+        """Whether an endpoint refuses connections; probes it once.
+
+        If a peer has ``relayed`` the run, only peers are asked: it may have
+        broken off with that peer, and this entry VM has lost its own path.
+        """
         now_ms = self._now_ms()
         self.crashed_ms = {
             process: at_ms
@@ -213,7 +219,7 @@
         }
         if entry.process in self.crashed_ms:
             return True
-        refused = await self.probe(entry.address)
+        refused = not relayed and await self.probe(entry.address)
         return await self.judge_probe(entry, refused)
 
     def _review_unanswered_runs(self) -> None:
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -256,6 +256,27 @@
     trio.run(main)
 
 
+def test_stop_of_the_peer_that_relays_is_no_crash_of_an_endpoint():
+    """Guards against suspicion of sound requests, on all entry VMs.
+
+    Their runs break off with the peer, while their own entry VM, which has
+    lost its path and knows no other peer, is refused by the endpoint.
+    """
+
+    async def main():
+        desk = make_desk()
+        async with stopping.open_vms(desk, vms=2) as (asking, relaying):
+            callers = await open_relayed(asking, desk)
+            relaying.signal()
+            await stop_checks.read_all(callers.values())
+            for caller in callers.values():
+                await asking.wait_for_end(caller.request_id)
+            crashed = asking.list_events("run_crashed")
+            assert not crashed, crashed
+
+    trio.run(main)
+
+
 async def trickle(caller, piece):
     """Send a piece of a body now and then, for ever."""
     while True:
