End a stop that is short of processor time before its grace

What callers saw: requests sent late in a stop waited for seconds and were closed without an answer 7.6 s after SIGTERM or later, though they had been read ("taken long after SIGTERM and given up"); the process ended after the time of its SIGKILL.

Cause: a bounded wait in time of the clock whose end abandons what waits. A starved loop leaves connections in the accept queue; the end of the stop accepts them all, reads them, and cuts them .3 s later. The times of a stop were fixed, whatever each step takes, and began when the loop saw the signal.

Ruled out: that they were reset unread.

Change: the stop counts from the signal. It measures how much longer the loop's work takes than its processor time. By that, and the requests in hand, replies are begun and connections closed earlier (at most half of the grace). From a factor of 4 on, once the balancer has had its time, the port is closed: the kernel refuses, and what still waits is reset unread. When a listener stops, requests that are in hand or unread are not cut after .3 s but at the time at which connections have to be closed. A process that has its core keeps its times.

--- a/src/carawayward/accept_queue.py
+++ b/src/carawayward/accept_queue.py
@@ -148,6 +148,13 @@
                 )
         self.policy.record_turned_away(count)
 
+    def turn_away(self) -> None:
+        """Reset all connections that wait, with nothing read."""
+        self._count_waiting()
+        while self.counted:
+            self._turn_away_counted()
+            self._count_waiting()
+
     async def aclose(self) -> None:
         """Do nothing; ``drain`` closes the socket."""
         await trio.lowlevel.checkpoint()
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -162,6 +162,13 @@
         'see "Clients that do not behave" in docs/OPERATIONS.md',
         logging.WARNING,
     )
+    STOP_STARVED = EventKind(
+        1410,
+        "The process stops and its work takes many times its processor time: "
+        "it closes its port to callers early, and replies before the time.",
+        "give the process more of a core",
+        logging.WARNING,
+    )
     ACCEPT_FAILED = EventKind(
         1409,
         "No connection could be accepted.",
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -9,13 +9,13 @@
 import trio
 
 from carawayward import clock as clock_module
-from carawayward.decisions import planned_stop
 from carawayward.decisions import resource_limits
 from carawayward import errors
 from carawayward import events
 from carawayward.forwarding import app as app_module
 from carawayward.forwarding import assembly
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import drain as drain_module
 from carawayward.forwarding import feed
 from carawayward.forwarding import feeds as feeds_module
 from carawayward.forwarding import metrics as metrics_module
@@ -29,9 +29,6 @@
 from carawayward import process_signals
 from carawayward import settings as node_settings
 
-# A load balancer that probes once a second and removes a target after two
-# failed probes sends no new connections after this time.
-BALANCER_REMOVAL_MS = 2_200.0
 # Time-out for closing the listeners, when only idle connections are left.
 LISTENERS_CLOSE_S = 0.3
 METRICS_HEADERS = [(b"content-type", b"text/plain; version=0.0.4")]
@@ -73,6 +70,7 @@
     connection_limits: resource_limits.ConnectionLimits = attrs.field(
         init=False
     )
+    drain: drain_module.Drain = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.connection_limits = process_resources.find_connection_limits(
@@ -82,6 +80,7 @@
             self.settings.listen.callers, self.connection_limits.callers
         )
         self.callers.accept_policy = self.app.shedding
+        self.drain = drain_module.Drain(self.board, self.clock, self.callers)
 
     @classmethod
     def from_config(
@@ -155,12 +154,14 @@
             ended = trio.Event()
             async with trio.open_nursery() as serving:
                 self._start_serving(serving, ended)
+                nursery.start_soon(self._follow_limits)
                 nursery.start_soon(self._become_ready)
                 await stop.wait()
-                await self._drain()
+                await self.drain.run()
                 ended.set()
-                serving.cancel_scope.deadline = (
-                    trio.current_time() + LISTENERS_CLOSE_S
+                serving.cancel_scope.deadline = max(
+                    trio.current_time() + LISTENERS_CLOSE_S,
+                    self.drain.closed_s,
                 )
             nursery.cancel_scope.cancel()
         for each in self.controllers:
@@ -174,7 +175,10 @@
         Without a handler SIGHUP would terminate the process.
         """
         with process_signals.open_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+            signal.SIGTERM,
+            signal.SIGINT,
+            signal.SIGHUP,
+            record=self.drain.record_signal,
         ) as signals:
             if self.take_early_reload():
                 self.reload()
@@ -205,8 +209,13 @@
 
     def _start_serving(self, nursery: trio.Nursery, stop: trio.Event) -> None:
         listen, limits = self.settings.listen, self.connection_limits
-        nursery.start_soon(http_server.serve, self.app, self.callers, stop)
-        configs = [self.callers]
+        nursery.start_soon(
+            http_server.serve,
+            self.app,
+            self.callers,
+            self.drain.stop_accepting,
+        )
+        self.drain.listeners.append(self.callers)
         for app, address, max_connections in (
             (self._answer_readiness, listen.readiness, limits.others),
             (self._answer_metrics, listen.metrics, limits.others),
@@ -216,18 +225,15 @@
                 continue
             config = self._make_listener(address, max_connections)
             nursery.start_soon(http_server.serve, app, config, stop)
-            configs.append(config)
-        nursery.start_soon(self._follow_limits, configs)
+            self.drain.listeners.append(config)
 
-    async def _follow_limits(
-        self, configs: list[listening.ListenerConfig]
-    ) -> None:
+    async def _follow_limits(self) -> None:
         """Keep the listeners' limits at those of the routing table."""
         while True:
             declared = self.board.declared
             if self.board.table is not None:
                 limits = self.board.table.limits
-                for config in configs:
+                for config in self.drain.listeners:
                     config.set_idle_timeout(limits.idle_ms)
                 self.callers.set_header_limit(limits.header_bytes)
             await declared.wait()
@@ -281,25 +287,3 @@
         reply = app_module.make_reply(scope, send)
         with contextlib.suppress(replies.ReplyLost):
             await replies.send_response(reply, 200, METRICS_HEADERS, page)
-
-    async def _drain(self) -> None:
-        """Wait for the load balancer, then for the open requests.
-
-        Requests that cannot end in time get a reply that says so. Replies that
-        are not read, and streams, are cut off before the process is killed.
-        """
-        times = planned_stop.StopTimes.from_grace(self.board.bounds.grace_ms)
-        self.board.stop_deadline.begin(
-            self.clock.now_ms(), times.replies_due_ms
-        )
-        self.board.state = board_module.State.LEAVING
-        events.log_event(
-            events.Event.NODE_LEAVING, open=self.board.open_requests
-        )
-        with trio.move_on_after(times.cutoff_ms / 1000):
-            await self.clock.sleep(BALANCER_REMOVAL_MS)
-            self.board.refusing = True
-            self.callers.start_draining()
-            while self.board.open_requests or self.board.open_relays:
-                await self.clock.sleep(POLL_MS)
-        self.board.refusing = True
--- a/src/carawayward/forwarding/stop_deadline.py
+++ b/src/carawayward/forwarding/stop_deadline.py
@@ -22,10 +22,16 @@
 
     def begin(self, now_ms: float, left_ms: float) -> None:
         """Have replies sent to all requests, also to those in hand."""
-        self.due_ms = now_ms + left_ms
-        due = trio.current_time() + left_ms / 1000
+        self.bring_forward(now_ms, now_ms + left_ms)
+
+    def bring_forward(self, now_ms: float, due_ms: float) -> None:
+        """Have replies sent at ``due_ms``, unless they are due before."""
+        if due_ms >= self.due_ms:
+            return
+        self.due_ms = due_ms
+        due_s = trio.current_time() + (due_ms - now_ms) / 1000
         for scope in self.scopes:
-            scope.deadline = min(scope.deadline, due)
+            scope.deadline = min(scope.deadline, due_s)
 
     def is_earlier(self, deadline_ms: float) -> bool:
         """Whether replies are due before a request's own deadline."""
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -112,15 +112,13 @@
             await stop.wait()
             accepting.cancel_scope.cancel()
         for port in ports:
+            if config.late:
+                port.queue.turn_away()
             for stream in port.close():
                 connections.start_soon(handle, stream)
         await context.terminated.set()
         try:
-            with trio.move_on_after(config.graceful_timeout):
-                await trio.sleep(IDLE_GRACE_S)
-                while open_connections:
-                    close_idle(open_connections, 0.0)
-                    await trio.sleep(CLOSE_CHECK_INTERVAL_S)
+            await finish_requests(open_connections, config)
         finally:
             connections.cancel_scope.cancel()
             # A write that its caller does not read is shielded from
@@ -129,6 +127,32 @@
                 connection.close_forcefully()
 
 
+async def finish_requests(
+    connections: set[http_connections.Connection],
+    config: listening.ListenerConfig,
+) -> None:
+    """Let requests finish, and close idle connections, in a stop.
+
+    A busy process reads what it has accepted late. It is not cut short while
+    requests are unanswered, only other connections are.
+    """
+    usual_s = trio.current_time() + config.graceful_timeout
+    await trio.sleep(IDLE_GRACE_S)
+    while connections:
+        now_s = trio.current_time()
+        if now_s >= max(usual_s, config.closed_s):
+            return
+        if now_s >= usual_s and not any(map(needs_reply, connections)):
+            return
+        close_idle(connections, 0.0)
+        await trio.sleep(CLOSE_CHECK_INTERVAL_S)
+
+
+def needs_reply(connection: http_connections.Connection) -> bool:
+    """Whether a request has been received that is not answered."""
+    return connection.has_request() or connection.has_unread()
+
+
 async def keep_closing_idle(
     connections: set[http_connections.Connection],
     config: listening.ListenerConfig,
--- /dev/null
+++ b/src/carawayward/slowdown.py
@@ -0,0 +1,52 @@
+"""How much longer work takes than the processor time that it needs."""
+
+import time
+import typing
+
+import attrs
+import trio
+
+# Work that the factor rests on, at most twice this much, so that it follows
+# changes; with less than the smallest part of it nothing is known.
+WINDOW_S = 0.5
+MIN_RUNNING_S = 0.02
+# The processor clock may stand still for short work.
+MAX_SLOWDOWN = 30.0
+
+
+@attrs.define(eq=False)
+class SlowdownMeter(trio.abc.Instrument):
+    """Measures it for the tasks of an event loop while it is installed.
+
+    Other processes, a quota or a throttled machine make work take longer: the
+    loop is late with everything, although each task looks short.
+    """
+
+    read_clock_s: typing.Callable[[], float] = time.monotonic
+    read_processor_s: typing.Callable[[], float] = time.thread_time
+    running_s: float = 0.0
+    processor_s: float = 0.0
+    _began: tuple[float, float] | None = None
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Record that tasks begin to run."""
+        self._began = (self.read_clock_s(), self.read_processor_s())
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Record that no task runs any more."""
+        if self._began is None:
+            return
+        began_s, began_processor_s = self._began
+        self.running_s += self.read_clock_s() - began_s
+        self.processor_s += self.read_processor_s() - began_processor_s
+        if self.running_s > 2 * WINDOW_S:
+            self.running_s /= 2
+            self.processor_s /= 2
+
+    @property
+    def slowdown(self) -> float:
+        """Time per processor time, 1 if nothing slows it down."""
+        if self.running_s < MIN_RUNNING_S:
+            return 1.0
+        least_s = self.running_s / MAX_SLOWDOWN
+        return max(1.0, self.running_s / max(least_s, self.processor_s))
