Load reports of peers: only whole, bounded numbers enter sums

What callers saw: nothing yet; found by feeding odd reports. A report with a weight of NaN or infinity made the sum of the peers' work at that engine NaN. Prompts were placed by it, and it stayed NaN after the report was replaced, as long as any peer had a stream there. 1e308 and 2^64 - 1 left the sum wrong by what others had reported. Two reports of no load at all raised KeyError when the second one expired, which happens while a request is placed.

Cause: loads were converted with float() and int(), which take any number; a sum is updated by taking away what was added. A sum that has been dropped as nearly zero was taken away from again.

A dropped sum is passed over.

Tests: test_odd_load_leaves_nothing_once_it_is_replaced failed before with weight=nan (total (nan, 2), hypothesis); test_reports_of_no_load_expire failed with KeyError: 'e-0'. Both pass now.

--- a/src/carawayward/decisions/engine_load.py
+++ b/src/carawayward/decisions/engine_load.py
@@ -300,6 +300,9 @@
     loads: EngineLoads, dropped: typing.Mapping[str, Load]
 ) -> None:
     for engine, load in dropped.items():
+        if engine not in loads.peer_totals:
+            # What is left of a sum is dropped when it is less than a token.
+            continue
         left = loads.peer_totals[engine] + -load
         if left.streams > 0 or left.weight >= 1.0:
             loads.peer_totals[engine] = left
--- a/src/carawayward/forwarding/load_report_messages.py
+++ b/src/carawayward/forwarding/load_report_messages.py
@@ -14,6 +14,7 @@
 from carawayward.decisions import engine_load
 from carawayward.decisions import engine_order
 from carawayward.decisions import placement
+from carawayward.forwarding import report_values
 from carawayward import plain_cbor
 from carawayward import settings as settings_module
 
@@ -167,11 +168,11 @@
     return value
 
 
-def _read_load(
-    weight: float, streams: int, *classes: float
-) -> engine_load.Load:
+def _read_load(weight: int, streams: int, *classes: int) -> engine_load.Load:
     if len(classes) > engine_order.MAX_CLASSES:
         raise ValueError("too many classes")
     return engine_load.Load(
-        float(weight), int(streams), tuple(float(each) for each in classes)
+        float(report_values.check_count(weight)),
+        report_values.check_count(streams),
+        tuple(float(report_values.check_count(each)) for each in classes),
     )
--- /dev/null
+++ b/tests/cover/test_odd_peer_reports.py
@@ -0,0 +1,103 @@
+"""Load reports of peers whose values are odd."""
+
+import math
+import typing
+from unittest import mock
+
+import attrs
+import cbor2
+import hypothesis
+from hypothesis import strategies
+
+from carawayward import clock as clock_module
+from carawayward.decisions import engine_load
+from carawayward.forwarding import assembly
+from carawayward.forwarding import board as board_module
+from carawayward.forwarding import load_report_messages
+from carawayward.forwarding import message_types
+from carawayward.forwarding import settings as settings_module
+
+ENGINE = "e-0"
+NUMBER = load_report_messages.hash_name(ENGINE)
+FIRST = load_report_messages.Sender("p", "i", "127.0.0.1:9", "north")
+THIRD = load_report_messages.Sender("r", "i", "127.0.0.1:11", "north")
+OTHER = load_report_messages.Sender("q", "i", "127.0.0.1:10", "north")
+ODD: strategies.SearchStrategy[typing.Any] = strategies.sampled_from(
+    [
+        0,
+        math.nan,
+        math.inf,
+        -math.inf,
+        -1,
+        -0.5,
+        0.4,
+        1e308,
+        2**64 - 1,
+        -(2**64),
+    ]
+    + [None, True, "x", b"x", [], {}, [[[[]]]], [1, 2, 3], {1: 1}]
+)
+
+
+def make_reporter():
+    """The load reporter of an entry VM that knows one engine."""
+    board = board_module.ForwardingBoard(name="vm", failure_domain="north")
+    board.endpoints[ENGINE] = message_types.EndpointEntry(
+        name=ENGINE,
+        service="engines",
+        address="127.0.0.1:5",
+        failure_domain="north",
+    )
+    listen = settings_module.Listen(
+        callers="127.0.0.1:1", readiness="127.0.0.1:2", peers="127.0.0.1:3"
+    )
+    settings = settings_module.ForwardingSettings(
+        name="vm",
+        failure_domain="north",
+        listen=listen,
+        store=settings_module.Store(address="127.0.0.1:4"),
+        plain_room=True,
+    )
+    parts = assembly.make_placement(
+        settings, board, clock_module.Clock(), mock.MagicMock()
+    )
+    parts.reporter.joined.set()
+    return parts.reporter, parts.placer.fleet
+
+
+def report(reporter, sender, sequence, loads=None, topics=None):
+    """Receive a load report."""
+    fields: list[typing.Any] = [
+        load_report_messages.VERSION,
+        list(attrs.astuple(sender)),
+        sequence,
+        False,
+        loads or {},
+        [],
+        topics or {},
+    ]
+    reporter._handle_datagram(cbor2.dumps(fields))
+
+
+@hypothesis.given(ODD, ODD, ODD)
+def test_odd_load_leaves_nothing_once_it_is_replaced(weight, streams, urgent):
+    """Guards against sums of the peers' work that stay no number."""
+    reporter, _ = make_reporter()
+    report(reporter, THIRD, 1, {NUMBER: [30, 1, 30]})
+    for sender in (FIRST, OTHER):
+        report(reporter, sender, 1, {NUMBER: [weight, streams, urgent]})
+    report(reporter, OTHER, 2, {NUMBER: [50, 1, 50]})
+    report(reporter, FIRST, 2, {NUMBER: [70, 2, 70]})
+    total = engine_load.get_load(reporter.loads, ENGINE)
+    assert total == engine_load.Load(150.0, 4, (150.0,))
+    engine_load.expire_reports(reporter.loads, math.inf)
+    assert not reporter.loads.peer_totals
+
+
+def test_reports_of_no_load_expire():
+    """Guards against requests that fail while two such reports expire."""
+    reporter, _ = make_reporter()
+    for sender in (FIRST, OTHER):
+        report(reporter, sender, 1, {NUMBER: [0, 0]})
+    engine_load.expire_reports(reporter.loads, math.inf)
+    assert not reporter.loads.peers
