Configuration: odd numbers and types make a version unusable

What callers saw (by test, and by requests through an entry VM in the test process): a version numbered 10^400 was put in force, and none after it, since only a higher one replaces it: entry VMs stopped following the configuration. `routes` as a text or a map was taken for no routes: 404 on all routes, which callers do not retry. timeoutMs 0 refused all requests of its route, idleTimeoutMs 0 all that have a body (408).

Cause: the version number had no bounds, lists were read from whatever can be iterated, and a time of zero was taken for a time limit.

Change: the version is a whole number from 0 to 2^53 - 1, routes, services, sizes and models are lists (sizes and models may be missing or null), and timeoutMs, headerTimeoutMs and idleTimeoutMs are above zero. Any other version is unusable as a whole, as before, so that the last good one stays in force.

Ruled out: of 147 odd values that were accepted, none made an entry VM raise or end. Not decided: a version number that is too high, but within bounds, still hides lower ones that are written later.

--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -101,19 +101,21 @@
             customers[_require_type(key, str)] = customer
     limits = body.get("limits", {})
     return table.RoutingTable(
-        revision=_require_type(body["version"], int),
-        routes=tuple(read_route(each) for each in body["routes"]),
+        revision=_require_count(body["version"]),
+        routes=tuple(map(read_route, _require_type(body["routes"], list))),
         services={
             service.name: service
-            for service in map(read_service, body["services"])
+            for service in map(
+                read_service, _require_type(body["services"], list)
+            )
         },
         customers_by_key=customers,
         keyed=bool(tenants),
         limits=table.CallerLimits(
             header_bytes=_require_count(limits.get("maxHeaderBytes", 16_384)),
             body_bytes=_require_count(limits.get("maxBodyBytes", 4_194_304)),
-            header_ms=_require_number(limits.get("headerTimeoutMs", 3_000)),
-            idle_ms=_require_number(limits.get("idleTimeoutMs", 15_000)),
+            header_ms=_require_time(limits.get("headerTimeoutMs", 3_000)),
+            idle_ms=_require_time(limits.get("idleTimeoutMs", 15_000)),
         ),
     )
 
@@ -121,7 +123,7 @@
 def read_route(body: dict) -> table.Route:
     """Convert a route, which names one service or splits over several."""
     split = body.get("split") or [{"service": body["service"], "weight": 1}]
-    timeout_ms = _require_number(body["timeoutMs"])
+    timeout_ms = _require_time(body["timeoutMs"])
     gap_target_ms = body.get("gapTargetMs")
     return table.Route(
         name=_require_type(body["name"], str),
@@ -145,7 +147,7 @@
         gap_target_ms=(
             None if gap_target_ms is None else _require_number(gap_target_ms)
         ),
-        models=tuple(map(_require_header_text, body.get("sizes") or ())),
+        models=tuple(map(_require_header_text, _parse_list(body, "sizes"))),
     )
 
 
@@ -174,7 +176,7 @@
         cache_tokens=_require_count(body["kvCapacityTokens"], minimum=1),
         costs={
             _require_type(each["name"], str): _require_number(each["cost"])
-            for each in body.get("models") or ()
+            for each in _parse_list(body, "models")
         },
     )
 
@@ -262,6 +264,20 @@
     return number
 
 
+def _require_time(value: typing.Any) -> float:
+    """A time limit, in ms; one of zero would refuse every request."""
+    time_ms = _require_number(value)
+    if not time_ms:
+        raise ValueError("time above zero expected")
+    return time_ms
+
+
+def _parse_list(body: dict, field: str) -> list:
+    """A list; empty if it is missing or null."""
+    value = body.get(field)
+    return [] if value is None else _require_type(value, list)
+
+
 def _require_flag(body: dict, field: str) -> bool:
     """A field that is true or false; false if it is missing or null."""
     value = body.get(field)
