Load reports of peers: one odd topic or sequence hides no other report

What callers saw: nothing yet; found by feeding odd reports. If one topic of a report could not be merged, its loads and its sequence were not recorded: a peer that goes on sending the topic is taken for silent, removed after 30 s, and its work is missing where prompts are placed. A sequence above those of all later reports (2^64 - 1) had these dropped as out of order.

Cause: topics are merged first, and what one of them raises ended the handling of the whole report; the sequence was any number.

Change: what a topic raises is logged with the topic and confined to it. The sequence is a whole number from 0 to 2^40.

Not decided: a first sequence that is too high, but within bounds, hides later reports until the peer is removed as silent (30 s) and added again.

Tests: test_topic_that_cannot_be_merged_hides_no_other and test_odd_sequence_does_not_hide_later_reports failed before, and pass now.

--- a/src/carawayward/forwarding/load_report_messages.py
+++ b/src/carawayward/forwarding/load_report_messages.py
@@ -148,7 +148,7 @@
             sender = Sender.from_fields(sender)
         return cls(
             sender=sender,
-            sequence=int(sequence),
+            sequence=report_values.check_count(sequence),
             stale=bool(stale),
             loads={
                 int(engine): _read_load(*load)
--- a/src/carawayward/forwarding/load_reports.py
+++ b/src/carawayward/forwarding/load_reports.py
@@ -436,7 +436,17 @@
         sender = f"{peer.name}/{peer.incarnation}"
         ttl_ms = peer.compute_ttl_ms(PEER_TIMEOUT_MS)
         for topic in message.topics.keys() & self.topics.keys():
-            self.topics[topic].merge(sender, message.topics[topic], ttl_ms)
+            try:
+                self.topics[topic].merge(sender, message.topics[topic], ttl_ms)
+            except Exception as fault:
+                # A peer whose reports were dropped as a whole would be taken
+                # for gone.
+                events.log_event(
+                    events.Event.PEER_REFUSED,
+                    peer=sender,
+                    topic=topic,
+                    detail=supervision.describe_fault(fault),
+                )
 
     def _merge_loads(
         self, peer: report_channels.Peer, message: load_report_messages.Message
--- a/tests/cover/test_odd_peer_reports.py
+++ b/tests/cover/test_odd_peer_reports.py
@@ -37,6 +37,12 @@
     ]
     + [None, True, "x", b"x", [], {}, [[[[]]]], [1, 2, 3], {1: 1}]
 )
+# The topics of all controllers, and values of some.
+TOPICS = (
+    *("limits", "in_flight", "wide_link", "rollouts", "paces"),
+    *("paths", "prompts", "suspects", "demand", "overload"),
+)
+GOOD_TOPICS = {"limits": [[NUMBER, 5.0, 0]], "paths": [7]}
 
 
 def make_reporter():
@@ -101,3 +107,25 @@
         report(reporter, sender, 1, {NUMBER: [0, 0]})
     engine_load.expire_reports(reporter.loads, math.inf)
     assert not reporter.loads.peers
+
+
+@hypothesis.given(strategies.sampled_from(TOPICS), ODD)
+def test_topic_that_cannot_be_merged_hides_no_other(topic, odd):
+    """Guards against a peer that is taken for gone for one odd value."""
+    reporter, fleet = make_reporter()
+    topics = {each: GOOD_TOPICS[each] for each in GOOD_TOPICS if each != topic}
+    report(reporter, FIRST, 1, {NUMBER: [100, 1]}, {topic: odd, **topics})
+    assert reporter.peers["p"].sequence == 1
+    assert engine_load.get_load(reporter.loads, ENGINE).weight == 100.0
+    if topic != "limits":
+        (limited,) = fleet.rate_limits.endpoints.values()
+        assert limited.per_s == 5.0
+
+
+@hypothesis.given(ODD)
+def test_odd_sequence_does_not_hide_later_reports(sequence):
+    """Guards against a number above those of all later reports."""
+    reporter, _ = make_reporter()
+    report(reporter, FIRST, sequence, {NUMBER: [100, 1]})
+    report(reporter, FIRST, 3, {NUMBER: [70, 1]})
+    assert engine_load.get_load(reporter.loads, ENGINE).weight == 70.0
