Load reports of peers: odd limits and counts of roll-outs are dropped

What callers saw: nothing yet; found by feeding odd reports. A limit on an endpoint's requests whose age was NaN, negative or -infinity counted as newer than all later ones: the endpoint kept it for ever. A roll-out whose age was infinite began infinitely long ago and so was over at once; negative counts made an exposure seem smaller than it is.

Cause: float() and int() take any number.

A limit is a number that is not negative, and clamped to what can be applied; a roll-out is halted by true only.

Tests: test_odd_limit_does_not_outlast_the_next and test_odd_counts_of_a_rollout_are_dropped failed before, and pass now.

--- a/src/carawayward/forwarding/rate_limits.py
+++ b/src/carawayward/forwarding/rate_limits.py
@@ -12,6 +12,7 @@
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
 from carawayward.forwarding import notices
+from carawayward.forwarding import report_values
 
 # How long a limit is reported to peers after it was last observed. With many
 # peers, each is sent a report only once in 10 s.
@@ -152,8 +153,8 @@
         """
         reported = {
             int(number): (
-                None if per_s is None else float(per_s),
-                self.clock.boot_ms() - float(age_ms),
+                None if per_s is None else _check_limit(per_s),
+                self.clock.boot_ms() - report_values.check_age(age_ms),
             )
             for number, per_s, age_ms in value
         }
@@ -268,3 +269,10 @@
             ):
                 del self.endpoints[process]
                 self.board.limited.discard(process)
+
+
+def _check_limit(value: typing.Any) -> float:
+    """Return a limit that a peer reports, or raise ValueError."""
+    if type(value) not in (int, float) or not value >= 0.0:
+        raise ValueError("expected requests a second")
+    return float(min(value, rate_limits.MAX_PER_S))
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -14,6 +14,7 @@
 from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import message_types
+from carawayward.forwarding import report_values
 from carawayward.forwarding import rollout_state
 from carawayward.forwarding import session_versions
 from carawayward.forwarding import work_items
@@ -330,22 +331,25 @@
             rollout = self.rollouts.get(service)
             if rollout is None or rollout.order.version != version:
                 continue
+            age_ms = report_values.check_age(age_ms)
             rollout.peer_counts[peer] = rollout_state.PeerCounts(
                 expires_ms=self.clock.now_ms() + ttl_ms,
-                old_in_flight=int(in_flight),
-                sent=int(sent[0]),
-                sent_new=int(sent[1]),
+                old_in_flight=report_values.check_count(in_flight),
+                sent=report_values.check_count(sent[0]),
+                sent_new=report_values.check_count(sent[1]),
                 tallies={
-                    str(route): canary.Tally(*(int(n) for n in counts))
+                    str(route): canary.Tally(
+                        *map(report_values.check_count, counts)
+                    )
                     for route, counts in tallies.items()
                 },
             )
             # An entry VM that started during a roll-out would otherwise
             # count its duration from its own start.
-            began_ms = self.clock.now_ms() - float(age_ms)
+            began_ms = self.clock.now_ms() - age_ms
             rollout.began_ms = min(rollout.began_ms, began_ms)
             # The next round judges, not each report: judging iterates over
             # the counts of all entry VMs, which at hundreds of them would
             # take a tenth of a core if done for every report.
-            if halted:
+            if halted is True:
                 self._halt(rollout)
--- a/tests/cover/test_odd_peer_reports.py
+++ b/tests/cover/test_odd_peer_reports.py
@@ -1,5 +1,6 @@
 """Load reports of peers whose values are odd."""
 
+import contextlib
 import math
 import typing
 from unittest import mock
@@ -15,6 +16,9 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
+from carawayward.forwarding import report_values
+from carawayward.forwarding import rollout_state
+from carawayward.forwarding import rollouts
 from carawayward.forwarding import settings as settings_module
 
 ENGINE = "e-0"
@@ -122,6 +126,19 @@
         assert limited.per_s == 5.0
 
 
+@hypothesis.given(ODD, ODD)
+def test_odd_limit_does_not_outlast_the_next(per_s, age_ms):
+    """Guards against a limit whose age makes it the newest for ever."""
+    reporter, fleet = make_reporter()
+    limits = fleet.rate_limits
+    report(reporter, FIRST, 1, topics={"limits": [[NUMBER, per_s, age_ms]]})
+    for limited in limits.endpoints.values():
+        assert limited.per_s is None or 0.0 <= limited.per_s < math.inf
+    report(reporter, FIRST, 2, topics={"limits": [[NUMBER, 7.0, 0]]})
+    (limited,) = limits.endpoints.values()
+    assert limited.per_s == 7.0
+
+
 @hypothesis.given(ODD)
 def test_odd_sequence_does_not_hide_later_reports(sequence):
     """Guards against a number above those of all later reports."""
@@ -129,3 +146,25 @@
     report(reporter, FIRST, sequence, {NUMBER: [100, 1]})
     report(reporter, FIRST, 3, {NUMBER: [70, 1]})
     assert engine_load.get_load(reporter.loads, ENGINE).weight == 70.0
+
+
+@hypothesis.given(strategies.lists(ODD, min_size=4, max_size=4))
+def test_odd_counts_of_a_rollout_are_dropped(odd):
+    """Guards against a roll-out that seems to be over, or to be safe."""
+    age_ms, in_flight, sent, tally = odd
+    clock: typing.Any = clock_module.ManualClock()
+    board = board_module.ForwardingBoard(name="vm", failure_domain="north")
+    found = rollouts.Rollouts(board, clock)
+    order = message_types.RolloutOrder(
+        service="engines", version="v2", duration_ms=10_000.0
+    )
+    state = rollout_state.Rollout(order=order, began_ms=0.0)
+    found.rollouts["engines"] = state
+    counts = {"tip": [tally, 0, 0, 0]}
+    value = ["engines", "v2", age_ms, in_flight, False, [sent, 0], counts]
+    with contextlib.suppress(TypeError, ValueError, LookupError):
+        found.merge("p/i", [value], 1_000.0)
+    assert math.isfinite(state.began_ms)
+    for each in state.peer_counts.values():
+        found_counts = [each.old_in_flight, each.sent, each.tallies["tip"].new]
+        assert all(0 <= n <= report_values.MAX_VALUE for n in found_counts)
