Configuration: a process that starts reads back to the last usable version

What callers saw (real process, by test): while the newest record of the configuration cannot be used, an entry VM that runs keeps the last good one, but one that is started never gets ready. A rolling restart would take all entry VMs out of service.

Cause: at the start only the newest record of each key is listed; the usable one before it is in the topic's history, which was not read.

Ruled out: that running processes end or stop reading. 11 odd versions (nested 200,000 deep, 10^400, NaN, surrogates, wrong types, no UTF-8) leave the last good one in force, and a later good one is followed; 13 odd entries under the id of a living server and under five odd ids, in turn with its good one, leave the others in use, and it comes back. Both in a real process.

Change: if no table is in force after the first listing and some listed record cannot be used, the topic is read back, 64 records, then eight times as many, to the first that it still has, until a table with the key of such a record is found. Where nothing is listed under the key nothing is read back. HistoryLost carries the first retained position; a call that fails has the start repeated.

Such a start costs one more read call where the good version is among the last 64 records.

Tests: test_odd_configuration_keeps_the_last_good_one_in_force failed before (TooSlowError in wait_until_ready of the started process); test_newest_usable_record_is_found_however_far_back covers expired history. test_server_with_an_odd_entry_comes_back_and_hides_no_other passed before too.

--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -36,6 +36,8 @@
     ``superseded`` are roll-out orders that a later one has replaced.
     ``missing_since_ms`` holds, by failure domain, when an evacuation was
     found missing after a restore of the store, in ms on the boot clock.
+    ``unusable`` are the keys whose newest record could not be used when all
+    were listed.
     """
 
     board: board_module.ForwardingBoard
@@ -43,6 +45,7 @@
     clock: clock_module.Clock = attrs.field(factory=clock_module.Clock)
     superseded: list[message_types.RolloutOrder] = attrs.field(factory=list)
     missing_since_ms: dict[str, float] = attrs.field(factory=dict)
+    unusable: set[str] = attrs.field(factory=set)
     _restored: bool = False
 
     def begin_era(self) -> None:
@@ -55,11 +58,12 @@
         Returns False if one of them cannot be used.
         """
         restored, self._restored = self._restored, False
-        usable = True
+        self.unusable.clear()
         missing = set(self.board.evacuated)
         for record in records:
             decoded = self._decode_and_apply(record, restored)
-            usable = usable and (decoded is not None or record.value is None)
+            if decoded is None and record.value is not None:
+                self.unusable.add(record.key)
             if isinstance(decoded, message_types.Evacuation):
                 missing.discard(decoded.failure_domain)
         for failure_domain in missing:
@@ -68,13 +72,36 @@
                 self.missing_since_ms.setdefault(failure_domain, now_ms)
             elif failure_domain not in self.missing_since_ms:
                 self._lift(failure_domain)
-        return usable
+        return not self.unusable
 
     def apply(self, record: keyed_log.Record) -> bool:
         """Apply one record; return False if it cannot be used."""
         decoded = self._decode_and_apply(record)
         return decoded is not None or record.value is None
 
+    def needs_earlier(self) -> bool:
+        """Whether a routing table may be hidden by an unusable record."""
+        return self.board.table is None and bool(self.unusable)
+
+    def apply_earlier(self, record: keyed_log.Record) -> bool:
+        """Put an earlier routing table into force; return whether it is one.
+
+        Other records are ignored: what they declared may have ended.
+        """
+
+        def apply_table() -> bool:
+            if record.key not in self.unusable:
+                return False
+            decoded = self.decode(record)
+            if not isinstance(decoded, table.RoutingTable):
+                return False
+            self._apply_table(decoded)
+            return True
+
+        return record_isolation.isolate(
+            apply_table, False, key=record.key, offset=record.offset
+        )
+
     def _decode_and_apply(
         self, record: keyed_log.Record, restored: bool = False
     ) -> Decoded:
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -1,6 +1,7 @@
 """Follows one topic of the store, with its own calls or through a delegate."""
 
 import contextlib
+import functools
 import math
 import typing
 
@@ -15,6 +16,7 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import call_causes
 from carawayward.forwarding import change_log
+from carawayward.forwarding import earlier_records
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import metrics as metrics_module
 from carawayward.forwarding import positions
@@ -68,6 +70,9 @@
     is since when this feed has been behind it, and ``progress_ms`` when a part
     of the missing records arrived last.
 
+    If ``needs_earlier`` returns true after the first listing, earlier records
+    are passed to ``apply_earlier``, the newest first, until it returns true.
+
     ``begin_era`` is called before ``replace`` if the store was restored from
     a backup: missing records may be written again, and the records present
     may be older than those already known.
@@ -97,6 +102,10 @@
     push_updates: typing.Callable[[], None] = lambda: None
     count_call: typing.Callable[[call_causes.Cause], None] = lambda cause: None
     begin_era: typing.Callable[[], None] = lambda: None
+    needs_earlier: typing.Callable[[], bool] = lambda: False
+    apply_earlier: typing.Callable[[keyed_log.Record], bool] = lambda record: (
+        True
+    )
     position: int | None = None
     current_as_of_ms: float = board_module.NEVER
     due_ms: float = board_module.NEVER
@@ -263,6 +272,9 @@
             # them may have expired in the outage that this answer ends.
             self.outages.record_answer()
             applied = self._apply_batch(batch)
+            if cause is call_causes.Cause.START and self.needs_earlier():
+                if not await self._try_read_earlier(batch.end, sent_ms):
+                    continue
             self._record_success()
             if not applied:
                 continue
@@ -276,6 +288,24 @@
                 self.push_updates()
                 await self._wait_between_calls(sent_ms)
 
+    async def _try_read_earlier(self, end: int, sent_ms: float) -> bool:
+        """Read back from ``end``; if it fails, have the topic listed again."""
+        try:
+            await earlier_records.read_back(
+                self.topic,
+                end,
+                self.apply_earlier,
+                functools.partial(self.count_call, call_causes.Cause.START),
+            )
+            return True
+        except keyed_log.HistoryLost:
+            self.outages.record_answer()
+        except errors.PlatformUnavailable as fault:
+            self._record_failure(sent_ms, fault)
+            await self.outages.wait_before_retry()
+        self.position = None
+        return False
+
     def _take_wait(self, cause: call_causes.Cause) -> float:
         """How long the next call may wait, after the last gap.
 
--- a/src/carawayward/forwarding/feeds.py
+++ b/src/carawayward/forwarding/feeds.py
@@ -139,6 +139,8 @@
         get_max_age=get_max_age,
         push_updates=functools.partial(freshness.push_updates, DECLARATIONS),
         begin_era=begin_era,
+        needs_earlier=reader.needs_earlier,
+        apply_earlier=reader.apply_earlier,
     )
     freshness.add_topic(topic_feed.name, topic_feed)
     return topic_feed
--- a/src/carawayward/forwarding/keyed_log.py
+++ b/src/carawayward/forwarding/keyed_log.py
@@ -32,7 +32,14 @@
 
 
 class HistoryLost(Exception):
-    """The requested records are no longer in the log; use ``read_newest``."""
+    """The requested records are no longer in the log; use ``read_newest``.
+
+    ``first`` is the offset of the first one that is; None if it is unknown.
+    """
+
+    def __init__(self, first: int | None = None) -> None:
+        super().__init__("the records have expired; list the newest ones")
+        self.first = first
 
 
 class ListingShorter(Exception):
--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -197,7 +197,7 @@
         if answer.era != positions.get_era(start):
             raise keyed_log.EraChanged()
         if answer.status == 410:
-            raise keyed_log.HistoryLost()
+            raise keyed_log.HistoryLost(parse_first(answer))
         if answer.status != 200 or len(answer.content) < 16:
             raise errors.PlatformUnavailable(
                 "store", f"status {answer.status}"
@@ -291,6 +291,15 @@
     return int(body["end"])
 
 
+def parse_first(answer: Answer) -> int | None:
+    """The first offset that a topic still has; None if it is not readable."""
+    try:
+        first = parse_body(answer, lambda body: int(body["first"]), 410)
+    except errors.PlatformUnavailable:
+        return None
+    return positions.make_position(answer.era, first)
+
+
 @attrs.frozen
 class ListingPage:
     """A page of a list of the latest records, in the order of their keys."""
