Load reports of peers: digests are bytes, and crashes have an age

What callers saw: nothing yet; found by feeding odd reports. A digest of a suspect request, or of a part of a prompt, that is a whole number was taken for as many zero bytes: 12 bytes of a datagram allocate gigabytes, and the process ends with all its requests (by reading; shown with 100,000). A crash with a negative age was seen in the future, so that what it convicts would be refused until then.

Cause: bytes() and int() convert nearly anything.

Change: digests are bytes, ages whole numbers from 0 to 2^40, endpoints are hashes. One place checks them for both topics.

Tests: test_odd_crash_is_neither_large_nor_in_the_future failed before with a digest of 100,000, and passes now.

--- a/src/carawayward/forwarding/crashing_parts.py
+++ b/src/carawayward/forwarding/crashing_parts.py
@@ -14,6 +14,7 @@
 from carawayward.decisions import crashing_parts as verdicts
 from carawayward.decisions import prompt_crashes
 from carawayward import events
+from carawayward.forwarding import report_values
 from carawayward.forwarding import work_items
 
 # An answer that has gone on for this long does not crash its endpoint.
@@ -312,7 +313,8 @@
         now_ms = self._now_ms()
         prompts, convicted, answers = value
         for digest, age_ms in answers:
-            part, began_ms = bytes(digest).hex(), now_ms - int(age_ms)
+            part = report_values.check_digest(digest)
+            began_ms = now_ms - report_values.check_count(age_ms)
             if not prompt_crashes.is_answer_known(
                 self.records, part, began_ms
             ):
@@ -322,7 +324,9 @@
             content, names = _decode_prompt(digest, parts)
             seen_ms = {
                 endpoint: now_ms - age_ms
-                for endpoint, age_ms in _decode(crashes).items()
+                for endpoint, age_ms in report_values.check_crashes(
+                    crashes
+                ).items()
             }
             if self._add_crashes(content, names, seen_ms):
                 changed.append(names)
@@ -331,7 +335,8 @@
             self._review(names)
         for parts, crashes in convicted:
             self.add_conviction(
-                [bytes(each).hex() for each in parts], _decode(crashes)
+                [report_values.check_digest(each) for each in parts],
+                report_values.check_crashes(crashes),
             )
 
     def _forget(self, now_ms: int) -> None:
@@ -389,8 +394,5 @@
 def _decode_prompt(
     digest: typing.Any, parts: typing.Any
 ) -> tuple[str, list[str]]:
-    return bytes(digest).hex(), [bytes(each).hex() for each in parts]
-
-
-def _decode(crashes: typing.Any) -> dict[str, int]:
-    return {str(int(endpoint)): int(age_ms) for endpoint, age_ms in crashes}
+    names = [report_values.check_digest(each) for each in parts]
+    return report_values.check_digest(digest), names
--- a/src/carawayward/forwarding/report_values.py
+++ b/src/carawayward/forwarding/report_values.py
@@ -21,3 +21,27 @@
 def check_age(value: typing.Any) -> float:
     """Return the age of an observation in ms, or raise ValueError."""
     return float(check_count(value))
+
+
+def check_digest(value: typing.Any) -> str:
+    """Return a digest in hex, or raise ValueError.
+
+    A whole number would be taken for as many bytes.
+    """
+    if type(value) is not bytes:
+        raise ValueError("expected the bytes of a digest")
+    return value.hex()
+
+
+def check_crashes(value: typing.Any) -> dict[str, int]:
+    """Return the ages of crashes by endpoint, or raise ValueError."""
+    return {
+        str(_check_hash(endpoint)): check_count(age_ms)
+        for endpoint, age_ms in value
+    }
+
+
+def _check_hash(value: typing.Any) -> int:
+    if type(value) is not int or value < 0:
+        raise ValueError("expected the hash of an endpoint's name")
+    return value
--- a/src/carawayward/forwarding/suspects.py
+++ b/src/carawayward/forwarding/suspects.py
@@ -19,6 +19,7 @@
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
 from carawayward.forwarding import notices
+from carawayward.forwarding import report_values
 from carawayward.forwarding import work_items
 from carawayward import settings as settings_module
 
@@ -367,12 +368,13 @@
         """
         now_ms = self._now_ms()
         for digest, crashes, answer_age_ms in value:
-            fingerprint = bytes(digest).hex()
-            for endpoint, age_ms in crashes:
-                self.add_crash(fingerprint, str(int(endpoint)), int(age_ms))
+            fingerprint = report_values.check_digest(digest)
+            ages_ms = report_values.check_crashes(crashes)
+            for endpoint, age_ms in ages_ms.items():
+                self.add_crash(fingerprint, endpoint, age_ms)
             if answer_age_ms is None:
                 continue
-            answered_ms = now_ms - int(answer_age_ms)
+            answered_ms = now_ms - report_values.check_count(answer_age_ms)
             # Each report makes the answer seem later by the time it takes.
             known = self.records.crashes.get(fingerprint, ())
             if not prompt_crashes.is_same_answer(
--- a/tests/cover/test_odd_peer_reports.py
+++ b/tests/cover/test_odd_peer_reports.py
@@ -168,3 +168,52 @@
     for each in state.peer_counts.values():
         found_counts = [each.old_in_flight, each.sent, each.tallies["tip"].new]
         assert all(0 <= n <= report_values.MAX_VALUE for n in found_counts)
+
+
+SUSPECT = [b"\x01", [[7, 0]], 0]
+PROMPTS = [[[b"\x01", [b"\x02"], [[7, 0]]]], [[[b"\x02"], [[7, 0]]]], []]
+
+
+@hypothesis.given(
+    strategies.sampled_from([("suspects", [SUSPECT]), ("prompts", PROMPTS)]),
+    strategies.data(),
+)
+def test_odd_crash_is_neither_large_nor_in_the_future(topic, data):
+    """Guards against a number that is taken for as many bytes.
+
+    Also against a request that is refused for as long as its crashes seem new.
+    """
+    name, good = topic
+    path = data.draw(strategies.sampled_from([*list_places(good)]))
+    value = put_in(good, path, data.draw(ODD | strategies.just(100_000)))
+    reporter, _ = make_reporter()
+    now_ms = reporter.clock.boot_ms()
+    merge = reporter.topics[name].merge
+    with contextlib.suppress(TypeError, ValueError, LookupError):
+        merge("p/i", value, 1_000.0)
+    records = merge.__self__.records
+    if name == "suspects":
+        names = [*records.crashes]
+        seen = [c.seen_ms for each in records.crashes.values() for c in each]
+    else:
+        names = [*records.prompts, *records.by_part]
+        crashed = [*records.prompts.values(), *records.by_part.values()]
+        seen = [at_ms for each in crashed for at_ms in each.crashes.values()]
+    assert all(len(each) < 1_000 for each in names)
+    assert all(each <= now_ms + 60_000 for each in seen)
+
+
+def list_places(value, path=()):
+    """The paths to all values in nested lists."""
+    yield path
+    for index, each in enumerate(value if isinstance(value, list) else ()):
+        yield from list_places(each, (*path, index))
+
+
+def put_in(value, path, new):
+    """Nested lists with another value at a path."""
+    if not path:
+        return new
+    copy = list(value)
+    copy[path[0]] = put_in(copy[path[0]], path[1:], new)
+    return copy
