Store: a listing whose last item is malformed is used all the same

What callers saw: nothing yet; found by feeding odd answers. If the last item of a listing had no key, the whole answer counted as unreadable, and the topic was listed over and over; a process that starts would not get ready.

Cause: the key of the last item was read from each page, though only a page that others follow needs it.

Change: it is read where the answer says that there is more.

Tests: test_malformed_items_of_a_listing_are_left_out, made stricter by a malformed item at the end, failed before (PlatformUnavailable, TypeError). test_unusable_record_hides_no_other_however_it_is_read draws odd values for more fields of an entry (state, zone, version, born, coldRemainingMs, sequence, heartbeatMs); it passed before too.

--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -302,7 +302,10 @@
 
 @attrs.frozen
 class ListingPage:
-    """A page of a list of the latest records, in the order of their keys."""
+    """A page of a list of the latest records, in the order of their keys.
+
+    ``last_key`` is where the next page continues; empty if there is none.
+    """
 
     items: list
     end: int
@@ -313,8 +316,10 @@
     def from_body(cls, body: dict) -> "ListingPage":
         """Convert a decoded body, whose items are not looked into."""
         items = list(body["items"])
-        last_key = str(items[-1]["key"]) if items else ""
-        return cls(items, read_end(body), bool(body["hasMore"]), last_key)
+        has_more = bool(body["hasMore"])
+        # Only a page that others follow needs a key that can be read.
+        last_key = str(items[-1]["key"]) if items and has_more else ""
+        return cls(items, read_end(body), has_more, last_key)
 
 
 def decode_item(item: dict, era: int) -> keyed_log.Record:
--- a/tests/cover/test_record_isolation.py
+++ b/tests/cover/test_record_isolation.py
@@ -69,7 +69,12 @@
 def draw_record(draw):
     """A key, and a value that is valid, a removal, odd, or raises."""
     key = draw(strategies.sampled_from(KEYS))
-    field = draw(strategies.sampled_from(["service", "address", "slots"]))
+    field = draw(
+        strategies.sampled_from(
+            ["service", "address", "slots", "state", "zone", "version"]
+            + ["born", "coldRemainingMs", "sequence", "heartbeatMs"]
+        )
+    )
     value = draw(
         strategies.sampled_from([None, make_entry(key), NESTED])
         | strategies.binary(max_size=8)
@@ -252,6 +257,7 @@
     odd = [5, None, {}, {**good, "value": 5}, {**good, "key": None}]
     odd += [{**good, "offset": None}, {**good, "value": "e"}]
     items = [*odd, good, {**good, "key": "\ud800"}]
+    items += odd[:1]
 
     async def main():
         store = store_module.Store("127.0.0.1:1")
