Convictions: a record from far in the future has expired

What callers saw: nothing yet; found by reading. A record whose time of day is in the future counted as new at each start: a request with this content would be refused by each process for ten minutes after its start, for ever.

Cause: negative ages were taken for 0, whatever their size.

Change: a record from further in the future than records are kept has expired too, and is removed like the others.

Tests: test_conviction_of_the_future_is_removed failed before (nothing was removed), and passes now.

--- a/src/carawayward/forwarding/conviction_log.py
+++ b/src/carawayward/forwarding/conviction_log.py
@@ -154,10 +154,11 @@
     def _apply_record(self, record: keyed_log.Record) -> bool:
         """Refuse what a record says; return whether it has expired."""
         conviction = Conviction.from_record(record)
-        age_ms = max(0, self.clock.wall_ms() - conviction.wall_ms)
-        if age_ms > suspicion.RECORD_TTL_MS:
+        age_ms = self.clock.wall_ms() - conviction.wall_ms
+        # One from far in the future would be as new after each restart.
+        if abs(age_ms) > suspicion.RECORD_TTL_MS:
             return True
-        self._apply(conviction, age_ms)
+        self._apply(conviction, max(0, age_ms))
         return False
 
     def _apply(self, conviction: Conviction, age_ms: int) -> None:
--- a/tests/cover/test_record_isolation.py
+++ b/tests/cover/test_record_isolation.py
@@ -484,3 +484,26 @@
     assert controller.state is not None
     assert controller.state.read_to == len(odd)
     assert controller.state.revision == 0
+
+
+def test_conviction_of_the_future_is_removed():
+    """Guards against a request that is refused after each restart."""
+    clock = clock_module.Clock()
+    record = conviction_log.Conviction(
+        clock.wall_ms() + 2**50, ("1",), content="aa"
+    ).to_record()
+    removed = []
+
+    async def read_newest():
+        return keyed_log.Batch([record], 1)
+
+    async def append(records):
+        removed.extend(records)
+
+    topic: typing.Any = types.SimpleNamespace(
+        read_newest=read_newest, append=append
+    )
+    applied: typing.Any = types.SimpleNamespace(add_crash=None)
+    log = conviction_log.ConvictionLog(topic, clock, applied)
+    trio.run(log._read)
+    assert removed == [keyed_log.Record("aa", None)]
