Members: a record without a name names no entry VM

What callers saw: nothing yet; found by feeding odd records. A record of the members topic with an empty name added a peer with it. Reports whose sender is not known are looked up under the empty name, and would have been taken for this peer's.

Cause: names were checked for their type only.

Change: a sender has a name; other records are logged and left out.

Tests: test_member_without_a_name_is_not_taken_for_unknown_senders failed before (the peer was there), and passes now.

--- a/src/carawayward/forwarding/load_report_messages.py
+++ b/src/carawayward/forwarding/load_report_messages.py
@@ -65,6 +65,8 @@
     def from_fields(cls, fields: typing.Iterable[object]) -> "Sender":
         """Build from the fields in order; raises one of DECODE_ERRORS."""
         sender = cls(*(_require_text(each) for each in fields))
+        if not sender.name:
+            raise ValueError("an entry VM has a name")
         host, _ = settings_module.split_address(sender.address)
         # Sending to a name would block for as long as it takes to resolve.
         ipaddress.ip_address(host)
--- a/tests/cover/test_odd_peer_reports.py
+++ b/tests/cover/test_odd_peer_reports.py
@@ -14,6 +14,7 @@
 from carawayward.decisions import engine_load
 from carawayward.forwarding import assembly
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import keyed_log
 from carawayward.forwarding import load_report_messages
 from carawayward.forwarding import message_types
 from carawayward.forwarding import report_values
@@ -217,3 +218,14 @@
     copy = list(value)
     copy[path[0]] = put_in(copy[path[0]], path[1:], new)
     return copy
+
+
+def test_member_without_a_name_is_not_taken_for_unknown_senders():
+    """Guards against the work of strangers at a peer that does not exist."""
+    reporter, _ = make_reporter()
+    nameless = attrs.evolve(FIRST, name="")
+    reporter._add_peer_from_record(keyed_log.Record("m", nameless.to_bytes()))
+    fields = [load_report_messages.VERSION, 99, 1, False, {NUMBER: [100, 1]}]
+    reporter._handle_datagram(cbor2.dumps([*fields, [], {}]))
+    assert not reporter.peers
+    assert not reporter.loads.peer_totals
