Test odd headers of endpoints

Whatever Server-Limit, Retry-After, Carawayward-Confidence and Server-Leaving hold, what is read is finite and not negative.

--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -609,3 +609,29 @@
     assert read(b"Thu, 01 Jan 1970 00:00:00 GMT") == 0.0
     date = email.utils.formatdate(time.time() + 100.0, usegmt=True)
     assert 90_000.0 < read(date.encode()) < 110_000.0
+
+
+ODD_VALUES = strategies.binary(max_size=20) | strategies.sampled_from(
+    [b"nan", b"inf", b"1e400", b"-1", b"\xb2", b"9" * 5_000, b"1_0", b"1,1"]
+    + [b"Mon, 01 Jan 99999 00:00:00 GMT", b"Mon, 01 Jan 2020 00:00:00 +9999"]
+)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                [headers.SERVER_LIMIT, headers.RETRY_AFTER]
+                + [headers.CONFIDENCE, headers.SERVER_LEAVING]
+            ),
+            ODD_VALUES,
+        ),
+        max_size=4,
+    ),
+    strategies.sampled_from([200, 421, 429, 503]),
+)
+def test_odd_headers_of_an_endpoint_give_finite_numbers(pairs, status):
+    """Guards against an endpoint whose header makes a request fail."""
+    found = headers.read_response(status, pairs)
+    for number in (found.confidence, found.request_limit, found.rest_ms):
+        assert number is None or 0.0 <= number < float("inf")
