--- a/src/carawayward/forwarding/load_report_messages.py
+++ b/src/carawayward/forwarding/load_report_messages.py
@@ -14,6 +14,7 @@
 from carawayward.decisions import engine_load
 from carawayward.decisions import engine_order
 from carawayward.decisions import placement
+from carawayward.forwarding import report_values
 from carawayward import plain_cbor
 from carawayward import settings as settings_module
 
@@ -64,6 +65,8 @@
     def from_fields(cls, fields: typing.Iterable[object]) -> "Sender":
         """Build from the fields in order; raises one of DECODE_ERRORS."""
         sender = cls(*(_require_text(each) for each in fields))
+        if not sender.name:
+            raise ValueError("an entry VM has a name")
         host, _ = settings_module.split_address(sender.address)
         # Sending to a name would block for as long as it takes to resolve.
         ipaddress.ip_address(host)
@@ -147,7 +150,7 @@
             sender = Sender.from_fields(sender)
         return cls(
             sender=sender,
-            sequence=int(sequence),
+            sequence=report_values.check_count(sequence),
             stale=bool(stale),
             loads={
                 int(engine): _read_load(*load)
@@ -167,11 +170,11 @@
     return value
 
 
-def _read_load(
-    weight: float, streams: int, *classes: float
-) -> engine_load.Load:
+def _read_load(weight: int, streams: int, *classes: int) -> engine_load.Load:
     if len(classes) > engine_order.MAX_CLASSES:
         raise ValueError("too many classes")
     return engine_load.Load(
-        float(weight), int(streams), tuple(float(each) for each in classes)
+        float(report_values.check_count(weight)),
+        report_values.check_count(streams),
+        tuple(float(report_values.check_count(each)) for each in classes),
     )
--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -197,7 +197,7 @@
         if answer.era != positions.get_era(start):
             raise keyed_log.EraChanged()
         if answer.status == 410:
-            raise keyed_log.HistoryLost()
+            raise keyed_log.HistoryLost(parse_first(answer))
         if answer.status != 200 or len(answer.content) < 16:
             raise errors.PlatformUnavailable(
                 "store", f"status {answer.status}"
@@ -291,9 +291,21 @@
     return int(body["end"])
 
 
+def parse_first(answer: Answer) -> int | None:
+    """The first offset that a topic still has; None if it is not readable."""
+    try:
+        first = parse_body(answer, lambda body: int(body["first"]), 410)
+    except errors.PlatformUnavailable:
+        return None
+    return positions.make_position(answer.era, first)
+
+
 @attrs.frozen
 class ListingPage:
-    """A page of a list of the latest records, in the order of their keys."""
+    """A page of a list of the latest records, in the order of their keys.
+
+    ``last_key`` is where the next page continues; empty if there is none.
+    """
 
     items: list
     end: int
@@ -304,8 +316,10 @@
     def from_body(cls, body: dict) -> "ListingPage":
         """Convert a decoded body, whose items are not looked into."""
         items = list(body["items"])
-        last_key = str(items[-1]["key"]) if items else ""
-        return cls(items, read_end(body), bool(body["hasMore"]), last_key)
+        has_more = bool(body["hasMore"])
+        # Only a page that others follow needs a key that can be read.
+        last_key = str(items[-1]["key"]) if items and has_more else ""
+        return cls(items, read_end(body), has_more, last_key)
 
 
 def decode_item(item: dict, era: int) -> keyed_log.Record:
--- a/tests/cover/test_record_isolation.py
+++ b/tests/cover/test_record_isolation.py
@@ -69,7 +69,12 @@
 def draw_record(draw):
     """A key, and a value that is valid, a removal, odd, or raises."""
     key = draw(strategies.sampled_from(KEYS))
-    field = draw(strategies.sampled_from(["service", "address", "slots"]))
+    field = draw(
+        strategies.sampled_from(
+            ["service", "address", "slots", "state", "zone", "version"]
+            + ["born", "coldRemainingMs", "sequence", "heartbeatMs"]
+        )
+    )
     value = draw(
         strategies.sampled_from([None, make_entry(key), NESTED])
         | strategies.binary(max_size=8)
@@ -252,6 +257,7 @@
     odd = [5, None, {}, {**good, "value": 5}, {**good, "key": None}]
     odd += [{**good, "offset": None}, {**good, "value": "e"}]
     items = [*odd, good, {**good, "key": "\ud800"}]
+    items += odd[:1]
 
     async def main():
         store = store_module.Store("127.0.0.1:1")
@@ -478,3 +484,26 @@
     assert controller.state is not None
     assert controller.state.read_to == len(odd)
     assert controller.state.revision == 0
+
+
+def test_conviction_of_the_future_is_removed():
+    """Guards against a request that is refused after each restart."""
+    clock = clock_module.Clock()
+    record = conviction_log.Conviction(
+        clock.wall_ms() + 2**50, ("1",), content="aa"
+    ).to_record()
+    removed = []
+
+    async def read_newest():
+        return keyed_log.Batch([record], 1)
+
+    async def append(records):
+        removed.extend(records)
+
+    topic: typing.Any = types.SimpleNamespace(
+        read_newest=read_newest, append=append
+    )
+    applied: typing.Any = types.SimpleNamespace(add_crash=None)
+    log = conviction_log.ConvictionLog(topic, clock, applied)
+    trio.run(log._read)
+    assert removed == [keyed_log.Record("aa", None)]
