End requests of callers that close without a reset, too

Cause: while a request is in hand with others behind it, the end of the connection was only seen as POLLHUP, which needs a reset or an end in both directions. A client that has no unread answer closes with a FIN, and nothing showed it. Its request went on until the attempt timeout and kept a place at the endpoint; ordinary requests waited behind those of clients that had gone until their own attempt timeout: "no response before the attempt timeout", "attempts used up", 502. Without requests behind the one in hand the FIN is read, and the request is cancelled at once.

Ruled out, by the log of the entry VM in trials: quarantine, ejection, the retry budget and refusals by full endpoints end none of these requests (where endpoints register the places that they have, ordinary requests beside such a crowd got 503 at once or 200).

Change: the check while a reply is waited for looks for the end of the caller's direction too (POLLRDHUP).

--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -215,12 +215,17 @@
             plain.detach()
 
     def has_hung_up(self) -> bool:
-        """Whether the connection has ended in both directions."""
+        """Whether the caller has closed or reset the connection.
+
+        A caller that closes without a reset cannot be told from one that only
+        has nothing more to send. Both have left, as they have with nothing
+        sent behind their request, when the end is read.
+        """
         descriptor = self._get_socket().fileno()
         if descriptor < 0:
             return True
         poll = select.poll()
-        poll.register(descriptor, 0)
+        poll.register(descriptor, select.POLLRDHUP)
         return bool(poll.poll(0))
 
     async def _finish(self) -> None:
--- a/tests/failures/test_crowd_requests.py
+++ b/tests/failures/test_crowd_requests.py
@@ -1,8 +1,12 @@
 """Crowds of clients that send heads without end, or requests and leave."""
 
+import contextlib
+
 import trio
 
 from tests.common import crowds
+from tests.standins import backend as backend_module
+from tests.standins import raw_http
 
 HEADS, HEAD_BYTES = 1_200, 60_000
 FIELD_HEADS, FIELDS = 300, 7_000
@@ -12,6 +16,12 @@
 LEFT_S = 0.5
 # Requests that may reach endpoints later than that.
 A_FEW = 3
+# An endpoint's requests wait for a place unless their caller has gone. With
+# the callers that have gone, a wait would be longer than an attempt.
+PLACES, RUN_S = 8, 0.3
+SHORTLY_PIPELINED = 50
+STAY_S = 0.3
+ORDINARY, ORDINARY_EVERY_S = 28, 0.2
 
 
 def test_heads_without_end_stay_within_memory():
@@ -70,3 +80,61 @@
             await site.check()
 
     trio.run(main)
+
+
+def answer_in_turn() -> backend_module.Behaviour:
+    """Answer a few requests at a time; drop those whose callers have gone."""
+    places = trio.CapacityLimiter(PLACES)
+
+    async def behave(
+        backend: backend_module.Backend, exchange: raw_http.Exchange
+    ) -> None:
+        async def answer() -> None:
+            async with places:
+                await trio.sleep(RUN_S)
+                with contextlib.suppress(trio.BrokenResourceError):
+                    await crowds.answer(backend, exchange)
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(answer)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await exchange.stream.receive_some(1)
+            nursery.cancel_scope.cancel()
+
+    return behave
+
+
+async def keep_sending_crowds(site: crowds.Site) -> None:
+    """Have one crowd after another pipeline requests and leave."""
+    while True:
+        clients = await site.send_crowd(
+            PIPELINERS,
+            lambda: b"".join(
+                site.make_head(crowds.SHORT) for _ in range(SHORTLY_PIPELINED)
+            ),
+        )
+        await trio.sleep(STAY_S)
+        for each in clients:
+            await trio.aclose_forcefully(each.stream)
+
+
+def test_ordinary_requests_are_served_beside_pipelining_clients_that_leave():
+    """Guards against runs for clients that have gone in place of others."""
+
+    async def main():
+        statuses = []
+        async with crowds.open_site() as site:
+            site.desk.always = answer_in_turn()
+
+            async def ask() -> None:
+                statuses.append(await site.ask_ordinary())
+
+            site.nursery.start_soon(keep_sending_crowds, site)
+            async with trio.open_nursery() as nursery:
+                for _ in range(ORDINARY):
+                    await trio.sleep(ORDINARY_EVERY_S)
+                    nursery.start_soon(ask)
+            assert statuses == [200] * ORDINARY, statuses
+
+    trio.run(main)
