Bound the exponent of pauses, so that a long row of failures cannot overflow

Cause: the pause doubles with each consecutive try, and the number of tries has no bound where all of a service's endpoints are quarantined, since these are tried all the same. After 1,024 declined requests, 2.0**tries is too large for a float, although the maximum of the pause is reached after six doublings.

Change: both exponents are bounded. No pause below the maximum changes.

Test: test_pauses_stay_bounded_however_often_a_try_fails failed before, by OverflowError in the first part (./build.sh test tests.cover.test_forwarding_versions: 20 of 21 passed); the second part raised it, too, when called by itself. After: 21 of 21.

--- a/src/carawayward/decisions/quarantine.py
+++ b/src/carawayward/decisions/quarantine.py
@@ -20,6 +20,8 @@
 UNREACHABLE_MS = 300.0
 DECLINED_MS = 50.0
 MAX_PAUSE_MS = 3_000.0
+# Enough for the maximum; a thousand more would be too large for a float.
+MAX_DOUBLINGS = 16
 # While one request tries an endpoint, the others skip it for this long: the
 # time that a connection may take, or a refusal.
 CONNECT_TRY_MS = 500.0
@@ -83,7 +85,7 @@
 ) -> None:
     previous = quarantine.endpoints.get(name)
     tries = previous.tries if previous else 0
-    pause_ms = min(MAX_PAUSE_MS, first_ms * 2.0**tries)
+    pause_ms = min(MAX_PAUSE_MS, first_ms * 2.0 ** min(tries, MAX_DOUBLINGS))
     quarantine.endpoints[name] = QuarantinedEndpoint(
         now_ms + pause_ms, tries + 1, try_ms
     )
--- a/src/carawayward/decisions/turns.py
+++ b/src/carawayward/decisions/turns.py
@@ -18,6 +18,8 @@
 # Back-off after failed writes, doubled up to the maximum.
 INITIAL_BACKOFF_MS = 800.0
 MAX_BACKOFF_MS = 6_400.0
+# Enough for the maximum; a thousand more would be too large for a float.
+MAX_DOUBLINGS = 16
 
 
 def compute_turn_ms(
@@ -47,6 +49,7 @@
 
 def compute_backoff_ms(failures: int, own: str) -> float:
     """The pause after ``failures`` consecutive failed writes, in ms."""
-    pause_ms = min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** (failures - 1))
+    doublings = min(failures - 1, MAX_DOUBLINGS)
+    pause_ms = min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2**doublings)
     jitter = placement.hash_key(f"{own}/{failures}") / 2.0**64
     return pause_ms * (0.5 + 0.5 * jitter)
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -19,6 +19,9 @@
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import work_items
 
+# Doubled so often, a pause is too large for a float.
+MANY_FAILURES = 3_000
+
 
 def judge(**routes):
     return canary.judge({n: canary.Tally(*t) for n, t in routes.items()})
@@ -146,6 +149,18 @@
     assert not quarantine.list_quarantined(book, 2_000.0)
 
 
+def test_pauses_stay_bounded_however_often_a_try_fails():
+    """Guards against an overflow that ends requests or a roll-out's writes."""
+    book = quarantine.Quarantine()
+    for _ in range(MANY_FAILURES):
+        quarantine.record_declined(book, "a", 0.0)
+    late_ms = quarantine.MAX_PAUSE_MS
+    assert quarantine.list_quarantined(book, late_ms - 1.0) == {"a"}
+    assert not quarantine.list_quarantined(book, late_ms)
+    pause_ms = turns.compute_backoff_ms(MANY_FAILURES, "vm")
+    assert turns.MAX_BACKOFF_MS / 2 <= pause_ms <= turns.MAX_BACKOFF_MS
+
+
 def test_full_endpoint_is_soon_tried_again_and_one_that_stays_full_seldom():
     """A server that was full for a moment must not stay idle afterwards."""
     book = quarantine.Quarantine()
