Tests: stop a stream only once its caller has received some of it

Cause: the test sent the signals once the engine had the request, which may be before the entry VM has read its first token. At the second signal it then answers with a whole 504 ("unknown", not_run false, one final line), which is right: no stream had begun that an error event could end. The test took that answer apart as a stream: "not enough values to unpack".

Change: the caller reads the stream as it comes, and the stop begins when it has the first bytes, which is what the test's name says. All checks stay: the error event as the last one, its outcome, one final line, the exit code; a broken connection is no answer, as before. Requests without a first token are covered by the tests of "requests that endpoints work on".

--- a/tests/common/streaming.py
+++ b/tests/common/streaming.py
@@ -63,15 +63,16 @@
 
 @contextlib.contextmanager
 def open_stream(
-    address: str, text: str, timeout_s: float = 20.0
+    address: str, text: str, timeout_s: float = 20.0, key: str = ""
 ) -> typing.Iterator[httpcore.Response]:
-    """Send a streamed request over a new connection."""
+    """Send a streamed request over a new connection, under a request key."""
+    keyed = {"Idempotency-Key": key} if key else {}
     timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
     with httpcore.ConnectionPool() as pool:
         with pool.stream(
             "POST",
             f"http://{address}/v1/chat/completions",
-            headers=list(HEADERS.items()),
+            headers=list((HEADERS | keyed).items()),
             content=json.dumps(make_body(text)).encode(),
             extensions={"timeout": timeouts},
         ) as response:
--- a/tests/failures/test_stop_answers.py
+++ b/tests/failures/test_stop_answers.py
@@ -7,6 +7,7 @@
 import json
 import signal
 import socket
+import threading
 import time
 import typing
 
@@ -74,14 +75,6 @@
     return call_api(vm, key, "/v1/chat/completions", body)
 
 
-def stream(
-    vm: deployment.EntryProcess, key: str, text: str
-) -> deployment.Response:
-    """Send a streamed completion and read all of it."""
-    body = streaming.make_body(text)
-    return call_api(vm, key, "/v1/chat/completions", body)
-
-
 def call_service(
     vm: deployment.EntryProcess, key: str, operation: str, **headers: str
 ) -> deployment.Response:
@@ -242,16 +235,28 @@
 
 
 def stop_during_a_stream(signals: int) -> Ended:
-    """Stop while a stream of minutes is being sent."""
+    """Stop while a stream of minutes is being sent.
+
+    Its caller has received some of it; one that has not gets a whole reply.
+    """
     stop = STOP if signals == 1 else LONG_STOP
     plan = streaming.make_plan(engines=1, stop=stop)
+    begun = threading.Event()
     with deployment.Deployment(plan) as running:
-        vm = running.entry_vms[0]
+        address = running.entry_vms[0].callers
+
+        def read() -> deployment.Response:
+            content = b""
+            with streaming.open_stream(
+                address, "long tokens=90000", key="stream"
+            ) as response:
+                for chunk in response.iter_stream():
+                    content += chunk
+                    begun.set()
+            return deployment.Response(response.status, {}, content)
+
         return stop_and_collect(
-            running,
-            {"stream": lambda: stream(vm, "stream", "long tokens=90000")},
-            lambda: streaming.count_states(running, "running") == 1,
-            signals,
+            running, {"stream": read}, begun.is_set, signals
         )
 
 
