Decode no answer of the store with more values than any should hold

With an answer of 8 MB of short values or empty records, which is within the limit on bodies, an entry VM took 489 MB (records), 500 MB ({}), 291 MB ({"a":1}), 289 MB ([]) and 170 MB (1.5); the smallest machines have 150 MB.

Cause: bodies are limited in bytes, but a short value takes many times the memory of its bytes once it is decoded.

Ruled out: deep nesting, which json refuses (RecursionError, handled); a page or read of the published size (500 records or 1 MB): fewer than 200,000 records of six bytes fit into it.

Change: answers with 200,000 values or more, by their commas, or more than 200,000 records count as no answer.

Test: tests.failures.test_crowd_store; its five cases failed before and take 74 to 124 MB now (the module's tests, one run).

--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -33,6 +33,9 @@
 # Long polls are idle for seconds. This bounds, in ms, how long a connection
 # whose other side no longer responds can block one.
 UNRESPONSIVE_TIMEOUT_MS = 3_000
+# What one answer may hold. Each value or record takes many times the memory
+# of its bytes, the shortest the most.
+MAX_VALUES = 200_000
 # What the pages of a listing may take in memory together, and what a record
 # takes besides its bytes. Whether pages end is up to the store.
 MAX_LISTING_BYTES = 16 * 1_048_576
@@ -206,10 +209,7 @@
                 "store", f"status {answer.status}"
             )
         end, _ = struct.unpack_from(">QQ", answer.content)
-        records = [
-            decode_record(raw, start + index)
-            for index, raw in enumerate(split_records(answer.content[16:]))
-        ]
+        records = decode_records(answer.content[16:], start)
         position = start + len(records)
         complete = positions.get_offset(position) >= end
         return keyed_log.Batch(records, position, complete)
@@ -277,6 +277,8 @@
     if answer.status != status:
         raise errors.PlatformUnavailable("store", f"status {answer.status}")
     try:
+        if answer.content.count(b",") >= MAX_VALUES:
+            raise ValueError("too many values")
         return read(json.loads(answer.content))
     except Exception as cause:
         raise errors.PlatformUnavailable(
@@ -346,6 +348,19 @@
         position += length
 
 
+def decode_records(content: bytes, start: int) -> list[keyed_log.Record]:
+    """Decode the records from position ``start`` on.
+
+    Raises PlatformUnavailable if there are too many.
+    """
+    records: list[keyed_log.Record] = []
+    for raw in split_records(content):
+        if len(records) >= MAX_VALUES:
+            raise errors.PlatformUnavailable("store", "too many records")
+        records.append(decode_record(raw, start + len(records)))
+    return records
+
+
 def decode_record(raw: bytes, offset: int) -> keyed_log.Record:
     """Decode a record of a keyed topic: length of the key, key, value.
 
