Give up a service's body that comes in too many chunks

With an answer of the store in chunks of one byte without end, the feed of a topic neither moved on nor counted the store as failing: two calls of log-newest in 7 s in a trial (tests/common/crowds.py), no platform_down.

Cause: the limit on bodies is 8 MiB and each byte of such a body costs some 20 us here, so that it comes steadily enough for minutes before it is too long.

Ruled out: one byte a second in a head, a body with a length or without, and interim answers now and then: the call fails after its second, and the store counts as failing (trials, 9 s each).

Change: a body of more than 32,768 chunks is given up, as one that is too long. What declares its length comes in pieces of up to 4 kB.

Test: tests.failures.test_endless_answers, "smallest chunks", which failed before (TooSlowError after 4 s).

--- a/src/carawayward/http_client.py
+++ b/src/carawayward/http_client.py
@@ -96,6 +96,10 @@
 # that comes more slowly than this is given up.
 MIN_BODY_BYTES_PER_MS = 20.0
 
+# A body in chunks of a few bytes would come steadily for minutes before it is
+# too long.
+MAX_BODY_CHUNKS = 32_768
+
 # A chunk costs as much as so many of its bytes, however short it is.
 CHUNK_OVERHEAD_BYTES = 64
 
@@ -133,9 +137,11 @@
 
     Moves the deadline of ``timeout``, within which the head has come:
     ``timeout_ms`` may pass without a byte. Raises httpcore.RemoteProtocolError
-    if the body is longer than ``MAX_BODY_BYTES``, NoRoom if ``hold`` has none.
+    if the body is longer than ``MAX_BODY_BYTES`` or comes in too many chunks,
+    NoRoom if ``hold`` has none.
     """
     began = trio.current_time()
+    chunk_count = 0
     length = find_length(response.headers)
     chunks = typing.cast(typing.AsyncGenerator, response.aiter_stream())
     async with contextlib.aclosing(chunks):
@@ -144,7 +150,8 @@
             if not received and response.status == 200:
                 check(length, chunk)
             received += chunk
-            if len(received) > MAX_BODY_BYTES:
+            chunk_count += 1
+            if len(received) > MAX_BODY_BYTES or chunk_count > MAX_BODY_CHUNKS:
                 raise httpcore.RemoteProtocolError("body too long")
             if not hold(len(received)):
                 raise NoRoom("no room for the body")
--- a/tests/failures/test_endless_answers.py
+++ b/tests/failures/test_endless_answers.py
@@ -178,13 +178,15 @@
         assert seconds < 3.5 and closed_s[0] < 3.5, filler
 
 
-def run_before_endless_server(call: typing.Callable) -> None:
+def run_before_endless_server(
+    call: typing.Callable, filler: bytes = 100 * FILLER, **headers: str
+) -> None:
     """Run a call to a server whose body never ends; it has to fail."""
 
     async def handle(exchange):
-        await exchange.stream.send_all(raw_http.make_head(200, {}))
+        await exchange.stream.send_all(raw_http.make_head(200, headers))
         while True:
-            await exchange.stream.send_all(100 * FILLER)
+            await exchange.stream.send_all(filler)
 
     async def main():
         async with trio.open_nursery() as nursery:
@@ -237,3 +239,17 @@
         await store_client.Store(address).call("GET", "/api/log-read")
 
     run_before_endless_server(call)
+
+
+def test_answer_of_the_store_in_the_smallest_chunks_is_given_up():
+    """Guards against a topic that is not followed while such an answer lasts.
+
+    Its bytes come steadily, and it takes long until they are too many.
+    """
+
+    async def call(address):
+        await store_client.Store(address).call("GET", "/api/log-read")
+
+    run_before_endless_server(
+        call, 10_000 * b"1\r\nx\r\n", **{"transfer-encoding": "chunked"}
+    )
