Bring the times of a stop forward only by what lasts and when they are near

What callers would have seen: a task that blocks for a second early in a stop, or half a core with an unlucky rhythm, closed the port for good and cut streams at half of the grace; a loop that saw the signal late refused requests before the balancer had been told; a caller more than 0.1 s away got an empty close on a new connection in place of a refusal.

The balancer's time counted from the signal, though it is not told before the loop has seen it. A changed grace moved the last time behind the kill.

Change: a turn of the loop counts for 0.1 s at most and the factor needs 0.25 s of work; the least factor of half a second is taken; replies are brought forward only within half a second of their time. The balancer's time counts from when this entry VM is not ready; the grace is that of the beginning. New connections have 0.5 s, heads that have begun the usual time. The instrument is removed however the wait ends.

--- a/src/carawayward/forwarding/drain.py
+++ b/src/carawayward/forwarding/drain.py
@@ -1,5 +1,6 @@
 """Drains an entry VM that stops: the load balancer first, then requests."""
 
+import collections
 import signal
 
 import attrs
@@ -16,6 +17,11 @@
 # failed probes sends no new connections after this time.
 BALANCER_REMOVAL_MS = 2_200.0
 POLL_MS = 20.0
+# The process is as slow as it has been at least for this long.
+STEADY_MS = 500.0
+# Times are brought forward only when they come this near, by what is known
+# then. A poll may be late by as much.
+NEAR_MS = 500.0
 
 
 @attrs.define(eq=False)
@@ -41,6 +47,10 @@
     )
     began_ms: float | None = None
     closed_s: float = 0.0
+    grace_ms: float = 0.0
+    measured: collections.deque[tuple[float, float]] = attrs.field(
+        factory=collections.deque
+    )
 
     def record_signal(self, number: int) -> None:
         """Record when the stop begins, by the signal that requests it."""
@@ -55,50 +65,67 @@
         events.log_event(
             events.Event.NODE_LEAVING, open=self.board.open_requests
         )
+        self.grace_ms = self.board.bounds.grace_ms
         trio.lowlevel.add_instrument(self.meter)
+        try:
+            await self._wait()
+        finally:
+            trio.lowlevel.remove_instrument(self.meter)
+        self.board.refusing = True
+        self.stop_accepting.set()
+
+    async def _wait(self) -> None:
+        """Wait for the load balancer, which sees this state from now on."""
+        removed_ms = self.clock.now_ms() + BALANCER_REMOVAL_MS
         with trio.CancelScope() as waiting:
-            removed_ms = self.began_ms + BALANCER_REMOVAL_MS
             while self.clock.now_ms() < removed_ms:
                 self._follow_times(waiting)
                 await self.clock.sleep(POLL_MS)
             self.board.refusing = True
             self.callers.start_draining()
             while self.board.open_requests or self.board.open_relays:
-                self._follow_times(waiting)
-                self._close_port_if_starved()
+                slowdown = self._follow_times(waiting)
+                if planned_stop.is_starved(slowdown):
+                    self._close_port(slowdown)
                 await self.clock.sleep(POLL_MS)
-        self.board.refusing = True
-        self._follow_times(waiting)
-        trio.lowlevel.remove_instrument(self.meter)
-        self.stop_accepting.set()
 
-    def _follow_times(self, waiting: trio.CancelScope) -> None:
-        """Bring the times forward if the process has become slower."""
+    def _follow_times(self, waiting: trio.CancelScope) -> float:
+        """Bring near times forward by how slow the process is; return that."""
         assert self.began_ms is not None
         now_ms = self.clock.now_ms()
-        began_s = trio.current_time() - (now_ms - self.began_ms) / 1000
+        slowdown = self._find_slowdown(now_ms)
         times = planned_stop.StopTimes.from_grace(
-            self.board.bounds.grace_ms,
-            self.meter.slowdown,
+            self.grace_ms,
+            slowdown,
             self.board.open_requests
             + self.board.open_relays
             + self.callers.count_waiting(),
         )
-        self.board.stop_deadline.bring_forward(
-            now_ms, self.began_ms + times.replies_due_ms
-        )
-        cutoff_s = began_s + times.cutoff_ms / 1000
-        waiting.deadline = min(waiting.deadline, cutoff_s)
+        usual = planned_stop.StopTimes.from_grace(self.grace_ms)
+        due_ms = self.began_ms + times.replies_due_ms
+        if due_ms > now_ms + NEAR_MS:
+            due_ms = self.began_ms + usual.replies_due_ms
+        self.board.stop_deadline.bring_forward(now_ms, due_ms)
+        began_s = trio.current_time() - (now_ms - self.began_ms) / 1000
+        waiting.deadline = began_s + times.cutoff_ms / 1000
         self.closed_s = began_s + times.closed_ms / 1000
         for each in self.listeners:
             each.closed_s = self.closed_s
+        return slowdown
+
+    def _find_slowdown(self, now_ms: float) -> float:
+        """The least slowdown for a while, 1 if it is not known as long."""
+        measured = self.measured
+        measured.append((now_ms, self.meter.slowdown))
+        while len(measured) > 1 and measured[1][0] <= now_ms - STEADY_MS:
+            measured.popleft()
+        if measured[0][0] > now_ms - STEADY_MS:
+            return 1.0
+        return min(slowdown for _, slowdown in measured)
 
-    def _close_port_if_starved(self) -> None:
-        slowdown = self.meter.slowdown
+    def _close_port(self, slowdown: float) -> None:
         if self.stop_accepting.is_set():
             return
-        if not planned_stop.is_starved(slowdown):
-            return
         events.log_event(
             events.Event.STOP_STARVED,
             slowdown=round(slowdown, 1),
--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -276,6 +276,10 @@
         """Whether a request is in hand."""
         return self.exchanges is not None and self.exchanges.stream is not None
 
+    def is_new(self) -> bool:
+        """Whether it has carried no request yet."""
+        return self.exchanges is None or not self.exchanges.keep_alive_requests
+
     def _is_stopping(self) -> bool:
         return self.context.terminated.is_set()
 
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -12,6 +12,7 @@
 """
 
 import functools
+import math
 import socket
 import ssl
 import struct
@@ -37,6 +38,9 @@
 # that replace all entry VMs left a request without an answer. Callers are a
 # few ms away, and a busy process reads within tens of ms.
 IDLE_GRACE_S = 0.1
+# How long a new connection stays open before its first request comes, while
+# idle ones are closed: its caller may be far away.
+NEW_GRACE_S = 0.5
 # The key of a request's state with a function that says how long ago, in ms,
 # the kernel received the connection's last data.
 FIND_AGE_MS = "find_age_ms"
@@ -144,7 +148,9 @@
             return
         if now_s >= usual_s and not any(map(needs_reply, connections)):
             return
-        close_idle(connections, 0.0)
+        # Heads that have begun to come may be whole in time.
+        head_timeout_s = math.inf if now_s < usual_s else 0.0
+        close_idle(connections, 0.0, head_timeout_s)
         await trio.sleep(CLOSE_CHECK_INTERVAL_S)
 
 
@@ -197,6 +203,8 @@
         due = since + timeout_s
         if connection.has_partial_head():
             due = since + max(timeout_s, head_timeout_s)
+        elif head_timeout_s and connection.is_new():
+            due = since + max(timeout_s, NEW_GRACE_S)
         if due > now:
             next_due = min(next_due, due)
         else:
--- a/src/carawayward/slowdown.py
+++ b/src/carawayward/slowdown.py
@@ -9,7 +9,10 @@
 # Work that the factor rests on, at most twice this much, so that it follows
 # changes; with less than the smallest part of it nothing is known.
 WINDOW_S = 0.5
-MIN_RUNNING_S = 0.02
+MIN_RUNNING_S = 0.25
+# One turn counts for at most this much: a freeze or a call that blocks says
+# nothing of the others.
+MAX_TURN_S = 0.1
 # The processor clock may stand still for short work.
 MAX_SLOWDOWN = 30.0
 
@@ -37,8 +40,12 @@
         if self._began is None:
             return
         began_s, began_processor_s = self._began
-        self.running_s += self.read_clock_s() - began_s
-        self.processor_s += self.read_processor_s() - began_processor_s
+        turn_s = self.read_clock_s() - began_s
+        part = min(1.0, MAX_TURN_S / max(turn_s, MAX_TURN_S))
+        self.running_s += part * turn_s
+        self.processor_s += part * (
+            self.read_processor_s() - began_processor_s
+        )
         if self.running_s > 2 * WINDOW_S:
             self.running_s /= 2
             self.processor_s /= 2
--- a/tests/cover/test_listeners.py
+++ b/tests/cover/test_listeners.py
@@ -17,6 +17,7 @@
     def __init__(self, closed_s: list[float]) -> None:
         self.idle = types.SimpleNamespace(since=trio.current_time())
         self.has_unread = self.has_partial_head = lambda: False
+        self.is_new = lambda: False
         self.close_if_waiting = lambda: closed_s.append(trio.current_time())
 
 
