Name what a stopping listener does by the field's terms

closed_s becomes closing_deadline_s, late turns_away_queued, measured recent_slowdowns. No change of behaviour; test_stop_times and test_starved_stop pass.

--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -161,7 +161,7 @@
                 ended.set()
                 serving.cancel_scope.deadline = max(
                     trio.current_time() + LISTENERS_CLOSE_S,
-                    self.drain.closed_s,
+                    self.drain.closing_deadline_s,
                 )
             nursery.cancel_scope.cancel()
         for each in self.controllers:
--- a/src/carawayward/forwarding/drain.py
+++ b/src/carawayward/forwarding/drain.py
@@ -33,8 +33,9 @@
     times are brought forward while the process is short of processor time.
 
     ``callers`` is their listener; it accepts no connections any more once
-    ``stop_accepting`` is set. All have to be closed at ``closed_s``, on
-    trio's clock.
+    ``stop_accepting`` is set. All have to be closed at
+    ``closing_deadline_s``, on trio's clock. ``recent_slowdowns`` are those of
+    the last polls, with their times in ms.
     """
 
     board: board_module.ForwardingBoard
@@ -46,9 +47,9 @@
         factory=slowdown_module.SlowdownMeter
     )
     began_ms: float | None = None
-    closed_s: float = 0.0
+    closing_deadline_s: float = 0.0
     grace_ms: float = 0.0
-    measured: collections.deque[tuple[float, float]] = attrs.field(
+    recent_slowdowns: collections.deque[tuple[float, float]] = attrs.field(
         factory=collections.deque
     )
 
@@ -108,20 +109,20 @@
         self.board.stop_deadline.bring_forward(now_ms, due_ms)
         began_s = trio.current_time() - (now_ms - self.began_ms) / 1000
         waiting.deadline = began_s + times.cutoff_ms / 1000
-        self.closed_s = began_s + times.closed_ms / 1000
+        self.closing_deadline_s = began_s + times.closed_ms / 1000
         for each in self.listeners:
-            each.closed_s = self.closed_s
+            each.closing_deadline_s = self.closing_deadline_s
         return slowdown
 
     def _find_slowdown(self, now_ms: float) -> float:
         """The least slowdown for a while, 1 if it is not known as long."""
-        measured = self.measured
-        measured.append((now_ms, self.meter.slowdown))
-        while len(measured) > 1 and measured[1][0] <= now_ms - STEADY_MS:
-            measured.popleft()
-        if measured[0][0] > now_ms - STEADY_MS:
+        recent = self.recent_slowdowns
+        recent.append((now_ms, self.meter.slowdown))
+        while len(recent) > 1 and recent[1][0] <= now_ms - STEADY_MS:
+            recent.popleft()
+        if recent[0][0] > now_ms - STEADY_MS:
             return 1.0
-        return min(slowdown for _, slowdown in measured)
+        return min(slowdown for _, slowdown in recent)
 
     def _close_port(self, slowdown: float) -> None:
         if self.stop_accepting.is_set():
@@ -132,5 +133,5 @@
             open=self.board.open_requests,
             waiting=self.callers.count_waiting(),
         )
-        self.callers.late = True
+        self.callers.turns_away_queued = True
         self.stop_accepting.set()
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -116,7 +116,7 @@
             await stop.wait()
             accepting.cancel_scope.cancel()
         for port in ports:
-            if config.late:
+            if config.turns_away_queued:
                 port.queue.turn_away()
             for stream in port.close():
                 connections.start_soon(handle, stream)
@@ -144,7 +144,7 @@
     await trio.sleep(IDLE_GRACE_S)
     while connections:
         now_s = trio.current_time()
-        if now_s >= max(usual_s, config.closed_s):
+        if now_s >= max(usual_s, config.closing_deadline_s):
             return
         if now_s >= usual_s and not any(map(needs_reply, connections)):
             return
--- a/src/carawayward/listening.py
+++ b/src/carawayward/listening.py
@@ -60,8 +60,10 @@
     head of a request may have ``h11_max_incomplete_size`` bytes. While the
     listener is ``draining``, connections are closed as they become idle.
     Requests that are in hand or unread when the listener stops have until
-    ``closed_s``, on trio's clock, if that is longer than the usual time-out.
-    A listener that is ``late`` then reads no connection that still waits.
+    ``closing_deadline_s``, on trio's clock, if that is longer than the usual
+    time-out.
+    With ``turns_away_queued`` those that still wait to be accepted are reset
+    then, unread.
     """
 
     silence_ms: int
@@ -70,8 +72,8 @@
     max_connections: int = resource_limits.MAX_DESCRIPTORS
     accept_policy: accept_queue.Policy = accept_queue.KeepWaiting()
     draining: bool = False
-    late: bool = False
-    closed_s: float = 0.0
+    turns_away_queued: bool = False
+    closing_deadline_s: float = 0.0
 
     def __init__(self) -> None:
         super().__init__()
