Take a process for slow in a stop only if its loop is busy

What callers would have seen: entry VMs that have a small share of a core as a rule (a twelfth on some) are slower than their processor time by that factor all the time. Each stop would have closed their port early, though with little to do they are late with nothing.

Cause: the slowdown alone decided. Change: it counts only if the event loop has run, not waited, for half of the time.

--- a/src/carawayward/slowdown.py
+++ b/src/carawayward/slowdown.py
@@ -6,10 +6,13 @@
 import attrs
 import trio
 
-# Work that the factor rests on, at most twice this much, so that it follows
-# changes; with less than the smallest part of it nothing is known.
+# The factor rests on at most twice this time, so that it follows changes; with
+# less work than the smallest part of it nothing is known.
 WINDOW_S = 0.5
 MIN_RUNNING_S = 0.25
+# A loop that waits for events for a greater part of the time is not late,
+# however small its share of a core is.
+MIN_BUSY_PART = 0.5
 # One turn counts for at most this much: a freeze or a call that blocks says
 # nothing of the others.
 MAX_TURN_S = 0.1
@@ -29,31 +32,38 @@
     read_processor_s: typing.Callable[[], float] = time.thread_time
     running_s: float = 0.0
     processor_s: float = 0.0
+    waiting_s: float = 0.0
     _began: tuple[float, float] | None = None
+    _ended_s: float | None = None
 
     def after_io_wait(self, timeout: float) -> None:
         """Record that tasks begin to run."""
         self._began = (self.read_clock_s(), self.read_processor_s())
+        if self._ended_s is not None:
+            self.waiting_s += self._began[0] - self._ended_s
 
     def before_io_wait(self, timeout: float) -> None:
         """Record that no task runs any more."""
+        self._ended_s = self.read_clock_s()
         if self._began is None:
             return
         began_s, began_processor_s = self._began
-        turn_s = self.read_clock_s() - began_s
+        turn_s = self._ended_s - began_s
         part = min(1.0, MAX_TURN_S / max(turn_s, MAX_TURN_S))
         self.running_s += part * turn_s
         self.processor_s += part * (
             self.read_processor_s() - began_processor_s
         )
-        if self.running_s > 2 * WINDOW_S:
+        if self.running_s + self.waiting_s > 2 * WINDOW_S:
             self.running_s /= 2
             self.processor_s /= 2
+            self.waiting_s /= 2
 
     @property
     def slowdown(self) -> float:
-        """Time per processor time, 1 if nothing slows it down."""
-        if self.running_s < MIN_RUNNING_S:
+        """Time per processor time; 1 if the loop is not busy or not slow."""
+        busy_s = MIN_BUSY_PART * (self.running_s + self.waiting_s)
+        if self.running_s < max(MIN_RUNNING_S, busy_s):
             return 1.0
         least_s = self.running_s / MAX_SLOWDOWN
         return max(1.0, self.running_s / max(least_s, self.processor_s))
