Tests: wait for the last line of an entry VM that goes on

test_requests_that_a_peer_relays_are_answered_when_a_side_stops failed once beside load 9: the last request of the entry VM that is not stopped had its answer, and its line was not written yet when the log was read. The line is still required, within the time that any event may take.

--- a/tests/failures/test_stop_traffic.py
+++ b/tests/failures/test_stop_traffic.py
@@ -50,6 +50,9 @@
             report.check(after_s < stopping.GRACE_S, f"ended at {after_s:.2f}")
         over.set()
     for each, report in zip(traffic, reports, strict=True):
+        if each.vm not in stopped and each.sent:
+            # It logs the end of a request after its caller has the answer.
+            await each.vm.wait_for_end(each.sent[-1].caller.request_id)
         each.check(report)
         ends = each.count_ends()
         assert not report.problems, "\n".join([*report.problems, str(ends)])
