Tests: wait for the lines of all answered requests of an entry VM that goes on

Cause: the test waited for the line of the request that was sent last, but those that take 9 s are answered last. The line of a request is written after its reply. All answered requests are now waited for, within the same time; a line that never comes still fails the test.

--- a/tests/common/stopping.py
+++ b/tests/common/stopping.py
@@ -293,10 +293,15 @@
                 found.append(json.loads(line))
         return [each for each in found if name in (None, each.get("name"))]
 
-    async def wait_for_end(self, request_id: str) -> None:
-        """Wait until the end of a request is logged, after its reply."""
+    async def wait_for_ends(self, *request_ids: str) -> None:
+        """Wait until the ends of requests are logged, after their replies."""
+        missing = set(request_ids)
         with trio.move_on_after(START_S):
-            while not self.list_ends(request_id):
+            while missing := missing - {
+                each.get("request")
+                for each in self.list_events()
+                if each["name"] in FINAL_EVENTS
+            }:
                 await trio.sleep(0.02)
 
     def list_ends(self, request_id: str) -> list[dict]:
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -243,7 +243,7 @@
             for (path, caller), each in zip(
                 callers.items(), received, strict=True
             ):
-                await asking.wait_for_end(caller.request_id)
+                await asking.wait_for_ends(caller.request_id)
                 lines.check_reply(caller, each, path, RELAYED[path], None)
                 report.check(each.after_s < stopping.GRACE_S, f"{path}: late")
             await relaying.end()
@@ -270,7 +270,7 @@
             relaying.signal()
             await stop_checks.read_all(callers.values())
             for caller in callers.values():
-                await asking.wait_for_end(caller.request_id)
+                await asking.wait_for_ends(caller.request_id)
             crashed = asking.list_events("run_crashed")
             assert not crashed, crashed
 
--- a/tests/failures/test_stop_traffic.py
+++ b/tests/failures/test_stop_traffic.py
@@ -50,9 +50,15 @@
             report.check(after_s < stopping.GRACE_S, f"ended at {after_s:.2f}")
         over.set()
     for each, report in zip(traffic, reports, strict=True):
-        if each.vm not in stopped and each.sent:
+        if each.vm not in stopped:
             # It logs the end of a request after its caller has the answer.
-            await each.vm.wait_for_end(each.sent[-1].caller.request_id)
+            await each.vm.wait_for_ends(
+                *(
+                    one.caller.request_id
+                    for one in each.sent
+                    if one.received.status
+                )
+            )
         each.check(report)
         ends = each.count_ends()
         assert not report.problems, "\n".join([*report.problems, str(ends)])
