Let replies that have begun go on while a slow process stops

A stream that is cut cannot become a refusal; its caller loses what it had, earlier than any kill. By computation, grace 8 s: due at 6.40 s with a slowdown of 10 and 60 open requests, at 4.80 s with 20.

Now only replies that have not begun are brought forward that far; others go on for five sixths of the grace, or until connections have to be closed. test_replies_that_have_begun_are_not_cut_earlier_by_a_slow_process fails before.

--- a/src/carawayward/decisions/planned_stop.py
+++ b/src/carawayward/decisions/planned_stop.py
@@ -25,6 +25,9 @@
 ENDING_PROCESSOR_MS = 40.0
 # At most this part of the grace is kept for replies and the end.
 MAX_CLOSING_PART = 0.5
+# A reply that has begun cannot become a refusal any more. However slow the
+# process is, it may go on for this part of the grace.
+BEGUN_PART = 5 / 6
 # From here on a process cannot refuse connections as fast as they come.
 STARVED_SLOWDOWN = 4.0
 # Answers may take this many times the mean time.
@@ -33,9 +36,14 @@
 
 @attrs.frozen
 class StopTimes:
-    """The times of a planned stop, in ms from its beginning."""
+    """The times of a planned stop, in ms from its beginning.
+
+    Replies that have begun end by ``begun_due_ms``, others by
+    ``replies_due_ms``.
+    """
 
     replies_due_ms: float
+    begun_due_ms: float
     cutoff_ms: float
     closed_ms: float
 
@@ -54,10 +62,12 @@
         due_ms = max(REPLIES_DUE_MS, min(needed_ms, most_ms))
         ending_ms = slowdown * ENDING_PROCESSOR_MS
         closed_ms = max(CLOSED_MS, min(ending_ms, most_ms / 2))
-        cutoff_ms = due_ms - (REPLIES_DUE_MS - CUTOFF_MS)
+        margin_ms = REPLIES_DUE_MS - CUTOFF_MS
+        begun_ms = max((1.0 - BEGUN_PART) * grace_ms, closed_ms + margin_ms)
         return cls(
             max(0.0, grace_ms - due_ms),
-            max(0.0, grace_ms - cutoff_ms),
+            max(0.0, grace_ms - min(due_ms, begun_ms)),
+            max(0.0, grace_ms - due_ms + margin_ms),
             max(0.0, grace_ms - closed_ms),
         )
 
--- a/src/carawayward/forwarding/drain.py
+++ b/src/carawayward/forwarding/drain.py
@@ -106,7 +106,9 @@
         due_ms = self.began_ms + times.replies_due_ms
         if due_ms > now_ms + NEAR_MS:
             due_ms = self.began_ms + usual.replies_due_ms
-        self.board.stop_deadline.bring_forward(now_ms, due_ms)
+        self.board.stop_deadline.bring_forward(
+            now_ms, due_ms, self.began_ms + times.begun_due_ms
+        )
         began_s = trio.current_time() - (now_ms - self.began_ms) / 1000
         waiting.deadline = began_s + times.cutoff_ms / 1000
         self.closing_deadline_s = began_s + times.closed_ms / 1000
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -78,7 +78,9 @@
         )
         self.placer.choose_model(work)
         deadline_ms = work.deadline_ms - REPLY_MARGIN_MS
-        with self.stop_deadline.limit(now_ms, deadline_ms) as scope:
+        with self.stop_deadline.limit(
+            now_ms, deadline_ms, lambda: reply.started
+        ) as scope:
             await self._run_attempts(work, reply)
         if not scope.cancelled_caught:
             return
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -214,7 +214,7 @@
         mark, now_ms = http.SentMark(), self.clock.now_ms()
         deadline_ms = now_ms + relayed.remaining_ms
         stop_deadline = self.board.stop_deadline
-        with stop_deadline.limit(now_ms, deadline_ms):
+        with stop_deadline.limit(now_ms, deadline_ms, lambda: reply.started):
             return await self._relay(relayed, reply, mark)
         if reply.started or not stop_deadline.is_earlier(deadline_ms):
             return None
--- a/src/carawayward/forwarding/stop_deadline.py
+++ b/src/carawayward/forwarding/stop_deadline.py
@@ -7,6 +7,8 @@
 import attrs
 import trio
 
+HasBegun = typing.Callable[[], bool]
+
 
 @attrs.define(eq=False)
 class StopDeadline:
@@ -18,20 +20,26 @@
     """
 
     due_ms: float = math.inf
-    scopes: set[trio.CancelScope] = attrs.field(factory=set)
+    scopes: dict[trio.CancelScope, HasBegun] = attrs.field(factory=dict)
 
     def begin(self, now_ms: float, left_ms: float) -> None:
         """Have replies sent to all requests, also to those in hand."""
         self.bring_forward(now_ms, now_ms + left_ms)
 
-    def bring_forward(self, now_ms: float, due_ms: float) -> None:
-        """Have replies sent at ``due_ms``, unless they are due before."""
+    def bring_forward(
+        self, now_ms: float, due_ms: float, begun_due_ms: float = -math.inf
+    ) -> None:
+        """Have replies sent at ``due_ms``, unless they are due before.
+
+        Those that have begun may go on until ``begun_due_ms``.
+        """
         if due_ms >= self.due_ms:
             return
         self.due_ms = due_ms
-        due_s = trio.current_time() + (due_ms - now_ms) / 1000
-        for scope in self.scopes:
-            scope.deadline = min(scope.deadline, due_s)
+        for scope, has_begun in self.scopes.items():
+            ends_ms = max(due_ms, begun_due_ms) if has_begun() else due_ms
+            ends_s = trio.current_time() + (ends_ms - now_ms) / 1000
+            scope.deadline = min(scope.deadline, ends_s)
 
     def is_earlier(self, deadline_ms: float) -> bool:
         """Whether replies are due before a request's own deadline."""
@@ -39,13 +47,19 @@
 
     @contextlib.contextmanager
     def limit(
-        self, now_ms: float, deadline_ms: float = math.inf
+        self,
+        now_ms: float,
+        deadline_ms: float = math.inf,
+        has_begun: HasBegun = lambda: False,
     ) -> typing.Iterator[trio.CancelScope]:
-        """Cancel the block at its own deadline or when replies are due."""
+        """Cancel the block at its own deadline or when replies are due.
+
+        ``has_begun`` says whether its reply has.
+        """
         left_ms = min(deadline_ms, self.due_ms) - now_ms
         with trio.move_on_after(max(0.0, left_ms) / 1000) as scope:
-            self.scopes.add(scope)
+            self.scopes[scope] = has_begun
             try:
                 yield scope
             finally:
-                self.scopes.discard(scope)
+                del self.scopes[scope]
--- a/tests/cover/test_stop_times.py
+++ b/tests/cover/test_stop_times.py
@@ -6,12 +6,14 @@
 import hypothesis
 from hypothesis import strategies
 import trio
+import trio.testing
 
 from carawayward import clock as clock_module
 from carawayward.decisions import planned_stop
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import drain as drain_module
 from carawayward.forwarding import settings
+from carawayward.forwarding import stop_deadline
 from carawayward import slowdown
 
 GRACE_MS = 8_000.0
@@ -47,8 +49,6 @@
     assert round(make_meter([0.0, 0.0], spans, 0.01).slowdown) == 10
 
 
-def test_single_pause_of_a_task_is_no_slowdown():
-    """A freeze of a second closed the port of a process with its core."""
 def test_process_that_wakes_up_late_is_slow():
     """A late process with little to do was taken for one with its core."""
     spans = [(0.003, 0.003)] * 100
@@ -57,15 +57,17 @@
     assert make_meter([0.0, 0.0], spans, 0.08, 0.06).slowdown > 10
 
 
+def test_single_pause_of_a_task_is_no_slowdown():
+    """A freeze of a second closed the port of a process with its core."""
     spans = [(0.01, 0.01)] * 40 + [(1.0, 0.001)]
     assert make_meter([0.0, 0.0], spans).slowdown < 1.5
-
-
     clock = [0.0, 0.0]
     meter = make_meter(clock, spans[:-1])
     clock[0] += 1.0
     meter.after_io_wait(0.0)
     assert meter.slowdown < 1.5
+
+
 def test_slowdown_follows_the_last_second_of_work():
     """A process that starved once was taken for one that still does."""
     clock = [0.0, 0.0]
@@ -92,6 +94,7 @@
     times = planned_stop.StopTimes.from_grace(grace_ms, slow, count)
     assert 0.0 <= times.replies_due_ms <= times.cutoff_ms <= grace_ms
     assert times.cutoff_ms <= times.closed_ms <= grace_ms
+    assert times.replies_due_ms <= times.begun_due_ms <= times.closed_ms
     assert times.replies_due_ms <= usual.replies_due_ms
     assert times.closed_ms <= usual.closed_ms
 
@@ -136,3 +139,33 @@
     """Requests were cut since their replies were begun too late."""
     assert find_due_ms(5_000.0, lambda now: True) > 7_000.0
     assert find_due_ms(7_000.0, lambda now: True) < 7_000.0
+
+
+def test_replies_that_have_begun_are_not_cut_earlier_by_a_slow_process():
+    """Streams were cut long before the kill since others were refused."""
+
+    async def main():
+        deadline = stop_deadline.StopDeadline()
+        ended_s: dict[bool, float] = {}
+
+        async def serve(begun):
+            with deadline.limit(0.0, has_begun=lambda: begun):
+                await trio.sleep_forever()
+            ended_s[begun] = trio.current_time() - began_s
+
+        times = planned_stop.StopTimes.from_grace(GRACE_MS, 20.0, 100)
+        async with trio.open_nursery() as nursery:
+            began_s = trio.current_time()
+            for begun in (False, True):
+                nursery.start_soon(serve, begun)
+            await trio.testing.wait_all_tasks_blocked()
+            deadline.bring_forward(
+                0.0, times.replies_due_ms, times.begun_due_ms
+            )
+        return ended_s
+
+    ended_s = trio.run(
+        main, clock=trio.testing.MockClock(autojump_threshold=0)
+    )
+    assert ended_s[False] < 4.5
+    assert ended_s[True] * 1000 >= GRACE_MS * 5 / 6
