Turn away what is queued at a starved stop, however its wait ended

Found by the review: only the last part of the wait closed the port of a starved process. If replies were due before the balancer's time was over (a short grace, or a loop that saw the signal two seconds late), the listener stopped as usual: it accepted all that was queued, read it, and cut it. Now decided once more after the wait. test_starved_process_turns_away_whenever_its_wait_ends fails before.

--- a/src/carawayward/forwarding/drain.py
+++ b/src/carawayward/forwarding/drain.py
@@ -73,6 +73,10 @@
         finally:
             trio.lowlevel.remove_instrument(self.meter)
         self.board.refusing = True
+        # The wait may also have ended before its last part.
+        slowdown = self._find_slowdown(self.clock.now_ms())
+        if planned_stop.is_starved(slowdown):
+            self._close_port(slowdown)
         self.stop_accepting.set()
 
     async def _wait(self) -> None:
--- a/tests/cover/test_stop_times.py
+++ b/tests/cover/test_stop_times.py
@@ -169,3 +169,33 @@
     )
     assert ended_s[False] < 4.5
     assert ended_s[True] * 1000 >= GRACE_MS * 5 / 6
+
+
+def test_starved_process_turns_away_whenever_its_wait_ends():
+    """A wait that ended early had all that was queued read, then cut."""
+    clock: typing.Any = types.SimpleNamespace(
+        now_ms=lambda: trio.current_time() * 1000,
+        sleep=lambda ms: trio.sleep(ms / 1000),
+    )
+
+    class Starved(trio.abc.Instrument):
+        slowdown = 10.0
+
+    async def main():
+        board = board_module.ForwardingBoard(
+            name="edge-0", failure_domain="north"
+        )
+        board.bounds = settings.Bounds(grace_ms=GRACE_MS)
+        board.open_requests = 300
+        callers: typing.Any = types.SimpleNamespace(
+            count_waiting=lambda: 100, turns_away_queued=False
+        )
+        meter: typing.Any = Starved()
+        drain = drain_module.Drain(board, clock, callers, [callers])
+        drain.meter = meter
+        drain.began_ms = clock.now_ms() - 2_000.0
+        await drain.run()
+        return callers.turns_away_queued
+
+    clock_ = trio.testing.MockClock(autojump_threshold=0)
+    assert trio.run(main, clock=clock_)
