--- a/src/carawayward/accept_queue.py
+++ b/src/carawayward/accept_queue.py
@@ -148,12 +148,19 @@
                 )
         self.policy.record_turned_away(count)
 
-    def turn_away(self) -> None:
-        """Reset all connections that wait, with nothing read."""
-        self._count_waiting()
-        while self.counted:
-            self._turn_away_counted()
-            self._count_waiting()
+    def turn_away(self, most: int) -> None:
+        """Reset connections that wait, with nothing read; close the socket.
+
+        ``most`` have to be counted. The kernel resets those that come after
+        them: callers that connect again at once would keep this from ending.
+        """
+        with self.listening_socket:
+            while most > 0:
+                self._count_waiting()
+                if not self.counted:
+                    return
+                most -= len(self.counted)
+                self._turn_away_counted()
 
     async def aclose(self) -> None:
         """Do nothing; ``drain`` closes the socket."""
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -117,7 +117,8 @@
             accepting.cancel_scope.cancel()
         for port in ports:
             if config.turns_away_queued:
-                port.queue.turn_away()
+                port.queue.turn_away(config.count_waiting())
+                continue
             for stream in port.close():
                 connections.start_soon(handle, stream)
         await context.terminated.set()
