--- a/src/carawayward/accept_queue.py
+++ b/src/carawayward/accept_queue.py
@@ -20,6 +20,8 @@
 SHORTAGES = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
+# The connection had ended before it was accepted; others wait behind it.
+ABORTED = frozenset((errno.ECONNABORTED, errno.EPERM, errno.EPROTO))
 LOG_INTERVAL_S = 1.0
 
 
@@ -93,6 +95,8 @@
             try:
                 return await self._accept()
             except OSError as fault:
+                if fault.errno in ABORTED:
+                    continue
                 if fault.errno not in SHORTAGES:
                     raise
                 self._log_shortage(fault)
@@ -124,10 +128,14 @@
         """Accept the connection that has waited longest; None without any."""
         if self.counted:
             return self.counted.popleft()
-        try:
-            return self.listening_socket.accept()[0]
-        except BlockingIOError:
-            return None
+        while True:
+            try:
+                return self.listening_socket.accept()[0]
+            except BlockingIOError:
+                return None
+            except OSError as fault:
+                if fault.errno not in ABORTED:
+                    raise
 
     def _count_waiting(self) -> None:
         """Take the connections that wait from the kernel, unread."""
