--- a/src/carawayward/accept_queue.py
+++ b/src/carawayward/accept_queue.py
@@ -20,6 +20,8 @@
 SHORTAGES = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
+# The connection had ended before it was accepted; others wait behind it.
+ABORTED = frozenset((errno.ECONNABORTED, errno.EPERM, errno.EPROTO))
 LOG_INTERVAL_S = 1.0
 
 
@@ -93,6 +95,8 @@
             try:
                 return await self._accept()
             except OSError as fault:
+                if fault.errno in ABORTED:
+                    continue
                 if fault.errno not in SHORTAGES:
                     raise
                 self._log_shortage(fault)
@@ -124,10 +128,14 @@
         """Accept the connection that has waited longest; None without any."""
         if self.counted:
             return self.counted.popleft()
-        try:
-            return self.listening_socket.accept()[0]
-        except BlockingIOError:
-            return None
+        while True:
+            try:
+                return self.listening_socket.accept()[0]
+            except BlockingIOError:
+                return None
+            except OSError as fault:
+                if fault.errno not in ABORTED:
+                    raise
 
     def _count_waiting(self) -> None:
         """Take the connections that wait from the kernel, unread."""
@@ -148,12 +156,19 @@
                 )
         self.policy.record_turned_away(count)
 
-    def turn_away(self) -> None:
-        """Reset all connections that wait, with nothing read."""
-        self._count_waiting()
-        while self.counted:
-            self._turn_away_counted()
-            self._count_waiting()
+    def turn_away(self, most: int) -> None:
+        """Reset connections that wait, with nothing read; close the socket.
+
+        ``most`` have to be counted. The kernel resets those that come after
+        them: callers that connect again at once would keep this from ending.
+        """
+        with self.listening_socket:
+            while most > 0:
+                self._count_waiting()
+                if not self.counted:
+                    return
+                most -= len(self.counted)
+                self._turn_away_counted()
 
     async def aclose(self) -> None:
         """Do nothing; ``drain`` closes the socket."""
--- a/src/carawayward/forwarding/drain.py
+++ b/src/carawayward/forwarding/drain.py
@@ -73,6 +73,10 @@
         finally:
             trio.lowlevel.remove_instrument(self.meter)
         self.board.refusing = True
+        # The wait may also have ended before its last part.
+        slowdown = self._find_slowdown(self.clock.now_ms())
+        if planned_stop.is_starved(slowdown):
+            self._close_port(slowdown)
         self.stop_accepting.set()
 
     async def _wait(self) -> None:
@@ -106,7 +110,9 @@
         due_ms = self.began_ms + times.replies_due_ms
         if due_ms > now_ms + NEAR_MS:
             due_ms = self.began_ms + usual.replies_due_ms
-        self.board.stop_deadline.bring_forward(now_ms, due_ms)
+        self.board.stop_deadline.bring_forward(
+            now_ms, due_ms, self.began_ms + times.begun_due_ms
+        )
         began_s = trio.current_time() - (now_ms - self.began_ms) / 1000
         waiting.deadline = began_s + times.cutoff_ms / 1000
         self.closing_deadline_s = began_s + times.closed_ms / 1000
