Tests: prove a version at any speed before "completed" is raced

Cause: the order lasted 4 s, within which the new version had to be proven. On a slow machine the order ended first, it was rolled back for lack of proof, and the race that the test waits for never began.

The order now lasts 600 s and is aged by .9 of that, so that there is a minute for the proof, which still rests on real answers. The record of the other writer is put in by the store stand-in as the append of "completed" arrives, that is after everything that the entry VM knows. All former checks stay, and no record of the topic may say "completed" at the end.

Command: ./build.sh test tests.failures.test_forwarding_rollouts

--- a/tests/failures/test_forwarding_rollouts.py
+++ b/tests/failures/test_forwarding_rollouts.py
@@ -8,6 +8,11 @@
 from tests.standins import backend
 
 ORDER_S = 4.0
+# An order that is aged until it is nearly over, with ample time left to prove
+# the version.
+LONG_ORDER_S = 600.0
+ELAPSED_PART = 0.9
+PROOF_S = 40.0
 
 
 def make_servers(always=None):
@@ -288,6 +293,16 @@
     trio.run(main)
 
 
+async def prepare_completion(deployment):
+    """Order a roll-out that is almost over, with ample time for its proof."""
+    order_rollout(deployment, LONG_ORDER_S)
+    controller = deployment.find_controller(3)
+    await deployment.wait_for(lambda: "desk" in controller.rollouts.rollouts)
+    rollout = controller.rollouts.rollouts["desk"]
+    rollout.began_ms -= ELAPSED_PART * rollout.order.duration_ms
+    return rollout
+
+
 def test_completed_is_never_written_over_rolled_back():
     """Two entry VMs decide at the same moment, one that the version is bad.
 
@@ -298,46 +313,32 @@
     async def main():
         desks = make_servers()
         async with forwarding.open_forwarding(*desks) as deployment:
-            order_rollout(deployment)
-            controller = deployment.find_controller(3)
-            await deployment.wait_for(
-                lambda: "desk" in controller.rollouts.rollouts
-            )
-            append = controller.statuses.append
-            raced: list[dict] = []
-
-            async def race(records, end=None):
-                value = json.loads(records[0].value)
-                if value["state"] == "completed" and not raced:
-                    raced.append(value)
-                    status = {"state": "rolled_back", "target": "v2"}
-                    deployment.store.put(
-                        "keyed.status", "rollout/desk", status
-                    )
-                return await append(records, end)
+            rollout = await prepare_completion(deployment)
+            raced: list[bytes] = []
+
+            async def race(call, exchange):
+                body = exchange.request.body
+                if call == "log-append" and b"completed" in body:
+                    if not raced:
+                        status = {"state": "rolled_back", "target": "v2"}
+                        deployment.store.put(
+                            "keyed.status", "rollout/desk", status
+                        )
+                    raced.append(body)
+                return False
 
-            controller.statuses = TopicWithAppend(controller.statuses, race)
-            await send_until_decided(deployment)
+            deployment.store.override = race
+            await send_until_decided(deployment, PROOF_S)
             await deployment.wait_for(lambda: bool(raced))
-            rollout = controller.rollouts.rollouts["desk"]
             await deployment.wait_for(lambda: not rollout.running)
             assert rollout.state.value == "rolled back"
             assert read_status(deployment)["state"] == "rolled_back"
+            records = deployment.store.topic("keyed.status").records
+            assert not [each for each in records if b"completed" in each]
 
     trio.run(main)
 
 
-class TopicWithAppend:
-    """A topic whose appends are replaced by a function of the test."""
-
-    def __init__(self, topic, append):
-        self.topic = topic
-        self.append = append
-
-    async def read_newest(self):
-        return await self.topic.read_newest()
-
-
 def test_session_stays_on_the_old_version_in_the_first_half():
     """A session continues while a version is on trial.
 
