Tests: show when a late process logged the steps of its stop

Its message could not tell a process that ends late from a test that notices late, as both were starved. It now lists when the process logged that it stops, that it is starved, and that it has stopped.

Ruled out (trial): ending with os._exit after the log is written.

--- a/tests/common/stop_checks.py
+++ b/tests/common/stop_checks.py
@@ -11,6 +11,8 @@
 
 # The cause that is logged for what the end of a stop cuts off.
 LEAVING = "leaving"
+# What a process logs as it begins to stop, is found slow, and ends.
+STOP_STEPS = ("node_leaving", "stop_starved", "node_stopped")
 
 
 @attrs.define
@@ -75,6 +77,21 @@
         self.check_line(caller, received, place)
         self.check(not received.complete, f"{place}: looks complete")
 
+    def record_steps(self) -> None:
+        """Record when the process logged the steps of its stop.
+
+        Tells a late end of the process from one that the test notices late.
+        """
+        steps = [
+            (each["at_ms"] / 1000, each["name"])
+            for each in self.vm.list_events()
+            if each.get("name") in STOP_STEPS
+        ]
+        self.ends += [
+            f"{name}: {at_s - steps[0][0]:.2f} s after the first step"
+            for at_s, name in steps
+        ]
+
     async def finish(self) -> None:
         """The process has ended in time, by itself and in order."""
         code, after_s = await self.vm.end()
--- a/tests/failures/test_planned_stop.py
+++ b/tests/failures/test_planned_stop.py
@@ -487,6 +487,7 @@
                 nursery.start_soon(send, number)
         await vm.end()
         report = stop_checks.Report(vm)
+        report.record_steps()
         run = {r.request.headers[backend.ATTEMPT_ID_HEADER] for r in desk.runs}
         for caller, each, after_s in zip(
             callers, received, times_s, strict=True
