Give up streams of short comments by what they cost to parse

What callers saw: beside 40 streams that send nothing but ":\n\n" as fast as they are read, requests were late, and the streams themselves were held for over 10 s.

Cause: a stream is given up after 1 MiB without progress. Its bytes were counted, but each comment takes some 2.4 us to parse, as much as 160 bytes of a long line: 1 MiB of ":\n\n" are 350,000 of them, over a second of processor time a stream.

Change: an event that shows no progress counts for 128 bytes more.

--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -26,8 +26,11 @@
 GAP_TIMEOUT_TARGETS = 2.0
 # What of a stream is kept without being accounted for.
 MAX_UNCOUNTED_BYTES = 16_384
-# What may come of a stream between two events.
+# What may come of a stream between two events that show progress.
 MAX_IDLE_BYTES = event_stream.MAX_EVENT_BYTES
+# An event takes as long to parse as so many bytes of a long one, however short
+# it is.
+EVENT_OVERHEAD_BYTES = 128
 
 
 @attrs.define(eq=False)
@@ -35,7 +38,7 @@
     """What has been read of a stream.
 
     ``idle_bytes`` were read since the last event that shows progress, with
-    what chunks cost besides.
+    what chunks and other events cost besides.
     """
 
     splitter: event_stream.EventSplitter = attrs.field(
@@ -190,16 +193,19 @@
         stream.idle_bytes += len(chunk) + http.CHUNK_OVERHEAD_BYTES
         complete: list[bytes] = []
         failure = None
+        progressed = False
         try:
             for event in stream.splitter.feed(chunk):
                 failure = record_event(work, event)
                 if failure is not None:
                     break
                 complete.append(event.raw)
-                if is_progress(work.route, event):
-                    stream.idle_bytes = 0
+                progressed = progressed or is_progress(work.route, event)
         except event_stream.MalformedStream as fault:
             failure = work_items.Failed(str(fault))
+        stream.idle_bytes += len(complete) * EVENT_OVERHEAD_BYTES
+        if progressed:
+            stream.idle_bytes = 0
         self._hold_stream(stream, complete, reply)
         if complete:
             # A single event is not copied.
--- a/tests/failures/test_worst_bytes.py
+++ b/tests/failures/test_worst_bytes.py
@@ -167,6 +167,31 @@
     call_engine(filler)
 
 
+def test_stream_of_short_comments_is_given_up_by_what_they_cost():
+    """Guards against 40 such streams that take all processor time for 10 s."""
+
+    async def send_comments(engine, exchange):
+        engine.begin(exchange)
+        await exchange.begin_stream(engine.seal(exchange))
+        await exchange.send_chunk(backend.make_event(1))
+        await exchange.send_chunk(COMMENTS)
+        await exchange.send_chunk(b"")
+
+    async def main():
+        bad = backend.Backend("bad", service="engines", engine=True)
+        bad.always = send_comments
+        async with forwarding.open_forwarding(
+            bad, config=make_config()
+        ) as made:
+            try:
+                await made.request_stream(carawayward_model="small")
+            except httpcore.RemoteProtocolError:
+                return
+        raise AssertionError("all comments were read")
+
+    trio.run(main)
+
+
 def test_stream_of_comments_alone_is_given_up():
     """Guards against a stream that is kept open without any event."""
 
