Give up heads of many lines by what they cost to parse

What callers saw: an ordinary request beside 40 endpoints that send interim responses without end got 504 at its timeout of a second (test_many_answers_without_end_delay_no_other_request:2, on a busy machine).

Cause: a head is given up after 128 KiB, with its interim responses. One of those takes 18 bytes: 7,281 are parsed, whose cost no byte count shows. All 40 connections take their turns with that, and a new one waits for many of them.

Change: each line of a head counts for 256 bytes more. A head may still have over 400 fields; one of 200 is tested. The test of interim heads failed before (200 instead of 502).

--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -30,6 +30,9 @@
 # What a connection for one request may receive before the end of a response's
 # head.
 MAX_HEAD_BYTES = 131_072
+# A line of a head takes as long to parse as so many bytes of a long one. An
+# interim response has two lines and may have 18 bytes.
+HEAD_LINE_OVERHEAD_BYTES = 256
 # What the kernel may receive of a response that is read as slowly as its
 # caller reads it. The kernel doubles it for what packets take besides.
 UNREAD_BYTES = 65_536
@@ -99,7 +102,9 @@
         """
         self.drained = len(data) < max_bytes
         if self.head_bytes_left is not None:
+            lines = data.count(b"\n")
             self.head_bytes_left -= len(data)
+            self.head_bytes_left -= lines * HEAD_LINE_OVERHEAD_BYTES
             if self.head_bytes_left < 0:
                 raise httpcore.RemoteProtocolError("head too long")
         await self.time_slice.yield_if_over()
--- a/tests/failures/test_worst_bytes.py
+++ b/tests/failures/test_worst_bytes.py
@@ -233,3 +233,36 @@
     found = splitter.feed(sent)
     assert [event.number for event in found] == [1, 2]
     assert b"".join(event.raw for event in found) == sent
+
+
+def test_response_of_many_interim_heads_is_given_up_by_what_they_cost():
+    """Guards against heads that take all processor time of their process."""
+
+    async def send_heads(desk, exchange):
+        desk.begin(exchange)
+        await exchange.stream.send_all(INTERIM_HEADS[:18_000])
+        await exchange.answer(200, desk.seal(exchange))
+
+    async def main():
+        desk = backend.Backend("desk-0", always=send_heads)
+        async with forwarding.open_forwarding(desk) as made:
+            return await made.call("GET", "/look/")
+
+    assert trio.run(main).status == 502
+
+
+def test_response_of_many_fields_is_relayed():
+    """Guards against a sound head that counts as one without end."""
+
+    async def send_fields(desk, exchange):
+        desk.begin(exchange)
+        fields = {f"name-{number}": "value" for number in range(200)}
+        await exchange.answer(200, {**desk.seal(exchange), **fields})
+
+    async def main():
+        desk = backend.Backend("desk-0", always=send_fields)
+        async with forwarding.open_forwarding(desk) as made:
+            return await made.call("GET", "/look/")
+
+    answer = trio.run(main)
+    assert (answer.status, answer.headers["name-199"]) == (200, "value")
