Drop answers of which nothing has been sent rather than close connections

What callers saw: of 40 callers of endless plain bodies 24 got a closed connection and not one byte, the others the beginning of a 200.

Cause: short of room for buffered bytes, the connections that hold the most are reset (buffers.BufferShare.give_up), also while the endpoint's answer is only being read ahead and its caller could still be told.

The 16 others found no room themselves, were relayed as they came and broke off as too long.

Change: a plain answer of which nothing has been sent is dropped instead: its attempt is cancelled, which closes the endpoint's connection, and the request goes on as after any attempt that may have run: another endpoint, or 502. It does not count against the endpoint. A request whose head or body holds much itself is closed as before.

Both new tests failed before (an empty first line; a reset connection).

--- a/src/carawayward/buffers.py
+++ b/src/carawayward/buffers.py
@@ -30,8 +30,8 @@
 class BufferAccount:
     """The bytes that all connections of a process hold.
 
-    ``closed`` counts the connections that were closed to make room;
-    ``read_clock`` returns the time in s.
+    ``closed`` counts the connections that were closed to make room, or whose
+    answers were dropped; ``read_clock`` returns the time in s.
     """
 
     max_bytes: int = resource_limits.DEFAULT_BUFFERED_BYTES
@@ -73,12 +73,14 @@
 
     ``close`` closes the connection. ``moved_bytes`` is what its client has
     sent and accepted; ``began_s`` and ``began_bytes`` are from when it began
-    to hold any. ``closing`` is set once it is closed to make room, ``ended``
-    once it has ended.
+    to hold any. While ``drop_answer`` is set nothing of the answer has been
+    sent, and it can be dropped instead. ``closing`` is set once it is closed
+    to make room, ``ended`` once it has ended.
     """
 
     account: BufferAccount
     close: typing.Callable[[], None] = lambda: None
+    drop_answer: typing.Callable[[], None] | None = None
     held: dict[Part, int] = attrs.field(factory=dict)
     held_bytes: int = 0
     moved_bytes: int = 0
@@ -117,7 +119,15 @@
         self._change(-self.held_bytes)
 
     def give_up(self) -> None:
-        """Close the connection; what it holds is about to be freed."""
+        """Drop the answer, or close the connection, which frees the rest too.
+
+        What it holds is about to be freed.
+        """
+        rest = self.held_bytes - self.held.get(Part.ANSWER, 0)
+        if self.drop_answer is not None and rest <= SMALL_BYTES:
+            self.hold(Part.ANSWER, 0)
+            self.drop_answer()
+            return
         self.closing = True
         self.account.held_bytes -= self.held_bytes
         self.close()
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -79,6 +79,10 @@
         """Account for ``count`` kept bytes of the response."""
         return self.link.share.hold(buffers.Part.ANSWER, count)
 
+    def set_drop(self, drop: typing.Callable[[], None] | None) -> None:
+        """Set what drops the kept response to make room."""
+        self.link.share.drop_answer = drop
+
     def expect_unread(self, count: int) -> None:
         """Account for ``count`` bytes more while a write waits."""
         self.link.unread_bytes = count
@@ -91,6 +95,7 @@
 
     def release(self) -> None:
         """Hold nothing of a response any more."""
+        self.set_drop(None)
         self.hold(0)
         self.link.unread_bytes = 0
 
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -281,6 +281,10 @@
                 work.unusable |= {name}
                 self.fleet.record_declined(endpoint)
                 work.runs += 1
+            case work_items.Dropped():
+                work.failed_endpoints |= {name}
+                work.runs += 1
+                work.failure = None
             case work_items.Failed():
                 work.failed_endpoints |= {name}
                 work.runs += 1
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -97,7 +97,9 @@
             body = answer_bodies.AnswerBody.from_response(
                 head, chunks, timeout_ms
             )
-            begin = await body.read_ahead(lambda n: reply.hold(held + n))
+            begin = await read_droppable(body, held, reply)
+            if begin is None:
+                return work_items.Dropped("no room for the response")
             work.progress.status = head.status
             if head.status >= 500 and retries.may_repeat(work.route):
                 cause = f"status {head.status}"
@@ -247,6 +249,29 @@
             self.parts.record_answer(work)
 
 
+async def read_droppable(
+    body: answer_bodies.AnswerBody, held: int, reply: replies.Reply
+) -> bytes | None:
+    """Read ahead; None if what was read is dropped to make room for others.
+
+    ``held`` bytes of an earlier response are kept besides. Once a part of the
+    reply has been sent, only the end of its connection shows that it is
+    truncated.
+    """
+    with trio.CancelScope() as reading:
+        if not reply.started:
+            reply.set_drop(reading.cancel)
+        try:
+            begin = await body.read_ahead(lambda n: reply.hold(held + n))
+        finally:
+            reply.set_drop(None)
+    if reading.cancel_called:
+        # It may have been read whole meanwhile.
+        reply.hold(0)
+        return None
+    return begin
+
+
 def record_event(
     work: work_items.Work, event: event_stream.ServerEvent
 ) -> work_items.Failed | None:
--- a/src/carawayward/forwarding/replies.py
+++ b/src/carawayward/forwarding/replies.py
@@ -43,6 +43,12 @@
         False if there is no room for more.
         """
 
+    def set_drop(self, drop: typing.Callable[[], None] | None) -> None:
+        """Set what drops the kept response to make room, if that may be.
+
+        Otherwise the connection is closed.
+        """
+
     def expect_unread(self, count: int) -> None:
         """Account for ``count`` bytes more while a write waits."""
 
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -98,7 +98,16 @@
     timed_out: bool = False
 
 
-Undelivered = Unreached | Withheld | Diverted | Declined | Unsure | Failed
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dropped:
+    """The response was dropped to make room, which says nothing of it."""
+
+    cause: str
+
+
+Undelivered = (
+    Unreached | Withheld | Diverted | Declined | Unsure | Failed | Dropped
+)
 Outcome = Answered | Delivered | Undelivered
 # Outcomes after which the request is certain not to have run; after any other
 # it may have.
--- a/tests/failures/test_answer_room.py
+++ b/tests/failures/test_answer_room.py
@@ -86,3 +86,41 @@
         assert statuses == {200}
 
     trio.run(main)
+
+
+def test_answer_dropped_for_room_is_replaced_by_another_endpoints():
+    """Guards against a connection that is closed before any answer."""
+
+    async def hang(server, exchange):
+        run = server.begin(exchange)
+        head = raw_http.make_head(200, server.seal(exchange))
+        try:
+            await exchange.stream.send_all(head + ANSWER[:MAX_BYTES])
+            await exchange.closed.wait()
+        finally:
+            run.ended = "closed"
+
+    async def main():
+        desks = [backend.Backend(f"desk-{n}") for n in range(2)]
+        pending = [hang]
+
+        async def answer(server, exchange):
+            behave = pending.pop() if pending else backend.answer_normally
+            await behave(server, exchange)
+
+        for each in desks:
+            each.always = answer
+        async with forwarding.open_forwarding(*desks) as made:
+            account = made.daemon.board.buffers
+
+            async def drop():
+                await made.wait_for(lambda: account.held_bytes >= MAX_BYTES)
+                (share,) = account.holders
+                share.give_up()
+
+            made.nursery.start_soon(drop)
+            answered = await made.call("GET", "/look/")
+            await made.wait_for(lambda: account.held_bytes == 0)
+        assert answered.status == 200
+
+    trio.run(main)
--- a/tests/failures/test_crowd_endless.py
+++ b/tests/failures/test_crowd_endless.py
@@ -48,6 +48,33 @@
         run.ended = "closed"
 
 
+@params("look", "log")
+def test_each_caller_of_an_endless_body_gets_an_answer(route):
+    """Guards against connections that are closed for room with no answer."""
+
+    async def main():
+        first_lines = []
+        async with crowds.open_site() as site:
+            site.desk.always = answer
+
+            async def call():
+                client = await site.connect(small=False)
+                assert client is not None
+                path = f"/{route}/close"
+                await client.send(site.make_head(path, "connection: close"))
+                first_lines.append(await client.read_first_line())
+                await client.read_slowly(10**9, 0.001)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(CALLS):
+                    nursery.start_soon(call)
+            await site.check()
+        assert len(first_lines) == CALLS
+        assert all(line.startswith("HTTP/1.1 ") for line in first_lines)
+
+    trio.run(main)
+
+
 @params(1, 2)
 def test_answers_without_end_of_all_kinds_stay_within_memory(vms):
     """Guards against bytes that are kept of each, also through a peer."""
