Bound the calls to a store that answers at once without records

What callers saw: nothing directly; a faulty store may be called some 2,000 times a second by each feed, whose entry VM has no processor time left for requests, and which hinders the store's recovery.

Cause: the gap between two calls is kept only after a call that returned records. A poll that says that records exist and sends none, that the history is lost each time it is listed, or that ends early, is followed by the next call at once.

Evidence: a feed before a topic whose calls take 1 ms made 2,001 calls in 2 s of virtual time in each of the three forms.

Change: after two calls in a row that ended sooner than the least gap (200 ms) and brought no records, the gap is kept. A history that is lost once is still listed at once, and polls that wait are not delayed.

--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -35,6 +35,9 @@
 # The same while parts of a long change arrive: a whole record read from the
 # store takes as long again.
 MAX_FETCH_MS = 1_200.0
+# Calls in a row that may bring no records, each sooner than the least gap
+# between calls, before the gap is kept. A history that is lost needs two.
+MAX_QUICK_CALLS = 2
 
 
 @attrs.define(eq=False)
@@ -117,6 +120,8 @@
     _delegating: bool = False
     _gap_ms: float = 0.0
     _in_gap: bool = False
+    _sent_ms: float = board_module.NEVER
+    _quick_calls: int = 0
     _relist_cause: call_causes.Cause | None = None
     _read_all_until: int = 0
     _wakeup: trio.Event = attrs.field(factory=trio.Event)
@@ -244,9 +249,10 @@
             while not self.is_needed():
                 await self.wait_until_needed()
             cause = await self._wait_for_cause()
+            await self._limit_quick_calls()
             self.count_call(cause)
             wait_ms = self._take_wait(cause)
-            sent_ms = self.outages.record_call()
+            sent_ms = self._sent_ms = self.outages.record_call()
             self.due_ms = sent_ms + wait_ms
             try:
                 batch = await self._read(wait_ms)
@@ -285,9 +291,25 @@
                 # within that time a working delegate has read as much.
                 self.due_ms = sent_ms + self.get_poll_wait()
             if batch.records:
+                self._quick_calls = 0
                 self.push_updates()
                 await self._wait_between_calls(sent_ms)
 
+    async def _limit_quick_calls(self) -> None:
+        """Keep the gap after calls that ended soon and brought no records.
+
+        The store may say again and again that records exist, or that they
+        have been lost, and send none.
+        """
+        gap_ms = store_polls.MIN_CALL_GAP_MS
+        remaining_ms = self._sent_ms + gap_ms - self.clock.boot_ms()
+        if remaining_ms <= 0.0:
+            self._quick_calls = 0
+            return
+        self._quick_calls += 1
+        if self._quick_calls > MAX_QUICK_CALLS:
+            await trio.sleep(remaining_ms / 1000)
+
     async def _try_read_earlier(self, end: int, sent_ms: float) -> bool:
         """Read back from ``end``; if it fails, have the topic listed again."""
         try:
--- a/tests/cover/test_forwarding_feed.py
+++ b/tests/cover/test_forwarding_feed.py
@@ -4,6 +4,7 @@
 import typing
 
 import attrs
+from nose2.tools import params
 import trio
 import trio.testing
 
@@ -469,3 +470,52 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def send_none_of_more() -> keyed_log.Batch:
+    """Say that records exist, and send none."""
+    return keyed_log.Batch([], 0, complete=False)
+
+
+async def lose_history() -> keyed_log.Batch:
+    """Say that the records have expired."""
+    raise keyed_log.HistoryLost()
+
+
+async def end_early() -> keyed_log.Batch:
+    """End a poll at once without a record."""
+    return keyed_log.Batch([], 0)
+
+
+@params(send_none_of_more, lose_history, end_early)
+def test_store_that_answers_at_once_without_records_gets_few_calls(answer):
+    """Guards against 2,000 calls in a second to a faulty store."""
+    calls = 0
+
+    class FaultyTopic(FakeTopic):
+        """A topic whose calls end after 1 ms without a record."""
+
+        async def read_newest(self) -> keyed_log.Batch:
+            nonlocal calls
+            calls += 1
+            await trio.sleep(0.001)
+            return keyed_log.Batch([], 0)
+
+        async def read(
+            self, start: int, wait_ms: float, listing_bytes: float = 0.0
+        ) -> keyed_log.Batch:
+            nonlocal calls
+            calls += 1
+            await trio.sleep(0.001)
+            return await answer()
+
+    async def main():
+        outages = make_outages(clocks.TrioClock())
+        reader = make_feed("keys", FaultyTopic(), outages)
+        with trio.move_on_after(2.0):
+            async with trio.open_nursery() as nursery:
+                await reader.start(nursery)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    most = 2_000.0 / store_polls.MIN_CALL_GAP_MS + feed.MAX_QUICK_CALLS + 1
+    assert 5 < calls <= most, calls
