Test that 200 callers of endless bodies get answers within memory

200 endless bodies at once were reported with 167 MB (bound 150). That was not reproduced, so nothing is changed for it; the bound is now tested with 200.

--- a/tests/failures/test_crowd_endless.py
+++ b/tests/failures/test_crowd_endless.py
@@ -14,6 +14,7 @@
 from tests.standins import raw_http
 
 CALLS = 40
+MANY_CALLS = 200
 FILLER = b"x" * 65_536
 EVENTS = {"content-type": "text/event-stream"}
 CHUNKED = {"transfer-encoding": "chunked"}
@@ -48,8 +49,8 @@
         run.ended = "closed"
 
 
-@params("look", "log")
-def test_each_caller_of_an_endless_body_gets_an_answer(route):
+@params(("look", CALLS), ("log", CALLS), ("look", MANY_CALLS))
+def test_each_caller_of_an_endless_body_gets_an_answer(route, calls):
     """Guards against connections that are closed for room with no answer."""
 
     async def main():
@@ -66,10 +67,10 @@
                 await client.read_slowly(10**9, 0.001)
 
             async with trio.open_nursery() as nursery:
-                for _ in range(CALLS):
+                for _ in range(calls):
                     nursery.start_soon(call)
             await site.check()
-        assert len(first_lines) == CALLS
+        assert len(first_lines) == calls
         assert all(line.startswith("HTTP/1.1 ") for line in first_lines)
 
     trio.run(main)
