--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -26,8 +26,11 @@
 GAP_TIMEOUT_TARGETS = 2.0
 # What of a stream is kept without being accounted for.
 MAX_UNCOUNTED_BYTES = 16_384
-# What may come of a stream between two events.
+# What may come of a stream between two events that show progress.
 MAX_IDLE_BYTES = event_stream.MAX_EVENT_BYTES
+# An event takes as long to parse as so many bytes of a long one, however short
+# it is.
+EVENT_OVERHEAD_BYTES = 128
 
 
 @attrs.define(eq=False)
@@ -35,7 +38,7 @@
     """What has been read of a stream.
 
     ``idle_bytes`` were read since the last event that shows progress, with
-    what chunks cost besides.
+    what chunks and other events cost besides.
     """
 
     splitter: event_stream.EventSplitter = attrs.field(
@@ -94,7 +97,9 @@
             body = answer_bodies.AnswerBody.from_response(
                 head, chunks, timeout_ms
             )
-            begin = await body.read_ahead(lambda n: reply.hold(held + n))
+            begin = await read_droppable(body, held, reply)
+            if begin is None:
+                return work_items.Dropped("no room for the response")
             work.progress.status = head.status
             if head.status >= 500 and retries.may_repeat(work.route):
                 cause = f"status {head.status}"
@@ -190,16 +195,19 @@
         stream.idle_bytes += len(chunk) + http.CHUNK_OVERHEAD_BYTES
         complete: list[bytes] = []
         failure = None
+        progressed = False
         try:
             for event in stream.splitter.feed(chunk):
                 failure = record_event(work, event)
                 if failure is not None:
                     break
                 complete.append(event.raw)
-                if is_progress(work.route, event):
-                    stream.idle_bytes = 0
+                progressed = progressed or is_progress(work.route, event)
         except event_stream.MalformedStream as fault:
             failure = work_items.Failed(str(fault))
+        stream.idle_bytes += len(complete) * EVENT_OVERHEAD_BYTES
+        if progressed:
+            stream.idle_bytes = 0
         self._hold_stream(stream, complete, reply)
         if complete:
             # A single event is not copied.
@@ -241,6 +249,29 @@
             self.parts.record_answer(work)
 
 
+async def read_droppable(
+    body: answer_bodies.AnswerBody, held: int, reply: replies.Reply
+) -> bytes | None:
+    """Read ahead; None if what was read is dropped to make room for others.
+
+    ``held`` bytes of an earlier response are kept besides. Once a part of the
+    reply has been sent, only the end of its connection shows that it is
+    truncated.
+    """
+    with trio.CancelScope() as reading:
+        if not reply.started:
+            reply.set_drop(reading.cancel)
+        try:
+            begin = await body.read_ahead(lambda n: reply.hold(held + n))
+        finally:
+            reply.set_drop(None)
+    if reading.cancel_called:
+        # It may have been read whole meanwhile.
+        reply.hold(0)
+        return None
+    return begin
+
+
 def record_event(
     work: work_items.Work, event: event_stream.ServerEvent
 ) -> work_items.Failed | None:
--- a/tests/failures/test_crowd_endless.py
+++ b/tests/failures/test_crowd_endless.py
@@ -14,6 +14,7 @@
 from tests.standins import raw_http
 
 CALLS = 40
+MANY_CALLS = 200
 FILLER = b"x" * 65_536
 EVENTS = {"content-type": "text/event-stream"}
 CHUNKED = {"transfer-encoding": "chunked"}
@@ -48,6 +49,33 @@
         run.ended = "closed"
 
 
+@params(("look", CALLS), ("log", CALLS), ("look", MANY_CALLS))
+def test_each_caller_of_an_endless_body_gets_an_answer(route, calls):
+    """Guards against connections that are closed for room with no answer."""
+
+    async def main():
+        first_lines = []
+        async with crowds.open_site() as site:
+            site.desk.always = answer
+
+            async def call():
+                client = await site.connect(small=False)
+                assert client is not None
+                path = f"/{route}/close"
+                await client.send(site.make_head(path, "connection: close"))
+                first_lines.append(await client.read_first_line())
+                await client.read_slowly(10**9, 0.001)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(calls):
+                    nursery.start_soon(call)
+            await site.check()
+        assert len(first_lines) == calls
+        assert all(line.startswith("HTTP/1.1 ") for line in first_lines)
+
+    trio.run(main)
+
+
 @params(1, 2)
 def test_answers_without_end_of_all_kinds_stay_within_memory(vms):
     """Guards against bytes that are kept of each, also through a peer."""
