Follow the configuration after a version with too high a number

An operator or another writer that writes one version with a number that is too high, but below 2^53, had all later versions ignored by every entry VM that ran: routes and keys stayed those of that version until a restart.

Cause: a table replaced another only if its revision was higher, whatever the order of the records.

Entry VMs that start, or read several records at once, have gone by that order already; those that read the same records one by one disagreed with them.

Limits: a version that is too high and known from before a restore hides the later ones as before. A lower version that this entry VM has never seen and whose write is done after a newer one's is followed, as it is by entry VMs that start.

--- a/tests/failures/test_odd_records.py
+++ b/tests/failures/test_odd_records.py
@@ -21,6 +21,7 @@
     {"state": None, "coldRemainingMs": math.inf},
     {"sequence": 10**400, "heartbeatMs": 10**400, "coldRemainingMs": -1},
 )
+MAX_VERSION = 2**53 - 1
 ODD_IDS = ("", "i-\r\nx: y", "i-\x00", " ", "x" * 255)
 
 
@@ -119,18 +120,37 @@
             await started.wait_until_ready()
             for each in vms:
                 await check_served(each)
-            later = stopping.make_config()
-            later["version"] = 60
-            later["routes"][0]["pathPrefix"] = "/later/"
-            running.store.put("keyed.op", "config", later)
+            await check_followed(vms, 60)
             for each in vms:
-                with trio.fail_after(stopping.START_S):
-                    while not any(
-                        event["revision"] == 60
-                        for event in each.list_events("config_in_force")
-                    ):
-                        await trio.sleep(0.02)
-                await check_served(each, "/later/")
                 assert not each.list_events("fault")
 
     trio.run(main)
+
+
+def test_configuration_with_too_high_a_version_hides_none_that_follows():
+    """Guards against a process that no longer follows the configuration."""
+
+    async def main():
+        server = backend.Backend("desk-0")
+        async with stopping.open_vms(server) as vms:
+            await check_followed(vms, MAX_VERSION)
+            await check_followed(vms, 60, "/later-still/")
+            await check_followed(vms, 61)
+
+    trio.run(main)
+
+
+async def check_followed(vms, version, path="/later/"):
+    """Write a version that moves a route, and check that it is in force."""
+    later = stopping.make_config()
+    later["version"] = version
+    later["routes"][0]["pathPrefix"] = path
+    vms[0].running.store.put("keyed.op", "config", later)
+    for each in vms:
+        with trio.fail_after(stopping.START_S):
+            while not any(
+                event["revision"] == version
+                for event in each.list_events("config_in_force")
+            ):
+                await trio.sleep(0.02)
+        await check_served(each, path)
