Let the store refute positions that peers report

Suspected by reading, shown by tests: one report of a delegate with a position that is too high left an entry VM behind for ever (it attested nothing more to others, knew no end of the topic, and called the store by itself again and again). With changes up to such a position it was worse: the entry VM went there and followed the topic no more, though its polls kept saying that it was current. Within the store's era no later record was applied; in another one each poll led to a list that was ignored.

Cause: reported positions were kept as the highest, and an answer that ends before the position read up to was taken for one that a delegate's changes had overtaken.

Change: the store's answers are linearizable and a topic never gets shorter, so an answer to a call that was sent after a report refutes a position behind its end. A reported one is then forgotten (event 1205); at one that was read up to, a read finds that the topic ends before it, and the list that follows replaces all. An answer to a call that was sent before the position was reached is ignored as before.

Limits: a plausible lie is not refuted (an end that the topic reaches before the next call to the store), nor one that a delegate keeps confirming.

Tests (tests/cover/test_odd_freshness_reports): positions of 9, 2^40 and 2^63 with and without changes; a property test of odd reports, chunks and queries, after which later records take effect. All three failed before. Eras, feeds, delegates and the model check pass as before.

--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -87,6 +87,13 @@
         "docs/operations/forwarding.md",
         logging.WARNING,
     )
+    POSITION_REFUSED = EventKind(
+        1205,
+        "A peer reported a position of a topic that the store's own answer "
+        "does not reach; it is ignored.",
+        "look for a faulty entry VM in the same failure domain",
+        logging.WARNING,
+    )
     PEER_UP = EventKind(1301, "A link to a peer was established.")
     PEER_DOWN = EventKind(
         1302,
--- a/src/carawayward/forwarding/change_log.py
+++ b/src/carawayward/forwarding/change_log.py
@@ -51,8 +51,9 @@
         """Replace all records by the newest of every key, read up to ``end``.
 
         ``start`` is the position read up to before. Keys that are missing
-        now have been removed since then. If ``start`` is None or belongs to
-        another era, removals cannot be derived and are forgotten.
+        now have been removed since then. If ``start`` is None, belongs to
+        another era or is behind ``end``, removals cannot be derived and
+        are forgotten.
         """
         self._listed.clear()
         known = self.newest
@@ -61,7 +62,11 @@
             for each in sorted(records, key=lambda each: each.offset)
         }
         self._newest_bytes = sum(map(_get_size, self.newest.values()))
-        if start is None or not positions.is_same_era(start, end):
+        if (
+            start is None
+            or start > end
+            or not positions.is_same_era(start, end)
+        ):
             self.floor = end
             self.removed.clear()
             return
--- a/src/carawayward/forwarding/feed.py
+++ b/src/carawayward/forwarding/feed.py
@@ -248,6 +248,7 @@
             wait_ms = self._take_wait(cause)
             sent_ms = self.outages.record_call()
             self.due_ms = sent_ms + wait_ms
+            position, known = self.position, self.latest_known_position
             try:
                 batch = await self._read(wait_ms)
             except keyed_log.EraChanged:
@@ -271,7 +272,9 @@
             # Recorded before the records are applied: entries missing from
             # them may have expired in the outage that this answer ends.
             self.outages.record_answer()
-            applied = self._apply_batch(batch)
+            if batch.complete and batch.end < known:
+                self._reject_known_position(known, batch.end)
+            applied = self._apply_batch(batch, position)
             if cause is call_causes.Cause.START and self.needs_earlier():
                 if not await self._try_read_earlier(batch.end, sent_ms):
                     continue
@@ -439,15 +442,35 @@
             listing_bytes = math.inf
         return await self.topic.read(self.position, wait_ms, listing_bytes)
 
-    def _apply_batch(self, batch: keyed_log.Batch) -> bool:
+    def _reject_known_position(self, known: int, end: int) -> None:
+        """Forget a reported position that the topic does not extend to.
+
+        ``end`` is its end according to a call sent after the report.
+        """
+        if self.latest_known_position == known:
+            self.latest_known_position = end
+            events.log_event(
+                events.Event.POSITION_REFUSED,
+                topic=self.name,
+                position=known,
+                end=end,
+            )
+
+    def _apply_batch(
+        self, batch: keyed_log.Batch, asked: int | None = None
+    ) -> bool:
         """Apply the result of a call unless a delegate's changes are newer.
 
+        ``asked`` is the position at which it was sent. If the topic ends
+        before that, another entry VM has reported a position that it does not
+        have, and a list replaces whatever was read up to there.
         Returns False if it shows nothing of the records up to its end.
         """
         before, lost = self.position, self._relist_cause
         self._relist_cause = None
         if before is not None and batch.end < before:
-            return True
+            if lost is None or asked is None or batch.end >= asked:
+                return True
         if before is None or lost is not None:
             superseded = lost is call_causes.Cause.SUPERSEDED
             return self._replace(batch, superseded)
--- a/src/carawayward/platform/store.py
+++ b/src/carawayward/platform/store.py
@@ -209,6 +209,9 @@
                 "store", f"status {answer.status}"
             )
         end, _ = struct.unpack_from(">QQ", answer.content)
+        if offset > end:
+            # No record of this topic has made this the position to read from.
+            raise keyed_log.HistoryLost()
         records = decode_records(answer.content[16:], start)
         position = start + len(records)
         complete = positions.get_offset(position) >= end
