Give up a transfer that an odd chunk has begun

One chunk of a delegate whose offset is too high had an entry VM refuse all chunks of the change that it lacked, as older than that, for as long as it stayed at its position: it went on only once it had read the store itself, 600 ms later or more.

Cause: a transfer takes only chunks of the change it was begun with or of a later one, and nothing ended it but progress.

Change: a transfer that nothing has come of for 800 ms gives way to a chunk of another change.

--- a/src/carawayward/forwarding/chunk_transfer.py
+++ b/src/carawayward/forwarding/chunk_transfer.py
@@ -137,7 +137,13 @@
         """
         transfer = self._find_transfer(peer, chunk.topic, chunk.start, now_ms)
         if not transfer.accepts(chunk):
-            return None
+            if transfer.is_active(now_ms):
+                return None
+            # What it was begun with was not of this topic.
+            del self.transfers[chunk.topic]
+            transfer = self._find_transfer(
+                peer, chunk.topic, chunk.start, now_ms
+            )
         transfer.add(chunk)
         transfer.active_ms = transfer.progress_ms = now_ms
         if len(transfer.parts) == transfer.count:
