Tests: odd roll-out orders, evacuations and statuses

An entry VM process is given odd records in the topics of orders and statuses: no field, deep nesting, each value of a good one odd, odd keys. It neither ends nor stops following: later versions, orders and evacuations take effect, and a process that starts with them gets ready.

--- a/tests/failures/test_odd_records.py
+++ b/tests/failures/test_odd_records.py
@@ -154,3 +154,62 @@
             ):
                 await trio.sleep(0.02)
         await check_served(each, path)
+
+
+def make_odd_values(good):
+    """Odd records, and a good one with each of its values odd."""
+    yield from NO_FIELDS
+    for name in good:
+        for odd in (None, 10**400, math.nan, -1, "\ud800", [], {}, True):
+            yield json.dumps({**good, name: odd}).encode()
+
+
+ORDER = {"service": "desk", "target": "v9", "durationS": 60}
+STATUS = {"state": "in_progress", "target": "v9"}
+ODD_TOPICS = (
+    ("keyed.op", "rollout/desk", ORDER),
+    ("keyed.op", "rollout/", ORDER),
+    ("keyed.op", "rollout/\r\n", ORDER),
+    ("keyed.op", "evacuate/", {}),
+    ("keyed.op", "evacuate/\x00", {}),
+    ("keyed.op", "elsewhere", {}),
+    ("keyed.status", "rollout/desk", STATUS),
+    ("keyed.status", "rollout/", STATUS),
+)
+
+
+def test_odd_orders_and_statuses_hide_none_that_follow():
+    """Guards against a process that ends or stops reading at an odd order."""
+
+    async def main():
+        server = backend.Backend("desk-0")
+        async with stopping.open_vms(server) as vms:
+            (vm,) = vms
+            running = vm.running
+            for topic, key, good in ODD_TOPICS:
+                for value in make_odd_values(good):
+                    put_raw(running, topic, key, value)
+            await check_followed(vms, 60)
+            running.store.put("keyed.op", "rollout/desk", ORDER)
+            running.store.put("keyed.op", "evacuate/far", {})
+            with trio.fail_after(stopping.START_S):
+                while not (
+                    any(
+                        event["version"] == ORDER["target"]
+                        for event in vm.list_events("rollout_ordered")
+                    )
+                    and any(
+                        event["failure_domain"] == "far"
+                        for event in vm.list_events("domain_evacuated")
+                    )
+                ):
+                    await trio.sleep(0.02)
+            started = stopping.EntryVm(running, "edge-started", vm.folder)
+            vms.append(started)
+            await started.start()
+            await started.wait_until_ready()
+            await check_followed(vms, 61, "/later-still/")
+            for each in vms:
+                assert not each.list_events("fault")
+
+    trio.run(main)
