--- a/tests/failures/test_odd_records.py
+++ b/tests/failures/test_odd_records.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import typing
 
 import trio
 
@@ -21,6 +22,7 @@
     {"state": None, "coldRemainingMs": math.inf},
     {"sequence": 10**400, "heartbeatMs": 10**400, "coldRemainingMs": -1},
 )
+MAX_VERSION = 2**53 - 1
 ODD_IDS = ("", "i-\r\nx: y", "i-\x00", " ", "x" * 255)
 
 
@@ -119,18 +121,99 @@
             await started.wait_until_ready()
             for each in vms:
                 await check_served(each)
-            later = stopping.make_config()
-            later["version"] = 60
-            later["routes"][0]["pathPrefix"] = "/later/"
-            running.store.put("keyed.op", "config", later)
+            await check_followed(vms, 60)
+            for each in vms:
+                assert not each.list_events("fault")
+
+    trio.run(main)
+
+
+def test_configuration_with_too_high_a_version_hides_none_that_follows():
+    """Guards against a process that no longer follows the configuration."""
+
+    async def main():
+        server = backend.Backend("desk-0")
+        async with stopping.open_vms(server) as vms:
+            await check_followed(vms, MAX_VERSION)
+            await check_followed(vms, 60, "/later-still/")
+            await check_followed(vms, 61)
+
+    trio.run(main)
+
+
+async def check_followed(vms, version, path="/later/"):
+    """Write a version that moves a route, and check that it is in force."""
+    later = stopping.make_config()
+    later["version"] = version
+    later["routes"][0]["pathPrefix"] = path
+    vms[0].running.store.put("keyed.op", "config", later)
+    for each in vms:
+        with trio.fail_after(stopping.START_S):
+            while not any(
+                event["revision"] == version
+                for event in each.list_events("config_in_force")
+            ):
+                await trio.sleep(0.02)
+        await check_served(each, path)
+
+
+def make_odd_values(good):
+    """Odd records, and a good one with each of its values odd."""
+    yield from NO_FIELDS
+    for name in good:
+        for odd in ODD_VALUES:
+            yield json.dumps({**good, name: odd}).encode()
+
+
+ORDER = {"service": "desk", "target": "v9", "durationS": 60}
+STATUS = {"state": "in_progress", "target": "v9"}
+ODD_VALUES: tuple[typing.Any, ...] = (
+    *(None, 10**400, math.nan, -1, "\ud800", [], {}, True),
+)
+ODD_TOPICS: tuple[tuple[str, str, dict], ...] = (
+    ("keyed.op", "rollout/desk", ORDER),
+    ("keyed.op", "rollout/", ORDER),
+    ("keyed.op", "rollout/\r\n", ORDER),
+    ("keyed.op", "evacuate/", {}),
+    ("keyed.op", "evacuate/\x00", {}),
+    ("keyed.op", "elsewhere", {}),
+    ("keyed.status", "rollout/desk", STATUS),
+    ("keyed.status", "rollout/", STATUS),
+)
+
+
+def test_odd_orders_and_statuses_hide_none_that_follow():
+    """Guards against a process that ends or stops reading at an odd order."""
+
+    async def main():
+        server = backend.Backend("desk-0")
+        async with stopping.open_vms(server) as vms:
+            (vm,) = vms
+            running = vm.running
+            for topic, key, good in ODD_TOPICS:
+                for value in make_odd_values(good):
+                    put_raw(running, topic, key, value)
+            await check_followed(vms, 60)
+            running.store.put("keyed.op", "rollout/desk", ORDER)
+            running.store.put("keyed.op", "evacuate/far", {})
+            with trio.fail_after(stopping.START_S):
+                while not (
+                    any(
+                        event["version"] == ORDER["target"]
+                        for event in vm.list_events("rollout_ordered")
+                    )
+                    and any(
+                        event["failure_domain"] == "far"
+                        for event in vm.list_events("domain_evacuated")
+                    )
+                ):
+                    await trio.sleep(0.02)
+            started = stopping.EntryVm(running, "edge-started", vm.folder)
+            vms.append(started)
+            await started.start()
+            await started.wait_until_ready()
+            await check_followed(vms, 61, "/later-still/")
             for each in vms:
-                with trio.fail_after(stopping.START_S):
-                    while not any(
-                        event["revision"] == 60
-                        for event in each.list_events("config_in_force")
-                    ):
-                        await trio.sleep(0.02)
-                await check_served(each, "/later/")
                 assert not each.list_events("fault")
 
     trio.run(main)
