--- a/src/carawayward/forwarding/answer_bodies.py
+++ b/src/carawayward/forwarding/answer_bodies.py
@@ -1,6 +1,7 @@
 """Reads the body of an endpoint's plain response ahead of its caller."""
 
 import io
+import math
 import typing
 
 import attrs
@@ -14,9 +15,8 @@
 # What is read of any response before its caller has to take it.
 MIN_AHEAD_BYTES = 65_536
 # A long body may take longer than the attempt timeout if it comes as fast as
-# this. One that declares its length has an end, and may come on a slow link.
+# this.
 MIN_BODY_BYTES_PER_MS = 1_000.0
-MIN_DECLARED_BYTES_PER_MS = 20.0
 
 # Called with how many bytes are to be kept; returns whether there is room.
 Hold = typing.Callable[[int], bool]
@@ -26,13 +26,13 @@
 class AnswerBody:
     """The body of a response; ``length`` bytes have been read of it.
 
-    It has ``timeout_ms`` in ``read_ahead``, and what its bytes take on a slow
-    link.
+    One that declares no length may have no end: it has ``timeout_ms`` in
+    ``read_ahead``, and what its bytes take on a slow link.
     """
 
     chunks: typing.AsyncIterator[bytes]
     declared: int | None
-    timeout_ms: float
+    timeout_ms: float = math.inf
     length: int = 0
     complete: bool = False
 
@@ -47,6 +47,7 @@
         declared = http.find_length(head.headers)
         if declared is not None:
             check_length(declared)
+            timeout_ms = math.inf
         return cls(chunks, declared, timeout_ms)
 
     async def read_ahead(self, hold: Hold) -> bytes:
@@ -56,9 +57,6 @@
         Raises AttemptFailed if it is truncated, too large or too slow.
         """
         kept = io.BytesIO()
-        bytes_per_ms = MIN_BODY_BYTES_PER_MS
-        if self.declared is not None:
-            bytes_per_ms = MIN_DECLARED_BYTES_PER_MS
         room = MIN_AHEAD_BYTES
         if self.declared is not None and self.declared > room:
             if hold(self.declared):
@@ -71,7 +69,7 @@
                     if self.declared is not None or not hold(2 * room):
                         return kept.getvalue()
                     room *= 2
-                expected_ms = self.length / bytes_per_ms
+                expected_ms = self.length / MIN_BODY_BYTES_PER_MS
                 timeout.deadline = (
                     began + (self.timeout_ms + expected_ms) / 1000
                 )
