Test a planned stop of the callers' API that is short of processor time

What callers saw: calls that come once a starved process has waited for its balancer wait for seconds for a refusal that is known when they are sent, or are accepted as the listener closes and cut 0.5 s later; the process ends long after stop.deadline_ms, when it would have been killed.

The test starts one real entry VM with .08 of a core (the pause and go of tests/soak/partitioned), 50 calls a second and endpoints that take 1.5 s, and stops it: what was read has an answer or a refusal, calls sent after unready_ms are not left waiting for more than 1 s, and the process ends before its deadline (4 s).

--- a/tests/common/deployment.py
+++ b/tests/common/deployment.py
@@ -14,7 +14,9 @@
 import httpcore
 import yaml
 
+from carawayward import daemon
 from tests.common import loopback
+from tests.soak import partitioned
 
 PLATFORM = ("log", "vms", "ratings", "weights")
 START_TIMEOUT_S = 30.0
@@ -148,7 +150,8 @@
 
     Leaving the context kills all of them. ``addresses`` is by stand-in,
     ``pools`` lists the endpoints of each pool, and ``folder`` holds the
-    settings and outputs of the processes.
+    settings and outputs of the processes. Each entry VM gets ``core_share`` of
+    a core.
     """
 
     plan: Plan
@@ -159,11 +162,18 @@
     addresses: dict[str, str] = attrs.field(factory=dict)
     pools: dict[str, list[str]] = attrs.field(factory=dict)
     processes: dict[str, subprocess.Popen] = attrs.field(factory=dict)
+    core_share: float = 1.0
 
     @property
     def environment(self) -> dict[str, str]:
         """The environment of all processes."""
-        return {**os.environ, "PYTHONPATH": "src:."}
+        return {
+            **os.environ,
+            "PYTHONPATH": "src:.",
+            partitioned.IP_VARIABLE: "127.0.0.1",
+            partitioned.FILE_VARIABLE: str(self.folder / "partition"),
+            partitioned.CORE_VARIABLE: f"{self.core_share:g}",
+        }
 
     def __enter__(self) -> typing.Self:
         try:
@@ -311,9 +321,10 @@
         """Start one entry VM's daemon."""
         path = self.folder / f"{vm.name}.yaml"
         path.write_text(yaml.safe_dump(self.make_settings(vm)))
-        vm.process = self.spawn(
-            vm.name, "-m", "carawayward.daemon", "--settings", str(path)
-        )
+        program = ["-m", "carawayward.daemon"]
+        if self.core_share < 1.0:
+            program = [partitioned.__file__, daemon.__file__]
+        vm.process = self.spawn(vm.name, *program, "--settings", str(path))
         self.processes[vm.name] = vm.process
 
     def make_settings(self, vm: EntryProcess) -> dict:
--- a/tests/failures/test_api_stop_traffic.py
+++ b/tests/failures/test_api_stop_traffic.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import math
 import pathlib
 import signal
 import ssl
@@ -32,13 +33,21 @@
 
 @attrs.define
 class Calls:
-    """Calls to one entry VM, and how each ended, by request key."""
+    """Calls to one entry VM, and how each ended, by request key.
+
+    ``sent_s`` and ``waited_s`` have when each was sent, from the first signal
+    on, and for how long it waited.
+    """
 
     vm: deployment.EntryProcess
     process: subprocess.Popen
     pools: list[httpcore.AsyncConnectionPool]
     scheme: str
+    gap_s: float = GAP_S
+    signalled_s: float = math.inf
     ended: dict[str, httpcore.Response | None] = attrs.field(factory=dict)
+    sent_s: dict[str, float] = attrs.field(factory=dict)
+    waited_s: dict[str, float] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Call on kept and new connections until the process has ended."""
@@ -48,7 +57,7 @@
                     break
                 nursery.start_soon(self._call, number)
                 nursery.start_soon(self._leave_unfinished)
-                await trio.sleep(GAP_S)
+                await trio.sleep(self.gap_s)
 
     async def _call(self, number: int) -> None:
         key = f"key-{number}"
@@ -61,6 +70,8 @@
             headers["Carawayward-Key-Made-At"] = str(int(time.time() * 1000))
             headers["Carawayward-Attempt"] = "1"
         self.ended[key] = None
+        sent_s = trio.current_time()
+        self.sent_s[key] = sent_s - self.signalled_s
         with contextlib.suppress(
             httpcore.NetworkError, httpcore.RemoteProtocolError
         ):
@@ -71,6 +82,7 @@
                 content=json.dumps(body).encode(),
                 extensions={"timeout": {"connect": 10.0, "read": 20.0}},
             )
+        self.waited_s[key] = trio.current_time() - sent_s
 
     async def _leave_unfinished(self) -> None:
         host, _, port = self.vm.callers.partition(":")
@@ -130,7 +142,7 @@
     )
 
 
-async def stop_beside_calls(vm, context, pauses_s) -> Calls:
+async def stop_beside_calls(vm, context, pauses_s, gap_s=GAP_S) -> Calls:
     """Stop an entry VM with signals, each after a pause."""
     async with contextlib.AsyncExitStack() as stack:
         pools = [
@@ -144,12 +156,13 @@
             for kept in (1_000, 0)
         ]
         scheme = "https" if context else "http"
-        calls = Calls(vm, vm.process, pools, scheme)
+        calls = Calls(vm, vm.process, pools, scheme, gap_s)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(calls.run)
             for pause_s in (BEFORE_S, *pauses_s):
                 await trio.sleep(pause_s)
                 vm.process.send_signal(signal.SIGTERM)
+                calls.signalled_s = min(calls.signalled_s, trio.current_time())
         return calls
 
 
--- a/tests/soak/partitioned.py
+++ b/tests/soak/partitioned.py
@@ -86,8 +86,8 @@
         os.kill(bounded, signal.SIGCONT)
 
 
-def main(program: str) -> None:
-    """Run a Python program in this process."""
+def main(program: str, *arguments: str) -> None:
+    """Run a Python program with its arguments in this process."""
     core_share = float(os.environ[CORE_VARIABLE])
     if core_share < 1.0:
         bound_processor_time(core_share)
@@ -99,9 +99,9 @@
         pathlib.Path(os.environ[FILE_VARIABLE]),
     )
     socket.socket.connect = replaced  # type: ignore[method-assign]
-    sys.argv = [program]
+    sys.argv = [program, *arguments]
     runpy.run_path(program, run_name="__main__")
 
 
 if __name__ == "__main__":
-    main(sys.argv[1])
+    main(*sys.argv[1:])
