Take the times of a stop out of the drain of forwarded routes

The callers' API needs the same: times that count from the signal, a measured slowdown that lasts, times that come forward only when they are near, a port that is closed early. StopProgress has them now, for any process that stops; planned_stop takes what is kept at the end as a Reserve. Drain keeps its two waits.

--- a/src/carawayward/decisions/planned_stop.py
+++ b/src/carawayward/decisions/planned_stop.py
@@ -31,6 +31,17 @@
 DURATION_MARGIN = 1.5
 
 
+@attrs.frozen
+class Reserve:
+    """What a process that is not slow keeps at the end of its grace, in ms.
+
+    The replies are due, and the connections closed, as long before the end.
+    """
+
+    replies_due_ms: float = REPLIES_DUE_MS
+    closed_ms: float = CLOSED_MS
+
+
 @attrs.frozen
 class StopTimes:
     """The times of a planned stop, in ms from its beginning."""
@@ -41,7 +52,11 @@
 
     @classmethod
     def from_grace(
-        cls, grace_ms: float, slowdown: float = 1.0, open_requests: int = 0
+        cls,
+        grace_ms: float,
+        slowdown: float = 1.0,
+        open_requests: int = 0,
+        reserve: Reserve = Reserve(),
     ) -> "StopTimes":
         """Compute the times of a process that is killed after ``grace_ms``.
 
@@ -51,10 +66,10 @@
         most_ms = MAX_CLOSING_PART * grace_ms
         replying_ms = open_requests * REPLY_PROCESSOR_MS
         needed_ms = slowdown * (replying_ms + CLOSING_PROCESSOR_MS)
-        due_ms = max(REPLIES_DUE_MS, min(needed_ms, most_ms))
+        due_ms = max(reserve.replies_due_ms, min(needed_ms, most_ms))
         ending_ms = slowdown * ENDING_PROCESSOR_MS
-        closed_ms = max(CLOSED_MS, min(ending_ms, most_ms / 2))
-        cutoff_ms = due_ms - (REPLIES_DUE_MS - CUTOFF_MS)
+        closed_ms = max(reserve.closed_ms, min(ending_ms, most_ms / 2))
+        cutoff_ms = max(closed_ms, due_ms - (REPLIES_DUE_MS - CUTOFF_MS))
         return cls(
             max(0.0, grace_ms - due_ms),
             max(0.0, grace_ms - cutoff_ms),
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -161,7 +161,7 @@
                 ended.set()
                 serving.cancel_scope.deadline = max(
                     trio.current_time() + LISTENERS_CLOSE_S,
-                    self.drain.closing_deadline_s,
+                    self.drain.progress.closing_deadline_s,
                 )
             nursery.cancel_scope.cancel()
         for each in self.controllers:
@@ -178,7 +178,7 @@
             signal.SIGTERM,
             signal.SIGINT,
             signal.SIGHUP,
-            record=self.drain.record_signal,
+            record=self.drain.progress.record_signal,
         ) as signals:
             if self.take_early_reload():
                 self.reload()
@@ -213,9 +213,9 @@
             http_server.serve,
             self.app,
             self.callers,
-            self.drain.stop_accepting,
+            self.drain.progress.stop_accepting,
         )
-        self.drain.listeners.append(self.callers)
+        self.drain.progress.listeners.append(self.callers)
         for app, address, max_connections in (
             (self._answer_readiness, listen.readiness, limits.others),
             (self._answer_metrics, listen.metrics, limits.others),
@@ -225,7 +225,7 @@
                 continue
             config = self._make_listener(address, max_connections)
             nursery.start_soon(http_server.serve, app, config, stop)
-            self.drain.listeners.append(config)
+            self.drain.progress.listeners.append(config)
 
     async def _follow_limits(self) -> None:
         """Keep the listeners' limits at those of the routing table."""
@@ -233,7 +233,7 @@
             declared = self.board.declared
             if self.board.table is not None:
                 limits = self.board.table.limits
-                for config in self.drain.listeners:
+                for config in self.drain.progress.listeners:
                     config.set_idle_timeout(limits.idle_ms)
                 self.callers.set_header_limit(limits.header_bytes)
             await declared.wait()
--- a/tests/cover/test_stop_times.py
+++ b/tests/cover/test_stop_times.py
@@ -97,15 +97,16 @@
     clock = clock_module.ManualClock()
     callers: typing.Any = types.SimpleNamespace(count_waiting=lambda: 0)
     drain = drain_module.Drain(board, typing.cast(typing.Any, clock), callers)
-    drain.began_ms, drain.grace_ms = 0.0, GRACE_MS
+    progress = drain.progress
+    progress.began_ms, progress.grace_ms = 0.0, GRACE_MS
 
     async def main():
         while clock.now < until_ms:
             meter = types.SimpleNamespace(
                 slowdown=10.0 if is_slow(clock.now) else 1.0
             )
-            drain.meter = typing.cast(typing.Any, meter)
-            drain._follow_times(trio.CancelScope())
+            progress.meter = typing.cast(typing.Any, meter)
+            progress.update()
             clock.advance(drain_module.POLL_MS)
 
     trio.run(main)
