End a stop of the callers' API that is short of processor before its deadline

What callers saw: calls that came late in a stop of a starved process waited for seconds for a refusal, or were accepted as the listener closed and cut 0.5 s later; the process ended after stop.deadline_ms, when it is killed.

Cause: a bounded wait whose end abandons what waits. The stop counted from when the event loop saw the signal; its listener accepted what it could not refuse in time, drained the rest at the end and cut it after a fixed time; that time, and a forced exit 2 s later, came on top of the deadline.

Change: the stop uses StopProgress. What is in hand as a listener stops is not cut after 0.5 s but when connections have to be closed: by 0.3 s before the deadline (0.25 s of 4 s), earlier while the process is slow. The port closes at the latest 0.1 s after replies are due, no longer at the end of a stop that was cut short. The same holds for the operators' listener. A forced exit comes 0.1 s before the deadline.

--- a/src/carawayward/daemon.py
+++ b/src/carawayward/daemon.py
@@ -51,8 +51,8 @@
 from carawayward import supervision
 
 POLL_INTERVAL_MS = 20.0
-# By the time the listeners close, the connections left carry no request.
-LISTENERS_CLOSE_TIMEOUT_S = 0.5
+# How long a listener that is closed waits for connections without a request.
+LISTENERS_CLOSE_MS = 500
 READY_WAIT_LIMIT_MS = 5_000.0
 
 
@@ -195,6 +195,7 @@
             incarnation=self.board.incarnation,
         )
         app = self.api.build()
+        callers, operators = self._make_listeners()
         stop = stopping.PlannedStop(
             self.settings,
             self.board,
@@ -203,9 +204,11 @@
             lambda: app.open_requests,
             self.api.lifecycle.deadlines,
             self.api.lookups.cut_off,
+            callers,
         )
+        stop.progress.listeners = [callers, operators]
         with process_signals.open_receiver(
-            signal.SIGTERM, signal.SIGINT
+            signal.SIGTERM, signal.SIGINT, record=stop.progress.record_signal
         ) as signals:
             async with trio.open_nursery() as nursery:
                 supervisor = supervision.Supervisor(nursery)
@@ -220,14 +223,25 @@
                 gc.collect()
                 gc.freeze()
                 async with trio.open_nursery() as serving:
-                    self._start_serving(serving, app, stop.stop_serving)
+                    serving.start_soon(
+                        http_server.serve,
+                        app,
+                        callers,
+                        stop.progress.stop_accepting,
+                    )
+                    serving.start_soon(
+                        http_server.serve,
+                        self._build_operators_app(),
+                        operators,
+                        stop.stop_serving,
+                    )
                     nursery.start_soon(self._become_ready)
                     await anext(signals)
                     await stop.run(signals)
                     if stop.cut:
-                        stopping.force_exit_later()
+                        stopping.force_exit_later(stop.find_left_s())
                     serving.cancel_scope.deadline = (
-                        trio.current_time() + LISTENERS_CLOSE_TIMEOUT_S
+                        stop.progress.closing_deadline_s
                     )
                 nursery.cancel_scope.cancel()
         for client in self.clients:
@@ -239,41 +253,37 @@
         if stop.cut:
             raise SystemExit(stopping.CUT_EXIT_CODE)
 
-    def _start_serving(
+    def _make_listeners(
         self,
-        nursery: trio.Nursery,
-        callers_app: typing.Any,
-        stop_serving: trio.Event,
-    ) -> None:
-        """Serve callers and operators until ``stop_serving`` is set."""
+    ) -> tuple[listening.ListenerConfig, listening.ListenerConfig]:
+        """Make the listeners of callers and of operators."""
         listen, tls = self.settings.listen, self.settings.tls
-        limits, stop = self.settings.limits, self.settings.stop
-        resources = self.settings.resources
-        connections = process_resources.find_connection_limits(resources)
-        for app, address, listener_tls, max_connections in (
-            (
-                callers_app,
-                listen.callers,
-                tls.callers,
-                connections.callers,
-            ),
-            (
-                middleware.RequestMiddleware(
-                    build_operators_app(self.pages, self.console), self.board
-                ),
-                listen.operators,
-                tls.operators,
-                connections.others,
-            ),
-        ):
-            # When ``stop_serving`` is set no request is running, unless the
-            # stop was cut short, so this timeout interrupts no stream.
-            config = listening.make_config(
-                address, limits, listener_tls, stop.deadline_ms, self.account
+        connections = process_resources.find_connection_limits(
+            self.settings.resources
+        )
+        callers, operators = (
+            listening.make_config(
+                address,
+                self.settings.limits,
+                listener_tls,
+                LISTENERS_CLOSE_MS,
+                self.account,
+            )
+            for address, listener_tls in (
+                (listen.callers, tls.callers),
+                (listen.operators, tls.operators),
             )
+        )
+        callers.max_connections = connections.callers
+        operators.max_connections = connections.others
+        for config in (callers, operators):
             config.closes = self.closed
-            config.max_connections = max_connections
-            nursery.start_soon(http_server.serve, app, config, stop_serving)
+        return callers, operators
+
+    def _build_operators_app(self) -> middleware.RequestMiddleware:
+        return middleware.RequestMiddleware(
+            build_operators_app(self.pages, self.console), self.board
+        )
 
     async def _become_ready(self) -> None:
         while self.board.config is None:
--- a/src/carawayward/deadlines.py
+++ b/src/carawayward/deadlines.py
@@ -102,6 +102,8 @@
 
     def bring_forward(self, stop_ms: float) -> None:
         """End all requests, also future ones, at ``stop_ms`` at the latest."""
-        self.stop_ms = min(self.stop_ms, stop_ms)
+        if stop_ms >= self.stop_ms:
+            return
+        self.stop_ms = stop_ms
         for deadline in list(self.in_hand):
             deadline.bring_forward(self.stop_ms)
