End calls of services whose tasks are cancelled together

What callers saw: a look-up of such a call said "running" until the process ended, and the call had no last line in the log.

Cause: a nursery whose tasks are cancelled raises a group of cancellations, which "except trio.Cancelled" does not match, so that the attempt was not ended. Completions end theirs in a "finally" and are not concerned.

Change: what the fault holds is split, as elsewhere (supervision), and the attempt ends with an outcome if cancellations are among it.

No real process was seen to do this; it was found by reading.

--- a/src/carawayward/gateway/app.py
+++ b/src/carawayward/gateway/app.py
@@ -9,7 +9,6 @@
 from starlette import requests as http_requests
 from starlette import responses
 from starlette import routing
-import trio
 
 from carawayward import blackboard as blackboard_module
 from carawayward import buffers
@@ -27,6 +26,7 @@
 from carawayward.gateway import sessions as sessions_module
 from carawayward import outcomes
 from carawayward.protocol import tokens
+from carawayward import supervision
 
 NO_ROOM_RETRY_MS = 1_000
 CANCELLED_CALL = outcomes.Unknown(
@@ -219,14 +219,16 @@
         self.lookups.begin(customer.name, call.request_key)
         try:
             outcome = await self._run_service(customer, call)
-        except Exception:
-            # It is logged and answered by its handler.
-            self.lookups.end(customer.name, call.request_key)
-            raise
-        except trio.Cancelled:
-            self.lookups.end_with_outcome(
-                customer.name, call.request_key, CANCELLED_CALL
-            )
+        except BaseException as fault:
+            # Tasks that are cancelled together raise a group.
+            cancelled, _ = supervision.split_cancelled(fault)
+            if cancelled is None:
+                # It is logged and answered by its handler.
+                self.lookups.end(customer.name, call.request_key)
+            else:
+                self.lookups.end_with_outcome(
+                    customer.name, call.request_key, CANCELLED_CALL
+                )
             raise
         self.lookups.end_with_outcome(customer.name, call.request_key, outcome)
         if isinstance(outcome, outcomes.Answered):
--- a/tests/cover/test_gateway_supervision.py
+++ b/tests/cover/test_gateway_supervision.py
@@ -4,7 +4,9 @@
 
 import trio
 
+from carawayward import outcomes
 from carawayward import supervision
+from tests.common import asgi
 
 
 def run_supervised(
@@ -58,3 +60,33 @@
         assert runs == 1
 
     run_supervised(scenario)
+
+
+def test_call_whose_tasks_are_cancelled_together_is_over():
+    """It stayed counted as running, and look-ups said so for ever."""
+
+    class Dispatcher:
+        async def call_service(self, *arguments: typing.Any) -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(trio.sleep_forever)
+                await trio.sleep_forever()
+
+    daemon = asgi.make_daemon()
+    lookups = daemon.api.lookups
+    daemon.api.lifecycle.dispatcher = typing.cast(typing.Any, Dispatcher())
+
+    async def run() -> None:
+        with trio.move_on_after(0.2):
+            await asgi.exchange(
+                daemon.api.build(),
+                "POST",
+                "/v1/services/swap-desk/look-up-parcel",
+                (asgi.AUTH, asgi.JSON, (b"idempotency-key", b"key-0")),
+                (b'{"text": "x"}',),
+            )
+
+    trio.run(run)
+    assert not lookups.running
+    (outcome,) = lookups.recent_outcomes.values()
+    assert isinstance(outcome, outcomes.Unknown)
+    assert outcome.reason is outcomes.Reason.CALLER_LEFT
