--- a/src/carawayward/daemon.py
+++ b/src/carawayward/daemon.py
@@ -206,7 +206,8 @@
             self.api.lookups.cut_off,
             callers,
         )
-        stop.progress.listeners = [callers, operators]
+        # Operators have no deadline for their forms, which may never be whole.
+        stop.progress.listeners = [callers]
         with process_signals.open_receiver(
             signal.SIGTERM, signal.SIGINT, record=stop.progress.record_signal
         ) as signals:
--- a/tests/failures/test_stop_answers.py
+++ b/tests/failures/test_stop_answers.py
@@ -524,3 +524,21 @@
             if event["name"] in FINAL_EVENTS
         ]
     assert lines == [("request_refused", "leaving")] * 2, lines
+
+
+def test_unfinished_form_of_an_operator_does_not_delay_a_stop():
+    """A form whose body never ends kept the process until its deadline."""
+    plan = streaming.make_plan(stop=LONG_STOP)
+    with deployment.Deployment(plan) as running:
+        vm = running.entry_vms[0]
+        assert vm.process is not None
+        host, _, port = vm.operators.partition(":")
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall(
+                b"POST /console/login HTTP/1.1\r\nHost: x\r\n"
+                b"Content-Type: application/x-www-form-urlencoded\r\n"
+                b"Content-Length: 50\r\n\r\nkey="
+            )
+            time.sleep(0.5)
+            vm.process.send_signal(signal.SIGTERM)
+            assert vm.process.wait(EXIT_TIMEOUT_S) == 0
