--- a/tests/cover/test_stop_times.py
+++ b/tests/cover/test_stop_times.py
@@ -113,15 +113,16 @@
     clock = clock_module.ManualClock()
     callers: typing.Any = types.SimpleNamespace(count_waiting=lambda: 0)
     drain = drain_module.Drain(board, typing.cast(typing.Any, clock), callers)
-    drain.began_ms, drain.grace_ms = 0.0, GRACE_MS
+    progress = drain.progress
+    progress.began_ms, progress.grace_ms = 0.0, GRACE_MS
 
     async def main():
         while clock.now < until_ms:
             meter = types.SimpleNamespace(
                 slowdown=10.0 if is_slow(clock.now) else 1.0
             )
-            drain.meter = typing.cast(typing.Any, meter)
-            drain._follow_times(trio.CancelScope())
+            progress.meter = typing.cast(typing.Any, meter)
+            progress.update()
             clock.advance(drain_module.POLL_MS)
 
     trio.run(main)
@@ -191,9 +192,10 @@
             count_waiting=lambda: 100, turns_away_queued=False
         )
         meter: typing.Any = Starved()
-        drain = drain_module.Drain(board, clock, callers, [callers])
-        drain.meter = meter
-        drain.began_ms = clock.now_ms() - 2_000.0
+        drain = drain_module.Drain(board, clock, callers)
+        drain.progress.listeners = [callers]
+        drain.progress.meter = meter
+        drain.progress.began_ms = clock.now_ms() - 2_000.0
         await drain.run()
         return callers.turns_away_queued
 
