--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -1,6 +1,5 @@
 """Applies operators' declarations: routing table, roll-outs, evacuations."""
 
-import collections
 import typing
 
 import attrs
@@ -10,11 +9,10 @@
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import message_types
-from carawayward.forwarding import positions
 from carawayward.forwarding import table
 from carawayward import record_isolation
 
-# Number of superseded orders, and of revisions of tables, that are kept.
+# Number of superseded orders that are kept.
 MAX_SUPERSEDED = 100
 # After the store is restored from a backup that lacks a declaration, the
 # declaration is written again within this time.
@@ -35,9 +33,7 @@
     The last valid revision stays in force. ``decode`` returns None for a
     record of another kind or one that cannot be used.
 
-    ``superseded`` are roll-out orders that a later one has replaced, and
-    ``superseded_revisions`` those of older tables. ``table_position`` is
-    that of the record with the table in force.
+    ``superseded`` are roll-out orders that a later one has replaced.
     ``missing_since_ms`` holds, by failure domain, when an evacuation was
     found missing after a restore of the store, in ms on the boot clock.
     ``unusable`` are the keys whose newest record could not be used when all
@@ -48,10 +44,6 @@
     decode: typing.Callable[[keyed_log.Record], Decoded]
     clock: clock_module.Clock = attrs.field(factory=clock_module.Clock)
     superseded: list[message_types.RolloutOrder] = attrs.field(factory=list)
-    superseded_revisions: collections.deque[int] = attrs.field(
-        factory=lambda: collections.deque(maxlen=MAX_SUPERSEDED)
-    )
-    table_position: int = 0
     missing_since_ms: dict[str, float] = attrs.field(factory=dict)
     unusable: set[str] = attrs.field(factory=set)
     _restored: bool = False
@@ -103,7 +95,7 @@
             decoded = self.decode(record)
             if not isinstance(decoded, table.RoutingTable):
                 return False
-            self._apply_table(decoded, record.offset)
+            self._apply_table(decoded)
             return True
 
         return record_isolation.isolate(
@@ -120,7 +112,7 @@
             # An order in a backup that has been superseded since would start
             # a finished roll-out again.
             if not restored or decoded not in self.superseded:
-                self._apply_decoded(decoded, record.offset)
+                self._apply_decoded(decoded)
             return decoded
 
         return record_isolation.isolate(
@@ -152,9 +144,9 @@
             events.Event.DOMAIN_RETURNED, failure_domain=failure_domain
         )
 
-    def _apply_decoded(self, decoded: Decoded, position: int) -> None:
+    def _apply_decoded(self, decoded: Decoded) -> None:
         if isinstance(decoded, table.RoutingTable):
-            self._apply_table(decoded, position)
+            self._apply_table(decoded)
         elif isinstance(decoded, message_types.Evacuation):
             if decoded.lifted:
                 self._lift(decoded.failure_domain)
@@ -184,43 +176,15 @@
         # Also before the first table: all that precedes it is known by then.
         self.board.table_as_of_ms = as_of_ms
 
-    def _apply_table(self, decoded: table.RoutingTable, position: int) -> None:
+    def _apply_table(self, decoded: table.RoutingTable) -> None:
         """Put a newer table into force; never revert to an older one."""
         known = self.board.table
-        if known is not None and not self._is_newer(decoded, position, known):
-            if decoded.revision != known.revision:
-                self.superseded_revisions.append(decoded.revision)
+        if known is not None and decoded.revision <= known.revision:
             return
-        if known is not None:
-            self.superseded_revisions.append(known.revision)
         self.board.table = decoded
-        self.table_position = position
         self.board.notify_declared()
         events.log_event(
             events.Event.CONFIG_IN_FORCE,
             revision=decoded.revision,
             routes=len(decoded.routes),
         )
-
-    def _is_newer(
-        self,
-        decoded: table.RoutingTable,
-        position: int,
-        known: table.RoutingTable,
-    ) -> bool:
-        """Whether a table is newer than the one in force.
-
-        Revisions rise within one history of the store. A lower one after that
-        in force shows that the latter's number was wrong, which would hide
-        all that follow. It is newer unless it has been superseded before, as
-        it has if a write is repeated late. A restored history has older ones
-        again.
-        """
-        if decoded.revision > known.revision:
-            return True
-        return (
-            decoded.revision < known.revision
-            and decoded.revision not in self.superseded_revisions
-            and position > self.table_position
-            and positions.is_same_era(position, self.table_position)
-        )
