Turn away connections that were counted before a starved stop

What callers saw: a connection that an overloaded entry VM had taken from the kernel, but not accepted, was neither answered nor reset when a starved process stopped; its caller waited until the listener had ended, up to the last time of the stop.

Cause: the connections to turn away are counted in the kernel's queue. With none there, those that the listener held itself (AcceptingListener.counted) were left open: turn_away(0) did nothing but close the socket.

Evidence: found by reading; shown on a listening socket with three callers, two of them counted (./build.sh test tests.cover.test_listening): no reset within 1 s before, 2 of 2 reset at once after. Not seen in a process.

Change: those that are held already are turned away as well.

The new test failed before (timed out).

--- a/src/carawayward/accept_queue.py
+++ b/src/carawayward/accept_queue.py
@@ -159,9 +159,10 @@
     def turn_away(self, most: int) -> None:
         """Reset connections that wait, with nothing read; close the socket.
 
-        ``most`` have to be counted. The kernel resets those that come after
-        them: callers that connect again at once would keep this from ending.
+        ``most`` wait in the kernel. It resets those that come after them:
+        callers that connect again at once would keep this from ending.
         """
+        most += len(self.counted)
         with self.listening_socket:
             while most > 0:
                 self._count_waiting()
--- a/tests/cover/test_listening.py
+++ b/tests/cover/test_listening.py
@@ -111,3 +111,37 @@
             each.close()
 
     trio.run(main)
+
+
+def test_connections_counted_before_a_stop_are_turned_away_with_the_others():
+    """Guards against callers who wait for a reset until the process ends."""
+
+    class CountOnce(accept_queue.KeepWaiting):
+        """A policy that counts those that wait, and keeps them waiting."""
+
+        def should_count(self) -> bool:
+            return True
+
+    async def main():
+        with contextlib.ExitStack() as stack:
+            listener = socket.create_server(("127.0.0.1", 0))
+            listener.setblocking(False)
+            callers = [
+                stack.enter_context(
+                    socket.create_connection(listener.getsockname(), 1.0)
+                )
+                for _ in range(3)
+            ]
+            queue = accept_queue.AcceptingListener(listener, CountOnce())
+            await (await queue.accept()).aclose()
+            assert len(queue.counted) == 2
+            queue.turn_away(0)
+            resets = 0
+            for caller in callers[1:]:
+                try:
+                    caller.recv(1)
+                except ConnectionResetError:
+                    resets += 1
+            assert resets == 2
+
+    trio.run(main)
