Let streams go on that begin shortly before replies come due

What callers saw: streams of an entry VM that is short of processor time were cut little after half of its grace, although streams that had begun a little earlier went on until its last sixth. A stream that is cut cannot become a refusal.

Cause: whether a reply had begun was asked only when the replies were brought forward, up to half a second before they came due. One that began after that kept the deadline of a reply that has not begun.

Change: a reply says when it begins, and its request then gets the later deadline.

The new test failed before (with the former parameter of StopDeadline.limit: cut at 4.0 s rather than 6.7 s of 8). The test beside it says by the new call that a reply has begun, and checks the same.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -64,12 +64,14 @@
     ``should_redirect_callers`` returns true when the reply starts, the reply
     closes the caller's connection. ``work`` is the request's, once that has
     been accepted. ``is_logged`` is set once the request's end is logged.
-    ``link`` is to the caller's connection.
+    ``link`` is to the caller's connection. ``record_start`` is called when the
+    reply starts.
     """
 
     send_event: Send
     should_redirect_callers: typing.Callable[[], bool]
     link: caller_links.CallerLink
+    record_start: typing.Callable[[], None] = lambda: None
     started: bool = False
     finished: bool = False
     work: work_items.Work | None = None
@@ -102,6 +104,7 @@
     async def start(self, status: int, headers: message_types.Headers) -> None:
         """Send status and headers."""
         self.started = True
+        self.record_start()
         if self.should_redirect_callers():
             headers = [*headers, (b"connection", b"close")]
         await self.send_event(
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -78,9 +78,10 @@
         )
         self.placer.choose_model(work)
         deadline_ms = work.deadline_ms - REPLY_MARGIN_MS
-        with self.stop_deadline.limit(
-            now_ms, deadline_ms, lambda: reply.started
-        ) as scope:
+        with self.stop_deadline.limit(now_ms, deadline_ms) as scope:
+            reply.record_start = functools.partial(
+                self.stop_deadline.record_begun, scope
+            )
             await self._run_attempts(work, reply)
         if not scope.cancelled_caught:
             return
--- a/src/carawayward/forwarding/relay_server.py
+++ b/src/carawayward/forwarding/relay_server.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import functools
 import typing
 
 import attrs
@@ -214,7 +215,10 @@
         mark, now_ms = http.SentMark(), self.clock.now_ms()
         deadline_ms = now_ms + relayed.remaining_ms
         stop_deadline = self.board.stop_deadline
-        with stop_deadline.limit(now_ms, deadline_ms, lambda: reply.started):
+        with stop_deadline.limit(now_ms, deadline_ms) as scope:
+            reply.record_start = functools.partial(
+                stop_deadline.record_begun, scope
+            )
             return await self._relay(relayed, reply, mark)
         if reply.started or not stop_deadline.is_earlier(deadline_ms):
             return None
--- a/src/carawayward/forwarding/replies.py
+++ b/src/carawayward/forwarding/replies.py
@@ -32,10 +32,12 @@
     """Interface for replying to a caller; sending raises ReplyLost.
 
     A reply that is not finished reaches the caller truncated. ``started``
-    says whether anything has been sent to the caller.
+    says whether anything has been sent to the caller; ``record_start`` is
+    called before that.
     """
 
     started: bool
+    record_start: typing.Callable[[], None]
 
     def hold(self, count: int) -> bool:
         """Account for ``count`` kept bytes of the response.
--- a/tests/cover/test_stop_times.py
+++ b/tests/cover/test_stop_times.py
@@ -1,5 +1,6 @@
 """When a stopping process replies and closes, and how slow it is."""
 
+import math
 import types
 import typing
 
@@ -150,7 +151,9 @@
         ended_s: dict[bool, float] = {}
 
         async def serve(begun):
-            with deadline.limit(0.0, has_begun=lambda: begun):
+            with deadline.limit(0.0) as scope:
+                if begun:
+                    deadline.record_begun(scope)
                 await trio.sleep_forever()
             ended_s[begun] = trio.current_time() - began_s
 
@@ -172,6 +175,42 @@
     assert ended_s[True] * 1000 >= GRACE_MS * 5 / 6
 
 
+def test_reply_that_begins_while_it_is_about_to_come_due_may_go_on():
+    """Streams were cut halfway through the grace that had just begun."""
+
+    async def main():
+        deadline = stop_deadline.StopDeadline()
+        times = planned_stop.StopTimes.from_grace(GRACE_MS, 20.0, 100)
+        own_ms = times.begun_due_ms - 100.0
+        begins_ms = times.replies_due_ms - 100.0
+        ended_ms: list[float] = []
+
+        def now_ms():
+            return trio.current_time() * 1000 - began_ms
+
+        async def serve(until_ms):
+            with deadline.limit(0.0, until_ms) as scope:
+                await trio.sleep(begins_ms / 1000)
+                deadline.record_begun(scope)
+                await trio.sleep_forever()
+            ended_ms.append(now_ms())
+
+        async with trio.open_nursery() as nursery:
+            began_ms = trio.current_time() * 1000
+            for until_ms in (math.inf, own_ms):
+                nursery.start_soon(serve, until_ms)
+            await trio.testing.wait_all_tasks_blocked()
+            deadline.bring_forward(
+                0.0, times.replies_due_ms, times.begun_due_ms
+            )
+        return [own_ms, times.begun_due_ms], ended_ms
+
+    expected, ended = trio.run(
+        main, clock=trio.testing.MockClock(autojump_threshold=0)
+    )
+    assert [round(each) for each in ended] == [round(e) for e in expected]
+
+
 def test_starved_process_turns_away_whenever_its_wait_ends():
     """A wait that ended early had all that was queued read, then cut."""
     clock: typing.Any = types.SimpleNamespace(
