Hold no bytes of an answer between its attempt and the reply

What callers saw: of 40 or 200 callers of endless bodies, one to three got a closed connection and not one byte, now and then.

Cause: an answer that is given up as too large was accounted for until the request had ended. Before its caller is told, the endpoint is asked whether it still runs, and for that time the answer could not be dropped any more, so that making room closed the connection. The same for the answer of a failed attempt while the next one runs, and for a whole answer that is about to be sent. Class: an account that outlives what it accounts for, and a wait in between.

Change: what a given up attempt has read is released with it. The response kept of a failed one can be dropped until the reply begins. A whole answer that is about to be sent is not chosen to make room.

Both new tests failed before (3 of 3 runs): a reset connection each.

--- a/src/carawayward/buffers.py
+++ b/src/carawayward/buffers.py
@@ -61,7 +61,9 @@
         others = [
             each
             for each in self.holders
-            if each is not requester and not each.closing
+            if each is not requester
+            and not each.closing
+            and not each.answer_ready
         ]
         chosen = buffer_shedding.choose_to_close(
             [each.describe(now_s) for each in others],
@@ -83,13 +85,15 @@
     ``close`` closes the connection. ``moved_bytes`` is what its client has
     sent and accepted; ``began_s`` and ``began_bytes`` are from when it began
     to hold any. While ``drop_answer`` is set nothing of the answer has been
-    sent, and it can be dropped instead. ``closing`` is set once it is closed
-    to make room, ``ended`` once it has ended.
+    sent, and it can be dropped instead. ``answer_ready`` is set while a whole
+    answer is about to be sent; room is made elsewhere then. ``closing`` is set
+    once it is closed to make room, ``ended`` once it has ended.
     """
 
     account: BufferAccount
     close: typing.Callable[[], None] = lambda: None
     drop_answer: typing.Callable[[], None] | None = None
+    answer_ready: bool = False
     held: dict[Part, int] = attrs.field(factory=dict)
     held_bytes: int = 0
     moved_bytes: int = 0
--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -85,6 +85,10 @@
         """Set what drops the kept response to make room."""
         self.link.share.drop_answer = drop
 
+    def set_ready(self, ready: bool) -> None:
+        """Set whether a whole response is about to be sent."""
+        self.link.share.answer_ready = ready
+
     def expect_unread(self, count: int) -> None:
         """Account for ``count`` bytes more while a write waits."""
         self.link.unread_bytes = count
@@ -98,12 +102,15 @@
     def release(self) -> None:
         """Hold nothing of a response any more."""
         self.set_drop(None)
+        self.set_ready(False)
         self.hold(0)
         self.link.unread_bytes = 0
 
     async def start(self, status: int, headers: message_types.Headers) -> None:
         """Send status and headers."""
         self.started = True
+        self.set_drop(None)
+        self.set_ready(False)
         self.record_start()
         if self.should_redirect_callers():
             headers = [*headers, (b"connection", b"close")]
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -18,6 +18,7 @@
 from carawayward.forwarding import readiness as readiness_module
 from carawayward.forwarding import refusals
 from carawayward.forwarding import relay_client
+from carawayward.forwarding import relaying
 from carawayward.forwarding import replies
 from carawayward.forwarding import retries
 from carawayward.forwarding import rollout_state
@@ -137,6 +138,7 @@
                     self.suspects.record_answer(work)
                 self._log_end(work, outcome.status, "delivered")
                 return
+            keep_failure(work, outcome, reply)
             if isinstance(outcome, work_items.Failed):
                 await self._record_unanswered_run(work, endpoint, outcome)
             self._record_outcome(work, endpoint, outcome)
@@ -287,11 +289,9 @@
             case work_items.Dropped():
                 work.failed_endpoints |= {name}
                 work.runs += 1
-                work.failure = None
             case work_items.Failed():
                 work.failed_endpoints |= {name}
                 work.runs += 1
-                work.failure = outcome
                 self.fleet.record_failure(endpoint, outcome.cause)
         self.metrics.count("attempts", outcome=type(outcome).__name__.lower())
 
@@ -445,3 +445,22 @@
             waited_ms=round(work.waited_ms),
             revision=work.table.revision,
         )
+
+
+def keep_failure(
+    work: work_items.Work,
+    outcome: work_items.Undelivered,
+    reply: replies.Reply,
+) -> None:
+    """Keep no response but the last failure's, which may be dropped.
+
+    The caller gets that one if no further attempt succeeds. Bytes that are
+    held longer than they are needed have the connection closed for room.
+    """
+    match outcome:
+        case work_items.Failed():
+            work.failure = outcome
+        case work_items.Dropped():
+            work.failure = None
+    reply.hold(work.count_kept_bytes())
+    relaying.make_failure_droppable(work, reply)
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -1,6 +1,7 @@
 """Relays an endpoint's response to the caller, or says why it cannot."""
 
 import contextlib
+import functools
 
 import attrs
 import trio
@@ -90,14 +91,12 @@
     ) -> work_items.Outcome:
         """Read a plain response, and relay it if it cannot be kept whole."""
         head = answer.head
-        # That of an earlier attempt is relayed if no other succeeds.
-        held = len(work.failure.body) if work.failure else 0
         timeout_ms = attempt_timeouts.compute_body_timeout_ms(work.route)
         async with contextlib.aclosing(answer.read_chunks()) as chunks:
             body = answer_bodies.AnswerBody.from_response(
                 head, chunks, timeout_ms
             )
-            begin = await read_droppable(body, held, reply)
+            begin = await read_droppable(work, body, reply)
             if begin is None:
                 return work_items.Dropped("no room for the response")
             work.progress.status = head.status
@@ -114,6 +113,7 @@
                 head.headers, self.internal_headers
             )
             if body.complete:
+                reply.set_ready(True)
                 return work_items.Answered(head.status, headers, begin)
             work.is_partly_sent = True
             answer.limit_unread()
@@ -142,6 +142,7 @@
             return work_items.Unsure(
                 f"confidence {work.confidence}", larger_model
             )
+        reply.set_drop(None)
         stream = StreamState()
         answer.limit_unread()
         reply.expect_unread(connections.UNREAD_BYTES)
@@ -250,21 +251,28 @@
 
 
 async def read_droppable(
-    body: answer_bodies.AnswerBody, held: int, reply: replies.Reply
+    work: work_items.Work,
+    body: answer_bodies.AnswerBody,
+    reply: replies.Reply,
 ) -> bytes | None:
     """Read ahead; None if what was read is dropped to make room for others.
 
-    ``held`` bytes of an earlier response are kept besides. Once a part of the
+    The response of an earlier attempt is kept besides. Once a part of the
     reply has been sent, only the end of its connection shows that it is
     truncated.
     """
+    held = work.count_kept_bytes()
     with trio.CancelScope() as reading:
         if not reply.started:
             reply.set_drop(reading.cancel)
         try:
             begin = await body.read_ahead(lambda n: reply.hold(held + n))
+        except attempt_module.AttemptFailed:
+            # The caller is told only after the endpoint has been checked.
+            reply.hold(held)
+            raise
         finally:
-            reply.set_drop(None)
+            make_failure_droppable(work, reply)
     if reading.cancel_called:
         # It may have been read whole meanwhile.
         reply.hold(0)
@@ -272,6 +280,14 @@
     return begin
 
 
+def make_failure_droppable(
+    work: work_items.Work, reply: replies.Reply
+) -> None:
+    """Let the response of an earlier attempt be dropped to make room."""
+    forget = functools.partial(setattr, work, "failure", None)
+    reply.set_drop(None if reply.started else forget)
+
+
 def record_event(
     work: work_items.Work, event: event_stream.ServerEvent
 ) -> work_items.Failed | None:
--- a/src/carawayward/forwarding/replies.py
+++ b/src/carawayward/forwarding/replies.py
@@ -51,6 +51,9 @@
         Otherwise the connection is closed.
         """
 
+    def set_ready(self, ready: bool) -> None:
+        """Set whether a whole response is about to be sent."""
+
     def expect_unread(self, count: int) -> None:
         """Account for ``count`` bytes more while a write waits."""
 
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -278,6 +278,10 @@
             self.mark is not None and self.mark.sent
         )
 
+    def count_kept_bytes(self) -> int:
+        """How long the kept response of a failed attempt is."""
+        return len(self.failure.body) if self.failure else 0
+
     @property
     def fingerprint(self) -> str:
         """Identifies the request's customer, method, target and body."""
--- a/tests/failures/test_answer_room.py
+++ b/tests/failures/test_answer_room.py
@@ -124,3 +124,61 @@
         assert answered.status == 200
 
     trio.run(main)
+
+
+def test_answer_that_is_too_large_is_not_held_until_the_caller_is_told():
+    """Guards against a connection that is closed although a 502 is due."""
+
+    async def main():
+        desk = backend.Backend("desk-0")
+        async with forwarding.open_forwarding(desk) as made:
+            account = made.daemon.board.buffers
+
+            async def flood(server, exchange):
+                run = server.begin(exchange)
+                head = raw_http.make_head(200, server.seal(exchange))
+                try:
+                    await exchange.stream.send_all(head)
+                    while True:
+                        await exchange.stream.send_all(ANSWER)
+                finally:
+                    run.ended = "closed"
+                    for share in list(account.holders):
+                        share.give_up()
+
+            desk.always = flood
+            answer = await made.call("POST", "/log/")
+            await made.wait_for(lambda: account.held_bytes == 0)
+        assert answer.status == 502
+
+    trio.run(main)
+
+
+def test_kept_failure_is_dropped_before_its_connection_is_closed():
+    """Guards against a caller without an answer as a retry is under way."""
+
+    async def fail_at_length(server, exchange):
+        server.begin(exchange).ended = "failed"
+        await exchange.answer(500, server.seal(exchange), ANSWER)
+
+    async def main():
+        desks = [backend.Backend(f"desk-{n}") for n in range(2)]
+        pending = [fail_at_length]
+        async with forwarding.open_forwarding(*desks) as made:
+            account = made.daemon.board.buffers
+
+            async def answer(server, exchange):
+                if pending:
+                    await pending.pop()(server, exchange)
+                    return
+                (share,) = account.holders
+                share.give_up()
+                await backend.answer_normally(server, exchange)
+
+            for each in desks:
+                each.always = answer
+            answered = await made.call("GET", "/look/")
+            await made.wait_for(lambda: account.held_bytes == 0)
+        assert answered.status == 200
+
+    trio.run(main)
