Write replies whose requests are over before a stop closes connections

What callers saw: read calls of the callers' API over TLS ended with nothing in a planned stop of a process that is short of processor time.

Cause: the end of a listener waited for connections with a request in hand or unread bytes. A request is over once its reply has been handed to the connection, before that is written: over TLS the write takes turns of the event loop, and with a caller that reads slowly much longer. If no other connection needed a reply at that moment, and the usual time-out was over, as it is early once the port has been closed, the stop closed the sockets under the writes.

Evidence: httpcore's "Server disconnected without sending a response" for calls at the moment at which the log has them, .6 s before connections had to be closed. tests.failures.test_listener_stop has both new tests fail on the code before (an answer that its caller reads late is cut 0.1 s after the stop though connections have 5 s; none of the cuts is counted), in one run of them.

Change: a connection whose reply is being written needs a reply, until connections have to be closed. Both daemons share this code.

Ruled out: the time kept for replies. The calls were cut long before it was over.

--- a/src/carawayward/http_connections.py
+++ b/src/carawayward/http_connections.py
@@ -179,6 +179,10 @@
 
     def close_forcefully(self) -> None:
         """Close the socket, under a write of another task too."""
+        if self.is_writing() and not self.has_request():
+            self.config.closes.record(
+                closes.CloseReason.STOP, ends_request=True
+            )
         self._get_socket().close()
 
     def abort(self, reason: closes.CloseReason) -> None:
@@ -287,6 +291,10 @@
         """Whether a request is in hand."""
         return self.exchanges is not None and self.exchanges.stream is not None
 
+    def is_writing(self) -> bool:
+        """Whether a reply waits to be written; its request may be over."""
+        return self.write is not None
+
     def is_new(self) -> bool:
         """Whether it has carried no request yet."""
         return self.exchanges is None or not self.exchanges.keep_alive_requests
--- a/src/carawayward/http_server.py
+++ b/src/carawayward/http_server.py
@@ -156,8 +156,16 @@
 
 
 def needs_reply(connection: http_connections.Connection) -> bool:
-    """Whether a request has been received that is not answered."""
-    return connection.has_request() or connection.has_unread()
+    """Whether a request has been received whose reply is not written.
+
+    A request is over before the end of its reply is written, which takes
+    turns of the event loop over TLS, and longer with a slow caller.
+    """
+    return (
+        connection.has_request()
+        or connection.is_writing()
+        or connection.has_unread()
+    )
 
 
 async def keep_closing_idle(
--- a/tests/failures/test_listener_stop.py
+++ b/tests/failures/test_listener_stop.py
@@ -1,5 +1,6 @@
 """A stopping listener serves requests that were sent before the stop."""
 
+import contextlib
 import socket
 import typing
 
@@ -7,6 +8,7 @@
 
 from carawayward import closes
 from carawayward import http_server
+from carawayward import listening
 from tests.common import listeners
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: circle.example\r\n\r\n"
@@ -165,3 +167,56 @@
         stop.set()
 
     listeners.run_beside_listener(scenario, answer_large_cancelled)
+
+
+async def answer_large(
+    scope: dict, receive: typing.Any, send: typing.Any
+) -> None:
+    """Send a large answer in one message, the last of its request."""
+    headers = [(b"content-length", str(LARGE_BYTES).encode())]
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": bytes(LARGE_BYTES)})
+
+
+def count_received_late(
+    config: listening.ListenerConfig, closing_s: float
+) -> int:
+    """Count the bytes of an answer that is read 0.5 s after a stop.
+
+    Its connection has to be closed ``closing_s`` after the stop.
+    """
+    config.graceful_timeout = 0.1
+    count = 0
+
+    async def scenario(host: str, port: int, stop: trio.Event) -> None:
+        nonlocal count
+        caller = await trio.open_tcp_stream(host, port)
+        await caller.send_all(REQUEST)
+        await trio.sleep(0.1)
+        config.closing_deadline_s = trio.current_time() + closing_s
+        stop.set()
+        await trio.sleep(0.5)
+        received = await caller.receive_some()
+        count = len(received.partition(b"\r\n\r\n")[2])
+        with contextlib.suppress(trio.BrokenResourceError):
+            while chunk := await caller.receive_some():
+                count += len(chunk)
+
+    listeners.run_beside_listener(scenario, answer_large, config=config)
+    return count
+
+
+def test_answer_that_is_being_written_is_sent_whole_in_a_stop():
+    """The answer was cut once its request was over, before it was written."""
+    config = listeners.make_config()
+    assert count_received_late(config, 5.0) == LARGE_BYTES
+    assert not config.closes.closed[closes.CloseReason.STOP]
+
+
+def test_stop_counts_the_answers_that_it_cuts_while_they_are_written():
+    """Callers get a part of an answer, and no line says that it was cut."""
+    config = listeners.make_config()
+    assert count_received_late(config, 0.2) < LARGE_BYTES
+    assert config.closes.closed[closes.CloseReason.STOP] == 1
