Hold no room for answers that have failed

Cause: an answer that fails as it is read ahead, as too large or truncated, is freed, but its request goes on holding its bytes in the account until it ends: while its endpoint is probed, another one asked and the failure sent. Such a connection seems to hold the most, has no answer to drop and is closed for others, although that frees nothing.

Change: after each attempt a request accounts only for the response that is relayed if no other succeeds.

The new test failed before (1 MiB held while the second endpoint had the request). A reply in a test's double can be accounted for, too.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -137,6 +137,7 @@
                     self.suspects.record_answer(work)
                 self._log_end(work, outcome.status, "delivered")
                 return
+            hold_kept_answer(work, outcome, reply)
             if isinstance(outcome, work_items.Failed):
                 await self._record_unanswered_run(work, endpoint, outcome)
             self._record_outcome(work, endpoint, outcome)
@@ -445,3 +446,22 @@
             waited_ms=round(work.waited_ms),
             revision=work.table.revision,
         )
+
+
+def hold_kept_answer(
+    work: work_items.Work,
+    outcome: work_items.Undelivered,
+    reply: replies.Reply,
+) -> None:
+    """Account only for the response that is relayed if no other succeeds.
+
+    A connection that seems to hold more is closed to make room.
+    """
+    match outcome:
+        case work_items.Failed():
+            kept = outcome.body
+        case work_items.Dropped():
+            kept = b""
+        case _:
+            kept = work.failure.body if work.failure else b""
+    reply.hold(len(kept))
--- a/tests/cover/test_retries.py
+++ b/tests/cover/test_retries.py
@@ -129,6 +129,10 @@
     started: bool = False
     status: int = 0
 
+    def hold(self, count):
+        """Ignore what is kept of a response."""
+        return True
+
     async def start(self, status, headers):
         self.started, self.status = True, status
 
--- a/tests/failures/test_answer_room.py
+++ b/tests/failures/test_answer_room.py
@@ -124,3 +124,37 @@
         assert answered.status == 200
 
     trio.run(main)
+
+
+def test_broken_answer_takes_no_room_while_another_endpoint_is_asked():
+    """Guards against callers who get nothing for what is not kept any more."""
+
+    async def main():
+        asked_again, answered = trio.Event(), trio.Event()
+        desks = [backend.Backend(f"desk-{n}") for n in range(2)]
+        behaviours = [make_answer("declared", True)]
+
+        async def answer(server, exchange):
+            if behaviours:
+                await behaviours.pop()(server, exchange)
+                return
+            asked_again.set()
+            await answered.wait()
+            await backend.answer_normally(server, exchange)
+
+        for each in desks:
+            each.always = answer
+        async with forwarding.open_forwarding(*desks) as made:
+            account = made.daemon.board.buffers
+            held: list[int] = []
+
+            async def check():
+                await asked_again.wait()
+                held.append(account.held_bytes)
+                answered.set()
+
+            made.nursery.start_soon(check)
+            assert (await made.call("GET", "/look/")).status == 200
+        assert held == [0]
+
+    trio.run(main)
