Give up a silent stream only when another run of it has been claimed

Around a stop that is a lost request: read whole, passed on, neither complete nor broken off by its endpoint.

Cause: the idle time-out ended the run first and asked afterwards whether another one may follow. None may if the attempts are used up (the third run), the request may not be repeated, the retry budget is spent, or the entry VM stops and a run could not end in time. Class: giving up what is in hand before what replaces it is certain.

Change: one task watches the waits of streams. When the time-out is over it claims another run, with its share of the retry budget, and only then ends the current one; otherwise it asks again later. The claimed run begins also in a stop. It holds for the wait for the head of a resumed run too.

--- a/src/carawayward/forwarding/app.py
+++ b/src/carawayward/forwarding/app.py
@@ -149,6 +149,10 @@
     metrics: metrics_module.Metrics
     shedding: connection_shedding.ConnectionShedding
 
+    async def run(self) -> None:
+        """Watch the streams in hand until cancelled."""
+        await self.forwarder.sender.relay.stalls.run()
+
     async def __call__(
         self, scope: dict, receive: Receive, send: Send
     ) -> None:
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -151,6 +151,7 @@
             for each in self.controllers:
                 await each.start(nursery)
             nursery.start_soon(self.write_logs)
+            nursery.start_soon(self.app.run)
             ended = trio.Event()
             async with trio.open_nursery() as serving:
                 self._start_serving(serving, ended)
--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -107,7 +107,7 @@
                 cause = refusals.explain_shortage(self.fleet, work.service)
                 await self._send_final_failure(work, reply, cause)
                 return
-            if not self.placer.may_begin(work):
+            if not work.is_retry_claimed and not self.placer.may_begin(work):
                 await self._send_leaving(work, reply)
                 return
             if self._would_miss_deadline(work):
@@ -202,6 +202,7 @@
         self.fleet.rate_limits.acquire(endpoint.entry)
         mark = self.sender.make_sent_mark(work, endpoint, permit)
         work.mark = mark
+        work.is_retry_claimed = False
         work.endpoint = endpoint.entry.name
         began_ms = self.clock.now_ms()
         work.progress = work_items.Progress(
@@ -359,7 +360,11 @@
     ) -> str:
         """Claim another attempt; return why there is none, else ""."""
         return retries.claim_retry(
-            work, outcome, lambda: self.placer.spend_budget(work.service)
+            work,
+            outcome,
+            lambda: (
+                work.is_retry_claimed or self.placer.spend_budget(work.service)
+            ),
         )
 
     async def _send_leaving(
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -302,6 +302,17 @@
             self._find_left_ms(), work.route.target_ms, 0.0
         )
 
+    def claim_retry(self, work: work_items.Work) -> bool:
+        """Claim another run of a stream, if it may end before a stop.
+
+        Otherwise its caller would get it unfinished as soon as the current
+        run is given up.
+        """
+        if retries.is_last_run(work) or not self.may_begin(work):
+            return False
+        work.is_retry_claimed = self.spend_budget(work.service)
+        return work.is_retry_claimed
+
     def _may_answer(
         self, work: work_items.Work, ttft_ms: float, pace: float
     ) -> bool:
@@ -356,9 +367,7 @@
 
     def find_larger_model(self, work: work_items.Work) -> int | None:
         """Return the larger model to ask instead; None to keep the answer."""
-        if work.model is None or not retries.may_repeat(work.route):
-            return None
-        if work.runs + 1 >= work.route.max_attempts:
+        if work.model is None or retries.is_last_run(work):
             return None
         budget = self.find_budget(work.service)
         if not retry_budget.may_spend(budget, self.clock.now_ms()):
--- a/src/carawayward/forwarding/relaying.py
+++ b/src/carawayward/forwarding/relaying.py
@@ -1,6 +1,8 @@
 """Relays an endpoint's response to the caller, or says why it cannot."""
 
 import contextlib
+import math
+import typing
 
 import attrs
 import trio
@@ -14,6 +16,7 @@
 from carawayward.forwarding import placing
 from carawayward.forwarding import replies
 from carawayward.forwarding import retries
+from carawayward.forwarding import stalls as stalls_module
 from carawayward.forwarding import table
 from carawayward.forwarding import work_items
 from carawayward.gateway import connections
@@ -35,28 +38,48 @@
 
 @attrs.define(eq=False)
 class StreamState:
-    """What has been read of a stream.
+    """What has been read of a stream; times in s on trio's clock.
 
-    ``idle_bytes`` were read since the last event that shows progress, with
-    what chunks and other events cost besides.
+    ``progressed_s`` is when the last event that shows progress came.
+    ``idle_bytes`` were read since then, with what chunks and other events cost
+    besides, the first of them at ``idle_since_s``.
     """
 
     splitter: event_stream.EventSplitter = attrs.field(
         factory=event_stream.EventSplitter
     )
     idle_bytes: int = 0
+    idle_since_s: float = math.inf
+    progressed_s: float = attrs.field(factory=trio.current_time)
+
+    def record_progress(self) -> None:
+        """Record whether what has been read last shows progress."""
+        now_s = trio.current_time()
+        if not self.idle_bytes:
+            self.progressed_s, self.idle_since_s = now_s, math.inf
+        elif self.idle_since_s == math.inf:
+            self.idle_since_s = now_s
 
 
 @attrs.define(eq=False)
 class Relay:
     """Relays those responses that the caller may have.
 
-    The caller does not get the ``internal_headers``.
+    The caller does not get the ``internal_headers``. ``stalls`` has to run.
     """
 
     placer: placing.Placer
     parts: crashing_parts.CrashingParts
     internal_headers: frozenset[bytes]
+    stalls: stalls_module.StallWatch = attrs.field(
+        factory=stalls_module.StallWatch
+    )
+
+    def watch_begun(
+        self, work: work_items.Work
+    ) -> typing.ContextManager[stalls_module.Wait]:
+        """Watch the waits for an endpoint of a stream that has begun."""
+        return self.stalls.watch(lambda: self.placer.claim_retry(work))
 
     async def relay_response(
         self,
@@ -145,43 +168,54 @@
         stream = StreamState()
         answer.limit_unread()
         reply.expect_unread(connections.UNREAD_BYTES)
+        failure = await self._relay_chunks(work, answer, stream, reply)
+        if failure is not None:
+            return failure
+        rest = stream.splitter.take_rest()
+        if rest is None or not reply.started:
+            return work_items.Failed("stream truncated")
+        if rest:
+            await reply.send(rest)
+        work.progress.status = answer.head.status
+        await reply.finish()
+        return work_items.Delivered(answer.head.status)
+
+    async def _relay_chunks(
+        self,
+        work: work_items.Work,
+        answer: attempt_module.ResponseReader,
+        stream: StreamState,
+        reply: replies.Reply,
+    ) -> work_items.Failed | None:
+        """Relay the events of all chunks; return why it cannot.
+
+        A silent endpoint is given up only for another run, but one that goes
+        on without events shows that it will not answer.
+        """
         gap_ms = work.route.gap_target_ms
-        gap_timeout_s = (
-            GAP_TIMEOUT_TARGETS * gap_ms / 1000 if gap_ms else float("inf")
-        )
+        timeout_s = GAP_TIMEOUT_TARGETS * gap_ms / 1000 if gap_ms else math.inf
         async with contextlib.aclosing(answer.read_chunks()) as chunks:
-            # One scope for all waits: a new one for each would cost as much
-            # as the wait.
-            with trio.CancelScope() as gap_scope:
-                last_event_at = trio.current_time()
+            with self.watch_begun(work) as wait:
                 while True:
-                    gap_scope.deadline = last_event_at + gap_timeout_s
+                    wait.due_s = stream.progressed_s + timeout_s
                     chunk = await anext(chunks, b"")
-                    gap_scope.deadline = float("inf")
+                    wait.due_s = math.inf
                     if not chunk:
-                        break
-                    if gap_scope.cancel_called:
+                        return None
+                    if wait.scope.cancel_called:
                         # It was not in time, though it arrived after all.
-                        return work_items.Failed(
-                            "stream idle timeout", timed_out=True
-                        )
+                        break
                     failure = await self._relay_chunk(
                         work, answer, stream, chunk, reply
                     )
                     if failure is not None:
                         return failure
-                    if not stream.idle_bytes:
-                        last_event_at = trio.current_time()
-            if gap_scope.cancelled_caught:
-                return work_items.Failed("stream idle timeout", timed_out=True)
-        rest = stream.splitter.take_rest()
-        if rest is None or not reply.started:
-            return work_items.Failed("stream truncated")
-        if rest:
-            await reply.send(rest)
-        work.progress.status = answer.head.status
-        await reply.finish()
-        return work_items.Delivered(answer.head.status)
+                    stream.record_progress()
+                    if trio.current_time() > stream.idle_since_s + timeout_s:
+                        return work_items.Failed(
+                            "stream without events", timed_out=True
+                        )
+        return work_items.Failed("stream idle timeout", timed_out=True)
 
     async def _relay_chunk(
         self,
--- a/src/carawayward/forwarding/retries.py
+++ b/src/carawayward/forwarding/retries.py
@@ -32,6 +32,13 @@
     return not work.may_have_run or may_repeat(work.route)
 
 
+def is_last_run(work: work_items.Work) -> bool:
+    """Whether the current run of a request is the last that it may have."""
+    return (
+        not may_repeat(work.route) or work.runs + 1 >= work.route.max_attempts
+    )
+
+
 def claim_retry(
     work: work_items.Work,
     outcome: work_items.Undelivered,
--- a/src/carawayward/forwarding/sending.py
+++ b/src/carawayward/forwarding/sending.py
@@ -90,8 +90,8 @@
         no response.
         """
         async with contextlib.AsyncExitStack() as stack:
-            wait_ms = self._compute_attempt_timeout_ms(work)
-            with trio.move_on_after(wait_ms / 1000) as waiting:
+            wait_s = self._compute_attempt_timeout_ms(work) / 1000
+            with self._limit_wait(work, wait_s, reply.started) as waiting:
                 answer = await stack.enter_async_context(
                     self._open_attempt(work, endpoint, mark)
                 )
@@ -111,6 +111,23 @@
                 self.suspects.record_response(endpoint.entry)
             return await self.relay.relay_response(work, answer, reply)
 
+    @contextlib.contextmanager
+    def _limit_wait(
+        self, work: work_items.Work, timeout_s: float, has_begun: bool
+    ) -> typing.Iterator[trio.CancelScope]:
+        """Limit the wait for the head of a response.
+
+        A stream that ``has_begun`` is not given up without another run: its
+        caller could get no other reply any more.
+        """
+        if not has_begun:
+            with trio.move_on_after(timeout_s) as scope:
+                yield scope
+            return
+        with self.relay.watch_begun(work) as wait:
+            wait.due_s = trio.current_time() + timeout_s
+            yield wait.scope
+
     def _open_attempt(
         self,
         work: work_items.Work,
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -229,7 +229,8 @@
     ``backlog_ms`` is the mean backlog of the engines, for the log.
     ``waited_ms`` is how long the request waited to be read. ``is_logged`` is
     set once its end is logged, ``is_partly_sent`` once its caller has the
-    beginning of a plain response that is not kept.
+    beginning of a plain response that is not kept. ``is_retry_claimed`` is set
+    once the current run is given up for another one.
     """
 
     request: replies.CallerRequest
@@ -266,6 +267,7 @@
     waited_ms: float = 0.0
     is_logged: bool = False
     is_partly_sent: bool = False
+    is_retry_claimed: bool = False
     _fingerprint: str = attrs.field(default="", init=False)
     _shared_parts: tuple[str, ...] | None = attrs.field(
         default=None, init=False
--- a/tests/common/stopping.py
+++ b/tests/common/stopping.py
@@ -60,10 +60,13 @@
 )
 
 
-def make_config(target_ms: int = TARGET_MS) -> dict:
+def make_config(
+    target_ms: int = TARGET_MS, gap_target_ms: int | None = None
+) -> dict:
     """A configuration whose routes wait for longer than a stop takes.
 
-    ``/say/`` is a streaming route whose requests may not be repeated.
+    ``/say/`` is a streaming route whose requests may not be repeated. The
+    routes have a target for the time between events only if one is given.
     """
     config = forwarding.make_config()
     (tip,) = (r for r in config["routes"] if r["name"] == "tip")
@@ -72,6 +75,8 @@
     for route in config["routes"]:
         route.update(timeoutMs=TIMEOUT_MS, targetLatencyMs=target_ms)
         route.pop("gapTargetMs", None)
+        if gap_target_ms is not None:
+            route["gapTargetMs"] = gap_target_ms
     config["limits"]["maxBodyBytes"] = 8_000_000
     return config
 
@@ -323,6 +328,7 @@
     ready: bool = True,
     failing_store: bool = False,
     target_ms: int = TARGET_MS,
+    gap_target_ms: int | None = None,
     core_share: float = 1.0,
     core_period_s: float = partitioned.CORE_PERIOD_S,
 ) -> typing.AsyncIterator[list[EntryVm]]:
@@ -331,7 +337,7 @@
     They are ready unless that is not waited for or the store fails.
     """
     async with forwarding.open_forwarding(
-        *backends, config=make_config(target_ms), daemons=0
+        *backends, config=make_config(target_ms, gap_target_ms), daemons=0
     ) as running:
         running.store.error_status = 503 if failing_store else 0
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/failures/test_leaving_requests.py
+++ b/tests/failures/test_leaving_requests.py
@@ -30,7 +30,7 @@
     async def main():
         async with forwarding.open_forwarding(
             *backends,
-            config=forwarding.make_config(routes=LONG_ROUTES, **config),
+            config=forwarding.make_config(**{"routes": LONG_ROUTES} | config),
             grace_ms=GRACE_MS,
         ) as made:
             return await scenario(made)
@@ -152,6 +152,30 @@
     assert len(engine.runs) == 1
 
 
+def test_stream_that_pauses_is_kept_if_a_stop_would_cut_another_run():
+    """Guards against a stream closed unfinished while its engine works."""
+    engine = make_engine()
+    routes = [{**route, "gapTargetMs": 50} for route in LONG_ROUTES]
+
+    async def scenario(made):
+        pause = backend.pause_after(1, 0.3)
+
+        async def stop_and_pause(_, exchange):
+            model = made.daemon.app.forwarder.fleet.get_latency_model(
+                "engines"
+            )
+            model.held_ms, model.held_seen = DUE_MS, 1_000
+            get_stop(made).begin(made.daemon.clock.now_ms(), DUE_MS)
+            await pause(engine, exchange)
+
+        engine.always = stop_and_pause
+        return await made.request_stream(carawayward_deadline_ms=DEADLINE)
+
+    answer = play(scenario, engine, routes=routes)
+    assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+    assert len(engine.runs) == 1
+
+
 def test_endpoint_is_given_no_more_time_than_is_left_before_a_stop():
     """Guards against runs that begin after their entry VM has ended."""
     desk = backend.Backend("desk-0")
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -305,6 +305,22 @@
     return behave
 
 
+def pause_after(count: int, pause_s: float) -> Behaviour:
+    """Stream ``count`` events, and the others after a pause."""
+
+    async def behave(backend: Backend, exchange: raw_http.Exchange) -> None:
+        run = backend.begin(exchange)
+        await stream_events(backend, exchange, count, last=False)
+        await trio.sleep(pause_s)
+        start = int(exchange.request.headers.get("last-event-id", 0)) + 1
+        for number in range(start + count, backend.events + 1):
+            await exchange.send_chunk(make_event(number))
+        await exchange.send_chunk(b"")
+        run.ended = "ok"
+
+    return behave
+
+
 def stream_unframed(count: int, ending: str = "close") -> Behaviour:
     """Stream ``count`` events with neither a length nor chunks.
 
