Count no lines of a body as lines of its head

What callers saw: 502 for sound answers whose first 4 KiB hold more than some 500 short lines, for plain bodies as for streams whose first events arrive together with the head, as they do at a process that reads late. Requests that may be repeated ran at each endpoint in turn; others had run for nothing.

Cause: each line that is received before the end of a head counts as 256 bytes (a limit on heads that are long to parse), and all of a read was counted before it was parsed. With the end of the head it brings the begin of the body.

Evidence: an endpoint that sends its head and 1,500 lines of two bytes, or 250 events of 16, at once.

Change: the limit is checked before the next read. Once a head is complete it does not apply any more.

The new test failed before (502).

--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -75,7 +75,13 @@
     async def read(
         self, max_bytes: int, timeout: float | None = None
     ) -> bytes:
-        """Read the available data, or wait for some."""
+        """Read the available data, or wait for some.
+
+        Raises httpcore.RemoteProtocolError if there is more than the head of
+        a response may have, with the interim ones before it.
+        """
+        if self.head_bytes_left is not None and self.head_bytes_left < 0:
+            raise httpcore.RemoteProtocolError("head too long")
         max_bytes = min(max_bytes, MAX_READ_BYTES)
         if self.unwritten:
             await self._send_unwritten(timeout)
@@ -97,16 +103,14 @@
     async def _record_read(self, data: bytes, max_bytes: int) -> None:
         """Record a read that may have found data without a wait.
 
-        Raises httpcore.RemoteProtocolError if there is more than the head of
-        a response may have, with the interim ones before it.
+        Only the next read shows that this one does not end the head, with
+        lines of the body behind it.
         """
         self.drained = len(data) < max_bytes
         if self.head_bytes_left is not None:
             lines = data.count(b"\n")
             self.head_bytes_left -= len(data)
             self.head_bytes_left -= lines * HEAD_LINE_OVERHEAD_BYTES
-            if self.head_bytes_left < 0:
-                raise httpcore.RemoteProtocolError("head too long")
         await self.time_slice.yield_if_over()
 
     async def _receive(self, max_bytes: int) -> bytes:
--- a/tests/failures/test_endless_answers.py
+++ b/tests/failures/test_endless_answers.py
@@ -253,3 +253,33 @@
     run_before_endless_server(
         call, 10_000 * b"1\r\nx\r\n", **{"transfer-encoding": "chunked"}
     )
+
+
+def test_body_of_short_lines_behind_a_head_is_none_of_it():
+    """Guards against a sound answer that is given up for a head too long."""
+    events = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 251))
+
+    async def send_at_once(server, exchange):
+        run = server.begin(exchange)
+        if exchange.request.target.startswith("/tip"):
+            headers = {"content-type": "text/event-stream"}
+            body = events
+        else:
+            headers, body = {}, 1_500 * b"1\n"
+        headers |= {**server.seal(exchange), "content-length": f"{len(body)}"}
+        await exchange.stream.send_all(raw_http.make_head(200, headers) + body)
+        run.ended = "ok"
+
+    async def main():
+        desk = backend.Backend("desk-0", always=send_at_once)
+        engine = backend.Backend(
+            "engine-0", service="engines", engine=True, always=send_at_once
+        )
+        async with forwarding.open_forwarding(desk, engine) as made:
+            answer = await made.call("GET", "/look/")
+            assert (answer.status, answer.body) == (200, 1_500 * b"1\n")
+            stream = await made.request_stream()
+            assert (stream.status, stream.body) == (200, events)
+        assert len(desk.runs) == len(engine.runs) == 1
+
+    trio.run(main)
