Resume streams that have begun while an endpoint may still go on with them

What callers saw: a stream that had been given up, or whose endpoint broke off, was closed unfinished though its deadline and the grace had seconds left and other endpoints had room: because they had declined it, or since an answer as long as the mean would not have ended before the stop.

Cause: what protects requests from a vain run was asked for streams too that had begun. Those cannot be refused any more; all that was left was to close them. And attempts that were declined, which did not run, used up the attempts of the route.

In a stop that is a lost request.

Change: a stream that has begun is resumed in a stop as at other times, until replies are due. Attempts that are declined count for the retry budget, not for the route's limit on runs; each is made at another endpoint.

--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -107,7 +107,8 @@
                 cause = refusals.explain_shortage(self.fleet, work.service)
                 await self._send_final_failure(work, reply, cause)
                 return
-            if not work.is_retry_claimed and not self.placer.may_begin(work):
+            # A stream that has begun cannot be refused any more.
+            if not reply.started and not self.placer.may_begin(work):
                 await self._send_leaving(work, reply)
                 return
             if self._would_miss_deadline(work):
@@ -138,7 +139,7 @@
                 return
             if isinstance(outcome, work_items.Failed):
                 await self._record_unanswered_run(work, endpoint, outcome)
-            self._record_outcome(work, endpoint, outcome)
+            self._record_outcome(work, endpoint, outcome, reply.started)
             refusal = self._claim_retry(work, outcome)
             self._log_attempt(work, endpoint, outcome, refusal)
             if isinstance(outcome, work_items.Withheld):
@@ -267,8 +268,13 @@
         work: work_items.Work,
         endpoint: fleet_module.TrackedEndpoint,
         outcome: work_items.Undelivered,
+        has_begun: bool,
     ) -> None:
-        """Record an attempt whose response was not delivered."""
+        """Record an attempt whose response was not delivered.
+
+        A stream that ``has_begun`` is not run by endpoints that decline it,
+        and without another one its caller would get it unfinished.
+        """
         name = endpoint.entry.name
         if not isinstance(outcome, work_items.NOT_RUN_OUTCOMES):
             work.earlier_may_have_run = True
@@ -283,7 +289,8 @@
             case work_items.Declined():
                 work.unusable |= {name}
                 self.fleet.record_declined(endpoint)
-                work.runs += 1
+                if not has_begun:
+                    work.runs += 1
             case work_items.Dropped():
                 work.failed_endpoints |= {name}
                 work.runs += 1
--- a/tests/failures/test_forwarding_streams.py
+++ b/tests/failures/test_forwarding_streams.py
@@ -106,6 +106,27 @@
     trio.run(main)
 
 
+def test_stream_that_engines_decline_is_resumed_at_the_next():
+    """Guards against streams closed unfinished while an engine has room.
+
+    Its route allows three attempts; the first engine breaks off.
+    """
+    engines = make_engines(5)
+    acts = iter([backend.break_after(2), *[backend.answer_not_executed] * 3])
+
+    async def act_in_turn(engine, exchange):
+        await next(acts, backend.answer_normally)(engine, exchange)
+
+    async def main():
+        for engine in engines:
+            engine.always = act_in_turn
+        async with forwarding.open_forwarding(*engines) as made:
+            answer = await made.request_stream(carawayward_model="small")
+        assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+
+    trio.run(main)
+
+
 def test_stream_is_resumed_though_its_key_can_no_longer_be_validated():
     """A failure domain is partitioned in the middle of a stream.
 
--- a/tests/failures/test_leaving_requests.py
+++ b/tests/failures/test_leaving_requests.py
@@ -176,6 +176,31 @@
     assert len(engine.runs) == 1
 
 
+def test_stream_that_breaks_off_in_a_stop_is_resumed():
+    """Guards against a stream closed unfinished long before replies are due.
+
+    As a new request, it would be for another entry VM.
+    """
+    engine = make_engine()
+
+    async def scenario(made):
+        break_off = backend.break_after(2)
+
+        async def stop_and_break_off(_, exchange):
+            model = made.daemon.app.forwarder.fleet.get_latency_model(
+                "engines"
+            )
+            model.held_ms, model.held_seen = DUE_MS, 1_000
+            get_stop(made).begin(made.daemon.clock.now_ms(), DUE_MS)
+            await break_off(engine, exchange)
+
+        engine.behaviours = [stop_and_break_off]
+        return await made.request_stream(carawayward_deadline_ms=DEADLINE)
+
+    answer = play(scenario, engine)
+    assert forwarding.read_numbers(answer.body) == [1, 2, 3, 4]
+
+
 def test_endpoint_is_given_no_more_time_than_is_left_before_a_stop():
     """Guards against runs that begin after their entry VM has ended."""
     desk = backend.Backend("desk-0")
