Refuse a head over its byte limit in the read that exceeds it

What callers saw: nothing yet.

Cause: both what a head has in bytes and what its lines cost were moved behind the read, although only the lines can be those of a body.

Change: bytes count in the read itself, as before; lines from the next read on.

--- a/src/carawayward/gateway/connections.py
+++ b/src/carawayward/gateway/connections.py
@@ -80,8 +80,7 @@
         Raises httpcore.RemoteProtocolError if there is more than the head of
         a response may have, with the interim ones before it.
         """
-        if self.head_bytes_left is not None and self.head_bytes_left < 0:
-            raise httpcore.RemoteProtocolError("head too long")
+        self._check_head()
         max_bytes = min(max_bytes, MAX_READ_BYTES)
         if self.unwritten:
             await self._send_unwritten(timeout)
@@ -103,16 +102,21 @@
     async def _record_read(self, data: bytes, max_bytes: int) -> None:
         """Record a read that may have found data without a wait.
 
-        Only the next read shows that this one does not end the head, with
-        lines of the body behind it.
+        Its lines count from the next read on: only that shows that this one
+        does not end the head, with lines of the body behind it.
         """
         self.drained = len(data) < max_bytes
         if self.head_bytes_left is not None:
-            lines = data.count(b"\n")
             self.head_bytes_left -= len(data)
+            self._check_head()
+            lines = data.count(b"\n")
             self.head_bytes_left -= lines * HEAD_LINE_OVERHEAD_BYTES
         await self.time_slice.yield_if_over()
 
+    def _check_head(self) -> None:
+        if self.head_bytes_left is not None and self.head_bytes_left < 0:
+            raise httpcore.RemoteProtocolError("head too long")
+
     async def _receive(self, max_bytes: int) -> bytes:
         """Read what has arrived, or wait for it."""
         while True:
