--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -157,13 +157,35 @@
 class Store:
     """The platform's store: a log with keyed topics.
 
-    It loses nothing. ``filter`` is called with the name of a call before it
-    is answered; it may wait, or return False to reset the connection.
+    It loses nothing but by ``restore``. ``filter`` is called with the name
+    of a call before it is answered; it may wait, or return False to reset the
+    connection. While it is ``away`` it resets all connections.
     """
 
     def __init__(self, record):
         self.record, self.topics, self.port = record, {}, 0
-        self.filter = None
+        self.filter, self.away, self.era = None, False, 1
+        self.copy = {}
+
+    def save_copy(self):
+        """Save a copy of all data, for ``restore``."""
+        self.copy = {}
+        for name, topic in self.topics.items():
+            self.copy[name] = Topic()
+            for raw in topic.records:
+                self.copy[name].append(raw)
+
+    def go_away(self):
+        """Reset the connections of calls that wait, and of all others."""
+        self.away = True
+        for topic in self.topics.values():
+            topic.appended.set()
+
+    def restore(self):
+        """Come back from the copy, in a new era."""
+        self.topics, self.copy = self.copy, {}
+        self.era += 1
+        self.away = False
 
     def topic(self, name):
         """A topic; created on first use."""
@@ -184,6 +206,7 @@
         target = urllib.parse.urlsplit(message.first.split(" ")[1])
         query = dict(urllib.parse.parse_qsl(target.query))
         name = target.path.rpartition("/")[2]
+        era = self.era
         if self.filter and await self.filter(name, query) is False:
             writer.transport.abort()
             return False
@@ -196,7 +219,11 @@
             status, body = self.append(topic, query, message.body)
         else:
             status, body = 404, b""
-        writer.write(encode(f"HTTP/1.1 {status} X", [], body))
+        if self.away or era != self.era:
+            writer.transport.abort()
+            return False
+        headers = [("Store-Era", str(era))]
+        writer.write(encode(f"HTTP/1.1 {status} X", headers, body))
         return True
 
     def list_newest(self, topic):
@@ -228,6 +255,8 @@
 
     def append(self, topic, query, content):
         """Append records, if the topic ends where the caller expects."""
+        if self.away:
+            return 503, b""
         if query["topic"] in ("keyed.op", "keyed.servers"):
             return 403, b""
         end = len(topic.records)
@@ -269,7 +298,9 @@
             self.register()
 
     def register(self, **changes):
-        """Write the entry of the server."""
+        """Write the entry of the server, unless the store is away."""
+        if self.rig.store.away:
+            return
         self.sequence += 1
         entry = {
             "service": self.service,
