--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -7,6 +7,7 @@
 import base64
 import contextlib
 import json
+import logging
 import os
 import pathlib
 import signal
@@ -358,6 +359,21 @@
         return True
 
 
+async def stream(server, message, writer, numbers, pause_s=0.01):
+    """Answer with a stream of one event for each of the numbers."""
+    lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+    lines += [f"{name}: {value}" for name, value in server.seal(message)]
+    lines += ["Transfer-Encoding: chunked", "", ""]
+    writer.write("\r\n".join(lines).encode())
+    for number in numbers:
+        event = f"id: {number}\ndata: piece {number}\n\n".encode()
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(pause_s)
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
 SETTINGS = """\
 name: {name}
 failure_domain: {zone}
@@ -643,6 +659,8 @@
                     print(log.read_text()[-6000:], file=sys.stderr)
             rig.stop()
 
+    # Connections that are still open at the end are of no interest.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     try:
         held = asyncio.run(play())
     except Exception as fault:
