--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -10,6 +10,7 @@
 import logging
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -45,14 +46,17 @@
 
 
 def find_free_ports(count):
-    """Return TCP and UDP ports that are free at the moment."""
+    """Return TCP and UDP ports that are free at the moment.
+
+    They lie below the range from which outgoing connections get theirs.
+    """
     held, ports = [], []
     while len(ports) < count:
+        port = random.randrange(12_000, 32_000)
         tcp, udp = socket.socket(), socket.socket(type=socket.SOCK_DGRAM)
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
         held += [tcp, udp]
         with contextlib.suppress(OSError):
+            tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
             ports.append(port)
     for each in held:
@@ -408,9 +412,12 @@
 class EntryVm:
     """A process of the deploy file's command."""
 
-    def __init__(self, rig, name, zone="ikeja", memory_mb=300):
+    def __init__(
+        self, rig, name, zone="ikeja", memory_mb=300, more_bounds=""
+    ):
         self.rig, self.name, self.zone = rig, name, zone
         self.memory_mb, self.process = memory_mb, None
+        self.more_bounds = more_bounds
         self.callers, self.readiness, self.peers, self.metrics = (
             find_free_ports(4)
         )
@@ -429,6 +436,7 @@
                 store=self.rig.store.port,
                 memory_mb=self.memory_mb,
             )
+            + self.more_bounds
         )
         log = (self.rig.folder / f"{self.name}.log").open("ab")
         self.process = subprocess.Popen(
