--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,7 +2,7 @@
 # The stand-ins are Python and need no package; this checks that they compile.
 set -e
 cd "$(dirname "$0")"
-python3 - standins-2/*.py [4-8]/*.py <<'CHECK'
+python3 - standins-2/*.py [4-8]/*.py extra-2/*/*.py <<'CHECK'
 import pathlib
 import sys
 
--- a/review/extra-2/event-ids/case.py
+++ b/review/extra-2/event-ids/case.py
@@ -7,7 +7,7 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins-2"))
+sys.path.insert(0, str(FOLDER.parents[1] / "standins-2"))
 
 import rig as rig_module  # noqa: E402
 
