--- a/review/extra-2/event-ids/case.py
+++ b/review/extra-2/event-ids/case.py
@@ -24,8 +24,12 @@
 async def run(rig):
     """Return whether all streams in hand at a planned stop are completed."""
     await rig.start(
-        [("i-1", "desk"), ("e-1", "matcher"), ("e-2", "matcher"),
-         ("e-3", "matcher")],
+        [
+            ("i-1", "desk"),
+            ("e-1", "matcher"),
+            ("e-2", "matcher"),
+            ("e-3", "matcher"),
+        ],
         vms=2,
     )
     step = TOKENS_AN_EVENT if rig_module.is_troubled() else 1
@@ -45,9 +49,7 @@
     async def use_connection(client):
         """Send a look-up, and then streams, on one connection."""
         vm = rig.vms[0]
-        reader, writer = await asyncio.open_connection(
-            "127.0.0.1", vm.callers
-        )
+        reader, writer = await asyncio.open_connection("127.0.0.1", vm.callers)
         attempt, headers = rig.make_headers()
         rig.record.write(f"client {client}: send {attempt} GET /look/2f")
         answer = await rig_module.exchange(
--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -249,7 +249,7 @@
         start = int(query["from"])
         if start == len(topic.records):
             wait_s = int(query.get("waitMs", 0)) / 1000
-            with contextlib.suppress(asyncio.TimeoutError):
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(topic.appended.wait(), wait_s)
         if start > len(topic.records):
             return 410, json.dumps({"first": 0}).encode()
@@ -412,9 +412,7 @@
 class EntryVm:
     """A process of the deploy file's command."""
 
-    def __init__(
-        self, rig, name, zone="ikeja", memory_mb=300, more_bounds=""
-    ):
+    def __init__(self, rig, name, zone="ikeja", memory_mb=300, more_bounds=""):
         self.rig, self.name, self.zone = rig, name, zone
         self.memory_mb, self.process = memory_mb, None
         self.more_bounds = more_bounds
@@ -528,7 +526,7 @@
         return await asyncio.wait_for(
             exchange(reader, writer, method, path, headers, body), timeout_s
         )
-    except asyncio.TimeoutError:
+    except TimeoutError:
         return Answer(0, [], b"", "no answer")
     finally:
         writer.close()
@@ -555,22 +553,42 @@
         "service": "desk",
     }
     routes = [
-        {"name": "log", "pathPrefix": "/log/", "routeKind": "unsafe",
-         "maxAttempts": 1},
-        {"name": "look", "pathPrefix": "/look/", "routeKind": "safe",
-         "maxAttempts": 2},
-        {"name": "tip", "pathPrefix": "/tip/", "routeKind": "streaming",
-         "maxAttempts": 3, "service": "matcher", "affinity": True,
-         "resumable": True, "gapTargetMs": 1000, "timeoutMs": 25000,
-         "targetLatencyMs": 2000},
+        {
+            "name": "log",
+            "pathPrefix": "/log/",
+            "routeKind": "unsafe",
+            "maxAttempts": 1,
+        },
+        {
+            "name": "look",
+            "pathPrefix": "/look/",
+            "routeKind": "safe",
+            "maxAttempts": 2,
+        },
+        {
+            "name": "tip",
+            "pathPrefix": "/tip/",
+            "routeKind": "streaming",
+            "maxAttempts": 3,
+            "service": "matcher",
+            "affinity": True,
+            "resumable": True,
+            "gapTargetMs": 1000,
+            "timeoutMs": 25000,
+            "targetLatencyMs": 2000,
+        },
     ]
     return {
         "version": version,
         "routes": [{**shared, **each} for each in routes],
         "services": [
             {"name": "desk", "healthPath": "/healthz", "maxConnections": 110},
-            {"name": "matcher", "healthPath": "/healthz",
-             "maxConnections": 370, "engine": ENGINE},
+            {
+                "name": "matcher",
+                "healthPath": "/healthz",
+                "maxConnections": 370,
+                "engine": ENGINE,
+            },
         ],
         "limits": {
             "maxHeaderBytes": 16384,
