--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -6,11 +6,11 @@
 import asyncio
 import base64
 import contextlib
+import fcntl
 import json
 import logging
 import os
 import pathlib
-import random
 import signal
 import socket
 import struct
@@ -24,6 +24,8 @@
 READ_BYTES = 65_536
 HOST = "ficu95.example"
 START_S = 30.0
+FIRST_PORT, LAST_PORT, BLOCK = 20_000, 32_000, 200
+_locks, _ports = [], []
 
 
 def is_troubled():
@@ -45,23 +47,43 @@
         self.file.flush()
 
 
-def find_free_ports(count):
-    """Return TCP and UDP ports that are free at the moment.
+def lock_ports():
+    """Lock a block of ports for this process; return an iterator of them.
 
-    They lie below the range from which outgoing connections get theirs.
+    The port of a process that is down could be taken by another script that
+    runs at the same time. The blocks lie below the range from which outgoing
+    connections get theirs.
     """
-    held, ports = [], []
-    while len(ports) < count:
-        port = random.randrange(12_000, 32_000)
-        tcp, udp = socket.socket(), socket.socket(type=socket.SOCK_DGRAM)
-        held += [tcp, udp]
-        with contextlib.suppress(OSError):
+    for first in range(LAST_PORT - BLOCK, FIRST_PORT, -BLOCK):
+        name = f"review-ports-{os.getuid()}-{first}"
+        lock = (pathlib.Path(tempfile.gettempdir()) / name).open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        _locks.append(lock)
+        return iter(range(first, first + BLOCK))
+    raise NotRun("all blocks of ports are locked")
+
+
+def find_free_ports(count):
+    """Return TCP and UDP ports that are free at the moment."""
+    if not _ports:
+        _ports.append(lock_ports())
+    found = []
+    while len(found) < count:
+        port = next(_ports[0])
+        with (
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
+        ):
+            tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
-            ports.append(port)
-    for each in held:
-        each.close()
-    return ports
+            found.append(port)
+    return found
 
 
 class Message:
