--- a/src/carawayward/forwarding/exchange.py
+++ b/src/carawayward/forwarding/exchange.py
@@ -104,6 +104,8 @@
                 )
                 return
             choice = self.rollouts.choose_version(work)
+            if choice is not None:
+                work.version_reason = choice.reason.value
             endpoint = self.placer.choose(work, choice)
             if endpoint is None:
                 cause = refusals.explain_shortage(self.fleet, work.service)
@@ -449,6 +451,7 @@
             cause=cause,
             endpoint=work.endpoint,
             version=work.progress.version,
+            version_reason=work.version_reason,
             session=work.session_digest,
             model=work.model_name,
             confidence=work.confidence,
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -4,6 +4,7 @@
 separately: a peer's report replaces its previous one.
 """
 
+import enum
 import typing
 
 import attrs
@@ -19,6 +20,16 @@
 MAX_STATUS_AGE_MS = 3_500.0
 
 
+class Reason(enum.Enum):
+    """Why a request goes to the new version or the old one."""
+
+    ENDED = "roll-out ended"
+    NOT_SHARED = "no share"
+    SESSION = "session"
+    EXPOSURE = "exposure"
+    DRAW = "draw"
+
+
 @attrs.frozen
 class VersionChoice:
     """The version that a request goes to.
@@ -30,6 +41,7 @@
     rollout: "Rollout"
     new: bool
     strict: bool
+    reason: Reason
 
 
 @attrs.define(eq=False)
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -51,22 +51,28 @@
         if rollout is None:
             self.sessions.record(service, session, "")
             return None
-        if rollout.state is message_types.RolloutState.COMPLETED:
-            return rollout_state.VersionChoice(rollout, new=True, strict=False)
-        if rollout.state is message_types.RolloutState.ROLLED_BACK:
-            return rollout_state.VersionChoice(rollout, new=False, strict=True)
-        new = self._chooses_new(rollout, session, work.metadata.request_id)
+        if not rollout.running:
+            completed = rollout.state is message_types.RolloutState.COMPLETED
+            return rollout_state.VersionChoice(
+                rollout,
+                new=completed,
+                strict=not completed,
+                reason=rollout_state.Reason.ENDED,
+            )
+        new, reason = self._chooses_new(
+            rollout, session, work.metadata.request_id
+        )
         version = rollout.order.version if new else ""
         self.sessions.record(service, session, version)
         bad = rollout.verdict is canary.Verdict.BAD
         return rollout_state.VersionChoice(
-            rollout, new=new, strict=bad or not rollout.status_known
+            rollout, new, bad or not rollout.status_known, reason
         )
 
     def _chooses_new(
         self, rollout: rollout_state.Rollout, session: str, request_id: str
-    ) -> bool:
-        """Whether a request goes to the new version.
+    ) -> tuple[bool, rollout_state.Reason]:
+        """Whether a request goes to the new version, and why.
 
         A session keeps its version while the new version has any share, except
         that one on the old version may move after the trial's minimum time.
@@ -74,20 +80,20 @@
         now_ms = self.clock.now_ms()
         share = self.compute_share(rollout, now_ms)
         if not share:
-            return False
+            return False, rollout_state.Reason.NOT_SHARED
         version = rollout.order.version
         current = self.sessions.find(rollout.order.service, session)
         if current is not None:
             new = current == version
             early = rollout.compute_elapsed_part(now_ms) < canary.TRIAL_PART
             if new or early:
-                return new
+                return new, rollout_state.Reason.SESSION
         # Runs on the old version do not count: those of a session that is kept
         # there would be sent to the new one on completion as well.
         if rollout.at_full_traffic and not self.fits_exposure(rollout, now_ms):
-            return False
+            return False, rollout_state.Reason.EXPOSURE
         draw = placement.hash_key(f"{version}/{session or request_id}")
-        return draw < share * 2.0**64
+        return draw < share * 2.0**64, rollout_state.Reason.DRAW
 
     def fits_exposure(
         self,
--- a/src/carawayward/forwarding/work_items.py
+++ b/src/carawayward/forwarding/work_items.py
@@ -230,7 +230,8 @@
     ``waited_ms`` is how long the request waited to be read. ``is_logged`` is
     set once its end is logged, ``is_partly_sent`` once its caller has the
     beginning of a plain response that is not kept. ``is_retry_claimed`` is set
-    once the current run is given up for another one.
+    once the current run is given up for another one. ``version_reason`` is why
+    its version was chosen, for the log; empty without a roll-out.
     """
 
     request: replies.CallerRequest
@@ -268,6 +269,7 @@
     is_logged: bool = False
     is_partly_sent: bool = False
     is_retry_claimed: bool = False
+    version_reason: str = ""
     _fingerprint: str = attrs.field(default="", init=False)
     _shared_parts: tuple[str, ...] | None = attrs.field(
         default=None, init=False
--- a/tests/cover/test_forwarding_versions.py
+++ b/tests/cover/test_forwarding_versions.py
@@ -326,8 +326,8 @@
     rollout.verdict = canary.Verdict.GOOD
     rollout.sent, rollout.sent_new = 400, 91
     rollouts.sessions.record("desk", "begun", "v2")
-    assert rollouts._chooses_new(rollout, "begun", "one")
-    assert not rollouts._chooses_new(rollout, "", "two")
+    assert rollouts._chooses_new(rollout, "begun", "one")[0]
+    assert not rollouts._chooses_new(rollout, "", "two")[0]
 
 
 def test_turns_of_many_writers_fit_into_the_time_left():
