--- a/src/carawayward/forwarding/assembly.py
+++ b/src/carawayward/forwarding/assembly.py
@@ -86,10 +86,18 @@
             freshness.wide_links.describe, freshness.wide_links.merge
         ),
     )
-    rollouts = rollouts_module.Rollouts(board, clock)
+    rollouts = rollouts_module.Rollouts(
+        board, clock, report_soon=reporter.report_soon
+    )
     reporter.add_topic(
         "rollouts", load_reports.Topic(rollouts.describe, rollouts.merge)
     )
+    reporter.add_topic(
+        "sessions",
+        load_reports.Topic(
+            rollouts.describe_sessions, rollouts.merge_sessions
+        ),
+    )
     rounds = rollout_rounds.RolloutRounds(
         board,
         clock,
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -26,6 +26,7 @@
     ENDED = "roll-out ended"
     NOT_SHARED = "no share"
     SESSION = "session"
+    PEER_SESSION = "session of a peer"
     EXPOSURE = "exposure"
     DRAW = "draw"
 
@@ -98,6 +99,8 @@
 class Rollout:
     """The state of one ordered roll-out on this entry VM.
 
+    ``began_ms`` is when it was ordered, as far as known, and
+    ``known_since_ms`` when this entry VM read the order.
     ``status_known`` is set once the stored statuses have been read, which were
     the newest at ``status_read_ms``. ``stored_state`` is the state in the
     store, empty if none was read. ``at_full_traffic`` is set while all
@@ -107,6 +110,9 @@
 
     order: message_types.RolloutOrder
     began_ms: float
+    known_since_ms: float = attrs.field(
+        default=attrs.Factory(lambda self: self.began_ms, takes_self=True)
+    )
     state: message_types.RolloutState = message_types.RolloutState.RUNNING
     status_known: bool = False
     verdict: canary.Verdict = canary.Verdict.UNKNOWN
@@ -133,6 +139,10 @@
         """The elapsed part of the roll-out's duration; above 1 when over."""
         return (now_ms - self.began_ms) / max(1.0, self.order.duration_ms)
 
+    def is_early(self, now_ms: float) -> bool:
+        """Whether sessions on the old version have to stay there."""
+        return self.compute_elapsed_part(now_ms) < canary.TRIAL_PART
+
     def count_old_in_flight(self, now_ms: float) -> int:
         """The runs on the old version at all live entry VMs."""
         return self.old_in_flight + sum(
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -10,9 +10,9 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import canary
-from carawayward.decisions import placement
 from carawayward import events
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import kept_sessions
 from carawayward.forwarding import message_types
 from carawayward.forwarding import report_values
 from carawayward.forwarding import rollout_state
@@ -22,6 +22,9 @@
 # Statuses of endpoint failures, and the one of an exceeded deadline.
 SERVER_ERRORS_FROM = 500
 GATEWAY_TIMEOUT = 504
+# How long after an order no session begins on the new version: the time in
+# which peers report the sessions that they keep on the old one.
+SESSION_EXCHANGE_MS = 500.0
 
 
 @attrs.define(eq=False)
@@ -34,22 +37,23 @@
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
     rollouts: dict[str, rollout_state.Rollout] = attrs.field(factory=dict)
+    report_soon: typing.Callable[[], None] = lambda: None
     sessions: session_versions.SessionVersions = attrs.field(init=False)
+    kept: kept_sessions.KeptSessions = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.sessions = session_versions.SessionVersions(
             self.clock, lambda: self.board.bounds.session_ms
         )
+        self.kept = kept_sessions.KeptSessions(self.sessions)
 
     def choose_version(
         self, work: work_items.Work
     ) -> rollout_state.VersionChoice | None:
         """Choose a request's version; None if no roll-out was ordered."""
         self.apply_orders()
-        service, session = work.service, work.metadata.session
-        rollout = self.rollouts.get(service)
+        rollout = self.rollouts.get(work.service)
         if rollout is None:
-            self.sessions.record(service, session, "")
             return None
         if not rollout.running:
             completed = rollout.state is message_types.RolloutState.COMPLETED
@@ -60,10 +64,8 @@
                 reason=rollout_state.Reason.ENDED,
             )
         new, reason = self._chooses_new(
-            rollout, session, work.metadata.request_id
+            rollout, work.metadata.session, work.metadata.request_id
         )
-        version = rollout.order.version if new else ""
-        self.sessions.record(service, session, version)
         bad = rollout.verdict is canary.Verdict.BAD
         return rollout_state.VersionChoice(
             rollout, new, bad or not rollout.status_known, reason
@@ -81,19 +83,32 @@
         share = self.compute_share(rollout, now_ms)
         if not share:
             return False, rollout_state.Reason.NOT_SHARED
-        version = rollout.order.version
-        current = self.sessions.find(rollout.order.service, session)
-        if current is not None:
-            new = current == version
-            early = rollout.compute_elapsed_part(now_ms) < canary.TRIAL_PART
-            if new or early:
-                return new, rollout_state.Reason.SESSION
+        new, reason = self._find_session(rollout, session)
+        if new or (new is False and rollout.is_early(now_ms)):
+            return new, reason
+        # Peers may keep it on the old version and have had no time to say so.
+        known_ms = now_ms - rollout.known_since_ms
+        if session and new is None and known_ms < SESSION_EXCHANGE_MS:
+            return False, rollout_state.Reason.NOT_SHARED
         # Runs on the old version do not count: those of a session that is kept
         # there would be sent to the new one on completion as well.
         if rollout.at_full_traffic and not self.fits_exposure(rollout, now_ms):
             return False, rollout_state.Reason.EXPOSURE
-        draw = placement.hash_key(f"{version}/{session or request_id}")
-        return draw < share * 2.0**64, rollout_state.Reason.DRAW
+        drawn = kept_sessions.draw(
+            rollout.order.version, session or request_id
+        )
+        return drawn < share, rollout_state.Reason.DRAW
+
+    def _find_session(
+        self, rollout: rollout_state.Rollout, session: str
+    ) -> tuple[bool | None, rollout_state.Reason]:
+        """Whether a session is on the new version; None if it is unknown."""
+        order = rollout.order
+        current = self.sessions.find(order.service, session)
+        if current is not None:
+            return current == order.version, rollout_state.Reason.SESSION
+        new = self.kept.find(order, session) if session else None
+        return new, rollout_state.Reason.PEER_SESSION
 
     def fits_exposure(
         self,
@@ -166,6 +181,7 @@
         version the run counts, because without an endpoint of the chosen
         version the other one serves.
         """
+        self.sessions.begin(work.service, work.metadata.session, version)
         if choice is None:
             return None
         rollout = choice.rollout
@@ -187,7 +203,9 @@
 
         This includes runs whose callers have left.
         """
-        self.sessions.touch(work.service, work.metadata.session)
+        self.sessions.end(
+            work.service, work.metadata.session, work.progress.version
+        )
         if run is None:
             return
         rollout = run.rollout
@@ -284,6 +302,7 @@
                 self.rollouts[service] = rollout_state.Rollout(
                     order, self.clock.now_ms()
                 )
+                self.report_soon()
 
     def apply_state(
         self, rollout: rollout_state.Rollout, state: message_types.RolloutState
@@ -320,6 +339,29 @@
             if rollout.running
         ]
 
+    def describe_sessions(self) -> list:
+        """The sessions that are kept against their draw."""
+        now_ms = self.clock.now_ms()
+        described = [
+            self.kept.describe(
+                rollout.order,
+                rollout.is_early(now_ms),
+            )
+            for rollout in self.rollouts.values()
+            if rollout.running
+        ]
+        return [each for each in described if each]
+
+    def merge_sessions(
+        self, peer: str, value: typing.Any, ttl_ms: float
+    ) -> None:
+        """Merge the sessions that a peer keeps against their draw.
+
+        Raises ValueError or TypeError if they are malformed.
+        """
+        for each in value:
+            self.kept.merge(each)
+
     def merge(self, peer: str, value: typing.Any, ttl_ms: float) -> None:
         """Merge what a peer reports about its roll-outs.
 
--- a/src/carawayward/forwarding/session_versions.py
+++ b/src/carawayward/forwarding/session_versions.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import itertools
 import typing
 
 import attrs
@@ -13,57 +14,92 @@
 
 # Limits memory to some 4 MB.
 MAX_SESSIONS = 20_000
+# Listing more would take a slow machine several ms.
+MAX_LISTED = 2_000
 # Sessions are kept for longer than their timeout by this factor: on another
 # clock a session may not have expired yet.
 SESSION_TIMEOUT_FACTOR = 1.2
 
+# Service and session.
+Key = tuple[str, str]
+
+
+@attrs.define
+class SessionUse:
+    """The version that a session's last run used, and when that was.
+
+    A session does not expire while any of its runs is ``in_flight``.
+    """
+
+    version: str
+    last_ms: float
+    in_flight: int = 0
+
 
 @attrs.define(eq=False)
 class SessionVersions:
-    """The version that each session's last request went to.
+    """The version that each session's last request ran on.
 
-    Versions have the names that roll-out orders give; the empty one is the
-    version before the roll-out. Sessions are recorded also while there is no
-    roll-out, so that one that began right before an order stays on the old
-    version.
+    Sessions are recorded also while there is no roll-out, so that one that
+    began right before an order stays on the old version.
     """
 
     clock: clock_module.Clock
     get_session_timeout_ms: typing.Callable[[], float]
-    last: collections.OrderedDict[tuple[str, str], tuple[str, float]] = (
-        attrs.field(factory=collections.OrderedDict)
+    uses: collections.OrderedDict[Key, SessionUse] = attrs.field(
+        factory=collections.OrderedDict
     )
 
     def record(self, service: str, session: str, version: str) -> None:
         """Record a session's version; an empty session is ignored."""
         if not session:
             return
-        self.last[service, session] = (version, self.clock.now_ms())
-        self.last.move_to_end((service, session))
+        key = (service, session)
+        use = self.uses.setdefault(key, SessionUse(version, 0.0))
+        use.version, use.last_ms = version, self.clock.now_ms()
+        self.uses.move_to_end(key)
         self._evict()
 
-    def touch(self, service: str, session: str) -> None:
-        """Restart a session's timeout, at the end of a request."""
-        known = self.last.get((service, session))
-        if known is not None:
-            self.record(service, session, known[0])
+    def begin(self, service: str, session: str, version: str) -> None:
+        """Record the start of a run on an endpoint of ``version``."""
+        self.record(service, session, version)
+        if session:
+            self.uses[service, session].in_flight += 1
+
+    def end(self, service: str, session: str, version: str) -> None:
+        """Record the end of a run, which restarts the session's timeout."""
+        self.record(service, session, version)
+        if session:
+            use = self.uses[service, session]
+            use.in_flight = max(0, use.in_flight - 1)
 
     def find(self, service: str, session: str) -> str | None:
         """Return the version of a session; None if unknown or expired."""
-        known = self.last.get((service, session))
-        if known is None or self._is_expired(known[1]):
+        use = self.uses.get((service, session))
+        if use is None or self._is_expired(use):
             return None
-        return known[0]
+        return use.version
+
+    def list_current(
+        self, service: str
+    ) -> typing.Iterator[tuple[str, SessionUse]]:
+        """List the sessions of a service that were used last."""
+        newest = itertools.islice(reversed(self.uses.items()), MAX_LISTED)
+        for (name, session), use in newest:
+            if name == service and not self._is_expired(use):
+                yield session, use
+
+    def compute_timeout_ms(self) -> float:
+        """How long a session is kept after its last request."""
+        return SESSION_TIMEOUT_FACTOR * self.get_session_timeout_ms()
 
-    def _is_expired(self, last_ms: float) -> bool:
-        age_ms = self.clock.now_ms() - last_ms
-        return age_ms >= SESSION_TIMEOUT_FACTOR * self.get_session_timeout_ms()
+    def _is_expired(self, use: SessionUse) -> bool:
+        age_ms = self.clock.now_ms() - use.last_ms
+        return not use.in_flight and age_ms >= self.compute_timeout_ms()
 
     def _evict(self) -> None:
-        while self.last:
-            oldest = next(iter(self.last))
-            if len(self.last) <= MAX_SESSIONS and not self._is_expired(
-                self.last[oldest][1]
-            ):
+        while self.uses:
+            oldest = next(iter(self.uses.values()))
+            if len(self.uses) <= MAX_SESSIONS and not self._is_expired(oldest):
                 return
-            del self.last[oldest]
+            self.uses.popitem(last=False)
--- a/tests/cover/test_odd_peer_reports.py
+++ b/tests/cover/test_odd_peer_reports.py
@@ -45,7 +45,7 @@
 # The topics of all controllers, and values of some.
 TOPICS = (
     *("limits", "in_flight", "wide_link", "rollouts", "paces"),
-    *("paths", "prompts", "suspects", "demand", "overload"),
+    *("paths", "prompts", "suspects", "demand", "overload", "sessions"),
 )
 GOOD_TOPICS = {"limits": [[NUMBER, 5.0, 0]], "paths": [7]}
 
--- a/tests/failures/test_forwarding_rollouts.py
+++ b/tests/failures/test_forwarding_rollouts.py
@@ -166,6 +166,18 @@
     trio.run(main)
 
 
+def withdraw_new_version(deployment, desks):
+    """Let the servers of the new version get no requests for now."""
+    for desk in desks:
+        if desk.version == "v2":
+            deployment.register(desk, state="draining")
+
+
+def count_serving(endpoints):
+    """The number of listed endpoints that take requests."""
+    return sum(not each.leaving for each in endpoints.values())
+
+
 def test_session_that_began_before_the_order_stays_on_the_old_version():
     """A session is in progress when operators order a new version.
 
@@ -210,6 +222,45 @@
     trio.run(main)
 
 
+def test_session_keeps_its_version_at_another_entry_vm():
+    """Sessions of an entry VM that stops changed to the version on trial.
+
+    The entry VM that got them next did not know that they began before the
+    order, and drew their version anew.
+    """
+
+    async def main():
+        desks = make_servers()
+        async with forwarding.open_forwarding(*desks, daemons=2) as deployment:
+            names = [f"s-{number}" for number in range(60)]
+            withdraw_new_version(deployment, desks)
+            places = [each.board.endpoints for each in deployment.daemons]
+            await deployment.wait_for(
+                lambda: all(count_serving(each) == 2 for each in places)
+            )
+            for name in names:
+                await deployment.call("GET", "/look/", session=name)
+            for desk in desks:
+                deployment.register(desk, state="ready", sequence=2)
+            order_rollout(deployment, 8.0)
+            await trio.sleep(1.0)
+            deployment.stops[0].set()
+            await trio.sleep(0.5)
+            versions = set()
+            for name in names:
+                answer = await deployment.call(
+                    "GET", "/look/", daemon=1, session=name
+                )
+                versions.add(answer.body.split(b"-")[1])
+            assert versions == {b"v1"}
+            others = [f"t-{number}" for number in range(60)]
+            for name in others:
+                await deployment.call("GET", "/look/", daemon=1, session=name)
+            assert count_runs(desks, "v2") > 0
+
+    trio.run(main)
+
+
 def test_good_version_is_completed_in_time_and_has_all_traffic():
     """A good version gets few requests at first and is completed in time.
 
