--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -299,6 +299,11 @@
         1514, "The verdict on a version, based on its answers, has changed."
     )
     ROLLOUT_ENDED = EventKind(1515, "A roll-out was completed or rolled back.")
+    VERSIONS_KNOWN = EventKind(
+        1522,
+        "Which versions of a service may serve besides the newest target has "
+        "changed: neither rejected nor undecided ones do.",
+    )
     ENDPOINT_EJECTED = EventKind(
         1502,
         "An endpoint was ejected temporarily: it fails or is far slower "
--- a/src/carawayward/forwarding/board.py
+++ b/src/carawayward/forwarding/board.py
@@ -57,6 +57,7 @@
     ``stop_deadline`` is when all replies have to be sent.
     ``link_mbps`` is the rate of this entry VM's link, 0 if it is not known.
     ``open_relays`` are requests that this entry VM sends for its peers.
+    ``orders_at_start`` are the services with an order in the first listing.
     ``declared`` is set, and replaced, by each change to ``table`` or
     ``orders``.
     """
@@ -86,6 +87,7 @@
     endpoints_known: bool = False
     generation: int = 0
     orders: dict[str, message_types.RolloutOrder] = attrs.field(factory=dict)
+    orders_at_start: set[str] = attrs.field(factory=set)
     cold_reports: dict[str, ColdReport] = attrs.field(factory=dict)
     limited: set[message_types.Process] = attrs.field(factory=set)
     resting_until: dict[message_types.Process, float] = attrs.field(
--- a/src/carawayward/forwarding/daemon.py
+++ b/src/carawayward/forwarding/daemon.py
@@ -241,7 +241,11 @@
 
     async def _become_ready(self) -> None:
         with trio.move_on_after(ENDPOINTS_WAIT_MS / 1000):
-            while self.board.table is None or not self.board.endpoints:
+            while (
+                self.board.table is None
+                or not self.board.endpoints
+                or not self._are_versions_known()
+            ):
                 await self.clock.sleep(POLL_MS)
         while self.board.table is None:
             await self.clock.sleep(POLL_MS)
@@ -253,6 +257,10 @@
         gc.collect()
         gc.freeze()
 
+    def _are_versions_known(self) -> bool:
+        rollouts = self.app.forwarder.rollouts
+        return all(map(rollouts.is_history_known, self.board.orders_at_start))
+
     async def _answer_readiness(
         self, scope: dict, receive: typing.Any, send: typing.Any
     ) -> None:
--- a/src/carawayward/forwarding/declarations.py
+++ b/src/carawayward/forwarding/declarations.py
@@ -159,6 +159,8 @@
                 del self.superseded[:-MAX_SUPERSEDED]
             if decoded in self.superseded:
                 self.superseded.remove(decoded)
+            if self.board.table_as_of_ms == board_module.NEVER:
+                self.board.orders_at_start.add(decoded.service)
             self.board.orders[decoded.service] = decoded
             self.board.notify_declared()
             events.log_event(
--- a/src/carawayward/forwarding/fleet.py
+++ b/src/carawayward/forwarding/fleet.py
@@ -29,13 +29,13 @@
 class EndpointFilter:
     """Selects endpoints by service and version.
 
-    An empty ``version`` selects all; with ``other`` set, all but this one are
-    selected. ``max_endpoints`` limits their number; None is no limit.
+    An empty ``version`` selects all but those in ``excluded``.
+    ``max_endpoints`` limits their number; None is no limit.
     """
 
     service: str
     version: str = ""
-    other: bool = False
+    excluded: frozenset[str] = frozenset()
     max_endpoints: int | None = None
 
 
@@ -206,11 +206,8 @@
             for endpoint in self.tracked.values()
             if endpoint.entry.service == endpoint_filter.service
             and self._is_in_use(endpoint.entry)
-            and (
-                not endpoint_filter.version
-                or (endpoint.entry.version == endpoint_filter.version)
-                != endpoint_filter.other
-            )
+            and endpoint_filter.version in ("", endpoint.entry.version)
+            and endpoint.entry.version not in endpoint_filter.excluded
         ]
         if endpoint_filter.max_endpoints is not None:
             # In the order of a hash, so that all entry VMs choose the same.
--- a/src/carawayward/forwarding/message_types.py
+++ b/src/carawayward/forwarding/message_types.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from carawayward.decisions import version_history
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -171,3 +173,16 @@
     service: str
     version: str
     state: RolloutState
+
+
+@attrs.frozen
+class ServiceHistory:
+    """A service's history before the order of ``version``."""
+
+    service: str
+    version: str
+    history: version_history.History
+
+    def says_anything(self) -> bool:
+        """Whether any version is known."""
+        return self.history != version_history.History()
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -254,12 +254,38 @@
             return [fleet_module.EndpointFilter(work.service)]
         version = choice.rollout.order.version
         new = fleet_module.EndpointFilter(work.service, version)
-        old = fleet_module.EndpointFilter(work.service, version, other=True)
-        if not choice.new:
-            return [old] if choice.strict else [old, new]
+        unusable = self.rollouts.list_unusable(choice.rollout)
+        old = fleet_module.EndpointFilter(
+            work.service, excluded=unusable | {version}
+        )
+        if not choice.new and not self._is_certain(old):
+            return []
         count = len(self.fleet.find_pool(new).views)
-        max_endpoints = self.rollouts.limit_endpoints(choice, count)
-        return [attrs.evolve(new, max_endpoints=max_endpoints), old]
+        if not choice.new:
+            filters = [old] if choice.strict else [old, new]
+        else:
+            max_endpoints = self.rollouts.limit_endpoints(choice, count)
+            filters = [attrs.evolve(new, max_endpoints=max_endpoints), old]
+        if count or self.fleet.find_pool(old).views:
+            return filters
+        # Their roll-outs may have been completed: the end of one is known some
+        # time after the next order.
+        return [
+            fleet_module.EndpointFilter(work.service, each)
+            for each in self.rollouts.list_undecided(work.service)
+        ]
+
+    def _is_certain(self, old: fleet_module.EndpointFilter) -> bool:
+        """Whether all endpoints that a filter selects are of old versions.
+
+        Until a process that starts knows how the earlier roll-outs ended, one
+        of several versions may have been rolled back.
+        """
+        if self.rollouts.is_history_known(old.service):
+            return True
+        tracked = self.fleet.tracked
+        views = self.fleet.find_pool(old).views
+        return len({tracked[view.name].entry.version for view in views}) <= 1
 
     def begin_reading(
         self, work: work_items.Work, endpoint: fleet_module.TrackedEndpoint
--- a/src/carawayward/forwarding/ports.py
+++ b/src/carawayward/forwarding/ports.py
@@ -26,10 +26,12 @@
         [keyed_log.Record], declarations_module.Decoded
     ]
     decode_status: typing.Callable[
-        [keyed_log.Record], message_types.RolloutStatus | None
+        [keyed_log.Record],
+        message_types.RolloutStatus | message_types.ServiceHistory | None,
     ]
     encode_status: typing.Callable[
-        [message_types.RolloutStatus], keyed_log.Record
+        [message_types.RolloutStatus | message_types.ServiceHistory],
+        keyed_log.Record,
     ]
     decode_endpoint: registry.Decode
     dialect: message_types.Dialect
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -52,6 +52,7 @@
     has read, None while it knows of unread records. ``list_members`` returns
     the names of all entry VMs. ``latest`` holds the latest status of each
     service, known to be current at ``as_of_ms`` on the boot clock.
+    ``histories`` are those last stored of each service.
     ``restoring`` is set while the store, restored from a backup at
     ``era_began_ms``, may lack decisions. ``needed`` is set by each round.
     """
@@ -61,15 +62,20 @@
     rollouts: rollouts_module.Rollouts
     statuses: keyed_log.KeyedLog
     decode_status: typing.Callable[
-        [keyed_log.Record], message_types.RolloutStatus | None
+        [keyed_log.Record],
+        message_types.RolloutStatus | message_types.ServiceHistory | None,
     ]
     encode_status: typing.Callable[
-        [message_types.RolloutStatus], keyed_log.Record
+        [message_types.RolloutStatus | message_types.ServiceHistory],
+        keyed_log.Record,
     ]
     list_members: typing.Callable[[], typing.Iterable[str]]
     get_end: typing.Callable[[], int | None] = lambda: None
     request_read: typing.Callable[[int], None] = lambda end: None
     latest: dict[str, message_types.RolloutStatus] = attrs.field(factory=dict)
+    histories: dict[str, message_types.ServiceHistory] = attrs.field(
+        factory=dict
+    )
     pending_writes: dict[str, PendingWrite] = attrs.field(factory=dict)
     as_of_ms: float = board_module.NEVER
     restoring: bool = False
@@ -99,6 +105,7 @@
         """Prepare for the statuses of another era, which follow."""
         self.begin_era()
         self.latest.clear()
+        self.histories.clear()
         self.pending_writes.clear()
         for rollout in self.rollouts.rollouts.values():
             if rollout.running:
@@ -113,10 +120,12 @@
         """Apply one status; one that cannot be used is ignored."""
 
         def decode_and_apply() -> None:
-            status = self.decode_status(record)
-            if status is not None:
-                self._apply_status(status)
-                self.latest[status.service] = status
+            decoded = self.decode_status(record)
+            if isinstance(decoded, message_types.ServiceHistory):
+                self.histories[decoded.service] = decoded
+            elif decoded is not None:
+                self._apply_status(decoded)
+                self.latest[decoded.service] = decoded
 
         record_isolation.isolate(
             decode_and_apply, None, key=record.key, offset=record.offset
@@ -125,6 +134,10 @@
     def mark_current(self, as_of_ms: float) -> None:
         """Record that the statuses were current at ``as_of_ms``."""
         self.as_of_ms = max(self.as_of_ms, as_of_ms)
+        if not self.restoring:
+            for service in self.rollouts.rollouts:
+                self._apply_history(service)
+        self.rollouts.statuses_read = True
         for rollout in self.rollouts.rollouts.values():
             self._update_freshness(rollout)
 
@@ -165,6 +178,8 @@
         status = self.latest.get(rollout.order.service)
         if status is not None:
             self._apply_status(status)
+        if not self.restoring:
+            self._apply_history(rollout.order.service)
         self._update_freshness(rollout)
         self.rollouts.count_started_streams(rollout)
         self.rollouts.judge(rollout)
@@ -208,8 +223,14 @@
         status = message_types.RolloutStatus(
             order.service, order.version, state
         )
+        records = [self.encode_status(status)]
+        history = self.rollouts.make_history(rollout)
+        if history.says_anything() and history != self.histories.get(
+            order.service
+        ):
+            records.append(self.encode_status(history))
         try:
-            await self.statuses.append([self.encode_status(status)], end)
+            await self.statuses.append(records, end)
         except keyed_log.Conflict as fault:
             # Another entry VM wrote in between; the next round decides again.
             self.request_read(fault.end)
@@ -221,6 +242,7 @@
             )
         else:
             self.latest[order.service] = status
+            self.histories[order.service] = history
             self.rollouts.apply_state(rollout, state)
 
     def _decide_state(
@@ -233,6 +255,8 @@
             return None
         now_ms = self.clock.now_ms()
         part = rollout.compute_elapsed_part(now_ms)
+        if self.rollouts.is_return(rollout):
+            return self._decide_return(rollout, now_ms)
         if rollout.verdict is canary.Verdict.BAD:
             return message_types.RolloutState.ROLLED_BACK
         since_full_traffic = rollout.sum_since_full_traffic()
@@ -257,6 +281,25 @@
             return None
         return message_types.RolloutState.RUNNING
 
+    def _decide_return(
+        self, rollout: rollout_state.Rollout, now_ms: float
+    ) -> message_types.RolloutState | None:
+        """Decide a return to a stable version, which has no trial.
+
+        Completion stops the old endpoints at once, so the new ones are given
+        time to start.
+        """
+        if not rollout.stored_state:
+            return message_types.RolloutState.RUNNING
+        part = rollout.compute_elapsed_part(now_ms)
+        left_ms = (1.0 - part) * rollout.order.duration_ms
+        settled = part >= canary.TRIAL_PART and not (
+            rollout.count_old_in_flight(now_ms)
+        )
+        if settled or left_ms <= canary.FORCED_COMPLETION_MS:
+            return message_types.RolloutState.COMPLETED
+        return None
+
     def _is_lost(self, rollout: rollout_state.Rollout) -> bool:
         """Whether the store lacks a decision that had taken effect.
 
@@ -285,6 +328,12 @@
             read_ms = self.clock.now_ms() - age_ms
             rollout.status_read_ms = max(rollout.status_read_ms, read_ms)
 
+    def _apply_history(self, service: str) -> None:
+        """Adopt what the store says about the service's earlier roll-outs."""
+        self.rollouts.merge_history(
+            service, self.histories.get(service), self.latest.get(service)
+        )
+
     def _apply_status(self, status: message_types.RolloutStatus) -> None:
         rollout = self.rollouts.rollouts.get(status.service)
         if rollout is None or rollout.order.version != status.version:
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -24,6 +24,7 @@
     """Why a request goes to the new version or the old one."""
 
     ENDED = "roll-out ended"
+    RETURN = "return"
     NOT_SHARED = "no share"
     SESSION = "session"
     PEER_SESSION = "session of a peer"
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -10,6 +10,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import canary
+from carawayward.decisions import version_history
 from carawayward import events
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import kept_sessions
@@ -31,12 +32,16 @@
 class Rollouts:
     """Chooses versions according to the roll-outs ordered by operators.
 
-    ``rollouts`` holds the latest roll-out of each service.
+    ``rollouts`` holds the latest roll-out of each service, and ``histories``
+    what those before it left. ``statuses_read`` is set once the stored
+    statuses have been read since this process started.
     """
 
     board: board_module.ForwardingBoard
     clock: clock_module.Clock
     rollouts: dict[str, rollout_state.Rollout] = attrs.field(factory=dict)
+    histories: dict[str, version_history.History] = attrs.field(factory=dict)
+    statuses_read: bool = False
     report_soon: typing.Callable[[], None] = lambda: None
     sessions: session_versions.SessionVersions = attrs.field(init=False)
     kept: kept_sessions.KeptSessions = attrs.field(init=False)
@@ -63,6 +68,10 @@
                 strict=not completed,
                 reason=rollout_state.Reason.ENDED,
             )
+        if self.is_return(rollout):
+            return rollout_state.VersionChoice(
+                rollout, True, False, rollout_state.Reason.RETURN
+            )
         new, reason = self._chooses_new(
             rollout, work.metadata.session, work.metadata.request_id
         )
@@ -155,19 +164,49 @@
         self, choice: rollout_state.VersionChoice, endpoints: int
     ) -> int:
         """The number of the chosen version's endpoints to use."""
-        if not choice.new or not choice.rollout.running:
+        rollout = choice.rollout
+        if not choice.new or not self.is_on_trial(
+            rollout.order.service, rollout.order.version
+        ):
             return endpoints
         share = self.compute_share(choice.rollout, self.clock.now_ms())
         return canary.count_trial_endpoints(endpoints, share)
 
     def is_on_trial(self, service: str, version: str) -> bool:
-        """Whether a running roll-out introduces this version."""
+        """Whether a version is introduced, or was and has not been completed.
+
+        False for one that is stable.
+        """
         rollout = self.rollouts.get(service)
-        return (
-            rollout is not None
-            and rollout.running
-            and rollout.order.version == version
-        )
+        if rollout is None:
+            return False
+        if rollout.order.version == version:
+            return rollout.running and not self.is_return(rollout)
+        return version in self.list_unusable(rollout)
+
+    def is_return(self, rollout: rollout_state.Rollout) -> bool:
+        """Whether a roll-out returns to a version that is known to be good."""
+        history = self.histories.get(rollout.order.service)
+        return history is not None and rollout.order.version in history.stable
+
+    def list_unusable(self, rollout: rollout_state.Rollout) -> frozenset[str]:
+        """The versions that earlier roll-outs have not completed."""
+        history = self.histories.get(rollout.order.service)
+        if history is None:
+            return frozenset()
+        return history.list_unusable(rollout.order.version)
+
+    def list_undecided(self, service: str) -> tuple[str, ...]:
+        """The versions whose roll-outs were superseded, undecided."""
+        history = self.histories.get(service)
+        return history.undecided if history is not None else ()
+
+    def is_history_known(self, service: str) -> bool:
+        """Whether this process knows how the earlier roll-outs ended.
+
+        One that starts reads that from the store, after the newest order.
+        """
+        return self.statuses_read or service not in self.board.orders_at_start
 
     def begin(
         self,
@@ -268,7 +307,9 @@
 
     def _halt(self, rollout: rollout_state.Rollout) -> None:
         """Adopt a peer's verdict that the version is bad."""
-        if rollout.verdict is not canary.Verdict.BAD:
+        if rollout.verdict is not canary.Verdict.BAD and not self.is_return(
+            rollout
+        ):
             self._set_verdict(rollout, canary.Verdict.BAD)
 
     def _set_verdict(
@@ -290,6 +331,8 @@
         """Judge by all known counts; a bad verdict is never revoked."""
         if rollout.verdict is canary.Verdict.BAD or not rollout.running:
             return
+        if self.is_return(rollout):
+            return
         verdict = canary.judge(rollout.sum_tallies())
         if verdict is not rollout.verdict:
             self._set_verdict(rollout, verdict)
@@ -299,11 +342,83 @@
         for service, order in self.board.orders.items():
             known = self.rollouts.get(service)
             if known is None or known.order != order:
+                if known is not None:
+                    self._supersede(known)
                 self.rollouts[service] = rollout_state.Rollout(
                     order, self.clock.now_ms()
                 )
                 self.report_soon()
 
+    def _supersede(self, rollout: rollout_state.Rollout) -> None:
+        """Record how a roll-out ended that another order has replaced."""
+        service, version = rollout.order.service, rollout.order.version
+        history = self.histories.get(service, version_history.History())
+        if rollout.state is message_types.RolloutState.COMPLETED:
+            history = version_history.complete(history, version)
+        elif (
+            rollout.state is message_types.RolloutState.ROLLED_BACK
+            or rollout.verdict is canary.Verdict.BAD
+        ):
+            history = version_history.reject(history, version)
+        else:
+            history = version_history.suspend(history, version)
+        self._set_history(service, history)
+
+    def merge_history(
+        self,
+        service: str,
+        stored: message_types.ServiceHistory | None,
+        status: message_types.RolloutStatus | None,
+    ) -> None:
+        """Merge the stored history and the latest status of a service."""
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return
+        target = rollout.order.version
+        history = self.histories.get(service, version_history.History())
+        if stored is not None:
+            is_current = stored.version == target
+            earlier = stored.history
+            if not is_current:
+                earlier = version_history.suspend(earlier, stored.version)
+            history = version_history.merge(history, earlier, is_current)
+        if status is not None and status.version != target:
+            if status.state is message_types.RolloutState.COMPLETED:
+                history = version_history.complete(history, status.version)
+            elif status.state is message_types.RolloutState.ROLLED_BACK:
+                history = version_history.reject(history, status.version)
+            else:
+                history = version_history.suspend(history, status.version)
+        self._set_history(service, history)
+
+    def make_history(
+        self, rollout: rollout_state.Rollout
+    ) -> message_types.ServiceHistory:
+        """The history to store together with a roll-out's status."""
+        service, target = rollout.order.service, rollout.order.version
+        history = self.histories.get(service, version_history.History())
+        listed = frozenset(
+            entry.version
+            for entry in self.board.endpoints.values()
+            if entry.service == service
+        )
+        stable = version_history.find_stable(history, target, listed)
+        return message_types.ServiceHistory(
+            service, target, attrs.evolve(history, stable=stable)
+        )
+
+    def _set_history(
+        self, service: str, history: version_history.History
+    ) -> None:
+        if history == self.histories.get(service, version_history.History()):
+            return
+        self.histories[service] = history
+        events.log_event(
+            events.Event.VERSIONS_KNOWN,
+            service=service,
+            **attrs.asdict(history),
+        )
+
     def apply_state(
         self, rollout: rollout_state.Rollout, state: message_types.RolloutState
     ) -> None:
--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -11,6 +11,9 @@
 import math
 import typing
 
+import attrs
+
+from carawayward.decisions import version_history
 from carawayward.forwarding import keyed_log
 from carawayward.forwarding import message_types
 from carawayward.forwarding import table
@@ -18,6 +21,7 @@
 
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
+HISTORY_PREFIX = "versions/"
 EVACUATION_PREFIX = "evacuate/"
 
 ROUTE_KINDS = {
@@ -192,12 +196,16 @@
 
 def decode_status(
     record: keyed_log.Record,
-) -> message_types.RolloutStatus | None:
+) -> message_types.RolloutStatus | message_types.ServiceHistory | None:
     """Decode a record of the statuses' topic; None if it is unusable."""
-    service = record.key.removeprefix(ROLLOUT_PREFIX)
-    if record.value is None or service == record.key:
+    if record.value is None:
         return None
-    return _decode(record, functools.partial(read_status, service))
+    prefix, slash, service = record.key.partition("/")
+    if prefix + slash == ROLLOUT_PREFIX:
+        return _decode(record, functools.partial(read_status, service))
+    if prefix + slash == HISTORY_PREFIX:
+        return _decode(record, functools.partial(read_history, service))
+    return None
 
 
 def read_status(service: str, body: dict) -> message_types.RolloutStatus:
@@ -209,8 +217,32 @@
     )
 
 
-def encode_status(status: message_types.RolloutStatus) -> keyed_log.Record:
-    """Encode a status; the inverse of ``decode_status``."""
+def read_history(service: str, body: dict) -> message_types.ServiceHistory:
+    """Convert what the earlier roll-outs of a service left."""
+    kinds = {
+        kind: tuple(
+            _require_type(each, str)
+            for each in _require_type(body[kind], list)
+        )
+        for kind in ("stable", "rejected", "undecided")
+    }
+    return message_types.ServiceHistory(
+        service,
+        _require_type(body["target"], str),
+        version_history.History(**kinds),
+    )
+
+
+def encode_status(
+    status: message_types.RolloutStatus | message_types.ServiceHistory,
+) -> keyed_log.Record:
+    """Encode a status or history; the inverse of ``decode_status``."""
+    body: dict[str, object]
+    if isinstance(status, message_types.ServiceHistory):
+        body = {"target": status.version, **attrs.asdict(status.history)}
+        return keyed_log.Record(
+            HISTORY_PREFIX + status.service, json.dumps(body).encode()
+        )
     body = {
         "state": ROLLOUT_STATE_NAMES[status.state],
         "target": status.version,
--- a/tests/failures/test_forwarding_rollouts.py
+++ b/tests/failures/test_forwarding_rollouts.py
@@ -5,9 +5,9 @@
 import trio
 
 from tests.common import forwarding
+from tests.common import rollout_orders
 from tests.standins import backend
 
-ORDER_S = 4.0
 # An order that is aged until it is nearly over, with ample time left to prove
 # the version.
 LONG_ORDER_S = 600.0
@@ -15,67 +15,6 @@
 PROOF_S = 40.0
 
 
-def make_servers(always=None):
-    """Two servers of the old and two of the new version."""
-    return [
-        backend.Backend(
-            f"desk-{version}-{number}",
-            version=version,
-            always=always if version == "v2" else None,
-        )
-        for version in ("v1", "v2")
-        for number in range(2)
-    ]
-
-
-def read_status(deployment):
-    """The status of the roll-out, as operators read it."""
-    newest = deployment.store.topic("keyed.status").newest
-    if "rollout/desk" not in newest:
-        return None
-    return json.loads(newest["rollout/desk"][1])
-
-
-def order_rollout(deployment, seconds=ORDER_S):
-    order = {"service": "desk", "target": "v2", "durationS": seconds}
-    deployment.store.put("keyed.op", "rollout/desk", order)
-
-
-async def send_until_decided(deployment, seconds=ORDER_S):
-    """Send requests until the status is final; return their sessions."""
-    sent: list[str] = []
-    with trio.move_on_after(1.5 * seconds):
-        while True:
-            status = read_status(deployment)
-            if status and status["state"] != "in_progress":
-                break
-            sessions = [f"s-{len(sent) + n}" for n in range(12)]
-            async with trio.open_nursery() as nursery:
-                for number, session in enumerate(sessions):
-
-                    async def send(daemon, name):
-                        await deployment.call(
-                            "GET", "/look/", daemon=daemon, session=name
-                        )
-
-                    nursery.start_soon(
-                        send, number % len(deployment.daemons), session
-                    )
-            sent += sessions
-            await trio.sleep(0.02)
-    return sent
-
-
-def is_decided(deployment):
-    """Whether the status is final."""
-    status = read_status(deployment)
-    return status is not None and status["state"] != "in_progress"
-
-
-def count_runs(desks, version):
-    return sum(len(d.runs) for d in desks if d.version == version)
-
-
 async def call_and_close(deployment, daemon):
     """Call as a client that closes its connection after the answer."""
     host, _, port = deployment.daemons[
@@ -102,18 +41,22 @@
     """
 
     async def main():
-        desks = make_servers(always=backend.fail)
+        desks = rollout_orders.make_servers(always=backend.fail)
         async with forwarding.open_forwarding(*desks) as deployment:
-            order_rollout(deployment, 6.0)
+            rollout_orders.order_rollout(deployment, 6.0)
             with trio.move_on_after(5.0):
-                while read_status(deployment) is None or (
-                    read_status(deployment)["state"] == "in_progress"
+                while rollout_orders.read_status(deployment) is None or (
+                    rollout_orders.read_status(deployment)["state"]
+                    == "in_progress"
                 ):
                     async with trio.open_nursery() as nursery:
                         for _ in range(6):
                             nursery.start_soon(call_and_close, deployment, 0)
                     await trio.sleep(0.02)
-            assert read_status(deployment)["state"] == "rolled_back"
+            assert (
+                rollout_orders.read_status(deployment)["state"]
+                == "rolled_back"
+            )
 
     trio.run(main)
 
@@ -186,7 +129,7 @@
     """
 
     async def main():
-        desks = make_servers()
+        desks = rollout_orders.make_servers()
         async with forwarding.open_forwarding(*desks) as deployment:
             names = [f"s-{number}" for number in range(60)]
             for desk in desks:
@@ -203,7 +146,7 @@
             await deployment.wait_for(
                 lambda: not any(e.leaving for e in places.values())
             )
-            order_rollout(deployment, 8.0)
+            rollout_orders.order_rollout(deployment, 8.0)
             controller = deployment.find_controller(3)
             await deployment.wait_for(
                 lambda: "desk" in controller.rollouts.rollouts
@@ -230,7 +173,7 @@
     """
 
     async def main():
-        desks = make_servers()
+        desks = rollout_orders.make_servers()
         async with forwarding.open_forwarding(*desks, daemons=2) as deployment:
             names = [f"s-{number}" for number in range(60)]
             withdraw_new_version(deployment, desks)
@@ -242,7 +185,7 @@
                 await deployment.call("GET", "/look/", session=name)
             for desk in desks:
                 deployment.register(desk, state="ready", sequence=2)
-            order_rollout(deployment, 8.0)
+            rollout_orders.order_rollout(deployment, 8.0)
             await trio.sleep(1.0)
             deployment.stops[0].set()
             await trio.sleep(0.5)
@@ -256,7 +199,7 @@
             others = [f"t-{number}" for number in range(60)]
             for name in others:
                 await deployment.call("GET", "/look/", daemon=1, session=name)
-            assert count_runs(desks, "v2") > 0
+            assert rollout_orders.count_runs(desks, "v2") > 0
 
     trio.run(main)
 
@@ -269,26 +212,28 @@
     """
 
     async def main():
-        desks = make_servers()
+        desks = rollout_orders.make_servers()
         async with forwarding.open_forwarding(*desks, daemons=2) as deployment:
-            order_rollout(deployment)
+            rollout_orders.order_rollout(deployment)
             # Open requests end after the decision; what counts is the time at
             # which operators can read it.
-            with trio.fail_after(ORDER_S):
+            with trio.fail_after(rollout_orders.ORDER_S):
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(send_until_decided, deployment)
-                    while not is_decided(deployment):
+                    nursery.start_soon(
+                        rollout_orders.send_until_decided, deployment
+                    )
+                    while not rollout_orders.is_decided(deployment):
                         await trio.sleep(0.005)
                     nursery.cancel_scope.cancel()
-            assert read_status(deployment) == {
+            assert rollout_orders.read_status(deployment) == {
                 "state": "completed",
                 "target": "v2",
             }
-            old = count_runs(desks, "v1")
+            old = rollout_orders.count_runs(desks, "v1")
             await trio.sleep(0.3)
             for daemon in (0, 1):
                 await deployment.call("GET", "/look/", daemon=daemon)
-            assert count_runs(desks, "v1") == old
+            assert rollout_orders.count_runs(desks, "v1") == old
 
     trio.run(main)
 
@@ -301,15 +246,15 @@
     """
 
     async def main():
-        desks = make_servers(always=backend.fail)
+        desks = rollout_orders.make_servers(always=backend.fail)
         async with forwarding.open_forwarding(*desks, daemons=2) as deployment:
-            order_rollout(deployment)
-            sent = await send_until_decided(deployment)
-            assert read_status(deployment) == {
+            rollout_orders.order_rollout(deployment)
+            sent = await rollout_orders.send_until_decided(deployment)
+            assert rollout_orders.read_status(deployment) == {
                 "state": "rolled_back",
                 "target": "v2",
             }
-            bad = count_runs(desks, "v2")
+            bad = rollout_orders.count_runs(desks, "v2")
             assert bad <= 0.15 * len(sent) + 30
             await trio.sleep(1.3)
             for daemon in (0, 1):
@@ -318,7 +263,7 @@
                         "GET", "/look/", daemon=daemon
                     )
                     assert answer.status == 200
-            assert count_runs(desks, "v2") == bad
+            assert rollout_orders.count_runs(desks, "v2") == bad
 
     trio.run(main)
 
@@ -330,23 +275,23 @@
     """
 
     async def main():
-        desks = make_servers()
+        desks = rollout_orders.make_servers()
         async with forwarding.open_forwarding(*desks) as deployment:
             status = {"state": "rolled_back", "target": "v2"}
             deployment.store.put("keyed.status", "rollout/desk", status)
-            order_rollout(deployment, 60.0)
+            rollout_orders.order_rollout(deployment, 60.0)
             await deployment.start_daemon()
             for _ in range(40):
                 await deployment.call("GET", "/look/", daemon=1)
                 await trio.sleep(0.01)
-        assert count_runs(desks, "v2") == 0
+        assert rollout_orders.count_runs(desks, "v2") == 0
 
     trio.run(main)
 
 
 async def prepare_completion(deployment):
     """Order a roll-out that is almost over, with ample time for its proof."""
-    order_rollout(deployment, LONG_ORDER_S)
+    rollout_orders.order_rollout(deployment, LONG_ORDER_S)
     controller = deployment.find_controller(3)
     await deployment.wait_for(lambda: "desk" in controller.rollouts.rollouts)
     rollout = controller.rollouts.rollouts["desk"]
@@ -362,7 +307,7 @@
     """
 
     async def main():
-        desks = make_servers()
+        desks = rollout_orders.make_servers()
         async with forwarding.open_forwarding(*desks) as deployment:
             rollout = await prepare_completion(deployment)
             raced: list[bytes] = []
@@ -379,11 +324,14 @@
                 return False
 
             deployment.store.override = race
-            await send_until_decided(deployment, PROOF_S)
+            await rollout_orders.send_until_decided(deployment, PROOF_S)
             await deployment.wait_for(lambda: bool(raced))
             await deployment.wait_for(lambda: not rollout.running)
             assert rollout.state.value == "rolled back"
-            assert read_status(deployment)["state"] == "rolled_back"
+            assert (
+                rollout_orders.read_status(deployment)["state"]
+                == "rolled_back"
+            )
             records = deployment.store.topic("keyed.status").records
             assert not [each for each in records if b"completed" in each]
 
@@ -397,10 +345,10 @@
     """
 
     async def main():
-        desks = make_servers()
+        desks = rollout_orders.make_servers()
         async with forwarding.open_forwarding(*desks) as deployment:
             names = [f"s-{number}" for number in range(40)]
-            order_rollout(deployment, 8.0)
+            rollout_orders.order_rollout(deployment, 8.0)
             controller = deployment.find_controller(3)
             await deployment.wait_for(
                 lambda: "desk" in controller.rollouts.rollouts
--- a/tests/model/rollout_steps.py
+++ b/tests/model/rollout_steps.py
@@ -110,7 +110,11 @@
     return message_types.RolloutStatus("desk", "v2", state)
 
 
-def encode(status: message_types.RolloutStatus) -> keyed_log.Record:
+def encode(
+    status: message_types.RolloutStatus | message_types.ServiceHistory,
+) -> keyed_log.Record:
+    if isinstance(status, message_types.ServiceHistory):
+        return keyed_log.Record("history", b"")
     return keyed_log.Record("desk", status.state.value.encode())
 
 
