--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -261,12 +261,17 @@
         if not choice.new and not self._is_certain(old):
             return []
         count = len(self.fleet.find_pool(new).views)
+        has_old = bool(self.fleet.find_pool(old).views)
         if not choice.new:
-            filters = [old] if choice.strict else [old, new]
+            strict = choice.strict or (choice.keeps_session and has_old)
+            filters = [old] if strict else [old, new]
         else:
             max_endpoints = self.rollouts.limit_endpoints(choice, count)
-            filters = [attrs.evolve(new, max_endpoints=max_endpoints), old]
-        if count or self.fleet.find_pool(old).views:
+            limited = attrs.evolve(new, max_endpoints=max_endpoints)
+            filters = (
+                [limited, new, old] if choice.keeps_session else [limited, old]
+            )
+        if count or has_old:
             return filters
         # Their roll-outs may have been completed: the end of one is known some
         # time after the next order.
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -38,12 +38,16 @@
 
     ``new`` is set for the version that the roll-out introduces. Unless
     ``strict`` is set, the other version serves if this one has no endpoint.
+    With ``keeps_session`` it does so only once all endpoints of this one are
+    gone: one that is full for a moment does not make a session change its
+    version.
     """
 
     rollout: "Rollout"
     new: bool
     strict: bool
     reason: Reason
+    keeps_session: bool = False
 
 
 @attrs.define(eq=False)
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -76,8 +76,17 @@
             rollout, work.metadata.session, work.metadata.request_id
         )
         bad = rollout.verdict is canary.Verdict.BAD
+        # Which sessions agree with their draw is not known here, so that any
+        # may have begun elsewhere.
+        may_have_begun = bool(work.metadata.session) and (
+            new or rollout.is_early(self.clock.now_ms())
+        )
         return rollout_state.VersionChoice(
-            rollout, new, bad or not rollout.status_known, reason
+            rollout,
+            new,
+            bad or not rollout.status_known,
+            reason,
+            may_have_begun,
         )
 
     def _chooses_new(
--- a/tests/cover/test_forwarding_sessions.py
+++ b/tests/cover/test_forwarding_sessions.py
@@ -8,8 +8,10 @@
 from carawayward import clock as clock_module
 from carawayward.decisions import canary
 from carawayward.forwarding import board as board_module
+from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import kept_sessions
 from carawayward.forwarding import message_types
+from carawayward.forwarding import placing
 from carawayward.forwarding import rollouts as rollouts_module
 from carawayward.forwarding import work_items
 from tests.common import odd_json
@@ -172,3 +174,56 @@
     except (TypeError, ValueError, LookupError, AttributeError):
         pass
     assert not choose(vm, "s")
+
+
+def make_placer(vm, clock):
+    """A placer with one endpoint of each version."""
+    for version in ("v1", "v2"):
+        vm.board.endpoints[version] = message_types.EndpointEntry(
+            name=version,
+            service="desk",
+            address="127.0.0.1:5",
+            failure_domain="north",
+            version=version,
+        )
+    vm.board.generation += 1
+    fleet = fleet_module.Fleet(vm.board, clock)
+    nothing: typing.Any = types.SimpleNamespace(get_engine_names=dict)
+    placer = placing.Placer(clock, fleet, vm, nothing, nothing, 0.0)
+    return placer
+
+
+def list_versions(vm, placer, session):
+    """The versions that a session's request may go to, in order."""
+    work = make_work(session)
+    choice = vm.choose_version(work)
+    filters = placer._list_filters(work, choice)
+    pools = [placer.fleet.find_pool(each) for each in filters]
+    return list(
+        dict.fromkeys(view.name for pool in pools for view in pool.views)
+    )
+
+
+def test_session_waits_for_its_version_where_that_is_full():
+    """Sessions changed to the other version while theirs had no room.
+
+    One that has no record here may have begun elsewhere. Once the endpoints
+    of its version are gone, the other one serves it.
+    """
+    clock: typing.Any = clock_module.ManualClock()
+    vm = make_vm(clock)
+    placer = make_placer(vm, clock)
+    clock.advance(rollouts_module.SESSION_EXCHANGE_MS)
+    unknown = find_session("v2", in_trial=False)
+    kept = find_session("v2")
+    assert list_versions(vm, placer, kept) == ["v2", "v1"]
+    vm.sessions.record("desk", kept, "v1")
+    assert list_versions(vm, placer, kept) == ["v1"]
+    assert list_versions(vm, placer, unknown) == ["v1"]
+    clock.advance(0.6 * DURATION_MS)
+    vm.rollouts["desk"].status_read_ms = clock.now_ms()
+    assert list_versions(vm, placer, unknown) == ["v1", "v2"]
+    clock.now = vm.rollouts["desk"].status_read_ms = 1_000.0
+    del vm.board.endpoints["v1"]
+    vm.board.generation += 1
+    assert list_versions(vm, placer, unknown) == ["v2"]
