--- a/src/carawayward/forwarding/message_types.py
+++ b/src/carawayward/forwarding/message_types.py
@@ -96,6 +96,8 @@
     ``read_request`` raises BadRequest for invalid headers. ``find_id`` returns
     the request's id for log lines, empty if it has none. Callers do not get
     the ``internal_headers`` of a response, which are addressed to the router.
+    Endpoints need the ``end_to_end_headers`` of a request as the caller sent
+    them.
     """
 
     find_id: typing.Callable[[Headers], str]
@@ -104,6 +106,7 @@
     write_request: typing.Callable[[Headers, DispatchMetadata], Headers]
     read_response: typing.Callable[[int, Headers], ResponseMetadata]
     internal_headers: frozenset[bytes] = frozenset()
+    end_to_end_headers: frozenset[bytes] = frozenset()
 
 
 # An endpoint's name, address and ``born``.
--- a/src/carawayward/forwarding/sending.py
+++ b/src/carawayward/forwarding/sending.py
@@ -178,11 +178,15 @@
             last_event=work.last_event,
             urgency=self._choose_urgency(work),
         )
-        headers = self.dialect.write_request(work.request.headers, dispatch)
+        headers = hops.select_request_headers(
+            work.request.headers,
+            work.request.body,
+            self.dialect.end_to_end_headers,
+        )
         return attempt_module.ForwardedRequest(
             method=work.request.method,
             target=work.request.target,
-            headers=hops.select_request_headers(headers, work.request.body),
+            headers=self.dialect.write_request(headers, dispatch),
             body=work.request.body,
         )
 
--- a/src/carawayward/platform/headers.py
+++ b/src/carawayward/platform/headers.py
@@ -142,6 +142,9 @@
     write_request=write_request,
     read_response=read_response,
     internal_headers=frozenset((SERVER_LIMIT, SERVER_LEAVING)),
+    end_to_end_headers=frozenset(
+        (REQUEST_ID, MODEL, TOKEN_COUNT, PREFIX_HASH, SESSION, LAST_EVENT)
+    ),
 )
 
 
