--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -77,18 +77,22 @@
 
 
 def read_endpoint(name: str, body: dict) -> message_types.EndpointEntry:
-    """Convert the entry that an endpoint wrote under its name."""
-    born = body.get("born")
+    """Convert the entry that an endpoint wrote under its name.
+
+    One that lacks a field is another writer's: filled up with defaults, it
+    would bring back an endpoint that has left.
+    """
+    _require_count(body["sequence"])
     return message_types.EndpointEntry(
         name=_require_header_text(name),
         service=_require_type(body["service"], str),
         address=_require_address(body["address"]),
-        failure_domain=_require_type(body.get("zone", ""), str),
-        version=_require_type(body.get("version", ""), str),
-        slots=_require_count(body.get("slots", 1), minimum=1),
+        failure_domain=_require_type(body["zone"], str),
+        version=_require_type(body["version"], str),
+        slots=_require_count(body["slots"], minimum=1),
         leaving=LEAVING_BY_STATE[_require_type(body["state"], str)],
-        born=born if type(born) is int and 0 <= born <= MAX_NUMBER else None,
-        cold_ms=_parse_number(body.get("coldRemainingMs")),
+        born=_require_count(body["born"]) if "born" in body else None,
+        cold_ms=_require_number(body["coldRemainingMs"]),
     )
 
 
--- a/tests/cover/test_forwarding_platform.py
+++ b/tests/cover/test_forwarding_platform.py
@@ -39,6 +39,7 @@
     "version": "v1",
     "slots": 6,
     "state": "ready",
+    "coldRemainingMs": 0,
     "sequence": 4,
     "born": 1_700_000_000_000,
 }
--- a/tests/cover/test_record_isolation.py
+++ b/tests/cover/test_record_isolation.py
@@ -60,7 +60,11 @@
         "service": "desk",
         "address": f"127.0.0.1:{1 + KEYS.index(key)}",
         "zone": "north",
+        "version": "v1",
+        "slots": 6,
         "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
     }
     return json.dumps({**entry, **changes}).encode()
 
--- a/tests/cover/test_record_types.py
+++ b/tests/cover/test_record_types.py
@@ -20,7 +20,11 @@
     "service": "desk",
     "address": "127.0.0.1:1",
     "zone": "north",
+    "version": "v1",
+    "slots": 6,
     "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 1,
 }
 
 
@@ -128,6 +132,29 @@
             assert_typed(found, kind)
 
 
+@hypothesis.given(
+    strategies.sampled_from([*sorted(ENTRY), "born"]),
+    strategies.sampled_from([None, True, 1.5, -1, 2**60, "x", "", [], {}]),
+)
+def test_entry_with_a_field_missing_or_odd_names_no_endpoint(field, value):
+    """An entry of another writer brought back an endpoint that had left."""
+
+    def decode(entry):
+        raw = json.dumps(entry).encode()
+        return records.decode_endpoint(keyed_log.Record("a", raw, 7))
+
+    assert decode(ENTRY) is not None
+    assert decode({**ENTRY, "born": 1_700_000_000_000}) is not None
+    if field != "born":
+        rest = {name: ENTRY[name] for name in ENTRY if name != field}
+        assert decode(rest) is None
+    is_text = type(value) is str and field in ("service", "zone", "version")
+    is_time = value == 1.5 and field == "coldRemainingMs"
+    assert (decode({**ENTRY, field: value}) is not None) == (
+        is_text or is_time
+    )
+
+
 def test_names_that_cannot_be_sent_in_a_header_name_no_endpoint():
     """Guards against a failure of each request that is sent to an endpoint."""
     for key in ("", " a", "a\r\nx: y", "a\x00", "\x7f"):
