--- a/src/carawayward/forwarding/session_versions.py
+++ b/src/carawayward/forwarding/session_versions.py
@@ -52,26 +52,15 @@
 
     def record(self, service: str, session: str, version: str) -> None:
         """Record a session's version; an empty session is ignored."""
-        if not session:
-            return
-        key = (service, session)
-        use = self.uses.setdefault(key, SessionUse(version, 0.0))
-        use.version, use.last_ms = version, self.clock.now_ms()
-        self.uses.move_to_end(key)
-        self._evict()
+        self._record(service, session, version, 0)
 
     def begin(self, service: str, session: str, version: str) -> None:
         """Record the start of a run on an endpoint of ``version``."""
-        self.record(service, session, version)
-        if session:
-            self.uses[service, session].in_flight += 1
+        self._record(service, session, version, 1)
 
     def end(self, service: str, session: str, version: str) -> None:
         """Record the end of a run, which restarts the session's timeout."""
-        self.record(service, session, version)
-        if session:
-            use = self.uses[service, session]
-            use.in_flight = max(0, use.in_flight - 1)
+        self._record(service, session, version, -1)
 
     def find(self, service: str, session: str) -> str | None:
         """Return the version of a session; None if unknown or expired."""
@@ -89,6 +78,18 @@
             if name == service and not self._is_expired(use):
                 yield session, use
 
+    def _record(
+        self, service: str, session: str, version: str, begun: int
+    ) -> None:
+        if not session:
+            return
+        key = (service, session)
+        use = self.uses.setdefault(key, SessionUse(version, 0.0))
+        use.version, use.last_ms = version, self.clock.now_ms()
+        use.in_flight = max(0, use.in_flight + begun)
+        self.uses.move_to_end(key)
+        self._evict()
+
     def compute_timeout_ms(self) -> float:
         """How long a session is kept after its last request."""
         return SESSION_TIMEOUT_FACTOR * self.get_session_timeout_ms()
