--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -83,6 +83,7 @@
     would bring back an endpoint that has left.
     """
     _require_count(body["sequence"])
+    born = body.get("born")
     return message_types.EndpointEntry(
         name=_require_header_text(name),
         service=_require_type(body["service"], str),
@@ -91,7 +92,7 @@
         version=_require_type(body["version"], str),
         slots=_require_count(body["slots"], minimum=1),
         leaving=LEAVING_BY_STATE[_require_type(body["state"], str)],
-        born=_require_count(body["born"]) if "born" in body else None,
+        born=None if born is None else _require_count(born),
         cold_ms=_require_number(body["coldRemainingMs"]),
     )
 
