--- a/src/carawayward/platform/records.py
+++ b/src/carawayward/platform/records.py
@@ -119,7 +119,7 @@
             )
         },
         customers_by_key=customers,
-        keyed=bool(tenants),
+        keyed="tenants" in body,
         limits=table.CallerLimits(
             header_bytes=_require_count(limits.get("maxHeaderBytes", 16_384)),
             body_bytes=_require_count(limits.get("maxBodyBytes", 4_194_304)),
--- a/tests/failures/test_forwarding_store.py
+++ b/tests/failures/test_forwarding_store.py
@@ -454,3 +454,28 @@
         assert forwarding.read_numbers(bodies[0]) == list(range(1, 41))
 
     trio.run(main)
+
+
+def test_configuration_without_any_tenant_allows_no_key():
+    """Operators remove the last tenant; keys became optional by that."""
+
+    async def main():
+        desk = backend.Backend("desk-0")
+        async with forwarding.open_forwarding(desk) as made:
+            assert (await made.call("GET", "/look/")).status == 200
+            config = forwarding.make_config(2, tenants=[])
+            made.store.put("keyed.op", "config", config)
+            await made.wait_for(lambda: made.find_table().revision == 2)
+            for key in (forwarding.KEY, "never-held", ""):
+                answer = await made.call("GET", "/look/", carawayward_key=key)
+                assert answer.status == 401
+            answer = await made.call("GET", "/open/", carawayward_key="")
+            assert answer.status == 200
+            config = forwarding.make_config(3)
+            del config["tenants"]
+            made.store.put("keyed.op", "config", config)
+            await made.wait_for(lambda: made.find_table().revision == 3)
+            answer = await made.call("GET", "/look/", carawayward_key="")
+            assert answer.status == 200
+
+    trio.run(main)
