--- a/src/carawayward/forwarding/kept_sessions.py
+++ b/src/carawayward/forwarding/kept_sessions.py
@@ -130,17 +130,25 @@
     ) -> Selection:
         on_old, on_new = [], []
         for session, use in self.sessions.list_current(order.service):
+            new = use.version == order.version
+            if not new and not early:
+                continue
             drawn = draw(order.version, session)
-            number = load_report_messages.hash_name(session)
-            if use.version == order.version:
-                on_new.append((-drawn, number))
-            elif early and drawn < canary.MAX_SHARE:
-                on_old.append((drawn, number))
+            if new:
+                on_new.append((-drawn, session))
+            elif drawn < canary.MAX_SHARE:
+                on_old.append((drawn, session))
         return Selection(
-            self._now_ms(),
-            [number for _, number in sorted(on_old)[:MAX_REPORTED]],
-            [number for _, number in sorted(on_new)[:MAX_REPORTED]],
+            self._now_ms(), _number_first(on_old), _number_first(on_new)
         )
 
     def _now_ms(self) -> float:
         return self.sessions.clock.now_ms()
+
+
+def _number_first(sessions: list[tuple[float, str]]) -> list[int]:
+    """The numbers of the first sessions in their order."""
+    return [
+        load_report_messages.hash_name(session)
+        for _, session in sorted(sessions)[:MAX_REPORTED]
+    ]
--- a/src/carawayward/forwarding/rollout_rounds.py
+++ b/src/carawayward/forwarding/rollout_rounds.py
@@ -134,9 +134,8 @@
     def mark_current(self, as_of_ms: float) -> None:
         """Record that the statuses were current at ``as_of_ms``."""
         self.as_of_ms = max(self.as_of_ms, as_of_ms)
-        if not self.restoring:
-            for service in self.rollouts.rollouts:
-                self._apply_history(service)
+        for service in self.rollouts.rollouts:
+            self._apply_history(service)
         self.rollouts.statuses_read = True
         for rollout in self.rollouts.rollouts.values():
             self._update_freshness(rollout)
@@ -178,8 +177,7 @@
         status = self.latest.get(rollout.order.service)
         if status is not None:
             self._apply_status(status)
-        if not self.restoring:
-            self._apply_history(rollout.order.service)
+        self._apply_history(rollout.order.service)
         self._update_freshness(rollout)
         self.rollouts.count_started_streams(rollout)
         self.rollouts.judge(rollout)
@@ -330,8 +328,12 @@
 
     def _apply_history(self, service: str) -> None:
         """Adopt what the store says about the service's earlier roll-outs."""
+        status = self.latest.get(service)
+        if self.restoring and service in self.rollouts.histories:
+            # It may be older than what is known here.
+            status = None
         self.rollouts.merge_history(
-            service, self.histories.get(service), self.latest.get(service)
+            service, self.histories.get(service), status
         )
 
     def _apply_status(self, status: message_types.RolloutStatus) -> None:
--- a/src/carawayward/forwarding/rollouts.py
+++ b/src/carawayward/forwarding/rollouts.py
@@ -70,7 +70,10 @@
             )
         if self.is_return(rollout):
             return rollout_state.VersionChoice(
-                rollout, True, False, rollout_state.Reason.RETURN
+                rollout,
+                new=True,
+                strict=False,
+                reason=rollout_state.Reason.RETURN,
             )
         new, reason = self._chooses_new(
             rollout, work.metadata.session, work.metadata.request_id
@@ -83,10 +86,10 @@
         )
         return rollout_state.VersionChoice(
             rollout,
-            new,
-            bad or not rollout.status_known,
-            reason,
-            may_have_begun,
+            new=new,
+            strict=bad or not rollout.status_known,
+            reason=reason,
+            keeps_session=may_have_begun,
         )
 
     def _chooses_new(
