--- a/src/carawayward/decisions/quarantine.py
+++ b/src/carawayward/decisions/quarantine.py
@@ -115,3 +115,9 @@
         for name, each in quarantine.endpoints.items()
         if now_ms < each.until_ms
     )
+
+
+def is_unreachable(quarantine: Quarantine, name: str) -> bool:
+    """Whether the last connection to an endpoint could not be established."""
+    found = quarantine.endpoints.get(name)
+    return found is not None and found.try_ms == CONNECT_TRY_MS
--- a/src/carawayward/forwarding/placing.py
+++ b/src/carawayward/forwarding/placing.py
@@ -9,6 +9,7 @@
 from carawayward.decisions import escalation
 from carawayward.decisions import placement
 from carawayward.decisions import planned_stop
+from carawayward.decisions import quarantine as quarantine_module
 from carawayward.decisions import retry_budget
 from carawayward import events
 from carawayward.forwarding import engine_paces
@@ -263,7 +264,9 @@
         count = len(self.fleet.find_pool(new).views)
         has_old = bool(self.fleet.find_pool(old).views)
         if not choice.new:
-            strict = choice.strict or (choice.keeps_session and has_old)
+            strict = choice.strict or (
+                choice.keeps_session and self._is_reachable(old)
+            )
             filters = [old] if strict else [old, new]
         else:
             max_endpoints = self.rollouts.limit_endpoints(choice, count)
@@ -280,6 +283,14 @@
             for each in self.rollouts.list_undecided(work.service)
         ]
 
+    def _is_reachable(self, old: fleet_module.EndpointFilter) -> bool:
+        """Whether any endpoint that a filter selects is up, full or not."""
+        quarantine = self.fleet.quarantine
+        return any(
+            not quarantine_module.is_unreachable(quarantine, view.name)
+            for view in self.fleet.find_pool(old).views
+        )
+
     def _is_certain(self, old: fleet_module.EndpointFilter) -> bool:
         """Whether all endpoints that a filter selects are of old versions.
 
--- a/src/carawayward/forwarding/rollout_state.py
+++ b/src/carawayward/forwarding/rollout_state.py
@@ -38,8 +38,8 @@
 
     ``new`` is set for the version that the roll-out introduces. Unless
     ``strict`` is set, the other version serves if this one has no endpoint.
-    With ``keeps_session`` it does so only once all endpoints of this one are
-    gone: one that is full for a moment does not make a session change its
+    With ``keeps_session`` it does so only once no endpoint of this one can be
+    reached: one that is full for a moment does not make a session change its
     version.
     """
 
--- a/tests/cover/test_forwarding_sessions.py
+++ b/tests/cover/test_forwarding_sessions.py
@@ -7,6 +7,7 @@
 
 from carawayward import clock as clock_module
 from carawayward.decisions import canary
+from carawayward.decisions import quarantine
 from carawayward.forwarding import board as board_module
 from carawayward.forwarding import fleet as fleet_module
 from carawayward.forwarding import kept_sessions
@@ -207,8 +208,8 @@
 def test_session_waits_for_its_version_where_that_is_full():
     """Sessions changed to the other version while theirs had no room.
 
-    One that has no record here may have begun elsewhere. Once the endpoints
-    of its version are gone, the other one serves it.
+    One that has no record here may have begun elsewhere. Once no endpoint of
+    its version can be reached, the other one serves it.
     """
     clock: typing.Any = clock_module.ManualClock()
     vm = make_vm(clock)
@@ -220,6 +221,12 @@
     vm.sessions.record("desk", kept, "v1")
     assert list_versions(vm, placer, kept) == ["v1"]
     assert list_versions(vm, placer, unknown) == ["v1"]
+    fleet = placer.fleet
+    quarantine.record_declined(fleet.quarantine, "v1", clock.now)
+    assert list_versions(vm, placer, kept) == ["v1"]
+    quarantine.record_unreachable(fleet.quarantine, "v1", clock.now)
+    assert list_versions(vm, placer, kept) == ["v1", "v2"]
+    quarantine.record_accepted(fleet.quarantine, "v1")
     clock.advance(0.6 * DURATION_MS)
     vm.rollouts["desk"].status_read_ms = clock.now_ms()
     assert list_versions(vm, placer, unknown) == ["v1", "v2"]
