--- a/src/carawayward/decisions/__init__.py
+++ b/src/carawayward/decisions/__init__.py
@@ -6,7 +6,8 @@
 ``engine_order`` (which requests an engine admits first),
 ``escalation`` (which model answers), ``retry_budget`` (how many extra runs a
 service may get), ``quarantine`` (endpoints to skip for now), ``canary`` (how
-much traffic a new version gets), ``cold_starts`` (how many requests a cold
+much traffic a new version gets), ``version_history`` (which versions serve
+beside it), ``cold_starts`` (how many requests a cold
 endpoint gets), ``rate_limits`` (each entry VM's share of a limit that an
 endpoint names), ``redirection`` (when to send callers to another entry VM),
 ``lapses`` (whether missing registry entries have expired), ``delegates``
--- a/src/carawayward/events.py
+++ b/src/carawayward/events.py
@@ -300,7 +300,7 @@
     )
     ROLLOUT_ENDED = EventKind(1515, "A roll-out was completed or rolled back.")
     VERSIONS_KNOWN = EventKind(
-        1522,
+        1535,
         "Which versions of a service may serve besides the newest target has "
         "changed: neither rejected nor undecided ones do.",
     )
